--- /dev/null
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/HttpCaller.java
@@ -0,0 +1,74 @@
+package org.pistachioline.adapters.http;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+
+/**
+ * Calls other processes over pooled HTTP connections.
+ * <p>
+ * A call that fails before its answer's head completes exceptionally; whether its bytes
+ * had left is not known then, so that callers must treat it as ambiguous.
+ */
+public final class HttpCaller {
+
+	private static final long MAX_ANSWER_BYTES = 64L * 1024 * 1024;
+
+	private final ActorSystem<?> system;
+
+	private final Http http;
+
+	/**
+	 * Creates a caller.
+	 * @param system the process's actor system
+	 */
+	public HttpCaller(ActorSystem<?> system) {
+		this.system = system;
+		this.http = Http.get(system);
+	}
+
+	/**
+	 * Sends a request and gives the answer's head, with its body as a stream.
+	 * @param request the request
+	 * @return the answer
+	 */
+	public CompletionStage<HttpResponse> stream(HttpRequest request) {
+		return this.http.singleRequest(request);
+	}
+
+	/**
+	 * Sends a request and gives the whole answer.
+	 * @param request the request
+	 * @param timeoutMillis how long the answer may take
+	 * @return the answer, with its body read
+	 */
+	public CompletableFuture<HttpAnswer> call(HttpRequest request, long timeoutMillis) {
+		return this.http.singleRequest(request)
+			.thenCompose((response) -> response.entity()
+				.withSizeLimit(MAX_ANSWER_BYTES)
+				.toStrict(timeoutMillis, this.system)
+				.thenApply((entity) -> answer(response, entity)))
+			.toCompletableFuture()
+			.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Returns the actor system on which streams run.
+	 * @return the actor system
+	 */
+	public ActorSystem<?> system() {
+		return this.system;
+	}
+
+	private static HttpAnswer answer(HttpResponse response, HttpEntity.Strict entity) {
+		return new HttpAnswer(response.status().intValue(), entity.getContentType().toString(),
+				entity.getData().toArray());
+	}
+
+}
--- /dev/null
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP client that all adapters share.
+ */
+package org.pistachioline.adapters.http;
--- /dev/null
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/platform/HttpLogService.java
@@ -0,0 +1,84 @@
+package org.pistachioline.adapters.platform;
+
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+
+import org.pistachioline.adapters.http.HttpAnswer;
+import org.pistachioline.adapters.http.HttpCaller;
+import org.pistachioline.adapters.http.Json;
+
+/**
+ * The platform's log over HTTP; docs/PLATFORM.md has its form.
+ */
+public final class HttpLogService implements LogService {
+
+	private static final long CALL_TIMEOUT_MILLIS = 3_000;
+
+	private static final int MAX_PAGE_BYTES = 4 * 1024 * 1024;
+
+	private static final int TOO_MANY_REQUESTS = 429;
+
+	private static final int UNAVAILABLE = 503;
+
+	private final HttpCaller http;
+
+	private final String baseUrl;
+
+	/**
+	 * Creates the adapter.
+	 * @param http the HTTP client
+	 * @param address the log's address, as host and port
+	 */
+	public HttpLogService(HttpCaller http, String address) {
+		this.http = http;
+		this.baseUrl = "http://" + address + "/streams/";
+	}
+
+	@Override
+	public CompletableFuture<Long> append(String stream, byte[] payloadBytes) {
+		final HttpRequest request = HttpRequest.POST(this.baseUrl + stream + "/entries")
+			.withEntity(ContentTypes.APPLICATION_OCTET_STREAM, payloadBytes);
+		return this.http.call(request, CALL_TIMEOUT_MILLIS).handle((answer, failure) -> {
+			if (failure != null) {
+				throw new AppendException(true, "The append's answer was lost", failure);
+			}
+			return offsetOf(answer);
+		});
+	}
+
+	private static long offsetOf(HttpAnswer answer) {
+		if (answer.isSuccess()) {
+			return Json.tree(answer.bodyBytes()).path("offset").asLong();
+		}
+		// The log's page says of these two that nothing was appended; all else may have.
+		final boolean refused = answer.status() == TOO_MANY_REQUESTS || answer.status() == UNAVAILABLE;
+		throw new AppendException(!refused, "The log answered " + answer.status(), null);
+	}
+
+	@Override
+	public CompletableFuture<LogPage> read(String stream, long fromOffset, long waitMillis) {
+		final HttpRequest request = HttpRequest.GET(this.baseUrl + stream + "/entries?from=" + fromOffset
+				+ "&wait_millis=" + waitMillis + "&max_bytes=" + MAX_PAGE_BYTES);
+		return this.http.call(request, waitMillis + CALL_TIMEOUT_MILLIS).thenApply(HttpLogService::pageOf);
+	}
+
+	private static LogPage pageOf(HttpAnswer answer) {
+		if (!answer.isSuccess()) {
+			throw new IllegalStateException("The log answered " + answer.status());
+		}
+		final JsonNode page = Json.tree(answer.bodyBytes());
+		final List<LogEntry> entries = new ArrayList<>();
+		for (final JsonNode entry : page.path("entries")) {
+			entries.add(new LogEntry(entry.path("offset").asLong(), entry.path("appended_at_millis").asLong(),
+					Base64.getDecoder().decode(entry.path("payload").asText())));
+		}
+		return new LogPage(page.path("head").asLong(), page.path("end").asLong(), entries);
+	}
+
+}
--- /dev/null
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/platform/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The platform's log and instance list, by their published protocols.
+ */
+package org.pistachioline.adapters.platform;
--- /dev/null
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/toml/ManifestReaderTests.java
@@ -0,0 +1,53 @@
+package org.pistachioline.adapters.toml;
+
+import java.nio.charset.StandardCharsets;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+import org.pistachioline.core.manifest.Fault;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class ManifestReaderTests {
+
+	@Test
+	void allFaultsAreNamedAtOnceWithPlaceFoundAndAllowed() {
+		final String toml = """
+				base_version = -1
+				colour = "red"
+				[[pools]]
+				name = "engines"
+				kind = "engin"
+				[[models]]
+				name = "m"
+				pool = "engines"
+				members = "two"
+				""";
+		assertThatThrownBy(() -> ManifestReader.read("m.toml", toml)).isInstanceOfSatisfying(
+				InvalidInputException.class, (ex) -> assertThat(ex.faults()).extracting(Fault::place)
+					.containsExactly("colour", "base_version", "pools[0].kind", "models[0].members"));
+	}
+
+	@Test
+	void aSyntaxFaultIsNamedWithItsLine() {
+		assertThatThrownBy(() -> ManifestReader.read("m.toml", "base_version = 1\nname = = 2\n"))
+			.isInstanceOf(InvalidInputException.class)
+			.hasMessageContaining("line 2");
+	}
+
+	@Property(seed = "20261202", tries = 500)
+	void arbitraryBytesGiveFaultsAndNothingElse(@ForAll @Size(max = 200) byte[] bytes) {
+		final String text = new String(bytes, StandardCharsets.ISO_8859_1);
+		try {
+			ManifestReader.read("m.toml", text);
+		}
+		catch (InvalidInputException ex) {
+			assertThat(ex.faults()).isNotEmpty();
+		}
+	}
+
+}
--- /dev/null
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
@@ -0,0 +1,34 @@
+package org.pistachioline.bench;
+
+import java.util.List;
+
+/**
+ * Runs one measurement by its name.
+ */
+public final class BenchMain {
+
+	private static final int EXIT_USAGE = 2;
+
+	private static final List<Benchmark> BENCHMARKS = List.of(new ReducerBenchmark());
+
+	private BenchMain() {
+	}
+
+	/**
+	 * Runs a measurement.
+	 * @param args its name
+	 * @throws Exception if it cannot be measured
+	 */
+	public static void main(String[] args) throws Exception {
+		for (final Benchmark benchmark : BENCHMARKS) {
+			if (args.length == 1 && benchmark.name().equals(args[0])) {
+				benchmark.run(new Figures(benchmark.name(), System.out));
+				System.exit(0);
+			}
+		}
+		System.err.println("usage: bin/bench NAME, one of: "
+				+ String.join(", ", BENCHMARKS.stream().map(Benchmark::name).toList()));
+		System.exit(EXIT_USAGE);
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/admission/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Who may enter: the limits of each workspace.
+ */
+package org.pistachioline.core.admission;
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/claims/ClaimsReducer.java
@@ -0,0 +1,70 @@
+package org.pistachioline.core.claims;
+
+import java.util.Optional;
+
+import org.pistachioline.core.record.KeyClaim;
+import org.pistachioline.core.record.KeyOutcome;
+import org.pistachioline.core.record.KeyRelease;
+import org.pistachioline.core.record.LogRecord;
+import org.pistachioline.core.record.UnknownBody;
+import org.pistachioline.core.state.Applied;
+import org.pistachioline.core.state.Reducer;
+import org.pistachioline.core.state.RejectReason;
+
+/**
+ * Folds claims: the first of a key in log order is granted, all others are not.
+ */
+public final class ClaimsReducer implements Reducer<ClaimsState> {
+
+	@Override
+	public ClaimsState initial() {
+		return ClaimsState.EMPTY;
+	}
+
+	@Override
+	public Applied<ClaimsState> apply(ClaimsState state, long offset, LogRecord record) {
+		if (state.writers().isRepeat(record)) {
+			return Applied.rejected(state, RejectReason.REPEATED);
+		}
+		final ClaimsState marked = state.withWriters(state.writers().with(offset, record));
+		if (record.body() instanceof KeyClaim claim) {
+			return claim(marked, offset, record.writer(), claim);
+		}
+		if (record.body() instanceof KeyRelease release) {
+			return release(marked, release);
+		}
+		if (record.body() instanceof KeyOutcome outcome) {
+			return settle(marked, outcome);
+		}
+		final boolean unknown = record.body() instanceof UnknownBody;
+		return Applied.rejected(marked, unknown ? RejectReason.UNKNOWN_KIND : RejectReason.WRONG_STREAM);
+	}
+
+	private static Applied<ClaimsState> claim(ClaimsState state, long offset, String writer, KeyClaim claim) {
+		final String key = ClaimsState.keyOf(claim.workspace(), claim.key());
+		if (state.entries().containsKey(key)) {
+			return Applied.rejected(state, RejectReason.KEY_TAKEN);
+		}
+		return Applied.accepted(state.withEntry(key, new ClaimEntry(claim, offset, writer, Optional.empty())));
+	}
+
+	private static Applied<ClaimsState> release(ClaimsState state, KeyRelease release) {
+		final String key = ClaimsState.keyOf(release.workspace(), release.key());
+		final ClaimEntry entry = state.entries().get(key);
+		if (entry == null || entry.claimOffset() != release.claimOffset() || entry.outcome().isPresent()) {
+			return Applied.rejected(state, RejectReason.UNKNOWN_CLAIM);
+		}
+		return Applied.accepted(state.without(key));
+	}
+
+	private static Applied<ClaimsState> settle(ClaimsState state, KeyOutcome outcome) {
+		final String key = ClaimsState.keyOf(outcome.workspace(), outcome.key());
+		final ClaimEntry entry = state.entries().get(key);
+		if (entry == null || entry.claimOffset() != outcome.claimOffset() || entry.outcome().isPresent()) {
+			return Applied.rejected(state, RejectReason.UNKNOWN_CLAIM);
+		}
+		return Applied.accepted(state.withEntry(key,
+				new ClaimEntry(entry.claim(), entry.claimOffset(), entry.writer(), Optional.of(outcome))));
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/error/RunState.java
@@ -0,0 +1,31 @@
+package org.pistachioline.core.error;
+
+/**
+ * Says whether a request that failed may have been run by a target.
+ */
+public enum RunState {
+
+	/** No byte of the request was handed to a target. */
+	NOT_RUN("not-run"),
+
+	/** A target ran the request. */
+	RAN("ran"),
+
+	/** Bytes of the request may have reached a target; whether it ran is not known. */
+	UNKNOWN("unknown");
+
+	private final String headerValue;
+
+	RunState(String headerValue) {
+		this.headerValue = headerValue;
+	}
+
+	/**
+	 * Returns the value of the {@code Pistachioline-Run} header.
+	 * @return the header's value
+	 */
+	public String headerValue() {
+		return this.headerValue;
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -0,0 +1,151 @@
+package org.pistachioline.core.event;
+
+/**
+ * The numbered events of the system; docs/EVENTS.md holds one row for each.
+ */
+public enum EventId {
+
+	/** The process has started. */
+	STARTED(100, EventLevel.INFO, "The process has started."),
+
+	/** The process is stopping. */
+	STOPPING(101, EventLevel.INFO, "The process is stopping; requests in progress are finished first."),
+
+	/** The process has stopped. */
+	STOPPED(102, EventLevel.INFO, "The process has stopped."),
+
+	/** A service failed to start. */
+	START_FAILED(103, EventLevel.ERROR, "A part of the process failed to start."),
+
+	/** The daemon became ready. */
+	READY(104, EventLevel.INFO, "The daemon is ready to take requests."),
+
+	/** The daemon is no longer ready. */
+	NOT_READY(105, EventLevel.WARN, "The daemon is not ready to take requests."),
+
+	/** The log cannot be read. */
+	LOG_UNAVAILABLE(200, EventLevel.WARN, "The platform's log cannot be read; serving on from what is known."),
+
+	/** The log can be read again. */
+	LOG_AVAILABLE(201, EventLevel.INFO, "The platform's log can be read again."),
+
+	/** A record could not be decoded. */
+	RECORD_CORRUPT(202, EventLevel.WARN, "A record on the log could not be decoded and was skipped."),
+
+	/** A record was rejected by the reducer. */
+	RECORD_REJECTED(203, EventLevel.INFO, "A record was rejected by the state at its offset."),
+
+	/** An append's answer was lost. */
+	APPEND_AMBIGUOUS(204, EventLevel.WARN, "An append's answer was lost; reading on to learn whether it landed."),
+
+	/** Records have expired before they were read. */
+	LOG_GAP(205, EventLevel.ERROR, "Records expired before they were read; a checkpoint is needed."),
+
+	/** A checkpoint was appended. */
+	CHECKPOINT_WRITTEN(206, EventLevel.INFO, "A checkpoint was appended to the log."),
+
+	/** A checkpoint was loaded. */
+	CHECKPOINT_LOADED(207, EventLevel.INFO, "A checkpoint was loaded."),
+
+	/** A configuration came into force. */
+	CONFIG_IN_FORCE(300, EventLevel.INFO, "A configuration version is in force on this daemon."),
+
+	/** The configuration in use is stale. */
+	CONFIG_STALE(301, EventLevel.ERROR, "The configuration may be out of date beyond the bound; refusing work."),
+
+	/** A group was formed. */
+	GROUP_FORMED(400, EventLevel.INFO, "A replica group was formed."),
+
+	/** A group was dissolved. */
+	GROUP_DISSOLVED(401, EventLevel.INFO, "A replica group was dissolved."),
+
+	/** A group serves. */
+	GROUP_SERVING(402, EventLevel.INFO, "A replica group serves: all its members are present."),
+
+	/** A group no longer serves. */
+	GROUP_NOT_SERVING(403, EventLevel.WARN, "A replica group does not serve: a member is missing."),
+
+	/** A group is draining. */
+	GROUP_DRAINING(404, EventLevel.INFO, "A replica group takes no new work and finishes what it has."),
+
+	/** An order to an instance was refused or failed. */
+	ORDER_FAILED(405, EventLevel.WARN, "An order to an instance failed and will be repeated."),
+
+	/** This daemon became the planner of a fabric domain. */
+	PLANNER_TAKEN(406, EventLevel.INFO, "This daemon plans a fabric domain."),
+
+	/** A whole fabric domain or availability zone is dark. */
+	DOMAIN_DARK(407, EventLevel.ERROR, "Most of a fabric domain stopped answering at once; changes there wait."),
+
+	/** A request was quarantined. */
+	REQUEST_QUARANTINED(500, EventLevel.ERROR, "A request that crashes targets was quarantined."),
+
+	/** An answer did not match its attempt. */
+	ANSWER_DROPPED(501, EventLevel.WARN, "An answer that does not match its attempt was dropped."),
+
+	/** An attempt failed. */
+	ATTEMPT_FAILED(502, EventLevel.WARN, "An attempt at a target failed."),
+
+	/** A request failed inside the daemon. */
+	REQUEST_FAULT(503, EventLevel.ERROR, "A request failed through a fault of the daemon."),
+
+	/** A peer link failed. */
+	PEER_LOST(600, EventLevel.INFO, "A peer daemon cannot be reached."),
+
+	/** A peer link works. */
+	PEER_FOUND(601, EventLevel.INFO, "A peer daemon was found."),
+
+	/** A frame from a peer was refused. */
+	PEER_FRAME_REFUSED(602, EventLevel.WARN, "A frame on the peer port was refused and its connection closed."),
+
+	/** A ring between duties was full. */
+	RING_FULL(700, EventLevel.WARN, "A ring between duties was full."),
+
+	/** A duty failed on one message. */
+	DUTY_FAULT(701, EventLevel.ERROR, "A duty failed on one message and goes on with the next.");
+
+	private final int number;
+
+	private final EventLevel level;
+
+	private final String text;
+
+	EventId(int number, EventLevel level, String text) {
+		this.number = number;
+		this.level = level;
+		this.text = text;
+	}
+
+	/**
+	 * Returns the event's number.
+	 * @return the number
+	 */
+	public int number() {
+		return this.number;
+	}
+
+	/**
+	 * Returns the event's level.
+	 * @return the level
+	 */
+	public EventLevel level() {
+		return this.level;
+	}
+
+	/**
+	 * Returns the event's sentence.
+	 * @return the text
+	 */
+	public String text() {
+		return this.text;
+	}
+
+	/**
+	 * Returns the name by which logs and the client refer to the event.
+	 * @return the name, such as {@code PL-0200}
+	 */
+	public String label() {
+		return String.format("PL-%04d", this.number);
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The catalogue of numbered log events.
+ */
+package org.pistachioline.core.event;
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/fleet/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Instances as the platform lists them, and what engines hold.
+ */
+package org.pistachioline.core.fleet;
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/manifest/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The manifest that operators publish, and its validation.
+ */
+package org.pistachioline.core.manifest;
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What daemons know of each other.
+ */
+package org.pistachioline.core.peer;
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which target a request goes to.
+ */
+package org.pistachioline.core.placement;
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/Rendezvous.java
@@ -0,0 +1,51 @@
+package org.pistachioline.core.planner;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * Assigns a thing to a few of many by rendezvous hashing, so that all who know the same
+ * many agree, and one that comes or goes moves only its own share.
+ */
+public final class Rendezvous {
+
+	private Rendezvous() {
+	}
+
+	/**
+	 * Returns the first choice for a thing.
+	 * @param thing the thing
+	 * @param candidates who may have it
+	 * @return the first choice; empty where there is no candidate
+	 */
+	public static Optional<String> first(String thing, Collection<String> candidates) {
+		return candidates.stream().max(order(thing));
+	}
+
+	/**
+	 * Returns the first few choices for a thing.
+	 * @param thing the thing
+	 * @param candidates who may have it
+	 * @param count how many
+	 * @return the choices, the first one first
+	 */
+	public static List<String> first(String thing, Collection<String> candidates, int count) {
+		return candidates.stream().sorted(order(thing).reversed()).limit(count).toList();
+	}
+
+	private static Comparator<String> order(String thing) {
+		return Comparator.comparingLong((String candidate) -> score(thing, candidate))
+			.thenComparing(Comparator.naturalOrder());
+	}
+
+	private static long score(String thing, String candidate) {
+		final byte[] bytes = (thing + '\n' + candidate).getBytes(StandardCharsets.UTF_8);
+		return MurmurHash3.hash128x64(bytes, 0, bytes.length, 0)[0];
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/presence/PresenceTable.java
@@ -0,0 +1,95 @@
+package org.pistachioline.core.presence;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.pistachioline.core.fleet.HeldPhase;
+import org.pistachioline.core.fleet.HeldState;
+import org.pistachioline.core.record.Member;
+import org.pistachioline.core.state.GroupState;
+
+/**
+ * Says which groups may serve: those of which every member has proved within a bound that
+ * it is ready as this rank of this group at this epoch.
+ * <p>
+ * A member that died answers nothing, so its proof ages past the bound. A member that
+ * paused and came back into another time names an old epoch. In both cases the replica
+ * would run a request on a part of its model, or on the wrong one; so the whole group
+ * stops taking work. The age counts from before the question, since the answer may have
+ * waited on the way.
+ */
+public final class PresenceTable {
+
+	private final long boundNanos;
+
+	private final Map<String, PresenceProof> proofs = new HashMap<>();
+
+	/**
+	 * Creates an empty table.
+	 * @param boundNanos the age at which a proof no longer counts
+	 */
+	public PresenceTable(long boundNanos) {
+		this.boundNanos = boundNanos;
+	}
+
+	/**
+	 * Notes an answer.
+	 * @param instanceId the instance that was asked
+	 * @param held what it said that it holds
+	 * @param askedAtNanos the monotonic time just before it was asked
+	 */
+	public void onAnswer(String instanceId, HeldState held, long askedAtNanos) {
+		final PresenceProof known = this.proofs.get(instanceId);
+		if (known == null || askedAtNanos - known.askedAtNanos() >= 0) {
+			this.proofs.put(instanceId, new PresenceProof(held, askedAtNanos));
+		}
+	}
+
+	/**
+	 * Forgets all instances but some.
+	 * @param instanceIds the instances that are still of interest
+	 */
+	public void retain(Set<String> instanceIds) {
+		this.proofs.keySet().retainAll(instanceIds);
+	}
+
+	/**
+	 * Returns the last answer of an instance.
+	 * @param instanceId the instance
+	 * @return its proof; null where it never answered
+	 */
+	public PresenceProof proof(String instanceId) {
+		return this.proofs.get(instanceId);
+	}
+
+	/**
+	 * Returns the ranks of a group that have not proved to be ready.
+	 * @param group the group
+	 * @param nowNanos the monotonic time
+	 * @return the missing ranks; empty where the group may serve
+	 */
+	public List<Integer> missingRanks(GroupState group, long nowNanos) {
+		final List<Integer> missing = new ArrayList<>();
+		for (int rank = 0; rank < group.members().size(); rank++) {
+			if (!isProven(group, rank, nowNanos)) {
+				missing.add(rank);
+			}
+		}
+		return missing;
+	}
+
+	private boolean isProven(GroupState group, int rank, long nowNanos) {
+		final Member member = group.members().get(rank);
+		final PresenceProof proof = this.proofs.get(member.instanceId());
+		if (proof == null || nowNanos - proof.askedAtNanos() > this.boundNanos) {
+			return false;
+		}
+		final HeldState held = proof.held();
+		return held.instanceId().equals(member.instanceId()) && held.groupId().equals(group.groupId())
+				&& held.fencingNumber() == group.epoch() && held.rank() == rank && held.phase() == HeldPhase.READY;
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which requests crash the targets that run them.
+ */
+package org.pistachioline.core.quarantine;
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/FifoQueue.java
@@ -0,0 +1,85 @@
+package org.pistachioline.core.queueing;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+import org.pistachioline.core.admission.Refusal;
+import org.pistachioline.core.error.ErrorKind;
+import org.pistachioline.core.manifest.Manifest;
+import org.pistachioline.core.traffic.RequestInfo;
+
+/**
+ * First come, first served over all workspaces; the baseline without fairness.
+ */
+public final class FifoQueue implements QueuePolicy {
+
+	private static final long RETRY_MILLIS = 1_000;
+
+	private final int maxRequests;
+
+	private final Deque<RequestInfo> waiting = new ArrayDeque<>();
+
+	/**
+	 * Creates an empty queue.
+	 * @param maxRequests how many requests may wait
+	 */
+	public FifoQueue(int maxRequests) {
+		this.maxRequests = maxRequests;
+	}
+
+	@Override
+	public void configure(Manifest manifest) {
+		// The bound is fixed and there are no weights.
+	}
+
+	@Override
+	public Optional<Refusal> offer(long nowNanos, RequestInfo info) {
+		if (this.waiting.size() >= this.maxRequests) {
+			return Optional.of(new Refusal(ErrorKind.QUEUE_FULL, RETRY_MILLIS));
+		}
+		this.waiting.addLast(info);
+		return Optional.empty();
+	}
+
+	@Override
+	public Optional<RequestInfo> poll(long nowNanos, Predicate<RequestInfo> placeable) {
+		final Iterator<RequestInfo> iterator = this.waiting.iterator();
+		while (iterator.hasNext()) {
+			final RequestInfo info = iterator.next();
+			if (placeable.test(info)) {
+				iterator.remove();
+				return Optional.of(info);
+			}
+		}
+		return Optional.empty();
+	}
+
+	@Override
+	public List<RequestInfo> expire(long nowNanos) {
+		final List<RequestInfo> expired = new ArrayList<>();
+		this.waiting.removeIf((info) -> {
+			final boolean late = nowNanos >= info.firstTokenDeadlineNanos();
+			if (late) {
+				expired.add(info);
+			}
+			return late;
+		});
+		return expired;
+	}
+
+	@Override
+	public void remove(long requestId) {
+		this.waiting.removeIf((info) -> info.requestId() == requestId);
+	}
+
+	@Override
+	public int size() {
+		return this.waiting.size();
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/QueuePolicy.java
@@ -0,0 +1,57 @@
+package org.pistachioline.core.queueing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+import org.pistachioline.core.admission.Refusal;
+import org.pistachioline.core.manifest.Manifest;
+import org.pistachioline.core.traffic.RequestInfo;
+
+/**
+ * Holds the requests that wait for a target and says who goes next.
+ */
+public interface QueuePolicy {
+
+	/**
+	 * Takes over the weights and bounds of a manifest.
+	 * @param manifest the manifest in force
+	 */
+	void configure(Manifest manifest);
+
+	/**
+	 * Adds a request, or refuses it.
+	 * @param nowNanos the monotonic time
+	 * @param info the request
+	 * @return the refusal; empty where the request waits
+	 */
+	Optional<Refusal> offer(long nowNanos, RequestInfo info);
+
+	/**
+	 * Takes the next request that can be placed.
+	 * @param nowNanos the monotonic time
+	 * @param placeable whether a request can be placed now
+	 * @return the request, if there is one
+	 */
+	Optional<RequestInfo> poll(long nowNanos, Predicate<RequestInfo> placeable);
+
+	/**
+	 * Takes the requests out that cannot be started in time any more.
+	 * @param nowNanos the monotonic time
+	 * @return those requests
+	 */
+	List<RequestInfo> expire(long nowNanos);
+
+	/**
+	 * Takes a request out.
+	 * @param requestId the request
+	 */
+	void remove(long requestId);
+
+	/**
+	 * Returns how many requests wait.
+	 * @return the number of requests
+	 */
+	int size();
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Who waits and who goes next.
+ */
+package org.pistachioline.core.queueing;
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/record/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The records on the platform's log, as immutable data.
+ */
+package org.pistachioline.core.record;
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/retry/BudgetedRetry.java
@@ -0,0 +1,38 @@
+package org.pistachioline.core.retry;
+
+import org.pistachioline.core.traffic.AttemptEnd;
+import org.pistachioline.core.traffic.RequestInfo;
+
+/**
+ * Retries within a budget that successes earn.
+ * <p>
+ * Made for an outage at load: if every failure is tried again, the targets that still
+ * work get twice the work and fail too. A tenth of a retry is earned by each success, so
+ * retries add at most 10 % to the traffic in the long run; ten may be saved up, for a
+ * single group that dies with its requests.
+ */
+public final class BudgetedRetry implements RetryPolicy {
+
+	private static final double EARNED_PER_SUCCESS = 0.1;
+
+	private static final double MOST_SAVED = 10;
+
+	private static final int MAX_ATTEMPTS = 3;
+
+	private double budget = MOST_SAVED;
+
+	@Override
+	public RetryDecision afterFailure(long nowNanos, RequestInfo info, int attempts, AttemptEnd how) {
+		if (attempts >= MAX_ATTEMPTS || nowNanos >= info.totalDeadlineNanos() || this.budget < 1) {
+			return RetryDecision.GIVE_UP;
+		}
+		this.budget -= 1;
+		return RetryDecision.RETRY;
+	}
+
+	@Override
+	public void onSuccess(long nowNanos) {
+		this.budget = Math.min(MOST_SAVED, this.budget + EARNED_PER_SUCCESS);
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/state/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The agreed state and the pure reducers that fold records into it.
+ */
+package org.pistachioline.core.state;
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptEnd.java
@@ -0,0 +1,26 @@
+package org.pistachioline.core.traffic;
+
+/**
+ * How an attempt ended.
+ */
+public enum AttemptEnd {
+
+	/** The answer came in full. */
+	COMPLETE,
+
+	/** No connection was made, so no byte was sent. */
+	NOT_CONNECTED,
+
+	/** The target refused the attempt before running it. */
+	REFUSED,
+
+	/** The connection broke or the target failed after bytes were sent. */
+	BROKEN,
+
+	/** The answer did not match the attempt. */
+	MISMATCHED,
+
+	/** The attempt was cancelled by this daemon. */
+	CANCELLED
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RequestInfo.java
@@ -0,0 +1,38 @@
+package org.pistachioline.core.traffic;
+
+import java.util.List;
+
+/**
+ * What the decisions know of a request; never its text or its key.
+ *
+ * @param requestId the id that this daemon gave it
+ * @param workspace the caller's workspace
+ * @param targetKind whether it goes to a model or to a plain service
+ * @param name the model's or the service's name
+ * @param promptTokens the estimated length of the prompt, in tokens
+ * @param maxOutputTokens the most tokens that it may generate
+ * @param priority a higher number goes first within its workspace
+ * @param firstTokenDeadlineNanos when its first token is due, by the monotonic clock
+ * @param totalDeadlineNanos when it must have ended, by the monotonic clock
+ * @param idempotent whether it may be sent again
+ * @param claim the claim that it needs; {@link ClaimNeed#NONE} where it is idempotent
+ * @param fingerprint the request's fingerprint
+ * @param prefixHashes hashes of the prompt's growing prefixes, the shortest first
+ */
+public record RequestInfo(long requestId, String workspace, TargetKind targetKind, String name, int promptTokens,
+		int maxOutputTokens, int priority, long firstTokenDeadlineNanos, long totalDeadlineNanos, boolean idempotent,
+		ClaimNeed claim, String fingerprint, List<Long> prefixHashes) {
+
+	public RequestInfo {
+		prefixHashes = List.copyOf(prefixHashes);
+	}
+
+	/**
+	 * Returns the tokens for which the request counts while it is in flight.
+	 * @return prompt and output together
+	 */
+	public long costTokens() {
+		return (long) this.promptTokens + this.maxOutputTokens;
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetView.java
@@ -0,0 +1,22 @@
+package org.pistachioline.core.traffic;
+
+/**
+ * What this daemon knows of one target at a moment.
+ *
+ * @param targetId the group's id with its epoch, or the instance's id
+ * @param kind the kind of target
+ * @param name the model or the service that it serves
+ * @param address where calls go
+ * @param epoch the group's epoch; 0 for a plain service
+ * @param availabilityZone its availability zone
+ * @param serving whether it may take new work: present as a whole and not draining
+ * @param slots how many requests it runs at once
+ * @param reportedRunning how many requests it said to be running, from all daemons
+ * @param reportedWaiting how many requests it said to be waiting, from all daemons
+ * @param reportedAtNanos when it said so, by the monotonic clock
+ */
+public record TargetView(String targetId, TargetKind kind, String name, String address, long epoch,
+		String availabilityZone, boolean serving, int slots, int reportedRunning, int reportedWaiting,
+		long reportedAtNanos) {
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficPolicies.java
@@ -0,0 +1,21 @@
+package org.pistachioline.core.traffic;
+
+import org.pistachioline.core.admission.AdmissionPolicy;
+import org.pistachioline.core.placement.PlacementPolicy;
+import org.pistachioline.core.quarantine.KillerPolicy;
+import org.pistachioline.core.queueing.QueuePolicy;
+import org.pistachioline.core.retry.RetryPolicy;
+
+/**
+ * The behaviours that vary, one interface each.
+ *
+ * @param admission who may enter
+ * @param queue who waits and who goes next
+ * @param placement which target a request goes to
+ * @param retry whether a failed attempt is followed by another
+ * @param killer which requests are suspected of crashing targets
+ */
+public record TrafficPolicies(AdmissionPolicy admission, QueuePolicy queue, PlacementPolicy placement,
+		RetryPolicy retry, KillerPolicy killer) {
+
+}
--- /dev/null
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of what holds for the core as a whole.
+ */
+package org.pistachioline.core;
--- /dev/null
+++ b/pistachioline-ctl/src/main/java/org/pistachioline/ctl/AdminClient.java
@@ -0,0 +1,44 @@
+package org.pistachioline.ctl;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.pistachioline.adapters.http.Json;
+
+/**
+ * Asks a daemon's operators' address.
+ */
+final class AdminClient {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(3);
+
+	private final HttpClient http = HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
+
+	JsonNode dump(String address) throws IOException {
+		return Json.tree(get(address, "/debug/dump"));
+	}
+
+	private byte[] get(String address, String path) throws IOException {
+		final HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + path))
+			.timeout(TIMEOUT)
+			.build();
+		try {
+			final HttpResponse<byte[]> response = this.http.send(request, HttpResponse.BodyHandlers.ofByteArray());
+			if (response.statusCode() != 200) {
+				throw new IOException(address + " answered " + response.statusCode());
+			}
+			return response.body();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IOException("interrupted", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/pistachioline-ctl/src/main/java/org/pistachioline/ctl/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' client.
+ */
+package org.pistachioline.ctl;
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -0,0 +1,301 @@
+package org.pistachioline.daemon;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Collectors;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+
+import org.pistachioline.adapters.http.ActorSystems;
+import org.pistachioline.adapters.http.HttpCaller;
+import org.pistachioline.adapters.platform.HttpInstanceList;
+import org.pistachioline.adapters.platform.HttpLogService;
+import org.pistachioline.adapters.platform.LogService;
+import org.pistachioline.adapters.target.EngineControl;
+import org.pistachioline.adapters.target.HttpEngineControl;
+import org.pistachioline.adapters.toml.Setting;
+import org.pistachioline.adapters.toml.Settings;
+import org.pistachioline.core.admission.WorkspaceLimits;
+import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.fleet.Instance;
+import org.pistachioline.core.manifest.Manifest;
+import org.pistachioline.core.peer.PeerStatus;
+import org.pistachioline.core.placement.LeastInFlight;
+import org.pistachioline.core.planner.MinimumPlanner;
+import org.pistachioline.core.quarantine.DeathCounter;
+import org.pistachioline.core.queueing.FifoQueue;
+import org.pistachioline.core.retry.BudgetedRetry;
+import org.pistachioline.core.state.ConfigReducer;
+import org.pistachioline.core.state.ConfigState;
+import org.pistachioline.core.state.FleetReducer;
+import org.pistachioline.core.state.FleetState;
+import org.pistachioline.core.traffic.TrafficCore;
+import org.pistachioline.core.traffic.TrafficPolicies;
+import org.pistachioline.daemon.agreed.AppendDuty;
+import org.pistachioline.daemon.agreed.StreamDuty;
+import org.pistachioline.daemon.claims.ClaimService;
+import org.pistachioline.daemon.event.Events;
+import org.pistachioline.daemon.fleet.FleetDuty;
+import org.pistachioline.daemon.fleet.PlannerDuty;
+import org.pistachioline.daemon.http.AdminHandler;
+import org.pistachioline.daemon.http.CallerHandler;
+import org.pistachioline.daemon.http.CallerLimits;
+import org.pistachioline.daemon.http.DaemonView;
+import org.pistachioline.daemon.http.HttpServer;
+import org.pistachioline.daemon.metrics.Metrics;
+import org.pistachioline.daemon.peer.PeerDuty;
+import org.pistachioline.daemon.traffic.Exchanges;
+import org.pistachioline.daemon.traffic.TrafficDuty;
+
+/**
+ * Wires the parts of one daemon, starts them in order and stops them in reverse.
+ */
+public final class Daemon implements DaemonView {
+
+	private static final int MAX_QUEUED = 10_000;
+
+	private static final long DRAIN_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+	private static final long LONGEST_DRAIN_NANOS = TimeUnit.MINUTES.toNanos(15);
+
+	private final Settings settings;
+
+	private final ActorSystem<Void> system = ActorSystems.create("pistachioline");
+
+	private final long incarnation = System.currentTimeMillis();
+
+	private final AtomicLong heartbeats = new AtomicLong();
+
+	private final StreamDuty<ConfigState> config;
+
+	private final StreamDuty<FleetState> fleet;
+
+	private final FleetDuty instances;
+
+	private final PeerDuty peers;
+
+	private final TrafficDuty traffic;
+
+	private final HttpServer callers;
+
+	private final HttpServer admin;
+
+	private final Metrics metrics = new Metrics();
+
+	private final List<Lifecycle> parts = new ArrayList<>();
+
+	private final Deque<Lifecycle> started = new ArrayDeque<>();
+
+	private volatile boolean leaving;
+
+	/**
+	 * Wires a daemon.
+	 * @param settings its checked settings
+	 */
+	public Daemon(Settings settings) {
+		this.settings = settings;
+		final HttpCaller http = new HttpCaller(this.system);
+		final LogService log = new HttpLogService(http, settings.text(Setting.LOG_ADDRESS));
+		final String selfId = settings.text(Setting.DAEMON_ID);
+		final String writer = selfId + "#" + Long.toString(this.incarnation, Character.MAX_RADIX)
+				+ Integer.toString(ThreadLocalRandom.current().nextInt(Character.MAX_RADIX), Character.MAX_RADIX);
+		final AppendDuty appender = new AppendDuty(this.system, log, writer);
+		this.config = new StreamDuty<>(this.system, settings.text(Setting.LOG_CONFIG_STREAM), log, new ConfigReducer());
+		this.fleet = new StreamDuty<>(this.system, settings.text(Setting.LOG_FLEET_STREAM), log, new FleetReducer());
+		this.config.onFold(appender);
+		this.fleet.onFold(appender);
+		final ClaimService claims = new ClaimService(this.system, log, appender,
+				settings.text(Setting.LOG_CLAIMS_STREAM), (int) settings.whole(Setting.LOG_CLAIMS_PARTITIONS));
+		final EngineControl engines = new HttpEngineControl(http);
+		this.instances = new FleetDuty(this.system, this.config, this.fleet,
+				new HttpInstanceList(http, settings.text(Setting.INSTANCES_ADDRESS)), engines,
+				settings.whole(Setting.PROBES_INTERVAL_MILLIS), settings.whole(Setting.PROBES_PRESENCE_BOUND_MILLIS));
+		this.peers = new PeerDuty(this.system, settings.text(Setting.PEERS_ADDRESS), selfId, this::status, this::seeds,
+				settings.whole(Setting.PEERS_HEARTBEAT_MILLIS));
+		final PlannerDuty planner = new PlannerDuty(this.system, this.config, this.fleet, this.instances, engines,
+				appender, new MinimumPlanner(), selfId, this.peers::daemonIds);
+		this.traffic = new TrafficDuty(this.system, new TrafficCore(policies()), claims);
+		final CallerLimits limits = new CallerLimits(settings.whole(Setting.CALLERS_MAX_BODY_BYTES),
+				settings.whole(Setting.CALLERS_BODY_TIMEOUT_MILLIS),
+				settings.whole(Setting.CALLERS_ENDPOINT_TTL_SECONDS));
+		final CallerHandler callerHandler = new CallerHandler(this, new Exchanges(http, this.traffic), http, limits,
+				writer + "-");
+		this.callers = new HttpServer(this.system, settings.text(Setting.CALLERS_ADDRESS), callerHandler::handle);
+		this.admin = new HttpServer(this.system, settings.text(Setting.ADMIN_ADDRESS),
+				new AdminHandler(this.system, this)::handle);
+		// The state first, then what derives from it, then what shows it, callers last.
+		this.parts.addAll(List.of(appender, this.config, this.fleet, claims, this.peers, this.traffic, this.instances,
+				planner, this.admin, this.callers));
+		connect();
+	}
+
+	private static TrafficPolicies policies() {
+		return new TrafficPolicies(new WorkspaceLimits(), new FifoQueue(MAX_QUEUED), new LeastInFlight(),
+				new BudgetedRetry(), new DeathCounter());
+	}
+
+	private void connect() {
+		final AtomicLong inForce = new AtomicLong();
+		this.config.onChange(() -> {
+			final ConfigState state = this.config.view().state();
+			if (state.version() != inForce.getAndSet(state.version())) {
+				this.traffic.configure(state.manifest());
+				Events.log(EventId.CONFIG_IN_FORCE, "version", state.version(), "offset", state.acceptedOffset());
+			}
+		});
+		this.instances.onChange((view) -> this.traffic.targets(view.targets()));
+		this.metrics.gauge("pistachioline.requests.held", "Requests that have not ended", this.traffic::held);
+		this.metrics.gauge("pistachioline.requests.queued", "Requests that wait for a target", this.traffic::queued);
+		this.metrics.gauge("pistachioline.config.version", "Version of the configuration in force",
+				this::configVersion);
+		this.metrics.gauge("pistachioline.peers.live", "Live daemons, this one included", () -> daemons().size());
+	}
+
+	/**
+	 * Starts all parts in order.
+	 */
+	public void start() {
+		for (final Lifecycle part : this.parts) {
+			part.start();
+			this.started.push(part);
+		}
+		Events.log(EventId.STARTED, "daemon", this.settings.text(Setting.DAEMON_ID), "callers",
+				this.callers.localAddress(), "admin", this.admin.localAddress(), "peers", this.peers.localAddress());
+	}
+
+	/**
+	 * Leaves: vanishes from the endpoints at once, serves on until callers' kept answers
+	 * have expired and its requests are done, then stops all parts.
+	 */
+	public void leave() {
+		Events.log(EventId.STOPPING);
+		this.leaving = true;
+		this.peers.beat();
+		final long begunAtNanos = System.nanoTime();
+		final long keptNanos = Duration.ofSeconds(this.settings.whole(Setting.CALLERS_ENDPOINT_TTL_SECONDS)).toNanos();
+		while (System.nanoTime() - begunAtNanos < keptNanos) {
+			LockSupport.parkNanos(DRAIN_CHECK_NANOS);
+		}
+		this.traffic.leave();
+		while (this.traffic.held() > 0 && System.nanoTime() - begunAtNanos < LONGEST_DRAIN_NANOS) {
+			LockSupport.parkNanos(DRAIN_CHECK_NANOS);
+		}
+		stop();
+	}
+
+	/**
+	 * Stops all started parts in reverse order.
+	 */
+	public void stop() {
+		while (!this.started.isEmpty()) {
+			this.started.pop().stop();
+		}
+		this.system.terminate();
+		Events.log(EventId.STOPPED);
+	}
+
+	private List<String> seeds() {
+		final List<String> seeds = new ArrayList<>(this.settings.texts(Setting.PEERS_SEEDS));
+		final String pool = this.settings.text(Setting.INSTANCES_DAEMON_POOL);
+		for (final Instance instance : this.instances.view().instances()) {
+			if (instance.pool().equals(pool)) {
+				seeds.add(instance.address());
+			}
+		}
+		return seeds;
+	}
+
+	private PeerStatus status() {
+		final long logAgeMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.config.view().readAtNanos());
+		return new PeerStatus(this.settings.text(Setting.DAEMON_ID), this.peers.localAddress(),
+				this.callers.localAddress(), this.admin.localAddress(),
+				this.settings.text(Setting.DAEMON_AVAILABILITY_ZONE), this.incarnation,
+				this.heartbeats.incrementAndGet(), configVersion(), this.config.view().nextOffset(),
+				this.fleet.view().nextOffset(), notReadyReason().isEmpty(), this.leaving, this.traffic.held(),
+				logAgeMillis);
+	}
+
+	@Override
+	public Manifest manifest() {
+		return this.config.view().state().manifest();
+	}
+
+	@Override
+	public long configVersion() {
+		return this.config.view().state().version();
+	}
+
+	@Override
+	public Optional<String> notReadyReason() {
+		if (!this.config.view().caughtUp()) {
+			return Optional.of("the configuration stream has not been read to its end");
+		}
+		if (configVersion() == 0) {
+			return Optional.of("no configuration was published");
+		}
+		if (!this.fleet.view().caughtUp()) {
+			return Optional.of("the fleet stream has not been read to its end");
+		}
+		if (!this.instances.view().listed()) {
+			return Optional.of("the instance list has not been read");
+		}
+		return Optional.empty();
+	}
+
+	@Override
+	public boolean leaving() {
+		return this.leaving;
+	}
+
+	@Override
+	public List<PeerStatus> daemons() {
+		return this.peers.daemons();
+	}
+
+	@Override
+	public String metrics() {
+		return this.metrics.scrape();
+	}
+
+	@Override
+	public Map<String, Object> dump() {
+		final Map<String, Object> dump = new LinkedHashMap<>();
+		dump.put("daemon", status());
+		dump.put("not_ready_reason", notReadyReason().orElse(""));
+		dump.put("config",
+				Map.of("version", configVersion(), "accepted_offset", this.config.view().state().acceptedOffset(),
+						"next_offset", this.config.view().nextOffset(), "log_reachable",
+						this.config.view().logReachable()));
+		dump.put("fleet", Map.of("next_offset", this.fleet.view().nextOffset(), "planners",
+				this.fleet.view().state().planners(), "groups", groups()));
+		dump.put("peers", daemons());
+		dump.put("requests", Map.of("held", this.traffic.held(), "queued", this.traffic.queued()));
+		return dump;
+	}
+
+	private Collection<Map<String, Object>> groups() {
+		final Map<String, List<Integer>> missing = this.instances.view().missingRanks();
+		return this.fleet.view()
+			.state()
+			.groups()
+			.values()
+			.stream()
+			.map((group) -> Map.<String, Object>of("group_id", group.groupId(), "model", group.model(), "epoch",
+					group.epoch(), "fabric_domain", group.fabricDomain(), "draining", group.draining(), "reason",
+					group.reason(), "members", group.members().stream().map((member) -> member.instanceId()).toList(),
+					"missing_ranks", missing.getOrDefault(group.groupId(), List.of())))
+			.collect(Collectors.toList());
+	}
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/claims/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Claims of idempotency keys, made on the log.
+ */
+package org.pistachioline.daemon.claims;
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Writing of numbered events.
+ */
+package org.pistachioline.daemon.event;
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/fleet/FleetDuty.java
@@ -0,0 +1,251 @@
+package org.pistachioline.daemon.fleet;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+
+import org.pistachioline.adapters.platform.InstanceList;
+import org.pistachioline.adapters.target.EngineControl;
+import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.fleet.HeldState;
+import org.pistachioline.core.fleet.Instance;
+import org.pistachioline.core.manifest.PoolKind;
+import org.pistachioline.core.manifest.PoolSpec;
+import org.pistachioline.core.presence.PresenceTable;
+import org.pistachioline.core.state.ConfigState;
+import org.pistachioline.core.state.FleetState;
+import org.pistachioline.core.state.GroupState;
+import org.pistachioline.daemon.Lifecycle;
+import org.pistachioline.daemon.agreed.StreamDuty;
+import org.pistachioline.daemon.duty.Duty;
+import org.pistachioline.daemon.duty.DutyHandler;
+import org.pistachioline.daemon.event.Events;
+
+/**
+ * Reads the instance list, asks engines what they hold and publishes what may serve.
+ */
+public final class FleetDuty implements Lifecycle, DutyHandler<FleetDuty.Message> {
+
+	private static final int RING_CAPACITY = 8192;
+
+	private static final Duration TICK = Duration.ofMillis(100);
+
+	private static final long LIST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+	private final StreamDuty<ConfigState> config;
+
+	private final StreamDuty<FleetState> fleet;
+
+	private final InstanceList instanceList;
+
+	private final EngineControl engines;
+
+	private final long probeIntervalNanos;
+
+	private final PresenceTable presence;
+
+	private final Duty<Message> duty;
+
+	private final AtomicReference<FleetView> view = new AtomicReference<>(FleetView.EMPTY);
+
+	private final List<Consumer<FleetView>> listeners = new CopyOnWriteArrayList<>();
+
+	private final Map<String, Long> askedAtNanos = new HashMap<>();
+
+	private final Map<String, HeldState> heldByInstance = new ConcurrentHashMap<>();
+
+	private final Set<String> serving = new HashSet<>();
+
+	private List<Instance> instances = List.of();
+
+	private boolean listed;
+
+	private boolean listing;
+
+	private long listedAtNanos;
+
+	/**
+	 * Creates the duty.
+	 * @param system the process's actor system
+	 * @param config the configuration stream
+	 * @param fleet the fleet stream
+	 * @param instanceList the platform's instance list
+	 * @param engines how engines are asked
+	 * @param probeIntervalMillis the time between two questions to one engine
+	 * @param presenceBoundMillis the age at which an answer no longer counts
+	 */
+	public FleetDuty(ActorSystem<?> system, StreamDuty<ConfigState> config, StreamDuty<FleetState> fleet,
+			InstanceList instanceList, EngineControl engines, long probeIntervalMillis, long presenceBoundMillis) {
+		this.config = config;
+		this.fleet = fleet;
+		this.instanceList = instanceList;
+		this.engines = engines;
+		this.probeIntervalNanos = TimeUnit.MILLISECONDS.toNanos(probeIntervalMillis);
+		this.presence = new PresenceTable(TimeUnit.MILLISECONDS.toNanos(presenceBoundMillis));
+		this.duty = new Duty<>(system, "fleet", RING_CAPACITY, TICK, this);
+	}
+
+	/**
+	 * Adds a listener to each new view.
+	 * @param listener the listener; it runs on the duty's thread
+	 */
+	public void onChange(Consumer<FleetView> listener) {
+		this.listeners.add(listener);
+	}
+
+	/**
+	 * Returns what is known.
+	 * @return the newest view
+	 */
+	public FleetView view() {
+		return this.view.get();
+	}
+
+	@Override
+	public void start() {
+		this.duty.start();
+		// A change on the log must show at once: a dissolved group takes no more work.
+		this.fleet.onChange(() -> this.duty.offer(new Message.Changed()));
+		this.config.onChange(() -> this.duty.offer(new Message.Changed()));
+	}
+
+	@Override
+	public void stop() {
+		this.duty.stop();
+	}
+
+	@Override
+	public void onTick() {
+		final long nowNanos = System.nanoTime();
+		if (!this.listing && (!this.listed || nowNanos - this.listedAtNanos >= LIST_INTERVAL_NANOS)) {
+			this.listing = true;
+			this.instanceList.read().whenComplete((read, failure) -> this.duty.put(new Message.Listed(read, failure)));
+		}
+		probe(nowNanos);
+		publish(nowNanos);
+	}
+
+	private void probe(long nowNanos) {
+		for (final Instance instance : this.instances) {
+			if (!isEngine(instance)) {
+				continue;
+			}
+			final Long asked = this.askedAtNanos.get(instance.id());
+			if (asked == null || nowNanos - asked >= this.probeIntervalNanos) {
+				this.askedAtNanos.put(instance.id(), nowNanos);
+				this.engines.held(instance.address()).whenComplete((held, failure) -> {
+					if (failure == null) {
+						this.duty.offer(new Message.Answered(instance.id(), held, nowNanos));
+					}
+				});
+			}
+		}
+	}
+
+	private boolean isEngine(Instance instance) {
+		return this.config.view()
+			.state()
+			.manifest()
+			.pool(instance.pool())
+			.map(PoolSpec::kind)
+			.filter((kind) -> kind == PoolKind.ENGINE)
+			.isPresent();
+	}
+
+	@Override
+	public void onMessage(Message message) {
+		if (message instanceof Message.Listed list) {
+			this.listing = false;
+			this.listedAtNanos = System.nanoTime();
+			if (list.failure() == null) {
+				this.instances = List.copyOf(list.instances());
+				this.listed = true;
+			}
+		}
+		else if (message instanceof Message.Answered answer) {
+			this.heldByInstance.put(answer.instanceId(), answer.held());
+			this.presence.onAnswer(answer.instanceId(), answer.held(), answer.askedAtNanos());
+		}
+		else if (message instanceof Message.Changed) {
+			publish(System.nanoTime());
+		}
+	}
+
+	private void publish(long nowNanos) {
+		if (!this.listed) {
+			return;
+		}
+		final FleetState state = this.fleet.view().state();
+		final FleetView next = TargetViews.derive(this.instances, this.config.view().state().manifest(), state,
+				this.presence, nowNanos);
+		this.view.set(next);
+		logServing(state, next);
+		this.listeners.forEach((listener) -> listener.accept(next));
+	}
+
+	private void logServing(FleetState state, FleetView next) {
+		for (final GroupState group : state.groups().values()) {
+			final boolean serves = !next.missingRanks().containsKey(group.groupId());
+			if (serves && this.serving.add(group.groupId())) {
+				Events.log(EventId.GROUP_SERVING, "group", group.groupId(), "epoch", group.epoch());
+			}
+			else if (!serves && this.serving.remove(group.groupId())) {
+				Events.log(EventId.GROUP_NOT_SERVING, "group", group.groupId(), "epoch", group.epoch(), "missing_ranks",
+						next.missingRanks().get(group.groupId()));
+			}
+		}
+		this.serving.retainAll(state.groups().keySet());
+	}
+
+	/**
+	 * Returns what an instance last said that it holds.
+	 * @param instanceId the instance
+	 * @return its last answer; null where it never answered
+	 */
+	HeldState held(String instanceId) {
+		return this.heldByInstance.get(instanceId);
+	}
+
+	/**
+	 * A message to the duty.
+	 */
+	sealed interface Message {
+
+		/**
+		 * The instance list answered, or did not.
+		 *
+		 * @param instances the instances
+		 * @param failure why it failed
+		 */
+		record Listed(List<Instance> instances, Throwable failure) implements Message {
+		}
+
+		/**
+		 * An engine answered.
+		 *
+		 * @param instanceId the instance
+		 * @param held what it holds
+		 * @param askedAtNanos when it was asked
+		 */
+		record Answered(String instanceId, HeldState held, long askedAtNanos) implements Message {
+		}
+
+		/**
+		 * The agreed state changed.
+		 */
+		record Changed() implements Message {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/fleet/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Instances, presence of groups, orders and planning.
+ */
+package org.pistachioline.daemon.fleet;
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/CompletionRequest.java
@@ -0,0 +1,63 @@
+package org.pistachioline.daemon.http;
+
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.pistachioline.adapters.http.Json;
+
+/**
+ * What the daemon reads of a completion's body; the rest goes to the engine as it came.
+ *
+ * @param model the model
+ * @param prompt the text of all messages
+ * @param maxTokens the most tokens to generate
+ * @param stream whether the answer is streamed
+ * @param priority a higher number goes first
+ */
+record CompletionRequest(String model, String prompt, int maxTokens, boolean stream, int priority) {
+
+	private static final int DEFAULT_MAX_TOKENS = 256;
+
+	private static final int MOST_MAX_TOKENS = 1_000_000;
+
+	private static final int MOST_PRIORITY = 9;
+
+	static Optional<CompletionRequest> parse(byte[] body) {
+		final JsonNode node;
+		try {
+			node = Json.tree(body);
+		}
+		catch (RuntimeException ex) {
+			return Optional.empty();
+		}
+		final JsonNode messages = node.path("messages");
+		final JsonNode maxTokens = node.path("max_tokens");
+		final boolean formed = node.path("model").isTextual() && messages.isArray() && !messages.isEmpty()
+				&& (maxTokens.isMissingNode() || maxTokens.isInt()) && isFlag(node.path("stream"))
+				&& (node.path("priority").isMissingNode() || node.path("priority").isInt());
+		if (!formed) {
+			return Optional.empty();
+		}
+		final int tokens = maxTokens.asInt(DEFAULT_MAX_TOKENS);
+		final int priority = node.path("priority").asInt(0);
+		if (tokens < 1 || tokens > MOST_MAX_TOKENS || Math.abs(priority) > MOST_PRIORITY) {
+			return Optional.empty();
+		}
+		return Optional.of(new CompletionRequest(node.path("model").asText(), promptOf(messages), tokens,
+				node.path("stream").asBoolean(false), priority));
+	}
+
+	private static boolean isFlag(JsonNode node) {
+		return node.isMissingNode() || node.isBoolean();
+	}
+
+	private static String promptOf(JsonNode messages) {
+		final StringBuilder prompt = new StringBuilder();
+		for (final JsonNode message : messages) {
+			prompt.append(message.path("content").asText()).append('\n');
+		}
+		return prompt.toString();
+	}
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP towards callers and towards operators.
+ */
+package org.pistachioline.daemon.http;
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metrics.java
@@ -0,0 +1,34 @@
+package org.pistachioline.daemon.metrics;
+
+import java.util.function.Supplier;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+
+/**
+ * The daemon's meters; docs/METRICS.md lists them.
+ */
+public final class Metrics {
+
+	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+	/**
+	 * Adds a gauge.
+	 * @param name its name
+	 * @param description its description
+	 * @param value gives its value
+	 */
+	public void gauge(String name, String description, Supplier<Number> value) {
+		Gauge.builder(name, value).description(description).strongReference(true).register(this.registry);
+	}
+
+	/**
+	 * Returns all meters.
+	 * @return the text in the Prometheus form
+	 */
+	public String scrape() {
+		return this.registry.scrape();
+	}
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Metrics by Micrometer, in the Prometheus form.
+ */
+package org.pistachioline.daemon.metrics;
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
@@ -0,0 +1,163 @@
+package org.pistachioline.daemon.peer;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+
+import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.peer.PeerStatus;
+import org.pistachioline.core.peer.PeerTable;
+import org.pistachioline.daemon.Lifecycle;
+import org.pistachioline.daemon.duty.Duty;
+import org.pistachioline.daemon.duty.DutyHandler;
+import org.pistachioline.daemon.event.Events;
+import org.pistachioline.protocol.peer.Heartbeat;
+import org.pistachioline.protocol.peer.PeerFrame;
+
+/**
+ * Tells a few peers at each beat what this daemon knows, so that all hear of all.
+ */
+public final class PeerDuty implements Lifecycle, DutyHandler<PeerFrame> {
+
+	private static final int RING_CAPACITY = 1024;
+
+	private static final int FAN_OUT = 3;
+
+	private static final int MAX_KNOWN = 16;
+
+	private static final int LIVE_BEATS = 8;
+
+	private final Supplier<PeerStatus> self;
+
+	private final Supplier<List<String>> seeds;
+
+	private final PeerTable table;
+
+	private final Duty<PeerFrame> duty;
+
+	private final PeerTransport transport;
+
+	private final AtomicReference<List<PeerStatus>> live = new AtomicReference<>(List.of());
+
+	/**
+	 * Creates the duty.
+	 * @param system the process's actor system
+	 * @param address where to listen for peers
+	 * @param selfId this daemon's name
+	 * @param self what this daemon says of itself
+	 * @param seeds addresses of daemons to begin with
+	 * @param heartbeatMillis the time between two beats
+	 */
+	public PeerDuty(ActorSystem<?> system, String address, String selfId, Supplier<PeerStatus> self,
+			Supplier<List<String>> seeds, long heartbeatMillis) {
+		this.self = self;
+		this.seeds = seeds;
+		this.table = new PeerTable(selfId, Duration.ofMillis(LIVE_BEATS * heartbeatMillis).toNanos());
+		this.duty = new Duty<>(system, "peers", RING_CAPACITY, Duration.ofMillis(heartbeatMillis), this);
+		// A frame for which there is no room is dropped: the next beat brings newer word.
+		this.transport = new PeerTransport(address, this.duty::offer);
+	}
+
+	@Override
+	public void start() {
+		this.transport.start();
+		this.duty.start();
+	}
+
+	@Override
+	public void stop() {
+		this.duty.stop();
+		this.transport.stop();
+	}
+
+	/**
+	 * Returns the live daemons, this one included.
+	 * @return what each says of itself
+	 */
+	public List<PeerStatus> daemons() {
+		final List<PeerStatus> daemons = new ArrayList<>(this.live.get());
+		daemons.add(this.self.get());
+		return daemons;
+	}
+
+	/**
+	 * Returns the names of the live daemons that are not leaving, this one included.
+	 * @return the names
+	 */
+	public Set<String> daemonIds() {
+		return daemons().stream()
+			.filter((daemon) -> !daemon.leaving())
+			.map(PeerStatus::daemonId)
+			.collect(Collectors.toCollection(TreeSet::new));
+	}
+
+	/**
+	 * Returns where this daemon listens for peers.
+	 * @return the address
+	 */
+	public String localAddress() {
+		return this.transport.localAddress();
+	}
+
+	@Override
+	public void onMessage(PeerFrame frame) {
+		if (!frame.hasHeartbeat()) {
+			return;
+		}
+		final long nowNanos = System.nanoTime();
+		merge(PeerCodec.decode(frame.getHeartbeat().getSender()), nowNanos);
+		frame.getHeartbeat().getKnownList().forEach((status) -> merge(PeerCodec.decode(status), nowNanos));
+		this.live.set(this.table.live(nowNanos));
+	}
+
+	private void merge(PeerStatus status, long nowNanos) {
+		if (this.table.merge(status, nowNanos)) {
+			Events.log(EventId.PEER_FOUND, "daemon", status.daemonId(), "address", status.peerAddress());
+		}
+	}
+
+	@Override
+	public void onTick() {
+		final List<PeerStatus> known = this.table.live(System.nanoTime());
+		noteLost(known);
+		this.live.set(known);
+		beat();
+	}
+
+	private void noteLost(List<PeerStatus> known) {
+		final Set<String> now = known.stream().map(PeerStatus::daemonId).collect(Collectors.toSet());
+		for (final PeerStatus before : this.live.get()) {
+			if (!now.contains(before.daemonId())) {
+				Events.log(EventId.PEER_LOST, "daemon", before.daemonId(), "address", before.peerAddress());
+			}
+		}
+	}
+
+	/**
+	 * Sends one heartbeat to a few peers, now.
+	 */
+	public void beat() {
+		final PeerStatus status = this.self.get();
+		final List<PeerStatus> known = new ArrayList<>(this.live.get());
+		Collections.shuffle(known, ThreadLocalRandom.current());
+		final Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setSender(PeerCodec.encode(status));
+		known.stream().limit(MAX_KNOWN).forEach((peer) -> heartbeat.addKnown(PeerCodec.encode(peer)));
+		final PeerFrame frame = PeerFrame.newBuilder().setHeartbeat(heartbeat).build();
+		final Set<String> addresses = new TreeSet<>(this.seeds.get());
+		known.forEach((peer) -> addresses.add(peer.peerAddress()));
+		addresses.remove(status.peerAddress());
+		final List<String> chosen = new ArrayList<>(addresses);
+		Collections.shuffle(chosen, ThreadLocalRandom.current());
+		chosen.stream().limit(FAN_OUT).forEach((address) -> this.transport.send(address, frame));
+	}
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Heartbeats between daemons over Netty.
+ */
+package org.pistachioline.daemon.peer;
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/AttemptFailures.java
@@ -0,0 +1,28 @@
+package org.pistachioline.daemon.traffic;
+
+import java.util.concurrent.CompletionException;
+
+import org.pistachioline.core.traffic.AttemptEnd;
+
+/**
+ * Tells how an attempt ended from the way its call failed.
+ */
+final class AttemptFailures {
+
+	private AttemptFailures() {
+	}
+
+	/**
+	 * Classifies a failure before an answer's head.
+	 * @param failure the failure
+	 * @return not connected only where no connection was made at all
+	 */
+	static AttemptEnd classify(Throwable failure) {
+		final Throwable cause = (failure instanceof CompletionException && failure.getCause() != null)
+				? failure.getCause() : failure;
+		final String message = String.valueOf(cause.getMessage());
+		final boolean connectFailed = message.startsWith("Tcp command [Connect(");
+		return connectFailed ? AttemptEnd.NOT_CONNECTED : AttemptEnd.BROKEN;
+	}
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/AttemptListener.java
@@ -0,0 +1,26 @@
+package org.pistachioline.daemon.traffic;
+
+import org.pistachioline.core.traffic.AttemptEnd;
+import org.pistachioline.core.traffic.AttemptId;
+
+/**
+ * Hears how an attempt goes, on any thread.
+ */
+public interface AttemptListener {
+
+	/**
+	 * Called at the first token.
+	 * @param attempt the attempt
+	 * @param tokensDelivered the tokens that the caller has in all
+	 */
+	void onProgress(AttemptId attempt, int tokensDelivered);
+
+	/**
+	 * Called once, at the end.
+	 * @param attempt the attempt
+	 * @param how how it ended
+	 * @param tokensDelivered the tokens that the caller has in all
+	 */
+	void onEnd(AttemptId attempt, AttemptEnd how, int tokensDelivered);
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ModelExchange.java
@@ -0,0 +1,144 @@
+package org.pistachioline.daemon.traffic;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.stream.KillSwitches;
+import org.apache.pekko.stream.UniqueKillSwitch;
+import org.apache.pekko.stream.javadsl.Keep;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+
+import org.pistachioline.adapters.http.HttpCaller;
+import org.pistachioline.core.error.ErrorKind;
+import org.pistachioline.core.error.RunState;
+import org.pistachioline.core.record.KeyOutcome;
+import org.pistachioline.core.traffic.AttemptEnd;
+import org.pistachioline.core.traffic.AttemptId;
+import org.pistachioline.core.traffic.RequestInfo;
+import org.pistachioline.core.traffic.TargetView;
+import org.pistachioline.core.traffic.TrafficAction;
+
+/**
+ * A completion: each attempt is a stream of events from an engine.
+ */
+abstract class ModelExchange implements Exchange {
+
+	private final RequestInfo info;
+
+	private final String requestIdText;
+
+	private final byte[] engineBody;
+
+	private final HttpCaller http;
+
+	private final CompletableFuture<HttpResponse> response = new CompletableFuture<>();
+
+	private AttemptId liveAttempt;
+
+	private UniqueKillSwitch liveSwitch;
+
+	ModelExchange(RequestInfo info, String requestIdText, byte[] engineBody, HttpCaller http) {
+		this.info = info;
+		this.requestIdText = requestIdText;
+		this.engineBody = engineBody;
+		this.http = http;
+	}
+
+	@Override
+	public final RequestInfo info() {
+		return this.info;
+	}
+
+	final String requestIdText() {
+		return this.requestIdText;
+	}
+
+	final HttpCaller http() {
+		return this.http;
+	}
+
+	final CompletableFuture<HttpResponse> response() {
+		return this.response;
+	}
+
+	@Override
+	public final void start(TrafficAction.Start start, AttemptListener listener) {
+		synchronized (this) {
+			this.liveAttempt = start.attempt();
+			this.liveSwitch = null;
+		}
+		this.http.stream(request(start)).whenComplete((answer, failure) -> {
+			if (failure != null) {
+				listener.onEnd(start.attempt(), AttemptFailures.classify(failure), start.resumeFromTokens());
+			}
+			else if (answer.status().intValue() != 200) {
+				answer.discardEntityBytes(this.http.system());
+				listener.onEnd(start.attempt(), AttemptEnd.REFUSED, start.resumeFromTokens());
+			}
+			else {
+				relay(start, answer, listener);
+			}
+		});
+	}
+
+	private void relay(TrafficAction.Start start, HttpResponse answer, AttemptListener listener) {
+		final Source<ByteString, UniqueKillSwitch> source = answer.entity()
+			.withoutSizeLimit()
+			.getDataBytes()
+			.viaMat(KillSwitches.single(), Keep.right())
+			.via(new RelayStage(start.attempt(), start.resumeFromTokens(), listener));
+		onEvents(source.mapMaterializedValue((killSwitch) -> {
+			live(start.attempt(), killSwitch);
+			return NotUsed.getInstance();
+		}));
+	}
+
+	private synchronized void live(AttemptId attempt, UniqueKillSwitch killSwitch) {
+		if (attempt.equals(this.liveAttempt)) {
+			this.liveSwitch = killSwitch;
+		}
+		else {
+			killSwitch.abort(new IllegalStateException("cancelled"));
+		}
+	}
+
+	private HttpRequest request(TrafficAction.Start start) {
+		final TargetView target = start.target();
+		final String groupId = target.targetId().substring(0, target.targetId().lastIndexOf('@'));
+		return HttpRequest.POST("http://" + target.address() + "/v1/chat/completions")
+			.withEntity(ContentTypes.APPLICATION_JSON, this.engineBody)
+			.addHeader(RawHeader.create("Pistachioline-Attempt", start.attempt().wireForm()))
+			.addHeader(RawHeader.create("Pistachioline-Group", groupId))
+			.addHeader(RawHeader.create("Pistachioline-Group-Epoch", Long.toString(target.epoch())))
+			.addHeader(RawHeader.create("Pistachioline-Resume-From", Integer.toString(start.resumeFromTokens())))
+			.addHeader(RawHeader.create("Pistachioline-Priority", Integer.toString(this.info.priority())));
+	}
+
+	@Override
+	public final synchronized void cancel(AttemptId attempt) {
+		if (!attempt.equals(this.liveAttempt)) {
+			return;
+		}
+		this.liveAttempt = null;
+		if (this.liveSwitch != null) {
+			this.liveSwitch.abort(new IllegalStateException("cancelled"));
+		}
+	}
+
+	@Override
+	public final void replay(KeyOutcome outcome) {
+		fail(ErrorKind.INTERNAL, RunState.UNKNOWN, 0);
+	}
+
+	/**
+	 * Takes the events of an attempt that an engine accepted.
+	 * @param events the events, without ids
+	 */
+	abstract void onEvents(Source<ByteString, NotUsed> events);
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ServiceExchange.java
@@ -0,0 +1,115 @@
+package org.pistachioline.daemon.traffic;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+
+import org.apache.pekko.http.javadsl.model.ContentType;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.StatusCodes;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+
+import org.pistachioline.adapters.http.HttpAnswer;
+import org.pistachioline.adapters.http.HttpCaller;
+import org.pistachioline.core.error.ErrorKind;
+import org.pistachioline.core.error.RunState;
+import org.pistachioline.core.record.KeyOutcome;
+import org.pistachioline.core.traffic.AttemptEnd;
+import org.pistachioline.core.traffic.AttemptId;
+import org.pistachioline.core.traffic.RequestInfo;
+import org.pistachioline.core.traffic.TrafficAction;
+
+/**
+ * A call of a plain service, answered as a whole.
+ */
+final class ServiceExchange implements Exchange {
+
+	private final RequestInfo info;
+
+	private final String requestIdText;
+
+	private final ServiceCall call;
+
+	private final HttpCaller http;
+
+	private final TrafficDuty traffic;
+
+	private final CompletableFuture<HttpResponse> response = new CompletableFuture<>();
+
+	private volatile AttemptId liveAttempt;
+
+	private volatile HttpAnswer answer;
+
+	ServiceExchange(RequestInfo info, String requestIdText, ServiceCall call, HttpCaller http, TrafficDuty traffic) {
+		this.info = info;
+		this.requestIdText = requestIdText;
+		this.call = call;
+		this.http = http;
+		this.traffic = traffic;
+	}
+
+	CompletableFuture<HttpResponse> response() {
+		return this.response;
+	}
+
+	@Override
+	public RequestInfo info() {
+		return this.info;
+	}
+
+	@Override
+	public void start(TrafficAction.Start start, AttemptListener listener) {
+		this.liveAttempt = start.attempt();
+		HttpRequest request = HttpRequest.create("http://" + start.target().address() + this.call.pathAndQuery())
+			.withMethod(this.call.method())
+			.addHeader(RawHeader.create("Pistachioline-Attempt", start.attempt().wireForm()));
+		if (!this.call.idempotencyKey().isEmpty()) {
+			request = request.addHeader(RawHeader.create("Idempotency-Key", this.call.idempotencyKey()));
+		}
+		if (this.call.bodyBytes().length > 0) {
+			request = request.withEntity(HttpEntities.create(this.call.contentType(), this.call.bodyBytes()));
+		}
+		this.http.call(request, this.call.timeoutMillis()).whenComplete((got, failure) -> {
+			if (failure != null) {
+				listener.onEnd(start.attempt(), AttemptFailures.classify(failure), 0);
+			}
+			else if (start.attempt().equals(this.liveAttempt)) {
+				this.answer = got;
+				listener.onEnd(start.attempt(), AttemptEnd.COMPLETE, 0);
+			}
+		});
+	}
+
+	@Override
+	public void cancel(AttemptId attempt) {
+		this.liveAttempt = null;
+	}
+
+	@Override
+	public void finish() {
+		final HttpAnswer got = this.answer;
+		this.traffic.settle(this, got.status(), got.contentType(), new String(got.bodyBytes(), StandardCharsets.UTF_8));
+		answer(got.status(), got.contentType(), got.bodyBytes());
+	}
+
+	private void answer(int status, String contentType, byte[] bodyBytes) {
+		final ContentType type = org.apache.pekko.http.javadsl.model.ContentTypes.parse(contentType);
+		this.response.complete(HttpResponse.create()
+			.withStatus(StatusCodes.lookup(status).orElse(StatusCodes.OK))
+			.addHeader(RawHeader.create(ErrorAnswers.REQUEST_ID_HEADER, this.requestIdText))
+			.withEntity(HttpEntities.create((type != null) ? type : ContentTypes.APPLICATION_OCTET_STREAM, bodyBytes)));
+	}
+
+	@Override
+	public void fail(ErrorKind kind, RunState runState, long retryAfterMillis) {
+		this.response.complete(ErrorAnswers.of(this.requestIdText, kind, runState, retryAfterMillis));
+	}
+
+	@Override
+	public void replay(KeyOutcome outcome) {
+		answer(outcome.status(), outcome.contentType(), outcome.body().getBytes(StandardCharsets.UTF_8));
+	}
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/StreamedExchange.java
@@ -0,0 +1,65 @@
+package org.pistachioline.daemon.traffic;
+
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.MediaTypes;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.BoundedSourceQueue;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+
+import org.pistachioline.adapters.http.HttpCaller;
+import org.pistachioline.core.error.ErrorKind;
+import org.pistachioline.core.error.RunState;
+import org.pistachioline.core.traffic.RequestInfo;
+
+/**
+ * A completion that is streamed to its caller; all attempts go into one answer.
+ */
+final class StreamedExchange extends ModelExchange {
+
+	private static final int MOST_PARTS = 8;
+
+	private final BoundedSourceQueue<Source<ByteString, NotUsed>> parts;
+
+	private final Source<ByteString, NotUsed> answer;
+
+	StreamedExchange(RequestInfo info, String requestIdText, byte[] engineBody, HttpCaller http, TrafficDuty traffic) {
+		super(info, requestIdText, engineBody, http);
+		final Pair<BoundedSourceQueue<Source<ByteString, NotUsed>>, Source<Source<ByteString, NotUsed>, NotUsed>> queue = Source
+			.<Source<ByteString, NotUsed>>queue(MOST_PARTS)
+			.preMaterialize(http.system());
+		this.parts = queue.first();
+		this.answer = queue.second().flatMapConcat((part) -> part).watchTermination((mat, done) -> {
+			done.whenComplete((ended, failure) -> traffic.callerGone(info.requestId()));
+			return mat;
+		});
+	}
+
+	@Override
+	void onEvents(Source<ByteString, NotUsed> events) {
+		this.parts.offer(events);
+		response().complete(HttpResponse.create()
+			.addHeader(RawHeader.create(ErrorAnswers.REQUEST_ID_HEADER, requestIdText()))
+			.withEntity(HttpEntities.createChunked(ContentTypes.create(MediaTypes.TEXT_EVENT_STREAM), this.answer)));
+	}
+
+	@Override
+	public void finish() {
+		this.parts.complete();
+	}
+
+	@Override
+	public void fail(ErrorKind kind, RunState runState, long retryAfterMillis) {
+		final boolean headLeft = !response()
+			.complete(ErrorAnswers.of(requestIdText(), kind, runState, retryAfterMillis));
+		if (headLeft) {
+			this.parts.offer(Source.single(ErrorAnswers.event(kind, runState)));
+		}
+		this.parts.complete();
+	}
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
@@ -0,0 +1,82 @@
+package org.pistachioline.daemon.traffic;
+
+import java.util.List;
+
+import org.pistachioline.core.manifest.Manifest;
+import org.pistachioline.core.traffic.AttemptEnd;
+import org.pistachioline.core.traffic.AttemptId;
+import org.pistachioline.core.traffic.TargetView;
+import org.pistachioline.daemon.claims.ClaimResult;
+
+/**
+ * A message to the traffic duty.
+ */
+sealed interface TrafficMessage {
+
+	/**
+	 * A request arrived.
+	 *
+	 * @param exchange the request
+	 */
+	record Arrived(Exchange exchange) implements TrafficMessage {
+	}
+
+	/**
+	 * An attempt gave its first token.
+	 *
+	 * @param attempt the attempt
+	 * @param tokensDelivered the tokens that the caller has
+	 */
+	record Progressed(AttemptId attempt, int tokensDelivered) implements TrafficMessage {
+	}
+
+	/**
+	 * An attempt ended.
+	 *
+	 * @param attempt the attempt
+	 * @param how how it ended
+	 * @param tokensDelivered the tokens that the caller has
+	 */
+	record Ended(AttemptId attempt, AttemptEnd how, int tokensDelivered) implements TrafficMessage {
+	}
+
+	/**
+	 * A claim was decided.
+	 *
+	 * @param requestId the request
+	 * @param result the result
+	 */
+	record Claimed(long requestId, ClaimResult result) implements TrafficMessage {
+	}
+
+	/**
+	 * A caller went away.
+	 *
+	 * @param requestId the request
+	 */
+	record CallerGone(long requestId) implements TrafficMessage {
+	}
+
+	/**
+	 * A configuration came into force.
+	 *
+	 * @param manifest the manifest
+	 */
+	record Configured(Manifest manifest) implements TrafficMessage {
+	}
+
+	/**
+	 * The targets changed.
+	 *
+	 * @param targets every target
+	 */
+	record Targets(List<TargetView> targets) implements TrafficMessage {
+	}
+
+	/**
+	 * The daemon leaves.
+	 */
+	record Leave() implements TrafficMessage {
+	}
+
+}
