--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/CallerHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/CallerHandler.java
@@ -18,6 +18,7 @@
 import org.apache.pekko.http.javadsl.model.HttpMethods;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
 
 import org.pistachioline.adapters.http.HttpCaller;
@@ -110,8 +111,8 @@
 		require(request.method().equals(HttpMethods.GET), ErrorKind.METHOD_NOT_ALLOWED);
 		final HttpResponse answer = path.equals("/v1/models") ? models(request) : endpoints(request);
 		request.discardEntityBytes(this.http.system());
-		return CompletableFuture.completedFuture(answer.addHeader(org.apache.pekko.http.javadsl.model.headers.RawHeader
-			.create(ErrorAnswers.REQUEST_ID_HEADER, this.requestIdPrefix + requestId)));
+		return CompletableFuture.completedFuture(
+				answer.addHeader(RawHeader.create(ErrorAnswers.REQUEST_ID_HEADER, this.requestIdPrefix + requestId)));
 	}
 
 	private CompletionStage<HttpResponse> complete(HttpRequest request, long requestId) {
@@ -170,10 +171,6 @@
 	}
 
 	private WorkspaceSpec workspaceOf(HttpRequest request) {
-		if (this.daemon.leaving()) {
-			// A leaving daemon serves on until the answers of /v1/endpoints have expired.
-			require(this.daemon.configVersion() > 0, ErrorKind.LEAVING);
-		}
 		require(this.daemon.notReadyReason().isEmpty(), ErrorKind.NOT_READY);
 		return WorkspaceKeys.find(this.daemon.manifest(), header(request, "Authorization"))
 			.orElseThrow(() -> new PistachiolineException(ErrorKind.UNAUTHENTICATED));
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/CompletionRequest.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/CompletionRequest.java
@@ -32,7 +32,8 @@
 			return Optional.empty();
 		}
 		final JsonNode messages = node.path("messages");
-		final JsonNode maxTokens = node.path("max_tokens");
+		final JsonNode maxTokens = node.has("max_completion_tokens") ? node.path("max_completion_tokens")
+				: node.path("max_tokens");
 		final boolean formed = node.path("model").isTextual() && messages.isArray() && !messages.isEmpty()
 				&& (maxTokens.isMissingNode() || maxTokens.isInt()) && isFlag(node.path("stream"))
 				&& (node.path("priority").isMissingNode() || node.path("priority").isInt());
@@ -55,9 +56,20 @@
 	private static String promptOf(JsonNode messages) {
 		final StringBuilder prompt = new StringBuilder();
 		for (final JsonNode message : messages) {
-			prompt.append(message.path("content").asText()).append('\n');
+			appendContent(prompt, message.path("content"));
+			prompt.append('\n');
 		}
 		return prompt.toString();
 	}
 
+	private static void appendContent(StringBuilder prompt, JsonNode content) {
+		if (content.isTextual()) {
+			prompt.append(content.asText());
+			return;
+		}
+		for (final JsonNode part : content) {
+			prompt.append(part.path("text").asText());
+		}
+	}
+
 }
