Callers' HTTP: heads that cannot be parsed get our errors, as not run

Cause: an over-long head or bytes that are no HTTP were answered by the HTTP library in plain text, without Pistachioline-Run, so that a caller could not tell whether the request was run. Conclusion: every answer of the callers' port carries a run state. A head that is sent a byte at a time is still only cut by the idle timeout.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -53,6 +53,7 @@
 import org.pistachioline.daemon.http.CallerLimits;
 import org.pistachioline.daemon.http.DaemonView;
 import org.pistachioline.daemon.http.HttpServer;
+import org.pistachioline.daemon.http.ParsingErrors;
 import org.pistachioline.daemon.metrics.Metrics;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.traffic.Exchanges;
@@ -71,7 +72,7 @@
 
 	private final Settings settings;
 
-	private final ActorSystem<Void> system = ActorSystems.create("pistachioline");
+	private final ActorSystem<Void> system = ActorSystems.create("pistachioline", ParsingErrors.SETTING);
 
 	private final long incarnation = System.currentTimeMillis();
 
--- /dev/null
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/http/ParsingErrorsTests.java
@@ -0,0 +1,64 @@
+package org.pistachioline.daemon.http;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import org.pistachioline.adapters.http.ActorSystems;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ParsingErrorsTests {
+
+	private final ActorSystem<Void> system = ActorSystems.create("parsing", ParsingErrors.SETTING);
+
+	private final HttpServer server = new HttpServer(this.system, "127.0.0.1:0",
+			(request) -> CompletableFuture.completedFuture(HttpResponse.create()));
+
+	@BeforeEach
+	void start() {
+		this.server.start();
+	}
+
+	@AfterEach
+	void stop() {
+		this.server.stop();
+		this.system.terminate();
+	}
+
+	private String send(String bytes) throws IOException {
+		final String address = this.server.localAddress();
+		final int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+		try (Socket socket = new Socket("127.0.0.1", port)) {
+			socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+			socket.shutdownOutput();
+			return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+		}
+	}
+
+	// A caller's library puts a huge token into a header. The parser refuses the head
+	// before
+	// any of our code sees it, and the caller could not tell whether the request was run.
+	@Test
+	void anOverLongHeadIsRefusedAsNotRun() throws IOException {
+		final String answer = send("GET /v1/models HTTP/1.1\r\nHost: a\r\nX: " + "x".repeat(20_000) + "\r\n\r\n");
+		assertThat(answer).startsWith("HTTP/1.1 413 ")
+			.contains("Pistachioline-Run: not-run")
+			.contains("\"code\":\"request_too_large\"");
+	}
+
+	// Something that is no HTTP at all connects to the callers' port.
+	@Test
+	void bytesThatAreNoRequestAreRefusedAsNotRun() throws IOException {
+		assertThat(send("\u0016\u0003\u0001 nonsense\r\n\r\n")).contains("Pistachioline-Run: not-run")
+			.contains("\"code\":\"malformed_request\"");
+	}
+
+}
