Build: sources in packages named target are tracked

Cause: the ignore rule 'target/' also matched the package adapters.target, so a fresh clone lacked EngineControl and HttpEngineControl and did not compile. Conclusion: a fresh clone has all sources.

--- /dev/null
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/target/HttpEngineControl.java
@@ -0,0 +1,74 @@
+package org.pistachioline.adapters.target;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+
+import org.pistachioline.adapters.http.HttpAnswer;
+import org.pistachioline.adapters.http.HttpCaller;
+import org.pistachioline.adapters.http.Json;
+import org.pistachioline.core.fleet.EngineOrder;
+import org.pistachioline.core.fleet.HeldPhase;
+import org.pistachioline.core.fleet.HeldState;
+
+/**
+ * Orders to model engines over HTTP; docs/TARGETS.md has their form.
+ */
+public final class HttpEngineControl implements EngineControl {
+
+	private static final long CALL_TIMEOUT_MILLIS = 1_000;
+
+	private static final int CONFLICT = 409;
+
+	private final HttpCaller http;
+
+	/**
+	 * Creates the adapter.
+	 * @param http the HTTP client
+	 */
+	public HttpEngineControl(HttpCaller http) {
+		this.http = http;
+	}
+
+	@Override
+	public CompletableFuture<HeldState> held(String address) {
+		return this.http.call(HttpRequest.GET("http://" + address + "/engine/held"), CALL_TIMEOUT_MILLIS)
+			.thenApply(HttpEngineControl::heldOf);
+	}
+
+	private static HeldState heldOf(HttpAnswer answer) {
+		if (!answer.isSuccess()) {
+			throw new IllegalStateException("The engine answered " + answer.status());
+		}
+		final JsonNode node = Json.tree(answer.bodyBytes());
+		return new HeldState(node.path("instance_id").asText(), node.path("group_id").asText(),
+				node.path("fencing_number").asLong(), node.path("rank").asInt(), node.path("model").asText(),
+				HeldPhase.byWireName(node.path("phase").asText()), node.path("running").asInt(),
+				node.path("waiting").asInt());
+	}
+
+	@Override
+	public CompletableFuture<Boolean> order(String address, EngineOrder order) {
+		final Map<String, Object> body = new LinkedHashMap<>();
+		body.put("kind", order.load() ? "load" : "unload");
+		body.put("group_id", order.groupId());
+		body.put("fencing_number", order.fencingNumber());
+		body.put("rank", order.rank());
+		body.put("members", order.members());
+		body.put("model", order.model());
+		body.put("lifetime_millis", order.lifetimeMillis());
+		final HttpRequest request = HttpRequest.POST("http://" + address + "/engine/orders")
+			.withEntity(ContentTypes.APPLICATION_JSON, Json.bytes(body));
+		return this.http.call(request, CALL_TIMEOUT_MILLIS).thenApply((answer) -> {
+			if (!answer.isSuccess() && answer.status() != CONFLICT) {
+				throw new IllegalStateException("The engine answered " + answer.status());
+			}
+			return answer.isSuccess();
+		});
+	}
+
+}
