Log: gaps are limbo, and checkpoints carry original offsets over retention

Cause: a reader whose offset lay below the log's head folded on from the head with an empty state, so every fact that had expired counted as absent. A record of a newer schema was skipped, which parts an old daemon's state from newer ones'. Checkpoint records had a form but neither codec, writer nor reader. Change: StreamFollower folds pages without thread or clock. A gap puts the state in limbo until a checkpoint on the stream or from a peer covers it; a newer schema halts in front of the record; unknown kinds of a known schema, corrupt and oversize entries and records on which the reducer fails are skipped by all alike, with an event. A log that lost its end or left out an entry changes nothing. CheckpointPolicy, AppendBudget, Backoff and StalenessBound are pure decisions. A 413 is told apart from a lost answer. Conclusion: the same state at the same offset after retention, on every reader.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/codec/RecordCodec.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/codec/RecordCodec.java
@@ -56,8 +56,7 @@
 		try {
 			final List<LogRecord> records = new ArrayList<>();
 			for (final Record record : RecordBatch.parseFrom(entryBytes).getRecordsList()) {
-				records.add(new LogRecord(record.getWriter(), record.getSequence(), record.getSchema(),
-						decodeBody(record)));
+				records.add(decode(record));
 			}
 			return records;
 		}
@@ -66,6 +65,16 @@
 		}
 	}
 
+	private static LogRecord decode(Record record) {
+		if (record.getWriter().isEmpty() || record.getSequence() < 1 || record.getSchema() < 1) {
+			throw new IllegalArgumentException("a record without writer, sequence or schema");
+		}
+		// A newer form may not decode here at all, and must be told from a corrupt one.
+		final boolean newer = record.getSchema() > LogRecord.CURRENT_SCHEMA;
+		return new LogRecord(record.getWriter(), record.getSequence(), record.getSchema(),
+				newer ? new UnknownBody() : decodeBody(record));
+	}
+
 	private static Record encode(LogRecord record) {
 		final Record.Builder builder = Record.newBuilder()
 			.setWriter(record.writer())
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/platform/AppendException.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/platform/AppendException.java
@@ -7,17 +7,25 @@
 
 	private static final long serialVersionUID = 1L;
 
-	private final boolean ambiguous;
+	private final AppendFailure failure;
 
 	/**
 	 * Creates the exception.
-	 * @param ambiguous whether the entry may have landed
+	 * @param failure what the append left on the log
 	 * @param message what happened
 	 * @param cause what led to it; null where the log answered
 	 */
-	public AppendException(boolean ambiguous, String message, Throwable cause) {
+	public AppendException(AppendFailure failure, String message, Throwable cause) {
 		super(message, cause);
-		this.ambiguous = ambiguous;
+		this.failure = failure;
+	}
+
+	/**
+	 * Returns what the append left on the log.
+	 * @return the kind of failure
+	 */
+	public AppendFailure failure() {
+		return this.failure;
 	}
 
 	/**
@@ -25,7 +33,7 @@
 	 * @return whether it may
 	 */
 	public boolean isAmbiguous() {
-		return this.ambiguous;
+		return this.failure == AppendFailure.AMBIGUOUS;
 	}
 
 }
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/platform/HttpLogService.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/platform/HttpLogService.java
@@ -22,6 +22,8 @@
 
 	private static final int MAX_PAGE_BYTES = 4 * 1024 * 1024;
 
+	private static final int TOO_LARGE = 413;
+
 	private static final int TOO_MANY_REQUESTS = 429;
 
 	private static final int UNAVAILABLE = 503;
@@ -46,7 +48,7 @@
 			.withEntity(ContentTypes.APPLICATION_OCTET_STREAM, payloadBytes);
 		return this.http.call(request, CALL_TIMEOUT_MILLIS).handle((answer, failure) -> {
 			if (failure != null) {
-				throw new AppendException(true, "The append's answer was lost", failure);
+				throw new AppendException(AppendFailure.AMBIGUOUS, "The append's answer was lost", failure);
 			}
 			return offsetOf(answer);
 		});
@@ -56,9 +58,16 @@
 		if (answer.isSuccess()) {
 			return Json.tree(answer.bodyBytes()).path("offset").asLong();
 		}
-		// The log's page says of these two that nothing was appended; all else may have.
-		final boolean refused = answer.status() == TOO_MANY_REQUESTS || answer.status() == UNAVAILABLE;
-		throw new AppendException(!refused, "The log answered " + answer.status(), null);
+		throw new AppendException(failureOf(answer.status()), "The log answered " + answer.status(), null);
+	}
+
+	// The log's page says of these three that nothing was appended; all else may have.
+	private static AppendFailure failureOf(int status) {
+		return switch (status) {
+			case TOO_MANY_REQUESTS, UNAVAILABLE -> AppendFailure.REFUSED;
+			case TOO_LARGE -> AppendFailure.TOO_LARGE;
+			default -> AppendFailure.AMBIGUOUS;
+		};
 	}
 
 	@Override
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/toml/Setting.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/toml/Setting.java
@@ -59,6 +59,18 @@
 	LOG_CLAIMS_PARTITIONS("log.claims_partitions", SettingType.WHOLE, "4",
 			"How many streams the claims are spread over; the same on all daemons."),
 
+	/** How long the log keeps entries. */
+	LOG_RETENTION_SECONDS("log.retention_seconds", SettingType.WHOLE, "86400",
+			"How long the log keeps an entry at least, in seconds; checkpoints go ahead of it."),
+
+	/** How many entries may follow a checkpoint. */
+	LOG_CHECKPOINT_ENTRIES("log.checkpoint_entries", SettingType.WHOLE, "10000",
+			"How many entries of a stream may follow its newest checkpoint."),
+
+	/** The appends a second of all daemons. */
+	LOG_APPENDS_PER_SECOND("log.appends_per_second", SettingType.WHOLE, "300",
+			"Appends a second that all daemons together may use; each takes an equal share."),
+
 	/** The staleness bound. */
 	LOG_STALENESS_BOUND_SECONDS("log.staleness_bound_seconds", SettingType.WHOLE, "900",
 			"How long a daemon that reaches neither the log nor a peer that does serves on, in seconds."),
--- a/pistachioline-core/src/main/java/org/pistachioline/core/claims/ClaimsReducer.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/claims/ClaimsReducer.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 
+import org.pistachioline.core.record.CheckpointPart;
 import org.pistachioline.core.record.KeyClaim;
 import org.pistachioline.core.record.KeyOutcome;
 import org.pistachioline.core.record.KeyRelease;
@@ -36,6 +37,10 @@
 		if (record.body() instanceof KeyOutcome outcome) {
 			return settle(marked, outcome);
 		}
+		if (record.body() instanceof CheckpointPart) {
+			// It restates what the state says already; only its writer's mark moves.
+			return Applied.accepted(marked);
+		}
 		final boolean unknown = record.body() instanceof UnknownBody;
 		return Applied.rejected(marked, unknown ? RejectReason.UNKNOWN_KIND : RejectReason.WRONG_STREAM);
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/claims/ClaimsState.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/claims/ClaimsState.java
@@ -28,7 +28,13 @@
 		return Optional.ofNullable(this.entries.get(keyOf(workspace, keyHash)));
 	}
 
-	static String keyOf(String workspace, String keyHash) {
+	/**
+	 * Returns the name under which a claim is kept.
+	 * @param workspace the workspace
+	 * @param keyHash the hash of the key
+	 * @return the name
+	 */
+	public static String keyOf(String workspace, String keyHash) {
 		return workspace + '/' + keyHash;
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -47,12 +47,37 @@
 	/** A checkpoint was loaded. */
 	CHECKPOINT_LOADED(207, EventLevel.INFO, "A checkpoint was loaded."),
 
+	/** An entry is larger than the log's limit. */
+	RECORD_OVERSIZE(208, EventLevel.WARN, "An entry on the log is over the size limit and was skipped."),
+
+	/** A record needs a newer release. */
+	RECORD_NEWER(209, EventLevel.ERROR,
+			"A record needs a newer release of this daemon; the stream is followed no further."),
+
+	/** The reducer failed on a record. */
+	RECORD_FAULT(210, EventLevel.ERROR, "The reducer failed on a record, which was skipped on all daemons alike."),
+
+	/** The log's end lies before what was read. */
+	LOG_WENT_BACK(211, EventLevel.ERROR, "The log ends before what was read of it; keeping what is known."),
+
+	/** An entry is missing inside a page. */
+	LOG_HOLE(212, EventLevel.ERROR, "The log left out an entry; reading again from there."),
+
+	/** A record of ours is over the size limit. */
+	APPEND_TOO_LARGE(213, EventLevel.ERROR, "A record is over the log's size limit and was given up."),
+
+	/** A peer gave a checkpoint. */
+	CHECKPOINT_FETCHED(214, EventLevel.INFO, "A checkpoint was taken over from a peer."),
+
 	/** A configuration came into force. */
 	CONFIG_IN_FORCE(300, EventLevel.INFO, "A configuration version is in force on this daemon."),
 
 	/** The configuration in use is stale. */
 	CONFIG_STALE(301, EventLevel.ERROR, "The configuration may be out of date beyond the bound; refusing work."),
 
+	/** The configuration is fresh again. */
+	CONFIG_FRESH(302, EventLevel.INFO, "The configuration is known to be fresh again; taking work."),
+
 	/** A group was formed. */
 	GROUP_FORMED(400, EventLevel.INFO, "A replica group was formed."),
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/state/ConfigReducer.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/state/ConfigReducer.java
@@ -1,6 +1,7 @@
 package org.pistachioline.core.state;
 
 import org.pistachioline.core.manifest.ManifestValidator;
+import org.pistachioline.core.record.CheckpointPart;
 import org.pistachioline.core.record.LogRecord;
 import org.pistachioline.core.record.ManifestProposal;
 import org.pistachioline.core.record.UnknownBody;
@@ -28,6 +29,10 @@
 		if (record.body() instanceof ManifestProposal proposal) {
 			return propose(marked, offset, record, proposal);
 		}
+		if (record.body() instanceof CheckpointPart) {
+			// It restates what the state says already; only its writer's mark moves.
+			return Applied.accepted(marked);
+		}
 		final boolean unknown = record.body() instanceof UnknownBody;
 		return Applied.rejected(marked, unknown ? RejectReason.UNKNOWN_KIND : RejectReason.WRONG_STREAM);
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/state/FleetReducer.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/state/FleetReducer.java
@@ -6,6 +6,7 @@
 
 import org.pcollections.PMap;
 
+import org.pistachioline.core.record.CheckpointPart;
 import org.pistachioline.core.record.GroupDissolution;
 import org.pistachioline.core.record.GroupDrain;
 import org.pistachioline.core.record.GroupFormation;
@@ -55,6 +56,10 @@
 		if (body instanceof RequestSuspicion suspicion) {
 			return Applied.accepted(marked.withSuspicion(suspicion));
 		}
+		if (body instanceof CheckpointPart) {
+			// It restates what the state says already; only its writer's mark moves.
+			return Applied.accepted(marked);
+		}
 		final boolean unknown = body instanceof UnknownBody;
 		return Applied.rejected(marked, unknown ? RejectReason.UNKNOWN_KIND : RejectReason.WRONG_STREAM);
 	}
--- /dev/null
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/state/StalenessBoundTests.java
@@ -0,0 +1,53 @@
+package org.pistachioline.core.state;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import org.pistachioline.core.peer.PeerStatus;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class StalenessBoundTests {
+
+	private static final long HOUR_MILLIS = 3_600_000;
+
+	private final StalenessBound bound = new StalenessBound(900_000);
+
+	private static PeerStatus peer(long configOffset, long logAgeMillis) {
+		return new PeerStatus("p", "a:1", "a:2", "a:3", "zone-a", 1, 1, 1, configOffset, 0, true, false, 0,
+				logAgeMillis);
+	}
+
+	private boolean stale(PeerStatus... peers) {
+		return this.bound.isPast(this.bound.ageMillis(HOUR_MILLIS, 7, List.of(peers)));
+	}
+
+	// A partition leaves a daemon with callers but with neither the log nor a peer. A
+	// workspace that was revoked an hour ago would be served there for ever.
+	@Test
+	void aDaemonCutOffFromLogAndPeersStopsPastTheBound() {
+		assertThat(stale()).isTrue();
+		assertThat(this.bound.isPast(this.bound.ageMillis(899_999, 7, List.of()))).isFalse();
+	}
+
+	// Only the way to the log is cut. The daemon's callers would lose it for nothing, as
+	// a peer beside it sees that nothing newer was published.
+	@Test
+	void aPeerAtTheSameOffsetThatReadsTheLogKeepsItFresh() {
+		assertThat(stale(peer(7, 500))).isFalse();
+	}
+
+	// All daemons lost the log together. They must not keep each other fresh by word of
+	// mouth.
+	@Test
+	void peersThatHaveNotReadTheLogEitherProveNothing() {
+		assertThat(stale(peer(7, HOUR_MILLIS), peer(7, HOUR_MILLIS + 1))).isTrue();
+	}
+
+	@Test
+	void aPeerThatHasReadFurtherOrLessFarProvesNothing() {
+		assertThat(stale(peer(8, 500), peer(6, 500))).isTrue();
+	}
+
+}
