Daemon: checkpoints written, given to peers and waited for; appends held to a share

Cause: nobody wrote checkpoints, so after the log's retention a new daemon had nothing to start from; an append of more than the log takes was sent again for ever and blocked all behind it; futures of records that never came back were never completed. Change: CheckpointDuty writes ahead of retention, first choice by rendezvous, others after a delay. CheckpointTransfer fetches from the peer with the highest offset, part by part (256 KiB), never below an offset that any peer has told, and only live peers get answers. Appends are counted and held to an equal share. Readiness names the stream and what is missing.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -11,12 +11,15 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Collectors;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
+import org.pistachioline.adapters.codec.ConfigSnapshotCodec;
+import org.pistachioline.adapters.codec.FleetSnapshotCodec;
 import org.pistachioline.adapters.http.ActorSystems;
 import org.pistachioline.adapters.http.HttpCaller;
 import org.pistachioline.adapters.platform.HttpInstanceList;
@@ -40,10 +43,14 @@
 import org.pistachioline.core.state.ConfigState;
 import org.pistachioline.core.state.FleetReducer;
 import org.pistachioline.core.state.FleetState;
+import org.pistachioline.core.state.StalenessBound;
+import org.pistachioline.core.stream.CheckpointPolicy;
 import org.pistachioline.core.traffic.TrafficCore;
 import org.pistachioline.core.traffic.TrafficPolicies;
 import org.pistachioline.daemon.agreed.AppendDuty;
+import org.pistachioline.daemon.agreed.CheckpointDuty;
 import org.pistachioline.daemon.agreed.StreamDuty;
+import org.pistachioline.daemon.agreed.StreamReadiness;
 import org.pistachioline.daemon.claims.ClaimService;
 import org.pistachioline.daemon.event.Events;
 import org.pistachioline.daemon.fleet.FleetDuty;
@@ -55,6 +62,8 @@
 import org.pistachioline.daemon.http.HttpServer;
 import org.pistachioline.daemon.http.ParsingErrors;
 import org.pistachioline.daemon.metrics.Metrics;
+import org.pistachioline.daemon.peer.CheckpointTransfer;
+import org.pistachioline.daemon.peer.ExchangedStream;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.traffic.Exchanges;
 import org.pistachioline.daemon.traffic.TrafficDuty;
@@ -78,6 +87,8 @@
 
 	private final AtomicLong heartbeats = new AtomicLong();
 
+	private final AppendDuty appender;
+
 	private final StreamDuty<ConfigState> config;
 
 	private final StreamDuty<FleetState> fleet;
@@ -98,6 +109,10 @@
 
 	private final Deque<Lifecycle> started = new ArrayDeque<>();
 
+	private final StalenessBound staleness;
+
+	private final AtomicBoolean stale = new AtomicBoolean();
+
 	private volatile boolean leaving;
 
 	/**
@@ -106,17 +121,24 @@
 	 */
 	public Daemon(Settings settings) {
 		this.settings = settings;
+		this.staleness = new StalenessBound(
+				Duration.ofSeconds(settings.whole(Setting.LOG_STALENESS_BOUND_SECONDS)).toMillis());
 		final HttpCaller http = new HttpCaller(this.system);
 		final LogService log = new HttpLogService(http, settings.text(Setting.LOG_ADDRESS));
 		final String selfId = settings.text(Setting.DAEMON_ID);
 		final String writer = selfId + "#" + Long.toString(this.incarnation, Character.MAX_RADIX)
 				+ Integer.toString(ThreadLocalRandom.current().nextInt(Character.MAX_RADIX), Character.MAX_RADIX);
-		final AppendDuty appender = new AppendDuty(this.system, log, writer);
-		this.config = new StreamDuty<>(this.system, settings.text(Setting.LOG_CONFIG_STREAM), log, new ConfigReducer());
-		this.fleet = new StreamDuty<>(this.system, settings.text(Setting.LOG_FLEET_STREAM), log, new FleetReducer());
-		this.config.onFold(appender);
-		this.fleet.onFold(appender);
-		final ClaimService claims = new ClaimService(this.system, log, appender,
+		this.appender = new AppendDuty(this.system, log, writer, settings.whole(Setting.LOG_APPENDS_PER_SECOND),
+				() -> daemons().size());
+		this.config = new StreamDuty<>(this.system, settings.text(Setting.LOG_CONFIG_STREAM), log, new ConfigReducer(),
+				new ConfigSnapshotCodec());
+		this.fleet = new StreamDuty<>(this.system, settings.text(Setting.LOG_FLEET_STREAM), log, new FleetReducer(),
+				new FleetSnapshotCodec());
+		this.config.onFold(this.appender);
+		this.fleet.onFold(this.appender);
+		this.config.onRestore((state) -> this.appender.onRestored(this.config.stream(), state.writers()));
+		this.fleet.onRestore((state) -> this.appender.onRestored(this.fleet.stream(), state.writers()));
+		final ClaimService claims = new ClaimService(this.system, log, this.appender,
 				settings.text(Setting.LOG_CLAIMS_STREAM), (int) settings.whole(Setting.LOG_CLAIMS_PARTITIONS));
 		final EngineControl engines = new HttpEngineControl(http);
 		this.instances = new FleetDuty(this.system, this.config, this.fleet,
@@ -125,7 +147,7 @@
 		this.peers = new PeerDuty(this.system, settings.text(Setting.PEERS_ADDRESS), selfId, this::status, this::seeds,
 				settings.whole(Setting.PEERS_HEARTBEAT_MILLIS));
 		final PlannerDuty planner = new PlannerDuty(this.system, this.config, this.fleet, this.instances, engines,
-				appender, new MinimumPlanner(), selfId, this.peers::daemonIds);
+				this.appender, new MinimumPlanner(), selfId, this.peers::daemonIds);
 		this.traffic = new TrafficDuty(this.system, new TrafficCore(policies()), claims);
 		final CallerLimits limits = new CallerLimits(settings.whole(Setting.CALLERS_MAX_BODY_BYTES),
 				settings.whole(Setting.CALLERS_BODY_TIMEOUT_MILLIS),
@@ -136,11 +158,31 @@
 		this.admin = new HttpServer(this.system, settings.text(Setting.ADMIN_ADDRESS),
 				new AdminHandler(this.system, this)::handle);
 		// The state first, then what derives from it, then what shows it, callers last.
-		this.parts.addAll(List.of(appender, this.config, this.fleet, claims, this.peers, this.traffic, this.instances,
-				planner, this.admin, this.callers));
+		final CheckpointDuty checkpoints = new CheckpointDuty(this.system, streams(claims), this.appender, selfId,
+				this.peers::daemonIds,
+				new CheckpointPolicy(Duration.ofSeconds(settings.whole(Setting.LOG_RETENTION_SECONDS)).toMillis(),
+						settings.whole(Setting.LOG_CHECKPOINT_ENTRIES)));
+		final CheckpointTransfer transfer = new CheckpointTransfer(this.system, this.peers, selfId, exchanged(claims));
+		this.parts.addAll(List.of(this.appender, this.config, this.fleet, claims, this.peers, checkpoints, transfer,
+				this.traffic, this.instances, planner, this.admin, this.callers));
 		connect();
 	}
 
+	private List<StreamDuty<?>> streams(ClaimService claims) {
+		final List<StreamDuty<?>> streams = new ArrayList<>(List.of(this.config, this.fleet));
+		streams.addAll(claims.partitions());
+		return streams;
+	}
+
+	private List<ExchangedStream> exchanged(ClaimService claims) {
+		final List<ExchangedStream> exchanged = new ArrayList<>();
+		exchanged.add(new ExchangedStream(this.config, PeerStatus::configOffset));
+		exchanged.add(new ExchangedStream(this.fleet, PeerStatus::fleetOffset));
+		// Heartbeats do not carry the offsets of claims, so any peer is asked in turn.
+		claims.partitions().forEach((partition) -> exchanged.add(new ExchangedStream(partition, (peer) -> 0)));
+		return exchanged;
+	}
+
 	private static TrafficPolicies policies() {
 		return new TrafficPolicies(new WorkspaceLimits(), new FifoQueue(MAX_QUEUED), new LeastInFlight(),
 				new BudgetedRetry(), new DeathCounter());
@@ -160,6 +202,17 @@
 		this.metrics.gauge("pistachioline.requests.queued", "Requests that wait for a target", this.traffic::queued);
 		this.metrics.gauge("pistachioline.config.version", "Version of the configuration in force",
 				this::configVersion);
+		this.metrics.gauge("pistachioline.log.appends", "Appends sent to the log", this.appender.counts()::appends);
+		this.metrics.gauge("pistachioline.log.appends.refused", "Appends that the log refused",
+				this.appender.counts()::refused);
+		this.metrics.gauge("pistachioline.log.appends.ambiguous", "Appends that lost their answer",
+				this.appender.counts()::ambiguous);
+		this.metrics.gauge("pistachioline.log.appends.held", "Times that an append waited for this daemon's share",
+				this.appender.counts()::held);
+		this.metrics.gauge("pistachioline.config.age", "Milliseconds since the configuration was known to be fresh",
+				this::configAgeMillis);
+		this.metrics.gauge("pistachioline.log.entries.skipped", "Broken entries that were skipped",
+				() -> this.config.view().skippedEntries() + this.fleet.view().skippedEntries());
 		this.metrics.gauge("pistachioline.peers.live", "Live daemons, this one included", () -> daemons().size());
 	}
 
@@ -218,13 +271,34 @@
 	}
 
 	private PeerStatus status() {
-		final long logAgeMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.config.view().readAtNanos());
 		return new PeerStatus(this.settings.text(Setting.DAEMON_ID), this.peers.localAddress(),
 				this.callers.localAddress(), this.admin.localAddress(),
 				this.settings.text(Setting.DAEMON_AVAILABILITY_ZONE), this.incarnation,
 				this.heartbeats.incrementAndGet(), configVersion(), this.config.view().nextOffset(),
 				this.fleet.view().nextOffset(), notReadyReason().isEmpty(), this.leaving, this.traffic.held(),
-				logAgeMillis);
+				logAgeMillis());
+	}
+
+	private long logAgeMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.config.view().readAtNanos());
+	}
+
+	private long configAgeMillis() {
+		final long ownAgeMillis = logAgeMillis();
+		// The peers are asked only where their word can matter, as each request asks
+		// this.
+		return this.staleness.isPast(ownAgeMillis)
+				? this.staleness.ageMillis(ownAgeMillis, this.config.view().nextOffset(), this.peers.others())
+				: ownAgeMillis;
+	}
+
+	private boolean isStale() {
+		final boolean now = this.staleness.isPast(configAgeMillis());
+		if (now != this.stale.getAndSet(now)) {
+			Events.log(now ? EventId.CONFIG_STALE : EventId.CONFIG_FRESH, "version", configVersion(), "age_millis",
+					logAgeMillis());
+		}
+		return now;
 	}
 
 	@Override
@@ -239,14 +313,16 @@
 
 	@Override
 	public Optional<String> notReadyReason() {
-		if (!this.config.view().caughtUp()) {
-			return Optional.of("the configuration stream has not been read to its end");
+		final Optional<String> unknown = StreamReadiness.trouble(this.config.stream(), this.config.view())
+			.or(() -> StreamReadiness.trouble(this.fleet.stream(), this.fleet.view()));
+		if (unknown.isPresent()) {
+			return unknown;
 		}
 		if (configVersion() == 0) {
 			return Optional.of("no configuration was published");
 		}
-		if (!this.fleet.view().caughtUp()) {
-			return Optional.of("the fleet stream has not been read to its end");
+		if (isStale()) {
+			return Optional.of("neither the log nor a daemon that reads it could be reached for too long");
 		}
 		if (!this.instances.view().listed()) {
 			return Optional.of("the instance list has not been read");
@@ -277,9 +353,15 @@
 		dump.put("config",
 				Map.of("version", configVersion(), "accepted_offset", this.config.view().state().acceptedOffset(),
 						"next_offset", this.config.view().nextOffset(), "log_reachable",
-						this.config.view().logReachable()));
-		dump.put("fleet", Map.of("next_offset", this.fleet.view().nextOffset(), "planners",
-				this.fleet.view().state().planners(), "groups", groups()));
+						this.config.view().logReachable(), "condition", this.config.view().condition(), "age_millis",
+						configAgeMillis(), "checkpoint_through", this.config.view().cover().throughOffset()));
+		dump.put("appends",
+				Map.of("sent", this.appender.counts().appends(), "refused", this.appender.counts().refused(),
+						"ambiguous", this.appender.counts().ambiguous(), "held", this.appender.counts().held()));
+		dump.put("fleet",
+				Map.of("next_offset", this.fleet.view().nextOffset(), "condition", this.fleet.view().condition(),
+						"checkpoint_through", this.fleet.view().cover().throughOffset(), "planners",
+						this.fleet.view().state().planners(), "groups", groups()));
 		dump.put("peers", daemons());
 		dump.put("requests", Map.of("held", this.traffic.held(), "queued", this.traffic.queued()));
 		return dump;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/agreed/AppendDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/agreed/AppendDuty.java
@@ -1,20 +1,18 @@
 package org.pistachioline.daemon.agreed;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.IntSupplier;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
-import org.pistachioline.adapters.codec.RecordCodec;
 import org.pistachioline.adapters.platform.AppendException;
+import org.pistachioline.adapters.platform.AppendFailure;
 import org.pistachioline.adapters.platform.LogService;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.PistachiolineException;
@@ -22,6 +20,9 @@
 import org.pistachioline.core.record.LogRecord;
 import org.pistachioline.core.record.RecordBody;
 import org.pistachioline.core.state.RejectReason;
+import org.pistachioline.core.state.WriterMark;
+import org.pistachioline.core.state.WriterMarks;
+import org.pistachioline.core.stream.AppendBudget;
 import org.pistachioline.daemon.Lifecycle;
 import org.pistachioline.daemon.duty.Duty;
 import org.pistachioline.daemon.duty.DutyHandler;
@@ -30,41 +31,47 @@
 /**
  * Appends this daemon's records, in batches and one append at a time on each stream.
  * <p>
- * An append whose answer was lost is sent again with the same sequences until the log
- * answers or the records are seen on the stream: all but the first to land are dropped by
- * the reducer as repeats. The future of a record completes when it was folded here.
+ * The future of a record completes when it was folded here; {@link Outbox} has the rules
+ * for lost answers. Appends are held to this daemon's share of what the log takes.
  */
 public final class AppendDuty implements Lifecycle, DutyHandler<AppendDuty.Command>, FoldListener {
 
 	private static final int RING_CAPACITY = 4096;
 
-	private static final int MAX_BATCH = 256;
-
-	private static final int MAX_PENDING = 4096;
+	private static final double BURST = 8;
 
 	private static final Duration TICK = Duration.ofMillis(20);
 
-	private static final long FIRST_BACKOFF_MILLIS = 50;
-
-	private static final long LONGEST_BACKOFF_MILLIS = 2_000;
-
 	private final String writer;
 
 	private final LogService log;
 
+	private final AppendBudget budget;
+
+	private final IntSupplier daemons;
+
 	private final Duty<Command> duty;
 
 	private final Map<String, Outbox> outboxes = new HashMap<>();
 
+	private final AppendCounts counts = new AppendCounts();
+
+	private volatile boolean closed;
+
 	/**
 	 * Creates an appender.
 	 * @param system the process's actor system
 	 * @param log the platform's log
 	 * @param writer this process's name as a writer, with its incarnation
+	 * @param appendsPerSecond the appends a second of all daemons together
+	 * @param daemons how many daemons share them
 	 */
-	public AppendDuty(ActorSystem<?> system, LogService log, String writer) {
+	public AppendDuty(ActorSystem<?> system, LogService log, String writer, double appendsPerSecond,
+			IntSupplier daemons) {
 		this.writer = writer;
 		this.log = log;
+		this.budget = new AppendBudget(appendsPerSecond, BURST, System.nanoTime());
+		this.daemons = daemons;
 		this.duty = new Duty<>(system, "append", RING_CAPACITY, TICK, this);
 	}
 
@@ -76,16 +83,28 @@
 		return this.writer;
 	}
 
+	/**
+	 * Returns what was counted.
+	 * @return the counts
+	 */
+	public AppendCounts counts() {
+		return this.counts;
+	}
+
 	/**
 	 * Appends a record.
 	 * @param stream the stream
 	 * @param body what it proposes
 	 * @return the verdict, once the record was folded here; fails with
-	 * {@link ErrorKind#OVERLOADED} where nothing was appended for want of room
+	 * {@link ErrorKind#OVERLOADED} or {@link ErrorKind#REQUEST_TOO_LARGE} where nothing
+	 * was appended, and with another kind where the verdict cannot be known
 	 */
 	public CompletableFuture<RecordVerdict> append(String stream, RecordBody body) {
 		final CompletableFuture<RecordVerdict> verdict = new CompletableFuture<>();
-		if (!this.duty.offer(new Command.Append(stream, body, verdict))) {
+		if (this.closed) {
+			verdict.completeExceptionally(new PistachiolineException(ErrorKind.LEAVING));
+		}
+		else if (!this.duty.offer(new Command.Append(stream, body, verdict))) {
 			verdict.completeExceptionally(new PistachiolineException(ErrorKind.OVERLOADED));
 		}
 		return verdict;
@@ -94,7 +113,19 @@
 	@Override
 	public void onFolded(String stream, long offset, LogRecord record, Optional<RejectReason> rejection) {
 		if (record.writer().equals(this.writer)) {
-			this.duty.put(new Command.Folded(stream, record.sequence(), offset, rejection));
+			this.duty.put(new Command.Folded(stream, record.sequence(), new RecordVerdict(offset, rejection)));
+		}
+	}
+
+	/**
+	 * Takes word that a stream's state was replaced by a checkpoint.
+	 * @param stream the stream
+	 * @param marks the writers' marks in it
+	 */
+	public void onRestored(String stream, WriterMarks marks) {
+		final WriterMark mark = marks.marks().get(this.writer);
+		if (mark != null) {
+			this.duty.put(new Command.Restored(stream, mark.sequence()));
 		}
 	}
 
@@ -105,103 +136,79 @@
 
 	@Override
 	public void stop() {
+		this.closed = true;
+		this.duty.offer(new Command.Close());
 		this.duty.stop();
 	}
 
 	@Override
 	public void onMessage(Command command) {
 		if (command instanceof Command.Append append) {
-			final Outbox outbox = this.outboxes.computeIfAbsent(append.stream(), Outbox::new);
-			if (outbox.pending.size() >= MAX_PENDING) {
-				append.verdict().completeExceptionally(new PistachiolineException(ErrorKind.OVERLOADED));
-				return;
-			}
-			outbox.add(append);
-			send(outbox);
+			onAppend(append);
 		}
 		else if (command instanceof Command.Folded folded) {
-			final Outbox outbox = this.outboxes.computeIfAbsent(folded.stream(), Outbox::new);
-			outbox.onFolded(folded);
+			outbox(folded.stream()).onFolded(folded.sequence(), folded.verdict());
+		}
+		else if (command instanceof Command.Restored restored) {
+			outbox(restored.stream()).onRestored(restored.sequence());
 		}
 		else if (command instanceof Command.Answered answered) {
-			onAnswer(this.outboxes.get(answered.stream()), answered.failure());
+			onAnswer(answered.stream(), answered.failure());
+		}
+		else if (command instanceof Command.Close) {
+			this.outboxes.values().forEach(Outbox::stop);
 		}
 	}
 
+	private void onAppend(Command.Append append) {
+		outbox(append.stream()).add(append.body(), append.verdict());
+		send(append.stream(), outbox(append.stream()));
+	}
+
 	@Override
 	public void onTick() {
-		this.outboxes.values().forEach(this::send);
+		this.outboxes.forEach(this::send);
 	}
 
-	private void send(Outbox outbox) {
-		if (outbox.inFlight || outbox.unsent.isEmpty() || System.nanoTime() - outbox.retryAtNanos < 0) {
-			return;
-		}
-		outbox.inFlight = true;
-		final List<LogRecord> batch = outbox.unsent.stream().limit(MAX_BATCH).toList();
-		outbox.batchSize = batch.size();
-		this.log.append(outbox.stream, RecordCodec.encode(batch))
-			.whenComplete((offset, failure) -> this.duty.put(new Command.Answered(outbox.stream, failure)));
+	private Outbox outbox(String stream) {
+		return this.outboxes.computeIfAbsent(stream, (name) -> new Outbox(this.writer, System.nanoTime()));
 	}
 
-	private void onAnswer(Outbox outbox, Throwable failure) {
-		outbox.inFlight = false;
-		if (failure == null) {
-			for (int i = 0; i < outbox.batchSize && !outbox.unsent.isEmpty(); i++) {
-				outbox.unsent.removeFirst();
-			}
-			outbox.batchSize = 0;
-			outbox.backoffMillis = 0;
-			send(outbox);
+	private void send(String stream, Outbox outbox) {
+		final long nowNanos = System.nanoTime();
+		if (!outbox.wantsAppend(nowNanos)) {
 			return;
 		}
-		final Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
-		if (cause instanceof AppendException append && append.isAmbiguous()) {
-			Events.log(EventId.APPEND_AMBIGUOUS, "stream", outbox.stream);
+		if (!this.budget.take(this.daemons.getAsInt(), nowNanos)) {
+			this.counts.onHeld();
+			return;
 		}
-		outbox.backoffMillis = Math.min(LONGEST_BACKOFF_MILLIS,
-				Math.max(FIRST_BACKOFF_MILLIS, outbox.backoffMillis * 2));
-		final long waitMillis = outbox.backoffMillis / 2 + ThreadLocalRandom.current().nextLong(outbox.backoffMillis);
-		outbox.retryAtNanos = System.nanoTime() + Duration.ofMillis(waitMillis).toNanos();
+		this.counts.onAppend();
+		this.log.append(stream, outbox.beginAppend())
+			.whenComplete((offset, failure) -> this.duty.put(new Command.Answered(stream, failure)));
 	}
 
-	private final class Outbox {
-
-		private final String stream;
-
-		private final Deque<LogRecord> unsent = new ArrayDeque<>();
-
-		private final Map<Long, CompletableFuture<RecordVerdict>> pending = new HashMap<>();
-
-		private long nextSequence = 1;
-
-		private boolean inFlight;
-
-		private int batchSize;
-
-		private long backoffMillis;
-
-		private long retryAtNanos = System.nanoTime();
-
-		Outbox(String stream) {
-			this.stream = stream;
-		}
+	private void onAnswer(String stream, Throwable failure) {
+		final Optional<AppendFailure> kind = Optional.ofNullable(failure).map(AppendDuty::kindOf);
+		kind.ifPresent((found) -> note(stream, found));
+		outbox(stream).onAnswer(kind, System.nanoTime(), ThreadLocalRandom.current().nextDouble());
+		send(stream, outbox(stream));
+	}
 
-		void add(Command.Append append) {
-			final long sequence = this.nextSequence;
-			this.nextSequence++;
-			this.unsent
-				.addLast(new LogRecord(AppendDuty.this.writer, sequence, LogRecord.CURRENT_SCHEMA, append.body()));
-			this.pending.put(sequence, append.verdict());
-		}
+	private static AppendFailure kindOf(Throwable failure) {
+		final Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
+		return (cause instanceof AppendException append) ? append.failure() : AppendFailure.AMBIGUOUS;
+	}
 
-		void onFolded(Command.Folded folded) {
-			final CompletableFuture<RecordVerdict> verdict = this.pending.remove(folded.sequence());
-			if (verdict != null) {
-				verdict.complete(new RecordVerdict(folded.offset(), folded.rejection()));
+	private void note(String stream, AppendFailure failure) {
+		switch (failure) {
+			case REFUSED -> this.counts.onRefused();
+			case TOO_LARGE -> Events.log(EventId.APPEND_TOO_LARGE, "stream", stream);
+			case AMBIGUOUS -> {
+				this.counts.onAmbiguous();
+				Events.log(EventId.APPEND_AMBIGUOUS, "stream", stream);
 			}
 		}
-
 	}
 
 	/**
@@ -224,10 +231,18 @@
 		 *
 		 * @param stream the stream
 		 * @param sequence its sequence
-		 * @param offset its offset
-		 * @param rejection why it changed nothing
+		 * @param verdict its verdict
 		 */
-		record Folded(String stream, long sequence, long offset, Optional<RejectReason> rejection) implements Command {
+		record Folded(String stream, long sequence, RecordVerdict verdict) implements Command {
+		}
+
+		/**
+		 * A stream's state was replaced by a checkpoint.
+		 *
+		 * @param stream the stream
+		 * @param sequence our mark in it
+		 */
+		record Restored(String stream, long sequence) implements Command {
 		}
 
 		/**
@@ -239,6 +254,12 @@
 		record Answered(String stream, Throwable failure) implements Command {
 		}
 
+		/**
+		 * Fails all that waits.
+		 */
+		record Close() implements Command {
+		}
+
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/agreed/StreamDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/agreed/StreamDuty.java
@@ -2,32 +2,37 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
-import org.pistachioline.adapters.codec.CorruptRecordException;
-import org.pistachioline.adapters.codec.RecordCodec;
-import org.pistachioline.adapters.platform.LogEntry;
+import org.pistachioline.adapters.codec.SnapshotCodec;
 import org.pistachioline.adapters.platform.LogPage;
 import org.pistachioline.adapters.platform.LogService;
+import org.pistachioline.adapters.stream.FollowerListener;
+import org.pistachioline.adapters.stream.StreamFollower;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.record.LogRecord;
-import org.pistachioline.core.state.Applied;
 import org.pistachioline.core.state.Reducer;
+import org.pistachioline.core.state.RejectReason;
+import org.pistachioline.core.stream.Backoff;
+import org.pistachioline.core.stream.StreamCondition;
 import org.pistachioline.daemon.Lifecycle;
 import org.pistachioline.daemon.duty.Duty;
 import org.pistachioline.daemon.duty.DutyHandler;
 import org.pistachioline.daemon.event.Events;
 
 /**
- * Follows one stream of the log and folds it.
+ * Follows one stream of the log: reads its pages, lets a {@link StreamFollower} fold them
+ * and publishes what came of it.
  *
  * @param <S> the type of state
  */
-public final class StreamDuty<S> implements Lifecycle, DutyHandler<StreamDuty.ReadResult> {
+public final class StreamDuty<S> implements Lifecycle, DutyHandler<StreamDuty.Command> {
 
 	private static final int RING_CAPACITY = 16;
 
@@ -43,21 +48,27 @@
 
 	private final LogService log;
 
-	private final Reducer<S> reducer;
+	private final SnapshotCodec<S> codec;
 
-	private final Duty<ReadResult> duty;
+	private final StreamFollower<S> follower;
+
+	private final Duty<Command> duty;
+
+	private final Backoff backoff = new Backoff(FIRST_BACKOFF_MILLIS, LONGEST_BACKOFF_MILLIS);
 
 	private final List<FoldListener> listeners = new CopyOnWriteArrayList<>();
 
 	private final List<Runnable> changeListeners = new CopyOnWriteArrayList<>();
 
+	private final List<Consumer<S>> restoreListeners = new CopyOnWriteArrayList<>();
+
 	private final AtomicReference<StreamView<S>> view;
 
 	private boolean reading;
 
-	private long backoffMillis;
+	private boolean failed;
 
-	private long retryAtNanos;
+	private long retryAtNanos = System.nanoTime();
 
 	private volatile boolean stopped;
 
@@ -67,14 +78,16 @@
 	 * @param stream the stream
 	 * @param log the platform's log
 	 * @param reducer what folds its records
+	 * @param codec what reads and writes its checkpoints
 	 */
-	public StreamDuty(ActorSystem<?> system, String stream, LogService log, Reducer<S> reducer) {
+	public StreamDuty(ActorSystem<?> system, String stream, LogService log, Reducer<S> reducer,
+			SnapshotCodec<S> codec) {
 		this.stream = stream;
 		this.log = log;
-		this.reducer = reducer;
+		this.codec = codec;
+		this.follower = new StreamFollower<>(reducer, codec, new Listener());
 		this.duty = new Duty<>(system, "stream-" + stream, RING_CAPACITY, TICK, this);
-		this.view = new AtomicReference<>(
-				new StreamView<>(reducer.initial(), 0, false, System.nanoTime(), false, 0, 0));
+		this.view = new AtomicReference<>(viewOf(System.nanoTime(), false, false));
 	}
 
 	/**
@@ -93,6 +106,14 @@
 		this.changeListeners.add(listener);
 	}
 
+	/**
+	 * Adds a listener to each state that a checkpoint brought in place of folded records.
+	 * @param listener the listener; it runs on the stream's thread
+	 */
+	public void onRestore(Consumer<S> listener) {
+		this.restoreListeners.add(listener);
+	}
+
 	/**
 	 * Returns the folded state.
 	 * @return the newest view
@@ -109,6 +130,26 @@
 		return this.stream;
 	}
 
+	/**
+	 * Returns the whole state in its checkpoint form; it may be called on any thread.
+	 * @return the snapshot; empty where the state is not whole
+	 */
+	public Optional<StreamSnapshot> snapshot() {
+		final StreamView<S> now = this.view.get();
+		if (!now.complete()) {
+			return Optional.empty();
+		}
+		return Optional.of(new StreamSnapshot(now.nextOffset() - 1, this.codec.encode(now.state())));
+	}
+
+	/**
+	 * Offers a checkpoint that a peer gave; an older one than what is known is dropped.
+	 * @param snapshot the checkpoint
+	 */
+	public void restore(StreamSnapshot snapshot) {
+		this.duty.offer(new Command.Restore(snapshot));
+	}
+
 	@Override
 	public void start() {
 		this.duty.start();
@@ -128,94 +169,132 @@
 	}
 
 	private void readOn() {
-		if (this.stopped) {
+		if (this.stopped || this.follower.condition() == StreamCondition.HALTED) {
 			return;
 		}
 		this.reading = true;
 		final long askedAtNanos = System.nanoTime();
 		// The first read does not wait, so that a start on an empty stream is quick.
-		final long waitMillis = this.view.get().caughtUp() ? LONG_POLL_MILLIS : 0;
-		this.log.read(this.stream, this.view.get().nextOffset(), waitMillis)
-			.whenComplete((page, failure) -> this.duty.put(new ReadResult(page, failure, askedAtNanos)));
+		final boolean atEnd = this.view.get().caughtUp() || this.view.get().wantsCheckpoint();
+		this.log.read(this.stream, this.follower.readOffset(), atEnd ? LONG_POLL_MILLIS : 0)
+			.whenComplete((page, failure) -> this.duty.put(new Command.Read(page, failure, askedAtNanos)));
 	}
 
 	@Override
-	public void onMessage(ReadResult result) {
+	public void onMessage(Command command) {
+		if (command instanceof Command.Read read) {
+			onRead(read);
+		}
+		else if (command instanceof Command.Restore restore) {
+			onRestore(restore.snapshot());
+		}
+	}
+
+	private void onRead(Command.Read read) {
 		this.reading = false;
-		if (result.failure() != null) {
-			onFailure(result.failure());
+		if (read.failure() != null) {
+			onFailure(read.failure());
 			return;
 		}
 		final StreamView<S> before = this.view.get();
-		final StreamView<S> after = fold(before, result);
+		final boolean readOn = this.follower.onPage(read.page());
+		final boolean atEnd = this.follower.readOffset() >= read.page().endOffset();
+		final boolean inLimbo = this.follower.condition() == StreamCondition.LIMBO;
+		publish(before, viewOf((atEnd && readOn) ? read.askedAtNanos() : before.readAtNanos(), true, inLimbo && atEnd));
+		if (readOn) {
+			this.backoff.reset();
+			this.failed = false;
+			readOn();
+		}
+		else {
+			waitLonger();
+		}
+	}
+
+	private void publish(StreamView<S> before, StreamView<S> after) {
 		this.view.set(after);
-		this.backoffMillis = 0;
-		if (!before.logReachable()) {
+		if (after.logReachable() && !before.logReachable()) {
 			Events.log(EventId.LOG_AVAILABLE, "stream", this.stream, "next_offset", after.nextOffset());
 		}
-		final boolean changed = after.nextOffset() != before.nextOffset() || after.caughtUp() != before.caughtUp();
-		if (changed) {
+		if (after.nextOffset() != before.nextOffset() || after.caughtUp() != before.caughtUp()
+				|| after.condition() != before.condition()) {
 			this.changeListeners.forEach(Runnable::run);
 		}
-		readOn();
 	}
 
 	private void onFailure(Throwable failure) {
 		final StreamView<S> before = this.view.get();
-		if (before.logReachable() || this.backoffMillis == 0) {
+		if (!this.failed) {
 			Events.log(EventId.LOG_UNAVAILABLE, failure, "stream", this.stream);
 		}
-		this.view.set(new StreamView<>(before.state(), before.nextOffset(), before.caughtUp(), before.readAtNanos(),
-				false, before.foldedRecords(), before.rejectedRecords()));
-		this.backoffMillis = Math.min(LONGEST_BACKOFF_MILLIS, Math.max(FIRST_BACKOFF_MILLIS, this.backoffMillis * 2));
-		// Jitter keeps daemons from coming back to the log all at the same moment.
-		final long waitMillis = this.backoffMillis / 2 + ThreadLocalRandom.current().nextLong(this.backoffMillis);
+		this.failed = true;
+		this.view.set(viewOf(before.readAtNanos(), false, !before.complete()));
+		waitLonger();
+	}
+
+	private void waitLonger() {
+		final long waitMillis = this.backoff.nextMillis(ThreadLocalRandom.current().nextDouble());
 		this.retryAtNanos = System.nanoTime() + Duration.ofMillis(waitMillis).toNanos();
 	}
 
-	private StreamView<S> fold(StreamView<S> before, ReadResult result) {
-		S state = before.state();
-		long nextOffset = before.nextOffset();
-		long folded = before.foldedRecords();
-		long rejected = before.rejectedRecords();
-		if (result.page().headOffset() > nextOffset) {
-			Events.log(EventId.LOG_GAP, "stream", this.stream, "next_offset", nextOffset, "head_offset",
-					result.page().headOffset());
-			nextOffset = result.page().headOffset();
-		}
-		for (final LogEntry entry : result.page().entries()) {
-			for (final LogRecord record : decode(entry)) {
-				final Applied<S> applied = this.reducer.apply(state, entry.offset(), record);
-				state = applied.state();
-				folded++;
-				rejected += applied.isAccepted() ? 0 : 1;
-				this.listeners
-					.forEach((listener) -> listener.onFolded(this.stream, entry.offset(), record, applied.rejection()));
-			}
-			nextOffset = entry.offset() + 1;
+	private void onRestore(StreamSnapshot snapshot) {
+		if (this.follower.restore(snapshot.throughOffset(), snapshot.stateBytes())) {
+			final StreamView<S> before = this.view.get();
+			publish(before, viewOf(before.readAtNanos(), before.logReachable(), false));
 		}
-		final boolean caughtUp = before.caughtUp() || nextOffset >= result.page().endOffset();
-		return new StreamView<>(state, nextOffset, caughtUp, result.askedAtNanos(), true, folded, rejected);
 	}
 
-	private List<LogRecord> decode(LogEntry entry) {
-		try {
-			return RecordCodec.decode(entry.payloadBytes());
+	private StreamView<S> viewOf(long readAtNanos, boolean logReachable, boolean wantsCheckpoint) {
+		return new StreamView<>(this.follower.state(), this.follower.nextOffset(), this.follower.condition(),
+				this.follower.caughtUp(), readAtNanos, logReachable, wantsCheckpoint, this.follower.cover(),
+				this.follower.foldedRecords(), this.follower.rejectedRecords(), this.follower.skippedEntries());
+	}
+
+	/**
+	 * Hands on what the follower tells.
+	 */
+	private final class Listener implements FollowerListener {
+
+		@Override
+		public void onFolded(long offset, LogRecord record, Optional<RejectReason> rejection) {
+			StreamDuty.this.listeners
+				.forEach((listener) -> listener.onFolded(StreamDuty.this.stream, offset, record, rejection));
 		}
-		catch (CorruptRecordException ex) {
-			Events.log(EventId.RECORD_CORRUPT, ex, "stream", this.stream, "offset", entry.offset());
-			return List.of();
+
+		@Override
+		public void onNote(EventId event, long offset, String detail) {
+			Events.log(event, "stream", StreamDuty.this.stream, "offset", offset, "detail", detail);
+			if (event == EventId.CHECKPOINT_LOADED) {
+				StreamDuty.this.restoreListeners
+					.forEach((listener) -> listener.accept(StreamDuty.this.follower.state()));
+			}
 		}
+
 	}
 
 	/**
-	 * What a read gave.
-	 *
-	 * @param page the page; null where the read failed
-	 * @param failure why it failed
-	 * @param askedAtNanos the monotonic time from before the read
+	 * A message to the follower.
 	 */
-	record ReadResult(LogPage page, Throwable failure, long askedAtNanos) {
+	sealed interface Command {
+
+		/**
+		 * What a read gave.
+		 *
+		 * @param page the page; null where the read failed
+		 * @param failure why it failed
+		 * @param askedAtNanos the monotonic time from before the read
+		 */
+		record Read(LogPage page, Throwable failure, long askedAtNanos) implements Command {
+		}
+
+		/**
+		 * A checkpoint from a peer.
+		 *
+		 * @param snapshot the checkpoint
+		 */
+		record Restore(StreamSnapshot snapshot) implements Command {
+		}
+
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/claims/ClaimService.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/claims/ClaimService.java
@@ -8,6 +8,7 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
+import org.pistachioline.adapters.codec.ClaimsSnapshotCodec;
 import org.pistachioline.adapters.platform.LogService;
 import org.pistachioline.core.claims.ClaimEntry;
 import org.pistachioline.core.claims.ClaimsReducer;
@@ -51,8 +52,9 @@
 		this.appender = appender;
 		for (int i = 0; i < partitionCount; i++) {
 			final StreamDuty<ClaimsState> partition = new StreamDuty<>(system, streamPrefix + "-" + i, log,
-					new ClaimsReducer());
+					new ClaimsReducer(), new ClaimsSnapshotCodec());
 			partition.onFold(appender);
+			partition.onRestore((state) -> appender.onRestored(partition.stream(), state.writers()));
 			this.partitions.add(partition);
 		}
 	}
@@ -74,7 +76,7 @@
 	 */
 	public CompletableFuture<ClaimResult> claim(RequestInfo info) {
 		final StreamDuty<ClaimsState> partition = partitionOf(info);
-		if (!partition.view().caughtUp() || !partition.view().logReachable()) {
+		if (!partition.view().complete() || !partition.view().caughtUp() || !partition.view().logReachable()) {
 			return CompletableFuture.completedFuture(ClaimResult.of(ClaimVerdict.UNAVAILABLE));
 		}
 		final Optional<ClaimEntry> known = find(info);
@@ -157,6 +159,14 @@
 				claimOffset, status, contentType, storable ? body : "", unknown || !storable));
 	}
 
+	/**
+	 * Returns the streams with claims.
+	 * @return the streams in the order of their numbers
+	 */
+	public List<StreamDuty<ClaimsState>> partitions() {
+		return List.copyOf(this.partitions);
+	}
+
 	private StreamDuty<ClaimsState> partitionOf(RequestInfo info) {
 		final int hash = (info.workspace() + '/' + info.claim().keyHash()).hashCode();
 		return this.partitions.get(Math.floorMod(hash, this.partitions.size()));
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/CheckpointOffer.java
@@ -0,0 +1,81 @@
+package org.pistachioline.daemon.peer;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.google.protobuf.ByteString;
+
+import org.pistachioline.adapters.stream.CheckpointParts;
+import org.pistachioline.core.record.CheckpointPart;
+import org.pistachioline.daemon.agreed.StreamSnapshot;
+import org.pistachioline.protocol.peer.CheckpointReply;
+import org.pistachioline.protocol.peer.CheckpointRequest;
+
+/**
+ * Gives out one stream's checkpoint part by part.
+ * <p>
+ * When all daemons are replaced at once, many ask the few that are left. The state is
+ * therefore encoded at most once a second, however many ask, and one encoded checkpoint
+ * is kept until nobody has asked for it for a while.
+ */
+final class CheckpointOffer {
+
+	private static final long ENCODE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	private static final long KEEP_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+	private final Supplier<Optional<StreamSnapshot>> source;
+
+	private List<CheckpointPart> parts = List.of();
+
+	private long encodedAtNanos;
+
+	private long askedAtNanos;
+
+	CheckpointOffer(Supplier<Optional<StreamSnapshot>> source) {
+		this.source = source;
+	}
+
+	CheckpointReply answer(CheckpointRequest request, long nowNanos) {
+		this.askedAtNanos = nowNanos;
+		if (request.getPart() == 0) {
+			refresh(nowNanos);
+		}
+		final CheckpointReply.Builder reply = CheckpointReply.newBuilder()
+			.setStream(request.getStream())
+			.setPart(request.getPart());
+		final int index = request.getPart();
+		if (index < 0 || index >= this.parts.size()) {
+			return reply.build();
+		}
+		final CheckpointPart part = this.parts.get(index);
+		final boolean other = index > 0 && part.throughOffset() != request.getThroughOffset();
+		if (other || part.throughOffset() + 1 < request.getKnownOffset()) {
+			return reply.build();
+		}
+		return reply.setAvailable(true)
+			.setThroughOffset(part.throughOffset())
+			.setParts(part.parts())
+			.setState(ByteString.copyFrom(part.stateBytes()))
+			.build();
+	}
+
+	private void refresh(long nowNanos) {
+		if (!this.parts.isEmpty() && nowNanos - this.encodedAtNanos < ENCODE_INTERVAL_NANOS) {
+			return;
+		}
+		this.parts = this.source.get()
+			.map((snapshot) -> CheckpointParts.cut(snapshot.throughOffset(), snapshot.stateBytes()))
+			.orElse(List.of());
+		this.encodedAtNanos = nowNanos;
+	}
+
+	void expire(long nowNanos) {
+		if (nowNanos - this.askedAtNanos > KEEP_NANOS) {
+			this.parts = List.of();
+		}
+	}
+
+}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
@@ -8,6 +8,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -46,6 +47,9 @@
 
 	private final PeerTransport transport;
 
+	private volatile Consumer<PeerFrame> checkpointFrames = (frame) -> {
+	};
+
 	private final AtomicReference<List<PeerStatus>> live = new AtomicReference<>(List.of());
 
 	/**
@@ -89,6 +93,14 @@
 		return daemons;
 	}
 
+	/**
+	 * Returns the live daemons besides this one.
+	 * @return what each says of itself
+	 */
+	public List<PeerStatus> others() {
+		return this.live.get();
+	}
+
 	/**
 	 * Returns the names of the live daemons that are not leaving, this one included.
 	 * @return the names
@@ -108,8 +120,34 @@
 		return this.transport.localAddress();
 	}
 
+	/**
+	 * Sets what takes frames with checkpoints.
+	 * @param receiver takes them; it must not block
+	 */
+	public void onCheckpointFrame(Consumer<PeerFrame> receiver) {
+		this.checkpointFrames = receiver;
+	}
+
+	/**
+	 * Sends a frame to a live daemon; it is dropped where the daemon is not live or its
+	 * link cannot take it.
+	 * @param daemonId the daemon
+	 * @param frame the frame
+	 */
+	public void send(String daemonId, PeerFrame frame) {
+		this.live.get()
+			.stream()
+			.filter((peer) -> peer.daemonId().equals(daemonId))
+			.findFirst()
+			.ifPresent((peer) -> this.transport.send(peer.peerAddress(), frame));
+	}
+
 	@Override
 	public void onMessage(PeerFrame frame) {
+		if (frame.hasCheckpointRequest() || frame.hasCheckpointReply()) {
+			this.checkpointFrames.accept(frame);
+			return;
+		}
 		if (!frame.hasHeartbeat()) {
 			return;
 		}
