--- /dev/null
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/agreed/Interleaving.java
@@ -0,0 +1,208 @@
+package org.pistachioline.daemon.agreed;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
+
+import org.pistachioline.adapters.codec.SnapshotCodec;
+import org.pistachioline.adapters.platform.AppendFailure;
+import org.pistachioline.adapters.stream.CheckpointParts;
+import org.pistachioline.adapters.stream.FollowerListener;
+import org.pistachioline.adapters.stream.StreamFollower;
+import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.record.LogRecord;
+import org.pistachioline.core.record.RecordBody;
+import org.pistachioline.core.state.Reducer;
+import org.pistachioline.core.state.RejectReason;
+import org.pistachioline.core.stream.StreamCondition;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Runs several daemons on one stream, one step a number, with appends that are lost,
+ * doubled, delayed and overtaken, records that expire and daemons that are replaced.
+ * <p>
+ * A reader that sees every record from the first on gives the state that belongs to each
+ * offset; every daemon is held against it after every step.
+ *
+ * @param <S> the type of state
+ */
+final class Interleaving<S> {
+
+	private static final int DAEMONS = 3;
+
+	private static final int KINDS = 12;
+
+	private static final long LATER_NANOS = 10_000_000_000L;
+
+	private final FakeLog log = new FakeLog();
+
+	private final Reducer<S> reducer;
+
+	private final SnapshotCodec<S> codec;
+
+	private final BiFunction<S, Integer, RecordBody> bodies;
+
+	private final List<Node> nodes = new ArrayList<>();
+
+	private final List<byte[]> underway = new ArrayList<>();
+
+	private final StreamFollower<S> observer;
+
+	private final List<S> history = new ArrayList<>();
+
+	private int incarnations;
+
+	private long nowNanos;
+
+	Interleaving(Reducer<S> reducer, SnapshotCodec<S> codec, BiFunction<S, Integer, RecordBody> bodies) {
+		this.reducer = reducer;
+		this.codec = codec;
+		this.bodies = bodies;
+		this.observer = new StreamFollower<>(reducer, codec, FollowerListener.NONE);
+		this.history.add(reducer.initial());
+		for (int i = 0; i < DAEMONS; i++) {
+			this.nodes.add(new Node());
+		}
+	}
+
+	List<S> history() {
+		return this.history;
+	}
+
+	void step(int number) {
+		this.nowNanos += LATER_NANOS;
+		final Node node = this.nodes.get(number % DAEMONS);
+		final int choice = number / DAEMONS / KINDS;
+		switch (number / DAEMONS % KINDS) {
+			case 0, 1, 2 -> node.propose(choice);
+			case 3, 4 -> node.append(choice);
+			case 5, 6, 7 -> node.read(1 + choice % 4);
+			case 8 -> landLate(choice);
+			case 9 -> node.checkpoint();
+			case 10 -> expire(choice);
+			default -> replace(number % DAEMONS, choice);
+		}
+		observe();
+		this.nodes.forEach(Node::check);
+	}
+
+	void settle() {
+		while (!this.underway.isEmpty()) {
+			landLate(0);
+		}
+		observe();
+		for (final Node node : this.nodes) {
+			for (long i = 0; i <= 2 * this.log.endOffset(); i++) {
+				node.read(4);
+			}
+			node.check();
+		}
+	}
+
+	private void landLate(int choice) {
+		if (!this.underway.isEmpty()) {
+			this.log.append(this.underway.remove(choice % this.underway.size()));
+		}
+	}
+
+	// The log's retention passes; checkpoints are ahead of it but for one time in four.
+	private void expire(int choice) {
+		final long covered = this.observer.cover().throughOffset() + 1;
+		this.log.expireBelow((choice % 4 == 0) ? Math.min(this.log.endOffset(), covered + 2) : covered);
+	}
+
+	private void replace(int index, int choice) {
+		final Node replaced = new Node();
+		final Node peer = this.nodes.get((index + 1) % DAEMONS);
+		// In half of the cases it starts from a peer, as if the log were down.
+		if (choice % 2 == 0 && peer.follower.condition() == StreamCondition.WHOLE) {
+			replaced.follower.restore(peer.follower.nextOffset() - 1, this.codec.encode(peer.follower.state()));
+		}
+		this.nodes.set(index, replaced);
+	}
+
+	private void observe() {
+		for (long offset = this.history.size() - 1L; offset < this.log.endOffset(); offset++) {
+			final long from = offset;
+			this.observer.onPage(new org.pistachioline.adapters.platform.LogPage(0, from + 1,
+					this.log.readUnexpired(from).entries().subList(0, 1)));
+			this.history.add(this.observer.state());
+		}
+	}
+
+	/**
+	 * One daemon's share in the stream.
+	 */
+	private final class Node implements FollowerListener {
+
+		private final String writer = "daemon#" + Interleaving.this.incarnations++;
+
+		private final Outbox outbox = new Outbox(this.writer, 0);
+
+		private final StreamFollower<S> follower = new StreamFollower<>(Interleaving.this.reducer,
+				Interleaving.this.codec, this);
+
+		private long highestOffset;
+
+		void propose(int choice) {
+			if (this.follower.condition() == StreamCondition.WHOLE) {
+				this.outbox.add(Interleaving.this.bodies.apply(this.follower.state(), choice),
+						new CompletableFuture<>());
+			}
+		}
+
+		void append(int choice) {
+			if (!this.outbox.wantsAppend(Interleaving.this.nowNanos)) {
+				return;
+			}
+			final byte[] entry = this.outbox.beginAppend();
+			final int fate = choice % 6;
+			final boolean lands = fate == 0 || fate == 1 || fate == 2;
+			final boolean landsLater = fate == 2 || fate == 3;
+			if (lands) {
+				Interleaving.this.log.append(entry);
+			}
+			if (landsLater) {
+				Interleaving.this.underway.add(entry);
+			}
+			final Optional<AppendFailure> failure = (fate == 0) ? Optional.empty()
+					: Optional.of((fate == 5) ? AppendFailure.REFUSED : AppendFailure.AMBIGUOUS);
+			this.outbox.onAnswer(failure, Interleaving.this.nowNanos, 0.5);
+		}
+
+		void read(int maxEntries) {
+			this.follower.onPage(Interleaving.this.log.read(this.follower.readOffset(), maxEntries));
+		}
+
+		void checkpoint() {
+			if (this.follower.condition() == StreamCondition.WHOLE && this.follower.nextOffset() > 0) {
+				CheckpointParts
+					.cut(this.follower.nextOffset() - 1, Interleaving.this.codec.encode(this.follower.state()))
+					.forEach((part) -> this.outbox.add(part, new CompletableFuture<>()));
+			}
+		}
+
+		void check() {
+			assertThat(this.follower.nextOffset()).isGreaterThanOrEqualTo(this.highestOffset);
+			this.highestOffset = this.follower.nextOffset();
+			assertThat(this.follower.state())
+				.isEqualTo(Interleaving.this.history.get((int) this.follower.nextOffset()));
+		}
+
+		@Override
+		public void onFolded(long offset, LogRecord record, Optional<RejectReason> rejection) {
+			if (record.writer().equals(this.writer)) {
+				this.outbox.onFolded(record.sequence(), new RecordVerdict(offset, rejection));
+			}
+		}
+
+		@Override
+		public void onNote(EventId event, long offset, String detail) {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/agreed/OutboxTests.java
@@ -0,0 +1,233 @@
+package org.pistachioline.daemon.agreed;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+import org.junit.jupiter.api.Test;
+
+import org.pistachioline.adapters.codec.ConfigSnapshotCodec;
+import org.pistachioline.adapters.platform.AppendFailure;
+import org.pistachioline.adapters.stream.FollowerListener;
+import org.pistachioline.adapters.stream.StreamFollower;
+import org.pistachioline.core.error.ErrorKind;
+import org.pistachioline.core.error.PistachiolineException;
+import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.manifest.Manifest;
+import org.pistachioline.core.record.CheckpointPart;
+import org.pistachioline.core.record.LogRecord;
+import org.pistachioline.core.record.ManifestProposal;
+import org.pistachioline.core.state.ConfigReducer;
+import org.pistachioline.core.state.ConfigState;
+import org.pistachioline.core.state.RejectReason;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
+
+class OutboxTests {
+
+	private static final long SECOND_NANOS = 1_000_000_000;
+
+	private static final String WRITER = "daemon#1";
+
+	private final FakeLog log = new FakeLog();
+
+	private final Outbox outbox = new Outbox(WRITER, 0);
+
+	private final StreamFollower<ConfigState> follower = new StreamFollower<>(new ConfigReducer(),
+			new ConfigSnapshotCodec(), new FollowerListener() {
+
+				@Override
+				public void onFolded(long offset, LogRecord record, Optional<RejectReason> rejection) {
+					if (record.writer().equals(WRITER)) {
+						OutboxTests.this.outbox.onFolded(record.sequence(), new RecordVerdict(offset, rejection));
+					}
+				}
+
+				@Override
+				public void onNote(EventId event, long offset, String detail) {
+				}
+
+			});
+
+	private CompletableFuture<RecordVerdict> propose(long baseVersion) {
+		final CompletableFuture<RecordVerdict> verdict = new CompletableFuture<>();
+		this.outbox.add(new ManifestProposal(baseVersion, Manifest.EMPTY), verdict);
+		return verdict;
+	}
+
+	private void answer(AppendFailure failure) {
+		this.outbox.onAnswer(Optional.ofNullable(failure), 0, 0.5);
+	}
+
+	private void fold() {
+		this.follower.onPage(this.log.read(this.follower.readOffset(), Integer.MAX_VALUE));
+	}
+
+	private static ErrorKind kindOf(CompletableFuture<RecordVerdict> verdict) {
+		final Throwable failure = catchThrowable(verdict::join);
+		assertThat(failure).isInstanceOf(CompletionException.class);
+		return ((PistachiolineException) failure.getCause()).kind();
+	}
+
+	// The log takes an append and its answer is lost. The planner would hold its own
+	// record for failed and try another on top of it.
+	@Test
+	void anAppendThatLandedAndLostItsAnswerIsSeenOnTheStreamAndNotSentAgain() {
+		final CompletableFuture<RecordVerdict> verdict = propose(0);
+		this.log.append(this.outbox.beginAppend());
+		answer(AppendFailure.AMBIGUOUS);
+		fold();
+		assertThat(verdict).isCompletedWithValue(new RecordVerdict(0, Optional.empty()));
+		assertThat(this.outbox.wantsAppend(10 * SECOND_NANOS)).isFalse();
+	}
+
+	// The answer is lost and the record too. Nobody will ever see it unless it is sent
+	// again.
+	@Test
+	void anAppendThatDidNotLandIsSentAgainAfterAWait() {
+		final CompletableFuture<RecordVerdict> verdict = propose(0);
+		this.outbox.beginAppend();
+		answer(AppendFailure.AMBIGUOUS);
+		fold();
+		assertThat(verdict).isNotDone();
+		assertThat(this.outbox.wantsAppend(0)).isFalse();
+		assertThat(this.outbox.wantsAppend(SECOND_NANOS)).isTrue();
+		this.log.append(this.outbox.beginAppend());
+		answer(null);
+		fold();
+		assertThat(verdict.join().isAccepted()).isTrue();
+	}
+
+	// The first append is stuck in the network for minutes and lands after its repeat
+	// and after a later record. Applied then, it would undo what followed it.
+	@Test
+	void anAppendThatLandsLateAndDoubledChangesNothing() {
+		final CompletableFuture<RecordVerdict> first = propose(0);
+		final byte[] late = this.outbox.beginAppend();
+		answer(AppendFailure.AMBIGUOUS);
+		this.log.append(this.outbox.beginAppend());
+		answer(null);
+		final CompletableFuture<RecordVerdict> second = propose(1);
+		this.log.append(this.outbox.beginAppend());
+		answer(null);
+		this.log.append(late);
+		this.log.append(late);
+		fold();
+		assertThat(first.join().offset()).isZero();
+		assertThat(second.join().offset()).isEqualTo(1);
+		assertThat(this.follower.state().version()).isEqualTo(2);
+		assertThat(this.follower.rejectedRecords()).isEqualTo(2);
+	}
+
+	// A record is skipped by all daemons, say because its entry was damaged, and a later
+	// one of the same writer is folded. It can never take effect any more, and whoever
+	// waits for it must be told.
+	@Test
+	void aRecordThatALaterOneHasOvertakenIsFailedAndDroppedWhenItLandsAfterAll() {
+		final CompletableFuture<RecordVerdict> lost = propose(0);
+		final byte[] late = this.outbox.beginAppend();
+		answer(null);
+		this.log.append(new byte[] { (byte) 0xff });
+		final CompletableFuture<RecordVerdict> later = propose(0);
+		this.log.append(this.outbox.beginAppend());
+		answer(null);
+		fold();
+		assertThat(kindOf(lost)).isEqualTo(ErrorKind.INTERNAL);
+		assertThat(later.join().isAccepted()).isTrue();
+		this.log.append(late);
+		fold();
+		assertThat(this.follower.state().acceptedOffset()).isEqualTo(1);
+	}
+
+	// The log takes smaller entries than its page says. One batch over its limit would be
+	// sent for ever, and the planner's records behind it would never go out.
+	@Test
+	void anEntryThatTheLogFindsTooLargeIsSplitAndASingleOneIsGivenUp() {
+		final CompletableFuture<RecordVerdict> first = propose(0);
+		final CompletableFuture<RecordVerdict> second = propose(1);
+		final int both = this.outbox.beginAppend().length;
+		answer(AppendFailure.TOO_LARGE);
+		assertThat(this.outbox.wantsAppend(0)).isTrue();
+		assertThat(this.outbox.beginAppend().length).isLessThan(both);
+		answer(AppendFailure.TOO_LARGE);
+		assertThat(kindOf(first)).isEqualTo(ErrorKind.REQUEST_TOO_LARGE);
+		this.log.append(this.outbox.beginAppend());
+		answer(null);
+		fold();
+		assertThat(second).isDone();
+	}
+
+	@Test
+	void aRecordOverTheLimitIsRefusedAtOnceAndCostsNoAppend() {
+		final CompletableFuture<RecordVerdict> verdict = new CompletableFuture<>();
+		this.outbox.add(new CheckpointPart(0, 0, 1, new byte[StreamFollower.MAX_ENTRY_BYTES]), verdict);
+		assertThat(kindOf(verdict)).isEqualTo(ErrorKind.REQUEST_TOO_LARGE);
+		assertThat(this.outbox.wantsAppend(0)).isFalse();
+	}
+
+	@Test
+	void largeRecordsAreSpreadOverAppendsBelowTheLimit() {
+		for (int part = 0; part < 6; part++) {
+			this.outbox.add(new CheckpointPart(0, part, 6, new byte[200 * 1024]), new CompletableFuture<>());
+		}
+		int appends = 0;
+		while (this.outbox.wantsAppend(0)) {
+			assertThat(this.outbox.beginAppend().length).isLessThanOrEqualTo(Outbox.MAX_BATCH_BYTES);
+			answer(null);
+			appends++;
+		}
+		assertThat(appends).isEqualTo(3);
+	}
+
+	// The log is down for a day while requests go on. Memory must not grow with the
+	// outage, and the caller must hear at once that nothing was appended.
+	@Test
+	void inALongOutageWhatWaitsIsBoundedAndAllGoesOutWhenTheLogReturns() {
+		long nowNanos = 0;
+		int tries = 0;
+		for (int second = 0; second < 86_400; second++) {
+			propose(second);
+			nowNanos += SECOND_NANOS;
+			if (this.outbox.wantsAppend(nowNanos)) {
+				this.outbox.beginAppend();
+				this.outbox.onAnswer(Optional.of(AppendFailure.REFUSED), nowNanos, 0.5);
+				tries++;
+			}
+		}
+		assertThat(this.outbox.pending()).isEqualTo(Outbox.MAX_PENDING);
+		assertThat(kindOf(propose(0))).isEqualTo(ErrorKind.OVERLOADED);
+		assertThat(tries).isLessThan(86_400);
+		nowNanos += 4 * SECOND_NANOS;
+		while (this.outbox.wantsAppend(nowNanos)) {
+			this.log.append(this.outbox.beginAppend());
+			this.outbox.onAnswer(Optional.empty(), nowNanos, 0.5);
+		}
+		fold();
+		assertThat(this.log.endOffset()).isEqualTo(Outbox.MAX_PENDING / Outbox.MAX_BATCH);
+		assertThat(this.outbox.pending()).isZero();
+	}
+
+	// The daemon stops while records wait for an answer. Whoever waits on them would hang
+	// and keep the stop from ending.
+	@Test
+	void atTheStopAllThatWaitsIsFailed() {
+		final CompletableFuture<RecordVerdict> verdict = propose(0);
+		this.outbox.beginAppend();
+		this.outbox.stop();
+		assertThat(kindOf(verdict)).isEqualTo(ErrorKind.LEAVING);
+		assertThat(this.outbox.pending()).isZero();
+	}
+
+	// A daemon in limbo loads a checkpoint that holds its own record already. The verdict
+	// on it is gone, and waiting for it would last for ever.
+	@Test
+	void aRecordThatACheckpointHasSwallowedIsFailedAsUnknown() {
+		final CompletableFuture<RecordVerdict> swallowed = propose(0);
+		final CompletableFuture<RecordVerdict> open = propose(1);
+		this.outbox.onRestored(1);
+		assertThat(kindOf(swallowed)).isEqualTo(ErrorKind.INTERNAL);
+		assertThat(open).isNotDone();
+	}
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/duty/RingLincheckTests.java
@@ -0,0 +1,58 @@
+package org.pistachioline.daemon.duty;
+
+import org.jetbrains.lincheck.datastructures.ModelCheckingOptions;
+import org.jetbrains.lincheck.datastructures.Operation;
+import org.jetbrains.lincheck.datastructures.StressOptions;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Checks that a ring behaves as a bounded queue under any interleaving; Lincheck needs
+ * the class to be public.
+ */
+public class RingLincheckTests {
+
+	private static final int CAPACITY = 4;
+
+	private final Ring<Integer> ring = new Ring<>("test", CAPACITY);
+
+	/**
+	 * Puts a message in.
+	 * @param message the message
+	 * @return whether there was room
+	 */
+	@Operation
+	public boolean offer(int message) {
+		return this.ring.offer(message);
+	}
+
+	/**
+	 * Takes a message; only one thread does.
+	 * @return the message, or null
+	 */
+	@Operation(nonParallelGroup = "duty")
+	public Integer poll() {
+		return this.ring.poll();
+	}
+
+	// Two threads hand a duty messages while it empties its ring. A message that is lost
+	// or seen twice would leave a request without an end, or end it twice.
+	@Test
+	void underStressNoMessageIsLostDoubledOrOvertaken() {
+		new StressOptions().iterations(10)
+			.invocationsPerIteration(500)
+			.threads(3)
+			.actorsPerThread(3)
+			.check(RingLincheckTests.class);
+	}
+
+	@Test
+	void inTheModelCheckerNoMessageIsLostDoubledOrOvertaken() {
+		new ModelCheckingOptions().iterations(5)
+			.invocationsPerIteration(200)
+			.threads(2)
+			.actorsPerThread(3)
+			.checkObstructionFreedom(false)
+			.check(RingLincheckTests.class);
+	}
+
+}
