--- a/pistachioline-ctl/src/main/java/org/pistachioline/ctl/ConfigFollower.java
+++ b/pistachioline-ctl/src/main/java/org/pistachioline/ctl/ConfigFollower.java
@@ -1,102 +1,103 @@
 package org.pistachioline.ctl;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 
-import org.pistachioline.adapters.codec.CorruptRecordException;
+import org.pistachioline.adapters.codec.ConfigSnapshotCodec;
 import org.pistachioline.adapters.codec.RecordCodec;
 import org.pistachioline.adapters.platform.AppendException;
-import org.pistachioline.adapters.platform.LogEntry;
-import org.pistachioline.adapters.platform.LogPage;
 import org.pistachioline.adapters.platform.LogService;
+import org.pistachioline.adapters.stream.FollowerListener;
+import org.pistachioline.adapters.stream.StreamFollower;
+import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.record.LogRecord;
-import org.pistachioline.core.state.Applied;
 import org.pistachioline.core.state.ConfigReducer;
 import org.pistachioline.core.state.ConfigState;
 import org.pistachioline.core.state.RejectReason;
+import org.pistachioline.core.stream.StreamCondition;
 
 /**
  * Appends one record to the configuration stream and folds the stream until it is seen.
+ * <p>
+ * After a lost answer it appends the same record again now and then while it reads on:
+ * the reducer drops all but the first that lands. It folds as daemons do, checkpoints
+ * included, so that it tells the verdict that holds there.
  */
 final class ConfigFollower {
 
 	private static final long POLL_MILLIS = 500;
 
+	private static final int READS_BETWEEN_APPENDS = 4;
+
 	private final LogService log;
 
 	private final String stream;
 
-	private final ConfigReducer reducer = new ConfigReducer();
+	private final StreamFollower<ConfigState> follower;
 
-	private ConfigState state = ConfigState.EMPTY;
+	private LogRecord wanted;
 
-	private long nextOffset;
+	private Verdict verdict;
 
 	ConfigFollower(LogService log, String stream) {
 		this.log = log;
 		this.stream = stream;
+		this.follower = new StreamFollower<>(new ConfigReducer(), new ConfigSnapshotCodec(), new Listener());
 	}
 
 	/**
 	 * Appends a record and waits for its verdict.
 	 * @param record the record
-	 * @param entryBytes the record, encoded
 	 * @param timeoutNanos how long to wait
 	 * @return the verdict; empty where it is not known whether the record landed
 	 */
-	Optional<Verdict> append(LogRecord record, byte[] entryBytes, long timeoutNanos) {
-		try {
-			this.log.append(this.stream, entryBytes).join();
-		}
-		catch (CompletionException ex) {
-			// After a lost answer the record may have landed, so we read on to learn it.
-			if (!(ex.getCause() instanceof AppendException append) || !append.isAmbiguous()) {
-				throw ex;
-			}
-		}
+	Optional<Verdict> append(LogRecord record, long timeoutNanos) {
+		this.wanted = record;
+		final byte[] entryBytes = RecordCodec.encode(List.of(record));
+		boolean answered = tryAppend(entryBytes, false);
 		final long begunAtNanos = System.nanoTime();
-		while (System.nanoTime() - begunAtNanos < timeoutNanos) {
-			final Optional<Verdict> verdict = readOn(record);
-			if (verdict.isPresent()) {
-				return verdict;
+		int reads = 0;
+		while (System.nanoTime() - begunAtNanos < timeoutNanos && !isBeyondUs()) {
+			readOn();
+			if (this.verdict != null) {
+				return Optional.of(this.verdict);
+			}
+			reads++;
+			if (!answered && reads % READS_BETWEEN_APPENDS == 0) {
+				answered = tryAppend(entryBytes, true);
 			}
 		}
 		return Optional.empty();
 	}
 
-	private Optional<Verdict> readOn(LogRecord wanted) {
-		final LogPage page;
+	// Once one append may have landed, a refusal of the next says nothing about it.
+	private boolean tryAppend(byte[] entryBytes, boolean mayHaveLanded) {
 		try {
-			page = this.log.read(this.stream, this.nextOffset, POLL_MILLIS).join();
+			this.log.append(this.stream, entryBytes).join();
+			return true;
 		}
 		catch (CompletionException ex) {
-			return Optional.empty();
-		}
-		for (final LogEntry entry : page.entries()) {
-			this.nextOffset = entry.offset() + 1;
-			final Optional<Verdict> verdict = fold(entry, wanted);
-			if (verdict.isPresent()) {
-				return verdict;
+			final boolean ambiguous = ex.getCause() instanceof AppendException append && append.isAmbiguous();
+			if (!ambiguous && !mayHaveLanded) {
+				throw ex;
 			}
+			return false;
 		}
-		return Optional.empty();
 	}
 
-	private Optional<Verdict> fold(LogEntry entry, LogRecord wanted) {
+	private boolean isBeyondUs() {
+		return this.follower.condition() == StreamCondition.HALTED;
+	}
+
+	private void readOn() {
 		try {
-			for (final LogRecord record : RecordCodec.decode(entry.payloadBytes())) {
-				final Applied<ConfigState> applied = this.reducer.apply(this.state, entry.offset(), record);
-				this.state = applied.state();
-				if (record.writer().equals(wanted.writer()) && record.sequence() == wanted.sequence()) {
-					return Optional.of(new Verdict(this.state, applied.rejection()));
-				}
-			}
+			this.follower.onPage(this.log.read(this.stream, this.follower.readOffset(), POLL_MILLIS).join());
 		}
-		catch (CorruptRecordException ex) {
-			// Daemons skip such an entry too, so it changes nothing.
-			return Optional.empty();
+		catch (CompletionException ex) {
+			// The log may be down for a moment; the time-out ends the wait.
+			return;
 		}
-		return Optional.empty();
 	}
 
 	/**
@@ -108,4 +109,24 @@
 	record Verdict(ConfigState state, Optional<RejectReason> rejection) {
 	}
 
+	/**
+	 * Watches for the record.
+	 */
+	private final class Listener implements FollowerListener {
+
+		@Override
+		public void onFolded(long offset, LogRecord record, Optional<RejectReason> rejection) {
+			final LogRecord ours = ConfigFollower.this.wanted;
+			if (ConfigFollower.this.verdict == null && record.writer().equals(ours.writer())
+					&& record.sequence() == ours.sequence()) {
+				ConfigFollower.this.verdict = new Verdict(ConfigFollower.this.follower.state(), rejection);
+			}
+		}
+
+		@Override
+		public void onNote(EventId event, long offset, String detail) {
+		}
+
+	}
+
 }
--- a/pistachioline-ctl/src/main/java/org/pistachioline/ctl/PublishCommand.java
+++ b/pistachioline-ctl/src/main/java/org/pistachioline/ctl/PublishCommand.java
@@ -14,7 +14,6 @@
 import joptsimple.OptionSpec;
 import org.apache.pekko.actor.typed.ActorSystem;
 
-import org.pistachioline.adapters.codec.RecordCodec;
 import org.pistachioline.adapters.http.ActorSystems;
 import org.pistachioline.adapters.http.HttpCaller;
 import org.pistachioline.adapters.platform.HttpLogService;
@@ -95,7 +94,7 @@
 		final long timeoutNanos = TimeUnit.SECONDS.toNanos(options.valueOf(this.timeoutSeconds));
 		final Optional<ConfigFollower.Verdict> verdict;
 		try {
-			verdict = follower.append(record, RecordCodec.encode(List.of(record)), timeoutNanos);
+			verdict = follower.append(record, timeoutNanos);
 		}
 		catch (RuntimeException ex) {
 			System.err.println("the log cannot be reached: " + ex.getMessage());
