Traffic: requests wait, shift and end truthfully; suspects run apart

Cause: an attempt that failed at the only target with room went back into the queue and was handed out again at once, for ever, in one call. A target that vanished under attempts came back with a count of zero. A claim that was granted after its request had ended was never given back. Every broken attempt counted as a death, for innocents too, and without expiry. Change: resumed streams, suspects and claim holders wait ahead of the queue; counts stay with the attempt; late claims are released; a stream is taken off a target that drains beyond a bound or stands still; deaths are held against a request only until it runs on past the point, with excuses, caps and expiry.

--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/NoQuarantine.java
@@ -0,0 +1,51 @@
+package org.pistachioline.core.quarantine;
+
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Holds no death against any request; the baseline that a killer request walks through.
+ */
+public final class NoQuarantine implements KillerPolicy {
+
+	@Override
+	public boolean isQuarantined(String fingerprint) {
+		return false;
+	}
+
+	@Override
+	public boolean isSuspect(String fingerprint) {
+		return false;
+	}
+
+	@Override
+	public boolean isProven(String fingerprint) {
+		return true;
+	}
+
+	@Override
+	public DeathVerdict onDeath(long nowNanos, String fingerprint, String targetId) {
+		return DeathVerdict.EXCUSED;
+	}
+
+	@Override
+	public void onSurvived(String fingerprint, boolean completed) {
+		// Nothing is held against it.
+	}
+
+	@Override
+	public void onAgreed(long nowNanos, Set<String> quarantined, Map<String, String> suspectTargetIds) {
+		// Nothing is taken from others.
+	}
+
+	@Override
+	public void onTick(long nowNanos) {
+		// Nothing expires.
+	}
+
+	@Override
+	public Map<String, Set<String>> suspects() {
+		return Map.of();
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ClaimVerdict.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ClaimVerdict.java
@@ -24,6 +24,11 @@
 	EXPIRED,
 
 	/** No claim could be made. */
-	UNAVAILABLE
+	UNAVAILABLE,
+
+	/**
+	 * Claims may be missing here, so that the key may have run unknown to this daemon.
+	 */
+	LIMBO
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Flight.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Flight.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 
 import org.pistachioline.core.error.RunState;
+import org.pistachioline.core.placement.TargetLoad;
 
 /**
  * The mutable record of one request while the traffic core holds it.
@@ -22,14 +23,30 @@
 
 	TargetView target;
 
+	TargetLoad load;
+
 	int sentAttempts;
 
 	boolean ran;
 
 	boolean queued;
 
+	boolean claiming;
+
+	boolean resuming;
+
+	boolean shifting;
+
+	boolean apart;
+
 	int tokensDelivered;
 
+	int resumedFromTokens;
+
+	long progressAtNanos;
+
+	long notBeforeNanos = Long.MIN_VALUE / 2;
+
 	long claimOffset = -1;
 
 	Flight(RequestInfo info, long arrivedAtNanos) {
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Resumptions.java
@@ -0,0 +1,50 @@
+package org.pistachioline.core.traffic;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+/**
+ * The requests that were admitted, left the queue once and wait for a target again.
+ * <p>
+ * They are resumed streams, suspects and holders of a claim. Sent back through the queue,
+ * a stream whose group died would be refused by its workspace's bound in just the moment
+ * when all of the group's streams come back, and a claimed key would be given up for want
+ * of room. They go before the queue; there are never more than were started, and each
+ * leaves by its deadline.
+ */
+final class Resumptions {
+
+	private final Deque<Flight> waiting = new ArrayDeque<>();
+
+	void add(Flight flight) {
+		flight.resuming = true;
+		this.waiting.addLast(flight);
+	}
+
+	void remove(Flight flight) {
+		if (flight.resuming) {
+			flight.resuming = false;
+			this.waiting.remove(flight);
+		}
+	}
+
+	int size() {
+		return this.waiting.size();
+	}
+
+	void poll(long nowNanos, Predicate<Flight> placeable, Consumer<Flight> starter) {
+		if (this.waiting.isEmpty()) {
+			return;
+		}
+		for (final Flight flight : List.copyOf(this.waiting)) {
+			if (flight.resuming && nowNanos - flight.notBeforeNanos >= 0 && placeable.test(flight)) {
+				remove(flight);
+				starter.accept(flight);
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ShiftRules.java
@@ -0,0 +1,42 @@
+package org.pistachioline.core.traffic;
+
+/**
+ * Says when a running stream is taken off its target and resumed at another.
+ * <p>
+ * Made for a group that drains, has lost a member or stands still without closing its
+ * connections. Such a stream would wait for its deadline, or hold up a planned stop for
+ * as long as its longest answer. A resume costs the prompt's prefill once more, so a
+ * target that does not serve is given {@value #DRAIN_SECONDS} s to finish while tokens
+ * flow, in which most answers end; one that gives no token for {@value #STALL_SECONDS} s
+ * is not waited for, which is more than fifty times the usual gap between tokens and
+ * twice the bound after which a silent member counts as lost. A target that serves and
+ * has not given a first token may just be busy and is left alone.
+ */
+final class ShiftRules {
+
+	private static final long DRAIN_SECONDS = 30;
+
+	private static final long STALL_SECONDS = 5;
+
+	private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+	private ShiftRules() {
+	}
+
+	static boolean isDue(long nowNanos, Flight flight, Long notServingSinceNanos) {
+		final boolean resumable = flight.info.targetKind() == TargetKind.MODEL && flight.info.idempotent();
+		if (!resumable || flight.liveAttempt == null || flight.shifting) {
+			return false;
+		}
+		final boolean stalled = isOlder(nowNanos, flight.progressAtNanos, STALL_SECONDS);
+		if (notServingSinceNanos == null) {
+			return stalled && flight.tokensDelivered > flight.resumedFromTokens;
+		}
+		return isOlder(nowNanos, notServingSinceNanos, stalled ? STALL_SECONDS : DRAIN_SECONDS);
+	}
+
+	private static boolean isOlder(long nowNanos, long thenNanos, long seconds) {
+		return nowNanos - thenNanos >= seconds * NANOS_PER_SECOND;
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -6,12 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.pistachioline.core.admission.Refusal;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.TargetLoad;
+import org.pistachioline.core.quarantine.DeathVerdict;
 import org.pistachioline.core.retry.RetryDecision;
 
 /**
@@ -25,6 +27,20 @@
 
 	private static final long RETRY_WITHOUT_CAPACITY_MILLIS = 1_000;
 
+	/**
+	 * More than the tokens that were generated, but lost on the way, when a group died.
+	 */
+	private static final int TOKENS_PAST_DEATH = 16;
+
+	/** Bounds the prefill that is paid again when group after group drains. */
+	private static final int MOST_ATTEMPTS_WITH_SHIFTS = 6;
+
+	/**
+	 * How long a suspect that was giving tokens waits. Most killers crash a group before
+	 * their first token; tried first and found, they free the others.
+	 */
+	private static final long UNLIKELY_SUSPECT_WAIT_NANOS = 1_000_000_000L;
+
 	private final TrafficPolicies policies;
 
 	private final Map<Long, Flight> flights = new LinkedHashMap<>();
@@ -35,6 +51,14 @@
 
 	private final List<TrafficAction> actions = new ArrayList<>();
 
+	private final Map<String, Long> notServingSinceNanos = new HashMap<>();
+
+	private final Map<Long, RequestInfo> abandonedClaims = new HashMap<>();
+
+	private final Resumptions resumptions = new Resumptions();
+
+	private final Isolation isolation;
+
 	private Manifest manifest = Manifest.EMPTY;
 
 	private boolean leaving;
@@ -45,6 +69,7 @@
 	 */
 	public TrafficCore(TrafficPolicies policies) {
 		this.policies = policies;
+		this.isolation = new Isolation(policies.killer());
 	}
 
 	/**
@@ -80,8 +105,51 @@
 			next.put(view.targetId(), load);
 			this.loadsByName.computeIfAbsent(nameKey(view.kind(), view.name()), (key) -> new ArrayList<>()).add(load);
 		}
+		// A target may vanish and come back under attempts that are still in flight; with
+		// a
+		// new count it would be given more work than it has slots for.
+		this.loads.forEach((targetId, load) -> {
+			if (load.inFlight() > 0) {
+				next.putIfAbsent(targetId, load);
+			}
+		});
 		this.loads.clear();
 		this.loads.putAll(next);
+		noteServing(nowNanos, targets);
+		endStranded(nowNanos);
+		return pump(nowNanos);
+	}
+
+	private void noteServing(long nowNanos, List<TargetView> targets) {
+		this.notServingSinceNanos.keySet().retainAll(this.loads.keySet());
+		this.loads.keySet().forEach((targetId) -> this.notServingSinceNanos.putIfAbsent(targetId, nowNanos));
+		targets.stream()
+			.filter(TargetView::serving)
+			.forEach((view) -> this.notServingSinceNanos.remove(view.targetId()));
+	}
+
+	private void endStranded(long nowNanos) {
+		for (final Flight flight : List.copyOf(this.flights.values())) {
+			if (flight.resuming && flight.attempts > 0 && !isPlaceable(flight)) {
+				end(nowNanos, flight, ErrorKind.TARGET_FAILED, RETRY_WITHOUT_CAPACITY_MILLIS);
+			}
+		}
+	}
+
+	/**
+	 * Takes over the quarantined and suspected requests that are agreed on the log.
+	 * @param nowNanos the monotonic time
+	 * @param quarantined the quarantined fingerprints
+	 * @param suspectTargetIds for each suspected fingerprint the target that died
+	 * @return what must be done next
+	 */
+	public List<TrafficAction> onKillers(long nowNanos, Set<String> quarantined, Map<String, String> suspectTargetIds) {
+		this.policies.killer().onAgreed(nowNanos, quarantined, suspectTargetIds);
+		for (final Flight flight : List.copyOf(this.flights.values())) {
+			if (flight.liveAttempt == null && quarantined.contains(flight.info.fingerprint())) {
+				end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
+			}
+		}
 		return pump(nowNanos);
 	}
 
@@ -132,13 +200,15 @@
 	 */
 	public List<TrafficAction> onClaim(long nowNanos, long requestId, ClaimVerdict verdict, long claimOffset) {
 		final Flight flight = this.flights.get(requestId);
-		if (flight == null) {
+		if (flight == null || !flight.claiming) {
+			giveBack(requestId, verdict, claimOffset);
 			return drainActions();
 		}
+		flight.claiming = false;
 		switch (verdict) {
 			case GRANTED -> {
 				flight.claimOffset = claimOffset;
-				startOrRequeue(nowNanos, flight);
+				startOrWait(nowNanos, flight);
 			}
 			case SETTLED -> {
 				forget(nowNanos, flight);
@@ -149,10 +219,26 @@
 			case REUSED -> end(nowNanos, flight, ErrorKind.KEY_REUSED, 0);
 			case EXPIRED -> end(nowNanos, flight, ErrorKind.KEY_EXPIRED, 0);
 			case UNAVAILABLE -> end(nowNanos, flight, ErrorKind.CLAIM_UNAVAILABLE, RETRY_WITHOUT_CAPACITY_MILLIS);
+			case LIMBO -> endUnknown(nowNanos, flight);
 		}
 		return pump(nowNanos);
 	}
 
+	private void giveBack(long requestId, ClaimVerdict verdict, long claimOffset) {
+		final RequestInfo info = this.abandonedClaims.remove(requestId);
+		// The request ended as not run while its claim was on the way. Kept, the claim
+		// would bar the caller's repeats of something that never ran.
+		if (info != null && verdict == ClaimVerdict.GRANTED) {
+			this.actions.add(new TrafficAction.Release(requestId, info, claimOffset));
+		}
+	}
+
+	private void endUnknown(long nowNanos, Flight flight) {
+		forget(nowNanos, flight);
+		this.actions.add(new TrafficAction.Fail(flight.info.requestId(), ErrorKind.CLAIM_UNAVAILABLE, RunState.UNKNOWN,
+				RETRY_WITHOUT_CAPACITY_MILLIS));
+	}
+
 	/**
 	 * Notes how many tokens the caller has.
 	 * @param nowNanos the monotonic time
@@ -166,12 +252,17 @@
 		}
 		if (!flight.ran) {
 			flight.ran = true;
-			final TargetLoad load = this.loads.get(flight.target.targetId());
-			if (load != null) {
-				load.onFirstToken(nowNanos, flight.arrivedAtNanos);
-			}
+			flight.load.onFirstToken(nowNanos, flight.arrivedAtNanos);
 		}
+		flight.progressAtNanos = nowNanos;
 		flight.tokensDelivered = Math.max(flight.tokensDelivered, tokensDelivered);
+		if (flight.tokensDelivered > flight.resumedFromTokens) {
+			this.isolation.onToken(flight);
+		}
+		if (flight.apart && flight.tokensDelivered >= flight.resumedFromTokens + TOKENS_PAST_DEATH) {
+			this.policies.killer().onSurvived(flight.info.fingerprint(), false);
+			this.isolation.onLeave(flight);
+		}
 	}
 
 	/**
@@ -188,21 +279,23 @@
 			return pump(nowNanos);
 		}
 		flight.tokensDelivered = Math.max(flight.tokensDelivered, tokensDelivered);
-		flight.liveAttempt = null;
+		final boolean shifted = flight.shifting;
 		if (how == AttemptEnd.NOT_CONNECTED) {
 			flight.sentAttempts--;
 		}
-		final TargetLoad load = this.loads.get(flight.target.targetId());
-		if (load != null) {
-			load.onEnd(nowNanos, flight.info.costTokens(), how);
-		}
+		leaveTarget(nowNanos, flight, shifted ? AttemptEnd.CANCELLED : how);
 		if (how == AttemptEnd.COMPLETE) {
 			flight.ran = true;
+			this.policies.killer().onSurvived(flight.info.fingerprint(), true);
 			forget(nowNanos, flight);
 			this.policies.retry().onSuccess(nowNanos);
 			this.actions.add(new TrafficAction.Finish(attempt.requestId()));
 			return pump(nowNanos);
 		}
+		if (shifted) {
+			startOrWait(nowNanos, flight);
+			return pump(nowNanos);
+		}
 		if (how == AttemptEnd.BROKEN) {
 			noteDeath(nowNanos, flight);
 		}
@@ -210,14 +303,26 @@
 		return pump(nowNanos);
 	}
 
+	private void leaveTarget(long nowNanos, Flight flight, AttemptEnd how) {
+		flight.liveAttempt = null;
+		flight.shifting = false;
+		flight.load.onEnd(nowNanos, flight.info.costTokens(), how);
+		this.isolation.onLeave(flight);
+	}
+
 	private void noteDeath(long nowNanos, Flight flight) {
 		if (flight.info.targetKind() != TargetKind.MODEL) {
 			return;
 		}
-		final boolean quarantine = this.policies.killer()
+		final DeathVerdict verdict = this.policies.killer()
 			.onDeath(nowNanos, flight.info.fingerprint(), flight.target.targetId());
-		this.actions.add(new TrafficAction.Suspect(flight.info.requestId(), flight.info.fingerprint(), flight.target,
-				quarantine));
+		if (verdict != DeathVerdict.EXCUSED) {
+			this.actions.add(new TrafficAction.Suspect(flight.info.requestId(), flight.info.fingerprint(),
+					flight.target, verdict == DeathVerdict.QUARANTINED));
+		}
+		if (flight.tokensDelivered > flight.resumedFromTokens) {
+			flight.notBeforeNanos = nowNanos + UNLIKELY_SUSPECT_WAIT_NANOS;
+		}
 	}
 
 	private void afterFailure(long nowNanos, Flight flight, AttemptEnd how) {
@@ -229,12 +334,21 @@
 		final RetryDecision decision = sendable
 				? this.policies.retry().afterFailure(nowNanos, flight.info, flight.attempts, how)
 				: RetryDecision.GIVE_UP;
-		if (decision == RetryDecision.RETRY) {
-			startOrRequeue(nowNanos, flight);
+		if (decision == RetryDecision.RETRY && isPlaceable(flight)) {
+			startOrWait(nowNanos, flight);
 			return;
 		}
 		final ErrorKind kind = (how == AttemptEnd.MISMATCHED) ? ErrorKind.TARGET_PROTOCOL : ErrorKind.TARGET_FAILED;
-		end(nowNanos, flight, kind, 0);
+		end(nowNanos, flight, kind, RETRY_WITHOUT_CAPACITY_MILLIS);
+	}
+
+	private boolean isPlaceable(Flight flight) {
+		// Whether some target that it has not failed at serves, with room or without.
+		// With
+		// none it is given its answer now; waiting for one would be waiting for ever.
+		return candidates(flight.info).stream()
+			.anyMatch((load) -> load.view().serving()
+					&& (flight.claimOffset >= 0 || !flight.triedTargetIds.contains(load.view().targetId())));
 	}
 
 	/**
@@ -257,15 +371,37 @@
 	 * @return what must be done next
 	 */
 	public List<TrafficAction> onTick(long nowNanos) {
+		this.policies.killer().onTick(nowNanos);
 		for (final Flight flight : List.copyOf(this.flights.values())) {
 			if (nowNanos >= flight.info.totalDeadlineNanos()) {
 				end(nowNanos, flight, flight.bytesSent() ? ErrorKind.DEADLINE_EXCEEDED : ErrorKind.DEADLINE_UNREACHABLE,
 						0);
 			}
+			else if (flight.resuming && !flight.bytesSent() && nowNanos >= flight.info.firstTokenDeadlineNanos()) {
+				end(nowNanos, flight, ErrorKind.DEADLINE_UNREACHABLE, RETRY_WITHOUT_CAPACITY_MILLIS);
+			}
+			else {
+				shiftIfDue(nowNanos, flight);
+			}
 		}
 		return pump(nowNanos);
 	}
 
+	private void shiftIfDue(long nowNanos, Flight flight) {
+		if (flight.liveAttempt == null
+				|| !ShiftRules.isDue(nowNanos, flight, this.notServingSinceNanos.get(flight.target.targetId()))) {
+			return;
+		}
+		final boolean elsewhere = flight.attempts < MOST_ATTEMPTS_WITH_SHIFTS && open(flight.info).stream()
+			.anyMatch((load) -> !flight.triedTargetIds.contains(load.view().targetId()));
+		if (elsewhere) {
+			// The next attempt starts when this one is reported as ended, with the exact
+			// count of the tokens that the caller has: never two at once, none lost.
+			flight.shifting = true;
+			this.actions.add(new TrafficAction.Cancel(flight.liveAttempt));
+		}
+	}
+
 	/**
 	 * Stops taking new requests; those held are finished.
 	 */
@@ -286,7 +422,7 @@
 	 * @return the number of queued requests
 	 */
 	public int queued() {
-		return this.policies.queue().size();
+		return this.policies.queue().size() + this.resumptions.size();
 	}
 
 	/**
@@ -305,6 +441,8 @@
 				end(nowNanos, flight, ErrorKind.DEADLINE_UNREACHABLE, RETRY_WITHOUT_CAPACITY_MILLIS);
 			}
 		}
+		this.resumptions.poll(nowNanos, (flight) -> !choices(flight).isEmpty(),
+				(flight) -> startOrWait(nowNanos, flight));
 		Optional<RequestInfo> next = this.policies.queue().poll(nowNanos, this::hasRoom);
 		while (next.isPresent()) {
 			final Flight flight = this.flights.get(next.get().requestId());
@@ -318,35 +456,57 @@
 	}
 
 	private boolean hasRoom(RequestInfo info) {
-		for (final TargetLoad load : candidates(info)) {
-			if (load.view().serving() && load.inFlight() < load.view().slots()) {
-				return true;
-			}
-		}
-		return false;
+		return !this.isolation.allowed(info, open(info)).isEmpty();
 	}
 
 	private void dispatch(long nowNanos, Flight flight) {
+		if (this.policies.killer().isQuarantined(flight.info.fingerprint())) {
+			end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
+			return;
+		}
 		if (flight.info.claim().isNeeded() && flight.claimOffset < 0) {
+			flight.claiming = true;
 			this.actions.add(new TrafficAction.Claim(flight.info.requestId(), flight.info));
 			return;
 		}
-		startOrRequeue(nowNanos, flight);
+		startOrWait(nowNanos, flight);
 	}
 
-	private void startOrRequeue(long nowNanos, Flight flight) {
-		final Optional<TargetLoad> chosen = this.policies.placement()
-			.choose(nowNanos, flight.info, candidates(flight.info), flight.triedTargetIds);
+	private void startOrWait(long nowNanos, Flight flight) {
+		final boolean mayStart = nowNanos - flight.notBeforeNanos >= 0;
+		final Optional<TargetLoad> chosen = mayStart ? choose(nowNanos, flight) : Optional.empty();
 		if (chosen.isPresent()) {
 			start(nowNanos, flight, chosen.get());
-			return;
 		}
-		final Optional<Refusal> full = this.policies.queue().offer(nowNanos, flight.info);
-		if (full.isPresent()) {
-			end(nowNanos, flight, full.get().kind(), full.get().retryAfterMillis());
-			return;
+		else {
+			this.resumptions.add(flight);
 		}
-		flight.queued = true;
+	}
+
+	private Optional<TargetLoad> choose(long nowNanos, Flight flight) {
+		final List<TargetLoad> choices = choices(flight);
+		return choices.isEmpty() ? Optional.empty()
+				: this.policies.placement().choose(nowNanos, flight.info, choices, avoided(flight));
+	}
+
+	private List<TargetLoad> choices(Flight flight) {
+		final Set<String> avoided = avoided(flight);
+		return this.isolation.allowed(flight.info, open(flight.info))
+			.stream()
+			.filter((load) -> !avoided.contains(load.view().targetId()))
+			.toList();
+	}
+
+	private static Set<String> avoided(Flight flight) {
+		// The holder of a claim is only tried again after a connection that was not made,
+		// which may succeed at the same instance.
+		return (flight.claimOffset >= 0) ? Set.of() : flight.triedTargetIds;
+	}
+
+	private List<TargetLoad> open(RequestInfo info) {
+		return candidates(info).stream()
+			.filter((load) -> load.view().serving() && load.inFlight() < load.view().slots())
+			.toList();
 	}
 
 	private void start(long nowNanos, Flight flight, TargetLoad load) {
@@ -356,19 +516,19 @@
 		flight.sentAttempts++;
 		flight.liveAttempt = new AttemptId(flight.info.requestId(), flight.attempts);
 		flight.target = load.view();
+		flight.load = load;
+		flight.resumedFromTokens = flight.tokensDelivered;
+		flight.progressAtNanos = nowNanos;
 		flight.triedTargetIds.add(load.view().targetId());
 		load.onStart(nowNanos, flight.info.costTokens());
+		this.isolation.onStart(flight);
 		this.actions.add(new TrafficAction.Start(flight.liveAttempt, load.view(), flight.tokensDelivered));
 	}
 
 	private void end(long nowNanos, Flight flight, ErrorKind kind, long retryAfterMillis) {
 		if (flight.liveAttempt != null) {
 			this.actions.add(new TrafficAction.Cancel(flight.liveAttempt));
-			final TargetLoad load = this.loads.get(flight.target.targetId());
-			if (load != null) {
-				load.onEnd(nowNanos, flight.info.costTokens(), AttemptEnd.CANCELLED);
-			}
-			flight.liveAttempt = null;
+			leaveTarget(nowNanos, flight, AttemptEnd.CANCELLED);
 		}
 		if (flight.claimOffset >= 0 && !flight.bytesSent()) {
 			this.actions.add(new TrafficAction.Release(flight.info.requestId(), flight.info, flight.claimOffset));
@@ -392,6 +552,10 @@
 		if (flight.queued) {
 			this.policies.queue().remove(flight.info.requestId());
 		}
+		this.resumptions.remove(flight);
+		if (flight.claiming) {
+			this.abandonedClaims.put(flight.info.requestId(), flight.info);
+		}
 		this.policies.admission().release(nowNanos, flight.info);
 	}
 
