Claims: bounded state, deterministic expiry, no younger claim forgotten

Cause: claims and stored answers were kept for ever; nothing bounded them. Change: entries are kept for twice the key's lifetime and dropped in expiry order once a partition holds more than 8,192; 32,768 at most, then no claim is granted; 8 MiB of answers, beyond which an answer is kept as unknown. Conclusion: memory is bounded by count and bytes, the effect at a bound is a refusal as not run or an unknown answer, never a second run.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/claims/ClaimsReducer.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/claims/ClaimsReducer.java
@@ -13,6 +13,12 @@
 
 /**
  * Folds claims: the first of a key in log order is granted, all others are not.
+ * <p>
+ * Whoever races, repeats or comes back from a pause, the log has one first claim, and all
+ * daemons find the same one. The state is bounded: an entry past twice its key's lifetime
+ * goes when a newer claim needs the room, and not before, so that one daemon with a fast
+ * clock cannot make a quiet partition forget; a partition full of younger claims grants
+ * none, which is refused as not run; answers beyond the bytes kept are stored as unknown.
  */
 public final class ClaimsReducer implements Reducer<ClaimsState> {
 
@@ -42,10 +48,14 @@
 
 	private static Applied<ClaimsState> claim(ClaimsState state, long offset, String writer, KeyClaim claim) {
 		final String key = ClaimsState.keyOf(claim.workspace(), claim.key());
-		if (state.entries().containsKey(key)) {
-			return Applied.rejected(state, RejectReason.KEY_TAKEN);
+		final ClaimsState current = state.withoutExpired(claim.claimedAtMillis());
+		if (current.entries().containsKey(key)) {
+			return Applied.rejected(current, RejectReason.KEY_TAKEN);
 		}
-		return Applied.accepted(state.withEntry(key, new ClaimEntry(claim, offset, writer, Optional.empty())));
+		if (current.entries().size() >= ClaimsState.MOST_ENTRIES) {
+			return Applied.rejected(current, RejectReason.CLAIMS_FULL);
+		}
+		return Applied.accepted(current.withEntry(key, new ClaimEntry(claim, offset, writer, Optional.empty())));
 	}
 
 	private static Applied<ClaimsState> release(ClaimsState state, KeyRelease release) {
@@ -63,8 +73,11 @@
 		if (entry == null || entry.claimOffset() != outcome.claimOffset() || entry.outcome().isPresent()) {
 			return Applied.rejected(state, RejectReason.UNKNOWN_CLAIM);
 		}
+		final boolean fits = state.storedBytes() + outcome.body().length() <= ClaimsState.MOST_STORED_BYTES;
+		final KeyOutcome kept = fits ? outcome : new KeyOutcome(outcome.workspace(), outcome.key(),
+				outcome.claimOffset(), outcome.status(), outcome.contentType(), "", true);
 		return Applied.accepted(state.withEntry(key,
-				new ClaimEntry(entry.claim(), entry.claimOffset(), entry.writer(), Optional.of(outcome))));
+				new ClaimEntry(entry.claim(), entry.claimOffset(), entry.writer(), Optional.of(kept))));
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/claims/ClaimsState.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/claims/ClaimsState.java
@@ -4,6 +4,8 @@
 
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
+import org.pcollections.PSortedMap;
+import org.pcollections.TreePMap;
 
 import org.pistachioline.core.state.WriterMarks;
 
@@ -11,13 +13,36 @@
  * The agreed claims of one partition.
  *
  * @param entries the claims by workspace and key
+ * @param byExpiry the keys of the claims by the end of their keeping
+ * @param storedBytes how much of the answers is stored
  * @param writers the marks of the stream's writers
  */
-public record ClaimsState(PMap<String, ClaimEntry> entries, WriterMarks writers) {
+public record ClaimsState(PMap<String, ClaimEntry> entries, PSortedMap<Expiry, String> byExpiry, long storedBytes,
+		WriterMarks writers) {
 
 	/** The state before any claim. */
 	public static final ClaimsState EMPTY = new ClaimsState(HashTreePMap.empty(), WriterMarks.EMPTY);
 
+	/** From how many entries on those past their keeping are dropped. */
+	public static final int KEPT_ENTRIES = 8_192;
+
+	/** How many entries a partition holds; with it full, no claim is granted. */
+	public static final int MOST_ENTRIES = 32_768;
+
+	/** How much of the answers a partition stores. */
+	public static final long MOST_STORED_BYTES = 8L * 1024 * 1024;
+
+	private static final int MOST_DROPPED_AT_ONCE = 4;
+
+	/**
+	 * Creates a state from its entries, such as those of a checkpoint.
+	 * @param entries the claims by workspace and key
+	 * @param writers the marks of the stream's writers
+	 */
+	public ClaimsState(PMap<String, ClaimEntry> entries, WriterMarks writers) {
+		this(entries, indexOf(entries), entries.values().stream().mapToLong(ClaimEntry::storedBytes).sum(), writers);
+	}
+
 	/**
 	 * Finds the claim of a key.
 	 * @param workspace the workspace
@@ -33,15 +58,41 @@
 	}
 
 	ClaimsState withWriters(WriterMarks marks) {
-		return new ClaimsState(this.entries, marks);
+		return new ClaimsState(this.entries, this.byExpiry, this.storedBytes, marks);
 	}
 
 	ClaimsState withEntry(String key, ClaimEntry entry) {
-		return new ClaimsState(this.entries.plus(key, entry), this.writers);
+		final ClaimEntry before = this.entries.get(key);
+		final long replacedBytes = (before != null) ? before.storedBytes() : 0;
+		return new ClaimsState(this.entries.plus(key, entry),
+				this.byExpiry.plus(new Expiry(entry.keptUntilMillis(), key), key),
+				this.storedBytes - replacedBytes + entry.storedBytes(), this.writers);
 	}
 
 	ClaimsState without(String key) {
-		return new ClaimsState(this.entries.minus(key), this.writers);
+		final ClaimEntry entry = this.entries.get(key);
+		return new ClaimsState(this.entries.minus(key), this.byExpiry.minus(new Expiry(entry.keptUntilMillis(), key)),
+				this.storedBytes - entry.storedBytes(), this.writers);
+	}
+
+	ClaimsState withoutExpired(long atMillis) {
+		ClaimsState state = this;
+		for (int i = 0; i < MOST_DROPPED_AT_ONCE && state.entries.size() > KEPT_ENTRIES; i++) {
+			final Expiry first = state.byExpiry.firstKey();
+			if (first.keptUntilMillis() > atMillis) {
+				break;
+			}
+			state = state.without(first.key());
+		}
+		return state;
+	}
+
+	private static PSortedMap<Expiry, String> indexOf(PMap<String, ClaimEntry> entries) {
+		PSortedMap<Expiry, String> index = TreePMap.empty();
+		for (final var entry : entries.entrySet()) {
+			index = index.plus(new Expiry(entry.getValue().keptUntilMillis(), entry.getKey()), entry.getKey());
+		}
+		return index;
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/state/RejectReason.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/state/RejectReason.java
@@ -39,6 +39,9 @@
 	KEY_TAKEN,
 
 	/** There is no such claim, or it is settled. */
-	UNKNOWN_CLAIM
+	UNKNOWN_CLAIM,
+
+	/** The partition holds as many claims as it may. */
+	CLAIMS_FULL
 
 }
