--- a/pistachioline-core/src/main/java/org/pistachioline/core/admission/AdmissionPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/admission/AdmissionPolicy.java
@@ -1,5 +1,6 @@
 package org.pistachioline.core.admission;
 
+import java.util.Map;
 import java.util.Optional;
 
 import org.pistachioline.core.manifest.Manifest;
@@ -25,6 +26,25 @@
 	 */
 	Optional<Refusal> admit(long nowNanos, RequestInfo info);
 
+	/**
+	 * Takes over this daemon's shares of the limits.
+	 * @param nowNanos the monotonic time
+	 * @param shareRatios the share of each workspace's limits, by workspace; 1 where a
+	 * workspace is absent
+	 */
+	default void share(long nowNanos, Map<String, Double> shareRatios) {
+		// Without limits there are no shares.
+	}
+
+	/**
+	 * Returns the demand for which this daemon wants its shares.
+	 * @param nowNanos the monotonic time
+	 * @return the requests a second that came lately, by workspace
+	 */
+	default Map<String, Double> demand(long nowNanos) {
+		return Map.of();
+	}
+
 	/**
 	 * Gives back what an admitted request held.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-core/src/main/java/org/pistachioline/core/admission/WorkspaceLimits.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/admission/WorkspaceLimits.java
@@ -15,7 +15,10 @@
  * Made for a workspace that floods: without the limits its work would fill every queue
  * and every slot. The rate allows a burst of two seconds, so that a page that sends a
  * handful of requests at once is not refused. This daemon's share of a limit is set from
- * outside.
+ * outside. A request that is larger than this daemon's share, though not larger than the
+ * whole limit, is admitted while the workspace has nothing else in flight here: it would
+ * otherwise be refused for ever. One that is larger than the whole limit is refused and
+ * told never to come back.
  */
 public final class WorkspaceLimits implements AdmissionPolicy {
 
@@ -25,6 +28,8 @@
 
 	private static final long TOKENS_RETRY_MILLIS = 1_000;
 
+	private static final double DEMAND_SECONDS = 2;
+
 	private final Map<String, Usage> usages = new HashMap<>();
 
 	@Override
@@ -39,6 +44,11 @@
 		this.usages.putAll(next);
 	}
 
+	@Override
+	public void share(long nowNanos, Map<String, Double> shareRatios) {
+		this.usages.forEach((name, usage) -> usage.share(nowNanos, shareRatios.getOrDefault(name, 1.0)));
+	}
+
 	@Override
 	public Optional<Refusal> admit(long nowNanos, RequestInfo info) {
 		final Usage usage = this.usages.get(info.workspace());
@@ -56,10 +66,19 @@
 		}
 	}
 
+	@Override
+	public Map<String, Double> demand(long nowNanos) {
+		final Map<String, Double> demand = new HashMap<>();
+		this.usages.forEach((name, usage) -> demand.put(name, usage.demand(nowNanos)));
+		return demand;
+	}
+
 	private static final class Usage {
 
 		private double ratePerSecond;
 
+		private double shareRatio = 1;
+
 		private double credit;
 
 		private long creditedAtNanos;
@@ -68,24 +87,58 @@
 
 		private long tokensInFlight;
 
+		private double arrivals;
+
+		private long arrivalsAtNanos;
+
 		void limit(long nowNanos, WorkspaceSpec workspace) {
-			if (this.ratePerSecond == 0) {
-				this.credit = Math.max(1, workspace.requestsPerSecond() * BURST_SECONDS);
-				this.creditedAtNanos = nowNanos;
-			}
+			final boolean fresh = this.ratePerSecond == 0;
 			this.ratePerSecond = workspace.requestsPerSecond();
 			this.limitTokens = workspace.tokensInFlight();
+			if (fresh) {
+				this.credit = mostCredit();
+				this.creditedAtNanos = nowNanos;
+			}
 		}
 
-		Optional<Refusal> admit(long nowNanos, RequestInfo info) {
-			final double earned = (nowNanos - this.creditedAtNanos) / NANOS_PER_SECOND * this.ratePerSecond;
-			this.credit = Math.min(Math.max(1, this.ratePerSecond * BURST_SECONDS), this.credit + earned);
+		void share(long nowNanos, double ratio) {
+			earn(nowNanos);
+			this.shareRatio = ratio;
+			this.credit = Math.min(this.credit, mostCredit());
+		}
+
+		private double rate() {
+			return this.ratePerSecond * this.shareRatio;
+		}
+
+		private double mostCredit() {
+			return Math.max(1, rate() * BURST_SECONDS);
+		}
+
+		private void earn(long nowNanos) {
+			final double earned = (nowNanos - this.creditedAtNanos) / NANOS_PER_SECOND * rate();
+			this.credit = Math.min(mostCredit(), this.credit + earned);
 			this.creditedAtNanos = nowNanos;
+		}
+
+		double demand(long nowNanos) {
+			final double seconds = (nowNanos - this.arrivalsAtNanos) / NANOS_PER_SECOND;
+			return this.arrivals * Math.exp(-seconds / DEMAND_SECONDS) / DEMAND_SECONDS;
+		}
+
+		Optional<Refusal> admit(long nowNanos, RequestInfo info) {
+			this.arrivals = demand(nowNanos) * DEMAND_SECONDS + 1;
+			this.arrivalsAtNanos = nowNanos;
+			earn(nowNanos);
+			if (info.costTokens() > this.limitTokens) {
+				return Optional.of(new Refusal(ErrorKind.TOKENS_LIMITED, 0));
+			}
 			if (this.credit < 1) {
-				final long waitMillis = (long) Math.ceil((1 - this.credit) / this.ratePerSecond * 1_000);
+				final long waitMillis = (long) Math.ceil((1 - this.credit) / rate() * 1_000);
 				return Optional.of(new Refusal(ErrorKind.RATE_LIMITED, waitMillis));
 			}
-			if (this.tokensInFlight > 0 && this.tokensInFlight + info.costTokens() > this.limitTokens) {
+			final double most = this.limitTokens * this.shareRatio;
+			if (this.tokensInFlight > 0 && this.tokensInFlight + info.costTokens() > most) {
 				return Optional.of(new Refusal(ErrorKind.TOKENS_LIMITED, TOKENS_RETRY_MILLIS));
 			}
 			this.credit -= 1;
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
@@ -0,0 +1,135 @@
+package org.pistachioline.core.placement;
+
+import java.util.Optional;
+import java.util.Set;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+import org.pistachioline.core.traffic.RequestInfo;
+
+/**
+ * Chooses the target with the shortest expected wait among a few.
+ * <p>
+ * Made for several daemons that all see the same reports, a second old. If each chose the
+ * best of all targets, they would choose the same one and overrun it; the best of four
+ * drawn by chance, those that hold the prompt's prefix, and one that the prefix's hash
+ * names is nearly as good and differs from daemon to daemon. The hash's target lets
+ * daemons that never heard of a prefix keep it at one place, so that small caches are not
+ * all filled with the same. The cost of a decision does not depend on how many targets
+ * there are.
+ */
+public final class ExpectedWaitPlacement implements PlacementPolicy {
+
+	private static final int DRAWN = 4;
+
+	/** At most this many prefixes are remembered: 64 tokens each, about 8 MB in all. */
+	private static final int MAX_PREFIXES = 65_536;
+
+	/** What a full target costs: batches grow, and the next request may find no slot. */
+	private static final double FULL_MILLIS = 120;
+
+	private static final double PREFILL_TOKENS_PER_MILLI = 10;
+
+	/** One way between two availability zones and back. */
+	private static final double OTHER_ZONE_MILLIS = 3;
+
+	/** How many tokens a caller waits for before it can begin to read. */
+	private static final double FIRST_TOKENS = 32;
+
+	/** How far a target named by the hash counts as a holder of the prefix. */
+	private static final double HASH_TRUST_RATIO = 0.5;
+
+	private static final double NANOS_PER_MILLI = 1e6;
+
+	private final String availabilityZone;
+
+	private final UniformRandomProvider random;
+
+	private final PrefixIndex prefixes = new PrefixIndex(MAX_PREFIXES);
+
+	private final PrefixIndex.Found found = new PrefixIndex.Found();
+
+	/**
+	 * Creates a policy.
+	 * @param availabilityZone where this daemon runs
+	 * @param seed what makes this daemon's choices differ from the others'
+	 */
+	public ExpectedWaitPlacement(String availabilityZone, long seed) {
+		this.availabilityZone = availabilityZone;
+		this.random = RandomSource.SPLIT_MIX_64.create(seed);
+	}
+
+	@Override
+	public Optional<TargetLoad> choose(long nowNanos, RequestInfo info, TargetSet targets, Set<String> triedTargetIds) {
+		final int count = targets.open().size();
+		if (count == 0) {
+			return Optional.empty();
+		}
+		this.prefixes.find(info.prefixHashes(), this.found);
+		TargetLoad best = null;
+		double bestMillis = Double.MAX_VALUE;
+		for (int i = 0; i < DRAWN + this.found.count() + 1; i++) {
+			final TargetLoad load = candidate(i, info, targets);
+			if (load != null && !triedTargetIds.contains(load.view().targetId())) {
+				final double waitMillis = waitMillis(info, targets, load, i == DRAWN + this.found.count());
+				if (waitMillis < bestMillis) {
+					best = load;
+					bestMillis = waitMillis;
+				}
+			}
+		}
+		return (best != null) ? Optional.of(best) : firstUntried(targets, triedTargetIds);
+	}
+
+	private TargetLoad candidate(int index, RequestInfo info, TargetSet targets) {
+		if (index < DRAWN) {
+			return targets.open().get(this.random.nextInt(targets.open().size()));
+		}
+		if (index < DRAWN + this.found.count()) {
+			return targets.openById(this.found.targetId(index - DRAWN)).orElse(null);
+		}
+		if (info.prefixHashes().isEmpty()) {
+			return null;
+		}
+		return targets.openByHash(info.prefixHashes().get(0)).orElse(null);
+	}
+
+	private double waitMillis(RequestInfo info, TargetSet targets, TargetLoad load, boolean byHash) {
+		final int heldBlocks = this.found.blocksAt(load.view().targetId());
+		double heldTokens = heldBlocks * PrefixHashes.BLOCK_TOKENS;
+		if (byHash && heldBlocks == 0) {
+			heldTokens = HASH_TRUST_RATIO * info.prefixHashes().size() * PrefixHashes.BLOCK_TOKENS;
+		}
+		final double prefillMillis = Math.max(0, info.promptTokens() - heldTokens) / PREFILL_TOKENS_PER_MILLI;
+		final double full = load.fullRatio();
+		final double tokenNanos = (load.tokenSamples() > 0) ? load.tokenNanos() : targets.medianTokenNanos();
+		final double zoneMillis = load.view().availabilityZone().equals(this.availabilityZone) ? 0 : OTHER_ZONE_MILLIS;
+		return prefillMillis + FULL_MILLIS * full * full + FIRST_TOKENS * tokenNanos / NANOS_PER_MILLI + zoneMillis;
+	}
+
+	private static Optional<TargetLoad> firstUntried(TargetSet targets, Set<String> triedTargetIds) {
+		for (final TargetLoad load : targets.open()) {
+			if (!triedTargetIds.contains(load.view().targetId())) {
+				return Optional.of(load);
+			}
+		}
+		return Optional.empty();
+	}
+
+	@Override
+	public void onPlaced(long nowNanos, RequestInfo info, TargetLoad load) {
+		this.prefixes.add(nowNanos, info.prefixHashes(), load.view().targetId());
+	}
+
+	@Override
+	public void onCacheEvents(long nowNanos, CacheEvents events) {
+		this.prefixes.apply(nowNanos, events);
+	}
+
+	@Override
+	public void forget(String targetId) {
+		this.prefixes.forget(targetId);
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/LeastInFlight.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/LeastInFlight.java
@@ -1,6 +1,5 @@
 package org.pistachioline.core.placement;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -12,12 +11,10 @@
 public final class LeastInFlight implements PlacementPolicy {
 
 	@Override
-	public Optional<TargetLoad> choose(long nowNanos, RequestInfo info, List<TargetLoad> candidates,
-			Set<String> triedTargetIds) {
+	public Optional<TargetLoad> choose(long nowNanos, RequestInfo info, TargetSet targets, Set<String> triedTargetIds) {
 		TargetLoad best = null;
-		for (final TargetLoad load : candidates) {
-			final boolean usable = load.view().serving() && load.inFlight() < load.view().slots()
-					&& !triedTargetIds.contains(load.view().targetId());
+		for (final TargetLoad load : targets.open()) {
+			final boolean usable = !triedTargetIds.contains(load.view().targetId());
 			if (usable && (best == null || load.inFlight() < best.inFlight())) {
 				best = load;
 			}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/PlacementPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/PlacementPolicy.java
@@ -1,6 +1,5 @@
 package org.pistachioline.core.placement;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -15,11 +14,37 @@
 	 * Chooses a target with room.
 	 * @param nowNanos the monotonic time
 	 * @param info the request
-	 * @param candidates the targets of the model or service
+	 * @param targets the targets of the model or service
 	 * @param triedTargetIds the targets that failed this request before, to be avoided
 	 * @return the target; empty where none has room
 	 */
-	Optional<TargetLoad> choose(long nowNanos, RequestInfo info, List<TargetLoad> candidates,
-			Set<String> triedTargetIds);
+	Optional<TargetLoad> choose(long nowNanos, RequestInfo info, TargetSet targets, Set<String> triedTargetIds);
+
+	/**
+	 * Notes where a request went.
+	 * @param nowNanos the monotonic time
+	 * @param info the request
+	 * @param load the target
+	 */
+	default void onPlaced(long nowNanos, RequestInfo info, TargetLoad load) {
+		// A policy without memory needs no feedback.
+	}
+
+	/**
+	 * Takes word of what a target's prefix cache holds.
+	 * @param nowNanos the monotonic time
+	 * @param events the events, late and perhaps with gaps
+	 */
+	default void onCacheEvents(long nowNanos, CacheEvents events) {
+		// A policy that ignores caches needs no events.
+	}
+
+	/**
+	 * Forgets a target that is gone.
+	 * @param targetId the target
+	 */
+	default void forget(String targetId) {
+		// A policy without memory has nothing to forget.
+	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -4,13 +4,31 @@
 import org.pistachioline.core.traffic.TargetView;
 
 /**
- * What one daemon has in flight at a target, beside the target's last view.
+ * What one daemon has in flight at a target and how fast it found the target to be,
+ * beside the target's last view.
+ * <p>
+ * Made for several daemons before one target, each with a report that is a second old. A
+ * daemon that trusted the report alone would send all its work where the report says
+ * "idle", together with all others, and the work would wait in the engine, where no
+ * fairness holds. So a daemon may always use an equal part of the slots, and more as far
+ * as the report, without its own work at that time, leaves them free; the older the
+ * report, the less counts what it leaves free.
  */
 public final class TargetLoad {
 
+	private static final long REPORT_TRUST_NANOS = 3_000_000_000L;
+
+	/** A target that just came takes its full share of work only after this time. */
+	private static final long SLOW_START_NANOS = 4_000_000_000L;
+
+	/** Weighs one sample of many, so that a single slow reader does not move the mean. */
+	private static final double SAMPLE_WEIGHT = 0.1;
+
+	private static final int HISTORY = 16;
+
 	private TargetView view;
 
-	private final long knownSinceNanos;
+	private long servingSinceNanos;
 
 	private int inFlight;
 
@@ -20,6 +38,26 @@
 
 	private long lastFailureNanos;
 
+	private int othersInFlight;
+
+	private double tokenNanos;
+
+	private int tokenSamples;
+
+	private long progressAtNanos;
+
+	private long ejectedUntilNanos;
+
+	private int ejections;
+
+	private int openIndex = -1;
+
+	private final long[] historyNanos = new long[HISTORY];
+
+	private final int[] historyInFlight = new int[HISTORY];
+
+	private int historyNext;
+
 	/**
 	 * Creates the load of a target that was just learnt of.
 	 * @param view the target's view
@@ -27,7 +65,11 @@
 	 */
 	public TargetLoad(TargetView view, long nowNanos) {
 		this.view = view;
-		this.knownSinceNanos = nowNanos;
+		this.servingSinceNanos = nowNanos;
+		this.progressAtNanos = nowNanos;
+		this.othersInFlight = view.reportedRunning() + view.reportedWaiting();
+		this.historyNanos[0] = nowNanos;
+		this.historyNext = 1;
 	}
 
 	/**
@@ -36,7 +78,34 @@
 	 * @param nowNanos the monotonic time
 	 */
 	public void update(TargetView newView, long nowNanos) {
+		if (newView.serving() && !this.view.serving()) {
+			this.servingSinceNanos = nowNanos;
+		}
+		if (newView.reportedAtNanos() != this.view.reportedAtNanos()) {
+			final int reported = newView.reportedRunning() + newView.reportedWaiting();
+			this.othersInFlight = Math.max(0, reported - inFlightAt(newView.reportedAtNanos()));
+		}
 		this.view = newView;
+		this.historyNanos[this.historyNext % HISTORY] = nowNanos;
+		this.historyInFlight[this.historyNext % HISTORY] = this.inFlight;
+		this.historyNext++;
+	}
+
+	private int inFlightAt(long atNanos) {
+		final int oldest = Math.max(0, this.historyNext - HISTORY);
+		for (int i = this.historyNext - 1; i >= oldest; i--) {
+			if (this.historyNanos[i % HISTORY] <= atNanos) {
+				return this.historyInFlight[i % HISTORY];
+			}
+		}
+		return this.historyInFlight[oldest % HISTORY];
+	}
+
+	/**
+	 * Skips the slow start, for a target that this daemon merely learnt of late.
+	 */
+	void warm() {
+		this.servingSinceNanos -= SLOW_START_NANOS;
 	}
 
 	/**
@@ -45,17 +114,30 @@
 	 * @param costTokens the request's cost
 	 */
 	public void onStart(long nowNanos, long costTokens) {
+		if (this.inFlight == 0) {
+			this.progressAtNanos = nowNanos;
+		}
 		this.inFlight++;
 		this.inFlightTokens += costTokens;
 	}
 
 	/**
-	 * Notes an attempt's first token.
+	 * Notes tokens that an attempt delivered after its first.
 	 * @param nowNanos the monotonic time
-	 * @param arrivedAtNanos when the request arrived
+	 * @param sinceNanos when the attempt's last tokens were noted
+	 * @param tokens how many tokens came since
+	 * @param first whether the attempt's first token is among them
 	 */
-	public void onFirstToken(long nowNanos, long arrivedAtNanos) {
+	public void onTokens(long nowNanos, long sinceNanos, int tokens, boolean first) {
 		this.consecutiveFailures = 0;
+		this.progressAtNanos = nowNanos;
+		if (first || tokens <= 0) {
+			return;
+		}
+		final double sample = (double) (nowNanos - sinceNanos) / tokens;
+		this.tokenNanos = (this.tokenSamples == 0) ? sample
+				: this.tokenNanos + SAMPLE_WEIGHT * (sample - this.tokenNanos);
+		this.tokenSamples++;
 	}
 
 	/**
@@ -69,6 +151,7 @@
 		this.inFlightTokens -= costTokens;
 		if (how == AttemptEnd.COMPLETE) {
 			this.consecutiveFailures = 0;
+			this.progressAtNanos = nowNanos;
 		}
 		else if (how != AttemptEnd.CANCELLED) {
 			this.consecutiveFailures++;
@@ -77,19 +160,119 @@
 	}
 
 	/**
-	 * Returns the target's last view.
-	 * @return the view
+	 * Returns how many attempts this daemon may have there.
+	 * @param nowNanos the monotonic time
+	 * @param daemonCount how many daemons share the target
+	 * @return the number of attempts, at least 1
 	 */
-	public TargetView view() {
-		return this.view;
+	int limit(long nowNanos, int daemonCount) {
+		final int slots = this.view.slots();
+		final int equal = (slots + daemonCount - 1) / daemonCount;
+		final int left = Math.max(equal, slots - this.othersInFlight);
+		final double trustRatio = Math.max(0,
+				1 - (double) (nowNanos - this.view.reportedAtNanos()) / REPORT_TRUST_NANOS);
+		final double limit = equal + trustRatio * (left - equal);
+		final double warmRatio = Math.min(1, (double) (nowNanos - this.servingSinceNanos) / SLOW_START_NANOS);
+		return Math.max(1, (int) Math.round(limit * warmRatio));
+	}
+
+	/**
+	 * Returns whether this daemon may start another attempt there.
+	 * @param nowNanos the monotonic time
+	 * @param daemonCount how many daemons share the target
+	 * @return whether there is room
+	 */
+	boolean hasRoom(long nowNanos, int daemonCount) {
+		return this.view.serving() && !ejected(nowNanos) && this.inFlight < limit(nowNanos, daemonCount);
+	}
+
+	/**
+	 * Takes the target out of use for a while; longer each time.
+	 * @param nowNanos the monotonic time
+	 * @param baseNanos how long the first time
+	 * @param mostDoublings how often the time doubles at most
+	 */
+	void eject(long nowNanos, long baseNanos, int mostDoublings) {
+		this.ejectedUntilNanos = nowNanos + (baseNanos << Math.min(mostDoublings, this.ejections));
+		this.ejections++;
+		this.tokenSamples = 0;
+		this.tokenNanos = 0;
+		this.consecutiveFailures = 0;
+		// The way back is a slow start: it begins when the ejection ends.
+		this.servingSinceNanos = this.ejectedUntilNanos;
+		this.progressAtNanos = this.ejectedUntilNanos;
+	}
+
+	/**
+	 * Forgives one ejection, for a target that has behaved since.
+	 */
+	void forgive() {
+		this.ejections = Math.max(0, this.ejections - 1);
+	}
+
+	/**
+	 * Returns whether the target is out of use.
+	 * @param nowNanos the monotonic time
+	 * @return whether it is ejected
+	 */
+	public boolean ejected(long nowNanos) {
+		return this.ejectedUntilNanos != 0 && nowNanos < this.ejectedUntilNanos;
+	}
+
+	/**
+	 * Returns how often the target was ejected without being forgiven.
+	 * @return the number of ejections
+	 */
+	public int ejections() {
+		return this.ejections;
 	}
 
 	/**
-	 * Returns when this daemon learnt of the target.
+	 * Returns when the target last delivered anything to this daemon.
 	 * @return the monotonic time, in nanoseconds
 	 */
-	public long knownSinceNanos() {
-		return this.knownSinceNanos;
+	long progressAtNanos() {
+		return this.progressAtNanos;
+	}
+
+	/**
+	 * Returns the mean time between two tokens, as this daemon measured it.
+	 * @return the time, in nanoseconds; 0 where too little was measured
+	 */
+	double tokenNanos() {
+		return this.tokenNanos;
+	}
+
+	/**
+	 * Returns how many measurements the mean rests on.
+	 * @return the number of samples
+	 */
+	int tokenSamples() {
+		return this.tokenSamples;
+	}
+
+	/**
+	 * Returns how full the target is, as far as this daemon can know.
+	 * @return its own and the others' attempts for each slot
+	 */
+	double fullRatio() {
+		return (double) (this.inFlight + this.othersInFlight) / this.view.slots();
+	}
+
+	int openIndex() {
+		return this.openIndex;
+	}
+
+	void openIndex(int index) {
+		this.openIndex = index;
+	}
+
+	/**
+	 * Returns the target's last view.
+	 * @return the view
+	 */
+	public TargetView view() {
+		return this.view;
 	}
 
 	/**
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/Lane.java
@@ -0,0 +1,203 @@
+package org.pistachioline.core.queueing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * The queue before one model or service, fair between workspaces by start-time fair
+ * queueing.
+ * <p>
+ * A workspace's next request starts, in virtual time, where its last one ended; the one
+ * that starts first goes first. One that was idle starts at the present, so it goes next
+ * and has saved up nothing.
+ */
+final class Lane {
+
+	private static final double DECAY = 0.98;
+
+	private static final double SAMPLE_WEIGHT = 0.1;
+
+	private static final double DEVIATIONS = 2;
+
+	/** The part of a deadline that is kept for the first token at most. */
+	private static final double FIRST_TOKEN_MOST_RATIO = 0.5;
+
+	private final Map<String, Flow> flows = new HashMap<>();
+
+	private final TreeSet<Flow> backlogged = new TreeSet<>(Flow.BY_START);
+
+	private final TreeSet<Waiting> byDeadline = new TreeSet<>(Waiting.BY_DEADLINE);
+
+	private double virtualTime;
+
+	private double backloggedWeight;
+
+	private double backloggedCost;
+
+	private int running;
+
+	private double servedNanos;
+
+	private double servedCost;
+
+	private double firstTokenMeanNanos;
+
+	private double firstTokenDeviationNanos;
+
+	boolean isEmpty() {
+		return this.backlogged.isEmpty();
+	}
+
+	int waiting(String workspace) {
+		final Flow flow = this.flows.get(workspace);
+		return (flow != null) ? flow.queue.size() : 0;
+	}
+
+	void add(Waiting waiting, double weight) {
+		final Flow flow = this.flows.computeIfAbsent(waiting.info().workspace(), Flow::new);
+		if (flow.queue.isEmpty()) {
+			flow.startTag = Math.max(this.virtualTime, flow.finishTag);
+			this.backlogged.add(flow);
+			this.backloggedWeight += weight;
+		}
+		flow.queue.add(waiting);
+		flow.cost += waiting.cost();
+		this.backloggedCost += waiting.cost();
+		this.byDeadline.add(waiting);
+	}
+
+	Waiting head() {
+		return this.backlogged.first().queue.first();
+	}
+
+	Waiting dispatch(long nowNanos, double weight) {
+		final Flow flow = this.backlogged.pollFirst();
+		final Waiting waiting = flow.queue.pollFirst();
+		this.virtualTime = flow.startTag;
+		flow.finishTag = flow.startTag + waiting.cost() / weight;
+		flow.startTag = flow.finishTag;
+		flow.onDispatch(nowNanos, waiting);
+		takeOut(flow, waiting);
+		if (flow.queue.isEmpty()) {
+			this.backloggedWeight -= weight;
+		}
+		else {
+			this.backlogged.add(flow);
+		}
+		this.running++;
+		return waiting;
+	}
+
+	void remove(Waiting waiting, double weight) {
+		final Flow flow = this.flows.get(waiting.info().workspace());
+		if (flow == null || !flow.queue.remove(waiting)) {
+			return;
+		}
+		takeOut(flow, waiting);
+		if (flow.queue.isEmpty()) {
+			this.backlogged.remove(flow);
+			this.backloggedWeight -= weight;
+		}
+	}
+
+	private void takeOut(Flow flow, Waiting waiting) {
+		flow.cost = flow.queue.isEmpty() ? 0 : flow.cost - waiting.cost();
+		this.byDeadline.remove(waiting);
+		this.backloggedCost = this.byDeadline.isEmpty() ? 0 : this.backloggedCost - waiting.cost();
+	}
+
+	/**
+	 * Corrects the charge of a request by what it cost in truth.
+	 * @param workspace its workspace
+	 * @param missingCost what it cost more than it was charged; negative where less
+	 * @param weight the workspace's weight
+	 */
+	void correct(String workspace, double missingCost, double weight) {
+		final Flow flow = this.flows.get(workspace);
+		if (flow == null) {
+			return;
+		}
+		final boolean queued = this.backlogged.remove(flow);
+		flow.finishTag += missingCost / weight;
+		// Never before the present: a workspace must not save up service.
+		flow.startTag = Math.max(this.virtualTime, flow.startTag + missingCost / weight);
+		if (queued) {
+			this.backlogged.add(flow);
+		}
+	}
+
+	void onStopped() {
+		this.running--;
+	}
+
+	void onServed(double cost, long sinceStartNanos) {
+		this.servedNanos = this.servedNanos * DECAY + sinceStartNanos;
+		this.servedCost = this.servedCost * DECAY + cost;
+	}
+
+	void onFirstToken(long sinceStartNanos) {
+		if (this.firstTokenMeanNanos == 0) {
+			this.firstTokenMeanNanos = sinceStartNanos;
+		}
+		final double error = sinceStartNanos - this.firstTokenMeanNanos;
+		this.firstTokenMeanNanos += SAMPLE_WEIGHT * error;
+		this.firstTokenDeviationNanos += SAMPLE_WEIGHT * (Math.abs(error) - this.firstTokenDeviationNanos);
+	}
+
+	/**
+	 * Returns how long a new request would wait, by Little's law: what runs at once, over
+	 * the time that a token takes, is the rate at which the queue is served.
+	 * @param workspace its workspace
+	 * @param weight the workspace's weight
+	 * @return the time, in nanoseconds; 0 where nothing waits or nothing is known
+	 */
+	double expectedWaitNanos(String workspace, double weight) {
+		if (this.backlogged.isEmpty() || this.servedCost == 0 || this.running == 0) {
+			return 0;
+		}
+		final double costPerNano = this.running * this.servedCost / this.servedNanos;
+		final Flow flow = this.flows.get(workspace);
+		final boolean queued = flow != null && !flow.queue.isEmpty();
+		final double weights = queued ? this.backloggedWeight : this.backloggedWeight + weight;
+		final double ownCost = queued ? flow.cost : 0;
+		return Math.min(this.backloggedCost, ownCost * weights / weight) / costPerNano;
+	}
+
+	double firstTokenNanos(long budgetNanos) {
+		return Math.min(FIRST_TOKEN_MOST_RATIO * budgetNanos,
+				this.firstTokenMeanNanos + DEVIATIONS * this.firstTokenDeviationNanos);
+	}
+
+	double allowedWaitNanos(long nowNanos, String workspace, long budgetNanos) {
+		final Flow flow = this.flows.get(workspace);
+		return (flow != null) ? flow.allowedWaitNanos(nowNanos, budgetNanos) : budgetNanos;
+	}
+
+	List<Waiting> late(long nowNanos) {
+		final List<Waiting> late = new ArrayList<>();
+		for (final Waiting waiting : this.byDeadline) {
+			final long deadlineNanos = waiting.info().firstTokenDeadlineNanos();
+			if (nowNanos + firstTokenNanos(deadlineNanos - waiting.queuedAtNanos()) < deadlineNanos) {
+				break;
+			}
+			late.add(waiting);
+		}
+		return late;
+	}
+
+	void retain(Set<String> workspaces) {
+		this.flows.values().removeIf((flow) -> flow.queue.isEmpty() && !workspaces.contains(flow.workspace));
+	}
+
+	void reweigh(ToDoubleFunction<String> weights) {
+		this.backloggedWeight = this.backlogged.stream()
+			.mapToDouble((flow) -> weights.applyAsDouble(flow.workspace))
+			.sum();
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/QueuePolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/QueuePolicy.java
@@ -48,6 +48,28 @@
 	 */
 	void remove(long requestId);
 
+	/**
+	 * Notes the first token of a request that left the queue.
+	 * @param nowNanos the monotonic time
+	 * @param info the request
+	 * @param sinceStartNanos how long its target took
+	 */
+	default void onFirstToken(long nowNanos, RequestInfo info, long sinceStartNanos) {
+		// A queue without deadlines learns nothing from it.
+	}
+
+	/**
+	 * Notes the end of a request, whether it left the queue before or not.
+	 * @param nowNanos the monotonic time
+	 * @param info the request
+	 * @param complete whether it was answered in full
+	 * @param outputTokens the tokens that it generated
+	 * @param sinceStartNanos how long its last attempt took
+	 */
+	default void onEnded(long nowNanos, RequestInfo info, boolean complete, int outputTokens, long sinceStartNanos) {
+		// A queue without costs learns nothing from it.
+	}
+
 	/**
 	 * Returns how many requests wait.
 	 * @return the number of requests
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Flight.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Flight.java
@@ -30,6 +30,14 @@
 
 	int tokensDelivered;
 
+	long startedAtNanos;
+
+	long progressAtNanos;
+
+	boolean attemptRan;
+
+	boolean complete;
+
 	long claimOffset = -1;
 
 	Flight(RequestInfo info, long arrivedAtNanos) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -6,12 +6,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.pistachioline.core.admission.Refusal;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.manifest.Manifest;
+import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.placement.TargetLoad;
+import org.pistachioline.core.placement.TargetSet;
 import org.pistachioline.core.retry.RetryDecision;
 
 /**
@@ -23,6 +26,8 @@
  */
 public final class TrafficCore {
 
+	private static final String SERVICE_PREFIX = "service:";
+
 	private static final long RETRY_WITHOUT_CAPACITY_MILLIS = 1_000;
 
 	private final TrafficPolicies policies;
@@ -31,7 +36,7 @@
 
 	private final Map<String, TargetLoad> loads = new HashMap<>();
 
-	private final Map<String, List<TargetLoad>> loadsByName = new HashMap<>();
+	private final Map<String, TargetSet> setsByName = new HashMap<>();
 
 	private final List<TrafficAction> actions = new ArrayList<>();
 
@@ -39,6 +44,8 @@
 
 	private boolean leaving;
 
+	private int daemonCount = 1;
+
 	/**
 	 * Creates a core without configuration and targets.
 	 * @param policies the behaviours that vary
@@ -68,7 +75,7 @@
 	 */
 	public List<TrafficAction> onTargets(long nowNanos, List<TargetView> targets) {
 		final Map<String, TargetLoad> next = new HashMap<>();
-		this.loadsByName.clear();
+		final Map<String, List<TargetLoad>> byName = new HashMap<>();
 		for (final TargetView view : targets) {
 			TargetLoad load = this.loads.get(view.targetId());
 			if (load == null) {
@@ -78,13 +85,46 @@
 				load.update(view, nowNanos);
 			}
 			next.put(view.targetId(), load);
-			this.loadsByName.computeIfAbsent(nameKey(view.kind(), view.name()), (key) -> new ArrayList<>()).add(load);
+			byName.computeIfAbsent(nameKey(view.kind(), view.name()), (key) -> new ArrayList<>()).add(load);
 		}
+		this.loads.keySet().forEach((targetId) -> {
+			if (!next.containsKey(targetId)) {
+				this.policies.placement().forget(targetId);
+			}
+		});
 		this.loads.clear();
 		this.loads.putAll(next);
+		this.setsByName.keySet().retainAll(byName.keySet());
+		byName.forEach((name, members) -> this.setsByName.computeIfAbsent(name, (key) -> new TargetSet())
+			.replace(nowNanos, members, this.daemonCount));
+		return pump(nowNanos);
+	}
+
+	/**
+	 * Takes over how many daemons there are and this one's shares of the limits.
+	 * @param nowNanos the monotonic time
+	 * @param count the live daemons, this one included
+	 * @param shareRatios this daemon's share of each workspace's limits, by workspace
+	 * @return what must be done next
+	 */
+	public List<TrafficAction> onShares(long nowNanos, int count, Map<String, Double> shareRatios) {
+		this.daemonCount = Math.max(1, count);
+		this.policies.admission().share(nowNanos, shareRatios);
+		this.setsByName.values().forEach((set) -> set.refresh(nowNanos, this.daemonCount));
 		return pump(nowNanos);
 	}
 
+	/**
+	 * Takes word of what a target's prefix cache holds.
+	 * @param nowNanos the monotonic time
+	 * @param events the events, late and perhaps with gaps
+	 */
+	public void onCacheEvents(long nowNanos, CacheEvents events) {
+		if (this.loads.containsKey(events.targetId())) {
+			this.policies.placement().onCacheEvents(nowNanos, events);
+		}
+	}
+
 	/**
 	 * Takes a new request.
 	 * @param nowNanos the monotonic time
@@ -116,7 +156,7 @@
 		if (this.policies.killer().isQuarantined(info.fingerprint())) {
 			return Optional.of(new Refusal(ErrorKind.QUARANTINED, 0));
 		}
-		if (!this.loadsByName.containsKey(nameKey(info.targetKind(), info.name()))) {
+		if (!this.setsByName.containsKey(nameKey(info.targetKind(), info.name()))) {
 			return Optional.of(new Refusal(ErrorKind.NO_CAPACITY, RETRY_WITHOUT_CAPACITY_MILLIS));
 		}
 		return this.policies.admission().admit(nowNanos, info);
@@ -164,13 +204,17 @@
 		if (flight == null) {
 			return;
 		}
-		if (!flight.ran) {
-			flight.ran = true;
-			final TargetLoad load = this.loads.get(flight.target.targetId());
-			if (load != null) {
-				load.onFirstToken(nowNanos, flight.arrivedAtNanos);
-			}
+		final TargetLoad load = this.loads.get(flight.target.targetId());
+		final boolean first = !flight.attemptRan;
+		if (first) {
+			this.policies.queue().onFirstToken(nowNanos, flight.info, nowNanos - flight.startedAtNanos);
+		}
+		flight.ran = true;
+		flight.attemptRan = true;
+		if (load != null) {
+			load.onTokens(nowNanos, flight.progressAtNanos, tokensDelivered - flight.tokensDelivered, first);
 		}
+		flight.progressAtNanos = nowNanos;
 		flight.tokensDelivered = Math.max(flight.tokensDelivered, tokensDelivered);
 	}
 
@@ -187,17 +231,22 @@
 		if (flight == null) {
 			return pump(nowNanos);
 		}
+		final TargetLoad load = this.loads.get(flight.target.targetId());
+		if (load != null && flight.attemptRan) {
+			load.onTokens(nowNanos, flight.progressAtNanos, tokensDelivered - flight.tokensDelivered, false);
+		}
 		flight.tokensDelivered = Math.max(flight.tokensDelivered, tokensDelivered);
 		flight.liveAttempt = null;
 		if (how == AttemptEnd.NOT_CONNECTED) {
 			flight.sentAttempts--;
 		}
-		final TargetLoad load = this.loads.get(flight.target.targetId());
 		if (load != null) {
 			load.onEnd(nowNanos, flight.info.costTokens(), how);
+			refresh(nowNanos, flight.info, load);
 		}
 		if (how == AttemptEnd.COMPLETE) {
 			flight.ran = true;
+			flight.complete = true;
 			forget(nowNanos, flight);
 			this.policies.retry().onSuccess(nowNanos);
 			this.actions.add(new TrafficAction.Finish(attempt.requestId()));
@@ -257,6 +306,7 @@
 	 * @return what must be done next
 	 */
 	public List<TrafficAction> onTick(long nowNanos) {
+		this.setsByName.values().forEach((set) -> set.onTick(nowNanos, this.daemonCount));
 		for (final Flight flight : List.copyOf(this.flights.values())) {
 			if (nowNanos >= flight.info.totalDeadlineNanos()) {
 				end(nowNanos, flight, flight.bytesSent() ? ErrorKind.DEADLINE_EXCEEDED : ErrorKind.DEADLINE_UNREACHABLE,
@@ -273,6 +323,15 @@
 		this.leaving = true;
 	}
 
+	/**
+	 * Returns the demand for which this daemon wants its shares of the limits.
+	 * @param nowNanos the monotonic time
+	 * @return the demand, by workspace
+	 */
+	public Map<String, Double> demand(long nowNanos) {
+		return this.policies.admission().demand(nowNanos);
+	}
+
 	/**
 	 * Returns how many requests are held.
 	 * @return the number of requests that have not ended
@@ -318,12 +377,8 @@
 	}
 
 	private boolean hasRoom(RequestInfo info) {
-		for (final TargetLoad load : candidates(info)) {
-			if (load.view().serving() && load.inFlight() < load.view().slots()) {
-				return true;
-			}
-		}
-		return false;
+		final TargetSet set = set(info);
+		return set != null && !set.open().isEmpty();
 	}
 
 	private void dispatch(long nowNanos, Flight flight) {
@@ -335,8 +390,7 @@
 	}
 
 	private void startOrRequeue(long nowNanos, Flight flight) {
-		final Optional<TargetLoad> chosen = this.policies.placement()
-			.choose(nowNanos, flight.info, candidates(flight.info), flight.triedTargetIds);
+		final Optional<TargetLoad> chosen = choose(nowNanos, flight);
 		if (chosen.isPresent()) {
 			start(nowNanos, flight, chosen.get());
 			return;
@@ -349,6 +403,21 @@
 		flight.queued = true;
 	}
 
+	private Optional<TargetLoad> choose(long nowNanos, Flight flight) {
+		final TargetSet set = set(flight.info);
+		if (set == null) {
+			return Optional.empty();
+		}
+		final Optional<TargetLoad> fresh = this.policies.placement()
+			.choose(nowNanos, flight.info, set, flight.triedTargetIds);
+		if (fresh.isPresent() || flight.triedTargetIds.isEmpty()) {
+			return fresh;
+		}
+		// Every target with room was tried before: one of them again is better than to
+		// wait for ever, and a queue that hands the request out anew would spin.
+		return this.policies.placement().choose(nowNanos, flight.info, set, Set.of());
+	}
+
 	private void start(long nowNanos, Flight flight, TargetLoad load) {
 		flight.attempts++;
 		// Counted as sent before a byte can leave: a crash in between must not read as
@@ -357,7 +426,12 @@
 		flight.liveAttempt = new AttemptId(flight.info.requestId(), flight.attempts);
 		flight.target = load.view();
 		flight.triedTargetIds.add(load.view().targetId());
+		flight.startedAtNanos = nowNanos;
+		flight.attemptRan = false;
+		flight.progressAtNanos = nowNanos;
 		load.onStart(nowNanos, flight.info.costTokens());
+		refresh(nowNanos, flight.info, load);
+		this.policies.placement().onPlaced(nowNanos, flight.info, load);
 		this.actions.add(new TrafficAction.Start(flight.liveAttempt, load.view(), flight.tokensDelivered));
 	}
 
@@ -367,6 +441,7 @@
 			final TargetLoad load = this.loads.get(flight.target.targetId());
 			if (load != null) {
 				load.onEnd(nowNanos, flight.info.costTokens(), AttemptEnd.CANCELLED);
+				refresh(nowNanos, flight.info, load);
 			}
 			flight.liveAttempt = null;
 		}
@@ -392,6 +467,8 @@
 		if (flight.queued) {
 			this.policies.queue().remove(flight.info.requestId());
 		}
+		this.policies.queue()
+			.onEnded(nowNanos, flight.info, flight.complete, flight.tokensDelivered, nowNanos - flight.startedAtNanos);
 		this.policies.admission().release(nowNanos, flight.info);
 	}
 
@@ -400,8 +477,15 @@
 		return (flight != null && attempt.equals(flight.liveAttempt)) ? flight : null;
 	}
 
-	private List<TargetLoad> candidates(RequestInfo info) {
-		return this.loadsByName.getOrDefault(nameKey(info.targetKind(), info.name()), List.of());
+	private TargetSet set(RequestInfo info) {
+		return this.setsByName.get(nameKey(info.targetKind(), info.name()));
+	}
+
+	private void refresh(long nowNanos, RequestInfo info, TargetLoad load) {
+		final TargetSet set = set(info);
+		if (set != null) {
+			set.refresh(nowNanos, this.daemonCount, load);
+		}
 	}
 
 	private List<TrafficAction> drainActions() {
@@ -411,7 +495,7 @@
 	}
 
 	private static String nameKey(TargetKind kind, String name) {
-		return kind.name() + ':' + name;
+		return (kind == TargetKind.MODEL) ? name : SERVICE_PREFIX + name;
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/RelayStage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/RelayStage.java
@@ -28,6 +28,11 @@
  */
 final class RelayStage extends GraphStage<FlowShape<ByteString, ByteString>> {
 
+	/**
+	 * How often progress is told; the speed of a target shows before a long answer ends.
+	 */
+	private static final int PROGRESS_TOKENS = 32;
+
 	private static final int LARGEST_EVENT_BYTES = 256 * 1024;
 
 	private static final byte[] ID_FIELD = "id: ".getBytes(StandardCharsets.US_ASCII);
@@ -201,7 +206,8 @@
 				return false;
 			}
 			this.tokens++;
-			if (this.tokens == RelayStage.this.resumeFromTokens + 1) {
+			final int sinceStart = this.tokens - RelayStage.this.resumeFromTokens;
+			if (sinceStart % PROGRESS_TOKENS == 1) {
 				RelayStage.this.listener.onProgress(RelayStage.this.attempt, this.tokens);
 			}
 			return true;
