--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Isolation.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Isolation.java
@@ -31,6 +31,12 @@
 		this.killer = killer;
 	}
 
+	boolean restricts(RequestInfo info) {
+		// Nearly always false, so that the usual request costs no look at every target.
+		return !info.fingerprint().isEmpty() && (!this.suspectsByTargetId.isEmpty()
+				|| this.unproven.containsKey(info.fingerprint()) || this.killer.isSuspect(info.fingerprint()));
+	}
+
 	List<TargetLoad> allowed(RequestInfo info, List<TargetLoad> open) {
 		if (info.fingerprint().isEmpty() || open.isEmpty()) {
 			return open;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -1,6 +1,7 @@
 package org.pistachioline.core.traffic;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,7 +13,9 @@
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.manifest.Manifest;
+import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.placement.TargetLoad;
+import org.pistachioline.core.placement.TargetSet;
 import org.pistachioline.core.quarantine.DeathVerdict;
 import org.pistachioline.core.retry.RetryDecision;
 
@@ -25,6 +28,8 @@
  */
 public final class TrafficCore {
 
+	private static final String SERVICE_PREFIX = "service:";
+
 	private static final long RETRY_WITHOUT_CAPACITY_MILLIS = 1_000;
 
 	/**
@@ -53,7 +58,7 @@
 
 	private final Map<String, TargetLoad> loads = new HashMap<>();
 
-	private final Map<String, List<TargetLoad>> loadsByName = new HashMap<>();
+	private final Map<String, TargetSet> setsByName = new HashMap<>();
 
 	private final List<TrafficAction> actions = new ArrayList<>();
 
@@ -69,6 +74,8 @@
 
 	private boolean leaving;
 
+	private int daemonCount = 1;
+
 	/**
 	 * Creates a core without configuration and targets.
 	 * @param policies the behaviours that vary
@@ -99,7 +106,7 @@
 	 */
 	public List<TrafficAction> onTargets(long nowNanos, List<TargetView> targets) {
 		final Map<String, TargetLoad> next = new HashMap<>();
-		this.loadsByName.clear();
+		final Map<String, List<TargetLoad>> byName = new HashMap<>();
 		for (final TargetView view : targets) {
 			TargetLoad load = this.loads.get(view.targetId());
 			if (load == null) {
@@ -109,7 +116,7 @@
 				load.update(view, nowNanos);
 			}
 			next.put(view.targetId(), load);
-			this.loadsByName.computeIfAbsent(nameKey(view.kind(), view.name()), (key) -> new ArrayList<>()).add(load);
+			byName.computeIfAbsent(nameKey(view.kind(), view.name()), (key) -> new ArrayList<>()).add(load);
 		}
 		// A target may vanish and come back under attempts that are still in flight; with
 		// a
@@ -118,14 +125,40 @@
 			if (load.inFlight() > 0) {
 				next.putIfAbsent(targetId, load);
 			}
+			else if (!next.containsKey(targetId)) {
+				this.policies.placement().forget(targetId);
+			}
 		});
 		this.loads.clear();
 		this.loads.putAll(next);
+		this.setsByName.entrySet().removeIf((entry) -> {
+			final boolean gone = !byName.containsKey(entry.getKey());
+			if (gone) {
+				entry.getValue().replace(nowNanos, List.of(), this.daemonCount);
+			}
+			return gone;
+		});
+		byName.forEach((name, members) -> this.setsByName.computeIfAbsent(name, (key) -> new TargetSet())
+			.replace(nowNanos, members, this.daemonCount));
 		noteServing(nowNanos, targets);
 		endStranded(nowNanos);
 		return pump(nowNanos);
 	}
 
+	/**
+	 * Takes over how many daemons there are and this one's shares of the limits.
+	 * @param nowNanos the monotonic time
+	 * @param count the live daemons, this one included
+	 * @param shareRatios this daemon's share of each workspace's limits, by workspace
+	 * @return what must be done next
+	 */
+	public List<TrafficAction> onShares(long nowNanos, int count, Map<String, Double> shareRatios) {
+		this.daemonCount = Math.max(1, count);
+		this.policies.admission().share(nowNanos, shareRatios);
+		this.setsByName.values().forEach((set) -> set.refresh(nowNanos, this.daemonCount));
+		return pump(nowNanos);
+	}
+
 	private void noteServing(long nowNanos, List<TargetView> targets) {
 		this.notServingSinceNanos.keySet().retainAll(this.loads.keySet());
 		this.loads.keySet().forEach((targetId) -> this.notServingSinceNanos.putIfAbsent(targetId, nowNanos));
@@ -159,6 +192,17 @@
 		return pump(nowNanos);
 	}
 
+	/**
+	 * Takes word of what a target's prefix cache holds.
+	 * @param nowNanos the monotonic time
+	 * @param events the events, late and perhaps with gaps
+	 */
+	public void onCacheEvents(long nowNanos, CacheEvents events) {
+		if (this.loads.containsKey(events.targetId())) {
+			this.policies.placement().onCacheEvents(nowNanos, events);
+		}
+	}
+
 	/**
 	 * Takes a new request.
 	 * @param nowNanos the monotonic time
@@ -190,7 +234,7 @@
 		if (this.policies.killer().isQuarantined(info.fingerprint())) {
 			return Optional.of(new Refusal(ErrorKind.QUARANTINED, 0));
 		}
-		if (!this.loadsByName.containsKey(nameKey(info.targetKind(), info.name()))) {
+		if (!this.setsByName.containsKey(nameKey(info.targetKind(), info.name()))) {
 			return Optional.of(new Refusal(ErrorKind.NO_CAPACITY, RETRY_WITHOUT_CAPACITY_MILLIS));
 		}
 		return this.policies.admission().admit(nowNanos, info);
@@ -256,10 +300,13 @@
 		if (flight == null) {
 			return;
 		}
-		if (!flight.ran) {
-			flight.ran = true;
-			flight.load.onFirstToken(nowNanos, flight.arrivedAtNanos);
+		final boolean first = !flight.attemptRan;
+		if (first) {
+			this.policies.queue().onFirstToken(nowNanos, flight.info, nowNanos - flight.startedAtNanos);
 		}
+		flight.ran = true;
+		flight.attemptRan = true;
+		flight.load.onTokens(nowNanos, flight.progressAtNanos, tokensDelivered - flight.tokensDelivered, first);
 		flight.progressAtNanos = nowNanos;
 		flight.tokensDelivered = Math.max(flight.tokensDelivered, tokensDelivered);
 		if (flight.tokensDelivered > flight.resumedFromTokens) {
@@ -284,6 +331,9 @@
 		if (flight == null) {
 			return pump(nowNanos);
 		}
+		if (flight.attemptRan) {
+			flight.load.onTokens(nowNanos, flight.progressAtNanos, tokensDelivered - flight.tokensDelivered, false);
+		}
 		flight.tokensDelivered = Math.max(flight.tokensDelivered, tokensDelivered);
 		final boolean shifted = flight.shifting;
 		if (how == AttemptEnd.NOT_CONNECTED) {
@@ -292,6 +342,7 @@
 		leaveTarget(nowNanos, flight, shifted ? AttemptEnd.CANCELLED : how);
 		if (how == AttemptEnd.COMPLETE) {
 			flight.ran = true;
+			flight.complete = true;
 			this.policies.killer().onSurvived(flight.info.fingerprint(), true);
 			forget(nowNanos, flight);
 			this.policies.retry().onSuccess(nowNanos);
@@ -313,6 +364,7 @@
 		flight.liveAttempt = null;
 		flight.shifting = false;
 		flight.load.onEnd(nowNanos, flight.info.costTokens(), how);
+		refresh(nowNanos, flight.info, flight.load);
 		this.isolation.onLeave(flight);
 	}
 
@@ -378,6 +430,7 @@
 	 * @return what must be done next
 	 */
 	public List<TrafficAction> onTick(long nowNanos) {
+		this.setsByName.values().forEach((set) -> set.onTick(nowNanos, this.daemonCount));
 		this.policies.killer().onTick(nowNanos);
 		for (final Flight flight : List.copyOf(this.flights.values())) {
 			if (nowNanos >= flight.info.totalDeadlineNanos()) {
@@ -416,6 +469,15 @@
 		this.leaving = true;
 	}
 
+	/**
+	 * Returns the demand for which this daemon wants its shares of the limits.
+	 * @param nowNanos the monotonic time
+	 * @return the demand, by workspace
+	 */
+	public Map<String, Double> demand(long nowNanos) {
+		return this.policies.admission().demand(nowNanos);
+	}
+
 	/**
 	 * Returns how many requests are held.
 	 * @return the number of requests that have not ended
@@ -462,7 +524,9 @@
 	}
 
 	private boolean hasRoom(RequestInfo info) {
-		return !this.isolation.allowed(info, open(info)).isEmpty();
+		final TargetSet set = set(info);
+		return set != null && !set.open().isEmpty()
+				&& (!this.isolation.restricts(info) || !this.isolation.allowed(info, set.open()).isEmpty());
 	}
 
 	private void dispatch(long nowNanos, Flight flight) {
@@ -490,9 +554,12 @@
 	}
 
 	private Optional<TargetLoad> choose(long nowNanos, Flight flight) {
-		final List<TargetLoad> choices = choices(flight);
-		return choices.isEmpty() ? Optional.empty()
-				: this.policies.placement().choose(nowNanos, flight.info, choices, avoided(flight));
+		if (this.isolation.restricts(flight.info)) {
+			return choices(flight).stream().min(Comparator.comparingInt(TargetLoad::inFlight));
+		}
+		final TargetSet set = set(flight.info);
+		return (set != null) ? this.policies.placement().choose(nowNanos, flight.info, set, avoided(flight))
+				: Optional.empty();
 	}
 
 	private List<TargetLoad> choices(Flight flight) {
@@ -510,9 +577,13 @@
 	}
 
 	private List<TargetLoad> open(RequestInfo info) {
-		return candidates(info).stream()
-			.filter((load) -> load.view().serving() && load.inFlight() < load.view().slots())
-			.toList();
+		final TargetSet set = set(info);
+		return (set != null) ? set.open() : List.of();
+	}
+
+	private List<TargetLoad> candidates(RequestInfo info) {
+		final TargetSet set = set(info);
+		return (set != null) ? set.members() : List.of();
 	}
 
 	private void start(long nowNanos, Flight flight, TargetLoad load) {
@@ -524,10 +595,14 @@
 		flight.target = load.view();
 		flight.load = load;
 		flight.resumedFromTokens = flight.tokensDelivered;
-		flight.progressAtNanos = nowNanos;
 		flight.triedTargetIds.add(load.view().targetId());
+		flight.startedAtNanos = nowNanos;
+		flight.attemptRan = false;
+		flight.progressAtNanos = nowNanos;
 		load.onStart(nowNanos, flight.info.costTokens());
 		this.isolation.onStart(flight);
+		refresh(nowNanos, flight.info, load);
+		this.policies.placement().onPlaced(nowNanos, flight.info, load);
 		this.actions.add(new TrafficAction.Start(flight.liveAttempt, load.view(), flight.tokensDelivered));
 	}
 
@@ -558,6 +633,8 @@
 		if (flight.queued) {
 			this.policies.queue().remove(flight.info.requestId());
 		}
+		this.policies.queue()
+			.onEnded(nowNanos, flight.info, flight.complete, flight.tokensDelivered, nowNanos - flight.startedAtNanos);
 		this.resumptions.remove(flight);
 		if (flight.claiming) {
 			this.abandonedClaims.put(flight.info.requestId(), flight.info);
@@ -570,8 +647,15 @@
 		return (flight != null && attempt.equals(flight.liveAttempt)) ? flight : null;
 	}
 
-	private List<TargetLoad> candidates(RequestInfo info) {
-		return this.loadsByName.getOrDefault(nameKey(info.targetKind(), info.name()), List.of());
+	private TargetSet set(RequestInfo info) {
+		return this.setsByName.get(nameKey(info.targetKind(), info.name()));
+	}
+
+	private void refresh(long nowNanos, RequestInfo info, TargetLoad load) {
+		final TargetSet set = set(info);
+		if (set != null) {
+			set.refresh(nowNanos, this.daemonCount, load);
+		}
 	}
 
 	private List<TrafficAction> drainActions() {
@@ -581,7 +665,7 @@
 	}
 
 	private static String nameKey(TargetKind kind, String name) {
-		return kind.name() + ':' + name;
+		return (kind == TargetKind.MODEL) ? name : SERVICE_PREFIX + name;
 	}
 
 }
