--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/stream/StreamFollowerTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/stream/StreamFollowerTests.java
@@ -1,5 +1,6 @@
 package org.pistachioline.adapters.stream;
 
+import java.util.Arrays;
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
@@ -141,10 +142,10 @@
 	void partsOfTwoWritersAreNotMixedAndAHalfWrittenCheckpointIsIgnored() {
 		publishTwice();
 		final byte[] stateBytes = new ConfigSnapshotCodec().encode(this.follower.state());
-		final byte[] firstHalf = java.util.Arrays.copyOfRange(stateBytes, 0, 3);
-		final byte[] secondHalf = java.util.Arrays.copyOfRange(stateBytes, 3, stateBytes.length);
-		this.stream.append("dead", 1, new CheckpointPart(1, 0, 2, new byte[] { 1 }));
+		final byte[] firstHalf = Arrays.copyOfRange(stateBytes, 0, 3);
+		final byte[] secondHalf = Arrays.copyOfRange(stateBytes, 3, stateBytes.length);
 		this.stream.append("daemon", 1, new CheckpointPart(1, 0, 2, firstHalf));
+		this.stream.append("dead", 1, new CheckpointPart(1, 1, 2, new byte[] { (byte) 0xff }));
 		this.stream.append("daemon", 2, new CheckpointPart(1, 1, 2, secondHalf));
 		this.stream.expireBelow(2);
 		final StreamFollower<ConfigState> replaced = newcomer();
