Log: a state from a peer is no checkpoint on the log, and no fresh reading of it

Cause: a trial with real processes (log down, two of three daemons replaced) showed new daemons with checkpoint_through 10 where the log's newest checkpoint covered 9: a state from a peer counted as a checkpoint on the log, so if all had started from peers nobody would have written the next one. The same trial showed new daemons with an age of the configuration counted from their own start: each replacement during an outage would have begun the staleness bound afresh. Change: a reply carries what the peer knows of the checkpoints on the log, and only that counts; a daemon that never read the log is as old as the freshest peer at its offset. Seen: before, checkpoint_through 10 and age 11 s beside the survivor's 9 and 18 s; now the tests aStateFromAPeerIsNotTakenForACheckpointOnTheLog and aNewDaemonThatNeverReadTheLogIsAsOldAsThePeerItStartedFrom pass. Conclusion: retention and the bound hold over replacements during an outage.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/stream/CoverTracker.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/stream/CoverTracker.java
@@ -73,7 +73,7 @@
 		}
 	}
 
-	void coverThrough(long offset) {
+	boolean coverThrough(long offset) {
 		this.throughOffset = Math.max(this.throughOffset, offset);
 		EntryTime before = null;
 		while (!this.times.isEmpty() && this.times.getFirst().offset() <= this.throughOffset + 1) {
@@ -82,6 +82,19 @@
 		if (before != null) {
 			this.times.addFirst(before);
 		}
+		return true;
+	}
+
+	// A state from a peer is no checkpoint on the log, so only what the peer knew of
+	// those
+	// on the log counts; otherwise nobody would write the next one in time.
+	void restore(CheckpointCover cover) {
+		this.throughOffset = cover.throughOffset();
+		this.unfinished.clear();
+		this.times.clear();
+		if (cover.neededSinceMillis() > 0) {
+			this.times.addLast(new EntryTime(cover.throughOffset() + 1, cover.neededSinceMillis()));
+		}
 	}
 
 	CheckpointCover cover() {
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/stream/StreamFollower.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/stream/StreamFollower.java
@@ -141,20 +141,23 @@
 		final Optional<byte[]> whole = this.parts.add(writer, part);
 		// The records behind a checkpoint must still be there to be folded on top of it.
 		return whole.isPresent() && part.throughOffset() + 1 >= headOffset
-				&& takeOver(part.throughOffset(), whole.get());
+				&& takeOver(part.throughOffset(), whole.get()) && this.tracker.coverThrough(part.throughOffset());
 	}
 
 	/**
 	 * Takes over a checkpoint from a peer, if it is not older than what is known.
 	 * @param throughOffset the last offset folded into it
 	 * @param stateBytes the checkpoint
+	 * @param cover what the peer knew of the checkpoints on the stream
 	 * @return whether it was taken over
 	 */
-	public boolean restore(long throughOffset, byte[] stateBytes) {
+	public boolean restore(long throughOffset, byte[] stateBytes, CheckpointCover cover) {
 		final boolean taken = takeOver(throughOffset, stateBytes);
-		// The peer stood at the end of the stream as far as anybody who can be asked
-		// knows.
-		this.caughtUp = this.caughtUp || taken;
+		if (taken) {
+			// The peer stood at the end of the stream as far as anybody here can know.
+			this.caughtUp = true;
+			this.tracker.restore(cover);
+		}
 		return taken;
 	}
 
@@ -174,7 +177,6 @@
 		this.nextOffset = throughOffset + 1;
 		this.condition = StreamCondition.WHOLE;
 		this.parts.clear();
-		this.tracker.coverThrough(throughOffset);
 		this.listener.onNote(EventId.CHECKPOINT_LOADED, throughOffset, stateBytes.length + " bytes");
 		return true;
 	}
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/stream/StreamFollowerTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/stream/StreamFollowerTests.java
@@ -212,7 +212,8 @@
 		assertThat(this.follower.condition()).isEqualTo(StreamCondition.HALTED);
 		assertThat(this.follower.nextOffset()).isEqualTo(1);
 		assertThat(this.follower.state().version()).isEqualTo(1);
-		assertThat(this.follower.restore(9, new ConfigSnapshotCodec().encode(ConfigState.EMPTY))).isFalse();
+		assertThat(this.follower.restore(9, new ConfigSnapshotCodec().encode(ConfigState.EMPTY), CheckpointCover.NONE))
+			.isFalse();
 	}
 
 	// The platform restores its log from a backup and loses the end. What was in force
@@ -244,9 +245,9 @@
 	void aPeersOlderCheckpointIsNotTaken() {
 		publishTwice();
 		final byte[] empty = new ConfigSnapshotCodec().encode(ConfigState.EMPTY);
-		assertThat(this.follower.restore(0, empty)).isFalse();
-		assertThat(this.follower.restore(1, empty)).isFalse();
-		assertThat(this.follower.restore(5, new byte[] { (byte) 0xff })).isFalse();
+		assertThat(this.follower.restore(0, empty, CheckpointCover.NONE)).isFalse();
+		assertThat(this.follower.restore(1, empty, CheckpointCover.NONE)).isFalse();
+		assertThat(this.follower.restore(5, new byte[] { (byte) 0xff }, CheckpointCover.NONE)).isFalse();
 		assertThat(this.follower.state().version()).isEqualTo(2);
 	}
 
@@ -257,7 +258,7 @@
 		publishTwice();
 		final StreamFollower<ConfigState> replaced = newcomer();
 		final byte[] stateBytes = new ConfigSnapshotCodec().encode(this.follower.state());
-		assertThat(replaced.restore(this.follower.nextOffset() - 1, stateBytes)).isTrue();
+		assertThat(replaced.restore(this.follower.nextOffset() - 1, stateBytes, this.follower.cover())).isTrue();
 		assertThat(replaced.state()).isEqualTo(this.follower.state());
 		assertThat(replaced.caughtUp()).isTrue();
 		this.stream.append("operator", 3, proposal(2));
@@ -265,6 +266,20 @@
 		assertThat(replaced.state().version()).isEqualTo(3);
 	}
 
+	// All daemons have started from a survivor while the log was down. If each took the
+	// survivor's state for a checkpoint on the log, none would write the next one, and
+	// after the retention a new daemon would find nothing.
+	@Test
+	void aStateFromAPeerIsNotTakenForACheckpointOnTheLog() {
+		publishTwice();
+		final StreamFollower<ConfigState> replaced = newcomer();
+		replaced.restore(1, new ConfigSnapshotCodec().encode(this.follower.state()), this.follower.cover());
+		assertThat(replaced.cover()).isEqualTo(new CheckpointCover(-1, StreamPages.ENTRY_INTERVAL_MILLIS));
+		checkpoint(this.follower, "daemon");
+		this.stream.readAll(replaced);
+		assertThat(replaced.cover().throughOffset()).isEqualTo(1);
+	}
+
 	// A fault in the reducer shows on one record. A daemon that read it again and again
 	// would never see the records behind it.
 	@Test
--- a/pistachioline-core/src/test/java/org/pistachioline/core/state/StalenessBoundTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/state/StalenessBoundTests.java
@@ -45,6 +45,16 @@
 		assertThat(stale(peer(7, HOUR_MILLIS), peer(7, HOUR_MILLIS + 1))).isTrue();
 	}
 
+	// Daemons are replaced one after the other while the log is down. If each began with
+	// a
+	// fresh clock, a revoked workspace would be served for as long as that goes on.
+	@Test
+	void aNewDaemonThatNeverReadTheLogIsAsOldAsThePeerItStartedFrom() {
+		final long neverMillis = Long.MAX_VALUE / 1_000_000;
+		assertThat(this.bound.ageMillis(neverMillis, 7, List.of(peer(7, 899_000)))).isEqualTo(899_000);
+		assertThat(this.bound.isPast(this.bound.ageMillis(neverMillis, 7, List.of()))).isTrue();
+	}
+
 	@Test
 	void aPeerThatHasReadFurtherOrLessFarProvesNothing() {
 		assertThat(stale(peer(8, 500), peer(6, 500))).isTrue();
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/agreed/StreamDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/agreed/StreamDuty.java
@@ -42,6 +42,11 @@
 
 	private static final long LONGEST_BACKOFF_MILLIS = 2_000;
 
+	// A daemon that never read the log must not pass for one that just did: each new
+	// start
+	// during an outage would begin the staleness bound afresh.
+	private static final long NEVER_NANOS = Duration.ofDays(36_500).toNanos();
+
 	private static final Duration TICK = Duration.ofMillis(50);
 
 	private final String stream;
@@ -87,7 +92,7 @@
 		this.codec = codec;
 		this.follower = new StreamFollower<>(reducer, codec, new Listener());
 		this.duty = new Duty<>(system, "stream-" + stream, RING_CAPACITY, TICK, this);
-		this.view = new AtomicReference<>(viewOf(System.nanoTime(), false, false));
+		this.view = new AtomicReference<>(viewOf(System.nanoTime() - NEVER_NANOS, false, false));
 	}
 
 	/**
@@ -139,7 +144,7 @@
 		if (!now.complete()) {
 			return Optional.empty();
 		}
-		return Optional.of(new StreamSnapshot(now.nextOffset() - 1, this.codec.encode(now.state())));
+		return Optional.of(new StreamSnapshot(now.nextOffset() - 1, this.codec.encode(now.state()), now.cover()));
 	}
 
 	/**
@@ -238,7 +243,7 @@
 	}
 
 	private void onRestore(StreamSnapshot snapshot) {
-		if (this.follower.restore(snapshot.throughOffset(), snapshot.stateBytes())) {
+		if (this.follower.restore(snapshot.throughOffset(), snapshot.stateBytes(), snapshot.cover())) {
 			final StreamView<S> before = this.view.get();
 			publish(before, viewOf(before.readAtNanos(), before.logReachable(), false));
 		}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/agreed/StreamSnapshot.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/agreed/StreamSnapshot.java
@@ -1,5 +1,7 @@
 package org.pistachioline.daemon.agreed;
 
+import org.pistachioline.core.stream.CheckpointCover;
+
 /**
  * A stream's whole state in its checkpoint form.
  */
@@ -9,14 +11,18 @@
 
 	private final byte[] stateBytes;
 
+	private final CheckpointCover cover;
+
 	/**
 	 * Creates a snapshot.
 	 * @param throughOffset the last offset folded into it
 	 * @param stateBytes the state
+	 * @param cover what the newest checkpoint on the stream covers
 	 */
-	public StreamSnapshot(long throughOffset, byte[] stateBytes) {
+	public StreamSnapshot(long throughOffset, byte[] stateBytes, CheckpointCover cover) {
 		this.throughOffset = throughOffset;
 		this.stateBytes = stateBytes.clone();
+		this.cover = cover;
 	}
 
 	/**
@@ -35,4 +41,12 @@
 		return this.stateBytes.clone();
 	}
 
+	/**
+	 * Returns what the newest checkpoint on the stream covers.
+	 * @return the cover
+	 */
+	public CheckpointCover cover() {
+		return this.cover;
+	}
+
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/CheckpointFetch.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/CheckpointFetch.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.pistachioline.adapters.stream.CheckpointParts;
+import org.pistachioline.core.stream.CheckpointCover;
 import org.pistachioline.daemon.agreed.StreamSnapshot;
 import org.pistachioline.protocol.peer.CheckpointReply;
 import org.pistachioline.protocol.peer.CheckpointRequest;
@@ -29,6 +30,8 @@
 
 	private long throughOffset;
 
+	private CheckpointCover cover = CheckpointCover.NONE;
+
 	private int nextPart;
 
 	private int parts;
@@ -70,6 +73,7 @@
 		if (this.nextPart == 0) {
 			this.throughOffset = reply.getThroughOffset();
 			this.parts = reply.getParts();
+			this.cover = new CheckpointCover(reply.getCoveredThrough(), reply.getNeededSinceMillis());
 		}
 		final boolean tooOld = reply.getThroughOffset() + 1 < this.floorOffset;
 		if (tooOld || reply.getThroughOffset() != this.throughOffset || reply.getParts() != this.parts) {
@@ -82,7 +86,8 @@
 
 	Optional<StreamSnapshot> snapshot() {
 		return (this.parts > 0 && this.nextPart == this.parts)
-				? Optional.of(new StreamSnapshot(this.throughOffset, this.stateBytes.toByteArray())) : Optional.empty();
+				? Optional.of(new StreamSnapshot(this.throughOffset, this.stateBytes.toByteArray(), this.cover))
+				: Optional.empty();
 	}
 
 	/**
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/CheckpointOffer.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/CheckpointOffer.java
@@ -9,6 +9,7 @@
 
 import org.pistachioline.adapters.stream.CheckpointParts;
 import org.pistachioline.core.record.CheckpointPart;
+import org.pistachioline.core.stream.CheckpointCover;
 import org.pistachioline.daemon.agreed.StreamSnapshot;
 import org.pistachioline.protocol.peer.CheckpointReply;
 import org.pistachioline.protocol.peer.CheckpointRequest;
@@ -30,6 +31,8 @@
 
 	private List<CheckpointPart> parts = List.of();
 
+	private CheckpointCover cover = CheckpointCover.NONE;
+
 	private long encodedAtNanos;
 
 	private long askedAtNanos;
@@ -58,6 +61,8 @@
 		return reply.setAvailable(true)
 			.setThroughOffset(part.throughOffset())
 			.setParts(part.parts())
+			.setCoveredThrough(this.cover.throughOffset())
+			.setNeededSinceMillis(this.cover.neededSinceMillis())
 			.setState(ByteString.copyFrom(part.stateBytes()))
 			.build();
 	}
@@ -66,8 +71,9 @@
 		if (!this.parts.isEmpty() && nowNanos - this.encodedAtNanos < ENCODE_INTERVAL_NANOS) {
 			return;
 		}
-		this.parts = this.source.get()
-			.map((snapshot) -> CheckpointParts.cut(snapshot.throughOffset(), snapshot.stateBytes()))
+		final Optional<StreamSnapshot> now = this.source.get();
+		this.cover = now.map(StreamSnapshot::cover).orElse(CheckpointCover.NONE);
+		this.parts = now.map((snapshot) -> CheckpointParts.cut(snapshot.throughOffset(), snapshot.stateBytes()))
 			.orElse(List.of());
 		this.encodedAtNanos = nowNanos;
 	}
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/agreed/Interleaving.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/agreed/Interleaving.java
@@ -119,7 +119,8 @@
 		final Node peer = this.nodes.get((index + 1) % DAEMONS);
 		// In half of the cases it starts from a peer, as if the log were down.
 		if (choice % 2 == 0 && peer.follower.condition() == StreamCondition.WHOLE) {
-			replaced.follower.restore(peer.follower.nextOffset() - 1, this.codec.encode(peer.follower.state()));
+			replaced.follower.restore(peer.follower.nextOffset() - 1, this.codec.encode(peer.follower.state()),
+					peer.follower.cover());
 		}
 		this.nodes.set(index, replaced);
 	}
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/peer/CheckpointExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/peer/CheckpointExchangeTests.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.pistachioline.adapters.stream.CheckpointParts;
+import org.pistachioline.core.stream.CheckpointCover;
 import org.pistachioline.daemon.agreed.StreamSnapshot;
 import org.pistachioline.protocol.peer.CheckpointReply;
 import org.pistachioline.protocol.peer.CheckpointRequest;
@@ -18,6 +19,8 @@
 
 	private static final long THROUGH_OFFSET = 41;
 
+	private static final CheckpointCover COVER = new CheckpointCover(30, 12_345);
+
 	private int encodings;
 
 	private long through = THROUGH_OFFSET;
@@ -26,7 +29,7 @@
 
 	private final CheckpointOffer offer = new CheckpointOffer(() -> {
 		this.encodings++;
-		return Optional.of(new StreamSnapshot(this.through, this.stateBytes));
+		return Optional.of(new StreamSnapshot(this.through, this.stateBytes, COVER));
 	});
 
 	private static byte[] state() {
@@ -55,6 +58,7 @@
 		assertThat(progress).isEqualTo(CheckpointFetch.Progress.DONE);
 		assertThat(rounds).isEqualTo(3);
 		assertThat(fetch.snapshot().orElseThrow().throughOffset()).isEqualTo(THROUGH_OFFSET);
+		assertThat(fetch.snapshot().orElseThrow().cover()).isEqualTo(COVER);
 		assertThat(Arrays.equals(fetch.snapshot().orElseThrow().stateBytes(), this.stateBytes)).isTrue();
 	}
 
