--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -565,6 +565,15 @@
 		this.policies.admission().release(nowNanos, flight.info);
 	}
 
+	/**
+	 * Returns whether an attempt is still waited for.
+	 * @param attempt the attempt
+	 * @return whether its answer counts
+	 */
+	public boolean isLive(AttemptId attempt) {
+		return live(attempt) != null;
+	}
+
 	private Flight live(AttemptId attempt) {
 		final Flight flight = this.flights.get(attempt.requestId());
 		return (flight != null && attempt.equals(flight.liveAttempt)) ? flight : null;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -56,6 +56,7 @@
 import org.pistachioline.daemon.metrics.Metrics;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.traffic.Exchanges;
+import org.pistachioline.daemon.traffic.KillerReports;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 
 /**
@@ -125,7 +126,8 @@
 				settings.whole(Setting.PEERS_HEARTBEAT_MILLIS));
 		final PlannerDuty planner = new PlannerDuty(this.system, this.config, this.fleet, this.instances, engines,
 				appender, new MinimumPlanner(), selfId, this.peers::daemonIds);
-		this.traffic = new TrafficDuty(this.system, new TrafficCore(policies()), claims);
+		this.traffic = new TrafficDuty(this.system, new TrafficCore(policies()), claims,
+				new KillerReports(appender, settings.text(Setting.LOG_FLEET_STREAM)));
 		final CallerLimits limits = new CallerLimits(settings.whole(Setting.CALLERS_MAX_BODY_BYTES),
 				settings.whole(Setting.CALLERS_BODY_TIMEOUT_MILLIS),
 				settings.whole(Setting.CALLERS_ENDPOINT_TTL_SECONDS));
@@ -154,9 +156,12 @@
 				Events.log(EventId.CONFIG_IN_FORCE, "version", state.version(), "offset", state.acceptedOffset());
 			}
 		});
+		this.fleet.onChange(() -> this.traffic.fleet(this.fleet.view().state()));
 		this.instances.onChange((view) -> this.traffic.targets(view.targets()));
 		this.metrics.gauge("pistachioline.requests.held", "Requests that have not ended", this.traffic::held);
 		this.metrics.gauge("pistachioline.requests.queued", "Requests that wait for a target", this.traffic::queued);
+		this.metrics.gauge("pistachioline.answers.dropped", "Answers that did not match a live attempt",
+				this.traffic::answersDropped);
 		this.metrics.gauge("pistachioline.config.version", "Version of the configuration in force",
 				this::configVersion);
 		this.metrics.gauge("pistachioline.peers.live", "Live daemons, this one included", () -> daemons().size());
@@ -280,6 +285,8 @@
 		dump.put("fleet", Map.of("next_offset", this.fleet.view().nextOffset(), "planners",
 				this.fleet.view().state().planners(), "groups", groups()));
 		dump.put("peers", daemons());
+		dump.put("killers", Map.of("quarantined", this.fleet.view().state().quarantines().values(), "suspected",
+				this.fleet.view().state().suspicions().values()));
 		dump.put("requests", Map.of("held", this.traffic.held(), "queued", this.traffic.queued()));
 		return dump;
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/claims/ClaimService.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/claims/ClaimService.java
@@ -15,6 +15,7 @@
 import org.pistachioline.core.record.KeyClaim;
 import org.pistachioline.core.record.KeyOutcome;
 import org.pistachioline.core.record.KeyRelease;
+import org.pistachioline.core.record.RecordBody;
 import org.pistachioline.core.traffic.ClaimNeed;
 import org.pistachioline.core.traffic.ClaimVerdict;
 import org.pistachioline.core.traffic.RequestInfo;
@@ -22,22 +23,32 @@
 import org.pistachioline.daemon.agreed.AppendDuty;
 import org.pistachioline.daemon.agreed.RecordVerdict;
 import org.pistachioline.daemon.agreed.StreamDuty;
+import org.pistachioline.daemon.agreed.StreamView;
 
 /**
  * Makes, releases and settles claims, and finds stored outcomes.
+ * <p>
+ * A claim is granted only by the fold of its own record, never by an append's answer. One
+ * that is not folded in time is answered as unavailable, and given back when it lands
+ * after all. Releases and outcomes are offered again until they are folded: a lost
+ * release would bar a key that never ran, a lost outcome would hide an answer. A daemon
+ * that dies in between leaves a claim without an outcome, which reads as unknown and
+ * never runs again.
  */
 public final class ClaimService implements Lifecycle {
 
 	private static final long CLAIM_TIMEOUT_MILLIS = 3_000;
 
-	private static final int LARGEST_STORED_BODY = 64 * 1024;
+	private static final long APPEND_AGAIN_MILLIS = 500;
 
-	private static final long SILENT_CLAIM_MILLIS = 60_000;
+	private static final int LARGEST_STORED_BODY = 4 * 1024;
 
 	private final AppendDuty appender;
 
 	private final List<StreamDuty<ClaimsState>> partitions = new ArrayList<>();
 
+	private volatile boolean stopped;
+
 	/**
 	 * Creates the service.
 	 * @param system the process's actor system
@@ -64,6 +75,7 @@
 
 	@Override
 	public void stop() {
+		this.stopped = true;
 		this.partitions.forEach(StreamDuty::stop);
 	}
 
@@ -74,13 +86,18 @@
 	 */
 	public CompletableFuture<ClaimResult> claim(RequestInfo info) {
 		final StreamDuty<ClaimsState> partition = partitionOf(info);
-		if (!partition.view().caughtUp() || !partition.view().logReachable()) {
-			return CompletableFuture.completedFuture(ClaimResult.of(ClaimVerdict.UNAVAILABLE));
-		}
+		final StreamView<ClaimsState> view = partition.view();
 		final Optional<ClaimEntry> known = find(info);
 		if (known.isPresent()) {
 			return CompletableFuture.completedFuture(ClaimResult.of(verdictOn(known.get(), info)));
 		}
+		if (!view.caughtUp()) {
+			// Not found is no answer while records are missing: the key may have run.
+			return CompletableFuture.completedFuture(ClaimResult.of(ClaimVerdict.LIMBO));
+		}
+		if (!view.logReachable()) {
+			return CompletableFuture.completedFuture(ClaimResult.of(ClaimVerdict.UNAVAILABLE));
+		}
 		final ClaimNeed need = info.claim();
 		final long nowMillis = System.currentTimeMillis();
 		final CompletableFuture<RecordVerdict> verdict = this.appender.append(partition.stream(), new KeyClaim(
@@ -116,7 +133,7 @@
 			return ClaimVerdict.EXPIRED;
 		}
 		if (entry.outcome().isEmpty()) {
-			final boolean silent = nowMillis - entry.claim().claimedAtMillis() > SILENT_CLAIM_MILLIS;
+			final boolean silent = nowMillis - entry.claim().claimedAtMillis() > info.claim().runBoundMillis();
 			return silent ? ClaimVerdict.UNKNOWN : ClaimVerdict.IN_PROGRESS;
 		}
 		return entry.outcome().get().unknown() ? ClaimVerdict.UNKNOWN : ClaimVerdict.SETTLED;
@@ -137,10 +154,19 @@
 	 * @param claimOffset the claim's offset
 	 */
 	public void release(RequestInfo info, long claimOffset) {
-		this.appender.append(partitionOf(info).stream(),
+		appendUntilFolded(partitionOf(info).stream(),
 				new KeyRelease(info.workspace(), info.claim().keyHash(), claimOffset));
 	}
 
+	private void appendUntilFolded(String stream, RecordBody body) {
+		this.appender.append(stream, body).whenComplete((folded, failure) -> {
+			if (failure != null && !this.stopped) {
+				CompletableFuture.delayedExecutor(APPEND_AGAIN_MILLIS, TimeUnit.MILLISECONDS)
+					.execute(() -> appendUntilFolded(stream, body));
+			}
+		});
+	}
+
 	/**
 	 * Stores what came of a claimed request.
 	 * @param info the request
@@ -153,7 +179,7 @@
 	public void settle(RequestInfo info, long claimOffset, int status, String contentType, String body,
 			boolean unknown) {
 		final boolean storable = body.length() <= LARGEST_STORED_BODY;
-		this.appender.append(partitionOf(info).stream(), new KeyOutcome(info.workspace(), info.claim().keyHash(),
+		appendUntilFolded(partitionOf(info).stream(), new KeyOutcome(info.workspace(), info.claim().keyHash(),
 				claimOffset, status, contentType, storable ? body : "", unknown || !storable));
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/CallerHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/CallerHandler.java
@@ -50,6 +50,8 @@
 
 	private static final int MAX_KEY_LENGTH = 255;
 
+	private static final long CLAIM_MARGIN_MILLIS = 10_000;
+
 	private final DaemonView daemon;
 
 	private final Exchanges exchanges;
@@ -155,11 +157,11 @@
 		require(key.length() <= MAX_KEY_LENGTH, ErrorKind.MALFORMED_REQUEST);
 		final String pathAndQuery = path + request.getUri().rawQueryString().map((query) -> "?" + query).orElse("");
 		return body(request).thenCompose((bytes) -> {
-			final ClaimNeed claim = idempotent ? ClaimNeed.NONE
-					: new ClaimNeed(DigestUtils.sha256Hex(key),
-							DigestUtils.sha256Hex(name + '\n' + request.method().value() + '\n' + pathAndQuery + '\n'
-									+ DigestUtils.sha256Hex(bytes)),
-							operation.map(OperationSpec::keyLifetimeMillis).orElse(0L));
+			final ClaimNeed claim = idempotent ? ClaimNeed.NONE : new ClaimNeed(DigestUtils.sha256Hex(key),
+					DigestUtils.sha256Hex(name + '\n' + request.method().value() + '\n' + pathAndQuery + '\n'
+							+ DigestUtils.sha256Hex(bytes)),
+					operation.map(OperationSpec::keyLifetimeMillis).orElse(0L),
+					service.timeoutMillis() + CLAIM_MARGIN_MILLIS);
 			final long nowNanos = System.nanoTime();
 			final long deadlineNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(service.timeoutMillis());
 			final RequestInfo info = new RequestInfo(requestId, workspace.name(), TargetKind.SERVICE, name, 1, 1, 0,
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/AttemptFailures.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/AttemptFailures.java
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.CompletionException;
 
+import org.apache.pekko.stream.BufferOverflowException;
+
 import org.pistachioline.core.traffic.AttemptEnd;
 
 /**
@@ -22,7 +24,9 @@
 				? failure.getCause() : failure;
 		final String message = String.valueOf(cause.getMessage());
 		final boolean connectFailed = message.startsWith("Tcp command [Connect(");
-		return connectFailed ? AttemptEnd.NOT_CONNECTED : AttemptEnd.BROKEN;
+		// A pool that is full takes no request, so nothing of it was sent.
+		final boolean notTaken = cause instanceof BufferOverflowException;
+		return (connectFailed || notTaken) ? AttemptEnd.NOT_CONNECTED : AttemptEnd.BROKEN;
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/AttemptListener.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/AttemptListener.java
@@ -9,7 +9,7 @@
 public interface AttemptListener {
 
 	/**
-	 * Called at the first token.
+	 * Called at the first token, and once a second while the attempt is alive.
 	 * @param attempt the attempt
 	 * @param tokensDelivered the tokens that the caller has in all
 	 */
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ModelExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ModelExchange.java
@@ -10,6 +10,7 @@
 import org.apache.pekko.stream.KillSwitches;
 import org.apache.pekko.stream.UniqueKillSwitch;
 import org.apache.pekko.stream.javadsl.Keep;
+import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
 
@@ -28,6 +29,8 @@
  */
 abstract class ModelExchange implements Exchange {
 
+	private static final int OK = 200;
+
 	private final RequestInfo info;
 
 	private final String requestIdText;
@@ -38,9 +41,7 @@
 
 	private final CompletableFuture<HttpResponse> response = new CompletableFuture<>();
 
-	private AttemptId liveAttempt;
-
-	private UniqueKillSwitch liveSwitch;
+	private LiveAttempt live;
 
 	ModelExchange(RequestInfo info, String requestIdText, byte[] engineBody, HttpCaller http) {
 		this.info = info;
@@ -69,14 +70,18 @@
 	@Override
 	public final void start(TrafficAction.Start start, AttemptListener listener) {
 		synchronized (this) {
-			this.liveAttempt = start.attempt();
-			this.liveSwitch = null;
+			this.live = new LiveAttempt(start, listener);
 		}
 		this.http.stream(request(start)).whenComplete((answer, failure) -> {
 			if (failure != null) {
 				listener.onEnd(start.attempt(), AttemptFailures.classify(failure), start.resumeFromTokens());
 			}
-			else if (answer.status().intValue() != 200) {
+			else if (!answered(start.attempt())) {
+				// Cancelled while it was on its way; closing the connection ends the
+				// engine's work, and keeps the connection from being used again.
+				answer.entity().getDataBytes().runWith(Sink.cancelled(), this.http.system());
+			}
+			else if (answer.status().intValue() != OK) {
 				answer.discardEntityBytes(this.http.system());
 				listener.onEnd(start.attempt(), AttemptEnd.REFUSED, start.resumeFromTokens());
 			}
@@ -86,6 +91,18 @@
 		});
 	}
 
+	private synchronized boolean answered(AttemptId attempt) {
+		if (!isLive(attempt)) {
+			return false;
+		}
+		this.live.answered = true;
+		return true;
+	}
+
+	private boolean isLive(AttemptId attempt) {
+		return this.live != null && attempt.equals(this.live.start.attempt());
+	}
+
 	private void relay(TrafficAction.Start start, HttpResponse answer, AttemptListener listener) {
 		final Source<ByteString, UniqueKillSwitch> source = answer.entity()
 			.withoutSizeLimit()
@@ -99,8 +116,8 @@
 	}
 
 	private synchronized void live(AttemptId attempt, UniqueKillSwitch killSwitch) {
-		if (attempt.equals(this.liveAttempt)) {
-			this.liveSwitch = killSwitch;
+		if (isLive(attempt)) {
+			this.live.killSwitch = killSwitch;
 		}
 		else {
 			killSwitch.abort(new IllegalStateException("cancelled"));
@@ -120,13 +137,22 @@
 	}
 
 	@Override
-	public final synchronized void cancel(AttemptId attempt) {
-		if (!attempt.equals(this.liveAttempt)) {
-			return;
+	public final void cancel(AttemptId attempt) {
+		final LiveAttempt cancelled;
+		synchronized (this) {
+			if (!isLive(attempt)) {
+				return;
+			}
+			cancelled = this.live;
+			this.live = null;
 		}
-		this.liveAttempt = null;
-		if (this.liveSwitch != null) {
-			this.liveSwitch.abort(new IllegalStateException("cancelled"));
+		if (cancelled.killSwitch != null) {
+			// The relay reports the end, with the exact count of tokens passed on.
+			cancelled.killSwitch.abort(new IllegalStateException("cancelled"));
+		}
+		else if (!cancelled.answered) {
+			// Nothing of a later answer can reach the caller, so the attempt is over.
+			cancelled.listener.onEnd(attempt, AttemptEnd.CANCELLED, cancelled.start.resumeFromTokens());
 		}
 	}
 
@@ -141,4 +167,21 @@
 	 */
 	abstract void onEvents(Source<ByteString, NotUsed> events);
 
+	private static final class LiveAttempt {
+
+		private final TrafficAction.Start start;
+
+		private final AttemptListener listener;
+
+		private boolean answered;
+
+		private UniqueKillSwitch killSwitch;
+
+		LiveAttempt(TrafficAction.Start start, AttemptListener listener) {
+			this.start = start;
+			this.listener = listener;
+		}
+
+	}
+
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/RelayStage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/RelayStage.java
@@ -1,6 +1,7 @@
 package org.pistachioline.daemon.traffic;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Arrays;
 
 import org.apache.pekko.stream.Attributes;
@@ -11,6 +12,7 @@
 import org.apache.pekko.stream.stage.AbstractOutHandler;
 import org.apache.pekko.stream.stage.GraphStage;
 import org.apache.pekko.stream.stage.GraphStageLogic;
+import org.apache.pekko.stream.stage.TimerGraphStageLogic;
 import org.apache.pekko.util.ByteString;
 import org.apache.pekko.util.ByteStringBuilder;
 
@@ -24,12 +26,23 @@
  * a connection that was used before, an event of another attempt could arrive: it would
  * put one caller's text into another's answer, or double a token. Such an event is never
  * passed on, and the attempt ends as mismatched. The stage always completes, never fails,
- * so that the next attempt can go on in the same answer.
+ * so that the next attempt can go on in the same answer. Once a second it reports how far
+ * it is; while the caller reads slowly it reports the same count, so that a slow caller
+ * is not taken for an engine that stands still. An answer whose connection breaks after
+ * its last event is complete; the end mark that callers wait for is then added here.
  */
 final class RelayStage extends GraphStage<FlowShape<ByteString, ByteString>> {
 
 	private static final int LARGEST_EVENT_BYTES = 256 * 1024;
 
+	private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
+
+	private static final int MOST_POSITION_DIGITS = 9;
+
+	private static final String END = "end";
+
+	private static final ByteString DONE_EVENT = ByteString.fromString("data: [DONE]\n\n");
+
 	private static final byte[] ID_FIELD = "id: ".getBytes(StandardCharsets.US_ASCII);
 
 	private final Inlet<ByteString> in = Inlet.create("relay.in");
@@ -81,7 +94,7 @@
 				&& Arrays.equals(bytes, start, start + expected.length, expected, 0, expected.length);
 	}
 
-	private final class Logic extends GraphStageLogic {
+	private final class Logic extends TimerGraphStageLogic {
 
 		private final byte[] prefix = (RelayStage.this.attempt.wireForm() + ":").getBytes(StandardCharsets.US_ASCII);
 
@@ -93,6 +106,10 @@
 
 		private boolean sawEnd;
 
+		private boolean sawDone;
+
+		private int reportedTokens = RelayStage.this.resumeFromTokens;
+
 		Logic() {
 			super(RelayStage.this.shape());
 			setHandler(RelayStage.this.in, new AbstractInHandler() {
@@ -104,14 +121,12 @@
 
 				@Override
 				public void onUpstreamFinish() {
-					end(Logic.this.sawEnd ? AttemptEnd.COMPLETE : AttemptEnd.BROKEN);
-					completeStage();
+					close(ByteString.emptyByteString(), AttemptEnd.BROKEN);
 				}
 
 				@Override
 				public void onUpstreamFailure(Throwable failure) {
-					end(Logic.this.sawEnd ? AttemptEnd.COMPLETE : AttemptEnd.BROKEN);
-					completeStage();
+					close(ByteString.emptyByteString(), AttemptEnd.BROKEN);
 				}
 
 			});
@@ -131,6 +146,36 @@
 			});
 		}
 
+		@Override
+		public void preStart() {
+			scheduleWithFixedDelay(REPORT_INTERVAL, REPORT_INTERVAL, REPORT_INTERVAL);
+		}
+
+		@Override
+		public void onTimer(Object key) {
+			final boolean callerIsSlow = !hasBeenPulled(RelayStage.this.in);
+			if (!this.ended && (callerIsSlow || this.tokens > this.reportedTokens)) {
+				report();
+			}
+		}
+
+		private void report() {
+			this.reportedTokens = this.tokens;
+			RelayStage.this.listener.onProgress(RelayStage.this.attempt, this.tokens);
+		}
+
+		private void close(ByteString passed, AttemptEnd unlessComplete) {
+			end(this.sawEnd ? AttemptEnd.COMPLETE : unlessComplete);
+			final boolean addDone = this.sawEnd && !this.sawDone;
+			final ByteString last = addDone ? passed.concat(DONE_EVENT) : passed;
+			if (last.isEmpty()) {
+				completeStage();
+			}
+			else {
+				emit(RelayStage.this.out, last, () -> completeStage());
+			}
+		}
+
 		private void take(ByteString chunk) {
 			final byte[] bytes = joined(chunk);
 			final ByteStringBuilder passed = new ByteStringBuilder();
@@ -138,7 +183,7 @@
 			int eventEnd = endOfEvent(bytes, start);
 			while (eventEnd >= 0) {
 				if (!pass(bytes, start, eventEnd, passed)) {
-					mismatch(passed);
+					close(passed.result(), AttemptEnd.MISMATCHED);
 					return;
 				}
 				start = eventEnd;
@@ -146,7 +191,7 @@
 			}
 			this.rest = Arrays.copyOfRange(bytes, start, bytes.length);
 			if (this.rest.length > LARGEST_EVENT_BYTES) {
-				mismatch(passed);
+				close(passed.result(), AttemptEnd.MISMATCHED);
 				return;
 			}
 			if (passed.isEmpty()) {
@@ -168,27 +213,37 @@
 		}
 
 		private boolean pass(byte[] bytes, int start, int eventEnd, ByteStringBuilder passed) {
+			if (eventEnd - start > LARGEST_EVENT_BYTES) {
+				return false;
+			}
 			int dataStart = start;
 			if (startsWith(bytes, start, ID_FIELD)) {
 				final int idStart = start + ID_FIELD.length;
 				dataStart = endOfLine(bytes, idStart, eventEnd);
-				if (!startsWith(bytes, idStart, this.prefix)
+				if (this.sawEnd || !startsWith(bytes, idStart, this.prefix)
 						|| !inOrder(bytes, idStart + this.prefix.length, dataStart - 1)) {
 					return false;
 				}
 			}
-			else if (!this.sawEnd) {
+			else if (!this.sawEnd || this.sawDone) {
 				return false;
 			}
+			else {
+				this.sawDone = true;
+			}
 			passed.putBytes(bytes, dataStart, eventEnd - dataStart);
 			return true;
 		}
 
 		private boolean inOrder(byte[] bytes, int start, int end) {
-			if (bytes[start] == 'e') {
+			final String place = new String(bytes, start, Math.max(0, end - start), StandardCharsets.US_ASCII);
+			if (place.equals(END)) {
 				this.sawEnd = true;
 				return true;
 			}
+			if (place.isEmpty() || place.length() > MOST_POSITION_DIGITS) {
+				return false;
+			}
 			int position = 0;
 			for (int i = start; i < end; i++) {
 				final int digit = bytes[i] - '0';
@@ -202,19 +257,11 @@
 			}
 			this.tokens++;
 			if (this.tokens == RelayStage.this.resumeFromTokens + 1) {
-				RelayStage.this.listener.onProgress(RelayStage.this.attempt, this.tokens);
+				report();
 			}
 			return true;
 		}
 
-		private void mismatch(ByteStringBuilder passed) {
-			end(AttemptEnd.MISMATCHED);
-			if (!passed.isEmpty()) {
-				emit(RelayStage.this.out, passed.result());
-			}
-			completeStage();
-		}
-
 		private void end(AttemptEnd how) {
 			if (!this.ended) {
 				this.ended = true;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ServiceExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ServiceExchange.java
@@ -74,11 +74,13 @@
 		this.http.call(request, this.call.timeoutMillis()).whenComplete((got, failure) -> {
 			if (failure != null) {
 				listener.onEnd(start.attempt(), AttemptFailures.classify(failure), 0);
+				return;
 			}
-			else if (start.attempt().equals(this.liveAttempt)) {
+			if (start.attempt().equals(this.liveAttempt)) {
 				this.answer = got;
-				listener.onEnd(start.attempt(), AttemptEnd.COMPLETE, 0);
 			}
+			// An answer that comes after its attempt was given up is dropped by its id.
+			listener.onEnd(start.attempt(), AttemptEnd.COMPLETE, 0);
 		});
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/StreamedExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/StreamedExchange.java
@@ -8,6 +8,7 @@
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.apache.pekko.japi.Pair;
 import org.apache.pekko.stream.BoundedSourceQueue;
+import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
 
@@ -41,7 +42,12 @@
 
 	@Override
 	void onEvents(Source<ByteString, NotUsed> events) {
-		this.parts.offer(events);
+		if (!this.parts.offer(events).isEnqueued()) {
+			// The caller has gone. Events that nobody reads would keep the engine at work
+			// and its connection open.
+			events.runWith(Sink.cancelled(), http().system());
+			return;
+		}
 		response().complete(HttpResponse.create()
 			.addHeader(RawHeader.create(ErrorAnswers.REQUEST_ID_HEADER, requestIdText()))
 			.withEntity(HttpEntities.createChunked(ContentTypes.create(MediaTypes.TEXT_EVENT_STREAM), this.answer)));
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -14,6 +14,7 @@
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.record.KeyOutcome;
+import org.pistachioline.core.state.FleetState;
 import org.pistachioline.core.traffic.AttemptEnd;
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.TargetView;
@@ -34,29 +35,41 @@
 
 	private static final Duration TICK = Duration.ofMillis(10);
 
+	private static final long KILLERS_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
+
 	private final TrafficCore core;
 
 	private final ClaimService claims;
 
+	private final KillerReports killers;
+
 	private final Duty<TrafficMessage> duty;
 
 	private final Map<Long, Exchange> exchanges = new HashMap<>();
 
 	private final Map<Long, Long> claimOffsets = new HashMap<>();
 
+	private FleetState fleet = FleetState.EMPTY;
+
+	private long killersAtNanos;
+
 	private volatile int held;
 
 	private volatile int queued;
 
+	private volatile long answersDropped;
+
 	/**
 	 * Creates the duty.
 	 * @param system the process's actor system
 	 * @param core what decides
 	 * @param claims makes claims
+	 * @param killers shares which requests groups died under
 	 */
-	public TrafficDuty(ActorSystem<?> system, TrafficCore core, ClaimService claims) {
+	public TrafficDuty(ActorSystem<?> system, TrafficCore core, ClaimService claims, KillerReports killers) {
 		this.core = core;
 		this.claims = claims;
+		this.killers = killers;
 		this.duty = new Duty<>(system, "traffic", RING_CAPACITY, TICK, this);
 	}
 
@@ -96,6 +109,15 @@
 		this.duty.offer(new TrafficMessage.Targets(targets));
 	}
 
+	/**
+	 * Takes over the agreed state of the fleet, for its quarantined and suspected
+	 * requests.
+	 * @param state the state; where the ring is full the next one does
+	 */
+	public void fleet(FleetState state) {
+		this.duty.offer(new TrafficMessage.Fleet(state));
+	}
+
 	/**
 	 * Takes word that a caller went away.
 	 * @param requestId the request
@@ -119,6 +141,14 @@
 		return this.held + this.duty.ring().size();
 	}
 
+	/**
+	 * Returns how many answers did not match their attempt or came after it had ended.
+	 * @return the number of dropped answers
+	 */
+	public long answersDropped() {
+		return this.answersDropped;
+	}
+
 	/**
 	 * Returns how many requests wait for a target.
 	 * @return the number of requests
@@ -139,7 +169,19 @@
 
 	@Override
 	public void onTick() {
-		carryOut(this.core.onTick(System.nanoTime()));
+		final long nowNanos = System.nanoTime();
+		carryOut(this.core.onTick(nowNanos));
+		// Quarantines expire by the wall clock, without a record.
+		if (nowNanos - this.killersAtNanos >= KILLERS_INTERVAL_NANOS) {
+			killers(nowNanos);
+		}
+	}
+
+	private void killers(long nowNanos) {
+		final long nowMillis = System.currentTimeMillis();
+		this.killersAtNanos = nowNanos;
+		carryOut(this.core.onKillers(nowNanos, KillerReports.quarantined(this.fleet, nowMillis),
+				KillerReports.suspected(this.fleet, nowMillis)));
 	}
 
 	@Override
@@ -154,7 +196,7 @@
 			this.core.onProgress(nowNanos, progressed.attempt(), progressed.tokensDelivered());
 		}
 		else if (message instanceof TrafficMessage.Ended ended) {
-			carryOut(this.core.onAttemptEnd(nowNanos, ended.attempt(), ended.how(), ended.tokensDelivered()));
+			onEnded(nowNanos, ended);
 		}
 		else if (message instanceof TrafficMessage.Claimed claimed) {
 			onClaimed(nowNanos, claimed);
@@ -168,13 +210,34 @@
 		else if (message instanceof TrafficMessage.Targets targets) {
 			carryOut(this.core.onTargets(nowNanos, targets.targets()));
 		}
+		else if (message instanceof TrafficMessage.Fleet agreed) {
+			final boolean changed = agreed.state().quarantines() != this.fleet.quarantines()
+					|| agreed.state().suspicions() != this.fleet.suspicions();
+			this.fleet = agreed.state();
+			if (changed) {
+				killers(nowNanos);
+			}
+		}
 		else if (message instanceof TrafficMessage.Leave) {
 			this.core.leave();
 		}
 	}
 
+	private void onEnded(long nowNanos, TrafficMessage.Ended ended) {
+		final boolean answered = ended.how() == AttemptEnd.COMPLETE || ended.how() == AttemptEnd.MISMATCHED;
+		if (ended.how() == AttemptEnd.MISMATCHED || (answered && !this.core.isLive(ended.attempt()))) {
+			this.answersDropped++;
+			Events.log(EventId.ANSWER_DROPPED, "attempt", ended.attempt().wireForm(), "end", ended.how());
+		}
+		else if (ended.how() != AttemptEnd.COMPLETE && ended.how() != AttemptEnd.CANCELLED
+				&& this.core.isLive(ended.attempt())) {
+			Events.log(EventId.ATTEMPT_FAILED, "attempt", ended.attempt().wireForm(), "end", ended.how());
+		}
+		carryOut(this.core.onAttemptEnd(nowNanos, ended.attempt(), ended.how(), ended.tokensDelivered()));
+	}
+
 	private void onClaimed(long nowNanos, TrafficMessage.Claimed claimed) {
-		if (claimed.result().claimOffset() >= 0) {
+		if (claimed.result().claimOffset() >= 0 && this.exchanges.containsKey(claimed.requestId())) {
 			this.claimOffsets.put(claimed.requestId(), claimed.result().claimOffset());
 		}
 		carryOut(this.core.onClaim(nowNanos, claimed.requestId(), claimed.result().verdict(),
@@ -188,6 +251,12 @@
 	}
 
 	private void carryOut(TrafficAction action) {
+		// A claim that was granted too late is given back after its request has ended.
+		if (action instanceof TrafficAction.Release release) {
+			this.claimOffsets.remove(release.requestId());
+			this.claims.release(release.info(), release.claimOffset());
+			return;
+		}
 		final Exchange exchange = this.exchanges.get(action.requestId());
 		if (exchange == null) {
 			return;
@@ -211,16 +280,13 @@
 			this.claims.claim(claim.info())
 				.thenAccept((result) -> this.duty.put(new TrafficMessage.Claimed(claim.requestId(), result)));
 		}
-		else if (action instanceof TrafficAction.Release release) {
-			this.claimOffsets.remove(release.requestId());
-			this.claims.release(release.info(), release.claimOffset());
-		}
 		else if (action instanceof TrafficAction.Replay replay) {
 			forget(replay.requestId());
 			replay(exchange, replay);
 		}
 		else if (action instanceof TrafficAction.Suspect suspect) {
-			Events.log(suspect.quarantine() ? EventId.REQUEST_QUARANTINED : EventId.ATTEMPT_FAILED, "fingerprint",
+			this.killers.report(suspect, System.currentTimeMillis());
+			Events.log(suspect.quarantine() ? EventId.REQUEST_QUARANTINED : EventId.REQUEST_SUSPECTED, "fingerprint",
 					suspect.fingerprint(), "target", suspect.target().targetId());
 		}
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.pistachioline.core.manifest.Manifest;
+import org.pistachioline.core.state.FleetState;
 import org.pistachioline.core.traffic.AttemptEnd;
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.TargetView;
@@ -73,6 +74,14 @@
 	record Targets(List<TargetView> targets) implements TrafficMessage {
 	}
 
+	/**
+	 * The agreed state of the fleet changed.
+	 *
+	 * @param state the state
+	 */
+	record Fleet(FleetState state) implements TrafficMessage {
+	}
+
 	/**
 	 * The daemon leaves.
 	 */
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/WholeExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/WholeExchange.java
@@ -3,6 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.pekko.NotUsed;
@@ -34,6 +36,8 @@
 
 	private int promptTokens;
 
+	private CompletionStage<Void> taken = CompletableFuture.completedFuture(null);
+
 	private int completionTokens;
 
 	WholeExchange(RequestInfo info, String requestIdText, byte[] engineBody, HttpCaller http) {
@@ -42,8 +46,12 @@
 	}
 
 	@Override
-	void onEvents(Source<ByteString, NotUsed> events) {
-		events.runForeach(this::take, http().system());
+	synchronized void onEvents(Source<ByteString, NotUsed> events) {
+		// One attempt after the other: the end of an attempt is reported when its last
+		// event
+		// is passed on, which may be before it was taken here.
+		this.taken = this.taken
+			.thenCompose((before) -> events.runForeach(this::take, http().system()).thenApply((done) -> null));
 	}
 
 	private synchronized void take(ByteString bytes) {
@@ -68,6 +76,10 @@
 
 	@Override
 	public synchronized void finish() {
+		this.taken.thenRun(this::answer);
+	}
+
+	private synchronized void answer() {
 		final Map<String, Object> message = Map.of("role", "assistant", "content", this.content.toString());
 		final Map<String, Object> body = Map.of("id", "c-" + requestIdText(), "object", "chat.completion", "model",
 				this.model, "choices",
