--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/ActorSystems.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/ActorSystems.java
@@ -31,7 +31,8 @@
 	 * @return the actor system, to be terminated by the caller
 	 */
 	public static ActorSystem<Void> create(String name, Map<String, Object> overrides) {
-		// Logging must be ready before Pekko's threads log at once, or their first lines are lost.
+		// Logging must be ready before Pekko's threads log at once, or their first lines
+		// are lost.
 		LoggerFactory.getILoggerFactory();
 		return ActorSystem.create(Behaviors.empty(), name,
 				ConfigFactory.parseMap(overrides).withFallback(ConfigFactory.load("pistachioline")));
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -86,13 +86,13 @@
 	/** An attempt failed. */
 	ATTEMPT_FAILED(502, EventLevel.WARN, "An attempt at a target failed."),
 
+	/** A request failed inside the daemon. */
+	REQUEST_FAULT(503, EventLevel.ERROR, "A request failed through a fault of the daemon."),
+
 	/** A group died under a request. */
 	REQUEST_SUSPECTED(504, EventLevel.WARN,
 			"A group died under a request; it runs once more, apart from other suspects."),
 
-	/** A request failed inside the daemon. */
-	REQUEST_FAULT(503, EventLevel.ERROR, "A request failed through a fault of the daemon."),
-
 	/** A peer link failed. */
 	PEER_LOST(600, EventLevel.INFO, "A peer daemon cannot be reached."),
 
