--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/claims/ClaimService.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/claims/ClaimService.java
@@ -45,6 +45,8 @@
 
 	private final AppendDuty appender;
 
+	private final long claimTimeoutMillis;
+
 	private final List<StreamDuty<ClaimsState>> partitions = new ArrayList<>();
 
 	private volatile boolean stopped;
@@ -59,7 +61,13 @@
 	 */
 	public ClaimService(ActorSystem<?> system, LogService log, AppendDuty appender, String streamPrefix,
 			int partitionCount) {
+		this(system, log, appender, streamPrefix, partitionCount, CLAIM_TIMEOUT_MILLIS);
+	}
+
+	ClaimService(ActorSystem<?> system, LogService log, AppendDuty appender, String streamPrefix, int partitionCount,
+			long claimTimeoutMillis) {
 		this.appender = appender;
+		this.claimTimeoutMillis = claimTimeoutMillis;
 		for (int i = 0; i < partitionCount; i++) {
 			final StreamDuty<ClaimsState> partition = new StreamDuty<>(system, streamPrefix + "-" + i, log,
 					new ClaimsReducer());
@@ -79,6 +87,27 @@
 		this.partitions.forEach(StreamDuty::stop);
 	}
 
+	/**
+	 * Returns when all partitions have been read to their end for the first time.
+	 * @return completes then
+	 */
+	CompletableFuture<Void> following() {
+		return CompletableFuture
+			.allOf(this.partitions.stream().map(ClaimService::followed).toArray(CompletableFuture[]::new));
+	}
+
+	private static CompletableFuture<Void> followed(StreamDuty<ClaimsState> partition) {
+		final CompletableFuture<Void> followed = new CompletableFuture<>();
+		final Runnable check = () -> {
+			if (partition.view().caughtUp()) {
+				followed.complete(null);
+			}
+		};
+		partition.onChange(check);
+		check.run();
+		return followed;
+	}
+
 	/**
 	 * Claims a request's key.
 	 * @param info the request
@@ -112,7 +141,7 @@
 				release(info, answer.claimOffset());
 			}
 		});
-		CompletableFuture.delayedExecutor(CLAIM_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+		CompletableFuture.delayedExecutor(this.claimTimeoutMillis, TimeUnit.MILLISECONDS)
 			.execute(() -> result.complete(ClaimResult.of(ClaimVerdict.UNAVAILABLE)));
 		return result;
 	}
--- /dev/null
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/MemoryLog.java
@@ -0,0 +1,134 @@
+package org.pistachioline.daemon;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.pistachioline.adapters.platform.AppendException;
+import org.pistachioline.adapters.platform.LogEntry;
+import org.pistachioline.adapters.platform.LogPage;
+import org.pistachioline.adapters.platform.LogService;
+
+/**
+ * The log in memory, with the faults that a test asks for.
+ */
+public final class MemoryLog implements LogService {
+
+	private final Map<String, List<byte[]>> entries = new HashMap<>();
+
+	private final List<Runnable> waiting = new ArrayList<>();
+
+	private final List<Runnable> watching = new ArrayList<>();
+
+	private int lostAnswers;
+
+	private int doubled;
+
+	private boolean hidden;
+
+	/**
+	 * Lets the answers of the next appends be lost after they took effect.
+	 * @param count how many
+	 */
+	public synchronized void loseAnswers(int count) {
+		this.lostAnswers = count;
+	}
+
+	/**
+	 * Lets the next appends land twice.
+	 * @param count how many
+	 */
+	public synchronized void landTwice(int count) {
+		this.doubled = count;
+	}
+
+	/**
+	 * Withholds new entries from readers, or shows them again.
+	 * @param hide whether to withhold them
+	 */
+	public void hide(boolean hide) {
+		final List<Runnable> ready;
+		synchronized (this) {
+			this.hidden = hide;
+			ready = List.copyOf(this.waiting);
+			this.waiting.clear();
+		}
+		ready.forEach(Runnable::run);
+	}
+
+	/**
+	 * Waits until a stream has some entries.
+	 * @param stream the stream
+	 * @param count how many entries
+	 * @return completes with the entries
+	 */
+	public synchronized CompletableFuture<List<byte[]>> await(String stream, int count) {
+		final CompletableFuture<List<byte[]>> done = new CompletableFuture<>();
+		final Runnable check = () -> {
+			if (of(stream).size() >= count) {
+				done.complete(List.copyOf(of(stream)));
+			}
+		};
+		this.watching.add(check);
+		check.run();
+		return done;
+	}
+
+	@Override
+	public CompletableFuture<Long> append(String stream, byte[] payloadBytes) {
+		final List<Runnable> ready;
+		final CompletableFuture<Long> answer;
+		synchronized (this) {
+			of(stream).add(payloadBytes);
+			final long offset = of(stream).size() - 1L;
+			if (this.doubled > 0) {
+				this.doubled--;
+				of(stream).add(payloadBytes);
+			}
+			if (this.lostAnswers > 0) {
+				this.lostAnswers--;
+				answer = CompletableFuture.failedFuture(new AppendException(true, "answer lost", null));
+			}
+			else {
+				answer = CompletableFuture.completedFuture(offset);
+			}
+			this.watching.forEach(Runnable::run);
+			ready = List.copyOf(this.waiting);
+			this.waiting.clear();
+		}
+		ready.forEach(Runnable::run);
+		return answer;
+	}
+
+	@Override
+	public CompletableFuture<LogPage> read(String stream, long fromOffset, long waitMillis) {
+		final CompletableFuture<LogPage> page = new CompletableFuture<>();
+		read(stream, fromOffset, waitMillis, page);
+		return page;
+	}
+
+	private void read(String stream, long fromOffset, long waitMillis, CompletableFuture<LogPage> page) {
+		final LogPage found;
+		synchronized (this) {
+			final List<byte[]> all = of(stream);
+			final boolean nothing = this.hidden || fromOffset >= all.size();
+			if (nothing && waitMillis > 0) {
+				this.waiting.add(() -> read(stream, fromOffset, waitMillis, page));
+				return;
+			}
+			final List<LogEntry> read = new ArrayList<>();
+			for (long offset = fromOffset; !nothing && offset < all.size(); offset++) {
+				read.add(new LogEntry(offset, 0, all.get((int) offset)));
+			}
+			found = new LogPage(0, all.size(), read);
+		}
+		page.complete(found);
+	}
+
+	private List<byte[]> of(String stream) {
+		return this.entries.computeIfAbsent(stream, (key) -> new ArrayList<>());
+	}
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/claims/ClaimServiceTests.java
@@ -0,0 +1,143 @@
+package org.pistachioline.daemon.claims;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import org.pistachioline.adapters.codec.CorruptRecordException;
+import org.pistachioline.adapters.codec.RecordCodec;
+import org.pistachioline.adapters.http.ActorSystems;
+import org.pistachioline.core.claims.ClaimsReducer;
+import org.pistachioline.core.claims.ClaimsState;
+import org.pistachioline.core.record.LogRecord;
+import org.pistachioline.core.traffic.ClaimNeed;
+import org.pistachioline.core.traffic.ClaimVerdict;
+import org.pistachioline.core.traffic.RequestInfo;
+import org.pistachioline.core.traffic.TargetKind;
+import org.pistachioline.daemon.MemoryLog;
+import org.pistachioline.daemon.agreed.AppendDuty;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ClaimServiceTests {
+
+	private static final String STREAM = "claims-0";
+
+	private static final int KEYS = 50;
+
+	private final MemoryLog log = new MemoryLog();
+
+	private final List<ActorSystem<Void>> systems = new ArrayList<>();
+
+	@AfterEach
+	void stop() {
+		this.systems.forEach(ActorSystem::terminate);
+	}
+
+	private ClaimService daemon(String writer, long timeoutMillis) {
+		final ClaimService service = unread(writer, timeoutMillis);
+		service.start();
+		service.following().join();
+		return service;
+	}
+
+	private ClaimService unread(String writer, long timeoutMillis) {
+		final ActorSystem<Void> system = ActorSystems.create("daemon-" + writer);
+		this.systems.add(system);
+		final AppendDuty appender = new AppendDuty(system, this.log, writer);
+		appender.start();
+		return new ClaimService(system, this.log, appender, "claims", 1, timeoutMillis);
+	}
+
+	private static RequestInfo booking(long requestId, String key, String digest) {
+		return new RequestInfo(requestId, "w", TargetKind.SERVICE, "orders", 1, 1, 0, 0, 0, false,
+				new ClaimNeed(key, digest, 60_000), "", List.of());
+	}
+
+	private ClaimsState folded() throws CorruptRecordException {
+		ClaimsState state = ClaimsState.EMPTY;
+		final List<byte[]> entries = this.log.await(STREAM, 0).join();
+		for (int offset = 0; offset < entries.size(); offset++) {
+			for (final LogRecord record : RecordCodec.decode(entries.get(offset))) {
+				state = new ClaimsReducer().apply(state, offset, record).state();
+			}
+		}
+		return state;
+	}
+
+	// A caller sends the same booking to two daemons at once. Both claim its key; answers
+	// of appends are lost and appends land twice on top. If both were granted, two trucks
+	// would drive to one storefront.
+	@Test
+	void ofTwoDaemonsThatRaceForAKeyOneIsGranted() {
+		final ClaimService one = daemon("one", 60_000);
+		final List<CompletableFuture<ClaimResult>> first = new ArrayList<>();
+		final List<CompletableFuture<ClaimResult>> second = new ArrayList<>();
+		final ClaimService two = daemon("two", 60_000);
+		this.log.loseAnswers(5);
+		this.log.landTwice(5);
+		for (int i = 0; i < KEYS; i++) {
+			first.add(one.claim(booking(i, "k" + i, "d")));
+			second.add(two.claim(booking(i, "k" + i, "d")));
+		}
+		for (int i = 0; i < KEYS; i++) {
+			assertThat(List.of(first.get(i).join().verdict(), second.get(i).join().verdict()))
+				.containsExactlyInAnyOrder(ClaimVerdict.GRANTED, ClaimVerdict.IN_PROGRESS);
+		}
+	}
+
+	// A claim lands, but the daemon does not see it in time and tells the caller that the
+	// booking was not run. That must stay true: the claim is given back when it is seen,
+	// and the caller's next try is granted.
+	@Test
+	void aClaimThatIsSeenTooLateIsGivenBack() throws CorruptRecordException {
+		final ClaimService one = daemon("one", 20);
+		this.log.hide(true);
+		final ClaimResult late = one.claim(booking(1, "k", "d")).join();
+		assertThat(late.verdict()).isEqualTo(ClaimVerdict.UNAVAILABLE);
+		this.log.hide(false);
+		this.log.await(STREAM, 2).join();
+		assertThat(folded().find("w", "k")).isEmpty();
+	}
+
+	// The booking ran and its answer was stored. A repeat at another daemon gets that
+	// answer; the same key with another booking is refused and not run.
+	@Test
+	void aRepeatGetsTheStoredOutcomeAndAReusedKeyIsRefused() {
+		final ClaimService one = daemon("one", 60_000);
+		final ClaimResult granted = one.claim(booking(1, "k", "d")).join();
+		one.settle(booking(1, "k", "d"), granted.claimOffset(), 201, "application/json", "{}", false);
+		this.log.await(STREAM, 2).join();
+		final ClaimService two = daemon("two", 60_000);
+		assertThat(two.claim(booking(2, "k", "d")).join().verdict()).isEqualTo(ClaimVerdict.SETTLED);
+		assertThat(two.claim(booking(3, "k", "other")).join().verdict()).isEqualTo(ClaimVerdict.REUSED);
+		assertThat(two.find(booking(2, "k", "d")).orElseThrow().outcome().orElseThrow().body()).isEqualTo("{}");
+	}
+
+	// A daemon dies between claim and dispatch, or between dispatch and outcome. Nobody
+	// can tell which, so a repeat is told "unknown" once the claimer must have gone.
+	@Test
+	void theClaimOfADaemonThatDiedReadsAsUnknownAndNeverRunsAgain() {
+		daemon("one", 60_000).claim(booking(1, "k", "d")).join();
+		final ClaimService two = daemon("two", 60_000);
+		final RequestInfo patient = booking(2, "k", "d");
+		final RequestInfo later = new RequestInfo(3, "w", TargetKind.SERVICE, "orders", 1, 1, 0, 0, 0, false,
+				new ClaimNeed("k", "d", 60_000, -1), "", List.of());
+		assertThat(two.claim(patient).join().verdict()).isEqualTo(ClaimVerdict.IN_PROGRESS);
+		assertThat(two.claim(later).join().verdict()).isEqualTo(ClaimVerdict.UNKNOWN);
+	}
+
+	// A daemon that has not read the stream to its end does not find the key. It must not
+	// say that the booking did not run, nor claim it.
+	@Test
+	void aDaemonThatHasNotReadAllClaimsSaysUnknown() {
+		final ClaimService unread = unread("new", 60_000);
+		assertThat(unread.claim(booking(1, "k", "d")).join().verdict()).isEqualTo(ClaimVerdict.LIMBO);
+		assertThat(this.log.await(STREAM, 0).join()).isEmpty();
+	}
+
+}
