--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -66,6 +66,7 @@
 import org.pistachioline.daemon.peer.ExchangedStream;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.traffic.Exchanges;
+import org.pistachioline.daemon.traffic.KillerReports;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 
 /**
@@ -148,7 +149,8 @@
 				settings.whole(Setting.PEERS_HEARTBEAT_MILLIS));
 		final PlannerDuty planner = new PlannerDuty(this.system, this.config, this.fleet, this.instances, engines,
 				this.appender, new MinimumPlanner(), selfId, this.peers::daemonIds);
-		this.traffic = new TrafficDuty(this.system, new TrafficCore(policies()), claims);
+		this.traffic = new TrafficDuty(this.system, new TrafficCore(policies()), claims,
+				new KillerReports(this.appender, settings.text(Setting.LOG_FLEET_STREAM)));
 		final CallerLimits limits = new CallerLimits(settings.whole(Setting.CALLERS_MAX_BODY_BYTES),
 				settings.whole(Setting.CALLERS_BODY_TIMEOUT_MILLIS),
 				settings.whole(Setting.CALLERS_ENDPOINT_TTL_SECONDS));
@@ -197,9 +199,12 @@
 				Events.log(EventId.CONFIG_IN_FORCE, "version", state.version(), "offset", state.acceptedOffset());
 			}
 		});
+		this.fleet.onChange(() -> this.traffic.fleet(this.fleet.view().state()));
 		this.instances.onChange((view) -> this.traffic.targets(view.targets()));
 		this.metrics.gauge("pistachioline.requests.held", "Requests that have not ended", this.traffic::held);
 		this.metrics.gauge("pistachioline.requests.queued", "Requests that wait for a target", this.traffic::queued);
+		this.metrics.gauge("pistachioline.answers.dropped", "Answers that did not match a live attempt",
+				this.traffic::answersDropped);
 		this.metrics.gauge("pistachioline.config.version", "Version of the configuration in force",
 				this::configVersion);
 		this.metrics.gauge("pistachioline.log.appends", "Appends sent to the log", this.appender.counts()::appends);
@@ -363,6 +368,8 @@
 						"checkpoint_through", this.fleet.view().cover().throughOffset(), "planners",
 						this.fleet.view().state().planners(), "groups", groups()));
 		dump.put("peers", daemons());
+		dump.put("killers", Map.of("quarantined", this.fleet.view().state().quarantines().values(), "suspected",
+				this.fleet.view().state().suspicions().values()));
 		dump.put("requests", Map.of("held", this.traffic.held(), "queued", this.traffic.queued()));
 		return dump;
 	}
