--- /dev/null
+++ b/pistachioline-replay/src/main/java/org/pistachioline/replay/simulation/UnlimitedRetry.java
@@ -0,0 +1,23 @@
+package org.pistachioline.replay.simulation;
+
+import org.pistachioline.core.retry.RetryDecision;
+import org.pistachioline.core.retry.RetryPolicy;
+import org.pistachioline.core.traffic.AttemptEnd;
+import org.pistachioline.core.traffic.RequestInfo;
+
+/**
+ * Retries until the deadline; the baseline without a budget.
+ */
+final class UnlimitedRetry implements RetryPolicy {
+
+	@Override
+	public RetryDecision afterFailure(long nowNanos, RequestInfo info, int attempts, AttemptEnd how) {
+		return (nowNanos < info.totalDeadlineNanos()) ? RetryDecision.RETRY : RetryDecision.GIVE_UP;
+	}
+
+	@Override
+	public void onSuccess(long nowNanos) {
+		// There is no budget to earn.
+	}
+
+}
