--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
@@ -117,6 +117,11 @@
 		return Optional.empty();
 	}
 
+	@Override
+	public boolean guardsTargets() {
+		return true;
+	}
+
 	@Override
 	public void onPlaced(long nowNanos, RequestInfo info, TargetLoad load) {
 		this.prefixes.add(nowNanos, info.prefixHashes(), load.view().targetId());
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/PlacementPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/PlacementPolicy.java
@@ -20,6 +20,15 @@
 	 */
 	Optional<TargetLoad> choose(long nowNanos, RequestInfo info, TargetSet targets, Set<String> triedTargetIds);
 
+	/**
+	 * Returns whether targets are guarded: stragglers ejected, slots shared between
+	 * daemons.
+	 * @return whether they are; the plain baselines do without
+	 */
+	default boolean guardsTargets() {
+		return false;
+	}
+
 	/**
 	 * Notes where a request went.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/StragglerEjector.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/StragglerEjector.java
@@ -20,7 +20,8 @@
 
 	private static final double SLOW_RATIO = 2.5;
 
-	private static final int LEAST_SAMPLES = 3;
+	/** A measurement of fewer samples than this is not acted on. */
+	static final int LEAST_SAMPLES = 3;
 
 	private static final int MOST_FAILURES = 3;
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -22,7 +22,7 @@
 	private static final long SLOW_START_NANOS = 4_000_000_000L;
 
 	/** Weighs one sample of many, so that a single slow reader does not move the mean. */
-	private static final double SAMPLE_WEIGHT = 0.1;
+	private static final double SAMPLE_WEIGHT = 0.2;
 
 	private static final int HISTORY = 16;
 
@@ -52,6 +52,10 @@
 
 	private int openIndex = -1;
 
+	private int countedSlots;
+
+	private boolean onProbation;
+
 	private final long[] historyNanos = new long[HISTORY];
 
 	private final int[] historyInFlight = new int[HISTORY];
@@ -138,6 +142,10 @@
 		this.tokenNanos = (this.tokenSamples == 0) ? sample
 				: this.tokenNanos + SAMPLE_WEIGHT * (sample - this.tokenNanos);
 		this.tokenSamples++;
+		if (this.tokenSamples >= StragglerEjector.LEAST_SAMPLES && this.onProbation) {
+			this.onProbation = false;
+			this.servingSinceNanos = nowNanos;
+		}
 	}
 
 	/**
@@ -172,18 +180,32 @@
 		final double trustRatio = Math.max(0,
 				1 - (double) (nowNanos - this.view.reportedAtNanos()) / REPORT_TRUST_NANOS);
 		final double limit = equal + trustRatio * (left - equal);
+		if (this.onProbation) {
+			return 1;
+		}
 		final double warmRatio = Math.min(1, (double) (nowNanos - this.servingSinceNanos) / SLOW_START_NANOS);
 		return Math.max(1, (int) Math.round(limit * warmRatio));
 	}
 
 	/**
-	 * Returns whether this daemon may start another attempt there.
+	 * Returns how many attempts this daemon may start there now.
 	 * @param nowNanos the monotonic time
 	 * @param daemonCount how many daemons share the target
-	 * @return whether there is room
+	 * @return the free slots
+	 */
+	int freeSlots(long nowNanos, int daemonCount) {
+		if (!this.view.serving() || ejected(nowNanos)) {
+			return 0;
+		}
+		return Math.max(0, limit(nowNanos, daemonCount) - this.inFlight);
+	}
+
+	/**
+	 * Returns how many slots this daemon has not filled, as though it were alone.
+	 * @return the free slots
 	 */
-	boolean hasRoom(long nowNanos, int daemonCount) {
-		return this.view.serving() && !ejected(nowNanos) && this.inFlight < limit(nowNanos, daemonCount);
+	int freeSlots() {
+		return this.view.serving() ? Math.max(0, this.view.slots() - this.inFlight) : 0;
 	}
 
 	/**
@@ -198,8 +220,10 @@
 		this.tokenSamples = 0;
 		this.tokenNanos = 0;
 		this.consecutiveFailures = 0;
-		// The way back is a slow start: it begins when the ejection ends.
-		this.servingSinceNanos = this.ejectedUntilNanos;
+		// The way back begins with one attempt at a time: while it is not known whether
+		// the
+		// target is well again, each further one would be another caller who waits.
+		this.onProbation = true;
 		this.progressAtNanos = this.ejectedUntilNanos;
 	}
 
@@ -259,6 +283,19 @@
 		return (double) (this.inFlight + this.othersInFlight) / this.view.slots();
 	}
 
+	int countedSlots() {
+		return this.countedSlots;
+	}
+
+	void countedSlots(int slots) {
+		this.countedSlots = slots;
+	}
+
+	void close() {
+		this.openIndex = -1;
+		this.countedSlots = 0;
+	}
+
 	int openIndex() {
 		return this.openIndex;
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
@@ -20,6 +20,8 @@
 
 	private final StragglerEjector ejector = new StragglerEjector();
 
+	private final boolean guarded;
+
 	private final List<TargetLoad> open = new ArrayList<>();
 
 	private final List<TargetLoad> openView = Collections.unmodifiableList(this.open);
@@ -30,8 +32,19 @@
 
 	private boolean filled;
 
+	private int freeSlots;
+
 	private long refreshedAtNanos;
 
+	/**
+	 * Creates an empty set.
+	 * @param guarded whether stragglers are ejected and slots are shared with other
+	 * daemons; the plain baselines do without
+	 */
+	public TargetSet(boolean guarded) {
+		this.guarded = guarded;
+	}
+
 	/**
 	 * Takes over the members.
 	 * @param nowNanos the monotonic time
@@ -44,8 +57,9 @@
 			newMembers.forEach(TargetLoad::warm);
 			this.filled = true;
 		}
-		this.members.forEach((load) -> load.openIndex(-1));
+		this.members.forEach((load) -> load.close());
 		this.open.clear();
+		this.freeSlots = 0;
 		this.byId.clear();
 		this.members = newMembers;
 		newMembers.forEach((load) -> this.byId.put(load.view().targetId(), load));
@@ -59,7 +73,9 @@
 	 */
 	public void onTick(long nowNanos, int daemonCount) {
 		if (nowNanos - this.refreshedAtNanos >= REFRESH_NANOS) {
-			this.ejector.eject(nowNanos, this.members);
+			if (this.guarded) {
+				this.ejector.eject(nowNanos, this.members);
+			}
 			refresh(nowNanos, daemonCount);
 		}
 	}
@@ -83,7 +99,10 @@
 	 * @param load the target
 	 */
 	public void refresh(long nowNanos, int daemonCount, TargetLoad load) {
-		final boolean room = load.hasRoom(nowNanos, daemonCount);
+		final int freed = this.guarded ? load.freeSlots(nowNanos, daemonCount) : load.freeSlots();
+		final boolean room = freed > 0;
+		this.freeSlots += freed - load.countedSlots();
+		load.countedSlots(freed);
 		if (room && load.openIndex() < 0) {
 			load.openIndex(this.open.size());
 			this.open.add(load);
@@ -98,6 +117,14 @@
 		}
 	}
 
+	/**
+	 * Returns how many attempts could start at once.
+	 * @return the free slots over all targets
+	 */
+	public int freeSlots() {
+		return this.freeSlots;
+	}
+
 	/**
 	 * Returns the targets with room, in no order.
 	 * @return a view that follows the set
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/FairQueue.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/FairQueue.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 
 import org.pistachioline.core.admission.Refusal;
 import org.pistachioline.core.error.ErrorKind;
@@ -79,7 +79,7 @@
 	public Optional<Refusal> offer(long nowNanos, RequestInfo info) {
 		final Lane lane = this.lanes.computeIfAbsent(laneName(info), (name) -> new Lane());
 		if (this.running.remove(info.requestId()) != null) {
-			lane.onStopped();
+			lane.onStopped(nowNanos, info.workspace());
 		}
 		final double waitNanos = lane.expectedWaitNanos(info.workspace(), weight(info.workspace()));
 		final WorkspaceSpec workspace = this.workspaces.get(info.workspace());
@@ -103,7 +103,7 @@
 				cost(info, this.estimates.outputTokens(info)));
 		this.waiting.put(info.requestId(), entry);
 		this.counts.merge(info.workspace(), 1, Integer::sum);
-		lane.add(entry, weight(info.workspace()));
+		lane.add(nowNanos, entry, weight(info.workspace()));
 	}
 
 	// Callers that were refused together must not all come back together.
@@ -114,12 +114,13 @@
 	}
 
 	@Override
-	public Optional<RequestInfo> poll(long nowNanos, Predicate<RequestInfo> placeable) {
+	public Optional<RequestInfo> poll(long nowNanos, ToIntFunction<RequestInfo> freeSlots) {
 		for (final Lane lane : this.lanes.values()) {
 			// All requests of a lane can be placed at the same targets, so its head is
 			// asked for all: a full model costs one question and not one a request.
-			if (!lane.isEmpty() && placeable.test(lane.head().info())) {
-				final Waiting next = lane.dispatch(nowNanos, weight(lane.head().info().workspace()));
+			final Waiting next = lane.isEmpty() ? null
+					: lane.dispatch(nowNanos, freeSlots.applyAsInt(lane.head().info()), this::weight);
+			if (next != null) {
 				leave(next);
 				this.running.put(next.info().requestId(), next.cost());
 				return Optional.of(next.info());
@@ -172,11 +173,11 @@
 		if (charged == null || lane == null) {
 			return;
 		}
-		lane.onStopped();
+		lane.onStopped(nowNanos, info.workspace());
 		if (complete) {
 			this.estimates.learn(info, outputTokens);
 			final double cost = cost(info, outputTokens);
-			lane.onServed(cost, sinceStartNanos);
+			lane.onServed(info.workspace(), cost, sinceStartNanos);
 			lane.correct(info.workspace(), cost - charged, weight(info.workspace()));
 		}
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/FifoQueue.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/FifoQueue.java
@@ -6,7 +6,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 
 import org.pistachioline.core.admission.Refusal;
 import org.pistachioline.core.error.ErrorKind;
@@ -47,11 +47,11 @@
 	}
 
 	@Override
-	public Optional<RequestInfo> poll(long nowNanos, Predicate<RequestInfo> placeable) {
+	public Optional<RequestInfo> poll(long nowNanos, ToIntFunction<RequestInfo> freeSlots) {
 		final Iterator<RequestInfo> iterator = this.waiting.iterator();
 		while (iterator.hasNext()) {
 			final RequestInfo info = iterator.next();
-			if (placeable.test(info)) {
+			if (freeSlots.applyAsInt(info) > 0) {
 				iterator.remove();
 				return Optional.of(info);
 			}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/Flow.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/Flow.java
@@ -31,19 +31,67 @@
 
 	double cost;
 
+	int running;
+
+	private double demandMean;
+
+	private double serviceNanos;
+
+	private long observedAtNanos;
+
 	private long lateSinceNanos;
 
+	/** A queue whose head waited less than this part of its deadline stands no more. */
+	private static final double DRAINED_RATIO = 0.05;
+
+	/** The time over which demand is averaged. */
+	private static final double DEMAND_NANOS = 10e9;
+
+	private static final double SAMPLE_WEIGHT = 0.1;
+
 	Flow(String workspace) {
 		this.workspace = workspace;
 	}
 
+	/**
+	 * Averages how many requests of the workspace want to run at once.
+	 * @param nowNanos the monotonic time
+	 */
+	void observe(long nowNanos) {
+		this.demandMean = demand(nowNanos);
+		this.observedAtNanos = nowNanos;
+	}
+
+	/**
+	 * Returns the mean number of requests that want to run at once.
+	 * @param nowNanos the monotonic time
+	 * @return the mean over the last seconds
+	 */
+	double demand(long nowNanos) {
+		final double wanted = this.running + this.queue.size();
+		return wanted + (this.demandMean - wanted) * Math.exp(-(nowNanos - this.observedAtNanos) / DEMAND_NANOS);
+	}
+
+	void onServed(long sinceStartNanos) {
+		this.serviceNanos = (this.serviceNanos == 0) ? sinceStartNanos
+				: this.serviceNanos + SAMPLE_WEIGHT * (sinceStartNanos - this.serviceNanos);
+	}
+
+	/**
+	 * Returns how long one request of the workspace holds a slot.
+	 * @return the mean, in nanoseconds; 0 where it is not known
+	 */
+	double serviceNanos() {
+		return this.serviceNanos;
+	}
+
 	void onDispatch(long nowNanos, Waiting waiting) {
 		final long budgetNanos = waiting.info().firstTokenDeadlineNanos() - waiting.queuedAtNanos();
 		final boolean late = nowNanos - waiting.queuedAtNanos() > STANDING_RATIO * budgetNanos;
-		if (!late) {
+		if (nowNanos - waiting.queuedAtNanos() < DRAINED_RATIO * budgetNanos) {
 			this.lateSinceNanos = 0;
 		}
-		else if (this.lateSinceNanos == 0) {
+		else if (late && this.lateSinceNanos == 0) {
 			this.lateSinceNanos = nowNanos;
 		}
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/Lane.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/Lane.java
@@ -33,6 +33,8 @@
 
 	private final TreeSet<Waiting> byDeadline = new TreeSet<>(Waiting.BY_DEADLINE);
 
+	private final SlotReserve reserve = new SlotReserve();
+
 	private double virtualTime;
 
 	private double backloggedWeight;
@@ -58,13 +60,14 @@
 		return (flow != null) ? flow.queue.size() : 0;
 	}
 
-	void add(Waiting waiting, double weight) {
+	void add(long nowNanos, Waiting waiting, double weight) {
 		final Flow flow = this.flows.computeIfAbsent(waiting.info().workspace(), Flow::new);
 		if (flow.queue.isEmpty()) {
 			flow.startTag = Math.max(this.virtualTime, flow.finishTag);
 			this.backlogged.add(flow);
 			this.backloggedWeight += weight;
 		}
+		flow.observe(nowNanos);
 		flow.queue.add(waiting);
 		flow.cost += waiting.cost();
 		this.backloggedCost += waiting.cost();
@@ -75,10 +78,31 @@
 		return this.backlogged.first().queue.first();
 	}
 
-	Waiting dispatch(long nowNanos, double weight) {
-		final Flow flow = this.backlogged.pollFirst();
+	/**
+	 * Takes the next request out.
+	 * @param nowNanos the monotonic time
+	 * @param freeSlots how many could start now
+	 * @param weights the weights of workspaces
+	 * @return the request; null where none may start
+	 */
+	Waiting dispatch(long nowNanos, int freeSlots, ToDoubleFunction<String> weights) {
+		if (freeSlots <= 0) {
+			return null;
+		}
+		for (final Flow flow : this.backlogged) {
+			if (freeSlots > this.reserve.against(nowNanos, flow, freeSlots + this.running, this.flows.values(),
+					weights)) {
+				return dispatch(nowNanos, flow, weights.applyAsDouble(flow.workspace));
+			}
+		}
+		return null;
+	}
+
+	private Waiting dispatch(long nowNanos, Flow flow, double weight) {
+		this.backlogged.remove(flow);
+		flow.observe(nowNanos);
 		final Waiting waiting = flow.queue.pollFirst();
-		this.virtualTime = flow.startTag;
+		this.virtualTime = Math.max(this.virtualTime, flow.startTag);
 		flow.finishTag = flow.startTag + waiting.cost() / weight;
 		flow.startTag = flow.finishTag;
 		flow.onDispatch(nowNanos, waiting);
@@ -89,6 +113,7 @@
 		else {
 			this.backlogged.add(flow);
 		}
+		flow.running++;
 		this.running++;
 		return waiting;
 	}
@@ -131,11 +156,20 @@
 		}
 	}
 
-	void onStopped() {
+	void onStopped(long nowNanos, String workspace) {
 		this.running--;
+		final Flow flow = this.flows.get(workspace);
+		if (flow != null) {
+			flow.observe(nowNanos);
+			flow.running--;
+		}
 	}
 
-	void onServed(double cost, long sinceStartNanos) {
+	void onServed(String workspace, double cost, long sinceStartNanos) {
+		final Flow flow = this.flows.get(workspace);
+		if (flow != null) {
+			flow.onServed(sinceStartNanos);
+		}
 		this.servedNanos = this.servedNanos * DECAY + sinceStartNanos;
 		this.servedCost = this.servedCost * DECAY + cost;
 	}
@@ -191,7 +225,8 @@
 	}
 
 	void retain(Set<String> workspaces) {
-		this.flows.values().removeIf((flow) -> flow.queue.isEmpty() && !workspaces.contains(flow.workspace));
+		this.flows.values()
+			.removeIf((flow) -> flow.queue.isEmpty() && flow.running == 0 && !workspaces.contains(flow.workspace));
 	}
 
 	void reweigh(ToDoubleFunction<String> weights) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/QueuePolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/QueuePolicy.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 
 import org.pistachioline.core.admission.Refusal;
 import org.pistachioline.core.manifest.Manifest;
@@ -30,10 +30,10 @@
 	/**
 	 * Takes the next request that can be placed.
 	 * @param nowNanos the monotonic time
-	 * @param placeable whether a request can be placed now
+	 * @param freeSlots how many requests like this one could start now
 	 * @return the request, if there is one
 	 */
-	Optional<RequestInfo> poll(long nowNanos, Predicate<RequestInfo> placeable);
+	Optional<RequestInfo> poll(long nowNanos, ToIntFunction<RequestInfo> freeSlots);
 
 	/**
 	 * Takes the requests out that cannot be started in time any more.
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -30,6 +30,8 @@
 
 	private static final long RETRY_WITHOUT_CAPACITY_MILLIS = 1_000;
 
+	private static final long LEAST_RETRY_MILLIS = 500;
+
 	private final TrafficPolicies policies;
 
 	private final Map<Long, Flight> flights = new LinkedHashMap<>();
@@ -95,7 +97,8 @@
 		this.loads.clear();
 		this.loads.putAll(next);
 		this.setsByName.keySet().retainAll(byName.keySet());
-		byName.forEach((name, members) -> this.setsByName.computeIfAbsent(name, (key) -> new TargetSet())
+		byName.forEach((name, members) -> this.setsByName
+			.computeIfAbsent(name, (key) -> new TargetSet(this.policies.placement().guardsTargets()))
 			.replace(nowNanos, members, this.daemonCount));
 		return pump(nowNanos);
 	}
@@ -151,7 +154,7 @@
 
 	private Optional<Refusal> refuse(long nowNanos, RequestInfo info) {
 		if (this.leaving) {
-			return Optional.of(new Refusal(ErrorKind.LEAVING, 0));
+			return Optional.of(new Refusal(ErrorKind.LEAVING, LEAST_RETRY_MILLIS));
 		}
 		if (this.policies.killer().isQuarantined(info.fingerprint())) {
 			return Optional.of(new Refusal(ErrorKind.QUARANTINED, 0));
@@ -364,21 +367,21 @@
 				end(nowNanos, flight, ErrorKind.DEADLINE_UNREACHABLE, RETRY_WITHOUT_CAPACITY_MILLIS);
 			}
 		}
-		Optional<RequestInfo> next = this.policies.queue().poll(nowNanos, this::hasRoom);
+		Optional<RequestInfo> next = this.policies.queue().poll(nowNanos, this::freeSlots);
 		while (next.isPresent()) {
 			final Flight flight = this.flights.get(next.get().requestId());
 			if (flight != null) {
 				flight.queued = false;
 				dispatch(nowNanos, flight);
 			}
-			next = this.policies.queue().poll(nowNanos, this::hasRoom);
+			next = this.policies.queue().poll(nowNanos, this::freeSlots);
 		}
 		return drainActions();
 	}
 
-	private boolean hasRoom(RequestInfo info) {
+	private int freeSlots(RequestInfo info) {
 		final TargetSet set = set(info);
-		return set != null && !set.open().isEmpty();
+		return (set != null) ? set.freeSlots() : 0;
 	}
 
 	private void dispatch(long nowNanos, Flight flight) {
@@ -452,7 +455,9 @@
 		// A kind that says "not run" by itself must not be used once bytes have left.
 		final RunState runState = (kind.runState() == RunState.NOT_RUN && !flight.bytesSent()) ? RunState.NOT_RUN
 				: strongest(kind, flight);
-		this.actions.add(new TrafficAction.Fail(flight.info.requestId(), kind, runState, retryAfterMillis));
+		// Whoever may come back is told when: one who is told nothing comes at once.
+		final long afterMillis = kind.retryable() ? Math.max(retryAfterMillis, LEAST_RETRY_MILLIS) : retryAfterMillis;
+		this.actions.add(new TrafficAction.Fail(flight.info.requestId(), kind, runState, afterMillis));
 	}
 
 	private static RunState strongest(ErrorKind kind, Flight flight) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/RelayStage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/RelayStage.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
 
 import org.apache.pekko.stream.Attributes;
 import org.apache.pekko.stream.FlowShape;
@@ -28,11 +29,11 @@
  */
 final class RelayStage extends GraphStage<FlowShape<ByteString, ByteString>> {
 
-	/**
-	 * How often progress is told; the speed of a target shows before a long answer ends.
-	 */
+	/** Progress is told at least so often, so that a slow target shows before it ends. */
 	private static final int PROGRESS_TOKENS = 32;
 
+	private static final long PROGRESS_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
 	private static final int LARGEST_EVENT_BYTES = 256 * 1024;
 
 	private static final byte[] ID_FIELD = "id: ".getBytes(StandardCharsets.US_ASCII);
@@ -92,6 +93,10 @@
 
 		private byte[] rest = new byte[0];
 
+		private int toldTokens;
+
+		private long toldAtNanos;
+
 		private int tokens = RelayStage.this.resumeFromTokens;
 
 		private boolean ended;
@@ -206,13 +211,24 @@
 				return false;
 			}
 			this.tokens++;
-			final int sinceStart = this.tokens - RelayStage.this.resumeFromTokens;
-			if (sinceStart % PROGRESS_TOKENS == 1) {
+			if (progressIsDue()) {
 				RelayStage.this.listener.onProgress(RelayStage.this.attempt, this.tokens);
 			}
 			return true;
 		}
 
+		private boolean progressIsDue() {
+			final long nowNanos = System.nanoTime();
+			final boolean first = this.tokens == RelayStage.this.resumeFromTokens + 1;
+			final boolean due = first || this.tokens - this.toldTokens >= PROGRESS_TOKENS
+					|| nowNanos - this.toldAtNanos >= PROGRESS_NANOS;
+			if (due) {
+				this.toldTokens = this.tokens;
+				this.toldAtNanos = nowNanos;
+			}
+			return due;
+		}
+
 		private void mismatch(ByteStringBuilder passed) {
 			end(AttemptEnd.MISMATCHED);
 			if (!passed.isEmpty()) {
--- a/pistachioline-replay/src/main/java/org/pistachioline/replay/simulation/SimulatedTarget.java
+++ b/pistachioline-replay/src/main/java/org/pistachioline/replay/simulation/SimulatedTarget.java
@@ -22,6 +22,8 @@
 
 	private static final int CHUNK_TOKENS = 32;
 
+	private static final double CHUNK_MILLIS = 250;
+
 	private static final double NANOS_PER_MILLI = 1e6;
 
 	private final EventQueue events;
@@ -195,7 +197,8 @@
 			return;
 		}
 		run.submission.daemon.onProgress(run);
-		final int next = Math.min(CHUNK_TOKENS, total - run.position);
+		final int told = (int) Math.max(1, Math.min(CHUNK_TOKENS, CHUNK_MILLIS / (this.tokenMillis * this.slowFactor)));
+		final int next = Math.min(told, total - run.position);
 		this.events.afterMillis(next * this.tokenMillis * this.slowFactor, () -> advance(run, next));
 	}
 
