--- a/pistachioline-core/src/main/java/org/pistachioline/core/admission/LimitShares.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/admission/LimitShares.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import org.pistachioline.core.placement.DaemonRank;
+
 /**
  * Divides each workspace's limits between the daemons by their demand.
  * <p>
@@ -34,6 +36,8 @@
 
 	private final long holdNanos;
 
+	private final String selfId;
+
 	private final Map<String, Peer> peers = new TreeMap<>();
 
 	private final Map<String, Rise> rises = new HashMap<>();
@@ -42,11 +46,13 @@
 
 	/**
 	 * Creates shares for a daemon that knows no other.
+	 * @param selfId this daemon's name
 	 * @param silentNanos after which a peer counts as silent
 	 * @param forgetNanos after which a silent peer's part is given to the others
 	 * @param holdNanos how long a rise is held back
 	 */
-	public LimitShares(long silentNanos, long forgetNanos, long holdNanos) {
+	public LimitShares(String selfId, long silentNanos, long forgetNanos, long holdNanos) {
+		this.selfId = selfId;
 		this.silentNanos = silentNanos;
 		this.forgetNanos = forgetNanos;
 		this.holdNanos = holdNanos;
@@ -77,13 +83,15 @@
 	}
 
 	/**
-	 * Returns how many daemons share the limits, silent ones included.
+	 * Returns this daemon's place among those that share the limits, silent ones
+	 * included.
 	 * @param nowNanos the monotonic time
-	 * @return the number of daemons
+	 * @return the place
 	 */
-	public int daemonCount(long nowNanos) {
+	public DaemonRank rank(long nowNanos) {
 		this.peers.values().removeIf((peer) -> nowNanos - peer.heardAtNanos() > this.forgetNanos);
-		return this.peers.size() + 1;
+		final int before = (int) this.peers.keySet().stream().filter((id) -> id.compareTo(this.selfId) < 0).count();
+		return new DaemonRank(before, this.peers.size() + 1);
 	}
 
 	/**
@@ -93,7 +101,7 @@
 	 * @return the share of each workspace
 	 */
 	public Map<String, Double> shareRatios(long nowNanos, List<String> workspaces) {
-		final int count = daemonCount(nowNanos);
+		final int count = rank(nowNanos).count();
 		final List<Peer> live = new ArrayList<>();
 		for (final Peer peer : this.peers.values()) {
 			if (nowNanos - peer.heardAtNanos() <= this.silentNanos) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
@@ -12,16 +12,16 @@
  * Chooses the target with the shortest expected wait among a few.
  * <p>
  * Made for several daemons that all see the same reports, a second old. If each chose the
- * best of all targets, they would choose the same one and overrun it; the best of four
- * drawn by chance, those that hold the prompt's prefix, and one that the prefix's hash
- * names is nearly as good and differs from daemon to daemon. The hash's target lets
+ * best of all targets, they would choose the same one and overrun it; the best of six
+ * drawn by chance, those that hold the prompt's prefix, and two that the prefix's hash
+ * names are nearly as good and differs from daemon to daemon. The hash's targets let
  * daemons that never heard of a prefix keep it at one place, so that small caches are not
  * all filled with the same. The cost of a decision does not depend on how many targets
  * there are.
  */
 public final class ExpectedWaitPlacement implements PlacementPolicy {
 
-	private static final int DRAWN = 4;
+	private static final int DRAWN = 6;
 
 	/** At most this many prefixes are remembered: 64 tokens each, about 8 MB in all. */
 	private static final int MAX_PREFIXES = 65_536;
@@ -37,8 +37,8 @@
 	/** How many tokens a caller waits for before it can begin to read. */
 	private static final double FIRST_TOKENS = 32;
 
-	/** How far a target named by the hash counts as a holder of the prefix. */
-	private static final double HASH_TRUST_RATIO = 0.5;
+	/** How far the two targets named by the hash count as holders of the prefix. */
+	private static final double[] HASH_TRUST_RATIOS = { 0.9, 0.6 };
 
 	private static final double NANOS_PER_MILLI = 1e6;
 
@@ -69,10 +69,12 @@
 		this.prefixes.find(info.prefixHashes(), this.found);
 		TargetLoad best = null;
 		double bestMillis = Double.MAX_VALUE;
-		for (int i = 0; i < DRAWN + this.found.count() + 1; i++) {
+		final int known = DRAWN + this.found.count();
+		for (int i = 0; i < known + HASH_TRUST_RATIOS.length; i++) {
 			final TargetLoad load = candidate(i, info, targets);
 			if (load != null && !triedTargetIds.contains(load.view().targetId())) {
-				final double waitMillis = waitMillis(info, targets, load, i == DRAWN + this.found.count());
+				final double waitMillis = waitMillis(info, targets, load,
+						(i < known) ? 0 : HASH_TRUST_RATIOS[i - known]);
 				if (waitMillis < bestMillis) {
 					best = load;
 					bestMillis = waitMillis;
@@ -92,17 +94,15 @@
 		if (info.prefixHashes().isEmpty()) {
 			return null;
 		}
-		return targets.openByHash(info.prefixHashes().get(0)).orElse(null);
+		return targets.openByHash(info.prefixHashes().get(0), index - DRAWN - this.found.count());
 	}
 
-	private double waitMillis(RequestInfo info, TargetSet targets, TargetLoad load, boolean byHash) {
+	private double waitMillis(RequestInfo info, TargetSet targets, TargetLoad load, double trustRatio) {
 		final int heldBlocks = this.found.blocksAt(load.view().targetId());
-		double heldTokens = heldBlocks * PrefixHashes.BLOCK_TOKENS;
-		if (byHash && heldBlocks == 0) {
-			heldTokens = HASH_TRUST_RATIO * info.prefixHashes().size() * PrefixHashes.BLOCK_TOKENS;
-		}
+		final double heldTokens = Math.max(heldBlocks, trustRatio * info.prefixHashes().size())
+				* PrefixHashes.BLOCK_TOKENS;
 		final double prefillMillis = Math.max(0, info.promptTokens() - heldTokens) / PREFILL_TOKENS_PER_MILLI;
-		final double full = load.fullRatio();
+		final double full = load.fullRatio(targets.daemonCount());
 		final double tokenNanos = (load.tokenSamples() > 0) ? load.tokenNanos() : targets.medianTokenNanos();
 		final double zoneMillis = load.view().availabilityZone().equals(this.availabilityZone) ? 0 : OTHER_ZONE_MILLIS;
 		return prefillMillis + FULL_MILLIS * full * full + FIRST_TOKENS * tokenNanos / NANOS_PER_MILLI + zoneMillis;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/StragglerEjector.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/StragglerEjector.java
@@ -12,22 +12,23 @@
  * measure is the time between tokens against the median of the pool, since that depends
  * on the target alone and not on queues or prompts. Never more than a third of a pool is
  * out at once: if most seem slow, the cause is the load or this daemon's own network, and
- * emptying the pool would turn slowness into an outage. A target comes back after 5 s by
- * a slow start; each further ejection doubles the time up to 80 s, so that one that flaps
- * is used ever more rarely, and half a minute of good behaviour takes one doubling back.
+ * emptying the pool would turn slowness into an outage. A target comes back after 10 s by
+ * a slow start; each further ejection doubles the time up to 160 s, so that one that
+ * flaps is used ever more rarely, and half a minute of good behaviour takes one doubling
+ * back.
  */
 final class StragglerEjector {
 
 	private static final double SLOW_RATIO = 2.5;
 
 	/** A measurement of fewer samples than this is not acted on. */
-	static final int LEAST_SAMPLES = 3;
+	static final int LEAST_SAMPLES = 2;
 
 	private static final int MOST_FAILURES = 3;
 
 	private static final int POOL_PARTS = 3;
 
-	private static final long BASE_NANOS = 5_000_000_000L;
+	private static final long BASE_NANOS = 10_000_000_000L;
 
 	private static final int MOST_DOUBLINGS = 4;
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -24,6 +24,9 @@
 	/** Weighs one sample of many, so that a single slow reader does not move the mean. */
 	private static final double SAMPLE_WEIGHT = 0.2;
 
+	/** Weighs one report of several, since each shows a moment only. */
+	private static final double REPORT_WEIGHT = 0.3;
+
 	private static final int HISTORY = 16;
 
 	private TargetView view;
@@ -38,7 +41,7 @@
 
 	private long lastFailureNanos;
 
-	private int othersInFlight;
+	private double othersInFlight;
 
 	private double tokenNanos;
 
@@ -87,7 +90,8 @@
 		}
 		if (newView.reportedAtNanos() != this.view.reportedAtNanos()) {
 			final int reported = newView.reportedRunning() + newView.reportedWaiting();
-			this.othersInFlight = Math.max(0, reported - inFlightAt(newView.reportedAtNanos()));
+			final int others = Math.max(0, reported - inFlightAt(newView.reportedAtNanos()));
+			this.othersInFlight += REPORT_WEIGHT * (others - this.othersInFlight);
 		}
 		this.view = newView;
 		this.historyNanos[this.historyNext % HISTORY] = nowNanos;
@@ -170,13 +174,16 @@
 	/**
 	 * Returns how many attempts this daemon may have there.
 	 * @param nowNanos the monotonic time
-	 * @param daemonCount how many daemons share the target
-	 * @return the number of attempts, at least 1
+	 * @param daemons the daemons that share the target
+	 * @return the number of attempts
 	 */
-	int limit(long nowNanos, int daemonCount) {
+	int limit(long nowNanos, DaemonRank daemons) {
 		final int slots = this.view.slots();
-		final int equal = (slots + daemonCount - 1) / daemonCount;
-		final int left = Math.max(equal, slots - this.othersInFlight);
+		final int equal = daemons.equalPart(slots, this.view.targetId());
+		final double unused = slots - this.othersInFlight - ((this.othersInFlight > 0) ? 1 : 0);
+		// An engine that queues has more than its slots already, whatever the figures
+		// say.
+		final double left = (this.view.reportedWaiting() > 0) ? equal : Math.max(equal, unused);
 		final double trustRatio = Math.max(0,
 				1 - (double) (nowNanos - this.view.reportedAtNanos()) / REPORT_TRUST_NANOS);
 		final double limit = equal + trustRatio * (left - equal);
@@ -184,20 +191,20 @@
 			return 1;
 		}
 		final double warmRatio = Math.min(1, (double) (nowNanos - this.servingSinceNanos) / SLOW_START_NANOS);
-		return Math.max(1, (int) Math.round(limit * warmRatio));
+		return (int) Math.round((limit < 1) ? limit : Math.max(1, limit * warmRatio));
 	}
 
 	/**
 	 * Returns how many attempts this daemon may start there now.
 	 * @param nowNanos the monotonic time
-	 * @param daemonCount how many daemons share the target
+	 * @param daemons the daemons that share the target
 	 * @return the free slots
 	 */
-	int freeSlots(long nowNanos, int daemonCount) {
+	int freeSlots(long nowNanos, DaemonRank daemons) {
 		if (!this.view.serving() || ejected(nowNanos)) {
 			return 0;
 		}
-		return Math.max(0, limit(nowNanos, daemonCount) - this.inFlight);
+		return Math.max(0, limit(nowNanos, daemons) - this.inFlight);
 	}
 
 	/**
@@ -277,10 +284,15 @@
 
 	/**
 	 * Returns how full the target is, as far as this daemon can know.
+	 * @param daemonCount how many daemons share the target
 	 * @return its own and the others' attempts for each slot
 	 */
-	double fullRatio() {
-		return (double) (this.inFlight + this.othersInFlight) / this.view.slots();
+	double fullRatio(int daemonCount) {
+		// What others have is known late; that they do as this daemon does is a guess
+		// without noise. Half of each keeps the small differences exact.
+		final double byReport = this.inFlight + this.othersInFlight;
+		final double byOwn = (double) this.inFlight * daemonCount;
+		return (byReport + byOwn) / 2 / this.view.slots();
 	}
 
 	int countedSlots() {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
@@ -18,6 +18,8 @@
 
 	private static final long REFRESH_NANOS = 200_000_000L;
 
+	private static final long SECOND_HASH = 0x9E3779B97F4A7C15L;
+
 	private final StragglerEjector ejector = new StragglerEjector();
 
 	private final boolean guarded;
@@ -34,6 +36,8 @@
 
 	private int freeSlots;
 
+	private int daemonCount = 1;
+
 	private long refreshedAtNanos;
 
 	/**
@@ -49,9 +53,9 @@
 	 * Takes over the members.
 	 * @param nowNanos the monotonic time
 	 * @param newMembers every target of the model or service, serving or not
-	 * @param daemonCount how many daemons share them
+	 * @param daemons the daemons that share them
 	 */
-	public void replace(long nowNanos, List<TargetLoad> newMembers, int daemonCount) {
+	public void replace(long nowNanos, List<TargetLoad> newMembers, DaemonRank daemons) {
 		if (!this.filled) {
 			// A daemon that starts finds targets that were warm before it.
 			newMembers.forEach(TargetLoad::warm);
@@ -63,43 +67,44 @@
 		this.byId.clear();
 		this.members = newMembers;
 		newMembers.forEach((load) -> this.byId.put(load.view().targetId(), load));
-		refresh(nowNanos, daemonCount);
+		refresh(nowNanos, daemons);
 	}
 
 	/**
 	 * Lets time pass: ejections, slow starts and old reports.
 	 * @param nowNanos the monotonic time
-	 * @param daemonCount how many daemons share the targets
+	 * @param daemons the daemons that share the targets
 	 */
-	public void onTick(long nowNanos, int daemonCount) {
+	public void onTick(long nowNanos, DaemonRank daemons) {
 		if (nowNanos - this.refreshedAtNanos >= REFRESH_NANOS) {
 			if (this.guarded) {
 				this.ejector.eject(nowNanos, this.members);
 			}
-			refresh(nowNanos, daemonCount);
+			refresh(nowNanos, daemons);
 		}
 	}
 
 	/**
 	 * Looks at the room of every target anew.
 	 * @param nowNanos the monotonic time
-	 * @param daemonCount how many daemons share the targets
+	 * @param daemons the daemons that share the targets
 	 */
-	public void refresh(long nowNanos, int daemonCount) {
+	public void refresh(long nowNanos, DaemonRank daemons) {
+		this.daemonCount = daemons.count();
 		this.refreshedAtNanos = nowNanos;
 		for (final TargetLoad load : this.members) {
-			refresh(nowNanos, daemonCount, load);
+			refresh(nowNanos, daemons, load);
 		}
 	}
 
 	/**
 	 * Looks at the room of one target anew.
 	 * @param nowNanos the monotonic time
-	 * @param daemonCount how many daemons share the target
+	 * @param daemons the daemons that share the target
 	 * @param load the target
 	 */
-	public void refresh(long nowNanos, int daemonCount, TargetLoad load) {
-		final int freed = this.guarded ? load.freeSlots(nowNanos, daemonCount) : load.freeSlots();
+	public void refresh(long nowNanos, DaemonRank daemons, TargetLoad load) {
+		final int freed = this.guarded ? load.freeSlots(nowNanos, daemons) : load.freeSlots();
 		final boolean room = freed > 0;
 		this.freeSlots += freed - load.countedSlots();
 		load.countedSlots(freed);
@@ -144,16 +149,23 @@
 	}
 
 	/**
-	 * Returns the target to which all daemons would send a prefix that none has seen.
+	 * Returns one of the targets to which all daemons would send a prefix that none has
+	 * seen.
 	 * @param prefixHash the prefix's hash
-	 * @return the target; empty where it is full
+	 * @param choice the first of them, 0, or the second, 1
+	 * @return the target; null where it is full
 	 */
-	public Optional<TargetLoad> openByHash(long prefixHash) {
+	TargetLoad openByHash(long prefixHash, int choice) {
 		if (this.members.isEmpty()) {
-			return Optional.empty();
+			return null;
 		}
-		final TargetLoad load = this.members.get((int) Long.remainderUnsigned(prefixHash, this.members.size()));
-		return (load.openIndex() >= 0) ? Optional.of(load) : Optional.empty();
+		final long hash = (choice == 0) ? prefixHash : Long.rotateLeft(prefixHash, Integer.SIZE) * SECOND_HASH;
+		final TargetLoad load = this.members.get((int) Long.remainderUnsigned(hash, this.members.size()));
+		return (load.openIndex() >= 0) ? load : null;
+	}
+
+	int daemonCount() {
+		return this.daemonCount;
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/Flow.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/Flow.java
@@ -31,6 +31,8 @@
 
 	double cost;
 
+	double lastCost;
+
 	int running;
 
 	private double demandMean;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/Lane.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/Lane.java
@@ -18,6 +18,9 @@
  */
 final class Lane {
 
+	/** Work that holds a slot for longer is not to fill all slots. */
+	private static final double LONG_NANOS = 10e9;
+
 	private static final double DECAY = 0.98;
 
 	private static final double SAMPLE_WEIGHT = 0.1;
@@ -51,6 +54,12 @@
 
 	private double firstTokenDeviationNanos;
 
+	private boolean isLong(Flow flow) {
+		final double nanos = (flow.serviceNanos() > 0 || this.servedCost == 0) ? flow.serviceNanos()
+				: flow.lastCost * this.servedNanos / this.servedCost;
+		return nanos >= LONG_NANOS;
+	}
+
 	boolean isEmpty() {
 		return this.backlogged.isEmpty();
 	}
@@ -68,6 +77,7 @@
 			this.backloggedWeight += weight;
 		}
 		flow.observe(nowNanos);
+		flow.lastCost = waiting.cost();
 		flow.queue.add(waiting);
 		flow.cost += waiting.cost();
 		this.backloggedCost += waiting.cost();
@@ -90,8 +100,8 @@
 			return null;
 		}
 		for (final Flow flow : this.backlogged) {
-			if (freeSlots > this.reserve.against(nowNanos, flow, freeSlots + this.running, this.flows.values(),
-					weights)) {
+			if (freeSlots > this.reserve.against(nowNanos, flow, isLong(flow), freeSlots + this.running,
+					this.flows.values(), weights)) {
 				return dispatch(nowNanos, flow, weights.applyAsDouble(flow.workspace));
 			}
 		}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/OutputEstimates.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/OutputEstimates.java
@@ -19,23 +19,30 @@
 
 	private static final double FIRST_GUESS_RATIO = 0.5;
 
-	private static final int FIRST_GUESS_MOST = 256;
-
-	private final Map<Key, Double> meanTokens = new HashMap<>();
+	private final Map<Key, Mean> means = new HashMap<>();
 
 	double outputTokens(RequestInfo info) {
-		final Double mean = this.meanTokens.get(Key.of(info));
-		final double guess = Math.min(FIRST_GUESS_MOST, info.maxOutputTokens() * FIRST_GUESS_RATIO);
-		return Math.max(1, Math.min(info.maxOutputTokens(), (mean != null) ? mean : guess));
+		final Mean mean = this.means.get(Key.of(info));
+		final double guess = info.maxOutputTokens() * FIRST_GUESS_RATIO;
+		return Math.max(1, Math.min(info.maxOutputTokens(), (mean != null) ? mean.tokens : guess));
 	}
 
 	void learn(RequestInfo info, int outputTokens) {
-		this.meanTokens.merge(Key.of(info), (double) outputTokens,
-				(mean, sample) -> mean + SAMPLE_WEIGHT * (sample - mean));
+		final Mean mean = this.means.computeIfAbsent(Key.of(info), (key) -> new Mean());
+		mean.samples++;
+		mean.tokens += Math.max(SAMPLE_WEIGHT, 1.0 / mean.samples) * (outputTokens - mean.tokens);
 	}
 
 	void clear() {
-		this.meanTokens.clear();
+		this.means.clear();
+	}
+
+	private static final class Mean {
+
+		private double tokens;
+
+		private int samples;
+
 	}
 
 	private record Key(String workspace, String name, int sizeClass) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/SlotReserve.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/SlotReserve.java
@@ -20,8 +20,6 @@
 
 	private static final double SHORT_RATIO = 0.03;
 
-	private static final double LONG_NANOS = 10e9;
-
 	private static final double DEVIATIONS = 2;
 
 	/** Demand below this many requests at once counts as none. */
@@ -31,12 +29,14 @@
 	 * Returns how many slots a workspace must leave free.
 	 * @param nowNanos the monotonic time
 	 * @param flow the workspace's requests
+	 * @param holdsLong whether one of its requests holds a slot for long
 	 * @param slots all slots, free or not
 	 * @param flows the requests of all workspaces
 	 * @param weights the weights of workspaces
 	 * @return the number of slots
 	 */
-	double against(long nowNanos, Flow flow, int slots, Collection<Flow> flows, ToDoubleFunction<String> weights) {
+	double against(long nowNanos, Flow flow, boolean holdsLong, int slots, Collection<Flow> flows,
+			ToDoubleFunction<String> weights) {
 		double activeWeight = 0;
 		boolean light = false;
 		for (final Flow other : flows) {
@@ -49,7 +49,7 @@
 		if (flow.running < slotsByWeight * weights.applyAsDouble(flow.workspace)) {
 			return 0;
 		}
-		if (flow.serviceNanos() < LONG_NANOS) {
+		if (!holdsLong) {
 			return light ? Math.rint(SHORT_RATIO * slots) : 0;
 		}
 		return againstLong(nowNanos, flow, slotsByWeight, flows, weights);
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -13,6 +13,7 @@
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
+import org.pistachioline.core.placement.DaemonRank;
 import org.pistachioline.core.placement.TargetLoad;
 import org.pistachioline.core.placement.TargetSet;
 import org.pistachioline.core.retry.RetryDecision;
@@ -46,7 +47,7 @@
 
 	private boolean leaving;
 
-	private int daemonCount = 1;
+	private DaemonRank daemons = DaemonRank.ALONE;
 
 	/**
 	 * Creates a core without configuration and targets.
@@ -99,21 +100,22 @@
 		this.setsByName.keySet().retainAll(byName.keySet());
 		byName.forEach((name, members) -> this.setsByName
 			.computeIfAbsent(name, (key) -> new TargetSet(this.policies.placement().guardsTargets()))
-			.replace(nowNanos, members, this.daemonCount));
+			.replace(nowNanos, members, this.daemons));
 		return pump(nowNanos);
 	}
 
 	/**
-	 * Takes over how many daemons there are and this one's shares of the limits.
+	 * Takes over where this daemon stands among the live ones and its shares of the
+	 * limits.
 	 * @param nowNanos the monotonic time
-	 * @param count the live daemons, this one included
+	 * @param rank this daemon's place
 	 * @param shareRatios this daemon's share of each workspace's limits, by workspace
 	 * @return what must be done next
 	 */
-	public List<TrafficAction> onShares(long nowNanos, int count, Map<String, Double> shareRatios) {
-		this.daemonCount = Math.max(1, count);
+	public List<TrafficAction> onShares(long nowNanos, DaemonRank rank, Map<String, Double> shareRatios) {
+		this.daemons = rank;
 		this.policies.admission().share(nowNanos, shareRatios);
-		this.setsByName.values().forEach((set) -> set.refresh(nowNanos, this.daemonCount));
+		this.setsByName.values().forEach((set) -> set.refresh(nowNanos, this.daemons));
 		return pump(nowNanos);
 	}
 
@@ -309,7 +311,7 @@
 	 * @return what must be done next
 	 */
 	public List<TrafficAction> onTick(long nowNanos) {
-		this.setsByName.values().forEach((set) -> set.onTick(nowNanos, this.daemonCount));
+		this.setsByName.values().forEach((set) -> set.onTick(nowNanos, this.daemons));
 		for (final Flight flight : List.copyOf(this.flights.values())) {
 			if (nowNanos >= flight.info.totalDeadlineNanos()) {
 				end(nowNanos, flight, flight.bytesSent() ? ErrorKind.DEADLINE_EXCEEDED : ErrorKind.DEADLINE_UNREACHABLE,
@@ -489,7 +491,7 @@
 	private void refresh(long nowNanos, RequestInfo info, TargetLoad load) {
 		final TargetSet set = set(info);
 		if (set != null) {
-			set.refresh(nowNanos, this.daemonCount, load);
+			set.refresh(nowNanos, this.daemons, load);
 		}
 	}
 
--- a/pistachioline-replay/src/main/java/org/pistachioline/replay/simulation/SimulatedDaemon.java
+++ b/pistachioline-replay/src/main/java/org/pistachioline/replay/simulation/SimulatedDaemon.java
@@ -51,7 +51,7 @@
 
 	private final TrafficCore core;
 
-	private final LimitShares shares = new LimitShares(SILENT_NANOS, FORGET_NANOS, HOLD_NANOS);
+	private final LimitShares shares;
 
 	private final Map<Long, Submission> submissions = new LinkedHashMap<>();
 
@@ -68,6 +68,7 @@
 		this.simulation = simulation;
 		this.events = events;
 		this.daemonId = "d" + index;
+		this.shares = new LimitShares(this.daemonId, SILENT_NANOS, FORGET_NANOS, HOLD_NANOS);
 		this.availabilityZone = availabilityZone;
 		this.random = RandomSource.SPLIT_MIX_64.create(seed * 7919 + index);
 		this.policies = set.create(availabilityZone, seed * 104_729 + index);
@@ -131,8 +132,7 @@
 
 	void share(List<String> workspaces) {
 		final long nowNanos = this.events.nowNanos();
-		act(this.core.onShares(nowNanos, this.shares.daemonCount(nowNanos),
-				this.shares.shareRatios(nowNanos, workspaces)));
+		act(this.core.onShares(nowNanos, this.shares.rank(nowNanos), this.shares.shareRatios(nowNanos, workspaces)));
 	}
 
 	void readCache(SimulatedTarget target, double lossRatio) {
