--- a/pistachioline-core/src/main/java/org/pistachioline/core/admission/LimitShares.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/admission/LimitShares.java
@@ -83,15 +83,23 @@
 	}
 
 	/**
-	 * Returns this daemon's place among those that share the limits, silent ones
-	 * included.
+	 * Returns this daemon's place among the daemons that were heard of lately.
+	 * <p>
+	 * Silent ones are left out, unlike for limits: if one of them lives, an engine queues
+	 * a little, while slots set aside for the dead would stand idle at the worst time.
 	 * @param nowNanos the monotonic time
 	 * @return the place
 	 */
 	public DaemonRank rank(long nowNanos) {
-		this.peers.values().removeIf((peer) -> nowNanos - peer.heardAtNanos() > this.forgetNanos);
-		final int before = (int) this.peers.keySet().stream().filter((id) -> id.compareTo(this.selfId) < 0).count();
-		return new DaemonRank(before, this.peers.size() + 1);
+		int before = 0;
+		int count = 1;
+		for (final Map.Entry<String, Peer> peer : this.peers.entrySet()) {
+			if (nowNanos - peer.getValue().heardAtNanos() <= this.silentNanos) {
+				before += (peer.getKey().compareTo(this.selfId) < 0) ? 1 : 0;
+				count++;
+			}
+		}
+		return new DaemonRank(before, count);
 	}
 
 	/**
@@ -101,7 +109,8 @@
 	 * @return the share of each workspace
 	 */
 	public Map<String, Double> shareRatios(long nowNanos, List<String> workspaces) {
-		final int count = rank(nowNanos).count();
+		this.peers.values().removeIf((peer) -> nowNanos - peer.heardAtNanos() > this.forgetNanos);
+		final int count = this.peers.size() + 1;
 		final List<Peer> live = new ArrayList<>();
 		for (final Peer peer : this.peers.values()) {
 			if (nowNanos - peer.heardAtNanos() <= this.silentNanos) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
@@ -13,11 +13,9 @@
  * <p>
  * Made for several daemons that all see the same reports, a second old. If each chose the
  * best of all targets, they would choose the same one and overrun it; the best of six
- * drawn by chance, those that hold the prompt's prefix, and two that the prefix's hash
- * names are nearly as good and differs from daemon to daemon. The hash's targets let
- * daemons that never heard of a prefix keep it at one place, so that small caches are not
- * all filled with the same. The cost of a decision does not depend on how many targets
- * there are.
+ * drawn by chance, those that hold the prompt's prefix, and the prefix's home is nearly
+ * as good and differs from daemon to daemon. The cost of a decision does not depend on
+ * how many targets there are.
  */
 public final class ExpectedWaitPlacement implements PlacementPolicy {
 
@@ -27,7 +25,7 @@
 	private static final int MAX_PREFIXES = 65_536;
 
 	/** What a full target costs: batches grow, and the next request may find no slot. */
-	private static final double FULL_MILLIS = 120;
+	private static final double FULL_MILLIS = 60;
 
 	private static final double PREFILL_TOKENS_PER_MILLI = 10;
 
@@ -37,8 +35,16 @@
 	/** How many tokens a caller waits for before it can begin to read. */
 	private static final double FIRST_TOKENS = 32;
 
-	/** How far the two targets named by the hash count as holders of the prefix. */
-	private static final double[] HASH_TRUST_RATIOS = { 0.9, 0.6 };
+	/** How far a prefix's home counts as a holder of it before it is known to be one. */
+	private static final double HOME_TRUST_RATIO = 0.9;
+
+	/**
+	 * How far another holder counts: each use there keeps a second copy in a small cache,
+	 * which costs some other prefix its place.
+	 */
+	private static final double STRAY_TRUST_RATIO = 0.5;
+
+	private static final int MAX_HOMES = 8_192;
 
 	private static final double NANOS_PER_MILLI = 1e6;
 
@@ -48,6 +54,8 @@
 
 	private final PrefixIndex prefixes = new PrefixIndex(MAX_PREFIXES);
 
+	private final PrefixHomes homes = new PrefixHomes(MAX_HOMES);
+
 	private final PrefixIndex.Found found = new PrefixIndex.Found();
 
 	/**
@@ -67,14 +75,13 @@
 			return Optional.empty();
 		}
 		this.prefixes.find(info.prefixHashes(), this.found);
+		final TargetLoad home = home(info, targets);
 		TargetLoad best = null;
 		double bestMillis = Double.MAX_VALUE;
-		final int known = DRAWN + this.found.count();
-		for (int i = 0; i < known + HASH_TRUST_RATIOS.length; i++) {
-			final TargetLoad load = candidate(i, info, targets);
-			if (load != null && !triedTargetIds.contains(load.view().targetId())) {
-				final double waitMillis = waitMillis(info, targets, load,
-						(i < known) ? 0 : HASH_TRUST_RATIOS[i - known]);
+		for (int i = 0; i <= DRAWN + this.found.count(); i++) {
+			final TargetLoad load = candidate(i, targets, home);
+			if (load != null && load.openIndex() >= 0 && !triedTargetIds.contains(load.view().targetId())) {
+				final double waitMillis = waitMillis(info, targets, load, load == home);
 				if (waitMillis < bestMillis) {
 					best = load;
 					bestMillis = waitMillis;
@@ -84,23 +91,33 @@
 		return (best != null) ? Optional.of(best) : firstUntried(targets, triedTargetIds);
 	}
 
-	private TargetLoad candidate(int index, RequestInfo info, TargetSet targets) {
+	private TargetLoad home(RequestInfo info, TargetSet targets) {
+		if (info.prefixHashes().isEmpty()) {
+			return null;
+		}
+		final Long root = info.prefixHashes().get(0);
+		final TargetLoad first = targets.byHash(root, false);
+		final TargetLoad second = targets.byHash(root, true);
+		final String firstId = first.view().targetId();
+		final String secondId = second.view().targetId();
+		return this.homes.second(root, firstId, secondId, this.found.blocksAt(firstId) > 0,
+				this.found.blocksAt(secondId) > 0) ? second : first;
+	}
+
+	private TargetLoad candidate(int index, TargetSet targets, TargetLoad home) {
 		if (index < DRAWN) {
 			return targets.open().get(this.random.nextInt(targets.open().size()));
 		}
 		if (index < DRAWN + this.found.count()) {
-			return targets.openById(this.found.targetId(index - DRAWN)).orElse(null);
-		}
-		if (info.prefixHashes().isEmpty()) {
-			return null;
+			return targets.byId(this.found.targetId(index - DRAWN));
 		}
-		return targets.openByHash(info.prefixHashes().get(0), index - DRAWN - this.found.count());
+		return home;
 	}
 
-	private double waitMillis(RequestInfo info, TargetSet targets, TargetLoad load, double trustRatio) {
+	private double waitMillis(RequestInfo info, TargetSet targets, TargetLoad load, boolean isHome) {
 		final int heldBlocks = this.found.blocksAt(load.view().targetId());
-		final double heldTokens = Math.max(heldBlocks, trustRatio * info.prefixHashes().size())
-				* PrefixHashes.BLOCK_TOKENS;
+		final double trusted = isHome ? HOME_TRUST_RATIO * info.prefixHashes().size() : STRAY_TRUST_RATIO * heldBlocks;
+		final double heldTokens = trusted * PrefixHashes.BLOCK_TOKENS;
 		final double prefillMillis = Math.max(0, info.promptTokens() - heldTokens) / PREFILL_TOKENS_PER_MILLI;
 		final double full = load.fullRatio(targets.daemonCount());
 		final double tokenNanos = (load.tokenSamples() > 0) ? load.tokenNanos() : targets.medianTokenNanos();
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/PrefixIndex.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/PrefixIndex.java
@@ -51,9 +51,10 @@
 	}
 
 	void apply(long nowNanos, CacheEvents events) {
-		// After a gap an eviction may have been missed, and a hint that is wrong draws
-		// work to a target that gains nothing: what was not seen since counts no more.
-		if (events.cleared() || events.gap()) {
+		// A gap is passed over: an eviction that was missed costs one prefill and is
+		// found
+		// out by the next placement, while dropping what is known costs one a prefix.
+		if (events.cleared()) {
 			this.clearedAtNanos.put(events.targetId(), nowNanos);
 		}
 		add(nowNanos, events.storedHashes(), events.targetId());
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /**
  * The targets of one model or service, with those apart that have room.
@@ -139,29 +138,26 @@
 	}
 
 	/**
-	 * Finds a target with room by its id.
+	 * Finds a target by its id.
 	 * @param targetId the target
-	 * @return the target; empty where it is gone or full
+	 * @return the target, full or not; null where it is gone
 	 */
-	public Optional<TargetLoad> openById(String targetId) {
-		final TargetLoad load = this.byId.get(targetId);
-		return (load != null && load.openIndex() >= 0) ? Optional.of(load) : Optional.empty();
+	TargetLoad byId(String targetId) {
+		return this.byId.get(targetId);
 	}
 
 	/**
-	 * Returns one of the targets to which all daemons would send a prefix that none has
-	 * seen.
-	 * @param prefixHash the prefix's hash
-	 * @param choice the first of them, 0, or the second, 1
-	 * @return the target; null where it is full
+	 * Returns one of two targets that a hash names, the same on all daemons.
+	 * @param hash the hash
+	 * @param second whether the second one is wanted
+	 * @return the target, full or not; null where there is none
 	 */
-	TargetLoad openByHash(long prefixHash, int choice) {
+	TargetLoad byHash(long hash, boolean second) {
 		if (this.members.isEmpty()) {
 			return null;
 		}
-		final long hash = (choice == 0) ? prefixHash : Long.rotateLeft(prefixHash, Integer.SIZE) * SECOND_HASH;
-		final TargetLoad load = this.members.get((int) Long.remainderUnsigned(hash, this.members.size()));
-		return (load.openIndex() >= 0) ? load : null;
+		final long mixed = second ? Long.rotateLeft(hash, Integer.SIZE) * SECOND_HASH : hash;
+		return this.members.get((int) Long.remainderUnsigned(mixed, this.members.size()));
 	}
 
 	int daemonCount() {
