--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
@@ -103,6 +103,11 @@
 	 * @param load the target
 	 */
 	public void refresh(long nowNanos, DaemonRank daemons, TargetLoad load) {
+		// A target that left the set may still have attempts in flight that end later.
+		if (this.byId.get(load.view().targetId()) != load) {
+			load.close();
+			return;
+		}
 		final int freed = this.guarded ? load.freeSlots(nowNanos, daemons) : load.freeSlots();
 		final boolean room = freed > 0;
 		this.freeSlots += freed - load.countedSlots();
--- a/pistachioline-replay/src/main/java/org/pistachioline/replay/simulation/SimulatedDaemon.java
+++ b/pistachioline-replay/src/main/java/org/pistachioline/replay/simulation/SimulatedDaemon.java
@@ -19,7 +19,6 @@
 import org.pistachioline.core.traffic.TargetView;
 import org.pistachioline.core.traffic.TrafficAction;
 import org.pistachioline.core.traffic.TrafficCore;
-import org.pistachioline.core.traffic.TrafficPolicies;
 
 /**
  * One daemon: the very decision core that runs in production, and what carries out its
@@ -47,8 +46,6 @@
 
 	private final UniformRandomProvider random;
 
-	private final TrafficPolicies policies;
-
 	private final TrafficCore core;
 
 	private final LimitShares shares;
@@ -71,8 +68,7 @@
 		this.shares = new LimitShares(this.daemonId, SILENT_NANOS, FORGET_NANOS, HOLD_NANOS);
 		this.availabilityZone = availabilityZone;
 		this.random = RandomSource.SPLIT_MIX_64.create(seed * 7919 + index);
-		this.policies = set.create(availabilityZone, seed * 104_729 + index);
-		this.core = new TrafficCore(this.policies);
+		this.core = new TrafficCore(set.create(availabilityZone, seed * 104_729 + index));
 	}
 
 	boolean alive() {
@@ -116,8 +112,10 @@
 		act(this.core.onTick(this.events.nowNanos()));
 	}
 
-	void quarantine(Set<String> fingerprints) {
-		this.policies.killer().onAgreed(fingerprints);
+	void killers(Set<String> quarantined, Map<String, String> suspectTargetIds) {
+		if (this.alive) {
+			act(this.core.onKillers(this.events.nowNanos(), quarantined, suspectTargetIds));
+		}
 	}
 
 	Map<String, Double> demand() {
@@ -196,8 +194,8 @@
 			else if (action instanceof TrafficAction.Replay) {
 				end(submission, true);
 			}
-			else if (action instanceof TrafficAction.Suspect suspect && suspect.quarantine()) {
-				this.simulation.quarantine(suspect.fingerprint());
+			else if (action instanceof TrafficAction.Suspect suspect) {
+				this.simulation.suspect(suspect);
 			}
 		}
 	}
@@ -219,6 +217,12 @@
 		if (run != null) {
 			run.submission.liveRuns--;
 			this.targetsByAttempt.remove(attempt).cancel(run);
+			// As the daemon's exchanges do, the end is told after the cancellation.
+			this.events.afterMillis(0, () -> {
+				if (this.alive) {
+					act(this.core.onAttemptEnd(this.events.nowNanos(), attempt, AttemptEnd.CANCELLED, run.position));
+				}
+			});
 		}
 	}
 
--- a/pistachioline-replay/src/main/java/org/pistachioline/replay/simulation/Simulation.java
+++ b/pistachioline-replay/src/main/java/org/pistachioline/replay/simulation/Simulation.java
@@ -63,6 +63,8 @@
 
 	private final Set<String> quarantined = new HashSet<>();
 
+	private final Map<String, String> suspects = new HashMap<>();
+
 	private final UniformRandomProvider random;
 
 	private final PolicySet policies;
@@ -129,7 +131,7 @@
 		final SimulatedDaemon daemon = new SimulatedDaemon(this, this.events, this.policies, index, zone(index),
 				this.header.seed());
 		daemon.configure(manifest());
-		daemon.quarantine(this.quarantined);
+		daemon.killers(this.quarantined, this.suspects);
 		// All daemons know of each other from the start, as they do once it runs.
 		for (int peer = 0; peer < this.header.daemons(); peer++) {
 			if (peer != index) {
@@ -296,11 +298,18 @@
 		this.openCalls--;
 	}
 
-	void quarantine(String fingerprint) {
-		this.quarantined.add(fingerprint);
-		final Set<String> agreed = Set.copyOf(this.quarantined);
-		this.events.afterMillis(this.header.logLatencyMillis(),
-				() -> this.daemons.forEach((daemon) -> daemon.quarantine(agreed)));
+	void suspect(TrafficAction.Suspect report) {
+		this.events.afterMillis(this.header.logLatencyMillis(), () -> {
+			final String targetId = report.target().targetId();
+			final String known = this.suspects.putIfAbsent(report.fingerprint(), targetId);
+			if (report.quarantine() || (known != null && !known.equals(targetId))) {
+				this.quarantined.add(report.fingerprint());
+				this.suspects.remove(report.fingerprint());
+			}
+			final Set<String> barred = Set.copyOf(this.quarantined);
+			final Map<String, String> suspected = Map.copyOf(this.suspects);
+			List.copyOf(this.daemons).forEach((daemon) -> daemon.killers(barred, suspected));
+		});
 	}
 
 	private void schedule(FaultLine fault) {
