--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -14,6 +14,7 @@
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
+import org.pistachioline.core.placement.DaemonRank;
 import org.pistachioline.core.placement.TargetLoad;
 import org.pistachioline.core.placement.TargetSet;
 import org.pistachioline.core.quarantine.DeathVerdict;
@@ -32,6 +33,8 @@
 
 	private static final long RETRY_WITHOUT_CAPACITY_MILLIS = 1_000;
 
+	private static final long LEAST_RETRY_MILLIS = 500;
+
 	/**
 	 * More than the tokens that were generated, but lost on the way, when a group died.
 	 */
@@ -74,7 +77,7 @@
 
 	private boolean leaving;
 
-	private int daemonCount = 1;
+	private DaemonRank daemons = DaemonRank.ALONE;
 
 	/**
 	 * Creates a core without configuration and targets.
@@ -134,28 +137,30 @@
 		this.setsByName.entrySet().removeIf((entry) -> {
 			final boolean gone = !byName.containsKey(entry.getKey());
 			if (gone) {
-				entry.getValue().replace(nowNanos, List.of(), this.daemonCount);
+				entry.getValue().replace(nowNanos, List.of(), this.daemons);
 			}
 			return gone;
 		});
-		byName.forEach((name, members) -> this.setsByName.computeIfAbsent(name, (key) -> new TargetSet())
-			.replace(nowNanos, members, this.daemonCount));
+		byName.forEach((name, members) -> this.setsByName
+			.computeIfAbsent(name, (key) -> new TargetSet(this.policies.placement().guardsTargets()))
+			.replace(nowNanos, members, this.daemons));
 		noteServing(nowNanos, targets);
 		endStranded(nowNanos);
 		return pump(nowNanos);
 	}
 
 	/**
-	 * Takes over how many daemons there are and this one's shares of the limits.
+	 * Takes over where this daemon stands among the live ones and its shares of the
+	 * limits.
 	 * @param nowNanos the monotonic time
-	 * @param count the live daemons, this one included
+	 * @param rank this daemon's place
 	 * @param shareRatios this daemon's share of each workspace's limits, by workspace
 	 * @return what must be done next
 	 */
-	public List<TrafficAction> onShares(long nowNanos, int count, Map<String, Double> shareRatios) {
-		this.daemonCount = Math.max(1, count);
+	public List<TrafficAction> onShares(long nowNanos, DaemonRank rank, Map<String, Double> shareRatios) {
+		this.daemons = rank;
 		this.policies.admission().share(nowNanos, shareRatios);
-		this.setsByName.values().forEach((set) -> set.refresh(nowNanos, this.daemonCount));
+		this.setsByName.values().forEach((set) -> set.refresh(nowNanos, this.daemons));
 		return pump(nowNanos);
 	}
 
@@ -229,7 +234,7 @@
 
 	private Optional<Refusal> refuse(long nowNanos, RequestInfo info) {
 		if (this.leaving) {
-			return Optional.of(new Refusal(ErrorKind.LEAVING, 0));
+			return Optional.of(new Refusal(ErrorKind.LEAVING, LEAST_RETRY_MILLIS));
 		}
 		if (this.policies.killer().isQuarantined(info.fingerprint())) {
 			return Optional.of(new Refusal(ErrorKind.QUARANTINED, 0));
@@ -430,7 +435,7 @@
 	 * @return what must be done next
 	 */
 	public List<TrafficAction> onTick(long nowNanos) {
-		this.setsByName.values().forEach((set) -> set.onTick(nowNanos, this.daemonCount));
+		this.setsByName.values().forEach((set) -> set.onTick(nowNanos, this.daemons));
 		this.policies.killer().onTick(nowNanos);
 		for (final Flight flight : List.copyOf(this.flights.values())) {
 			if (nowNanos >= flight.info.totalDeadlineNanos()) {
@@ -511,22 +516,23 @@
 			}
 		}
 		this.resumptions.poll(nowNanos, (flight) -> !choices(flight).isEmpty(), (flight) -> dispatch(nowNanos, flight));
-		Optional<RequestInfo> next = this.policies.queue().poll(nowNanos, this::hasRoom);
+		Optional<RequestInfo> next = this.policies.queue().poll(nowNanos, this::freeSlots);
 		while (next.isPresent()) {
 			final Flight flight = this.flights.get(next.get().requestId());
 			if (flight != null) {
 				flight.queued = false;
 				dispatch(nowNanos, flight);
 			}
-			next = this.policies.queue().poll(nowNanos, this::hasRoom);
+			next = this.policies.queue().poll(nowNanos, this::freeSlots);
 		}
 		return drainActions();
 	}
 
-	private boolean hasRoom(RequestInfo info) {
+	private int freeSlots(RequestInfo info) {
 		final TargetSet set = set(info);
-		return set != null && !set.open().isEmpty()
-				&& (!this.isolation.restricts(info) || !this.isolation.allowed(info, set.open()).isEmpty());
+		// A suspect that may run nowhere yet counts too: taken out of the queue it waits
+		// apart, while at the head of the queue it would hold up everyone behind it.
+		return (set != null) ? set.freeSlots() : 0;
 	}
 
 	private void dispatch(long nowNanos, Flight flight) {
@@ -618,7 +624,9 @@
 		// A kind that says "not run" by itself must not be used once bytes have left.
 		final RunState runState = (kind.runState() == RunState.NOT_RUN && !flight.bytesSent()) ? RunState.NOT_RUN
 				: strongest(kind, flight);
-		this.actions.add(new TrafficAction.Fail(flight.info.requestId(), kind, runState, retryAfterMillis));
+		// Whoever may come back is told when: one who is told nothing comes at once.
+		final long afterMillis = kind.retryable() ? Math.max(retryAfterMillis, LEAST_RETRY_MILLIS) : retryAfterMillis;
+		this.actions.add(new TrafficAction.Fail(flight.info.requestId(), kind, runState, afterMillis));
 	}
 
 	private static RunState strongest(ErrorKind kind, Flight flight) {
@@ -663,7 +671,7 @@
 	private void refresh(long nowNanos, RequestInfo info, TargetLoad load) {
 		final TargetSet set = set(info);
 		if (set != null) {
-			set.refresh(nowNanos, this.daemonCount, load);
+			set.refresh(nowNanos, this.daemons, load);
 		}
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/RelayStage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/RelayStage.java
@@ -36,7 +36,7 @@
 	private static final int LARGEST_EVENT_BYTES = 256 * 1024;
 
 	/** How often progress is told; a target's speed shows before a long answer ends. */
-	private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
+	private static final Duration REPORT_INTERVAL = Duration.ofMillis(500);
 
 	private static final int MOST_POSITION_DIGITS = 9;
 
