--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Flight.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Flight.java
@@ -47,6 +47,12 @@
 
 	long notBeforeNanos = Long.MIN_VALUE / 2;
 
+	long startedAtNanos;
+
+	boolean attemptRan;
+
+	boolean complete;
+
 	long claimOffset = -1;
 
 	Flight(RequestInfo info, long arrivedAtNanos) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/RelayStage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/RelayStage.java
@@ -33,6 +33,11 @@
  */
 final class RelayStage extends GraphStage<FlowShape<ByteString, ByteString>> {
 
+	/**
+	 * How often progress is told; the speed of a target shows before a long answer ends.
+	 */
+	private static final int PROGRESS_TOKENS = 32;
+
 	private static final int LARGEST_EVENT_BYTES = 256 * 1024;
 
 	private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
@@ -98,7 +103,9 @@
 
 		private final byte[] prefix = (RelayStage.this.attempt.wireForm() + ":").getBytes(StandardCharsets.US_ASCII);
 
-		private byte[] rest = new byte[0];
+		private ByteString rest = ByteString.emptyByteString();
+
+		private boolean restEndsLine;
 
 		private int tokens = RelayStage.this.resumeFromTokens;
 
@@ -177,7 +184,14 @@
 		}
 
 		private void take(ByteString chunk) {
-			final byte[] bytes = joined(chunk);
+			if (!endsEvent(chunk) && this.rest.size() + chunk.size() <= LARGEST_EVENT_BYTES) {
+				// Only what is new is searched: a large event in many small pieces would
+				// otherwise be copied and searched anew for each piece.
+				this.rest = this.rest.concat(chunk);
+				pull(RelayStage.this.in);
+				return;
+			}
+			final byte[] bytes = this.rest.concat(chunk).toArray();
 			final ByteStringBuilder passed = new ByteStringBuilder();
 			int start = 0;
 			int eventEnd = endOfEvent(bytes, start);
@@ -189,8 +203,9 @@
 				start = eventEnd;
 				eventEnd = endOfEvent(bytes, start);
 			}
-			this.rest = Arrays.copyOfRange(bytes, start, bytes.length);
-			if (this.rest.length > LARGEST_EVENT_BYTES) {
+			this.rest = ByteString.fromArray(bytes, start, bytes.length - start);
+			this.restEndsLine = !this.rest.isEmpty() && bytes[bytes.length - 1] == '\n';
+			if (this.rest.size() > LARGEST_EVENT_BYTES) {
 				close(passed.result(), AttemptEnd.MISMATCHED);
 				return;
 			}
@@ -202,14 +217,11 @@
 			}
 		}
 
-		private byte[] joined(ByteString chunk) {
-			if (this.rest.length == 0) {
-				return chunk.toArray();
-			}
-			final byte[] bytes = new byte[this.rest.length + chunk.size()];
-			System.arraycopy(this.rest, 0, bytes, 0, this.rest.length);
-			chunk.copyToArray(bytes, this.rest.length, chunk.size());
-			return bytes;
+		private boolean endsEvent(ByteString chunk) {
+			final byte[] bytes = chunk.toArray();
+			final boolean acrossTheCut = this.restEndsLine && bytes.length > 0 && bytes[0] == '\n';
+			this.restEndsLine = (bytes.length > 0) ? bytes[bytes.length - 1] == '\n' : this.restEndsLine;
+			return acrossTheCut || endOfEvent(bytes, 0) >= 0;
 		}
 
 		private boolean pass(byte[] bytes, int start, int eventEnd, ByteStringBuilder passed) {
@@ -256,7 +268,8 @@
 				return false;
 			}
 			this.tokens++;
-			if (this.tokens == RelayStage.this.resumeFromTokens + 1) {
+			final int sinceStart = this.tokens - RelayStage.this.resumeFromTokens;
+			if (sinceStart % PROGRESS_TOKENS == 1) {
 				report();
 			}
 			return true;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/StreamedExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/StreamedExchange.java
@@ -55,17 +55,26 @@
 
 	@Override
 	public void finish() {
-		this.parts.complete();
+		complete();
 	}
 
 	@Override
 	public void fail(ErrorKind kind, RunState runState, long retryAfterMillis) {
 		final boolean headLeft = !response()
 			.complete(ErrorAnswers.of(requestIdText(), kind, runState, retryAfterMillis));
-		if (headLeft) {
+		if (headLeft && !this.parts.isCompleted()) {
 			this.parts.offer(Source.single(ErrorAnswers.event(kind, runState)));
 		}
-		this.parts.complete();
+		complete();
+	}
+
+	private void complete() {
+		// Where the caller has gone the answer is closed already, and closing it again is
+		// a
+		// fault that would keep the traffic duty from what it has to do for others.
+		if (!this.parts.isCompleted()) {
+			this.parts.complete();
+		}
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -245,11 +245,21 @@
 	}
 
 	private void carryOut(List<TrafficAction> actions) {
-		actions.forEach(this::carryOut);
+		actions.forEach(this::carryOutGuarded);
 		this.held = this.core.held();
 		this.queued = this.core.queued();
 	}
 
+	private void carryOutGuarded(TrafficAction action) {
+		try {
+			carryOut(action);
+		}
+		catch (RuntimeException ex) {
+			// The actions after this one are other requests'; left out, those would hang.
+			Events.log(EventId.REQUEST_FAULT, ex, "request", action.requestId());
+		}
+	}
+
 	private void carryOut(TrafficAction action) {
 		// A claim that was granted too late is given back after its request has ended.
 		if (action instanceof TrafficAction.Release release) {
