--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -576,10 +576,12 @@
 			.toList();
 	}
 
-	private static Set<String> avoided(Flight flight) {
+	private Set<String> avoided(Flight flight) {
 		// The holder of a claim is only tried again after a connection that was not made,
-		// which may succeed at the same instance.
-		return (flight.claimOffset >= 0) ? Set.of() : flight.triedTargetIds;
+		// which may succeed at the same instance when there is no other.
+		final boolean mayReturn = flight.claimOffset >= 0 && open(flight.info).stream()
+			.allMatch((load) -> flight.triedTargetIds.contains(load.view().targetId()));
+		return mayReturn ? Set.of() : flight.triedTargetIds;
 	}
 
 	private List<TargetLoad> open(RequestInfo info) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/claims/ClaimService.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/claims/ClaimService.java
@@ -17,6 +17,7 @@
 import org.pistachioline.core.record.KeyOutcome;
 import org.pistachioline.core.record.KeyRelease;
 import org.pistachioline.core.record.RecordBody;
+import org.pistachioline.core.state.RejectReason;
 import org.pistachioline.core.traffic.ClaimNeed;
 import org.pistachioline.core.traffic.ClaimVerdict;
 import org.pistachioline.core.traffic.RequestInfo;
@@ -93,7 +94,7 @@
 	 * Returns when all partitions have been read to their end for the first time.
 	 * @return completes then
 	 */
-	CompletableFuture<Void> following() {
+	public CompletableFuture<Void> following() {
 		return CompletableFuture
 			.allOf(this.partitions.stream().map(ClaimService::followed).toArray(CompletableFuture[]::new));
 	}
@@ -152,7 +153,20 @@
 		if (folded.isAccepted()) {
 			return new ClaimResult(ClaimVerdict.GRANTED, folded.offset());
 		}
-		return ClaimResult.of(find(info).map((entry) -> verdictOn(entry, info)).orElse(ClaimVerdict.UNAVAILABLE));
+		return ClaimResult.of(find(info).map((entry) -> verdictOn(entry, info))
+			.orElseGet(() -> verdictWithoutEntry(folded.rejection().orElseThrow())));
+	}
+
+	private static ClaimVerdict verdictWithoutEntry(RejectReason reason) {
+		// The verdict on a record comes before the view that shows it. A key that was
+		// taken
+		// has a holder, even where the view does not show it yet; "not run" would be
+		// wrong.
+		return switch (reason) {
+			case KEY_TAKEN -> ClaimVerdict.IN_PROGRESS;
+			case CLAIMS_FULL -> ClaimVerdict.UNAVAILABLE;
+			default -> ClaimVerdict.LIMBO;
+		};
 	}
 
 	private static ClaimVerdict verdictOn(ClaimEntry entry, RequestInfo info) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/RelayStage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/RelayStage.java
@@ -99,7 +99,9 @@
 
 		private final byte[] prefix = (RelayStage.this.attempt.wireForm() + ":").getBytes(StandardCharsets.US_ASCII);
 
-		private byte[] rest = new byte[0];
+		private ByteString rest = ByteString.emptyByteString();
+
+		private boolean restEndsLine;
 
 		private int tokens = RelayStage.this.resumeFromTokens;
 
@@ -178,7 +180,14 @@
 		}
 
 		private void take(ByteString chunk) {
-			final byte[] bytes = joined(chunk);
+			if (!endsEvent(chunk) && this.rest.size() + chunk.size() <= LARGEST_EVENT_BYTES) {
+				// Only what is new is searched: a large event in many small pieces would
+				// otherwise be copied and searched anew for each piece.
+				this.rest = this.rest.concat(chunk);
+				pull(RelayStage.this.in);
+				return;
+			}
+			final byte[] bytes = this.rest.concat(chunk).toArray();
 			final ByteStringBuilder passed = new ByteStringBuilder();
 			int start = 0;
 			int eventEnd = endOfEvent(bytes, start);
@@ -190,8 +199,9 @@
 				start = eventEnd;
 				eventEnd = endOfEvent(bytes, start);
 			}
-			this.rest = Arrays.copyOfRange(bytes, start, bytes.length);
-			if (this.rest.length > LARGEST_EVENT_BYTES) {
+			this.rest = ByteString.fromArray(bytes, start, bytes.length - start);
+			this.restEndsLine = !this.rest.isEmpty() && bytes[bytes.length - 1] == '\n';
+			if (this.rest.size() > LARGEST_EVENT_BYTES) {
 				close(passed.result(), AttemptEnd.MISMATCHED);
 				return;
 			}
@@ -203,14 +213,11 @@
 			}
 		}
 
-		private byte[] joined(ByteString chunk) {
-			if (this.rest.length == 0) {
-				return chunk.toArray();
-			}
-			final byte[] bytes = new byte[this.rest.length + chunk.size()];
-			System.arraycopy(this.rest, 0, bytes, 0, this.rest.length);
-			chunk.copyToArray(bytes, this.rest.length, chunk.size());
-			return bytes;
+		private boolean endsEvent(ByteString chunk) {
+			final byte[] bytes = chunk.toArray();
+			final boolean acrossTheCut = this.restEndsLine && bytes.length > 0 && bytes[0] == '\n';
+			this.restEndsLine = (bytes.length > 0) ? bytes[bytes.length - 1] == '\n' : this.restEndsLine;
+			return acrossTheCut || endOfEvent(bytes, 0) >= 0;
 		}
 
 		private boolean pass(byte[] bytes, int start, int eventEnd, ByteStringBuilder passed) {
