--- a/bin/common.sh
+++ b/bin/common.sh
@@ -20,5 +20,5 @@
 	local module=$1 main=$2
 	shift 2
 	ensure_built "$module"
-	exec java ${PISTACHIOLINE_JAVA_OPTS:--Xmx192m -XX:+UseSerialGC -XX:TieredStopAtLevel=4} -cp "$(classpath_of "$module")" "$main" "$@"
+	exec java ${PISTACHIOLINE_JAVA_OPTS:--Xmx128m -Xss512k -XX:ReservedCodeCacheSize=48m -XX:+UseSerialGC} -cp "$(classpath_of "$module")" "$main" "$@"
 }
