Bench, end to end: the system as processes; what a daemon adds to a stream

Cause: nothing ran the binaries as processes, so neither their cost nor their ends by signal were known; a dump during start failed on an address that was not bound yet. Change: standins.local starts and ends stand-ins and daemons; bin/bench relay; tests over processes: whole path, bad input, a killed daemon, a paused planner, replacement of all daemons, log outage, racing operators. A server's address is empty until bound.

--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.pistachioline.bench.relay.RelayBenchmark;
+
 /**
  * Runs one measurement by its name.
  */
@@ -9,7 +11,7 @@
 
 	private static final int EXIT_USAGE = 2;
 
-	private static final List<Benchmark> BENCHMARKS = List.of(new ReducerBenchmark());
+	private static final List<Benchmark> BENCHMARKS = List.of(new ReducerBenchmark(), new RelayBenchmark());
 
 	private BenchMain() {
 	}
--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/Benchmark.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/Benchmark.java
@@ -3,7 +3,7 @@
 /**
  * One named measurement.
  */
-interface Benchmark {
+public interface Benchmark {
 
 	/**
 	 * Returns the name on the command line.
--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/Figures.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/Figures.java
@@ -9,7 +9,7 @@
 /**
  * Prints figures, one line of JSON each.
  */
-final class Figures {
+public final class Figures {
 
 	private final String benchmark;
 
@@ -26,7 +26,7 @@
 	 * @param value the value
 	 * @param unit its unit
 	 */
-	void print(String name, double value, String unit) {
+	public void print(String name, double value, String unit) {
 		final Map<String, Object> line = new LinkedHashMap<>();
 		line.put("bench", this.benchmark);
 		line.put("figure", name);
--- /dev/null
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/relay/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What a daemon adds between callers and engines.
+ */
+package org.pistachioline.bench.relay;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -238,6 +238,9 @@
 
 	@Override
 	public Optional<String> notReadyReason() {
+		if (this.callers.localAddress().isEmpty()) {
+			return Optional.of("callers are not served yet");
+		}
 		if (!this.config.view().caughtUp()) {
 			return Optional.of("the configuration stream has not been read to its end");
 		}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/HttpServer.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/HttpServer.java
@@ -26,7 +26,7 @@
 
 	private final Function<HttpRequest, CompletionStage<HttpResponse>> handler;
 
-	private ServerBinding binding;
+	private volatile ServerBinding binding;
 
 	/**
 	 * Creates a server.
@@ -60,10 +60,15 @@
 
 	/**
 	 * Returns where it listens.
-	 * @return the address, as host and port
+	 * @return the address, as host and port; empty until it listens, since a port that
+	 * the system chooses is not known before
 	 */
 	public String localAddress() {
-		final InetSocketAddress local = this.binding.localAddress();
+		final ServerBinding bound = this.binding;
+		if (bound == null) {
+			return "";
+		}
+		final InetSocketAddress local = bound.localAddress();
 		return local.getAddress().getHostAddress() + ":" + local.getPort();
 	}
 
--- /dev/null
+++ b/pistachioline-e2e/src/test/java/org/pistachioline/e2e/CallerStream.java
@@ -0,0 +1,109 @@
+package org.pistachioline.e2e;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+
+import org.pistachioline.adapters.http.Json;
+import org.pistachioline.standins.local.LocalDaemon;
+import org.pistachioline.standins.local.LocalHttp;
+
+/**
+ * One streamed completion as its caller reads it.
+ */
+final class CallerStream {
+
+	private static final String DATA = "data: ";
+
+	private final int status;
+
+	private final BufferedReader reader;
+
+	private final StringBuilder text = new StringBuilder();
+
+	private CallerStream(HttpResponse<InputStream> response) {
+		this.status = response.statusCode();
+		this.reader = new BufferedReader(new InputStreamReader(response.body(), StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * Sends a completion and gives its answer as soon as the head is there.
+	 * @param daemon where it is sent
+	 * @param maxTokens how many tokens are asked for
+	 * @return the open stream
+	 * @throws Exception if no head comes
+	 */
+	static CallerStream open(LocalDaemon daemon, int maxTokens) throws Exception {
+		final HttpRequest request = LocalHttp.request(daemon.callers(), "/v1/chat/completions")
+			.header("Authorization", TestSystem.KEY)
+			.POST(HttpRequest.BodyPublishers.ofString("{\"model\":\"sign-copy\",\"stream\":true,\"max_tokens\":"
+					+ maxTokens + ",\"messages\":[{\"role\":\"user\",\"content\":\"A sign for a bakery\"}]}"))
+			.build();
+		return new CallerStream(LocalHttp.CLIENT.send(request, HttpResponse.BodyHandlers.ofInputStream()));
+	}
+
+	/**
+	 * Returns the text that the engine stand-in gives for a number of tokens.
+	 * @param tokens the number of tokens
+	 * @return the text
+	 */
+	static String whole(int tokens) {
+		final StringBuilder whole = new StringBuilder();
+		for (int i = 0; i < tokens; i++) {
+			whole.append(" w").append(i);
+		}
+		return whole.toString();
+	}
+
+	int status() {
+		return this.status;
+	}
+
+	/**
+	 * Reads until some tokens have come.
+	 * @param tokens the number of tokens
+	 * @throws IOException if the stream breaks before
+	 */
+	void awaitTokens(int tokens) throws IOException {
+		final String wanted = whole(tokens);
+		while (!this.text.toString().startsWith(wanted) && readEvent()) {
+			continue;
+		}
+	}
+
+	/**
+	 * Reads to the end.
+	 * @return the whole text, then the last event's data
+	 * @throws IOException if the stream breaks
+	 */
+	String readToEnd() throws IOException {
+		while (readEvent()) {
+			continue;
+		}
+		return this.text.toString();
+	}
+
+	private boolean readEvent() throws IOException {
+		final String line = this.reader.readLine();
+		if (line == null) {
+			return false;
+		}
+		if (line.startsWith(DATA + "{")) {
+			this.text.append(Json.tree(line.substring(DATA.length()).getBytes(StandardCharsets.UTF_8))
+				.path("choices")
+				.path(0)
+				.path("delta")
+				.path("content")
+				.asText(""));
+		}
+		else if (line.startsWith(DATA)) {
+			this.text.append('|').append(line.substring(DATA.length()));
+		}
+		return true;
+	}
+
+}
