--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
@@ -2,6 +2,11 @@
 
 import java.util.List;
 
+import org.pistachioline.bench.control.ControlBenchmark;
+import org.pistachioline.bench.control.InForceBenchmark;
+import org.pistachioline.bench.control.MemberLossBenchmark;
+import org.pistachioline.bench.relay.RelayBenchmark;
+
 /**
  * Runs one measurement by its name.
  */
@@ -10,7 +15,8 @@
 	private static final int EXIT_USAGE = 2;
 
 	private static final List<Benchmark> BENCHMARKS = List.of(new ReducerBenchmark(), new StateBenchmark(),
-			new LimboBenchmark());
+			new LimboBenchmark(), new RelayBenchmark(), new ControlBenchmark(), new InForceBenchmark(),
+			new MemberLossBenchmark());
 
 	private BenchMain() {
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -125,6 +125,7 @@
 		this.staleness = new StalenessBound(
 				Duration.ofSeconds(settings.whole(Setting.LOG_STALENESS_BOUND_SECONDS)).toMillis());
 		final HttpCaller http = new HttpCaller(this.system);
+		this.metrics.process(http.meter());
 		final LogService log = new HttpLogService(http, settings.text(Setting.LOG_ADDRESS));
 		final String selfId = settings.text(Setting.DAEMON_ID);
 		final String writer = selfId + "#" + Long.toString(this.incarnation, Character.MAX_RADIX)
@@ -318,6 +319,9 @@
 
 	@Override
 	public Optional<String> notReadyReason() {
+		if (this.callers.localAddress().isEmpty()) {
+			return Optional.of("callers are not served yet");
+		}
 		final Optional<String> unknown = StreamReadiness.trouble(this.config.stream(), this.config.view())
 			.or(() -> StreamReadiness.trouble(this.fleet.stream(), this.fleet.view()));
 		if (unknown.isPresent()) {
