--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/GroupReview.java
@@ -0,0 +1,209 @@
+package org.pistachioline.core.planner;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.pistachioline.core.fleet.Instance;
+import org.pistachioline.core.manifest.ModelSpec;
+import org.pistachioline.core.record.Member;
+import org.pistachioline.core.state.GroupState;
+import org.pistachioline.core.state.PlannerEpoch;
+
+/**
+ * Decides on one existing group at a time: keep, wait, drain or dissolve.
+ */
+final class GroupReview {
+
+	/** A planner that just took a domain has not heard of its members yet. */
+	private static final long GRACE_NANOS = 5_000_000_000L;
+
+	/** Until every daemon has read the drain and its last requests show in the load. */
+	private static final long SETTLED_NANOS = 5_000_000_000L;
+
+	/** A load that takes longer than this will not end. */
+	private static final long STUCK_NANOS = 900_000_000_000L;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	private final PlannerInput input;
+
+	private final PlannerMemory memory;
+
+	private final PlanDraft draft;
+
+	private final MemberLossPolicy lossPolicy;
+
+	private final Map<String, Instance> listed;
+
+	private final FreeInstances free;
+
+	private final Set<String> drainingModels = new HashSet<>();
+
+	GroupReview(PlannerInput input, PlannerMemory memory, PlanDraft draft, MemberLossPolicy lossPolicy) {
+		this.input = input;
+		this.memory = memory;
+		this.draft = draft;
+		this.lossPolicy = lossPolicy;
+		this.listed = input.instances()
+			.stream()
+			.collect(Collectors.toMap(Instance::id, (instance) -> instance, (first, second) -> first));
+		this.free = new FreeInstances(input);
+		input.fleet()
+			.groups()
+			.values()
+			.stream()
+			.filter(GroupState::draining)
+			.map(GroupState::model)
+			.forEach(this.drainingModels::add);
+	}
+
+	// A group that lacks a member counts for as long as a load takes, so that a short
+	// absence forms nothing, and then no longer, so that a long one is made up for
+	// elsewhere.
+	int counted(List<GroupState> groups) {
+		int counted = 0;
+		for (final GroupState group : groups) {
+			final boolean gone = group.draining() || isLeaving(group)
+					|| (absentNanos(group) > this.memory.loadNanos(group.model())
+							&& !this.draft.darkDomains().contains(group.fabricDomain()));
+			counted += gone ? 0 : 1;
+		}
+		return counted;
+	}
+
+	void review(GroupState group) {
+		final PlannerEpoch planner = this.input.mine(group.fabricDomain()).orElseThrow();
+		final long mineNanos = this.input.nowNanos()
+				- this.memory.since("mine " + group.fabricDomain(), this.input.nowNanos());
+		if (group.draining()) {
+			reviewDraining(group, planner);
+		}
+		else if (this.draft.darkDomains().contains(group.fabricDomain())) {
+			this.draft.explain(group, "waits: its fabric domain is dark");
+		}
+		else if (mineNanos < GRACE_NANOS) {
+			this.draft.explain(group, "waits: this daemon has just begun to plan the fabric domain");
+		}
+		else if (isLeaving(group)) {
+			this.draft.drain(group, planner, "the platform takes a member away");
+		}
+		else if (!lost(group).isEmpty()) {
+			reviewLost(group, planner);
+		}
+		else {
+			reviewPresent(group, planner);
+		}
+	}
+
+	private boolean isLeaving(GroupState group) {
+		return group.members().stream().anyMatch((member) -> {
+			final Instance instance = this.listed.get(member.instanceId());
+			return instance != null && instance.leaving();
+		});
+	}
+
+	// One that the platform no longer lists but that answers is not lost: the list lags,
+	// and one empty answer of it must not take the whole fleet down.
+	private List<Member> lost(GroupState group) {
+		return group.members().stream().filter((member) -> this.input.silent().contains(member.instanceId())).toList();
+	}
+
+	private long absentNanos(GroupState group) {
+		// Of other planners' groups only their presence is known, and a loading one lacks
+		// it.
+		final boolean absent = this.input.mine(group.fabricDomain()).isPresent() ? !lost(group).isEmpty()
+				: this.input.missingRanks().containsKey(group.groupId()) && this.memory.wasComplete(group);
+		if (!absent) {
+			return 0;
+		}
+		return this.input.nowNanos() - this.memory.since("lost " + group.epoch(), this.input.nowNanos());
+	}
+
+	private void reviewDraining(GroupState group, PlannerEpoch planner) {
+		final long nowNanos = this.input.nowNanos();
+		final long sinceNanos = this.memory.since("drain " + group.epoch(), nowNanos);
+		final long longestNanos = SETTLED_NANOS + this.input.manifest().deadlines().totalMillis() * NANOS_PER_MILLI;
+		final GroupLoad load = this.input.loads().get(group.groupId());
+		final boolean idle = load != null && load.total() == 0 && load.askedAtNanos() - sinceNanos >= SETTLED_NANOS;
+		if (!lost(group).isEmpty()) {
+			this.draft.dissolve(group, planner, "drained, and a member is gone");
+		}
+		else if (idle || nowNanos - sinceNanos >= longestNanos) {
+			this.draft.dissolve(group, planner, idle ? "drained: " + group.reason() : "no request may run any longer");
+		}
+		else {
+			this.draft.explain(group, "drains: " + group.reason());
+		}
+	}
+
+	private void reviewLost(GroupState group, PlannerEpoch planner) {
+		final List<Member> lost = lost(group);
+		final boolean unlisted = lost.stream().anyMatch((member) -> !this.listed.containsKey(member.instanceId()));
+		if (unlisted) {
+			this.draft.dissolve(group, planner, "a member is gone for good");
+			return;
+		}
+		final long absentNanos = absentNanos(group);
+		final boolean replacedElsewhere = absentNanos > this.memory.loadNanos(group.model())
+				&& this.draft.missingReplicas(group.model()) <= 0;
+		final long waitNanos = this.lossPolicy.waitNanos(lossOf(group, lost, absentNanos));
+		if (replacedElsewhere) {
+			this.draft.dissolve(group, planner, "another group took its place");
+		}
+		else if (absentNanos >= waitNanos) {
+			this.draft.dissolve(group, planner, "a member is missing for too long");
+		}
+		else {
+			this.draft.explain(group,
+					"waits for " + lost.get(0).instanceId() + ", absent for " + (long) (absentNanos / NANOS_PER_SECOND)
+							+ " s" + ((waitNanos == Long.MAX_VALUE) ? ": nothing else can use the other members"
+									: ", at most " + (long) (waitNanos / NANOS_PER_SECOND) + " s"));
+		}
+	}
+
+	private MemberLoss lossOf(GroupState group, List<Member> lost, long absentNanos) {
+		final String pool = this.input.manifest().model(group.model()).map(ModelSpec::pool).orElse("");
+		final int spare = this.free.count(pool, group.fabricDomain());
+		final int surviving = group.members().size() - lost.size();
+		final boolean wanted = this.input.manifest()
+			.models()
+			.stream()
+			.anyMatch((model) -> !model.name().equals(group.model()) && model.pool().equals(pool)
+					&& this.draft.missingReplicas(model.name()) > 0 && model.members() <= spare + surviving);
+		final int accelerators = group.accelerators() - lost.stream().mapToInt(Member::accelerators).sum();
+		return new MemberLoss(absentNanos, this.memory.loadNanos(group.model()), accelerators, spare >= lost.size(),
+				wanted, this.input.manifest().weights());
+	}
+
+	private void reviewPresent(GroupState group, PlannerEpoch planner) {
+		final boolean declared = this.input.manifest().model(group.model()).isPresent();
+		if (!declared) {
+			this.draft.drain(group, planner, "the configuration no longer has the model");
+		}
+		else if (this.draft.isChanged(group)) {
+			// One group a time, so that the others serve meanwhile.
+			if (this.drainingModels.add(group.model())) {
+				this.draft.drain(group, planner, "the configuration changed the model's members");
+			}
+			else {
+				this.draft.explain(group, "waits for its turn to take the changed configuration");
+			}
+		}
+		else if (!this.input.missingRanks().containsKey(group.groupId())) {
+			this.draft.explain(group, "serves");
+		}
+		else if (this.input.nowNanos() - this.memory.formedAtNanos(group) > STUCK_NANOS
+				&& !this.memory.wasComplete(group)) {
+			this.draft.dissolve(group, planner, "it did not load");
+		}
+		else {
+			this.draft.explain(group, "loads");
+		}
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/MemberLoss.java
@@ -0,0 +1,19 @@
+package org.pistachioline.core.planner;
+
+import org.pistachioline.core.manifest.WeightSpec;
+
+/**
+ * A group that lacks members, as a policy sees it.
+ *
+ * @param absentNanos how long it has lacked them
+ * @param loadNanos how long a group of this model takes from formation to serving
+ * @param survivingAccelerators the accelerators of the members that are there
+ * @param replaceable whether free instances of the fabric domain can take the places
+ * @param wantedElsewhere whether another model lacks a group that the surviving members
+ * and the free instances could form
+ * @param weights what the operators weigh
+ */
+public record MemberLoss(long absentNanos, long loadNanos, int survivingAccelerators, boolean replaceable,
+		boolean wantedElsewhere, WeightSpec weights) {
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/OrderInput.java
@@ -0,0 +1,29 @@
+package org.pistachioline.core.planner;
+
+import java.util.List;
+import java.util.Map;
+
+import org.pistachioline.core.fleet.Instance;
+import org.pistachioline.core.manifest.Manifest;
+import org.pistachioline.core.presence.PresenceProof;
+import org.pistachioline.core.state.FleetState;
+
+/**
+ * All that the giving of orders depends on.
+ *
+ * @param nowNanos the monotonic time
+ * @param viewReadAtNanos the monotonic time from before the read that gave the state
+ * @param manifest the manifest in force
+ * @param fleet the agreed state
+ * @param instances the instances as the platform lists them
+ * @param proofs what each instance last said that it holds, by id
+ */
+public record OrderInput(long nowNanos, long viewReadAtNanos, Manifest manifest, FleetState fleet,
+		List<Instance> instances, Map<String, PresenceProof> proofs) {
+
+	public OrderInput {
+		instances = List.copyOf(instances);
+		proofs = Map.copyOf(proofs);
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/Planner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/Planner.java
@@ -1,9 +1,5 @@
 package org.pistachioline.core.planner;
 
-import java.util.List;
-
-import org.pistachioline.core.record.RecordBody;
-
 /**
  * Decides on groups in the fabric domains that the writer plans.
  */
@@ -12,8 +8,9 @@
 	/**
 	 * Decides.
 	 * @param input all that is known
-	 * @return the records to propose
+	 * @param memory what was noted at earlier decisions, brought up to date by this one
+	 * @return what to propose
 	 */
-	List<RecordBody> plan(PlannerInput input);
+	Plan plan(PlannerInput input, PlannerMemory memory);
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/PlannerInput.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/PlannerInput.java
@@ -2,11 +2,13 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.pistachioline.core.fleet.Instance;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.state.FleetState;
+import org.pistachioline.core.state.PlannerEpoch;
 
 /**
  * All that a planner knows when it decides.
@@ -18,15 +20,23 @@
  * @param fleet the agreed groups
  * @param instances the instances as the platform lists them
  * @param missingRanks the missing ranks of each group that lacks any, by group id
- * @param busyGroups the groups that still run requests
+ * @param loads how busy each known group is, by group id
+ * @param silent the instances of this planner's domains that do not answer
  */
 public record PlannerInput(long nowNanos, String writer, Manifest manifest, long configVersion, FleetState fleet,
-		List<Instance> instances, Map<String, List<Integer>> missingRanks, Set<String> busyGroups) {
+		List<Instance> instances, Map<String, List<Integer>> missingRanks, Map<String, GroupLoad> loads,
+		Set<String> silent) {
 
 	public PlannerInput {
 		instances = List.copyOf(instances);
 		missingRanks = Map.copyOf(missingRanks);
-		busyGroups = Set.copyOf(busyGroups);
+		loads = Map.copyOf(loads);
+		silent = Set.copyOf(silent);
+	}
+
+	Optional<PlannerEpoch> mine(String domain) {
+		return Optional.ofNullable(this.fleet.planners().get(domain))
+			.filter((planner) -> planner.writer().equals(this.writer));
 	}
 
 }
