--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -1,17 +1,22 @@
 package org.pistachioline.core.traffic;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.pistachioline.core.admission.Refusal;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.manifest.Manifest;
+import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.placement.TargetLoad;
+import org.pistachioline.core.placement.TargetSet;
+import org.pistachioline.core.quarantine.DeathVerdict;
 import org.pistachioline.core.retry.RetryDecision;
 
 /**
@@ -23,28 +28,61 @@
  */
 public final class TrafficCore {
 
+	private static final String SERVICE_PREFIX = "service:";
+
 	private static final long RETRY_WITHOUT_CAPACITY_MILLIS = 1_000;
 
+	/**
+	 * More than the tokens that were generated, but lost on the way, when a group died.
+	 */
+	private static final int TOKENS_PAST_DEATH = 16;
+
+	/** Bounds the prefill that is paid again when group after group drains. */
+	private static final int MOST_ATTEMPTS_WITH_SHIFTS = 6;
+
+	/**
+	 * How long a suspect waits before its second run. A copy may have killed another
+	 * group at another daemon in the same moment; a few appends later both know.
+	 */
+	private static final long SUSPECT_WAIT_NANOS = 300_000_000L;
+
+	/**
+	 * How long a suspect that was giving tokens waits. Most killers crash a group before
+	 * their first token; tried first and found, they free the others.
+	 */
+	private static final long UNLIKELY_SUSPECT_WAIT_NANOS = 1_000_000_000L;
+
 	private final TrafficPolicies policies;
 
 	private final Map<Long, Flight> flights = new LinkedHashMap<>();
 
 	private final Map<String, TargetLoad> loads = new HashMap<>();
 
-	private final Map<String, List<TargetLoad>> loadsByName = new HashMap<>();
+	private final Map<String, TargetSet> setsByName = new HashMap<>();
 
 	private final List<TrafficAction> actions = new ArrayList<>();
 
+	private final Map<String, Long> notServingSinceNanos = new HashMap<>();
+
+	private final Map<Long, RequestInfo> abandonedClaims = new HashMap<>();
+
+	private final Resumptions resumptions = new Resumptions();
+
+	private final Isolation isolation;
+
 	private Manifest manifest = Manifest.EMPTY;
 
 	private boolean leaving;
 
+	private int daemonCount = 1;
+
 	/**
 	 * Creates a core without configuration and targets.
 	 * @param policies the behaviours that vary
 	 */
 	public TrafficCore(TrafficPolicies policies) {
 		this.policies = policies;
+		this.isolation = new Isolation(policies.killer());
 	}
 
 	/**
@@ -68,7 +106,7 @@
 	 */
 	public List<TrafficAction> onTargets(long nowNanos, List<TargetView> targets) {
 		final Map<String, TargetLoad> next = new HashMap<>();
-		this.loadsByName.clear();
+		final Map<String, List<TargetLoad>> byName = new HashMap<>();
 		for (final TargetView view : targets) {
 			TargetLoad load = this.loads.get(view.targetId());
 			if (load == null) {
@@ -78,13 +116,93 @@
 				load.update(view, nowNanos);
 			}
 			next.put(view.targetId(), load);
-			this.loadsByName.computeIfAbsent(nameKey(view.kind(), view.name()), (key) -> new ArrayList<>()).add(load);
+			byName.computeIfAbsent(nameKey(view.kind(), view.name()), (key) -> new ArrayList<>()).add(load);
 		}
+		// A target may vanish and come back under attempts that are still in flight; with
+		// a
+		// new count it would be given more work than it has slots for.
+		this.loads.forEach((targetId, load) -> {
+			if (load.inFlight() > 0) {
+				next.putIfAbsent(targetId, load);
+			}
+			else if (!next.containsKey(targetId)) {
+				this.policies.placement().forget(targetId);
+			}
+		});
 		this.loads.clear();
 		this.loads.putAll(next);
+		this.setsByName.entrySet().removeIf((entry) -> {
+			final boolean gone = !byName.containsKey(entry.getKey());
+			if (gone) {
+				entry.getValue().replace(nowNanos, List.of(), this.daemonCount);
+			}
+			return gone;
+		});
+		byName.forEach((name, members) -> this.setsByName.computeIfAbsent(name, (key) -> new TargetSet())
+			.replace(nowNanos, members, this.daemonCount));
+		noteServing(nowNanos, targets);
+		endStranded(nowNanos);
+		return pump(nowNanos);
+	}
+
+	/**
+	 * Takes over how many daemons there are and this one's shares of the limits.
+	 * @param nowNanos the monotonic time
+	 * @param count the live daemons, this one included
+	 * @param shareRatios this daemon's share of each workspace's limits, by workspace
+	 * @return what must be done next
+	 */
+	public List<TrafficAction> onShares(long nowNanos, int count, Map<String, Double> shareRatios) {
+		this.daemonCount = Math.max(1, count);
+		this.policies.admission().share(nowNanos, shareRatios);
+		this.setsByName.values().forEach((set) -> set.refresh(nowNanos, this.daemonCount));
+		return pump(nowNanos);
+	}
+
+	private void noteServing(long nowNanos, List<TargetView> targets) {
+		this.notServingSinceNanos.keySet().retainAll(this.loads.keySet());
+		this.loads.keySet().forEach((targetId) -> this.notServingSinceNanos.putIfAbsent(targetId, nowNanos));
+		targets.stream()
+			.filter(TargetView::serving)
+			.forEach((view) -> this.notServingSinceNanos.remove(view.targetId()));
+	}
+
+	private void endStranded(long nowNanos) {
+		for (final Flight flight : List.copyOf(this.flights.values())) {
+			if (flight.resuming && flight.attempts > 0 && !isPlaceable(flight)) {
+				end(nowNanos, flight, ErrorKind.TARGET_FAILED, RETRY_WITHOUT_CAPACITY_MILLIS);
+			}
+		}
+	}
+
+	/**
+	 * Takes over the quarantined and suspected requests that are agreed on the log.
+	 * @param nowNanos the monotonic time
+	 * @param quarantined the quarantined fingerprints
+	 * @param suspectTargetIds for each suspected fingerprint the target that died
+	 * @return what must be done next
+	 */
+	public List<TrafficAction> onKillers(long nowNanos, Set<String> quarantined, Map<String, String> suspectTargetIds) {
+		this.policies.killer().onAgreed(nowNanos, quarantined, suspectTargetIds);
+		for (final Flight flight : List.copyOf(this.flights.values())) {
+			if (flight.liveAttempt == null && quarantined.contains(flight.info.fingerprint())) {
+				end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
+			}
+		}
 		return pump(nowNanos);
 	}
 
+	/**
+	 * Takes word of what a target's prefix cache holds.
+	 * @param nowNanos the monotonic time
+	 * @param events the events, late and perhaps with gaps
+	 */
+	public void onCacheEvents(long nowNanos, CacheEvents events) {
+		if (this.loads.containsKey(events.targetId())) {
+			this.policies.placement().onCacheEvents(nowNanos, events);
+		}
+	}
+
 	/**
 	 * Takes a new request.
 	 * @param nowNanos the monotonic time
@@ -116,7 +234,7 @@
 		if (this.policies.killer().isQuarantined(info.fingerprint())) {
 			return Optional.of(new Refusal(ErrorKind.QUARANTINED, 0));
 		}
-		if (!this.loadsByName.containsKey(nameKey(info.targetKind(), info.name()))) {
+		if (!this.setsByName.containsKey(nameKey(info.targetKind(), info.name()))) {
 			return Optional.of(new Refusal(ErrorKind.NO_CAPACITY, RETRY_WITHOUT_CAPACITY_MILLIS));
 		}
 		return this.policies.admission().admit(nowNanos, info);
@@ -132,13 +250,15 @@
 	 */
 	public List<TrafficAction> onClaim(long nowNanos, long requestId, ClaimVerdict verdict, long claimOffset) {
 		final Flight flight = this.flights.get(requestId);
-		if (flight == null) {
+		if (flight == null || !flight.claiming) {
+			giveBack(requestId, verdict, claimOffset);
 			return drainActions();
 		}
+		flight.claiming = false;
 		switch (verdict) {
 			case GRANTED -> {
 				flight.claimOffset = claimOffset;
-				startOrRequeue(nowNanos, flight);
+				startOrWait(nowNanos, flight);
 			}
 			case SETTLED -> {
 				forget(nowNanos, flight);
@@ -149,10 +269,26 @@
 			case REUSED -> end(nowNanos, flight, ErrorKind.KEY_REUSED, 0);
 			case EXPIRED -> end(nowNanos, flight, ErrorKind.KEY_EXPIRED, 0);
 			case UNAVAILABLE -> end(nowNanos, flight, ErrorKind.CLAIM_UNAVAILABLE, RETRY_WITHOUT_CAPACITY_MILLIS);
+			case LIMBO -> endUnknown(nowNanos, flight);
 		}
 		return pump(nowNanos);
 	}
 
+	private void giveBack(long requestId, ClaimVerdict verdict, long claimOffset) {
+		final RequestInfo info = this.abandonedClaims.remove(requestId);
+		// The request ended as not run while its claim was on the way. Kept, the claim
+		// would bar the caller's repeats of something that never ran.
+		if (info != null && verdict == ClaimVerdict.GRANTED) {
+			this.actions.add(new TrafficAction.Release(requestId, info, claimOffset));
+		}
+	}
+
+	private void endUnknown(long nowNanos, Flight flight) {
+		forget(nowNanos, flight);
+		this.actions.add(new TrafficAction.Fail(flight.info.requestId(), ErrorKind.CLAIM_UNAVAILABLE, RunState.UNKNOWN,
+				RETRY_WITHOUT_CAPACITY_MILLIS));
+	}
+
 	/**
 	 * Notes how many tokens the caller has.
 	 * @param nowNanos the monotonic time
@@ -164,14 +300,22 @@
 		if (flight == null) {
 			return;
 		}
-		if (!flight.ran) {
-			flight.ran = true;
-			final TargetLoad load = this.loads.get(flight.target.targetId());
-			if (load != null) {
-				load.onFirstToken(nowNanos, flight.arrivedAtNanos);
-			}
+		final boolean first = !flight.attemptRan;
+		if (first) {
+			this.policies.queue().onFirstToken(nowNanos, flight.info, nowNanos - flight.startedAtNanos);
 		}
+		flight.ran = true;
+		flight.attemptRan = true;
+		flight.load.onTokens(nowNanos, flight.progressAtNanos, tokensDelivered - flight.tokensDelivered, first);
+		flight.progressAtNanos = nowNanos;
 		flight.tokensDelivered = Math.max(flight.tokensDelivered, tokensDelivered);
+		if (flight.tokensDelivered > flight.resumedFromTokens) {
+			this.isolation.onToken(flight);
+		}
+		if (flight.apart && flight.tokensDelivered >= flight.resumedFromTokens + TOKENS_PAST_DEATH) {
+			this.policies.killer().onSurvived(flight.info.fingerprint(), false);
+			this.isolation.onLeave(flight);
+		}
 	}
 
 	/**
@@ -187,22 +331,28 @@
 		if (flight == null) {
 			return pump(nowNanos);
 		}
+		if (flight.attemptRan) {
+			flight.load.onTokens(nowNanos, flight.progressAtNanos, tokensDelivered - flight.tokensDelivered, false);
+		}
 		flight.tokensDelivered = Math.max(flight.tokensDelivered, tokensDelivered);
-		flight.liveAttempt = null;
+		final boolean shifted = flight.shifting;
 		if (how == AttemptEnd.NOT_CONNECTED) {
 			flight.sentAttempts--;
 		}
-		final TargetLoad load = this.loads.get(flight.target.targetId());
-		if (load != null) {
-			load.onEnd(nowNanos, flight.info.costTokens(), how);
-		}
+		leaveTarget(nowNanos, flight, shifted ? AttemptEnd.CANCELLED : how);
 		if (how == AttemptEnd.COMPLETE) {
 			flight.ran = true;
+			flight.complete = true;
+			this.policies.killer().onSurvived(flight.info.fingerprint(), true);
 			forget(nowNanos, flight);
 			this.policies.retry().onSuccess(nowNanos);
 			this.actions.add(new TrafficAction.Finish(attempt.requestId()));
 			return pump(nowNanos);
 		}
+		if (shifted) {
+			startOrWait(nowNanos, flight);
+			return pump(nowNanos);
+		}
 		if (how == AttemptEnd.BROKEN) {
 			noteDeath(nowNanos, flight);
 		}
@@ -210,14 +360,28 @@
 		return pump(nowNanos);
 	}
 
+	private void leaveTarget(long nowNanos, Flight flight, AttemptEnd how) {
+		flight.liveAttempt = null;
+		flight.shifting = false;
+		flight.load.onEnd(nowNanos, flight.info.costTokens(), how);
+		refresh(nowNanos, flight.info, flight.load);
+		this.isolation.onLeave(flight);
+	}
+
 	private void noteDeath(long nowNanos, Flight flight) {
 		if (flight.info.targetKind() != TargetKind.MODEL) {
 			return;
 		}
-		final boolean quarantine = this.policies.killer()
+		final DeathVerdict verdict = this.policies.killer()
 			.onDeath(nowNanos, flight.info.fingerprint(), flight.target.targetId());
-		this.actions.add(new TrafficAction.Suspect(flight.info.requestId(), flight.info.fingerprint(), flight.target,
-				quarantine));
+		if (verdict != DeathVerdict.EXCUSED) {
+			this.actions.add(new TrafficAction.Suspect(flight.info.requestId(), flight.info.fingerprint(),
+					flight.target, verdict == DeathVerdict.QUARANTINED));
+		}
+		if (verdict == DeathVerdict.SUSPECTED) {
+			final boolean likely = flight.tokensDelivered == flight.resumedFromTokens;
+			flight.notBeforeNanos = nowNanos + (likely ? SUSPECT_WAIT_NANOS : UNLIKELY_SUSPECT_WAIT_NANOS);
+		}
 	}
 
 	private void afterFailure(long nowNanos, Flight flight, AttemptEnd how) {
@@ -229,12 +393,21 @@
 		final RetryDecision decision = sendable
 				? this.policies.retry().afterFailure(nowNanos, flight.info, flight.attempts, how)
 				: RetryDecision.GIVE_UP;
-		if (decision == RetryDecision.RETRY) {
-			startOrRequeue(nowNanos, flight);
+		if (decision == RetryDecision.RETRY && isPlaceable(flight)) {
+			startOrWait(nowNanos, flight);
 			return;
 		}
 		final ErrorKind kind = (how == AttemptEnd.MISMATCHED) ? ErrorKind.TARGET_PROTOCOL : ErrorKind.TARGET_FAILED;
-		end(nowNanos, flight, kind, 0);
+		end(nowNanos, flight, kind, RETRY_WITHOUT_CAPACITY_MILLIS);
+	}
+
+	private boolean isPlaceable(Flight flight) {
+		// Whether some target that it has not failed at serves, with room or without.
+		// With
+		// none it is given its answer now; waiting for one would be waiting for ever.
+		return candidates(flight.info).stream()
+			.anyMatch((load) -> load.view().serving()
+					&& (flight.claimOffset >= 0 || !flight.triedTargetIds.contains(load.view().targetId())));
 	}
 
 	/**
@@ -257,15 +430,38 @@
 	 * @return what must be done next
 	 */
 	public List<TrafficAction> onTick(long nowNanos) {
+		this.setsByName.values().forEach((set) -> set.onTick(nowNanos, this.daemonCount));
+		this.policies.killer().onTick(nowNanos);
 		for (final Flight flight : List.copyOf(this.flights.values())) {
 			if (nowNanos >= flight.info.totalDeadlineNanos()) {
 				end(nowNanos, flight, flight.bytesSent() ? ErrorKind.DEADLINE_EXCEEDED : ErrorKind.DEADLINE_UNREACHABLE,
 						0);
 			}
+			else if (flight.resuming && !flight.bytesSent() && nowNanos >= flight.info.firstTokenDeadlineNanos()) {
+				end(nowNanos, flight, ErrorKind.DEADLINE_UNREACHABLE, RETRY_WITHOUT_CAPACITY_MILLIS);
+			}
+			else {
+				shiftIfDue(nowNanos, flight);
+			}
 		}
 		return pump(nowNanos);
 	}
 
+	private void shiftIfDue(long nowNanos, Flight flight) {
+		if (flight.liveAttempt == null
+				|| !ShiftRules.isDue(nowNanos, flight, this.notServingSinceNanos.get(flight.target.targetId()))) {
+			return;
+		}
+		final boolean elsewhere = flight.attempts < MOST_ATTEMPTS_WITH_SHIFTS && open(flight.info).stream()
+			.anyMatch((load) -> !flight.triedTargetIds.contains(load.view().targetId()));
+		if (elsewhere) {
+			// The next attempt starts when this one is reported as ended, with the exact
+			// count of the tokens that the caller has: never two at once, none lost.
+			flight.shifting = true;
+			this.actions.add(new TrafficAction.Cancel(flight.liveAttempt));
+		}
+	}
+
 	/**
 	 * Stops taking new requests; those held are finished.
 	 */
@@ -273,6 +469,15 @@
 		this.leaving = true;
 	}
 
+	/**
+	 * Returns the demand for which this daemon wants its shares of the limits.
+	 * @param nowNanos the monotonic time
+	 * @return the demand, by workspace
+	 */
+	public Map<String, Double> demand(long nowNanos) {
+		return this.policies.admission().demand(nowNanos);
+	}
+
 	/**
 	 * Returns how many requests are held.
 	 * @return the number of requests that have not ended
@@ -286,7 +491,7 @@
 	 * @return the number of queued requests
 	 */
 	public int queued() {
-		return this.policies.queue().size();
+		return this.policies.queue().size() + this.resumptions.size();
 	}
 
 	/**
@@ -305,6 +510,7 @@
 				end(nowNanos, flight, ErrorKind.DEADLINE_UNREACHABLE, RETRY_WITHOUT_CAPACITY_MILLIS);
 			}
 		}
+		this.resumptions.poll(nowNanos, (flight) -> !choices(flight).isEmpty(), (flight) -> dispatch(nowNanos, flight));
 		Optional<RequestInfo> next = this.policies.queue().poll(nowNanos, this::hasRoom);
 		while (next.isPresent()) {
 			final Flight flight = this.flights.get(next.get().requestId());
@@ -318,35 +524,66 @@
 	}
 
 	private boolean hasRoom(RequestInfo info) {
-		for (final TargetLoad load : candidates(info)) {
-			if (load.view().serving() && load.inFlight() < load.view().slots()) {
-				return true;
-			}
-		}
-		return false;
+		final TargetSet set = set(info);
+		return set != null && !set.open().isEmpty()
+				&& (!this.isolation.restricts(info) || !this.isolation.allowed(info, set.open()).isEmpty());
 	}
 
 	private void dispatch(long nowNanos, Flight flight) {
+		if (this.policies.killer().isQuarantined(flight.info.fingerprint())) {
+			end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
+			return;
+		}
 		if (flight.info.claim().isNeeded() && flight.claimOffset < 0) {
+			flight.claiming = true;
 			this.actions.add(new TrafficAction.Claim(flight.info.requestId(), flight.info));
 			return;
 		}
-		startOrRequeue(nowNanos, flight);
+		startOrWait(nowNanos, flight);
 	}
 
-	private void startOrRequeue(long nowNanos, Flight flight) {
-		final Optional<TargetLoad> chosen = this.policies.placement()
-			.choose(nowNanos, flight.info, candidates(flight.info), flight.triedTargetIds);
+	private void startOrWait(long nowNanos, Flight flight) {
+		final boolean mayStart = nowNanos - flight.notBeforeNanos >= 0;
+		final Optional<TargetLoad> chosen = mayStart ? choose(nowNanos, flight) : Optional.empty();
 		if (chosen.isPresent()) {
 			start(nowNanos, flight, chosen.get());
-			return;
 		}
-		final Optional<Refusal> full = this.policies.queue().offer(nowNanos, flight.info);
-		if (full.isPresent()) {
-			end(nowNanos, flight, full.get().kind(), full.get().retryAfterMillis());
-			return;
+		else {
+			this.resumptions.add(flight);
 		}
-		flight.queued = true;
+	}
+
+	private Optional<TargetLoad> choose(long nowNanos, Flight flight) {
+		if (this.isolation.restricts(flight.info)) {
+			return choices(flight).stream().min(Comparator.comparingInt(TargetLoad::inFlight));
+		}
+		final TargetSet set = set(flight.info);
+		return (set != null) ? this.policies.placement().choose(nowNanos, flight.info, set, avoided(flight))
+				: Optional.empty();
+	}
+
+	private List<TargetLoad> choices(Flight flight) {
+		final Set<String> avoided = avoided(flight);
+		return this.isolation.allowed(flight.info, open(flight.info))
+			.stream()
+			.filter((load) -> !avoided.contains(load.view().targetId()))
+			.toList();
+	}
+
+	private static Set<String> avoided(Flight flight) {
+		// The holder of a claim is only tried again after a connection that was not made,
+		// which may succeed at the same instance.
+		return (flight.claimOffset >= 0) ? Set.of() : flight.triedTargetIds;
+	}
+
+	private List<TargetLoad> open(RequestInfo info) {
+		final TargetSet set = set(info);
+		return (set != null) ? set.open() : List.of();
+	}
+
+	private List<TargetLoad> candidates(RequestInfo info) {
+		final TargetSet set = set(info);
+		return (set != null) ? set.members() : List.of();
 	}
 
 	private void start(long nowNanos, Flight flight, TargetLoad load) {
@@ -356,19 +593,23 @@
 		flight.sentAttempts++;
 		flight.liveAttempt = new AttemptId(flight.info.requestId(), flight.attempts);
 		flight.target = load.view();
+		flight.load = load;
+		flight.resumedFromTokens = flight.tokensDelivered;
 		flight.triedTargetIds.add(load.view().targetId());
+		flight.startedAtNanos = nowNanos;
+		flight.attemptRan = false;
+		flight.progressAtNanos = nowNanos;
 		load.onStart(nowNanos, flight.info.costTokens());
+		this.isolation.onStart(flight);
+		refresh(nowNanos, flight.info, load);
+		this.policies.placement().onPlaced(nowNanos, flight.info, load);
 		this.actions.add(new TrafficAction.Start(flight.liveAttempt, load.view(), flight.tokensDelivered));
 	}
 
 	private void end(long nowNanos, Flight flight, ErrorKind kind, long retryAfterMillis) {
 		if (flight.liveAttempt != null) {
 			this.actions.add(new TrafficAction.Cancel(flight.liveAttempt));
-			final TargetLoad load = this.loads.get(flight.target.targetId());
-			if (load != null) {
-				load.onEnd(nowNanos, flight.info.costTokens(), AttemptEnd.CANCELLED);
-			}
-			flight.liveAttempt = null;
+			leaveTarget(nowNanos, flight, AttemptEnd.CANCELLED);
 		}
 		if (flight.claimOffset >= 0 && !flight.bytesSent()) {
 			this.actions.add(new TrafficAction.Release(flight.info.requestId(), flight.info, flight.claimOffset));
@@ -392,6 +633,12 @@
 		if (flight.queued) {
 			this.policies.queue().remove(flight.info.requestId());
 		}
+		this.policies.queue()
+			.onEnded(nowNanos, flight.info, flight.complete, flight.tokensDelivered, nowNanos - flight.startedAtNanos);
+		this.resumptions.remove(flight);
+		if (flight.claiming) {
+			this.abandonedClaims.put(flight.info.requestId(), flight.info);
+		}
 		this.policies.admission().release(nowNanos, flight.info);
 	}
 
@@ -400,8 +647,15 @@
 		return (flight != null && attempt.equals(flight.liveAttempt)) ? flight : null;
 	}
 
-	private List<TargetLoad> candidates(RequestInfo info) {
-		return this.loadsByName.getOrDefault(nameKey(info.targetKind(), info.name()), List.of());
+	private TargetSet set(RequestInfo info) {
+		return this.setsByName.get(nameKey(info.targetKind(), info.name()));
+	}
+
+	private void refresh(long nowNanos, RequestInfo info, TargetLoad load) {
+		final TargetSet set = set(info);
+		if (set != null) {
+			set.refresh(nowNanos, this.daemonCount, load);
+		}
 	}
 
 	private List<TrafficAction> drainActions() {
@@ -411,7 +665,7 @@
 	}
 
 	private static String nameKey(TargetKind kind, String name) {
-		return kind.name() + ':' + name;
+		return (kind == TargetKind.MODEL) ? name : SERVICE_PREFIX + name;
 	}
 
 }
