Planner and orders: one pure planner weighed by the manifest; orders by a pure decider

Cause: the thin planner dissolved a group at the first listed loss, knew neither demand, drains, pacing nor dark domains, and orders were decided inside the duty. Change: GroupPlanner reviews each group (loss, leaving, changed model, drain), aims at a number of replicas with hysteresis, lays out new groups by zone and best fit within the weight store's rate, makes room for a model below its least number and gives a reason for every group and free instance. MemberLossPolicy has the weighed rule and two baselines. OrderDecider holds the fresh-view rule, the hand-over wait and the read-back; PlannerElection keeps two daemons from taking a domain in turns. A group with a member that is listed as leaving gets no new work at once, also while the log is out. Conclusion: the decisions run without threads or sockets.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/DarkDomains.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/DarkDomains.java
@@ -49,7 +49,8 @@
 		}
 		final Set<String> dark = new HashSet<>();
 		silent.forEach((domain, count) -> {
-			if (count >= LEAST_SILENT && count >= DARK_RATIO * instances.get(domain)) {
+			if (memory.isSettled(domain, input.nowNanos()) && count >= LEAST_SILENT
+					&& count >= DARK_RATIO * instances.get(domain)) {
 				final long sinceNanos = memory.since("dark " + domain, input.nowNanos());
 				if (input.nowNanos() - sinceNanos < HOLD_NANOS) {
 					dark.add(domain);
--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/GroupLayout.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/GroupLayout.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.pistachioline.core.fleet.Instance;
 import org.pistachioline.core.manifest.ModelSpec;
@@ -42,6 +43,10 @@
 
 	private final FreeInstances free;
 
+	private final Reclaim reclaim;
+
+	private int formed;
+
 	private final Map<String, Integer> groupsByModelAndZone = new HashMap<>();
 
 	private final Map<String, Integer> loadsByPool = new HashMap<>();
@@ -51,6 +56,7 @@
 		this.memory = memory;
 		this.draft = draft;
 		this.free = new FreeInstances(input);
+		this.reclaim = new Reclaim(input, draft, this.free);
 		for (final GroupState group : input.fleet().groups().values()) {
 			if (!group.draining()) {
 				countIn(group.model(), group.members().get(0).availabilityZone());
@@ -62,37 +68,52 @@
 		this.groupsByModelAndZone.merge(model + '\n' + zone, 1, Integer::sum);
 	}
 
-	// The models take turns, so that one that lacks many groups does not keep another
-	// from
-	// its first; larger groups go first, as they fit into fewer places.
+	// First every model gets its least number, and room is made where one cannot; only
+	// then
+	// do busy models get more. Within each the models take turns, the larger groups
+	// first, as
+	// they fit into fewer places.
 	void layOut() {
 		final List<ModelSpec> models = this.input.manifest()
 			.models()
 			.stream()
 			.sorted(Comparator.comparingInt((ModelSpec model) -> -model.members()).thenComparing(ModelSpec::name))
 			.toList();
-		int formed = 0;
+		layOut(models, (model) -> this.draft.countedOf(model.name()) < model.minReplicas());
+		for (final ModelSpec model : models) {
+			if (this.draft.countedOf(model.name()) < model.minReplicas() && !isPaced(model)) {
+				this.reclaim.makeRoom(model);
+			}
+		}
+		layOut(models, (model) -> this.draft.missingReplicas(model.name()) > 0);
+	}
+
+	private void layOut(List<ModelSpec> models, Predicate<ModelSpec> wants) {
 		boolean progress = true;
-		while (progress && formed < MAX_FORMATIONS) {
+		while (progress) {
 			progress = false;
 			for (final ModelSpec model : models) {
-				if (this.draft.missingReplicas(model.name()) > 0 && place(model)) {
-					formed++;
+				if (this.formed < MAX_FORMATIONS && wants.test(model) && place(model)) {
+					this.formed++;
 					progress = true;
 				}
 			}
 		}
 	}
 
-	private boolean place(ModelSpec model) {
+	// A group larger than a minute's loads must still be formed, alone.
+	private boolean isPaced(ModelSpec model) {
 		final int paced = this.loadsByPool.getOrDefault(model.pool(), 0)
 				+ this.memory.loadsWithinMinute(model.pool(), this.input.nowNanos());
 		final double perMinute = this.input.manifest()
 			.pool(model.pool())
 			.map(PoolSpec::weightStoreLoadsPerMinute)
 			.orElse(0.0);
-		// A group larger than a minute's loads must still be formed, alone.
-		if (paced > 0 && paced + model.members() > perMinute) {
+		return paced > 0 && paced + model.members() > perMinute;
+	}
+
+	private boolean place(ModelSpec model) {
+		if (isPaced(model)) {
 			this.draft.hinder(model.pool(), "the weight store's rate is used up");
 			return false;
 		}
@@ -112,7 +133,7 @@
 	private Optional<String> choose(ModelSpec model) {
 		final Set<String> candidates = new HashSet<>(this.free.domains(model.pool()));
 		candidates.removeIf((domain) -> this.free.count(model.pool(), domain) < model.members()
-				|| this.draft.darkDomains().contains(domain));
+				|| this.draft.darkDomains().contains(domain) || this.reclaim.isReserved(domain));
 		final Comparator<String> order = Comparator
 			.comparingInt((String domain) -> this.groupsByModelAndZone
 				.getOrDefault(model.name() + '\n' + this.free.zone(model.pool(), domain), 0))
--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/GroupReview.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/GroupReview.java
@@ -17,9 +17,6 @@
  */
 final class GroupReview {
 
-	/** A planner that just took a domain has not heard of its members yet. */
-	private static final long GRACE_NANOS = 5_000_000_000L;
-
 	/** Until every daemon has read the drain and its last requests show in the load. */
 	private static final long SETTLED_NANOS = 5_000_000_000L;
 
@@ -78,15 +75,13 @@
 
 	void review(GroupState group) {
 		final PlannerEpoch planner = this.input.mine(group.fabricDomain()).orElseThrow();
-		final long mineNanos = this.input.nowNanos()
-				- this.memory.since("mine " + group.fabricDomain(), this.input.nowNanos());
 		if (group.draining()) {
 			reviewDraining(group, planner);
 		}
 		else if (this.draft.darkDomains().contains(group.fabricDomain())) {
 			this.draft.explain(group, "waits: its fabric domain is dark");
 		}
-		else if (mineNanos < GRACE_NANOS) {
+		else if (!this.memory.isSettled(group.fabricDomain(), this.input.nowNanos())) {
 			this.draft.explain(group, "waits: this daemon has just begun to plan the fabric domain");
 		}
 		else if (isLeaving(group)) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/PlanDraft.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/PlanDraft.java
@@ -86,6 +86,10 @@
 		this.records.add(formation);
 	}
 
+	int countedOf(String model) {
+		return this.countedByModel.getOrDefault(model, 0);
+	}
+
 	void counted(String model) {
 		this.countedByModel.merge(model, 1, Integer::sum);
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/PlannerMemory.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/PlannerMemory.java
@@ -20,6 +20,9 @@
 	/** How long a model takes to load until it was seen to. */
 	private static final long FIRST_LOAD_NANOS = 60_000_000_000L;
 
+	/** A planner that just took a domain has not heard of its members yet. */
+	private static final long SETTLED_NANOS = 5_000_000_000L;
+
 	private static final double LOAD_WEIGHT = 0.5;
 
 	private static final long MINUTE_NANOS = 60_000_000_000L;
@@ -106,6 +109,16 @@
 		return this.sinceNanos.computeIfAbsent(what, (key) -> nowNanos);
 	}
 
+	/**
+	 * Returns whether this planner has had a fabric domain for long enough to judge it.
+	 * @param domain the fabric domain, which it plans
+	 * @param nowNanos the monotonic time
+	 * @return whether it has
+	 */
+	boolean isSettled(String domain, long nowNanos) {
+		return nowNanos - since("mine " + domain, nowNanos) >= SETTLED_NANOS;
+	}
+
 	boolean wasComplete(GroupState group) {
 		return this.completed.contains(group.epoch());
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/presence/PresenceTable.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/presence/PresenceTable.java
@@ -56,6 +56,14 @@
 		this.proofs.keySet().retainAll(instanceIds);
 	}
 
+	/**
+	 * Returns the instances that have answered.
+	 * @return their ids
+	 */
+	public Set<String> instances() {
+		return Set.copyOf(this.proofs.keySet());
+	}
+
 	/**
 	 * Returns the last answer of an instance.
 	 * @param instanceId the instance
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -35,7 +35,9 @@
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.peer.PeerStatus;
 import org.pistachioline.core.placement.LeastInFlight;
-import org.pistachioline.core.planner.MinimumPlanner;
+import org.pistachioline.core.planner.GroupPlanner;
+import org.pistachioline.core.planner.Plan;
+import org.pistachioline.core.planner.WeighedLoss;
 import org.pistachioline.core.presence.PresenceLimits;
 import org.pistachioline.core.quarantine.DeathCounter;
 import org.pistachioline.core.queueing.FifoQueue;
@@ -93,6 +95,8 @@
 
 	private final FleetDuty instances;
 
+	private final PlannerDuty planner;
+
 	private final PeerDuty peers;
 
 	private final TrafficDuty traffic;
@@ -135,8 +139,8 @@
 				new PresenceLinks(selfId, this.peers), writer,
 				new PresenceLimits(TimeUnit.MILLISECONDS.toNanos(settings.whole(Setting.PROBES_INTERVAL_MILLIS)),
 						TimeUnit.MILLISECONDS.toNanos(settings.whole(Setting.PROBES_PRESENCE_BOUND_MILLIS))));
-		final PlannerDuty planner = new PlannerDuty(this.system, this.config, this.fleet, this.instances, engines,
-				appender, new MinimumPlanner(), selfId, this.peers::daemonIds);
+		this.planner = new PlannerDuty(this.system, this.config, this.fleet, this.instances, engines, appender,
+				new GroupPlanner(new WeighedLoss()), selfId, this.peers::daemonIds);
 		this.traffic = new TrafficDuty(this.system, new TrafficCore(policies()), claims);
 		final CallerLimits limits = new CallerLimits(settings.whole(Setting.CALLERS_MAX_BODY_BYTES),
 				settings.whole(Setting.CALLERS_BODY_TIMEOUT_MILLIS),
@@ -148,7 +152,7 @@
 				new AdminHandler(this.system, this)::handle);
 		// The state first, then what derives from it, then what shows it, callers last.
 		this.parts.addAll(List.of(appender, this.config, this.fleet, claims, this.peers, this.traffic, this.instances,
-				planner, this.admin, this.callers));
+				this.planner, this.admin, this.callers));
 		connect();
 	}
 
@@ -313,6 +317,9 @@
 						this.config.view().logReachable()));
 		dump.put("fleet", Map.of("next_offset", this.fleet.view().nextOffset(), "planners",
 				this.fleet.view().state().planners(), "groups", groups()));
+		final Plan plan = this.planner.plan();
+		dump.put("plan", Map.of("groups", plan.groupReasons(), "free_instances", plan.freeReasons(), "dark_domains",
+				plan.darkDomains()));
 		dump.put("peers", daemons());
 		dump.put("requests", Map.of("held", this.traffic.held(), "queued", this.traffic.queued()));
 		return dump;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/fleet/FleetDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/fleet/FleetDuty.java
@@ -156,6 +156,7 @@
 		this.presence.update(this.fleet.view().state().groups(), this.links.zonesByDaemon(), nowNanos);
 		final List<Member> planned = planned();
 		final PresenceStep step = this.presence.step(planned, nowNanos);
+		this.heldByInstance.keySet().retainAll(this.presence.own().instances());
 		for (final Member member : step.probes()) {
 			this.engines.held(member.address()).whenComplete((held, failure) -> {
 				if (failure == null) {
@@ -171,8 +172,7 @@
 		final FleetState state = this.fleet.view().state();
 		final List<Member> planned = new ArrayList<>();
 		for (final Instance instance : this.instances) {
-			final PlannerEpoch planner = state.planners().get(instance.fabricDomain());
-			if (planner != null && planner.writer().equals(this.writer) && isEngine(instance)) {
+			if (isMine(state, instance.fabricDomain()) && isEngine(instance)) {
 				planned.add(new Member(instance.id(), instance.fabricDomain(), instance.address(),
 						instance.availabilityZone(), instance.accelerators()));
 			}
@@ -232,14 +232,13 @@
 		final Map<String, List<Integer>> missing = new HashMap<>();
 		for (final GroupState group : state.groups().values()) {
 			final GroupProof proof = proofs.get(group.epoch());
-			final PlannerEpoch planner = state.planners().get(group.fabricDomain());
-			if (planner != null && planner.writer().equals(this.writer)) {
-				final List<Integer> ranks = this.presence.own().missingRanks(group, nowNanos);
-				if (!ranks.isEmpty()) {
-					missing.put(group.groupId(), ranks);
-				}
+			if (proof != null && proof.serves(this.boundNanos, nowNanos)) {
+				continue;
 			}
-			else if (proof != null && !proof.serves(this.boundNanos, nowNanos)) {
+			if (isMine(state, group.fabricDomain())) {
+				missing.put(group.groupId(), this.presence.own().missingRanks(group, nowNanos));
+			}
+			else if (proof != null) {
 				missing.put(group.groupId(), proof.missingRanks());
 			}
 		}
@@ -265,12 +264,47 @@
 	}
 
 	/**
-	 * Returns what an instance last said that it holds.
-	 * @param instanceId the instance
-	 * @return its last answer; null where it never answered
+	 * Returns what each instance that is asked last said that it holds.
+	 * @return the answers by the instance's id
+	 */
+	Map<String, PresenceProof> held() {
+		return Map.copyOf(this.heldByInstance);
+	}
+
+	/**
+	 * Returns the instances of this daemon's fabric domains that do not answer. Members
+	 * of a group that another daemon has proved are not among them: then this daemon is
+	 * cut off, not the member.
+	 * @param nowNanos the monotonic time
+	 * @return the instances' ids
 	 */
-	PresenceProof held(String instanceId) {
-		return this.heldByInstance.get(instanceId);
+	Set<String> silent(long nowNanos) {
+		final FleetView known = this.view.get();
+		final FleetState state = this.fleet.view().state();
+		final Set<String> candidates = new HashSet<>();
+		for (final GroupState group : state.groups().values()) {
+			final GroupProof proof = known.proofs().get(group.epoch());
+			final boolean proven = proof != null && proof.serves(this.boundNanos, nowNanos);
+			if (isMine(state, group.fabricDomain()) && !proven) {
+				group.members().forEach((member) -> candidates.add(member.instanceId()));
+			}
+		}
+		for (final Instance instance : known.instances()) {
+			if (isMine(state, instance.fabricDomain()) && isEngine(instance)
+					&& !state.owners().containsKey(instance.id())) {
+				candidates.add(instance.id());
+			}
+		}
+		candidates.removeIf((id) -> {
+			final PresenceProof proof = this.heldByInstance.get(id);
+			return proof != null && nowNanos - proof.askedAtNanos() <= this.boundNanos;
+		});
+		return candidates;
+	}
+
+	private boolean isMine(FleetState state, String domain) {
+		final PlannerEpoch planner = state.planners().get(domain);
+		return planner != null && planner.writer().equals(this.writer);
 	}
 
 	/**
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/fleet/PlannerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/fleet/PlannerDuty.java
@@ -1,28 +1,35 @@
 package org.pistachioline.daemon.fleet;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
 import org.pistachioline.adapters.target.EngineControl;
 import org.pistachioline.core.event.EventId;
-import org.pistachioline.core.fleet.EngineOrder;
-import org.pistachioline.core.fleet.HeldPhase;
-import org.pistachioline.core.fleet.HeldState;
+import org.pistachioline.core.fleet.EngineCommand;
 import org.pistachioline.core.fleet.Instance;
 import org.pistachioline.core.manifest.PoolKind;
 import org.pistachioline.core.manifest.PoolSpec;
+import org.pistachioline.core.planner.GroupLoad;
+import org.pistachioline.core.planner.OrderDecider;
+import org.pistachioline.core.planner.OrderInput;
+import org.pistachioline.core.planner.OrderLimits;
+import org.pistachioline.core.planner.Plan;
 import org.pistachioline.core.planner.Planner;
+import org.pistachioline.core.planner.PlannerElection;
 import org.pistachioline.core.planner.PlannerInput;
-import org.pistachioline.core.planner.Rendezvous;
-import org.pistachioline.core.presence.PresenceProof;
-import org.pistachioline.core.record.Member;
+import org.pistachioline.core.planner.PlannerMemory;
+import org.pistachioline.core.presence.GroupProof;
+import org.pistachioline.core.record.GroupDissolution;
+import org.pistachioline.core.record.GroupDrain;
+import org.pistachioline.core.record.GroupFormation;
 import org.pistachioline.core.record.PlannerClaim;
 import org.pistachioline.core.record.RecordBody;
 import org.pistachioline.core.state.ConfigState;
@@ -47,10 +54,6 @@
 
 	private static final Duration TICK = Duration.ofMillis(250);
 
-	private static final long ORDER_LIFETIME_MILLIS = 2_000;
-
-	private static final long FRESH_VIEW_NANOS = TimeUnit.SECONDS.toNanos(5);
-
 	private final StreamDuty<ConfigState> config;
 
 	private final StreamDuty<FleetState> fleet;
@@ -63,7 +66,13 @@
 
 	private final Planner planner;
 
-	private final String selfId;
+	private final PlannerElection election;
+
+	private final OrderDecider orders;
+
+	private final PlannerMemory memory = new PlannerMemory();
+
+	private final AtomicReference<Plan> plan = new AtomicReference<>(Plan.EMPTY);
 
 	private final Supplier<Set<String>> liveDaemons;
 
@@ -71,7 +80,7 @@
 
 	private final Set<String> ordering = new HashSet<>();
 
-	private boolean proposing;
+	private int proposals;
 
 	/**
 	 * Creates the duty.
@@ -94,11 +103,20 @@
 		this.engines = engines;
 		this.appender = appender;
 		this.planner = planner;
-		this.selfId = selfId;
+		this.election = new PlannerElection(selfId, appender.writer());
+		this.orders = new OrderDecider(appender.writer(), OrderLimits.DEFAULT);
 		this.liveDaemons = liveDaemons;
 		this.duty = new Duty<>(system, "planner", RING_CAPACITY, TICK, this);
 	}
 
+	/**
+	 * Returns the last plan with its reasons, for dumps.
+	 * @return the plan; empty where this daemon plans nothing
+	 */
+	public Plan plan() {
+		return this.plan.get();
+	}
+
 	@Override
 	public void start() {
 		this.duty.start();
@@ -118,7 +136,7 @@
 	@Override
 	public void onMessage(Message message) {
 		if (message instanceof Message.Proposed) {
-			this.proposing = false;
+			this.proposals--;
 		}
 		else if (message instanceof Message.Ordered ordered) {
 			this.ordering.remove(ordered.instanceId());
@@ -134,32 +152,52 @@
 		final long nowNanos = System.nanoTime();
 		// A planner whose view is old may have been replaced without knowing it.
 		final boolean fresh = fleetView.caughtUp() && this.config.view().caughtUp() && known.listed()
-				&& nowNanos - fleetView.readAtNanos() <= FRESH_VIEW_NANOS;
+				&& this.orders.isFresh(fleetView.readAtNanos(), nowNanos);
 		if (!fresh) {
 			return;
 		}
-		if (!this.proposing) {
+		if (this.proposals == 0) {
 			propose(nowNanos, fleetView.state(), known);
 		}
-		order(fleetView.state(), known);
+		order(nowNanos, fleetView, known);
 	}
 
 	private void propose(long nowNanos, FleetState state, FleetView known) {
+		final Set<String> live = this.liveDaemons.get();
 		for (final String domain : engineDomains(known)) {
 			final PlannerEpoch current = state.planners().get(domain);
-			final boolean preferred = Rendezvous.first(domain, this.liveDaemons.get())
-				.filter(this.selfId::equals)
-				.isPresent();
-			if (preferred && (current == null || !current.writer().equals(this.appender.writer()))) {
+			if (this.election.claims(domain, current, live, nowNanos)) {
 				append(new PlannerClaim(domain, (current != null) ? current.epoch() : PlannerClaim.NONE));
-				Events.log(EventId.PLANNER_TAKEN, "fabric_domain", domain);
-				return;
 			}
 		}
-		final List<RecordBody> records = this.planner
-			.plan(new PlannerInput(nowNanos, this.appender.writer(), this.config.view().state().manifest(),
-					this.config.view().state().version(), state, known.instances(), known.missingRanks(), Set.of()));
-		records.forEach(this::append);
+		if (this.proposals > 0) {
+			return;
+		}
+		final Plan next = this.planner.plan(new PlannerInput(nowNanos, this.appender.writer(),
+				this.config.view().state().manifest(), this.config.view().state().version(), state, known.instances(),
+				known.missingRanks(), loads(state, known), this.instances.silent(nowNanos)), this.memory);
+		noteDark(next.darkDomains());
+		this.plan.set(next);
+		next.records().forEach(this::append);
+	}
+
+	private void noteDark(Set<String> dark) {
+		for (final String domain : dark) {
+			if (!this.plan.get().darkDomains().contains(domain)) {
+				Events.log(EventId.DOMAIN_DARK, "fabric_domain", domain);
+			}
+		}
+	}
+
+	private static Map<String, GroupLoad> loads(FleetState state, FleetView known) {
+		final Map<String, GroupLoad> loads = new HashMap<>();
+		for (final GroupState group : state.groups().values()) {
+			final GroupProof proof = known.proofs().get(group.epoch());
+			if (proof != null && proof.loadAtNanos() != GroupProof.NEVER) {
+				loads.put(group.groupId(), new GroupLoad(proof.running(), proof.waiting(), proof.loadAtNanos()));
+			}
+		}
+		return loads;
 	}
 
 	private Set<String> engineDomains(FleetView known) {
@@ -180,68 +218,51 @@
 	}
 
 	private void append(RecordBody body) {
-		this.proposing = true;
-		this.appender.append(this.fleet.stream(), body)
-			.whenComplete((verdict, failure) -> this.duty.put(new Message.Proposed(verdict)));
+		this.proposals++;
+		this.appender.append(this.fleet.stream(), body).whenComplete((verdict, failure) -> {
+			if (failure == null && verdict.isAccepted()) {
+				note(body);
+			}
+			this.duty.put(new Message.Proposed(verdict));
+		});
 	}
 
-	private void order(FleetState state, FleetView known) {
-		for (final GroupState group : state.groups().values()) {
-			if (!isMine(state, group.fabricDomain())) {
-				continue;
-			}
-			for (int rank = 0; rank < group.members().size(); rank++) {
-				orderLoad(group, rank);
-			}
+	private static void note(RecordBody body) {
+		if (body instanceof PlannerClaim claim) {
+			Events.log(EventId.PLANNER_TAKEN, "fabric_domain", claim.fabricDomain());
 		}
-		for (final Instance instance : known.instances()) {
-			final Long lastEpoch = state.lastEpochs().get(instance.id());
-			if (lastEpoch != null && !state.owners().containsKey(instance.id())
-					&& isMine(state, instance.fabricDomain())) {
-				orderUnload(instance, lastEpoch);
-			}
+		else if (body instanceof GroupFormation formation) {
+			Events.log(EventId.GROUP_FORMED, "group", formation.groupId(), "model", formation.model());
 		}
-	}
-
-	private boolean isMine(FleetState state, String domain) {
-		final PlannerEpoch current = state.planners().get(domain);
-		return current != null && current.writer().equals(this.appender.writer());
-	}
-
-	private void orderLoad(GroupState group, int rank) {
-		final Member member = group.members().get(rank);
-		final HeldState held = heldOf(member.instanceId());
-		final boolean asOrdered = held != null && held.groupId().equals(group.groupId())
-				&& held.fencingNumber() == group.epoch() && held.rank() == rank;
-		if (!asOrdered) {
-			send(member.instanceId(), member.address(), new EngineOrder(true, group.groupId(), group.epoch(), rank,
-					group.members().size(), group.model(), ORDER_LIFETIME_MILLIS));
+		else if (body instanceof GroupDissolution dissolution) {
+			Events.log(EventId.GROUP_DISSOLVED, "group", dissolution.groupId(), "reason", dissolution.reason());
 		}
-	}
-
-	private void orderUnload(Instance instance, long lastEpoch) {
-		final HeldState held = heldOf(instance.id());
-		if (held != null && held.phase() != HeldPhase.FREE) {
-			send(instance.id(), instance.address(),
-					new EngineOrder(false, held.groupId(), lastEpoch, 0, 0, held.model(), ORDER_LIFETIME_MILLIS));
+		else if (body instanceof GroupDrain drain) {
+			Events.log(EventId.GROUP_DRAINING, "group", drain.groupId(), "reason", drain.reason());
 		}
 	}
 
-	private HeldState heldOf(String instanceId) {
-		final PresenceProof proof = this.instances.held(instanceId);
-		return (proof != null) ? proof.held() : null;
+	private void order(long nowNanos, StreamView<FleetState> view, FleetView known) {
+		final OrderInput input = new OrderInput(nowNanos, view.readAtNanos(), this.config.view().state().manifest(),
+				view.state(), known.instances(), this.instances.held());
+		for (final EngineCommand command : this.orders.decide(input)) {
+			// Asked again, as this thread may have paused since the decision.
+			if (this.orders.isFresh(view.readAtNanos(), System.nanoTime())) {
+				send(command);
+			}
+		}
 	}
 
-	private void send(String instanceId, String address, EngineOrder order) {
-		if (!this.ordering.add(instanceId)) {
+	private void send(EngineCommand command) {
+		if (!this.ordering.add(command.instanceId())) {
 			return;
 		}
-		this.engines.order(address, order).whenComplete((taken, failure) -> {
+		this.engines.order(command.address(), command.order()).whenComplete((taken, failure) -> {
 			if (failure != null || !taken) {
-				Events.log(EventId.ORDER_FAILED, "instance", instanceId, "group", order.groupId(), "fencing_number",
-						order.fencingNumber());
+				Events.log(EventId.ORDER_FAILED, "instance", command.instanceId(), "group", command.order().groupId(),
+						"fencing_number", command.order().fencingNumber());
 			}
-			this.duty.put(new Message.Ordered(instanceId));
+			this.duty.put(new Message.Ordered(command.instanceId()));
 		});
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/fleet/TargetViews.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/fleet/TargetViews.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.pistachioline.core.fleet.Instance;
 import org.pistachioline.core.manifest.Manifest;
@@ -38,10 +40,20 @@
 	static List<TargetView> derive(List<Instance> instances, Manifest manifest, FleetState fleet,
 			Map<Long, GroupProof> proofs, long boundNanos, long nowNanos) {
 		final List<TargetView> targets = new ArrayList<>();
+		final Set<String> leaving = instances.stream()
+			.filter(Instance::leaving)
+			.map(Instance::id)
+			.collect(Collectors.toSet());
 		for (final GroupState group : fleet.groups().values()) {
 			final GroupProof proof = proofs.get(group.epoch());
 			if (proof != null) {
-				targets.add(ofGroup(group, manifest, proof, proof.serves(boundNanos, nowNanos)));
+				// Told by the list itself, so that a leaving member gets no new work even
+				// while
+				// the log is out and no planner can drain its group.
+				final boolean stays = group.members()
+					.stream()
+					.noneMatch((member) -> leaving.contains(member.instanceId()));
+				targets.add(ofGroup(group, manifest, proof, stays && proof.serves(boundNanos, nowNanos)));
 			}
 		}
 		for (final ServiceSpec service : manifest.services()) {
