--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/GroupReview.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/GroupReview.java
@@ -1,9 +1,7 @@
 package org.pistachioline.core.planner;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.stream.Collectors;
 
 import org.pistachioline.core.fleet.Instance;
@@ -39,8 +37,6 @@
 
 	private final FreeInstances free;
 
-	private final Set<String> drainingModels = new HashSet<>();
-
 	GroupReview(PlannerInput input, PlannerMemory memory, PlanDraft draft, MemberLossPolicy lossPolicy) {
 		this.input = input;
 		this.memory = memory;
@@ -50,13 +46,6 @@
 			.stream()
 			.collect(Collectors.toMap(Instance::id, (instance) -> instance, (first, second) -> first));
 		this.free = new FreeInstances(input);
-		input.fleet()
-			.groups()
-			.values()
-			.stream()
-			.filter(GroupState::draining)
-			.map(GroupState::model)
-			.forEach(this.drainingModels::add);
 	}
 
 	// A group that lacks a member counts for as long as a load takes, so that a short
@@ -181,8 +170,7 @@
 			this.draft.drain(group, planner, "the configuration no longer has the model");
 		}
 		else if (this.draft.isChanged(group)) {
-			// One group a time, so that the others serve meanwhile.
-			if (this.drainingModels.add(group.model())) {
+			if (isNextToChange(group)) {
 				this.draft.drain(group, planner, "the configuration changed the model's members");
 			}
 			else {
@@ -201,4 +189,21 @@
 		}
 	}
 
+	// One group a time, the oldest, and only while none drains or loads: the others serve
+	// meanwhile, and all planners agree on which it is.
+	private boolean isNextToChange(GroupState group) {
+		for (final GroupState other : this.input.fleet().groups().values()) {
+			if (!other.model().equals(group.model()) || other.groupId().equals(group.groupId())) {
+				continue;
+			}
+			final boolean loads = this.input.missingRanks().containsKey(other.groupId())
+					&& !this.memory.wasComplete(other);
+			final boolean earlier = other.epoch() < group.epoch() && this.draft.isChanged(other);
+			if (other.draining() || loads || earlier) {
+				return false;
+			}
+		}
+		return true;
+	}
+
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/PlannerMemory.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/PlannerMemory.java
@@ -52,10 +52,13 @@
 		final Set<Long> epochs = new HashSet<>();
 		for (final GroupState group : input.fleet().groups().values()) {
 			epochs.add(group.epoch());
-			if (this.formedAtNanos.putIfAbsent(group.epoch(), input.nowNanos()) == null && this.begun) {
+			final boolean missing = input.missingRanks().containsKey(group.groupId());
+			// A planner that starts cannot tell when a loading group began; it counts as
+			// now.
+			if (this.formedAtNanos.putIfAbsent(group.epoch(), input.nowNanos()) == null && (this.begun || missing)) {
 				noteLoads(input, group);
 			}
-			if (!input.missingRanks().containsKey(group.groupId()) && this.completed.add(group.epoch()) && this.begun) {
+			if (!missing && this.completed.add(group.epoch()) && this.begun) {
 				learnLoad(group, input.nowNanos());
 			}
 		}
