--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/traffic/LoopbackTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/traffic/LoopbackTests.java
@@ -64,7 +64,7 @@
 	@BeforeEach
 	void start() {
 		this.system = ActorSystems.create("loopback");
-		final AppendDuty appender = new AppendDuty(this.system, this.log, "d");
+		final AppendDuty appender = new AppendDuty(this.system, this.log, "d", 1e6, () -> 1);
 		final ClaimService claims = new ClaimService(this.system, this.log, appender, "claims", 1);
 		this.traffic = new TrafficDuty(
 				this.system, new TrafficCore(new TrafficPolicies(new AdmitAll(), new FifoQueue(100),
