--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -1,5 +1,6 @@
 package org.pistachioline.daemon;
 
+import java.io.File;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -7,6 +8,7 @@
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -14,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -35,7 +38,10 @@
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.peer.PeerStatus;
 import org.pistachioline.core.placement.LeastInFlight;
-import org.pistachioline.core.planner.MinimumPlanner;
+import org.pistachioline.core.planner.GroupPlanner;
+import org.pistachioline.core.planner.Plan;
+import org.pistachioline.core.planner.WeighedLoss;
+import org.pistachioline.core.presence.PresenceLimits;
 import org.pistachioline.core.quarantine.DeathCounter;
 import org.pistachioline.core.queueing.FifoQueue;
 import org.pistachioline.core.retry.BudgetedRetry;
@@ -55,6 +61,7 @@
 import org.pistachioline.daemon.event.Events;
 import org.pistachioline.daemon.fleet.FleetDuty;
 import org.pistachioline.daemon.fleet.PlannerDuty;
+import org.pistachioline.daemon.fleet.PresenceLinks;
 import org.pistachioline.daemon.http.AdminHandler;
 import org.pistachioline.daemon.http.CallerHandler;
 import org.pistachioline.daemon.http.CallerLimits;
@@ -65,8 +72,13 @@
 import org.pistachioline.daemon.peer.CheckpointTransfer;
 import org.pistachioline.daemon.peer.ExchangedStream;
 import org.pistachioline.daemon.peer.PeerDuty;
+import org.pistachioline.daemon.peer.PeerMeter;
+import org.pistachioline.daemon.peer.PeerTls;
+import org.pistachioline.daemon.peer.PeerTransport;
 import org.pistachioline.daemon.traffic.Exchanges;
+import org.pistachioline.daemon.traffic.KillerReports;
 import org.pistachioline.daemon.traffic.TrafficDuty;
+import org.pistachioline.protocol.peer.PeerFrame;
 
 /**
  * Wires the parts of one daemon, starts them in order and stops them in reverse.
@@ -95,6 +107,8 @@
 
 	private final FleetDuty instances;
 
+	private final PlannerDuty planner;
+
 	private final PeerDuty peers;
 
 	private final TrafficDuty traffic;
@@ -124,6 +138,7 @@
 		this.staleness = new StalenessBound(
 				Duration.ofSeconds(settings.whole(Setting.LOG_STALENESS_BOUND_SECONDS)).toMillis());
 		final HttpCaller http = new HttpCaller(this.system);
+		this.metrics.process(http.meter());
 		final LogService log = new HttpLogService(http, settings.text(Setting.LOG_ADDRESS));
 		final String selfId = settings.text(Setting.DAEMON_ID);
 		final String writer = selfId + "#" + Long.toString(this.incarnation, Character.MAX_RADIX)
@@ -141,14 +156,17 @@
 		final ClaimService claims = new ClaimService(this.system, log, this.appender,
 				settings.text(Setting.LOG_CLAIMS_STREAM), (int) settings.whole(Setting.LOG_CLAIMS_PARTITIONS));
 		final EngineControl engines = new HttpEngineControl(http);
+		this.peers = new PeerDuty(this.system, this::transport, selfId, this::status, this::seeds,
+				settings.whole(Setting.PEERS_HEARTBEAT_MILLIS));
 		this.instances = new FleetDuty(this.system, this.config, this.fleet,
 				new HttpInstanceList(http, settings.text(Setting.INSTANCES_ADDRESS)), engines,
-				settings.whole(Setting.PROBES_INTERVAL_MILLIS), settings.whole(Setting.PROBES_PRESENCE_BOUND_MILLIS));
-		this.peers = new PeerDuty(this.system, settings.text(Setting.PEERS_ADDRESS), selfId, this::status, this::seeds,
-				settings.whole(Setting.PEERS_HEARTBEAT_MILLIS));
-		final PlannerDuty planner = new PlannerDuty(this.system, this.config, this.fleet, this.instances, engines,
-				this.appender, new MinimumPlanner(), selfId, this.peers::daemonIds);
-		this.traffic = new TrafficDuty(this.system, new TrafficCore(policies()), claims);
+				new PresenceLinks(selfId, this.peers), writer,
+				new PresenceLimits(TimeUnit.MILLISECONDS.toNanos(settings.whole(Setting.PROBES_INTERVAL_MILLIS)),
+						TimeUnit.MILLISECONDS.toNanos(settings.whole(Setting.PROBES_PRESENCE_BOUND_MILLIS))));
+		this.planner = new PlannerDuty(this.system, this.config, this.fleet, this.instances, engines, this.appender,
+				new GroupPlanner(new WeighedLoss()), selfId, this.peers::daemonIds);
+		this.traffic = new TrafficDuty(this.system, new TrafficCore(policies()), claims,
+				new KillerReports(this.appender, settings.text(Setting.LOG_FLEET_STREAM)));
 		final CallerLimits limits = new CallerLimits(settings.whole(Setting.CALLERS_MAX_BODY_BYTES),
 				settings.whole(Setting.CALLERS_BODY_TIMEOUT_MILLIS),
 				settings.whole(Setting.CALLERS_ENDPOINT_TTL_SECONDS));
@@ -164,7 +182,7 @@
 						settings.whole(Setting.LOG_CHECKPOINT_ENTRIES)));
 		final CheckpointTransfer transfer = new CheckpointTransfer(this.system, this.peers, selfId, exchanged(claims));
 		this.parts.addAll(List.of(this.appender, this.config, this.fleet, claims, this.peers, checkpoints, transfer,
-				this.traffic, this.instances, planner, this.admin, this.callers));
+				this.traffic, this.instances, this.planner, this.admin, this.callers));
 		connect();
 	}
 
@@ -183,6 +201,15 @@
 		return exchanged;
 	}
 
+	private PeerTransport transport(Consumer<PeerFrame> receiver) {
+		final String certificate = this.settings.text(Setting.PEERS_TLS_CERTIFICATE);
+		final PeerTls tls = certificate.isEmpty() ? null
+				: PeerTls.read(new File(certificate), new File(this.settings.text(Setting.PEERS_TLS_KEY)),
+						new File(this.settings.text(Setting.PEERS_TLS_TRUST)));
+		return new PeerTransport(this.settings.text(Setting.PEERS_ADDRESS), tls,
+				(int) this.settings.whole(Setting.PEERS_MAX_CONNECTIONS), receiver);
+	}
+
 	private static TrafficPolicies policies() {
 		return new TrafficPolicies(new WorkspaceLimits(), new FifoQueue(MAX_QUEUED), new LeastInFlight(),
 				new BudgetedRetry(), new DeathCounter());
@@ -197,9 +224,12 @@
 				Events.log(EventId.CONFIG_IN_FORCE, "version", state.version(), "offset", state.acceptedOffset());
 			}
 		});
+		this.fleet.onChange(() -> this.traffic.fleet(this.fleet.view().state()));
 		this.instances.onChange((view) -> this.traffic.targets(view.targets()));
 		this.metrics.gauge("pistachioline.requests.held", "Requests that have not ended", this.traffic::held);
 		this.metrics.gauge("pistachioline.requests.queued", "Requests that wait for a target", this.traffic::queued);
+		this.metrics.gauge("pistachioline.answers.dropped", "Answers that did not match a live attempt",
+				this.traffic::answersDropped);
 		this.metrics.gauge("pistachioline.config.version", "Version of the configuration in force",
 				this::configVersion);
 		this.metrics.gauge("pistachioline.log.appends", "Appends sent to the log", this.appender.counts()::appends);
@@ -214,6 +244,19 @@
 		this.metrics.gauge("pistachioline.log.entries.skipped", "Broken entries that were skipped",
 				() -> this.config.view().skippedEntries() + this.fleet.view().skippedEntries());
 		this.metrics.gauge("pistachioline.peers.live", "Live daemons, this one included", () -> daemons().size());
+		this.metrics.gauge("pistachioline.peer.connections", "Open connections with other daemons",
+				this.peers.transport()::connections);
+		for (final PeerFrame.BodyCase kind : PeerFrame.BodyCase.values()) {
+			final String name = kind.name().toLowerCase(Locale.ROOT);
+			count("sent", name, kind, this.peers.transport().sent());
+			count("received", name, kind, this.peers.transport().received());
+		}
+	}
+
+	private void count(String way, String name, PeerFrame.BodyCase kind, PeerMeter meter) {
+		this.metrics.counter("pistachioline.peer.bytes." + way, "Bytes of frames " + way + ", without TCP and TLS",
+				name, () -> meter.bytes(kind));
+		this.metrics.counter("pistachioline.peer.frames." + way, "Frames " + way, name, () -> meter.frames(kind));
 	}
 
 	/**
@@ -313,6 +356,9 @@
 
 	@Override
 	public Optional<String> notReadyReason() {
+		if (this.callers.localAddress().isEmpty()) {
+			return Optional.of("callers are not served yet");
+		}
 		final Optional<String> unknown = StreamReadiness.trouble(this.config.stream(), this.config.view())
 			.or(() -> StreamReadiness.trouble(this.fleet.stream(), this.fleet.view()));
 		if (unknown.isPresent()) {
@@ -362,7 +408,12 @@
 				Map.of("next_offset", this.fleet.view().nextOffset(), "condition", this.fleet.view().condition(),
 						"checkpoint_through", this.fleet.view().cover().throughOffset(), "planners",
 						this.fleet.view().state().planners(), "groups", groups()));
+		final Plan plan = this.planner.plan();
+		dump.put("plan", Map.of("groups", plan.groupReasons(), "free_instances", plan.freeReasons(), "dark_domains",
+				plan.darkDomains()));
 		dump.put("peers", daemons());
+		dump.put("killers", Map.of("quarantined", this.fleet.view().state().quarantines().values(), "suspected",
+				this.fleet.view().state().suspicions().values()));
 		dump.put("requests", Map.of("held", this.traffic.held(), "queued", this.traffic.queued()));
 		return dump;
 	}
@@ -377,7 +428,8 @@
 			.map((group) -> Map.<String, Object>of("group_id", group.groupId(), "model", group.model(), "epoch",
 					group.epoch(), "fabric_domain", group.fabricDomain(), "draining", group.draining(), "reason",
 					group.reason(), "members", group.members().stream().map((member) -> member.instanceId()).toList(),
-					"missing_ranks", missing.getOrDefault(group.groupId(), List.of())))
+					"missing_ranks", missing.getOrDefault(group.groupId(), List.of()), "served_here",
+					this.instances.view().proofs().containsKey(group.epoch())))
 			.collect(Collectors.toList());
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metrics.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metrics.java
@@ -2,10 +2,13 @@
 
 import java.util.function.Supplier;
 
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 
+import org.pistachioline.adapters.http.CallMeter;
+
 /**
  * The daemon's meters; docs/METRICS.md lists them.
  */
@@ -23,6 +26,29 @@
 		Gauge.builder(name, value).description(description).strongReference(true).register(this.registry);
 	}
 
+	/**
+	 * Adds a counter of one kind among several.
+	 * @param name its name
+	 * @param description its description
+	 * @param kind the kind that it counts
+	 * @param value gives its value
+	 */
+	public void counter(String name, String description, String kind, Supplier<Number> value) {
+		FunctionCounter.builder(name, value, (supplier) -> supplier.get().doubleValue())
+			.description(description)
+			.tag("kind", kind)
+			.register(this.registry);
+	}
+
+	/**
+	 * Adds the meters of the process: memory, processor time and control traffic.
+	 * @param calls the counts of calls to the platform and to targets
+	 */
+	public void process(CallMeter calls) {
+		ProcessMeters.bind(this.registry);
+		ProcessMeters.bind(this, calls);
+	}
+
 	/**
 	 * Returns all meters.
 	 * @return the text in the Prometheus form
