--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/claims/ClaimService.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/claims/ClaimService.java
@@ -8,6 +8,7 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
+import org.pistachioline.adapters.codec.ClaimsSnapshotCodec;
 import org.pistachioline.adapters.platform.LogService;
 import org.pistachioline.core.claims.ClaimEntry;
 import org.pistachioline.core.claims.ClaimsReducer;
@@ -71,8 +72,9 @@
 		this.claimTimeoutMillis = claimTimeoutMillis;
 		for (int i = 0; i < partitionCount; i++) {
 			final StreamDuty<ClaimsState> partition = new StreamDuty<>(system, streamPrefix + "-" + i, log,
-					new ClaimsReducer());
+					new ClaimsReducer(), new ClaimsSnapshotCodec());
 			partition.onFold(appender);
+			partition.onRestore((state) -> appender.onRestored(partition.stream(), state.writers()));
 			this.partitions.add(partition);
 		}
 	}
@@ -121,7 +123,7 @@
 		if (known.isPresent()) {
 			return CompletableFuture.completedFuture(ClaimResult.of(verdictOn(known.get(), info)));
 		}
-		if (!view.caughtUp()) {
+		if (!view.complete() || !view.caughtUp()) {
 			// Not found is no answer while records are missing: the key may have run.
 			return CompletableFuture.completedFuture(ClaimResult.of(ClaimVerdict.LIMBO));
 		}
@@ -226,6 +228,14 @@
 				claimOffset, status, contentType, storable ? body : "", unknown || !storable));
 	}
 
+	/**
+	 * Returns the streams with claims.
+	 * @return the streams in the order of their numbers
+	 */
+	public List<StreamDuty<ClaimsState>> partitions() {
+		return List.copyOf(this.partitions);
+	}
+
 	private StreamDuty<ClaimsState> partitionOf(RequestInfo info) {
 		final int hash = (info.workspace() + '/' + info.claim().keyHash()).hashCode();
 		return this.partitions.get(Math.floorMod(hash, this.partitions.size()));
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/MemoryLog.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/MemoryLog.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.pistachioline.adapters.platform.AppendException;
+import org.pistachioline.adapters.platform.AppendFailure;
 import org.pistachioline.adapters.platform.LogEntry;
 import org.pistachioline.adapters.platform.LogPage;
 import org.pistachioline.adapters.platform.LogService;
@@ -89,7 +90,8 @@
 			}
 			if (this.lostAnswers > 0) {
 				this.lostAnswers--;
-				answer = CompletableFuture.failedFuture(new AppendException(true, "answer lost", null));
+				answer = CompletableFuture
+					.failedFuture(new AppendException(AppendFailure.AMBIGUOUS, "answer lost", null));
 			}
 			else {
 				answer = CompletableFuture.completedFuture(offset);
