Bench: once measures groups lost to a killer and what claims cost

Cause: no figures for quarantine and claims yet. Change: bin/bench once, deterministic but for the fold's speed.

--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
@@ -10,7 +10,7 @@
 	private static final int EXIT_USAGE = 2;
 
 	private static final List<Benchmark> BENCHMARKS = List.of(new ReducerBenchmark(), new StateBenchmark(),
-			new LimboBenchmark());
+			new LimboBenchmark(), new OnceBenchmark());
 
 	private BenchMain() {
 	}
