--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/DeathCounter.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/DeathCounter.java
@@ -108,9 +108,12 @@
 	@Override
 	public void onAgreed(long nowNanos, Set<String> quarantined, Map<String, String> suspectTargetIds) {
 		suspectTargetIds.forEach((fingerprint, targetId) -> {
-			final boolean isNew = !targetId.equals(this.agreedSuspects.get(fingerprint));
-			if (isNew && !quarantined.contains(fingerprint) && !isProven(fingerprint)) {
+			final String before = this.agreedSuspects.get(fingerprint);
+			if (!targetId.equals(before) && !quarantined.contains(fingerprint) && !isProven(fingerprint)) {
 				final Suspicion suspicion = this.suspects.computeIfAbsent(fingerprint, (key) -> new Suspicion());
+				// A newer report stands for the older one, of which others may have
+				// cleared it.
+				suspicion.targetIds.remove(before);
 				suspicion.targetIds.add(targetId);
 				suspicion.untilNanos = nowNanos + LIFETIME_NANOS;
 			}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/state/KillerRules.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/state/KillerRules.java
@@ -14,16 +14,24 @@
  * Folds what daemons report of requests under which groups died.
  * <p>
  * Copies of one request may kill a group each at two daemons in the same moment, and
- * neither daemon sees more than one death. The log sees both: the second report with
- * another group quarantines the request, in log order and so on all daemons alike. What
- * has expired by the time of a newer report is dropped, and both tables are bounded, so
- * that a storm of reports cannot grow the state; the cap on quarantines keeps an outage
- * of many groups from barring everybody's requests.
+ * neither daemon sees more than one death. The log sees both: a second report with
+ * another group, at nearly the same time, quarantines the request in log order and so on
+ * all daemons alike. Later reports do not: in between the request may have been cleared
+ * where it ran on, which is not on the log, and may only have run beside the culprit
+ * again. What has expired by the time of a newer report is dropped, and both tables are
+ * bounded, so that a storm of reports cannot grow the state; the cap on quarantines keeps
+ * an outage of many groups from barring everybody's requests.
  */
 final class KillerRules {
 
 	private static final int MOST_SUSPICIONS = 1024;
 
+	/**
+	 * Longer than copies take to crash and to be noticed, shorter than a suspect takes to
+	 * be cleared.
+	 */
+	private static final long SAME_MOMENT_MILLIS = 1_500;
+
 	private static final long LIFETIME_MILLIS = DeathCounter.LIFETIME_MINUTES * 60_000;
 
 	private KillerRules() {
@@ -38,7 +46,7 @@
 	static FleetState suspect(FleetState state, RequestSuspicion suspicion) {
 		final FleetState current = withoutExpired(state, suspicion.expiresAtMillis() - LIFETIME_MILLIS);
 		final RequestSuspicion known = current.suspicions().get(suspicion.fingerprint());
-		if (known != null && isOtherGroup(known, suspicion)) {
+		if (known != null && isOtherGroup(known, suspicion) && isSameMoment(known, suspicion)) {
 			return quarantine(current, new RequestQuarantine(suspicion.fingerprint(), suspicion.expiresAtMillis(),
 					"groups " + known.groupId() + " and " + suspicion.groupId() + " died under it"));
 		}
@@ -49,6 +57,10 @@
 		return one.groupEpoch() != other.groupEpoch() || !one.groupId().equals(other.groupId());
 	}
 
+	private static boolean isSameMoment(RequestSuspicion one, RequestSuspicion other) {
+		return Math.abs(one.expiresAtMillis() - other.expiresAtMillis()) <= SAME_MOMENT_MILLIS;
+	}
+
 	private static FleetState withoutExpired(FleetState state, long atMillis) {
 		return state.withKillers(remaining(state.quarantines(), RequestQuarantine::expiresAtMillis, atMillis),
 				remaining(state.suspicions(), RequestSuspicion::expiresAtMillis, atMillis));
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/KillerRequestTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/KillerRequestTests.java
@@ -83,6 +83,26 @@
 		assertThat(fleet.groupsLost).isEqualTo(2);
 	}
 
+	// The killer's batch had not given a token yet, so any of it may be the cause. Run
+	// again together on the next group they would die together, and all be condemned.
+	@Test
+	void suspectsOfOneBatchAreNotCondemnedTogether() {
+		final Fleet fleet = new Fleet(1, 2, DeathCounter::new);
+		for (int i = 0; i < 2 * TrafficHistory.SLOTS - 1; i++) {
+			fleet.arrive(0, "innocent-" + i);
+		}
+		fleet.arrive(0, KILLER);
+		for (int i = 0; i < REPEATS; i++) {
+			fleet.settle();
+			fleet.progressAll(20);
+		}
+		assertThat(fleet.groupsLost).isEqualTo(2);
+		assertThat(fleet.failures(KILLER)).containsExactly(ErrorKind.QUARANTINED);
+		fleet.finishInnocents();
+		assertThat(fleet.quarantinedInnocents()).isEmpty();
+		assertThat(fleet.innocentsNotFinished()).isZero();
+	}
+
 	// A rack goes dark and takes group after group from under the same callers. They must
 	// get their answers from what still works, not be told that their requests crash it.
 	@Test
@@ -194,8 +214,9 @@
 
 		private void append(TrafficAction.Suspect report) {
 			final String[] target = report.target().targetId().split("@");
-			final RecordBody body = report.quarantine() ? new RequestQuarantine(report.fingerprint(), 600_000, "")
-					: new RequestSuspicion(report.fingerprint(), target[0], Long.parseLong(target[1]), 600_000);
+			final long untilMillis = 600_000 + this.daemons.get(0).nowNanos / 1_000_000;
+			final RecordBody body = report.quarantine() ? new RequestQuarantine(report.fingerprint(), untilMillis, "")
+					: new RequestSuspicion(report.fingerprint(), target[0], Long.parseLong(target[1]), untilMillis);
 			this.offset++;
 			this.agreed = new FleetReducer().apply(this.agreed, this.offset, new LogRecord("d", this.offset, 1, body))
 				.state();
