--- a/pistachioline-core/src/main/java/org/pistachioline/core/admission/LimitShares.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/admission/LimitShares.java
@@ -6,8 +6,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-import org.pistachioline.core.placement.DaemonRank;
-
 /**
  * Divides each workspace's limits between the daemons by their demand.
  * <p>
@@ -36,8 +34,6 @@
 
 	private final long holdNanos;
 
-	private final String selfId;
-
 	private final Map<String, Peer> peers = new TreeMap<>();
 
 	private final Map<String, Rise> rises = new HashMap<>();
@@ -46,13 +42,11 @@
 
 	/**
 	 * Creates shares for a daemon that knows no other.
-	 * @param selfId this daemon's name
 	 * @param silentNanos after which a peer counts as silent
 	 * @param forgetNanos after which a silent peer's part is given to the others
 	 * @param holdNanos how long a rise is held back
 	 */
-	public LimitShares(String selfId, long silentNanos, long forgetNanos, long holdNanos) {
-		this.selfId = selfId;
+	public LimitShares(long silentNanos, long forgetNanos, long holdNanos) {
 		this.silentNanos = silentNanos;
 		this.forgetNanos = forgetNanos;
 		this.holdNanos = holdNanos;
@@ -83,23 +77,13 @@
 	}
 
 	/**
-	 * Returns this daemon's place among the daemons that were heard of lately.
-	 * <p>
-	 * Silent ones are left out, unlike for limits: if one of them lives, an engine queues
-	 * a little, while slots set aside for the dead would stand idle at the worst time.
+	 * Takes word that a peer is alive, without its demand.
 	 * @param nowNanos the monotonic time
-	 * @return the place
+	 * @param daemonId the peer
 	 */
-	public DaemonRank rank(long nowNanos) {
-		int before = 0;
-		int count = 1;
-		for (final Map.Entry<String, Peer> peer : this.peers.entrySet()) {
-			if (nowNanos - peer.getValue().heardAtNanos() <= this.silentNanos) {
-				before += (peer.getKey().compareTo(this.selfId) < 0) ? 1 : 0;
-				count++;
-			}
-		}
-		return new DaemonRank(before, count);
+	public void onAlive(long nowNanos, String daemonId) {
+		// Its part is set aside until it tells its demand itself.
+		this.peers.putIfAbsent(daemonId, new Peer(nowNanos - this.silentNanos - 1, Map.of()));
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/DaemonRank.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/DaemonRank.java
@@ -1,5 +1,7 @@
 package org.pistachioline.core.placement;
 
+import java.util.Collection;
+
 /**
  * Where this daemon stands among the live ones, so that all can divide something without
  * a message.
@@ -12,6 +14,25 @@
 	/** A daemon that knows of no other. */
 	public static final DaemonRank ALONE = new DaemonRank(0, 1);
 
+	/**
+	 * Finds a daemon's place among live ones.
+	 * <p>
+	 * Silent daemons are left out: if one of them lives, an engine queues a little, while
+	 * slots set aside for the dead would stand idle at the worst time.
+	 * @param selfId the daemon
+	 * @param liveIds the live daemons, this one included or not
+	 * @return its place
+	 */
+	public static DaemonRank among(String selfId, Collection<String> liveIds) {
+		int before = 0;
+		int count = 1;
+		for (final String id : liveIds) {
+			before += (id.compareTo(selfId) < 0) ? 1 : 0;
+			count += id.equals(selfId) ? 0 : 1;
+		}
+		return new DaemonRank(before, count);
+	}
+
 	/**
 	 * Returns this daemon's equal part of something, such that all parts add up to it.
 	 * <p>
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -29,24 +29,19 @@
 import org.pistachioline.adapters.target.HttpEngineControl;
 import org.pistachioline.adapters.toml.Setting;
 import org.pistachioline.adapters.toml.Settings;
-import org.pistachioline.core.admission.WorkspaceLimits;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.fleet.Instance;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.peer.PeerStatus;
-import org.pistachioline.core.placement.LeastInFlight;
 import org.pistachioline.core.planner.MinimumPlanner;
-import org.pistachioline.core.quarantine.DeathCounter;
-import org.pistachioline.core.queueing.FifoQueue;
-import org.pistachioline.core.retry.BudgetedRetry;
 import org.pistachioline.core.state.ConfigReducer;
 import org.pistachioline.core.state.ConfigState;
 import org.pistachioline.core.state.FleetReducer;
 import org.pistachioline.core.state.FleetState;
 import org.pistachioline.core.state.StalenessBound;
 import org.pistachioline.core.stream.CheckpointPolicy;
+import org.pistachioline.core.traffic.StandardPolicies;
 import org.pistachioline.core.traffic.TrafficCore;
-import org.pistachioline.core.traffic.TrafficPolicies;
 import org.pistachioline.daemon.agreed.AppendDuty;
 import org.pistachioline.daemon.agreed.CheckpointDuty;
 import org.pistachioline.daemon.agreed.StreamDuty;
@@ -66,6 +61,7 @@
 import org.pistachioline.daemon.peer.ExchangedStream;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.traffic.Exchanges;
+import org.pistachioline.daemon.traffic.ShareKeeper;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 
 /**
@@ -73,8 +69,6 @@
  */
 public final class Daemon implements DaemonView {
 
-	private static final int MAX_QUEUED = 10_000;
-
 	private static final long DRAIN_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
 	private static final long LONGEST_DRAIN_NANOS = TimeUnit.MINUTES.toNanos(15);
@@ -148,7 +142,14 @@
 				settings.whole(Setting.PEERS_HEARTBEAT_MILLIS));
 		final PlannerDuty planner = new PlannerDuty(this.system, this.config, this.fleet, this.instances, engines,
 				this.appender, new MinimumPlanner(), selfId, this.peers::daemonIds);
-		this.traffic = new TrafficDuty(this.system, new TrafficCore(policies()), claims);
+		final long heartbeatMillis = settings.whole(Setting.PEERS_HEARTBEAT_MILLIS);
+		final ShareKeeper shares = new ShareKeeper(selfId, this.peers::daemonIds, heartbeatMillis);
+		this.traffic = new TrafficDuty(this.system,
+				new TrafficCore(StandardPolicies.create(settings.text(Setting.DAEMON_AVAILABILITY_ZONE),
+						this.incarnation ^ ((long) selfId.hashCode() << Integer.SIZE))),
+				claims, shares);
+		this.peers.onDemand(shares::demand,
+				(peer, demand) -> this.traffic.peerDemand(peer.daemonId(), peer.leaving(), demand));
 		final CallerLimits limits = new CallerLimits(settings.whole(Setting.CALLERS_MAX_BODY_BYTES),
 				settings.whole(Setting.CALLERS_BODY_TIMEOUT_MILLIS),
 				settings.whole(Setting.CALLERS_ENDPOINT_TTL_SECONDS));
@@ -183,11 +184,6 @@
 		return exchanged;
 	}
 
-	private static TrafficPolicies policies() {
-		return new TrafficPolicies(new WorkspaceLimits(), new FifoQueue(MAX_QUEUED), new LeastInFlight(),
-				new BudgetedRetry(), new DeathCounter());
-	}
-
 	private void connect() {
 		final AtomicLong inForce = new AtomicLong();
 		this.config.onChange(() -> {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
@@ -4,10 +4,12 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -23,6 +25,7 @@
 import org.pistachioline.daemon.event.Events;
 import org.pistachioline.protocol.peer.Heartbeat;
 import org.pistachioline.protocol.peer.PeerFrame;
+import org.pistachioline.protocol.peer.WorkspaceUse;
 
 /**
  * Tells a few peers at each beat what this daemon knows, so that all hear of all.
@@ -37,6 +40,10 @@
 
 	private static final int LIVE_BEATS = 8;
 
+	private static final int MAX_WORKSPACES = 64;
+
+	private static final double LEAST_DEMAND = 0.01;
+
 	private final Supplier<PeerStatus> self;
 
 	private final Supplier<List<String>> seeds;
@@ -50,6 +57,11 @@
 	private volatile Consumer<PeerFrame> checkpointFrames = (frame) -> {
 	};
 
+	private volatile Supplier<Map<String, Double>> demand = Map::of;
+
+	private volatile BiConsumer<PeerStatus, Map<String, Double>> demandReceiver = (status, told) -> {
+	};
+
 	private final AtomicReference<List<PeerStatus>> live = new AtomicReference<>(List.of());
 
 	/**
@@ -142,6 +154,16 @@
 			.ifPresent((peer) -> this.transport.send(peer.peerAddress(), frame));
 	}
 
+	/**
+	 * Sets what tells and takes the demand of workspaces.
+	 * @param own this daemon's demand
+	 * @param receiver takes a peer's; it must not block
+	 */
+	public void onDemand(Supplier<Map<String, Double>> own, BiConsumer<PeerStatus, Map<String, Double>> receiver) {
+		this.demand = own;
+		this.demandReceiver = receiver;
+	}
+
 	@Override
 	public void onMessage(PeerFrame frame) {
 		if (frame.hasCheckpointRequest() || frame.hasCheckpointReply()) {
@@ -155,6 +177,11 @@
 		merge(PeerCodec.decode(frame.getHeartbeat().getSender()), nowNanos);
 		frame.getHeartbeat().getKnownList().forEach((status) -> merge(PeerCodec.decode(status), nowNanos));
 		this.live.set(this.table.live(nowNanos));
+		this.demandReceiver.accept(PeerCodec.decode(frame.getHeartbeat().getSender()), frame.getHeartbeat()
+			.getWorkspaceUseList()
+			.stream()
+			.limit(MAX_WORKSPACES)
+			.collect(Collectors.toMap(WorkspaceUse::getWorkspace, WorkspaceUse::getRequestsPerSecond, Math::max)));
 	}
 
 	private void merge(PeerStatus status, long nowNanos) {
@@ -189,6 +216,13 @@
 		Collections.shuffle(known, ThreadLocalRandom.current());
 		final Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setSender(PeerCodec.encode(status));
 		known.stream().limit(MAX_KNOWN).forEach((peer) -> heartbeat.addKnown(PeerCodec.encode(peer)));
+		// Workspaces without demand are left out: an absent one counts as none.
+		this.demand.get().forEach((workspace, requestsPerSecond) -> {
+			if (requestsPerSecond >= LEAST_DEMAND && heartbeat.getWorkspaceUseCount() < MAX_WORKSPACES) {
+				heartbeat.addWorkspaceUse(
+						WorkspaceUse.newBuilder().setWorkspace(workspace).setRequestsPerSecond(requestsPerSecond));
+			}
+		});
 		final PeerFrame frame = PeerFrame.newBuilder().setHeartbeat(heartbeat).build();
 		final Set<String> addresses = new TreeSet<>(this.seeds.get());
 		known.forEach((peer) -> addresses.add(peer.peerAddress()));
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -38,6 +38,8 @@
 
 	private final ClaimService claims;
 
+	private final ShareKeeper shares;
+
 	private final Duty<TrafficMessage> duty;
 
 	private final Map<Long, Exchange> exchanges = new HashMap<>();
@@ -53,8 +55,10 @@
 	 * @param system the process's actor system
 	 * @param core what decides
 	 * @param claims makes claims
+	 * @param shares keeps this daemon's shares of the limits
 	 */
-	public TrafficDuty(ActorSystem<?> system, TrafficCore core, ClaimService claims) {
+	public TrafficDuty(ActorSystem<?> system, TrafficCore core, ClaimService claims, ShareKeeper shares) {
+		this.shares = shares;
 		this.core = core;
 		this.claims = claims;
 		this.duty = new Duty<>(system, "traffic", RING_CAPACITY, TICK, this);
@@ -96,6 +100,16 @@
 		this.duty.offer(new TrafficMessage.Targets(targets));
 	}
 
+	/**
+	 * Takes over a peer's demand; where the ring is full the next beat brings it.
+	 * @param daemonId the peer
+	 * @param leaving whether it is about to stop
+	 * @param demand its requests a second, by workspace
+	 */
+	public void peerDemand(String daemonId, boolean leaving, Map<String, Double> demand) {
+		this.duty.offer(new TrafficMessage.PeerDemand(daemonId, leaving, demand));
+	}
+
 	/**
 	 * Takes word that a caller went away.
 	 * @param requestId the request
@@ -139,7 +153,9 @@
 
 	@Override
 	public void onTick() {
-		carryOut(this.core.onTick(System.nanoTime()));
+		final long nowNanos = System.nanoTime();
+		carryOut(this.core.onTick(nowNanos));
+		carryOut(this.shares.renew(nowNanos, this.core));
 	}
 
 	@Override
@@ -156,6 +172,9 @@
 		else if (message instanceof TrafficMessage.Ended ended) {
 			carryOut(this.core.onAttemptEnd(nowNanos, ended.attempt(), ended.how(), ended.tokensDelivered()));
 		}
+		else if (message instanceof TrafficMessage.PeerDemand peer) {
+			this.shares.hear(nowNanos, peer);
+		}
 		else if (message instanceof TrafficMessage.Claimed claimed) {
 			onClaimed(nowNanos, claimed);
 		}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
@@ -1,6 +1,7 @@
 package org.pistachioline.daemon.traffic;
 
 import java.util.List;
+import java.util.Map;
 
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.traffic.AttemptEnd;
@@ -79,4 +80,14 @@
 	record Leave() implements TrafficMessage {
 	}
 
+	/**
+	 * A peer told its demand.
+	 *
+	 * @param daemonId the peer
+	 * @param leaving whether it is about to stop
+	 * @param demand its requests a second, by workspace
+	 */
+	record PeerDemand(String daemonId, boolean leaving, Map<String, Double> demand) implements TrafficMessage {
+	}
+
 }
--- a/pistachioline-replay/src/main/java/org/pistachioline/replay/simulation/SimulatedDaemon.java
+++ b/pistachioline-replay/src/main/java/org/pistachioline/replay/simulation/SimulatedDaemon.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +14,7 @@
 import org.pistachioline.core.admission.LimitShares;
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.manifest.Manifest;
+import org.pistachioline.core.placement.DaemonRank;
 import org.pistachioline.core.traffic.AttemptEnd;
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.ClaimVerdict;
@@ -52,6 +54,8 @@
 
 	private final Map<Long, Submission> submissions = new LinkedHashMap<>();
 
+	private final Map<String, Long> heardAtNanos = new HashMap<>();
+
 	private final Map<AttemptId, Run> runs = new HashMap<>();
 
 	private final Map<AttemptId, SimulatedTarget> targetsByAttempt = new HashMap<>();
@@ -65,7 +69,7 @@
 		this.simulation = simulation;
 		this.events = events;
 		this.daemonId = "d" + index;
-		this.shares = new LimitShares(this.daemonId, SILENT_NANOS, FORGET_NANOS, HOLD_NANOS);
+		this.shares = new LimitShares(SILENT_NANOS, FORGET_NANOS, HOLD_NANOS);
 		this.availabilityZone = availabilityZone;
 		this.random = RandomSource.SPLIT_MIX_64.create(seed * 7919 + index);
 		this.core = new TrafficCore(set.create(availabilityZone, seed * 104_729 + index));
@@ -125,12 +129,20 @@
 	}
 
 	void hear(String peer, Map<String, Double> demand) {
+		this.heardAtNanos.put(peer, this.events.nowNanos());
 		this.shares.onPeer(this.events.nowNanos(), peer, false, demand);
 	}
 
 	void share(List<String> workspaces) {
+		final Set<String> live = new HashSet<>();
+		this.heardAtNanos.forEach((peer, atNanos) -> {
+			if (this.events.nowNanos() - atNanos <= SILENT_NANOS) {
+				live.add(peer);
+			}
+		});
 		final long nowNanos = this.events.nowNanos();
-		act(this.core.onShares(nowNanos, this.shares.rank(nowNanos), this.shares.shareRatios(nowNanos, workspaces)));
+		act(this.core.onShares(nowNanos, DaemonRank.among(this.daemonId, live),
+				this.shares.shareRatios(nowNanos, workspaces)));
 	}
 
 	void readCache(SimulatedTarget target, double lossRatio) {
