--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/HttpCaller.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/HttpCaller.java
@@ -24,6 +24,8 @@
 
 	private final Http http;
 
+	private final CallMeter meter = new CallMeter();
+
 	/**
 	 * Creates a caller.
 	 * @param system the process's actor system
@@ -49,15 +51,24 @@
 	 * @return the answer, with its body read
 	 */
 	public CompletableFuture<HttpAnswer> call(HttpRequest request, long timeoutMillis) {
+		this.meter.onCall(request);
 		return this.http.singleRequest(request)
 			.thenCompose((response) -> response.entity()
 				.withSizeLimit(MAX_ANSWER_BYTES)
 				.toStrict(timeoutMillis, this.system)
-				.thenApply((entity) -> answer(response, entity)))
+				.thenApply((entity) -> answer(request, response, entity)))
 			.toCompletableFuture()
 			.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Returns the counts of all calls.
+	 * @return the meter
+	 */
+	public CallMeter meter() {
+		return this.meter;
+	}
+
 	/**
 	 * Returns the actor system on which streams run.
 	 * @return the actor system
@@ -66,7 +77,8 @@
 		return this.system;
 	}
 
-	private static HttpAnswer answer(HttpResponse response, HttpEntity.Strict entity) {
+	private HttpAnswer answer(HttpRequest request, HttpResponse response, HttpEntity.Strict entity) {
+		this.meter.onAnswer(request, entity.getData().size());
 		return new HttpAnswer(response.status().intValue(), entity.getContentType().toString(),
 				entity.getData().toArray());
 	}
--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/DecisionsBenchmark.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/DecisionsBenchmark.java
@@ -86,9 +86,10 @@
 
 	private static TrafficCore core(int replicas) {
 		final TrafficCore core = new TrafficCore(StandardPolicies.create("a", 1));
-		core.onManifest(1, new Manifest(List.of(), List.of(), List.of(),
-				List.of(new WorkspaceSpec("w", List.of(), 1e9, 1L << 50, 100_000, 1, List.of(), List.of())),
-				WeightSpec.DEFAULT, DeadlineSpec.DEFAULT));
+		core.onManifest(1,
+				new Manifest(List.of(), List.of(), List.of(),
+						List.of(new WorkspaceSpec("w", List.of(), 1e9, 1L << 50, 100_000, 1, List.of(), List.of())),
+						WeightSpec.DEFAULT, DeadlineSpec.DEFAULT));
 		final List<TargetView> views = new ArrayList<>();
 		for (int i = 0; i < replicas; i++) {
 			views.add(new TargetView("g" + i + "@1", TargetKind.MODEL, "m", "", 1, "abc".substring(i % 3, i % 3 + 1),
--- a/pistachioline-core/src/main/java/org/pistachioline/core/endpoints/EndpointSelector.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/endpoints/EndpointSelector.java
@@ -50,8 +50,7 @@
 				(daemon.availabilityZone().equals(availabilityZone) ? near : far).add(daemon);
 			}
 		}
-		final Comparator<PeerStatus> byDraw = Comparator
-			.comparingDouble((PeerStatus daemon) -> draw(daemon, answer))
+		final Comparator<PeerStatus> byDraw = Comparator.comparingDouble((PeerStatus daemon) -> draw(daemon, answer))
 			.thenComparing(PeerStatus::daemonId);
 		near.sort(byDraw);
 		far.sort(byDraw);
@@ -63,8 +62,8 @@
 	// The smallest of draws from exponential distributions with these rates belongs to
 	// each daemon with a chance in proportion to its rate.
 	private static double draw(PeerStatus daemon, long answer) {
-		final long hash = MurmurHash3.hash32x86((daemon.daemonId() + '/' + answer).getBytes(
-				StandardCharsets.UTF_8)) & 0xFFFFFFFFL;
+		final long hash = MurmurHash3.hash32x86((daemon.daemonId() + '/' + answer).getBytes(StandardCharsets.UTF_8))
+				& 0xFFFFFFFFL;
 		final double uniform = (hash + 1) * FRACTION_UNIT;
 		return -Math.log(uniform) * Math.max(LEAST_LOAD_RATIO, daemon.loadRatio());
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -576,10 +576,12 @@
 			.toList();
 	}
 
-	private static Set<String> avoided(Flight flight) {
+	private Set<String> avoided(Flight flight) {
 		// The holder of a claim is only tried again after a connection that was not made,
-		// which may succeed at the same instance.
-		return (flight.claimOffset >= 0) ? Set.of() : flight.triedTargetIds;
+		// which may succeed at the same instance when there is no other.
+		final boolean mayReturn = flight.claimOffset >= 0 && open(flight.info).stream()
+			.allMatch((load) -> flight.triedTargetIds.contains(load.view().targetId()));
+		return mayReturn ? Set.of() : flight.triedTargetIds;
 	}
 
 	private List<TargetLoad> open(RequestInfo info) {
@@ -650,6 +652,15 @@
 		this.policies.admission().release(nowNanos, flight.info);
 	}
 
+	/**
+	 * Returns whether an attempt is still waited for.
+	 * @param attempt the attempt
+	 * @return whether its answer counts
+	 */
+	public boolean isLive(AttemptId attempt) {
+		return live(attempt) != null;
+	}
+
 	private Flight live(AttemptId attempt) {
 		final Flight flight = this.flights.get(attempt.requestId());
 		return (flight != null && attempt.equals(flight.liveAttempt)) ? flight : null;
--- a/pistachioline-core/src/test/java/org/pistachioline/core/endpoints/EndpointSelectorTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/endpoints/EndpointSelectorTests.java
@@ -16,14 +16,14 @@
 	@Test
 	void theNearZoneComesFirstAndOthersFollowForWhenItIsLost() {
 		final List<PeerStatus> chosen = EndpointSelector.choose(
-				List.of(daemon("d1", "a", 1, false), daemon("d2", "b", 0.1, false), daemon("d3", "a", 0.5, false)),
-				"b", 1);
+				List.of(daemon("d1", "a", 1, false), daemon("d2", "b", 0.1, false), daemon("d3", "a", 0.5, false)), "b",
+				1);
 		assertThat(chosen).extracting(PeerStatus::availabilityZone).containsExactly("b", "a", "a");
 	}
 
 	@Test
 	void aDaemonThatLeavesOrIsNotReadyIsNotNamed() {
-		assertThat(EndpointSelector.choose(List.of(daemon("d1", "a", 0, true), daemon("d2", "a", 0, false)), "a", 1))
+		assertThat(EndpointSelector.choose(List.of(daemon("d1", "a", 0, true), daemon("d2", "a", 0, false)), "a", 1L))
 			.extracting(PeerStatus::daemonId)
 			.containsExactly("d2");
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/CallerHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/CallerHandler.java
@@ -51,6 +51,8 @@
 
 	private static final int MAX_KEY_LENGTH = 255;
 
+	private static final long CLAIM_MARGIN_MILLIS = 10_000;
+
 	private final DaemonView daemon;
 
 	private final Exchanges exchanges;
@@ -59,6 +61,8 @@
 
 	private final CallerLimits limits;
 
+	private final AtomicLong nextEndpointsAnswer = new AtomicLong(System.nanoTime());
+
 	private final AtomicLong nextRequestId = new AtomicLong(1);
 
 	private final String requestIdPrefix;
@@ -156,11 +160,11 @@
 		require(key.length() <= MAX_KEY_LENGTH, ErrorKind.MALFORMED_REQUEST);
 		final String pathAndQuery = path + request.getUri().rawQueryString().map((query) -> "?" + query).orElse("");
 		return body(request).thenCompose((bytes) -> {
-			final ClaimNeed claim = idempotent ? ClaimNeed.NONE
-					: new ClaimNeed(DigestUtils.sha256Hex(key),
-							DigestUtils.sha256Hex(name + '\n' + request.method().value() + '\n' + pathAndQuery + '\n'
-									+ DigestUtils.sha256Hex(bytes)),
-							operation.map(OperationSpec::keyLifetimeMillis).orElse(0L));
+			final ClaimNeed claim = idempotent ? ClaimNeed.NONE : new ClaimNeed(DigestUtils.sha256Hex(key),
+					DigestUtils.sha256Hex(name + '\n' + request.method().value() + '\n' + pathAndQuery + '\n'
+							+ DigestUtils.sha256Hex(bytes)),
+					operation.map(OperationSpec::keyLifetimeMillis).orElse(0L),
+					service.timeoutMillis() + CLAIM_MARGIN_MILLIS);
 			final long nowNanos = System.nanoTime();
 			final long deadlineNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(service.timeoutMillis());
 			final RequestInfo info = new RequestInfo(requestId, workspace.name(), TargetKind.SERVICE, name, 1, 1, 0,
@@ -187,7 +191,8 @@
 
 	private HttpResponse endpoints(HttpRequest request) {
 		final String zone = request.getUri().query().get("availability_zone").orElse("");
-		final List<PeerStatus> chosen = EndpointSelector.choose(this.daemon.daemons(), zone);
+		final List<PeerStatus> chosen = EndpointSelector.choose(this.daemon.daemons(), zone,
+				this.nextEndpointsAnswer.getAndIncrement());
 		final List<Map<String, Object>> endpoints = chosen.stream()
 			.map((peer) -> Map.<String, Object>of("address", peer.callerAddress(), "availability_zone",
 					peer.availabilityZone()))
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/StreamedExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/StreamedExchange.java
@@ -8,6 +8,7 @@
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.apache.pekko.japi.Pair;
 import org.apache.pekko.stream.BoundedSourceQueue;
+import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
 
@@ -41,7 +42,12 @@
 
 	@Override
 	void onEvents(Source<ByteString, NotUsed> events) {
-		this.parts.offer(events);
+		if (!this.parts.offer(events).isEnqueued()) {
+			// The caller has gone. Events that nobody reads would keep the engine at work
+			// and its connection open.
+			events.runWith(Sink.cancelled(), http().system());
+			return;
+		}
 		response().complete(HttpResponse.create()
 			.addHeader(RawHeader.create(ErrorAnswers.REQUEST_ID_HEADER, requestIdText()))
 			.withEntity(HttpEntities.createChunked(ContentTypes.create(MediaTypes.TEXT_EVENT_STREAM), this.answer)));
@@ -49,17 +55,26 @@
 
 	@Override
 	public void finish() {
-		this.parts.complete();
+		complete();
 	}
 
 	@Override
 	public void fail(ErrorKind kind, RunState runState, long retryAfterMillis) {
 		final boolean headLeft = !response()
 			.complete(ErrorAnswers.of(requestIdText(), kind, runState, retryAfterMillis));
-		if (headLeft) {
+		if (headLeft && !this.parts.isCompleted()) {
 			this.parts.offer(Source.single(ErrorAnswers.event(kind, runState)));
 		}
-		this.parts.complete();
+		complete();
+	}
+
+	private void complete() {
+		// Where the caller has gone the answer is closed already, and closing it again is
+		// a
+		// fault that would keep the traffic duty from what it has to do for others.
+		if (!this.parts.isCompleted()) {
+			this.parts.complete();
+		}
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import org.pistachioline.core.manifest.Manifest;
+import org.pistachioline.core.state.FleetState;
 import org.pistachioline.core.traffic.AttemptEnd;
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.TargetView;
@@ -74,6 +75,14 @@
 	record Targets(List<TargetView> targets) implements TrafficMessage {
 	}
 
+	/**
+	 * The agreed state of the fleet changed.
+	 *
+	 * @param state the state
+	 */
+	record Fleet(FleetState state) implements TrafficMessage {
+	}
+
 	/**
 	 * The daemon leaves.
 	 */
