--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -32,27 +32,22 @@
 import org.pistachioline.adapters.target.HttpEngineControl;
 import org.pistachioline.adapters.toml.Setting;
 import org.pistachioline.adapters.toml.Settings;
-import org.pistachioline.core.admission.WorkspaceLimits;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.fleet.Instance;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.peer.PeerStatus;
-import org.pistachioline.core.placement.LeastInFlight;
 import org.pistachioline.core.planner.GroupPlanner;
 import org.pistachioline.core.planner.Plan;
 import org.pistachioline.core.planner.WeighedLoss;
 import org.pistachioline.core.presence.PresenceLimits;
-import org.pistachioline.core.quarantine.DeathCounter;
-import org.pistachioline.core.queueing.FifoQueue;
-import org.pistachioline.core.retry.BudgetedRetry;
 import org.pistachioline.core.state.ConfigReducer;
 import org.pistachioline.core.state.ConfigState;
 import org.pistachioline.core.state.FleetReducer;
 import org.pistachioline.core.state.FleetState;
 import org.pistachioline.core.state.StalenessBound;
 import org.pistachioline.core.stream.CheckpointPolicy;
+import org.pistachioline.core.traffic.StandardPolicies;
 import org.pistachioline.core.traffic.TrafficCore;
-import org.pistachioline.core.traffic.TrafficPolicies;
 import org.pistachioline.daemon.agreed.AppendDuty;
 import org.pistachioline.daemon.agreed.CheckpointDuty;
 import org.pistachioline.daemon.agreed.StreamDuty;
@@ -77,6 +72,7 @@
 import org.pistachioline.daemon.peer.PeerTransport;
 import org.pistachioline.daemon.traffic.Exchanges;
 import org.pistachioline.daemon.traffic.KillerReports;
+import org.pistachioline.daemon.traffic.ShareKeeper;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 import org.pistachioline.protocol.peer.PeerFrame;
 
@@ -85,8 +81,6 @@
  */
 public final class Daemon implements DaemonView {
 
-	private static final int MAX_QUEUED = 10_000;
-
 	private static final long DRAIN_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
 	private static final long LONGEST_DRAIN_NANOS = TimeUnit.MINUTES.toNanos(15);
@@ -165,8 +159,14 @@
 						TimeUnit.MILLISECONDS.toNanos(settings.whole(Setting.PROBES_PRESENCE_BOUND_MILLIS))));
 		this.planner = new PlannerDuty(this.system, this.config, this.fleet, this.instances, engines, this.appender,
 				new GroupPlanner(new WeighedLoss()), selfId, this.peers::daemonIds);
-		this.traffic = new TrafficDuty(this.system, new TrafficCore(policies()), claims,
-				new KillerReports(this.appender, settings.text(Setting.LOG_FLEET_STREAM)));
+		final ShareKeeper shares = new ShareKeeper(selfId, this.peers::daemonIds,
+				settings.whole(Setting.PEERS_HEARTBEAT_MILLIS));
+		this.traffic = new TrafficDuty(this.system,
+				new TrafficCore(StandardPolicies.create(settings.text(Setting.DAEMON_AVAILABILITY_ZONE),
+						this.incarnation ^ ((long) selfId.hashCode() << Integer.SIZE))),
+				claims, shares, new KillerReports(this.appender, settings.text(Setting.LOG_FLEET_STREAM)));
+		this.peers.onDemand(shares::demand,
+				(peer, demand) -> this.traffic.peerDemand(peer.daemonId(), peer.leaving(), demand));
 		final CallerLimits limits = new CallerLimits(settings.whole(Setting.CALLERS_MAX_BODY_BYTES),
 				settings.whole(Setting.CALLERS_BODY_TIMEOUT_MILLIS),
 				settings.whole(Setting.CALLERS_ENDPOINT_TTL_SECONDS));
@@ -210,11 +210,6 @@
 				(int) this.settings.whole(Setting.PEERS_MAX_CONNECTIONS), receiver);
 	}
 
-	private static TrafficPolicies policies() {
-		return new TrafficPolicies(new WorkspaceLimits(), new FifoQueue(MAX_QUEUED), new LeastInFlight(),
-				new BudgetedRetry(), new DeathCounter());
-	}
-
 	private void connect() {
 		final AtomicLong inForce = new AtomicLong();
 		this.config.onChange(() -> {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/CallerHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/CallerHandler.java
@@ -61,6 +61,8 @@
 
 	private final CallerLimits limits;
 
+	private final AtomicLong nextEndpointsAnswer = new AtomicLong(System.nanoTime());
+
 	private final AtomicLong nextRequestId = new AtomicLong(1);
 
 	private final String requestIdPrefix;
@@ -189,7 +191,8 @@
 
 	private HttpResponse endpoints(HttpRequest request) {
 		final String zone = request.getUri().query().get("availability_zone").orElse("");
-		final List<PeerStatus> chosen = EndpointSelector.choose(this.daemon.daemons(), zone);
+		final List<PeerStatus> chosen = EndpointSelector.choose(this.daemon.daemons(), zone,
+				this.nextEndpointsAnswer.getAndIncrement());
 		final List<Map<String, Object>> endpoints = chosen.stream()
 			.map((peer) -> Map.<String, Object>of("address", peer.callerAddress(), "availability_zone",
 					peer.availabilityZone()))
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -41,6 +41,8 @@
 
 	private final ClaimService claims;
 
+	private final ShareKeeper shares;
+
 	private final KillerReports killers;
 
 	private final Duty<TrafficMessage> duty;
@@ -64,9 +66,12 @@
 	 * @param system the process's actor system
 	 * @param core what decides
 	 * @param claims makes claims
+	 * @param shares keeps this daemon's shares of the limits
 	 * @param killers shares which requests groups died under
 	 */
-	public TrafficDuty(ActorSystem<?> system, TrafficCore core, ClaimService claims, KillerReports killers) {
+	public TrafficDuty(ActorSystem<?> system, TrafficCore core, ClaimService claims, ShareKeeper shares,
+			KillerReports killers) {
+		this.shares = shares;
 		this.core = core;
 		this.claims = claims;
 		this.killers = killers;
@@ -109,6 +114,16 @@
 		this.duty.offer(new TrafficMessage.Targets(targets));
 	}
 
+	/**
+	 * Takes over a peer's demand; where the ring is full the next beat brings it.
+	 * @param daemonId the peer
+	 * @param leaving whether it is about to stop
+	 * @param demand its requests a second, by workspace
+	 */
+	public void peerDemand(String daemonId, boolean leaving, Map<String, Double> demand) {
+		this.duty.offer(new TrafficMessage.PeerDemand(daemonId, leaving, demand));
+	}
+
 	/**
 	 * Takes over the agreed state of the fleet, for its quarantined and suspected
 	 * requests.
@@ -171,6 +186,7 @@
 	public void onTick() {
 		final long nowNanos = System.nanoTime();
 		carryOut(this.core.onTick(nowNanos));
+		carryOut(this.shares.renew(nowNanos, this.core));
 		// Quarantines expire by the wall clock, without a record.
 		if (nowNanos - this.killersAtNanos >= KILLERS_INTERVAL_NANOS) {
 			killers(nowNanos);
@@ -198,6 +214,9 @@
 		else if (message instanceof TrafficMessage.Ended ended) {
 			onEnded(nowNanos, ended);
 		}
+		else if (message instanceof TrafficMessage.PeerDemand peer) {
+			this.shares.hear(nowNanos, peer);
+		}
 		else if (message instanceof TrafficMessage.Claimed claimed) {
 			onClaimed(nowNanos, claimed);
 		}
