Presence: the groups of a fabric domain are probed by its first four daemons in turn

Cause: one daemon probed a whole fabric domain, so at 370 daemons the most loaded one made 2,048 probes a second where the mean is 277. Change: groups are spread over the first four daemons before the domain; the planner reads back itself only what nobody proves, and counts nobody as silent whom it has not asked for as long as the bound. Three whole statuses a heartbeat in place of six. Benchmarks fleet-links and planner. A model below its least number gets room once its downtime and idle accelerators weigh as much as the accelerators that drain.

--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
@@ -9,7 +9,8 @@
 
 	private static final int EXIT_USAGE = 2;
 
-	private static final List<Benchmark> BENCHMARKS = List.of(new ReducerBenchmark());
+	private static final List<Benchmark> BENCHMARKS = List.of(new ReducerBenchmark(), new PlannerBenchmark(),
+			new FleetLinksBenchmark());
 
 	private BenchMain() {
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/peer/PeerTable.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/peer/PeerTable.java
@@ -20,7 +20,7 @@
 public final class PeerTable {
 
 	/** How many whole statuses one heartbeat tells besides the sender's. */
-	public static final int MAX_WHOLE = 6;
+	public static final int MAX_WHOLE = 3;
 
 	/** How many daemons' news one heartbeat tells. */
 	public static final int MAX_NEWS = 32;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/FreeInstances.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/FreeInstances.java
@@ -39,6 +39,10 @@
 		return in(pool, domain).size();
 	}
 
+	int accelerators(String pool, String domain) {
+		return in(pool, domain).stream().mapToInt(Instance::accelerators).sum();
+	}
+
 	String zone(String pool, String domain) {
 		return in(pool, domain).stream().map(Instance::availabilityZone).findFirst().orElse("");
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/GroupLayout.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/GroupLayout.java
@@ -56,7 +56,7 @@
 		this.memory = memory;
 		this.draft = draft;
 		this.free = new FreeInstances(input);
-		this.reclaim = new Reclaim(input, draft, this.free);
+		this.reclaim = new Reclaim(input, memory, draft, this.free);
 		for (final GroupState group : input.fleet().groups().values()) {
 			if (!group.draining()) {
 				countIn(group.model(), group.members().get(0).availabilityZone());
--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/GroupReview.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/GroupReview.java
@@ -160,8 +160,13 @@
 			.anyMatch((model) -> !model.name().equals(group.model()) && model.pool().equals(pool)
 					&& this.draft.missingReplicas(model.name()) > 0 && model.members() <= spare + surviving);
 		final int accelerators = group.accelerators() - lost.stream().mapToInt(Member::accelerators).sum();
-		return new MemberLoss(absentNanos, this.memory.loadNanos(group.model()), accelerators, spare >= lost.size(),
-				wanted, this.input.manifest().weights());
+		final int drained = this.input.manifest()
+			.model(group.model())
+			.flatMap((model) -> Reclaim.drains(this.input, this.draft, model, group.fabricDomain(), spare + surviving))
+			.map((drains) -> drains.stream().mapToInt(GroupState::accelerators).sum())
+			.orElse(MemberLoss.NO_ROOM);
+		return new MemberLoss(absentNanos, this.memory.loadNanos(group.model()), accelerators, group.accelerators(),
+				spare >= lost.size(), drained, wanted, this.input.manifest().weights());
 	}
 
 	private void reviewPresent(GroupState group, PlannerEpoch planner) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/OrderDecider.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/OrderDecider.java
@@ -64,7 +64,8 @@
 		}
 		final List<EngineCommand> commands = new ArrayList<>();
 		for (final GroupState group : input.fleet().groups().values()) {
-			if (mayOrder(input, group.fabricDomain(), poolOf(input, group))) {
+			if (!input.proven().contains(group.epoch())
+					&& mayOrder(input, group.fabricDomain(), poolOf(input, group))) {
 				for (int rank = 0; rank < group.members().size(); rank++) {
 					load(input, group, rank, commands);
 				}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/OrderInput.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/OrderInput.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.pistachioline.core.fleet.Instance;
 import org.pistachioline.core.manifest.Manifest;
@@ -16,13 +17,16 @@
  * @param manifest the manifest in force
  * @param fleet the agreed state
  * @param instances the instances as the platform lists them
+ * @param proven the epochs of the groups of which every member is proven to hold its
+ * place
  * @param proofs what each instance last said that it holds, by id
  */
 public record OrderInput(long nowNanos, long viewReadAtNanos, Manifest manifest, FleetState fleet,
-		List<Instance> instances, Map<String, PresenceProof> proofs) {
+		List<Instance> instances, Set<Long> proven, Map<String, PresenceProof> proofs) {
 
 	public OrderInput {
 		instances = List.copyOf(instances);
+		proven = Set.copyOf(proven);
 		proofs = Map.copyOf(proofs);
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/Reclaim.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/Reclaim.java
@@ -11,6 +11,7 @@
 import java.util.TreeSet;
 
 import org.pistachioline.core.manifest.ModelSpec;
+import org.pistachioline.core.manifest.WeightSpec;
 import org.pistachioline.core.record.Member;
 import org.pistachioline.core.state.GroupState;
 
@@ -24,16 +25,28 @@
  */
 final class Reclaim {
 
+	/** The time from a drain to the dissolution when nothing runs. */
+	static final long DRAIN_NANOS = 5_000_000_000L;
+
+	/**
+	 * However the weights stand, a model below its least number is not kept waiting
+	 * longer.
+	 */
+	private static final long LONGEST_WAIT_NANOS = 1_800_000_000_000L;
+
 	private final PlannerInput input;
 
+	private final PlannerMemory memory;
+
 	private final PlanDraft draft;
 
 	private final FreeInstances free;
 
 	private final Set<String> reserved = new HashSet<>();
 
-	Reclaim(PlannerInput input, PlanDraft draft, FreeInstances free) {
+	Reclaim(PlannerInput input, PlannerMemory memory, PlanDraft draft, FreeInstances free) {
 		this.input = input;
+		this.memory = memory;
 		this.draft = draft;
 		this.free = free;
 	}
@@ -43,6 +56,8 @@
 	}
 
 	void makeRoom(ModelSpec model) {
+		final long nowNanos = this.input.nowNanos();
+		final long belowNanos = nowNanos - this.memory.since("below " + model.name(), nowNanos);
 		final Set<String> domains = new TreeSet<>();
 		this.input.instances()
 			.stream()
@@ -56,6 +71,7 @@
 			.stream()
 			.min(Comparator.comparingInt((String domain) -> drainsByDomain.get(domain).size())
 				.thenComparing(Comparator.naturalOrder()))
+			.filter((domain) -> belowNanos >= waitNanos(model, drainsByDomain.get(domain)))
 			.ifPresent((domain) -> {
 				this.reserved.add(domain);
 				this.input.mine(domain)
@@ -65,19 +81,40 @@
 			});
 	}
 
+	// Room costs the accelerators of the drained groups until the new one has loaded. The
+	// model waits until its downtime, and the free accelerators that lie idle until it
+	// has
+	// room, have cost as much, by the weights.
+	private long waitNanos(ModelSpec model, List<GroupState> drains) {
+		if (drains.isEmpty()) {
+			return 0;
+		}
+		final int accelerators = drains.stream().mapToInt(GroupState::accelerators).sum();
+		final WeightSpec weights = this.input.manifest().weights();
+		final int idle = this.free.accelerators(model.pool(), drains.get(0).fabricDomain());
+		final double ratio = weights.strandedAccelerators() * accelerators
+				/ (weights.groupDowntime() + weights.strandedAccelerators() * idle);
+		return (long) Math.min(LONGEST_WAIT_NANOS, ratio * (DRAIN_NANOS + this.memory.loadNanos(model.name())));
+	}
+
 	// The groups to drain so that the model fits; none where draining ones suffice; empty
 	// where it cannot fit.
 	private Optional<List<GroupState>> drains(ModelSpec model, String domain) {
-		int room = this.free.count(model.pool(), domain);
+		return drains(this.input, this.draft, model, domain, this.free.count(model.pool(), domain));
+	}
+
+	static Optional<List<GroupState>> drains(PlannerInput input, PlanDraft draft, ModelSpec model, String domain,
+			int freeInstances) {
+		int room = freeInstances;
 		final List<GroupState> extra = new ArrayList<>();
-		for (final GroupState group : this.input.fleet().groups().values()) {
+		for (final GroupState group : input.fleet().groups().values()) {
 			if (!group.fabricDomain().equals(domain)) {
 				continue;
 			}
 			if (group.draining()) {
-				room += usable(group);
+				room += usable(input, group);
 			}
-			else if (isExtra(model, group)) {
+			else if (isExtra(input, draft, model, group)) {
 				extra.add(group);
 			}
 		}
@@ -86,25 +123,25 @@
 		for (final GroupState group : extra) {
 			if (room < model.members()) {
 				drains.add(group);
-				room += usable(group);
+				room += usable(input, group);
 			}
 		}
 		return (room >= model.members()) ? Optional.of(drains) : Optional.empty();
 	}
 
-	private boolean isExtra(ModelSpec needy, GroupState group) {
-		return this.input.manifest()
+	private static boolean isExtra(PlannerInput input, PlanDraft draft, ModelSpec needy, GroupState group) {
+		return input.manifest()
 			.model(group.model())
 			.filter((model) -> model.pool().equals(needy.pool()) && !model.name().equals(needy.name())
-					&& this.draft.countedOf(model.name()) > model.minReplicas())
-			.isPresent() && !this.draft.isLost(group);
+					&& draft.countedOf(model.name()) > model.minReplicas())
+			.isPresent() && !draft.isLost(group);
 	}
 
-	private int usable(GroupState group) {
+	private static int usable(PlannerInput input, GroupState group) {
 		return (int) group.members()
 			.stream()
 			.map(Member::instanceId)
-			.filter((id) -> !this.input.silent().contains(id))
+			.filter((id) -> !input.silent().contains(id))
 			.count();
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/WeighedLoss.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/WeighedLoss.java
@@ -10,16 +10,20 @@
  * <li>Free instances can take the places: acting costs one load, in downtime and in
  * accelerators that load, and waiting costs both at the same rate. So it waits as long as
  * a load takes, whatever the weights.</li>
- * <li>They cannot, but another model could use the surviving members: acting costs this
- * group's downtime, for its instances are gone when the member returns; waiting costs the
+ * <li>They cannot, but draining groups that another model has beyond its least number
+ * makes room: acting costs also the accelerators that drain, so that it waits longer
+ * where stranded accelerators weigh more.</li>
+ * <li>Another model could use the surviving members: lending them costs this group's
+ * downtime, for its instances are gone when the member returns; waiting costs the
  * surviving accelerators. So a heavier downtime waits longer, and heavier stranded
  * accelerators give up sooner.</li>
- * <li>Nobody could use them: acting gains nothing, so it waits.</li>
+ * <li>Nothing of this: acting gains nothing, so it waits.</li>
  * </ul>
+ * Of the two in the middle the one that comes first by the weights is taken.
  */
 public final class WeighedLoss implements MemberLossPolicy {
 
-	/** A group given up to another model is down for some loads, not for one. */
+	/** A group lent to another model is down for some loads, not for one. */
 	private static final double LOADS_UNTIL_BACK = 4;
 
 	@Override
@@ -27,13 +31,20 @@
 		if (loss.replaceable()) {
 			return loss.loadNanos();
 		}
-		if (!loss.wantedElsewhere() || loss.survivingAccelerators() == 0) {
-			return Long.MAX_VALUE;
-		}
+		double waitLoads = Double.MAX_VALUE;
 		final double downtimeRate = loss.weights().groupDowntime();
-		final double strandedRate = loss.weights().strandedAccelerators() * loss.survivingAccelerators();
-		final double waitLoads = LOADS_UNTIL_BACK * downtimeRate / strandedRate;
-		return (long) Math.min(Long.MAX_VALUE / 2, waitLoads * loss.loadNanos());
+		final double strandedWeight = loss.weights().strandedAccelerators();
+		final double waitingRate = strandedWeight * loss.survivingAccelerators();
+		if (loss.drainedAccelerators() != MemberLoss.NO_ROOM) {
+			final double actingRate = downtimeRate
+					+ strandedWeight * (loss.accelerators() + loss.drainedAccelerators());
+			waitLoads = actingRate / (downtimeRate + waitingRate);
+		}
+		if (loss.wantedElsewhere() && waitingRate > 0) {
+			waitLoads = Math.min(waitLoads, LOADS_UNTIL_BACK * downtimeRate / waitingRate);
+		}
+		return (waitLoads == Double.MAX_VALUE) ? Long.MAX_VALUE
+				: (long) Math.min(Long.MAX_VALUE / 2, waitLoads * loss.loadNanos());
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/presence/GroupRole.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/presence/GroupRole.java
@@ -13,13 +13,6 @@
  */
 record GroupRole(GroupState group, int position, List<String> asked) {
 
-	/**
-	 * How many of the order probe a group whose proof grows old: two in the group's
-	 * availability zone and two outside, so that a cut leaves some on either side, and no
-	 * more, so that a dark fabric domain is not probed by all.
-	 */
-	static final int PROBERS = 4;
-
 	GroupRole {
 		asked = List.copyOf(asked);
 	}
@@ -33,7 +26,7 @@
 	}
 
 	boolean mayProbe() {
-		return this.position < PROBERS;
+		return this.position < ServingOrder.PROBERS;
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/presence/GroupRoles.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/presence/GroupRoles.java
@@ -30,7 +30,7 @@
 		final GroupRoles roles = new GroupRoles(selfId, zonesByDaemon);
 		final Map<Long, GroupRole> byEpoch = new HashMap<>();
 		for (final GroupState group : groups) {
-			final List<String> order = roles.orderOf(group);
+			final List<String> order = ServingOrder.forGroup(group.groupId(), roles.orderOf(group));
 			final int servers = ServingOrder.servers(order.size(), groupsByModel.get(group.model()));
 			final int position = order.indexOf(selfId);
 			if (position >= 0 && position < servers) {
@@ -53,7 +53,7 @@
 		if (position > 0) {
 			asked.add(order.get(ServingOrder.parent(position)));
 		}
-		asked.addAll(order.subList(0, Math.min(order.size(), GroupRole.PROBERS)));
+		asked.addAll(order.subList(0, Math.min(order.size(), ServingOrder.PROBERS)));
 		asked.remove(this.selfId);
 		return new GroupRole(group, position, List.copyOf(asked));
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/presence/PresenceNode.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/presence/PresenceNode.java
@@ -221,6 +221,14 @@
 		return serving;
 	}
 
+	/**
+	 * Returns the instances that this daemon asks itself.
+	 * @return their ids
+	 */
+	public Set<String> asked() {
+		return Set.copyOf(this.probedAtNanos.keySet());
+	}
+
 	/**
 	 * Returns what this daemon learnt by its own probes.
 	 * @return the answers of members
--- a/pistachioline-core/src/main/java/org/pistachioline/core/presence/ServingOrder.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/presence/ServingOrder.java
@@ -7,14 +7,16 @@
 import org.pistachioline.core.planner.Rendezvous;
 
 /**
- * Orders the live daemons before a fabric domain: the first probes its groups, the second
- * stands by, and as many as a model needs serve them, each asking an earlier one.
+ * Orders the live daemons before a group: the first probes it, the second stands by, and
+ * as many as its model needs serve it, each asking an earlier one.
  * <p>
  * Made for 370 daemons before 1,600 groups, where every daemon probing every member would
- * be 100,000 probes a second each. The first is the one that plans the domain, which must
- * read its instances back anyway, so that each instance is asked once. After it, daemons
- * of the domain's own availability zone and of others take turns: the near ones answer
- * callers quicker, and a cut between zones leaves a prober on either side.
+ * be 100,000 probes a second each. The groups of one fabric domain have the same daemons
+ * before them, so that a daemon asks few others about many groups; but its first four
+ * take turns in probing them, so that no daemon has a whole domain to probe. The domain's
+ * planner is one of the four. Daemons of the domain's own availability zone and of others
+ * alternate: the near ones answer callers quicker, and a cut between zones leaves a
+ * prober on either side.
  */
 public final class ServingOrder {
 
@@ -31,7 +33,12 @@
 	 */
 	public static final int FAN_OUT = 8;
 
-	private static final int LEAST_SERVERS = 2;
+	/**
+	 * How many daemons probe a group whose proof grows old: two in its availability zone
+	 * and two outside, so that a cut leaves some on either side, and no more, so that a
+	 * dark fabric domain is not probed by all.
+	 */
+	public static final int PROBERS = 4;
 
 	private ServingOrder() {
 	}
@@ -62,6 +69,19 @@
 		return List.copyOf(order);
 	}
 
+	/**
+	 * Returns the order before one group of a fabric domain.
+	 * @param groupId the group
+	 * @param domainOrder the daemons in their order before the domain
+	 * @return the same daemons, one of the first few put first
+	 */
+	public static List<String> forGroup(String groupId, List<String> domainOrder) {
+		final int probers = Math.min(PROBERS, domainOrder.size());
+		final List<String> order = new ArrayList<>(Rendezvous.first(groupId, domainOrder.subList(0, probers), probers));
+		order.addAll(domainOrder.subList(probers, domainOrder.size()));
+		return List.copyOf(order);
+	}
+
 	private static void addAt(List<String> order, List<String> daemons, int index) {
 		if (index < daemons.size()) {
 			order.add(daemons.get(index));
@@ -76,7 +96,7 @@
 	 */
 	public static int servers(int daemons, int groupsOfModel) {
 		final int needed = (SERVED_GROUPS * daemons + groupsOfModel - 1) / Math.max(1, groupsOfModel);
-		return Math.min(daemons, Math.max(LEAST_SERVERS, needed));
+		return Math.min(daemons, Math.max(PROBERS, needed));
 	}
 
 	/**
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/fleet/FleetDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/fleet/FleetDuty.java
@@ -75,6 +75,8 @@
 
 	private final Map<String, PresenceProof> heldByInstance = new ConcurrentHashMap<>();
 
+	private final Map<String, Long> askedSinceNanos = new ConcurrentHashMap<>();
+
 	private final Set<String> serving = new HashSet<>();
 
 	private List<Instance> instances = List.of();
@@ -154,10 +156,11 @@
 
 	private void probe(long nowNanos) {
 		this.presence.update(this.fleet.view().state().groups(), this.links.zonesByDaemon(), nowNanos);
-		final List<Member> planned = planned();
-		final PresenceStep step = this.presence.step(planned, nowNanos);
+		final PresenceStep step = this.presence.step(planned(nowNanos), nowNanos);
 		this.heldByInstance.keySet().retainAll(this.presence.own().instances());
+		this.askedSinceNanos.keySet().retainAll(this.presence.asked());
 		for (final Member member : step.probes()) {
+			this.askedSinceNanos.putIfAbsent(member.instanceId(), nowNanos);
 			this.engines.held(member.address()).whenComplete((held, failure) -> {
 				if (failure == null) {
 					this.duty.offer(new Message.Answered(member.instanceId(), held, nowNanos));
@@ -167,12 +170,21 @@
 		step.questions().forEach(this.links::ask);
 	}
 
-	// The planner reads back every instance of its domains, free ones too.
-	private List<Member> planned() {
+	// The planner reads back itself what nobody proves: its free instances and the
+	// members
+	// of groups that load or lack one.
+	private List<Member> planned(long nowNanos) {
 		final FleetState state = this.fleet.view().state();
+		final Set<Long> proven = this.presence.serving(nowNanos);
 		final List<Member> planned = new ArrayList<>();
+		for (final GroupState group : state.groups().values()) {
+			if (isMine(state, group.fabricDomain()) && !proven.contains(group.epoch())) {
+				planned.addAll(group.members());
+			}
+		}
 		for (final Instance instance : this.instances) {
-			if (isMine(state, instance.fabricDomain()) && isEngine(instance)) {
+			if (isMine(state, instance.fabricDomain()) && isEngine(instance)
+					&& !state.owners().containsKey(instance.id())) {
 				planned.add(new Member(instance.id(), instance.fabricDomain(), instance.address(),
 						instance.availabilityZone(), instance.accelerators()));
 			}
@@ -271,6 +283,21 @@
 		return Map.copyOf(this.heldByInstance);
 	}
 
+	/**
+	 * Returns the groups that are proven to be there as a whole.
+	 * @param nowNanos the monotonic time
+	 * @return their epochs
+	 */
+	Set<Long> proven(long nowNanos) {
+		final Set<Long> proven = new HashSet<>();
+		this.view.get().proofs().forEach((epoch, proof) -> {
+			if (proof.serves(this.boundNanos, nowNanos)) {
+				proven.add(epoch);
+			}
+		});
+		return proven;
+	}
+
 	/**
 	 * Returns the instances of this daemon's fabric domains that do not answer. Members
 	 * of a group that another daemon has proved are not among them: then this daemon is
@@ -297,7 +324,10 @@
 		}
 		candidates.removeIf((id) -> {
 			final PresenceProof proof = this.heldByInstance.get(id);
-			return proof != null && nowNanos - proof.askedAtNanos() <= this.boundNanos;
+			final long askedNanos = nowNanos - this.askedSinceNanos.getOrDefault(id, nowNanos);
+			// One that was not asked for so long has had no chance to answer.
+			return askedNanos <= this.boundNanos
+					|| (proof != null && nowNanos - proof.askedAtNanos() <= this.boundNanos);
 		});
 		return candidates;
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/fleet/PlannerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/fleet/PlannerDuty.java
@@ -244,7 +244,7 @@
 
 	private void order(long nowNanos, StreamView<FleetState> view, FleetView known) {
 		final OrderInput input = new OrderInput(nowNanos, view.readAtNanos(), this.config.view().state().manifest(),
-				view.state(), known.instances(), this.instances.held());
+				view.state(), known.instances(), this.instances.proven(nowNanos), this.instances.held());
 		for (final EngineCommand command : this.orders.decide(input)) {
 			// Asked again, as this thread may have paused since the decision.
 			if (this.orders.isFresh(view.readAtNanos(), System.nanoTime())) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/fleet/PresenceLinks.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/fleet/PresenceLinks.java
@@ -1,5 +1,6 @@
 package org.pistachioline.daemon.fleet;
 
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -50,13 +51,35 @@
 	}
 
 	void ask(PresenceQuestion question) {
-		this.peers.send(question.daemonId(),
-				PeerFrame.newBuilder()
-					.setPresenceQuestion(org.pistachioline.protocol.peer.PresenceQuestion.newBuilder()
-						.setAskerId(this.selfId)
-						.setToken(question.token())
-						.addAllEpochs(question.epochs()))
-					.build());
+		this.peers.send(question.daemonId(), frameOf(this.selfId, question));
+	}
+
+	/**
+	 * Makes the frame of a question.
+	 * @param askerId who asks
+	 * @param question the question
+	 * @return the frame
+	 */
+	public static PeerFrame frameOf(String askerId, PresenceQuestion question) {
+		return PeerFrame.newBuilder()
+			.setPresenceQuestion(org.pistachioline.protocol.peer.PresenceQuestion.newBuilder()
+				.setAskerId(askerId)
+				.setToken(question.token())
+				.addAllEpochs(question.epochs()))
+			.build();
+	}
+
+	/**
+	 * Makes the frame of an answer.
+	 * @param answererId who answers
+	 * @param token the question's token
+	 * @param digests what is known
+	 * @return the frame
+	 */
+	public static PeerFrame frameOf(String answererId, long token, List<GroupDigest> digests) {
+		final PresenceAnswer.Builder answer = PresenceAnswer.newBuilder().setAnswererId(answererId).setToken(token);
+		digests.forEach((digest) -> answer.addGroups(encode(digest)));
+		return PeerFrame.newBuilder().setPresenceAnswer(answer).build();
 	}
 
 	void take(PeerFrame frame, PresenceNode presence, long nowNanos) {
@@ -72,11 +95,8 @@
 
 	private void answer(org.pistachioline.protocol.peer.PresenceQuestion question, PresenceNode presence,
 			long nowNanos) {
-		final PresenceAnswer.Builder answer = PresenceAnswer.newBuilder()
-			.setAnswererId(this.selfId)
-			.setToken(question.getToken());
-		presence.answer(question.getEpochsList(), nowNanos).forEach((digest) -> answer.addGroups(encode(digest)));
-		this.peers.send(question.getAskerId(), PeerFrame.newBuilder().setPresenceAnswer(answer).build());
+		this.peers.send(question.getAskerId(),
+				frameOf(this.selfId, question.getToken(), presence.answer(question.getEpochsList(), nowNanos)));
 	}
 
 	private static org.pistachioline.protocol.peer.GroupDigest encode(GroupDigest digest) {
--- a/pistachioline-replay/src/main/java/org/pistachioline/replay/fleet/ReplayDaemon.java
+++ b/pistachioline-replay/src/main/java/org/pistachioline/replay/fleet/ReplayDaemon.java
@@ -239,7 +239,7 @@
 			}
 		}
 		return new OrderInput(this.world.nowNanos(), this.readAtNanos, this.world.manifest(), this.state,
-				this.world.listed(), proofs);
+				this.world.listed(), Set.of(), proofs);
 	}
 
 	/**
