Planner: lending the members of a group counts the loads there and back

Cause: lending counted only downtime, so with heavy stranded accelerators a group was given up after a sixth of a load although two loads strand more than that saves. Change: the loads there and back are part of the cost. Conclusion: the wait is that at which either choice has cost as much as the other.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/planner/WeighedLoss.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/planner/WeighedLoss.java
@@ -14,9 +14,9 @@
  * makes room: acting costs also the accelerators that drain, so that it waits longer
  * where stranded accelerators weigh more.</li>
  * <li>Another model could use the surviving members: lending them costs this group's
- * downtime, for its instances are gone when the member returns; waiting costs the
- * surviving accelerators. So a heavier downtime waits longer, and heavier stranded
- * accelerators give up sooner.</li>
+ * downtime, for its instances are gone when the member returns, and two loads, one there
+ * and one back; waiting costs the surviving accelerators. So a heavier downtime waits
+ * longer, and heavier stranded accelerators give up sooner.</li>
  * <li>Nothing of this: acting gains nothing, so it waits.</li>
  * </ul>
  * Of the two in the middle the one that comes first by the weights is taken.
@@ -41,7 +41,9 @@
 			waitLoads = actingRate / (downtimeRate + waitingRate);
 		}
 		if (loss.wantedElsewhere() && waitingRate > 0) {
-			waitLoads = Math.min(waitLoads, LOADS_UNTIL_BACK * downtimeRate / waitingRate);
+			final double lendingRate = LOADS_UNTIL_BACK * downtimeRate
+					+ strandedWeight * (loss.survivingAccelerators() + loss.accelerators());
+			waitLoads = Math.min(waitLoads, lendingRate / waitingRate);
 		}
 		return (waitLoads == Double.MAX_VALUE) ? Long.MAX_VALUE
 				: (long) Math.min(Long.MAX_VALUE / 2, waitLoads * loss.loadNanos());
