--- a/pistachioline-core/src/main/java/org/pistachioline/core/admission/LimitShares.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/admission/LimitShares.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import org.pistachioline.core.placement.DaemonRank;
+
 /**
  * Divides each workspace's limits between the daemons by their demand.
  * <p>
@@ -34,6 +36,8 @@
 
 	private final long holdNanos;
 
+	private final String selfId;
+
 	private final Map<String, Peer> peers = new TreeMap<>();
 
 	private final Map<String, Rise> rises = new HashMap<>();
@@ -42,11 +46,13 @@
 
 	/**
 	 * Creates shares for a daemon that knows no other.
+	 * @param selfId this daemon's name
 	 * @param silentNanos after which a peer counts as silent
 	 * @param forgetNanos after which a silent peer's part is given to the others
 	 * @param holdNanos how long a rise is held back
 	 */
-	public LimitShares(long silentNanos, long forgetNanos, long holdNanos) {
+	public LimitShares(String selfId, long silentNanos, long forgetNanos, long holdNanos) {
+		this.selfId = selfId;
 		this.silentNanos = silentNanos;
 		this.forgetNanos = forgetNanos;
 		this.holdNanos = holdNanos;
@@ -77,13 +83,23 @@
 	}
 
 	/**
-	 * Returns how many daemons share the limits, silent ones included.
+	 * Returns this daemon's place among the daemons that were heard of lately.
+	 * <p>
+	 * Silent ones are left out, unlike for limits: if one of them lives, an engine queues
+	 * a little, while slots set aside for the dead would stand idle at the worst time.
 	 * @param nowNanos the monotonic time
-	 * @return the number of daemons
+	 * @return the place
 	 */
-	public int daemonCount(long nowNanos) {
-		this.peers.values().removeIf((peer) -> nowNanos - peer.heardAtNanos() > this.forgetNanos);
-		return this.peers.size() + 1;
+	public DaemonRank rank(long nowNanos) {
+		int before = 0;
+		int count = 1;
+		for (final Map.Entry<String, Peer> peer : this.peers.entrySet()) {
+			if (nowNanos - peer.getValue().heardAtNanos() <= this.silentNanos) {
+				before += (peer.getKey().compareTo(this.selfId) < 0) ? 1 : 0;
+				count++;
+			}
+		}
+		return new DaemonRank(before, count);
 	}
 
 	/**
@@ -93,7 +109,8 @@
 	 * @return the share of each workspace
 	 */
 	public Map<String, Double> shareRatios(long nowNanos, List<String> workspaces) {
-		final int count = daemonCount(nowNanos);
+		this.peers.values().removeIf((peer) -> nowNanos - peer.heardAtNanos() > this.forgetNanos);
+		final int count = this.peers.size() + 1;
 		final List<Peer> live = new ArrayList<>();
 		for (final Peer peer : this.peers.values()) {
 			if (nowNanos - peer.heardAtNanos() <= this.silentNanos) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
@@ -20,6 +21,8 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
+import org.pistachioline.adapters.codec.ConfigSnapshotCodec;
+import org.pistachioline.adapters.codec.FleetSnapshotCodec;
 import org.pistachioline.adapters.http.ActorSystems;
 import org.pistachioline.adapters.http.HttpCaller;
 import org.pistachioline.adapters.platform.HttpInstanceList;
@@ -46,10 +49,14 @@
 import org.pistachioline.core.state.ConfigState;
 import org.pistachioline.core.state.FleetReducer;
 import org.pistachioline.core.state.FleetState;
+import org.pistachioline.core.state.StalenessBound;
+import org.pistachioline.core.stream.CheckpointPolicy;
 import org.pistachioline.core.traffic.TrafficCore;
 import org.pistachioline.core.traffic.TrafficPolicies;
 import org.pistachioline.daemon.agreed.AppendDuty;
+import org.pistachioline.daemon.agreed.CheckpointDuty;
 import org.pistachioline.daemon.agreed.StreamDuty;
+import org.pistachioline.daemon.agreed.StreamReadiness;
 import org.pistachioline.daemon.claims.ClaimService;
 import org.pistachioline.daemon.event.Events;
 import org.pistachioline.daemon.fleet.FleetDuty;
@@ -62,11 +69,14 @@
 import org.pistachioline.daemon.http.HttpServer;
 import org.pistachioline.daemon.http.ParsingErrors;
 import org.pistachioline.daemon.metrics.Metrics;
+import org.pistachioline.daemon.peer.CheckpointTransfer;
+import org.pistachioline.daemon.peer.ExchangedStream;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerMeter;
 import org.pistachioline.daemon.peer.PeerTls;
 import org.pistachioline.daemon.peer.PeerTransport;
 import org.pistachioline.daemon.traffic.Exchanges;
+import org.pistachioline.daemon.traffic.KillerReports;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 import org.pistachioline.protocol.peer.PeerFrame;
 
@@ -89,6 +99,8 @@
 
 	private final AtomicLong heartbeats = new AtomicLong();
 
+	private final AppendDuty appender;
+
 	private final StreamDuty<ConfigState> config;
 
 	private final StreamDuty<FleetState> fleet;
@@ -111,6 +123,10 @@
 
 	private final Deque<Lifecycle> started = new ArrayDeque<>();
 
+	private final StalenessBound staleness;
+
+	private final AtomicBoolean stale = new AtomicBoolean();
+
 	private volatile boolean leaving;
 
 	/**
@@ -119,17 +135,25 @@
 	 */
 	public Daemon(Settings settings) {
 		this.settings = settings;
+		this.staleness = new StalenessBound(
+				Duration.ofSeconds(settings.whole(Setting.LOG_STALENESS_BOUND_SECONDS)).toMillis());
 		final HttpCaller http = new HttpCaller(this.system);
+		this.metrics.process(http.meter());
 		final LogService log = new HttpLogService(http, settings.text(Setting.LOG_ADDRESS));
 		final String selfId = settings.text(Setting.DAEMON_ID);
 		final String writer = selfId + "#" + Long.toString(this.incarnation, Character.MAX_RADIX)
 				+ Integer.toString(ThreadLocalRandom.current().nextInt(Character.MAX_RADIX), Character.MAX_RADIX);
-		final AppendDuty appender = new AppendDuty(this.system, log, writer);
-		this.config = new StreamDuty<>(this.system, settings.text(Setting.LOG_CONFIG_STREAM), log, new ConfigReducer());
-		this.fleet = new StreamDuty<>(this.system, settings.text(Setting.LOG_FLEET_STREAM), log, new FleetReducer());
-		this.config.onFold(appender);
-		this.fleet.onFold(appender);
-		final ClaimService claims = new ClaimService(this.system, log, appender,
+		this.appender = new AppendDuty(this.system, log, writer, settings.whole(Setting.LOG_APPENDS_PER_SECOND),
+				() -> daemons().size());
+		this.config = new StreamDuty<>(this.system, settings.text(Setting.LOG_CONFIG_STREAM), log, new ConfigReducer(),
+				new ConfigSnapshotCodec());
+		this.fleet = new StreamDuty<>(this.system, settings.text(Setting.LOG_FLEET_STREAM), log, new FleetReducer(),
+				new FleetSnapshotCodec());
+		this.config.onFold(this.appender);
+		this.fleet.onFold(this.appender);
+		this.config.onRestore((state) -> this.appender.onRestored(this.config.stream(), state.writers()));
+		this.fleet.onRestore((state) -> this.appender.onRestored(this.fleet.stream(), state.writers()));
+		final ClaimService claims = new ClaimService(this.system, log, this.appender,
 				settings.text(Setting.LOG_CLAIMS_STREAM), (int) settings.whole(Setting.LOG_CLAIMS_PARTITIONS));
 		final EngineControl engines = new HttpEngineControl(http);
 		this.peers = new PeerDuty(this.system, this::transport, selfId, this::status, this::seeds,
@@ -139,9 +163,10 @@
 				new PresenceLinks(selfId, this.peers), writer,
 				new PresenceLimits(TimeUnit.MILLISECONDS.toNanos(settings.whole(Setting.PROBES_INTERVAL_MILLIS)),
 						TimeUnit.MILLISECONDS.toNanos(settings.whole(Setting.PROBES_PRESENCE_BOUND_MILLIS))));
-		this.planner = new PlannerDuty(this.system, this.config, this.fleet, this.instances, engines, appender,
+		this.planner = new PlannerDuty(this.system, this.config, this.fleet, this.instances, engines, this.appender,
 				new GroupPlanner(new WeighedLoss()), selfId, this.peers::daemonIds);
-		this.traffic = new TrafficDuty(this.system, new TrafficCore(policies()), claims);
+		this.traffic = new TrafficDuty(this.system, new TrafficCore(policies()), claims,
+				new KillerReports(this.appender, settings.text(Setting.LOG_FLEET_STREAM)));
 		final CallerLimits limits = new CallerLimits(settings.whole(Setting.CALLERS_MAX_BODY_BYTES),
 				settings.whole(Setting.CALLERS_BODY_TIMEOUT_MILLIS),
 				settings.whole(Setting.CALLERS_ENDPOINT_TTL_SECONDS));
@@ -151,11 +176,31 @@
 		this.admin = new HttpServer(this.system, settings.text(Setting.ADMIN_ADDRESS),
 				new AdminHandler(this.system, this)::handle);
 		// The state first, then what derives from it, then what shows it, callers last.
-		this.parts.addAll(List.of(appender, this.config, this.fleet, claims, this.peers, this.traffic, this.instances,
-				this.planner, this.admin, this.callers));
+		final CheckpointDuty checkpoints = new CheckpointDuty(this.system, streams(claims), this.appender, selfId,
+				this.peers::daemonIds,
+				new CheckpointPolicy(Duration.ofSeconds(settings.whole(Setting.LOG_RETENTION_SECONDS)).toMillis(),
+						settings.whole(Setting.LOG_CHECKPOINT_ENTRIES)));
+		final CheckpointTransfer transfer = new CheckpointTransfer(this.system, this.peers, selfId, exchanged(claims));
+		this.parts.addAll(List.of(this.appender, this.config, this.fleet, claims, this.peers, checkpoints, transfer,
+				this.traffic, this.instances, this.planner, this.admin, this.callers));
 		connect();
 	}
 
+	private List<StreamDuty<?>> streams(ClaimService claims) {
+		final List<StreamDuty<?>> streams = new ArrayList<>(List.of(this.config, this.fleet));
+		streams.addAll(claims.partitions());
+		return streams;
+	}
+
+	private List<ExchangedStream> exchanged(ClaimService claims) {
+		final List<ExchangedStream> exchanged = new ArrayList<>();
+		exchanged.add(new ExchangedStream(this.config, PeerStatus::configOffset));
+		exchanged.add(new ExchangedStream(this.fleet, PeerStatus::fleetOffset));
+		// Heartbeats do not carry the offsets of claims, so any peer is asked in turn.
+		claims.partitions().forEach((partition) -> exchanged.add(new ExchangedStream(partition, (peer) -> 0)));
+		return exchanged;
+	}
+
 	private PeerTransport transport(Consumer<PeerFrame> receiver) {
 		final String certificate = this.settings.text(Setting.PEERS_TLS_CERTIFICATE);
 		final PeerTls tls = certificate.isEmpty() ? null
@@ -179,11 +224,25 @@
 				Events.log(EventId.CONFIG_IN_FORCE, "version", state.version(), "offset", state.acceptedOffset());
 			}
 		});
+		this.fleet.onChange(() -> this.traffic.fleet(this.fleet.view().state()));
 		this.instances.onChange((view) -> this.traffic.targets(view.targets()));
 		this.metrics.gauge("pistachioline.requests.held", "Requests that have not ended", this.traffic::held);
 		this.metrics.gauge("pistachioline.requests.queued", "Requests that wait for a target", this.traffic::queued);
+		this.metrics.gauge("pistachioline.answers.dropped", "Answers that did not match a live attempt",
+				this.traffic::answersDropped);
 		this.metrics.gauge("pistachioline.config.version", "Version of the configuration in force",
 				this::configVersion);
+		this.metrics.gauge("pistachioline.log.appends", "Appends sent to the log", this.appender.counts()::appends);
+		this.metrics.gauge("pistachioline.log.appends.refused", "Appends that the log refused",
+				this.appender.counts()::refused);
+		this.metrics.gauge("pistachioline.log.appends.ambiguous", "Appends that lost their answer",
+				this.appender.counts()::ambiguous);
+		this.metrics.gauge("pistachioline.log.appends.held", "Times that an append waited for this daemon's share",
+				this.appender.counts()::held);
+		this.metrics.gauge("pistachioline.config.age", "Milliseconds since the configuration was known to be fresh",
+				this::configAgeMillis);
+		this.metrics.gauge("pistachioline.log.entries.skipped", "Broken entries that were skipped",
+				() -> this.config.view().skippedEntries() + this.fleet.view().skippedEntries());
 		this.metrics.gauge("pistachioline.peers.live", "Live daemons, this one included", () -> daemons().size());
 		this.metrics.gauge("pistachioline.peer.connections", "Open connections with other daemons",
 				this.peers.transport()::connections);
@@ -255,13 +314,34 @@
 	}
 
 	private PeerStatus status() {
-		final long logAgeMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.config.view().readAtNanos());
 		return new PeerStatus(this.settings.text(Setting.DAEMON_ID), this.peers.localAddress(),
 				this.callers.localAddress(), this.admin.localAddress(),
 				this.settings.text(Setting.DAEMON_AVAILABILITY_ZONE), this.incarnation,
 				this.heartbeats.incrementAndGet(), configVersion(), this.config.view().nextOffset(),
 				this.fleet.view().nextOffset(), notReadyReason().isEmpty(), this.leaving, this.traffic.held(),
-				logAgeMillis);
+				logAgeMillis());
+	}
+
+	private long logAgeMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.config.view().readAtNanos());
+	}
+
+	private long configAgeMillis() {
+		final long ownAgeMillis = logAgeMillis();
+		// The peers are asked only where their word can matter, as each request asks
+		// this.
+		return this.staleness.isPast(ownAgeMillis)
+				? this.staleness.ageMillis(ownAgeMillis, this.config.view().nextOffset(), this.peers.others())
+				: ownAgeMillis;
+	}
+
+	private boolean isStale() {
+		final boolean now = this.staleness.isPast(configAgeMillis());
+		if (now != this.stale.getAndSet(now)) {
+			Events.log(now ? EventId.CONFIG_STALE : EventId.CONFIG_FRESH, "version", configVersion(), "age_millis",
+					logAgeMillis());
+		}
+		return now;
 	}
 
 	@Override
@@ -276,14 +356,19 @@
 
 	@Override
 	public Optional<String> notReadyReason() {
-		if (!this.config.view().caughtUp()) {
-			return Optional.of("the configuration stream has not been read to its end");
+		if (this.callers.localAddress().isEmpty()) {
+			return Optional.of("callers are not served yet");
+		}
+		final Optional<String> unknown = StreamReadiness.trouble(this.config.stream(), this.config.view())
+			.or(() -> StreamReadiness.trouble(this.fleet.stream(), this.fleet.view()));
+		if (unknown.isPresent()) {
+			return unknown;
 		}
 		if (configVersion() == 0) {
 			return Optional.of("no configuration was published");
 		}
-		if (!this.fleet.view().caughtUp()) {
-			return Optional.of("the fleet stream has not been read to its end");
+		if (isStale()) {
+			return Optional.of("neither the log nor a daemon that reads it could be reached for too long");
 		}
 		if (!this.instances.view().listed()) {
 			return Optional.of("the instance list has not been read");
@@ -314,13 +399,21 @@
 		dump.put("config",
 				Map.of("version", configVersion(), "accepted_offset", this.config.view().state().acceptedOffset(),
 						"next_offset", this.config.view().nextOffset(), "log_reachable",
-						this.config.view().logReachable()));
-		dump.put("fleet", Map.of("next_offset", this.fleet.view().nextOffset(), "planners",
-				this.fleet.view().state().planners(), "groups", groups()));
+						this.config.view().logReachable(), "condition", this.config.view().condition(), "age_millis",
+						configAgeMillis(), "checkpoint_through", this.config.view().cover().throughOffset()));
+		dump.put("appends",
+				Map.of("sent", this.appender.counts().appends(), "refused", this.appender.counts().refused(),
+						"ambiguous", this.appender.counts().ambiguous(), "held", this.appender.counts().held()));
+		dump.put("fleet",
+				Map.of("next_offset", this.fleet.view().nextOffset(), "condition", this.fleet.view().condition(),
+						"checkpoint_through", this.fleet.view().cover().throughOffset(), "planners",
+						this.fleet.view().state().planners(), "groups", groups()));
 		final Plan plan = this.planner.plan();
 		dump.put("plan", Map.of("groups", plan.groupReasons(), "free_instances", plan.freeReasons(), "dark_domains",
 				plan.darkDomains()));
 		dump.put("peers", daemons());
+		dump.put("killers", Map.of("quarantined", this.fleet.view().state().quarantines().values(), "suspected",
+				this.fleet.view().state().suspicions().values()));
 		dump.put("requests", Map.of("held", this.traffic.held(), "queued", this.traffic.queued()));
 		return dump;
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metrics.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metrics.java
@@ -7,6 +7,8 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 
+import org.pistachioline.adapters.http.CallMeter;
+
 /**
  * The daemon's meters; docs/METRICS.md lists them.
  */
@@ -38,6 +40,15 @@
 			.register(this.registry);
 	}
 
+	/**
+	 * Adds the meters of the process: memory, processor time and control traffic.
+	 * @param calls the counts of calls to the platform and to targets
+	 */
+	public void process(CallMeter calls) {
+		ProcessMeters.bind(this.registry);
+		ProcessMeters.bind(this, calls);
+	}
+
 	/**
 	 * Returns all meters.
 	 * @return the text in the Prometheus form
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
@@ -50,6 +50,9 @@
 
 	private final PeerTransport transport;
 
+	private volatile Consumer<PeerFrame> checkpointFrames = (frame) -> {
+	};
+
 	private volatile Consumer<PeerFrame> presenceFrames = (frame) -> {
 	};
 
@@ -96,6 +99,14 @@
 		return daemons;
 	}
 
+	/**
+	 * Returns the live daemons besides this one.
+	 * @return what each says of itself
+	 */
+	public List<PeerStatus> others() {
+		return this.live.get();
+	}
+
 	/**
 	 * Returns the names of the live daemons that are not leaving, this one included.
 	 * @return the names
@@ -115,6 +126,14 @@
 		return this.transport.localAddress();
 	}
 
+	/**
+	 * Sets what takes frames with checkpoints.
+	 * @param receiver takes them; it must not block
+	 */
+	public void onCheckpointFrame(Consumer<PeerFrame> receiver) {
+		this.checkpointFrames = receiver;
+	}
+
 	/**
 	 * Returns the transport, for its counts.
 	 * @return the transport
@@ -161,6 +180,10 @@
 			this.presenceFrames.accept(frame);
 			return;
 		}
+		if (frame.hasCheckpointRequest() || frame.hasCheckpointReply()) {
+			this.checkpointFrames.accept(frame);
+			return;
+		}
 		if (!frame.hasHeartbeat()) {
 			return;
 		}
