--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/toml/ManifestReader.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/toml/ManifestReader.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 
 import org.pistachioline.core.manifest.DeadlineSpec;
 import org.pistachioline.core.manifest.Manifest;
@@ -58,7 +57,7 @@
 	}
 
 	private ManifestProposal proposal() {
-		this.toml.onlyKeys(Set.of("base_version", "weights", "deadlines", "pools", "models", "services", "workspaces"));
+		this.toml.onlyKeys(ManifestKey.under(""));
 		final long baseVersion = this.toml.whole("base_version", null);
 		if (baseVersion < 0) {
 			this.toml.fault("base_version", Long.toString(baseVersion), "0 or more");
@@ -76,14 +75,14 @@
 
 	private WeightSpec weights() {
 		final TomlReader table = this.toml.table("weights");
-		table.onlyKeys(Set.of("group_downtime", "stranded_accelerators"));
+		table.onlyKeys(ManifestKey.under("weights"));
 		return new WeightSpec(table.number("group_downtime", WeightSpec.DEFAULT.groupDowntime()),
 				table.number("stranded_accelerators", WeightSpec.DEFAULT.strandedAccelerators()));
 	}
 
 	private DeadlineSpec deadlines() {
 		final TomlReader table = this.toml.table("deadlines");
-		table.onlyKeys(Set.of("first_token_seconds", "total_seconds"));
+		table.onlyKeys(ManifestKey.under("deadlines"));
 		return new DeadlineSpec(
 				millis(table, "first_token_seconds",
 						DeadlineSpec.DEFAULT.firstTokenMillis() / (double) MILLIS_PER_SECOND),
@@ -91,7 +90,7 @@
 	}
 
 	private static PoolSpec pool(TomlReader table) {
-		table.onlyKeys(Set.of("name", "kind", "checks_fencing", "weight_store_loads_per_minute"));
+		table.onlyKeys(ManifestKey.under("pools"));
 		final String kindName = table.text("kind", null);
 		final PoolKind kind = PoolKind.byManifestName(kindName).orElse(PoolKind.SERVICE);
 		if (!kind.manifestName().equals(kindName) && table.has("kind")) {
@@ -102,7 +101,7 @@
 	}
 
 	private static ModelSpec model(TomlReader table) {
-		table.onlyKeys(Set.of("name", "pool", "members", "min_replicas", "max_replicas", "max_concurrent_requests"));
+		table.onlyKeys(ManifestKey.under("models"));
 		final int minReplicas = wholeInt(table, "min_replicas", 1L);
 		return new ModelSpec(table.text("name", null), table.text("pool", null), wholeInt(table, "members", null),
 				minReplicas, wholeInt(table, "max_replicas", (long) minReplicas),
@@ -110,7 +109,7 @@
 	}
 
 	private static ServiceSpec service(TomlReader table) {
-		table.onlyKeys(Set.of("name", "pool", "timeout_seconds", "operations"));
+		table.onlyKeys(ManifestKey.under("services"));
 		final List<OperationSpec> operations = table.tables("operations")
 			.stream()
 			.map(ManifestReader::operation)
@@ -120,14 +119,13 @@
 	}
 
 	private static OperationSpec operation(TomlReader table) {
-		table.onlyKeys(Set.of("method", "path_prefix", "idempotent", "key_lifetime_seconds"));
+		table.onlyKeys(ManifestKey.under("services.operations"));
 		return new OperationSpec(table.text("method", null), table.text("path_prefix", null),
 				table.flag("idempotent", true), millis(table, "key_lifetime_seconds", DEFAULT_KEY_LIFETIME_SECONDS));
 	}
 
 	private static WorkspaceSpec workspace(TomlReader table) {
-		table.onlyKeys(Set.of("name", "key_sha256", "requests_per_second", "tokens_in_flight", "queued_requests",
-				"weight", "models", "services"));
+		table.onlyKeys(ManifestKey.under("workspaces"));
 		return new WorkspaceSpec(table.text("name", null), table.texts("key_sha256"),
 				table.number("requests_per_second", null), table.whole("tokens_in_flight", null),
 				wholeInt(table, "queued_requests", null), table.number("weight", 1.0), table.texts("models"),
--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/PagesMain.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/PagesMain.java
@@ -7,9 +7,11 @@
 import java.util.Arrays;
 import java.util.List;
 
+import org.pistachioline.adapters.toml.ManifestKey;
 import org.pistachioline.adapters.toml.Setting;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.event.EventId;
+import org.pistachioline.daemon.metrics.Metric;
 
 /**
  * Rewrites the tables of the pages that a test holds against the code.
@@ -40,6 +42,8 @@
 							+ ((setting.absent() != null) ? "`" + setting.absent() + "`" : "required") + " | "
 							+ setting.since() + " | " + setting.description() + " |")
 					.toList());
+		rewrite(docs.resolve("MANIFEST.md"), Arrays.stream(ManifestKey.values()).map(ManifestKey::row).toList());
+		rewrite(docs.resolve("METRICS.md"), Arrays.stream(Metric.values()).map(Metric::row).toList());
 	}
 
 	private static void rewrite(Path page, List<String> rows) throws IOException {
--- a/pistachioline-ctl/src/main/java/org/pistachioline/ctl/AdminClient.java
+++ b/pistachioline-ctl/src/main/java/org/pistachioline/ctl/AdminClient.java
@@ -20,8 +20,18 @@
 
 	private final HttpClient http = HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
 
+	/**
+	 * Asks for the state with lists long enough for every daemon of a large fleet.
+	 * @param address the operators' address
+	 * @return the state
+	 * @throws IOException if no answer comes
+	 */
 	JsonNode dump(String address) throws IOException {
-		return Json.tree(get(address, "/debug/dump"));
+		return dump(address, "limit=1000");
+	}
+
+	JsonNode dump(String address, String query) throws IOException {
+		return Json.tree(get(address, "/debug/dump?" + query));
 	}
 
 	private byte[] get(String address, String path) throws IOException {
--- a/pistachioline-ctl/src/main/java/org/pistachioline/ctl/DumpCommand.java
+++ b/pistachioline-ctl/src/main/java/org/pistachioline/ctl/DumpCommand.java
@@ -1,13 +1,15 @@
 package org.pistachioline.ctl;
 
 import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
 
 /**
- * Prints a daemon's whole state as JSON.
+ * Prints a daemon's state, or a part of it, as JSON.
  */
 final class DumpCommand implements Command {
 
@@ -17,6 +19,23 @@
 		.withRequiredArg()
 		.required();
 
+	private final OptionSpec<String> section = this.parser
+		.accepts("section", "one section only, such as fleet, config, peers or requests")
+		.withRequiredArg();
+
+	private final OptionSpec<Integer> from = this.parser.accepts("from", "first entry of each list")
+		.withRequiredArg()
+		.ofType(Integer.class)
+		.defaultsTo(0);
+
+	private final OptionSpec<Integer> limit = this.parser.accepts("limit", "most entries of each list, up to 1000")
+		.withRequiredArg()
+		.ofType(Integer.class)
+		.defaultsTo(100);
+
+	private final OptionSpec<String> match = this.parser.accepts("match", "only entries that contain this text")
+		.withRequiredArg();
+
 	private final OptionSpec<Void> help = this.parser.accepts("help", "print this help").forHelp();
 
 	@Override
@@ -26,7 +45,7 @@
 
 	@Override
 	public String summary() {
-		return "print a daemon's whole state as JSON";
+		return "print a daemon's state, or a part of it, as JSON";
 	}
 
 	@Override
@@ -37,7 +56,7 @@
 			return ExitCode.DONE;
 		}
 		try {
-			System.out.println(new AdminClient().dump(options.valueOf(this.admin)).toPrettyString());
+			System.out.println(new AdminClient().dump(options.valueOf(this.admin), query(options)).toPrettyString());
 			return ExitCode.DONE;
 		}
 		catch (IOException ex) {
@@ -46,4 +65,20 @@
 		}
 	}
 
+	private String query(OptionSet options) {
+		final StringBuilder query = new StringBuilder("from=" + options.valueOf(this.from));
+		query.append("&limit=").append(options.valueOf(this.limit));
+		if (options.has(this.section)) {
+			query.append("&section=").append(encoded(options.valueOf(this.section)));
+		}
+		if (options.has(this.match)) {
+			query.append("&match=").append(encoded(options.valueOf(this.match)));
+		}
+		return query.toString();
+	}
+
+	private static String encoded(String text) {
+		return URLEncoder.encode(text, StandardCharsets.UTF_8);
+	}
+
 }
--- a/pistachioline-ctl/src/main/java/org/pistachioline/ctl/StatusCommand.java
+++ b/pistachioline-ctl/src/main/java/org/pistachioline/ctl/StatusCommand.java
@@ -57,6 +57,15 @@
 	}
 
 	private static void print(JsonNode dump) {
+		final JsonNode config = dump.path("config");
+		System.out.printf("configuration %d in force since offset %d; log %s; %d requests held, %d queued%n",
+				config.path("version").asLong(), config.path("accepted_offset").asLong(),
+				config.path("log_reachable").asBoolean() ? "reachable" : "NOT reachable",
+				dump.path("requests").path("held").asLong(), dump.path("requests").path("queued").asLong());
+		if (!dump.path("not_ready_reason").asText().isEmpty()) {
+			System.out.println("not ready: " + dump.path("not_ready_reason").asText());
+		}
+		System.out.println();
 		System.out.printf("%-16s %-12s %8s %10s %8s  %s%n", "DAEMON", "ZONE", "CONFIG", "LOG AGE MS", "STATE",
 				"CALLERS");
 		for (final JsonNode peer : dump.path("peers")) {
@@ -73,6 +82,15 @@
 					group.path("model").asText(), group.path("epoch").asLong(), group.path("fabric_domain").asText(),
 					stateOf(group));
 		}
+		printPlanners(dump.path("fleet").path("planners"));
+	}
+
+	private static void printPlanners(JsonNode planners) {
+		System.out.println();
+		System.out.printf("%-20s %8s %s%n", "FABRIC DOMAIN", "EPOCH", "PLANNER");
+		planners.properties()
+			.forEach((entry) -> System.out.printf("%-20s %8d %s%n", entry.getKey(),
+					entry.getValue().path("epoch").asLong(), entry.getValue().path("writer").asText()));
 	}
 
 	private static String stateOf(JsonNode group) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/AdminHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/AdminHandler.java
@@ -10,6 +10,7 @@
 import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.Uri;
 
 import org.pistachioline.adapters.http.Json;
 
@@ -45,16 +46,16 @@
 	 */
 	public CompletionStage<HttpResponse> handle(HttpRequest request) {
 		request.discardEntityBytes(this.system);
-		return CompletableFuture.completedFuture(answer(request.getUri().path()));
+		return CompletableFuture.completedFuture(answer(request.getUri()));
 	}
 
-	private HttpResponse answer(String path) {
-		return switch (path) {
+	private HttpResponse answer(Uri uri) {
+		return switch (uri.path()) {
 			case "/healthz" -> json(OK, Map.of("status", "alive"));
 			case "/readyz" -> ready();
 			case "/metrics" -> HttpResponse.create()
 				.withEntity(ContentTypes.TEXT_PLAIN_UTF8, this.daemon.metrics().getBytes(StandardCharsets.UTF_8));
-			case "/debug/dump" -> json(OK, this.daemon.dump());
+			case "/debug/dump" -> json(OK, DumpPage.of(uri.query()).cut(this.daemon.dump()));
 			default -> json(NOT_FOUND, Map.of("status", "not found"));
 		};
 	}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/DumpPage.java
@@ -0,0 +1,90 @@
+package org.pistachioline.daemon.http;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.apache.pekko.http.javadsl.model.Query;
+
+import org.pistachioline.adapters.http.Json;
+
+/**
+ * The part of a dump that an operator asked for.
+ * <p>
+ * At 1,600 groups of 32 a whole dump is several megabytes, and one asked for at night, by
+ * several people at once, would crowd out the daemon's own work. So every list is cut
+ * unless it is asked for page by page.
+ *
+ * @param section the only section wanted; empty for all
+ * @param from the first entry of each list
+ * @param limit the most entries of each list
+ * @param match what the text of an entry contains
+ */
+record DumpPage(Optional<String> section, int from, int limit, String match) {
+
+	private static final int USUAL_LIMIT = 100;
+
+	private static final int HIGHEST_LIMIT = 1_000;
+
+	/**
+	 * Reads what is wanted from a query.
+	 * @param query the query
+	 * @return the page; where a number is not valid the usual one is taken
+	 */
+	static DumpPage of(Query query) {
+		return new DumpPage(query.get("section"), number(query, "from", 0),
+				Math.min(HIGHEST_LIMIT, number(query, "limit", USUAL_LIMIT)), query.get("match").orElse(""));
+	}
+
+	private static int number(Query query, String name, int absent) {
+		return query.get(name).filter((text) -> text.matches("\\d{1,8}")).map(Integer::parseInt).orElse(absent);
+	}
+
+	/**
+	 * Cuts a dump.
+	 * @param dump the whole dump
+	 * @return the wanted part; a list that was cut has its whole length beside it
+	 */
+	Map<String, Object> cut(Map<String, Object> dump) {
+		final Map<String, Object> wanted = new LinkedHashMap<>();
+		dump.forEach((name, value) -> {
+			if (this.section.isEmpty() || this.section.get().equals(name)) {
+				put(wanted, name, value);
+			}
+		});
+		return wanted;
+	}
+
+	private void put(Map<String, Object> target, String name, Object value) {
+		if (value instanceof Collection<?> list) {
+			putCut(target, name, list.size(), cut(list));
+		}
+		else if (value instanceof Map<?, ?> map) {
+			final Map<String, Object> inner = new LinkedHashMap<>();
+			cut(map.keySet()).forEach((key) -> put(inner, String.valueOf(key), map.get(key)));
+			putCut(target, name, map.size(), inner);
+		}
+		else {
+			target.put(name, value);
+		}
+	}
+
+	private static void putCut(Map<String, Object> target, String name, int total, Object part) {
+		target.put(name, part);
+		final int size = (part instanceof Map<?, ?> map) ? map.size() : ((Collection<?>) part).size();
+		if (size < total) {
+			target.put(name + "_total", total);
+		}
+	}
+
+	private List<?> cut(Collection<?> list) {
+		return list.stream()
+			.filter((entry) -> entry instanceof String || Json.write(entry).contains(this.match))
+			.skip(this.from)
+			.limit(this.limit)
+			.toList();
+	}
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -0,0 +1,105 @@
+package org.pistachioline.daemon.metrics;
+
+/**
+ * The metrics that a daemon shows beside those of its virtual machine; docs/METRICS.md
+ * holds one row for each.
+ */
+public enum Metric {
+
+	/** Requests that have not ended. */
+	REQUESTS_HELD("pistachioline_requests_held", "requests", "Requests that have not ended.",
+			"near the groups' limits: demand meets capacity"),
+
+	/** Requests that wait. */
+	REQUESTS_QUEUED("pistachioline_requests_queued", "requests", "Requests that wait for a target.",
+			"above 0 for a minute: callers wait"),
+
+	/** Answers that were dropped. */
+	ANSWERS_DROPPED("pistachioline_answers_dropped", "answers", "Answers that did not match a live attempt.",
+			"rising: an engine mixes up answers"),
+
+	/** The configuration's version. */
+	CONFIG_VERSION("pistachioline_config_version", "version", "Version of the configuration in force.",
+			"unlike on other daemons for 10 s"),
+
+	/** The configuration's age. */
+	CONFIG_AGE("pistachioline_config_age", "ms", "Time since the configuration was known to be fresh.",
+			"above 60 000: neither the log nor a fresh daemon is reached"),
+
+	/** Live daemons. */
+	PEERS_LIVE("pistachioline_peers_live", "daemons", "Live daemons, this one included.",
+			"unlike the number that runs"),
+
+	/** Connections with daemons. */
+	PEER_CONNECTIONS("pistachioline_peer_connections", "connections", "Open connections with other daemons.",
+			"0 while others run"),
+
+	/** Bytes to daemons. */
+	PEER_BYTES_SENT("pistachioline_peer_bytes_sent_total", "bytes by kind",
+			"Bytes of frames sent, without TCP and TLS.", "above 11 000 a second in all kinds"),
+
+	/** Bytes from daemons. */
+	PEER_BYTES_RECEIVED("pistachioline_peer_bytes_received_total", "bytes by kind",
+			"Bytes of frames received, without TCP and TLS.", "above 11 000 a second in all kinds"),
+
+	/** Frames to daemons. */
+	PEER_FRAMES_SENT("pistachioline_peer_frames_sent_total", "frames by kind", "Frames sent.", "none"),
+
+	/** Frames from daemons. */
+	PEER_FRAMES_RECEIVED("pistachioline_peer_frames_received_total", "frames by kind", "Frames received.", "none"),
+
+	/** Appends. */
+	LOG_APPENDS("pistachioline_log_appends", "appends", "Appends sent to the log.",
+			"all daemons together near the log's limit"),
+
+	/** Refused appends. */
+	LOG_APPENDS_REFUSED("pistachioline_log_appends_refused", "appends", "Appends that the log refused.",
+			"rising: the log's limit is met, or it is down"),
+
+	/** Ambiguous appends. */
+	LOG_APPENDS_AMBIGUOUS("pistachioline_log_appends_ambiguous", "appends", "Appends that lost their answer.",
+			"rising: the way to the log drops answers"),
+
+	/** Held appends. */
+	LOG_APPENDS_HELD("pistachioline_log_appends_held", "times", "Times that an append waited for this daemon's share.",
+			"rising fast: claims wait"),
+
+	/** Skipped entries. */
+	LOG_ENTRIES_SKIPPED("pistachioline_log_entries_skipped", "entries", "Broken entries that were skipped.", "above 0"),
+
+	/** Calls. */
+	CALLS("pistachioline_calls_total", "calls by kind", "Calls to the platform and to targets.", "none"),
+
+	/** Bytes of calls. */
+	CALL_BYTES_SENT("pistachioline_call_bytes_sent_total", "bytes by kind", "Bytes of calls sent; heads are estimated.",
+			"control kinds above 11 000 a second"),
+
+	/** Bytes of answers. */
+	CALL_BYTES_RECEIVED("pistachioline_call_bytes_received_total", "bytes by kind",
+			"Bytes of answers received; heads are estimated.", "control kinds above 11 000 a second");
+
+	private final String prometheusName;
+
+	private final String unit;
+
+	private final String description;
+
+	private final String alertHint;
+
+	Metric(String prometheusName, String unit, String description, String alertHint) {
+		this.prometheusName = prometheusName;
+		this.unit = unit;
+		this.description = description;
+		this.alertHint = alertHint;
+	}
+
+	/**
+	 * Returns the metric's row in docs/METRICS.md.
+	 * @return the row
+	 */
+	public String row() {
+		return "| `" + this.prometheusName + "` | " + this.unit + " | " + this.description + " | " + this.alertHint
+				+ " |";
+	}
+
+}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metrics.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metrics.java
@@ -1,5 +1,7 @@
 package org.pistachioline.daemon.metrics;
 
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Supplier;
 
 import io.micrometer.core.instrument.FunctionCounter;
@@ -16,6 +18,10 @@
 
 	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
+	// Micrometer keeps what a counter reads only weakly; collected, the counter stays at
+	// 0.
+	private final List<Supplier<Number>> counted = new CopyOnWriteArrayList<>();
+
 	/**
 	 * Adds a gauge.
 	 * @param name its name
@@ -34,6 +40,7 @@
 	 * @param value gives its value
 	 */
 	public void counter(String name, String description, String kind, Supplier<Number> value) {
+		this.counted.add(value);
 		FunctionCounter.builder(name, value, (supplier) -> supplier.get().doubleValue())
 			.description(description)
 			.tag("kind", kind)
--- /dev/null
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/http/DumpPageTests.java
@@ -0,0 +1,53 @@
+package org.pistachioline.daemon.http;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.IntStream;
+
+import org.apache.pekko.http.javadsl.model.Query;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class DumpPageTests {
+
+	private static final List<Map<String, Integer>> GROUPS = IntStream.range(0, 1_600)
+		.mapToObj((i) -> Map.of("group", i))
+		.toList();
+
+	private static final Map<String, Object> DUMP = Map.of("fleet", Map.of("groups", GROUPS, "next_offset", 7),
+			"daemon", "daemon-0");
+
+	// An operator asks a daemon of the largest fleet for its state, without any filter.
+	// All
+	// groups at once would be megabytes, several times over when several people ask.
+	@Test
+	void aDumpWithoutFilterHasEverySectionAndCutsLongLists() {
+		final Map<String, Object> cut = DumpPage.of(Query.create("")).cut(DUMP);
+		assertThat(cut).containsEntry("daemon", "daemon-0")
+			.containsEntry("fleet", Map.of("groups", GROUPS.subList(0, 100), "groups_total", 1_600, "next_offset", 7));
+	}
+
+	@Test
+	void aSectionIsPagedThrough() {
+		final Map<String, Object> cut = DumpPage.of(Query.create("section=fleet&from=0&limit=1000")).cut(DUMP);
+		assertThat(cut).isEqualTo(
+				Map.of("fleet", Map.of("groups", GROUPS.subList(0, 1_000), "groups_total", 1_600, "next_offset", 7)));
+	}
+
+	@Test
+	void entriesAreFoundByTheirText() {
+		final Map<String, Object> cut = new DumpPage(Optional.empty(), 0, 10, "\"group\":1599").cut(DUMP);
+		assertThat(cut).containsEntry("fleet",
+				Map.of("groups", List.of(Map.of("group", 1_599)), "groups_total", 1_600, "next_offset", 7));
+	}
+
+	@Test
+	void numbersThatAreNotValidAreTheUsualOnes() {
+		assertThat(DumpPage.of(Query.create("from=-1&limit=many")))
+			.isEqualTo(new DumpPage(Optional.empty(), 0, 100, ""));
+		assertThat(DumpPage.of(Query.create("limit=5000")).limit()).isEqualTo(1_000);
+	}
+
+}
--- a/pistachioline-standins/src/main/java/org/pistachioline/standins/local/LocalProcess.java
+++ b/pistachioline-standins/src/main/java/org/pistachioline/standins/local/LocalProcess.java
@@ -60,7 +60,11 @@
 		command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
 		command.addAll(arguments);
 		try {
-			return new LocalProcess(name, new ProcessBuilder(command).redirectErrorStream(true).start());
+			final Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
+			// An interrupted test or measurement would otherwise leave its processes
+			// behind.
+			Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+			return new LocalProcess(name, process);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
