--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /**
  * The targets of one model or service, with those apart that have room.
@@ -18,8 +17,12 @@
 
 	private static final long REFRESH_NANOS = 200_000_000L;
 
+	private static final long SECOND_HASH = 0x9E3779B97F4A7C15L;
+
 	private final StragglerEjector ejector = new StragglerEjector();
 
+	private final boolean guarded;
+
 	private final List<TargetLoad> open = new ArrayList<>();
 
 	private final List<TargetLoad> openView = Collections.unmodifiableList(this.open);
@@ -30,65 +33,85 @@
 
 	private boolean filled;
 
+	private int freeSlots;
+
+	private int daemonCount = 1;
+
 	private long refreshedAtNanos;
 
+	/**
+	 * Creates an empty set.
+	 * @param guarded whether stragglers are ejected and slots are shared with other
+	 * daemons; the plain baselines do without
+	 */
+	public TargetSet(boolean guarded) {
+		this.guarded = guarded;
+	}
+
 	/**
 	 * Takes over the members.
 	 * @param nowNanos the monotonic time
 	 * @param newMembers every target of the model or service, serving or not
-	 * @param daemonCount how many daemons share them
+	 * @param daemons the daemons that share them
 	 */
-	public void replace(long nowNanos, List<TargetLoad> newMembers, int daemonCount) {
+	public void replace(long nowNanos, List<TargetLoad> newMembers, DaemonRank daemons) {
 		if (!this.filled) {
 			// A daemon that starts finds targets that were warm before it.
 			newMembers.forEach(TargetLoad::warm);
 			this.filled = true;
 		}
-		this.members.forEach((load) -> load.openIndex(-1));
+		this.members.forEach((load) -> load.close());
 		this.open.clear();
+		this.freeSlots = 0;
 		this.byId.clear();
 		this.members = newMembers;
 		newMembers.forEach((load) -> this.byId.put(load.view().targetId(), load));
-		refresh(nowNanos, daemonCount);
+		refresh(nowNanos, daemons);
 	}
 
 	/**
 	 * Lets time pass: ejections, slow starts and old reports.
 	 * @param nowNanos the monotonic time
-	 * @param daemonCount how many daemons share the targets
+	 * @param daemons the daemons that share the targets
 	 */
-	public void onTick(long nowNanos, int daemonCount) {
+	public void onTick(long nowNanos, DaemonRank daemons) {
 		if (nowNanos - this.refreshedAtNanos >= REFRESH_NANOS) {
-			this.ejector.eject(nowNanos, this.members);
-			refresh(nowNanos, daemonCount);
+			if (this.guarded) {
+				this.ejector.eject(nowNanos, this.members);
+			}
+			refresh(nowNanos, daemons);
 		}
 	}
 
 	/**
 	 * Looks at the room of every target anew.
 	 * @param nowNanos the monotonic time
-	 * @param daemonCount how many daemons share the targets
+	 * @param daemons the daemons that share the targets
 	 */
-	public void refresh(long nowNanos, int daemonCount) {
+	public void refresh(long nowNanos, DaemonRank daemons) {
+		this.daemonCount = daemons.count();
 		this.refreshedAtNanos = nowNanos;
 		for (final TargetLoad load : this.members) {
-			refresh(nowNanos, daemonCount, load);
+			refresh(nowNanos, daemons, load);
 		}
 	}
 
 	/**
 	 * Looks at the room of one target anew.
 	 * @param nowNanos the monotonic time
-	 * @param daemonCount how many daemons share the target
+	 * @param daemons the daemons that share the target
 	 * @param load the target
 	 */
-	public void refresh(long nowNanos, int daemonCount, TargetLoad load) {
+	public void refresh(long nowNanos, DaemonRank daemons, TargetLoad load) {
 		// A target that left the set may still have attempts in flight that end later.
 		if (this.byId.get(load.view().targetId()) != load) {
-			load.openIndex(-1);
+			load.close();
 			return;
 		}
-		final boolean room = load.hasRoom(nowNanos, daemonCount);
+		final int freed = this.guarded ? load.freeSlots(nowNanos, daemons) : load.freeSlots();
+		final boolean room = freed > 0;
+		this.freeSlots += freed - load.countedSlots();
+		load.countedSlots(freed);
 		if (room && load.openIndex() < 0) {
 			load.openIndex(this.open.size());
 			this.open.add(load);
@@ -103,6 +126,14 @@
 		}
 	}
 
+	/**
+	 * Returns how many attempts could start at once.
+	 * @return the free slots over all targets
+	 */
+	public int freeSlots() {
+		return this.freeSlots;
+	}
+
 	/**
 	 * Returns the targets with room, in no order.
 	 * @return a view that follows the set
@@ -112,26 +143,30 @@
 	}
 
 	/**
-	 * Finds a target with room by its id.
+	 * Finds a target by its id.
 	 * @param targetId the target
-	 * @return the target; empty where it is gone or full
+	 * @return the target, full or not; null where it is gone
 	 */
-	public Optional<TargetLoad> openById(String targetId) {
-		final TargetLoad load = this.byId.get(targetId);
-		return (load != null && load.openIndex() >= 0) ? Optional.of(load) : Optional.empty();
+	TargetLoad byId(String targetId) {
+		return this.byId.get(targetId);
 	}
 
 	/**
-	 * Returns the target to which all daemons would send a prefix that none has seen.
-	 * @param prefixHash the prefix's hash
-	 * @return the target; empty where it is full
+	 * Returns one of two targets that a hash names, the same on all daemons.
+	 * @param hash the hash
+	 * @param second whether the second one is wanted
+	 * @return the target, full or not; null where there is none
 	 */
-	public Optional<TargetLoad> openByHash(long prefixHash) {
+	TargetLoad byHash(long hash, boolean second) {
 		if (this.members.isEmpty()) {
-			return Optional.empty();
+			return null;
 		}
-		final TargetLoad load = this.members.get((int) Long.remainderUnsigned(prefixHash, this.members.size()));
-		return (load.openIndex() >= 0) ? Optional.of(load) : Optional.empty();
+		final long mixed = second ? Long.rotateLeft(hash, Integer.SIZE) * SECOND_HASH : hash;
+		return this.members.get((int) Long.remainderUnsigned(mixed, this.members.size()));
+	}
+
+	int daemonCount() {
+		return this.daemonCount;
 	}
 
 	/**
