--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
@@ -15,8 +15,8 @@
 	private static final int EXIT_USAGE = 2;
 
 	private static final List<Benchmark> BENCHMARKS = List.of(new ReducerBenchmark(), new StateBenchmark(),
-			new LimboBenchmark(), new DecisionsBenchmark(), new RelayBenchmark(), new ControlBenchmark(),
-			new InForceBenchmark(), new MemberLossBenchmark());
+			new LimboBenchmark(), new DecisionsBenchmark(), new GoodputBenchmark(), new RelayBenchmark(),
+			new ControlBenchmark(), new InForceBenchmark(), new MemberLossBenchmark());
 
 	private BenchMain() {
 	}
--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/DecisionsBenchmark.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/DecisionsBenchmark.java
@@ -58,30 +58,34 @@
 		final TrafficCore core = core(replicas);
 		final int inFlight = (int) (replicas * SLOTS * fullRatio);
 		final Histogram histogram = new Histogram(HIGHEST_NANOS, 3);
+		final Histogram whole = new Histogram(HIGHEST_NANOS, 3);
 		final ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
 		long nowNanos = 1;
 		long allocatedFrom = 0;
 		for (int i = 0; i < WARM_UP + MEASURED; i++) {
 			if (i == WARM_UP) {
 				histogram.reset();
+				whole.reset();
 				allocatedFrom = threads.getCurrentThreadAllocatedBytes();
 			}
 			nowNanos += STEP_NANOS;
 			final RequestInfo info = info(i, nowNanos);
 			final long begunNanos = System.nanoTime();
 			core.onRequest(nowNanos, info);
+			histogram.recordValue(Math.min(HIGHEST_NANOS, System.nanoTime() - begunNanos));
 			if (i >= inFlight) {
 				final AttemptId attempt = new AttemptId(i - inFlight, 1);
 				core.onProgress(nowNanos, attempt, 1);
 				core.onAttemptEnd(nowNanos, attempt, AttemptEnd.COMPLETE, 100);
 			}
-			histogram.recordValue(Math.min(HIGHEST_NANOS, System.nanoTime() - begunNanos));
+			whole.recordValue(Math.min(HIGHEST_NANOS, System.nanoTime() - begunNanos));
 		}
 		final double bytes = (double) (threads.getCurrentThreadAllocatedBytes() - allocatedFrom) / MEASURED;
 		final String label = replicas + "_replicas_" + Math.round(fullRatio * 100) + "_percent_full";
 		figures.print("decision_" + label, histogram.getValueAtPercentile(50) / 1e3, "microseconds_p50");
 		figures.print("decision_" + label, histogram.getValueAtPercentile(99) / 1e3, "microseconds_p99");
-		figures.print("decision_" + label, bytes, "allocated_bytes");
+		figures.print("whole_life_" + label, whole.getValueAtPercentile(99) / 1e3, "microseconds_p99");
+		figures.print("whole_life_" + label, bytes, "allocated_bytes");
 	}
 
 	private static TrafficCore core(int replicas) {
--- a/pistachioline-replay/src/main/java/org/pistachioline/replay/simulation/PolicySet.java
+++ b/pistachioline-replay/src/main/java/org/pistachioline/replay/simulation/PolicySet.java
@@ -8,6 +8,7 @@
 import org.pistachioline.core.placement.PlacementPolicy;
 import org.pistachioline.core.placement.RoundRobin;
 import org.pistachioline.core.quarantine.DeathCounter;
+import org.pistachioline.core.quarantine.NoQuarantine;
 import org.pistachioline.core.queueing.FifoQueue;
 import org.pistachioline.core.retry.BudgetedRetry;
 import org.pistachioline.core.traffic.StandardPolicies;
@@ -27,7 +28,10 @@
 	/** Limits, first come first served, the target with the fewest attempts. */
 	LEAST_IN_FLIGHT,
 
-	/** No limits, first come first served, retries without a budget. */
+	/**
+	 * No limits, first come first served, retries without a budget, no quarantine, no
+	 * claims.
+	 */
 	ADMIT_ALL;
 
 	private static final int MAX_QUEUED = 10_000;
@@ -44,7 +48,7 @@
 			case ROUND_ROBIN -> limited(new RoundRobin());
 			case LEAST_IN_FLIGHT -> limited(new LeastInFlight());
 			case ADMIT_ALL -> new TrafficPolicies(new AdmitAll(), new FifoQueue(Integer.MAX_VALUE), new LeastInFlight(),
-					new UnlimitedRetry(), new DeathCounter());
+					new UnlimitedRetry(), new NoQuarantine());
 		};
 	}
 
