--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/AdminHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/AdminHandler.java
@@ -54,6 +54,10 @@
 			case "/readyz" -> ready();
 			case "/metrics" -> HttpResponse.create()
 				.withEntity(ContentTypes.TEXT_PLAIN_UTF8, this.daemon.metrics().getBytes(StandardCharsets.UTF_8));
+			case "/debug/trace" -> this.daemon.trace()
+				.map((lines) -> HttpResponse.create()
+					.withEntity(ContentTypes.TEXT_PLAIN_UTF8, lines.getBytes(StandardCharsets.UTF_8)))
+				.orElseGet(() -> json(NOT_FOUND, Map.of("status", "not found", "reason", "trace.record is off")));
 			case "/debug/dump" -> json(OK, this.daemon.dump());
 			default -> json(NOT_FOUND, Map.of("status", "not found"));
 		};
