--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
@@ -16,8 +16,8 @@
 
 	private static final List<Benchmark> BENCHMARKS = List.of(new ReducerBenchmark(), new StateBenchmark(),
 			new LimboBenchmark(), new RelayBenchmark(), new ControlBenchmark(), new InForceBenchmark(),
-			new MemberLossBenchmark(), new OnceBenchmark(), new DecisionsBenchmark(), new RecordBenchmark(),
-			new PlannerBenchmark(), new FleetLinksBenchmark());
+			new MemberLossBenchmark(), new OnceBenchmark(), new DecisionsBenchmark(), new GoodputBenchmark(),
+			new RecordBenchmark(), new PlannerBenchmark(), new FleetLinksBenchmark());
 
 	private BenchMain() {
 	}
