--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/RelayStage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/RelayStage.java
@@ -33,14 +33,10 @@
  */
 final class RelayStage extends GraphStage<FlowShape<ByteString, ByteString>> {
 
-	/**
-	 * How often progress is told; the speed of a target shows before a long answer ends.
-	 */
-	private static final int PROGRESS_TOKENS = 32;
-
 	private static final int LARGEST_EVENT_BYTES = 256 * 1024;
 
-	private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
+	/** How often progress is told; a target's speed shows before a long answer ends. */
+	private static final Duration REPORT_INTERVAL = Duration.ofMillis(500);
 
 	private static final int MOST_POSITION_DIGITS = 9;
 
@@ -268,8 +264,7 @@
 				return false;
 			}
 			this.tokens++;
-			final int sinceStart = this.tokens - RelayStage.this.resumeFromTokens;
-			if (sinceStart % PROGRESS_TOKENS == 1) {
+			if (this.tokens == RelayStage.this.resumeFromTokens + 1) {
 				report();
 			}
 			return true;
