--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/claims/ClaimServiceTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/claims/ClaimServiceTests.java
@@ -133,6 +133,17 @@
 		assertThat(two.claim(later).join().verdict()).isEqualTo(ClaimVerdict.UNKNOWN);
 	}
 
+	// The caller comes back with a key whose lifetime has passed. Run as a new request it
+	// would be a second booking; it is refused for as long again as the key lived.
+	@Test
+	void aKeyWhoseLifetimeHasPassedIsRefusedAndNotRunAgain() {
+		final ClaimService one = daemon("one", 60_000);
+		final RequestInfo shortLived = new RequestInfo(1, "w", TargetKind.SERVICE, "orders", 1, 1, 0, 0, 0, false,
+				new ClaimNeed("k", "d", 0), "", List.of());
+		assertThat(one.claim(shortLived).join().verdict()).isEqualTo(ClaimVerdict.GRANTED);
+		assertThat(daemon("two", 60_000).claim(shortLived).join().verdict()).isEqualTo(ClaimVerdict.EXPIRED);
+	}
+
 	// A daemon that has not read the stream to its end does not find the key. It must not
 	// say that the booking did not run, nor claim it.
 	@Test
