--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerCodec.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerCodec.java
@@ -1,5 +1,7 @@
 package org.pistachioline.daemon.peer;
 
+import java.util.Map;
+
 import org.pistachioline.core.peer.GossipSample;
 import org.pistachioline.core.peer.PeerNews;
 import org.pistachioline.core.peer.PeerStatus;
@@ -7,12 +9,18 @@
 import org.pistachioline.protocol.peer.DaemonStatus;
 import org.pistachioline.protocol.peer.Heartbeat;
 import org.pistachioline.protocol.peer.PeerFrame;
+import org.pistachioline.protocol.peer.WorkspaceUse;
 
 /**
  * Turns what daemons say of themselves into protobuf and back.
  */
 public final class PeerCodec {
 
+	/** Bounds the part of a beat that grows with the workspaces that have demand. */
+	static final int MAX_WORKSPACES = 64;
+
+	private static final double LEAST_DEMAND = 0.01;
+
 	private PeerCodec() {
 	}
 
@@ -20,12 +28,20 @@
 	 * Makes a heartbeat.
 	 * @param self what the sender says of itself
 	 * @param sample what it tells of others
+	 * @param demand the sender's demand, by workspace
 	 * @return the frame
 	 */
-	public static PeerFrame heartbeat(PeerStatus self, GossipSample sample) {
+	public static PeerFrame heartbeat(PeerStatus self, GossipSample sample, Map<String, Double> demand) {
 		final Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setSender(encode(self));
 		sample.whole().forEach((peer) -> heartbeat.addKnown(encode(peer)));
 		sample.news().forEach((news) -> heartbeat.addNews(encode(news)));
+		// Workspaces without demand are left out: an absent one counts as none.
+		demand.forEach((workspace, requestsPerSecond) -> {
+			if (requestsPerSecond >= LEAST_DEMAND && heartbeat.getWorkspaceUseCount() < MAX_WORKSPACES) {
+				heartbeat.addWorkspaceUse(
+						WorkspaceUse.newBuilder().setWorkspace(workspace).setRequestsPerSecond(requestsPerSecond));
+			}
+		});
 		return PeerFrame.newBuilder().setHeartbeat(heartbeat).build();
 	}
 
