--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -336,10 +336,11 @@
 	}
 
 	private boolean isStale() {
-		final boolean now = this.staleness.isPast(configAgeMillis());
+		final long ageMillis = configAgeMillis();
+		final boolean now = this.staleness.isPast(ageMillis);
 		if (now != this.stale.getAndSet(now)) {
 			Events.log(now ? EventId.CONFIG_STALE : EventId.CONFIG_FRESH, "version", configVersion(), "age_millis",
-					logAgeMillis());
+					ageMillis);
 		}
 		return now;
 	}
