--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/FleetLinksBenchmark.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/FleetLinksBenchmark.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -30,6 +32,11 @@
  */
 final class FleetLinksBenchmark implements Benchmark {
 
+	/** Ten workspaces, as many as each of the customers has. */
+	private static final Map<String, Double> DEMAND = IntStream.range(0, 10)
+		.boxed()
+		.collect(Collectors.toMap((index) -> "workspace-" + index, (index) -> 3.0));
+
 	private static final long MILLI = 1_000_000;
 
 	private static final long BEAT_NANOS = 500 * MILLI;
@@ -107,7 +114,7 @@
 		for (int sender = 0; sender < tables.size(); sender++) {
 			final GossipSample sample = tables.get(sender).sample(nowNanos);
 			final PeerStatus self = status(sender, beat, version);
-			bytes += FAN_OUT * (PeerCodec.heartbeat(self, sample).getSerializedSize() + LENGTH_BYTES);
+			bytes += FAN_OUT * (PeerCodec.heartbeat(self, sample, DEMAND).getSerializedSize() + LENGTH_BYTES);
 			for (int copy = 0; copy < FAN_OUT; copy++) {
 				final PeerTable receiver = tables.get(this.random.nextInt(tables.size()));
 				receiver.merge(self, nowNanos);
