--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
@@ -4,10 +4,12 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -23,6 +25,7 @@
 import org.pistachioline.daemon.duty.DutyHandler;
 import org.pistachioline.daemon.event.Events;
 import org.pistachioline.protocol.peer.PeerFrame;
+import org.pistachioline.protocol.peer.WorkspaceUse;
 
 /**
  * Tells a few peers at each beat what this daemon knows, so that all hear of all.
@@ -56,6 +59,11 @@
 	private volatile Consumer<PeerFrame> presenceFrames = (frame) -> {
 	};
 
+	private volatile Supplier<Map<String, Double>> demand = Map::of;
+
+	private volatile BiConsumer<PeerStatus, Map<String, Double>> demandReceiver = (status, told) -> {
+	};
+
 	private final AtomicReference<List<PeerStatus>> live = new AtomicReference<>(List.of());
 
 	/**
@@ -164,6 +172,16 @@
 			.ifPresent((peer) -> this.transport.send(peer.peerAddress(), frame));
 	}
 
+	/**
+	 * Sets what tells and takes the demand of workspaces.
+	 * @param own this daemon's demand
+	 * @param receiver takes a peer's; it must not block
+	 */
+	public void onDemand(Supplier<Map<String, Double>> own, BiConsumer<PeerStatus, Map<String, Double>> receiver) {
+		this.demand = own;
+		this.demandReceiver = receiver;
+	}
+
 	private void onFrame(PeerFrame frame) {
 		if (frame.getBodyCase() != PeerFrame.BodyCase.BODY_NOT_SET) {
 			this.duty.offer(frame);
@@ -196,6 +214,11 @@
 			}
 		});
 		this.live.set(this.table.live(nowNanos));
+		this.demandReceiver.accept(PeerCodec.decode(frame.getHeartbeat().getSender()), frame.getHeartbeat()
+			.getWorkspaceUseList()
+			.stream()
+			.limit(PeerCodec.MAX_WORKSPACES)
+			.collect(Collectors.toMap(WorkspaceUse::getWorkspace, WorkspaceUse::getRequestsPerSecond, Math::max)));
 	}
 
 	private void merge(PeerStatus status, long nowNanos) {
@@ -230,7 +253,7 @@
 
 	private void beat(int fanOut) {
 		final PeerStatus status = this.self.get();
-		final PeerFrame frame = PeerCodec.heartbeat(status, this.table.sample(System.nanoTime()));
+		final PeerFrame frame = PeerCodec.heartbeat(status, this.table.sample(System.nanoTime()), this.demand.get());
 		final Set<String> addresses = new TreeSet<>(this.seeds.get());
 		this.live.get().forEach((peer) -> addresses.add(peer.peerAddress()));
 		addresses.remove(status.peerAddress());
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -41,6 +41,10 @@
 
 	private final ClaimService claims;
 
+	private final ShareKeeper shares;
+
+	private final TraceRecorder recorder;
+
 	private final KillerReports killers;
 
 	private final Duty<TrafficMessage> duty;
@@ -64,9 +68,14 @@
 	 * @param system the process's actor system
 	 * @param core what decides
 	 * @param claims makes claims
+	 * @param shares keeps this daemon's shares of the limits
 	 * @param killers shares which requests groups died under
+	 * @param recorder keeps recent arrivals, where that is set
 	 */
-	public TrafficDuty(ActorSystem<?> system, TrafficCore core, ClaimService claims, KillerReports killers) {
+	public TrafficDuty(ActorSystem<?> system, TrafficCore core, ClaimService claims, ShareKeeper shares,
+			KillerReports killers, TraceRecorder recorder) {
+		this.recorder = recorder;
+		this.shares = shares;
 		this.core = core;
 		this.claims = claims;
 		this.killers = killers;
@@ -109,6 +118,16 @@
 		this.duty.offer(new TrafficMessage.Targets(targets));
 	}
 
+	/**
+	 * Takes over a peer's demand; where the ring is full the next beat brings it.
+	 * @param daemonId the peer
+	 * @param leaving whether it is about to stop
+	 * @param demand its requests a second, by workspace
+	 */
+	public void peerDemand(String daemonId, boolean leaving, Map<String, Double> demand) {
+		this.duty.offer(new TrafficMessage.PeerDemand(daemonId, leaving, demand));
+	}
+
 	/**
 	 * Takes over the agreed state of the fleet, for its quarantined and suspected
 	 * requests.
@@ -171,6 +190,7 @@
 	public void onTick() {
 		final long nowNanos = System.nanoTime();
 		carryOut(this.core.onTick(nowNanos));
+		carryOut(this.shares.renew(nowNanos, this.core));
 		// Quarantines expire by the wall clock, without a record.
 		if (nowNanos - this.killersAtNanos >= KILLERS_INTERVAL_NANOS) {
 			killers(nowNanos);
@@ -190,14 +210,20 @@
 		if (message instanceof TrafficMessage.Arrived arrived) {
 			final Exchange exchange = arrived.exchange();
 			this.exchanges.put(exchange.info().requestId(), exchange);
+			this.recorder.arrived(nowNanos, exchange.info());
 			carryOut(this.core.onRequest(nowNanos, exchange.info()));
 		}
 		else if (message instanceof TrafficMessage.Progressed progressed) {
+			this.recorder.generated(progressed.attempt().requestId(), progressed.tokensDelivered());
 			this.core.onProgress(nowNanos, progressed.attempt(), progressed.tokensDelivered());
 		}
 		else if (message instanceof TrafficMessage.Ended ended) {
+			this.recorder.generated(ended.attempt().requestId(), ended.tokensDelivered());
 			onEnded(nowNanos, ended);
 		}
+		else if (message instanceof TrafficMessage.PeerDemand peer) {
+			this.shares.hear(nowNanos, peer);
+		}
 		else if (message instanceof TrafficMessage.Claimed claimed) {
 			onClaimed(nowNanos, claimed);
 		}
@@ -333,6 +359,7 @@
 	}
 
 	private void forget(long requestId) {
+		this.recorder.ended(requestId);
 		this.exchanges.remove(requestId);
 		this.claimOffsets.remove(requestId);
 	}
