--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
@@ -14,9 +14,10 @@
 
 	private static final int EXIT_USAGE = 2;
 
-	private static final List<Benchmark> BENCHMARKS = List.of(new ReducerBenchmark(), new StateBenchmark(), new LimboBenchmark(), new DecisionsBenchmark(), new GoodputBenchmark(), new RelayBenchmark(), new ControlBenchmark(), new InForceBenchmark(), new MemberLossBenchmark(), new OnceBenchmark(), new PlannerBenchmark(), new FleetLinksBenchmark());
-
-	=======new LimboBenchmark(),new RelayBenchmark(),new ControlBenchmark(),new InForceBenchmark(),new MemberLossBenchmark(),new OnceBenchmark(),new DecisionsBenchmark(),new PlannerBenchmark(),new FleetLinksBenchmark());>>>>>>>main
+	private static final List<Benchmark> BENCHMARKS = List.of(new ReducerBenchmark(), new StateBenchmark(),
+			new LimboBenchmark(), new DecisionsBenchmark(), new GoodputBenchmark(), new RelayBenchmark(),
+			new ControlBenchmark(), new InForceBenchmark(), new MemberLossBenchmark(), new OnceBenchmark(),
+			new PlannerBenchmark(), new FleetLinksBenchmark());
 
 	private BenchMain() {
 	}
