Admission: a request over the whole token limit runs while its workspace is idle

Cause: it was refused for ever, seen as WholePathTests.theEngineStopsWorkWhoseCallerHasGone failing (max_tokens 100,000). Change: admitted while nothing else of the workspace is in flight here, as before.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/admission/WorkspaceLimits.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/admission/WorkspaceLimits.java
@@ -15,10 +15,9 @@
  * Made for a workspace that floods: without the limits its work would fill every queue
  * and every slot. The rate allows a burst of two seconds, so that a page that sends a
  * handful of requests at once is not refused. This daemon's share of a limit is set from
- * outside. A request that is larger than this daemon's share, though not larger than the
- * whole limit, is admitted while the workspace has nothing else in flight here: it would
- * otherwise be refused for ever. One that is larger than the whole limit is refused and
- * told never to come back.
+ * outside. A request that is larger than this daemon's share, or than the whole limit, is
+ * admitted while the workspace has nothing else in flight here: it would otherwise be
+ * refused for ever. So a limit of tokens is passed by one request a daemon at most.
  */
 public final class WorkspaceLimits implements AdmissionPolicy {
 
@@ -130,9 +129,6 @@
 			this.arrivals = demand(nowNanos) * DEMAND_SECONDS + 1;
 			this.arrivalsAtNanos = nowNanos;
 			earn(nowNanos);
-			if (info.costTokens() > this.limitTokens) {
-				return Optional.of(new Refusal(ErrorKind.TOKENS_LIMITED, 0));
-			}
 			if (this.credit < 1) {
 				final long waitMillis = (long) Math.ceil((1 - this.credit) / rate() * 1_000);
 				return Optional.of(new Refusal(ErrorKind.RATE_LIMITED, waitMillis));
