--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
@@ -17,7 +17,7 @@
 	private static final List<Benchmark> BENCHMARKS = List.of(new ReducerBenchmark(), new StateBenchmark(),
 			new LimboBenchmark(), new DecisionsBenchmark(), new GoodputBenchmark(), new RelayBenchmark(),
 			new ControlBenchmark(), new InForceBenchmark(), new MemberLossBenchmark(), new OnceBenchmark(),
-			new PlannerBenchmark(), new FleetLinksBenchmark());
+			new PlannerBenchmark(), new FleetLinksBenchmark(), new RecordBenchmark());
 
 	private BenchMain() {
 	}
