--- a/pistachioline-ctl/src/main/java/org/pistachioline/ctl/ExplainCommand.java
+++ b/pistachioline-ctl/src/main/java/org/pistachioline/ctl/ExplainCommand.java
@@ -44,6 +44,7 @@
 		for (final EventId event : EventId.values()) {
 			if (event.label().equalsIgnoreCase(name)) {
 				System.out.println(event.label() + " " + event.level() + ": " + event.text());
+				advise(event.label());
 				return ExitCode.DONE;
 			}
 		}
@@ -52,6 +53,7 @@
 				System.out
 					.println(kind.code() + ": HTTP " + kind.httpStatus() + ", run: " + kind.runState().headerValue()
 							+ ", retry: " + (kind.retryable() ? "yes" : "no") + ". " + kind.message());
+				advise(kind.code());
 				return ExitCode.DONE;
 			}
 		}
@@ -59,4 +61,8 @@
 		return ExitCode.FAILED;
 	}
 
+	private static void advise(String name) {
+		System.out.println("What to do: " + new Advice().about(name).orElse("nothing; it is information."));
+	}
+
 }
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/traffic/LoopbackTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/traffic/LoopbackTests.java
@@ -72,7 +72,8 @@
 		this.traffic = new TrafficDuty(this.system,
 				new TrafficCore(new TrafficPolicies(new AdmitAll(), new FifoQueue(100), new LeastInFlight(),
 						new BudgetedRetry(), new DeathCounter())),
-				claims, new ShareKeeper("d", Set::of, 500), new KillerReports(appender, "fleet"));
+				claims, new ShareKeeper("d", Set::of, 500), new KillerReports(appender, "fleet"),
+				new TraceRecorder(false));
 		this.exchanges = new Exchanges(new HttpCaller(this.system), this.traffic);
 		appender.start();
 		claims.start();
