--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/BenchMain.java
@@ -17,7 +17,6 @@
 	private static final List<Benchmark> BENCHMARKS = List.of(new ReducerBenchmark(), new StateBenchmark(),
 			new LimboBenchmark(), new RecordBenchmark(), new RelayBenchmark(), new ControlBenchmark(),
 			new InForceBenchmark(), new MemberLossBenchmark(), new OnceBenchmark(), new DecisionsBenchmark(),
-
 			new PlannerBenchmark(), new FleetLinksBenchmark());
 
 	private BenchMain() {
