--- a/pistachioline-core/src/main/java/org/pistachioline/core/state/KillerRules.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/state/KillerRules.java
@@ -27,10 +27,10 @@
 	private static final int MOST_SUSPICIONS = 1024;
 
 	/**
-	 * Longer than copies take to crash and to be noticed, shorter than a suspect takes to
-	 * be cleared.
+	 * A suspect's second run waits as long, so that two deaths this close are two
+	 * copies'.
 	 */
-	private static final long SAME_MOMENT_MILLIS = 1_500;
+	private static final long SAME_MOMENT_MILLIS = 300;
 
 	private static final long LIFETIME_MILLIS = DeathCounter.LIFETIME_MINUTES * 60_000;
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -73,6 +74,7 @@
 import org.pistachioline.daemon.traffic.Exchanges;
 import org.pistachioline.daemon.traffic.KillerReports;
 import org.pistachioline.daemon.traffic.ShareKeeper;
+import org.pistachioline.daemon.traffic.TraceRecorder;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 import org.pistachioline.protocol.peer.PeerFrame;
 
@@ -105,6 +107,8 @@
 
 	private final PeerDuty peers;
 
+	private final TraceRecorder recorder;
+
 	private final TrafficDuty traffic;
 
 	private final HttpServer callers;
@@ -159,12 +163,14 @@
 						TimeUnit.MILLISECONDS.toNanos(settings.whole(Setting.PROBES_PRESENCE_BOUND_MILLIS))));
 		this.planner = new PlannerDuty(this.system, this.config, this.fleet, this.instances, engines, this.appender,
 				new GroupPlanner(new WeighedLoss()), selfId, this.peers::daemonIds);
+		this.recorder = new TraceRecorder(settings.flag(Setting.TRACE_RECORD));
 		final ShareKeeper shares = new ShareKeeper(selfId, this.peers::daemonIds,
 				settings.whole(Setting.PEERS_HEARTBEAT_MILLIS));
 		this.traffic = new TrafficDuty(this.system,
 				new TrafficCore(StandardPolicies.create(settings.text(Setting.DAEMON_AVAILABILITY_ZONE),
 						this.incarnation ^ ((long) selfId.hashCode() << Integer.SIZE))),
-				claims, shares, new KillerReports(this.appender, settings.text(Setting.LOG_FLEET_STREAM)));
+				claims, shares, new KillerReports(this.appender, settings.text(Setting.LOG_FLEET_STREAM)),
+				this.recorder);
 		this.peers.onDemand(shares::demand,
 				(peer, demand) -> this.traffic.peerDemand(peer.daemonId(), peer.leaving(), demand));
 		final CallerLimits limits = new CallerLimits(settings.whole(Setting.CALLERS_MAX_BODY_BYTES),
@@ -331,10 +337,11 @@
 	}
 
 	private boolean isStale() {
-		final boolean now = this.staleness.isPast(configAgeMillis());
+		final long ageMillis = configAgeMillis();
+		final boolean now = this.staleness.isPast(ageMillis);
 		if (now != this.stale.getAndSet(now)) {
 			Events.log(now ? EventId.CONFIG_STALE : EventId.CONFIG_FRESH, "version", configVersion(), "age_millis",
-					logAgeMillis());
+					ageMillis);
 		}
 		return now;
 	}
@@ -381,6 +388,16 @@
 		return this.peers.daemons();
 	}
 
+	@Override
+	public Optional<String> trace() {
+		if (!this.recorder.isRecording()) {
+			return Optional.empty();
+		}
+		final Map<String, Integer> replicas = new HashMap<>();
+		this.instances.view().targets().forEach((target) -> replicas.merge(target.name(), 1, Integer::sum));
+		return Optional.of(this.recorder.lines(this.settings.text(Setting.DAEMON_ID), manifest(), replicas));
+	}
+
 	@Override
 	public String metrics() {
 		return this.metrics.scrape();
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/DaemonView.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/DaemonView.java
@@ -48,6 +48,12 @@
 	 */
 	Map<String, Object> dump();
 
+	/**
+	 * Returns recent arrivals as a trace.
+	 * @return the trace's lines; empty where they are not recorded
+	 */
+	Optional<String> trace();
+
 	/**
 	 * Returns the metrics in the Prometheus form.
 	 * @return the text
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -43,6 +43,8 @@
 
 	private final ShareKeeper shares;
 
+	private final TraceRecorder recorder;
+
 	private final KillerReports killers;
 
 	private final Duty<TrafficMessage> duty;
@@ -68,9 +70,11 @@
 	 * @param claims makes claims
 	 * @param shares keeps this daemon's shares of the limits
 	 * @param killers shares which requests groups died under
+	 * @param recorder keeps recent arrivals, where that is set
 	 */
 	public TrafficDuty(ActorSystem<?> system, TrafficCore core, ClaimService claims, ShareKeeper shares,
-			KillerReports killers) {
+			KillerReports killers, TraceRecorder recorder) {
+		this.recorder = recorder;
 		this.shares = shares;
 		this.core = core;
 		this.claims = claims;
@@ -206,12 +210,15 @@
 		if (message instanceof TrafficMessage.Arrived arrived) {
 			final Exchange exchange = arrived.exchange();
 			this.exchanges.put(exchange.info().requestId(), exchange);
+			this.recorder.arrived(nowNanos, exchange.info());
 			carryOut(this.core.onRequest(nowNanos, exchange.info()));
 		}
 		else if (message instanceof TrafficMessage.Progressed progressed) {
+			this.recorder.generated(progressed.attempt().requestId(), progressed.tokensDelivered());
 			this.core.onProgress(nowNanos, progressed.attempt(), progressed.tokensDelivered());
 		}
 		else if (message instanceof TrafficMessage.Ended ended) {
+			this.recorder.generated(ended.attempt().requestId(), ended.tokensDelivered());
 			onEnded(nowNanos, ended);
 		}
 		else if (message instanceof TrafficMessage.PeerDemand peer) {
@@ -352,6 +359,7 @@
 	}
 
 	private void forget(long requestId) {
+		this.recorder.ended(requestId);
 		this.exchanges.remove(requestId);
 		this.claimOffsets.remove(requestId);
 	}
