Traffic: targets and their choice in classes of their own

Change: TargetBook keeps targets with what is in flight there, TargetChooser picks one; the rule for the run state of a failure stands once. No behaviour changes.

--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
@@ -0,0 +1,148 @@
+package org.pistachioline.core.traffic;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.pistachioline.core.placement.DaemonRank;
+import org.pistachioline.core.placement.PlacementPolicy;
+import org.pistachioline.core.placement.TargetLoad;
+import org.pistachioline.core.placement.TargetSet;
+
+/**
+ * All targets that this daemon knows, with what it has in flight at each.
+ */
+final class TargetBook {
+
+	private static final String SERVICE_PREFIX = "service:";
+
+	private final PlacementPolicy placement;
+
+	private final Map<String, TargetLoad> loads = new HashMap<>();
+
+	private final Map<String, TargetSet> setsByName = new HashMap<>();
+
+	private final Map<String, Long> notServingSinceNanos = new HashMap<>();
+
+	private DaemonRank daemons = DaemonRank.ALONE;
+
+	TargetBook(PlacementPolicy placement) {
+		this.placement = placement;
+	}
+
+	void update(long nowNanos, List<TargetView> views) {
+		final Map<String, TargetLoad> next = new HashMap<>();
+		final Map<String, List<TargetLoad>> byName = new HashMap<>();
+		for (final TargetView view : views) {
+			final TargetLoad load = loadOf(nowNanos, view);
+			next.put(view.targetId(), load);
+			byName.computeIfAbsent(nameKey(view.kind(), view.name()), (key) -> new ArrayList<>()).add(load);
+		}
+		keepBusy(next);
+		this.loads.clear();
+		this.loads.putAll(next);
+		replaceSets(nowNanos, byName);
+		noteServing(nowNanos, views);
+	}
+
+	private TargetLoad loadOf(long nowNanos, TargetView view) {
+		final TargetLoad known = this.loads.get(view.targetId());
+		if (known == null) {
+			return new TargetLoad(view, nowNanos);
+		}
+		known.update(view, nowNanos);
+		return known;
+	}
+
+	// A target may vanish and come back under attempts that are still in flight; with a
+	// new count it would be given more work than it has slots for.
+	private void keepBusy(Map<String, TargetLoad> next) {
+		this.loads.forEach((targetId, load) -> {
+			if (load.inFlight() > 0) {
+				next.putIfAbsent(targetId, load);
+			}
+			else if (!next.containsKey(targetId)) {
+				this.placement.forget(targetId);
+			}
+		});
+	}
+
+	private void replaceSets(long nowNanos, Map<String, List<TargetLoad>> byName) {
+		this.setsByName.entrySet().removeIf((entry) -> {
+			final boolean gone = !byName.containsKey(entry.getKey());
+			if (gone) {
+				entry.getValue().replace(nowNanos, List.of(), this.daemons);
+			}
+			return gone;
+		});
+		byName.forEach((name, members) -> this.setsByName
+			.computeIfAbsent(name, (key) -> new TargetSet(this.placement.guardsTargets()))
+			.replace(nowNanos, members, this.daemons));
+	}
+
+	private void noteServing(long nowNanos, List<TargetView> views) {
+		this.notServingSinceNanos.keySet().retainAll(this.loads.keySet());
+		this.loads.keySet().forEach((targetId) -> this.notServingSinceNanos.putIfAbsent(targetId, nowNanos));
+		views.stream().filter(TargetView::serving).forEach((view) -> this.notServingSinceNanos.remove(view.targetId()));
+	}
+
+	void rank(long nowNanos, DaemonRank rank) {
+		this.daemons = rank;
+		this.setsByName.values().forEach((set) -> set.refresh(nowNanos, rank));
+	}
+
+	void onTick(long nowNanos) {
+		this.setsByName.values().forEach((set) -> set.onTick(nowNanos, this.daemons));
+	}
+
+	void refresh(long nowNanos, RequestInfo info, TargetLoad load) {
+		final TargetSet set = set(info);
+		if (set != null) {
+			set.refresh(nowNanos, this.daemons, load);
+		}
+	}
+
+	boolean isKnown(String targetId) {
+		return this.loads.containsKey(targetId);
+	}
+
+	boolean isDeclared(RequestInfo info) {
+		return set(info) != null;
+	}
+
+	Long notServingSinceNanos(String targetId) {
+		return this.notServingSinceNanos.get(targetId);
+	}
+
+	/**
+	 * Returns the targets of a request's model or service.
+	 * @param info the request
+	 * @return the set; null where there is none
+	 */
+	TargetSet set(RequestInfo info) {
+		return this.setsByName.get(nameKey(info.targetKind(), info.name()));
+	}
+
+	int freeSlots(RequestInfo info) {
+		final TargetSet set = set(info);
+		// A suspect that may run nowhere yet counts too: taken out of the queue it waits
+		// apart, while at the head of the queue it would hold up everyone behind it.
+		return (set != null) ? set.freeSlots() : 0;
+	}
+
+	List<TargetLoad> open(RequestInfo info) {
+		final TargetSet set = set(info);
+		return (set != null) ? set.open() : List.of();
+	}
+
+	List<TargetLoad> members(RequestInfo info) {
+		final TargetSet set = set(info);
+		return (set != null) ? set.members() : List.of();
+	}
+
+	private static String nameKey(TargetKind kind, String name) {
+		return (kind == TargetKind.MODEL) ? name : SERVICE_PREFIX + name;
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -1,7 +1,6 @@
 package org.pistachioline.core.traffic;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -16,7 +15,6 @@
 import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.placement.DaemonRank;
 import org.pistachioline.core.placement.TargetLoad;
-import org.pistachioline.core.placement.TargetSet;
 import org.pistachioline.core.quarantine.DeathVerdict;
 import org.pistachioline.core.retry.RetryDecision;
 
@@ -29,8 +27,6 @@
  */
 public final class TrafficCore {
 
-	private static final String SERVICE_PREFIX = "service:";
-
 	private static final long RETRY_WITHOUT_CAPACITY_MILLIS = 1_000;
 
 	private static final long LEAST_RETRY_MILLIS = 500;
@@ -59,14 +55,12 @@
 
 	private final Map<Long, Flight> flights = new LinkedHashMap<>();
 
-	private final Map<String, TargetLoad> loads = new HashMap<>();
+	private final TargetBook targets;
 
-	private final Map<String, TargetSet> setsByName = new HashMap<>();
+	private final TargetChooser chooser;
 
 	private final List<TrafficAction> actions = new ArrayList<>();
 
-	private final Map<String, Long> notServingSinceNanos = new HashMap<>();
-
 	private final Map<Long, RequestInfo> abandonedClaims = new HashMap<>();
 
 	private final Resumptions resumptions = new Resumptions();
@@ -77,8 +71,6 @@
 
 	private boolean leaving;
 
-	private DaemonRank daemons = DaemonRank.ALONE;
-
 	/**
 	 * Creates a core without configuration and targets.
 	 * @param policies the behaviours that vary
@@ -86,6 +78,8 @@
 	public TrafficCore(TrafficPolicies policies) {
 		this.policies = policies;
 		this.isolation = new Isolation(policies.killer());
+		this.targets = new TargetBook(policies.placement());
+		this.chooser = new TargetChooser(this.targets, this.isolation, policies.placement());
 	}
 
 	/**
@@ -104,47 +98,11 @@
 	/**
 	 * Takes over the targets as they are known now.
 	 * @param nowNanos the monotonic time
-	 * @param targets every target, serving or not
+	 * @param views every target, serving or not
 	 * @return what must be done next
 	 */
-	public List<TrafficAction> onTargets(long nowNanos, List<TargetView> targets) {
-		final Map<String, TargetLoad> next = new HashMap<>();
-		final Map<String, List<TargetLoad>> byName = new HashMap<>();
-		for (final TargetView view : targets) {
-			TargetLoad load = this.loads.get(view.targetId());
-			if (load == null) {
-				load = new TargetLoad(view, nowNanos);
-			}
-			else {
-				load.update(view, nowNanos);
-			}
-			next.put(view.targetId(), load);
-			byName.computeIfAbsent(nameKey(view.kind(), view.name()), (key) -> new ArrayList<>()).add(load);
-		}
-		// A target may vanish and come back under attempts that are still in flight; with
-		// a
-		// new count it would be given more work than it has slots for.
-		this.loads.forEach((targetId, load) -> {
-			if (load.inFlight() > 0) {
-				next.putIfAbsent(targetId, load);
-			}
-			else if (!next.containsKey(targetId)) {
-				this.policies.placement().forget(targetId);
-			}
-		});
-		this.loads.clear();
-		this.loads.putAll(next);
-		this.setsByName.entrySet().removeIf((entry) -> {
-			final boolean gone = !byName.containsKey(entry.getKey());
-			if (gone) {
-				entry.getValue().replace(nowNanos, List.of(), this.daemons);
-			}
-			return gone;
-		});
-		byName.forEach((name, members) -> this.setsByName
-			.computeIfAbsent(name, (key) -> new TargetSet(this.policies.placement().guardsTargets()))
-			.replace(nowNanos, members, this.daemons));
-		noteServing(nowNanos, targets);
+	public List<TrafficAction> onTargets(long nowNanos, List<TargetView> views) {
+		this.targets.update(nowNanos, views);
 		endStranded(nowNanos);
 		return pump(nowNanos);
 	}
@@ -158,23 +116,14 @@
 	 * @return what must be done next
 	 */
 	public List<TrafficAction> onShares(long nowNanos, DaemonRank rank, Map<String, Double> shareRatios) {
-		this.daemons = rank;
 		this.policies.admission().share(nowNanos, shareRatios);
-		this.setsByName.values().forEach((set) -> set.refresh(nowNanos, this.daemons));
+		this.targets.rank(nowNanos, rank);
 		return pump(nowNanos);
 	}
 
-	private void noteServing(long nowNanos, List<TargetView> targets) {
-		this.notServingSinceNanos.keySet().retainAll(this.loads.keySet());
-		this.loads.keySet().forEach((targetId) -> this.notServingSinceNanos.putIfAbsent(targetId, nowNanos));
-		targets.stream()
-			.filter(TargetView::serving)
-			.forEach((view) -> this.notServingSinceNanos.remove(view.targetId()));
-	}
-
 	private void endStranded(long nowNanos) {
 		for (final Flight flight : List.copyOf(this.flights.values())) {
-			if (flight.resuming && flight.attempts > 0 && !isPlaceable(flight)) {
+			if (flight.resuming && flight.attempts > 0 && !this.chooser.isPlaceable(flight)) {
 				end(nowNanos, flight, ErrorKind.TARGET_FAILED, RETRY_WITHOUT_CAPACITY_MILLIS);
 			}
 		}
@@ -203,7 +152,7 @@
 	 * @param events the events, late and perhaps with gaps
 	 */
 	public void onCacheEvents(long nowNanos, CacheEvents events) {
-		if (this.loads.containsKey(events.targetId())) {
+		if (this.targets.isKnown(events.targetId())) {
 			this.policies.placement().onCacheEvents(nowNanos, events);
 		}
 	}
@@ -239,7 +188,7 @@
 		if (this.policies.killer().isQuarantined(info.fingerprint())) {
 			return Optional.of(new Refusal(ErrorKind.QUARANTINED, 0));
 		}
-		if (!this.setsByName.containsKey(nameKey(info.targetKind(), info.name()))) {
+		if (!this.targets.isDeclared(info)) {
 			return Optional.of(new Refusal(ErrorKind.NO_CAPACITY, RETRY_WITHOUT_CAPACITY_MILLIS));
 		}
 		return this.policies.admission().admit(nowNanos, info);
@@ -369,7 +318,7 @@
 		flight.liveAttempt = null;
 		flight.shifting = false;
 		flight.load.onEnd(nowNanos, flight.info.costTokens(), how);
-		refresh(nowNanos, flight.info, flight.load);
+		this.targets.refresh(nowNanos, flight.info, flight.load);
 		this.isolation.onLeave(flight);
 	}
 
@@ -398,7 +347,7 @@
 		final RetryDecision decision = sendable
 				? this.policies.retry().afterFailure(nowNanos, flight.info, flight.attempts, how)
 				: RetryDecision.GIVE_UP;
-		if (decision == RetryDecision.RETRY && isPlaceable(flight)) {
+		if (decision == RetryDecision.RETRY && this.chooser.isPlaceable(flight)) {
 			startOrWait(nowNanos, flight);
 			return;
 		}
@@ -406,15 +355,6 @@
 		end(nowNanos, flight, kind, RETRY_WITHOUT_CAPACITY_MILLIS);
 	}
 
-	private boolean isPlaceable(Flight flight) {
-		// Whether some target that it has not failed at serves, with room or without.
-		// With
-		// none it is given its answer now; waiting for one would be waiting for ever.
-		return candidates(flight.info).stream()
-			.anyMatch((load) -> load.view().serving()
-					&& (flight.claimOffset >= 0 || !flight.triedTargetIds.contains(load.view().targetId())));
-	}
-
 	/**
 	 * Takes word that a caller went away.
 	 * @param nowNanos the monotonic time
@@ -435,7 +375,7 @@
 	 * @return what must be done next
 	 */
 	public List<TrafficAction> onTick(long nowNanos) {
-		this.setsByName.values().forEach((set) -> set.onTick(nowNanos, this.daemons));
+		this.targets.onTick(nowNanos);
 		this.policies.killer().onTick(nowNanos);
 		for (final Flight flight : List.copyOf(this.flights.values())) {
 			if (nowNanos >= flight.info.totalDeadlineNanos()) {
@@ -454,11 +394,10 @@
 
 	private void shiftIfDue(long nowNanos, Flight flight) {
 		if (flight.liveAttempt == null
-				|| !ShiftRules.isDue(nowNanos, flight, this.notServingSinceNanos.get(flight.target.targetId()))) {
+				|| !ShiftRules.isDue(nowNanos, flight, this.targets.notServingSinceNanos(flight.target.targetId()))) {
 			return;
 		}
-		final boolean elsewhere = flight.attempts < MOST_ATTEMPTS_WITH_SHIFTS && open(flight.info).stream()
-			.anyMatch((load) -> !flight.triedTargetIds.contains(load.view().targetId()));
+		final boolean elsewhere = flight.attempts < MOST_ATTEMPTS_WITH_SHIFTS && this.chooser.hasUntried(flight);
 		if (elsewhere) {
 			// The next attempt starts when this one is reported as ended, with the exact
 			// count of the tokens that the caller has: never two at once, none lost.
@@ -515,26 +454,19 @@
 				end(nowNanos, flight, ErrorKind.DEADLINE_UNREACHABLE, RETRY_WITHOUT_CAPACITY_MILLIS);
 			}
 		}
-		this.resumptions.poll(nowNanos, (flight) -> !choices(flight).isEmpty(), (flight) -> dispatch(nowNanos, flight));
-		Optional<RequestInfo> next = this.policies.queue().poll(nowNanos, this::freeSlots);
+		this.resumptions.poll(nowNanos, this.chooser::hasChoice, (flight) -> dispatch(nowNanos, flight));
+		Optional<RequestInfo> next = this.policies.queue().poll(nowNanos, this.targets::freeSlots);
 		while (next.isPresent()) {
 			final Flight flight = this.flights.get(next.get().requestId());
 			if (flight != null) {
 				flight.queued = false;
 				dispatch(nowNanos, flight);
 			}
-			next = this.policies.queue().poll(nowNanos, this::freeSlots);
+			next = this.policies.queue().poll(nowNanos, this.targets::freeSlots);
 		}
 		return drainActions();
 	}
 
-	private int freeSlots(RequestInfo info) {
-		final TargetSet set = set(info);
-		// A suspect that may run nowhere yet counts too: taken out of the queue it waits
-		// apart, while at the head of the queue it would hold up everyone behind it.
-		return (set != null) ? set.freeSlots() : 0;
-	}
-
 	private void dispatch(long nowNanos, Flight flight) {
 		if (this.policies.killer().isQuarantined(flight.info.fingerprint())) {
 			end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
@@ -550,7 +482,7 @@
 
 	private void startOrWait(long nowNanos, Flight flight) {
 		final boolean mayStart = nowNanos - flight.notBeforeNanos >= 0;
-		final Optional<TargetLoad> chosen = mayStart ? choose(nowNanos, flight) : Optional.empty();
+		final Optional<TargetLoad> chosen = mayStart ? this.chooser.choose(nowNanos, flight) : Optional.empty();
 		if (chosen.isPresent()) {
 			start(nowNanos, flight, chosen.get());
 		}
@@ -559,41 +491,6 @@
 		}
 	}
 
-	private Optional<TargetLoad> choose(long nowNanos, Flight flight) {
-		if (this.isolation.restricts(flight.info)) {
-			return choices(flight).stream().min(Comparator.comparingInt(TargetLoad::inFlight));
-		}
-		final TargetSet set = set(flight.info);
-		return (set != null) ? this.policies.placement().choose(nowNanos, flight.info, set, avoided(flight))
-				: Optional.empty();
-	}
-
-	private List<TargetLoad> choices(Flight flight) {
-		final Set<String> avoided = avoided(flight);
-		return this.isolation.allowed(flight.info, open(flight.info))
-			.stream()
-			.filter((load) -> !avoided.contains(load.view().targetId()))
-			.toList();
-	}
-
-	private Set<String> avoided(Flight flight) {
-		// The holder of a claim is only tried again after a connection that was not made,
-		// which may succeed at the same instance when there is no other.
-		final boolean mayReturn = flight.claimOffset >= 0 && open(flight.info).stream()
-			.allMatch((load) -> flight.triedTargetIds.contains(load.view().targetId()));
-		return mayReturn ? Set.of() : flight.triedTargetIds;
-	}
-
-	private List<TargetLoad> open(RequestInfo info) {
-		final TargetSet set = set(info);
-		return (set != null) ? set.open() : List.of();
-	}
-
-	private List<TargetLoad> candidates(RequestInfo info) {
-		final TargetSet set = set(info);
-		return (set != null) ? set.members() : List.of();
-	}
-
 	private void start(long nowNanos, Flight flight, TargetLoad load) {
 		flight.attempts++;
 		// Counted as sent before a byte can leave: a crash in between must not read as
@@ -609,7 +506,7 @@
 		flight.progressAtNanos = nowNanos;
 		load.onStart(nowNanos, flight.info.costTokens());
 		this.isolation.onStart(flight);
-		refresh(nowNanos, flight.info, load);
+		this.targets.refresh(nowNanos, flight.info, load);
 		this.policies.placement().onPlaced(nowNanos, flight.info, load);
 		this.actions.add(new TrafficAction.Start(flight.liveAttempt, load.view(), flight.tokensDelivered));
 	}
@@ -624,18 +521,16 @@
 		}
 		forget(nowNanos, flight);
 		// A kind that says "not run" by itself must not be used once bytes have left.
-		final RunState runState = (kind.runState() == RunState.NOT_RUN && !flight.bytesSent()) ? RunState.NOT_RUN
-				: strongest(kind, flight);
+		final RunState runState = runStateOf(kind, flight);
 		// Whoever may come back is told when: one who is told nothing comes at once.
 		final long afterMillis = kind.retryable() ? Math.max(retryAfterMillis, LEAST_RETRY_MILLIS) : retryAfterMillis;
 		this.actions.add(new TrafficAction.Fail(flight.info.requestId(), kind, runState, afterMillis));
 	}
 
-	private static RunState strongest(ErrorKind kind, Flight flight) {
-		final RunState seen = flight.runState();
+	private static RunState runStateOf(ErrorKind kind, Flight flight) {
 		final boolean keyed = kind == ErrorKind.KEY_IN_PROGRESS || kind == ErrorKind.OUTCOME_UNKNOWN
 				|| kind == ErrorKind.KEY_EXPIRED;
-		return keyed ? RunState.UNKNOWN : seen;
+		return keyed ? RunState.UNKNOWN : flight.runState();
 	}
 
 	private void forget(long nowNanos, Flight flight) {
@@ -666,25 +561,10 @@
 		return (flight != null && attempt.equals(flight.liveAttempt)) ? flight : null;
 	}
 
-	private TargetSet set(RequestInfo info) {
-		return this.setsByName.get(nameKey(info.targetKind(), info.name()));
-	}
-
-	private void refresh(long nowNanos, RequestInfo info, TargetLoad load) {
-		final TargetSet set = set(info);
-		if (set != null) {
-			set.refresh(nowNanos, this.daemons, load);
-		}
-	}
-
 	private List<TrafficAction> drainActions() {
 		final List<TrafficAction> drained = List.copyOf(this.actions);
 		this.actions.clear();
 		return drained;
 	}
 
-	private static String nameKey(TargetKind kind, String name) {
-		return (kind == TargetKind.MODEL) ? name : SERVICE_PREFIX + name;
-	}
-
 }
