Callers' HTTP: no connection counts as idle while its request may still run

Cause: the callers' port closed a connection after 75 s without a byte, and an answer that is not streamed moves none until it is whole; the deadline is ten minutes. A test under load saw a reset at just 75 s. The price is that a caller who sends its head a byte at a time holds one of 16,384 connections for up to 15 minutes.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/manifest/ManifestValidator.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/manifest/ManifestValidator.java
@@ -24,6 +24,13 @@
 	/** The longest time for which an idempotency key is remembered: one day. */
 	public static final long MAX_KEY_LIFETIME_MILLIS = 86_400_000;
 
+	/**
+	 * The longest that a request may take: 14 minutes. The callers' port closes a
+	 * connection on which nothing moves for 15, and an answer that is not streamed moves
+	 * nothing until it is whole; a longer deadline would be cut without an answer.
+	 */
+	public static final long MAX_REQUEST_MILLIS = 840_000;
+
 	private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9._-]{0,62}");
 
 	private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
@@ -54,8 +61,8 @@
 		checkWorkspaces();
 		checkPositive("weights.group_downtime", this.manifest.weights().groupDowntime());
 		checkPositive("weights.stranded_accelerators", this.manifest.weights().strandedAccelerators());
-		checkPositive("deadlines.first_token_seconds", this.manifest.deadlines().firstTokenMillis());
-		checkPositive("deadlines.total_seconds", this.manifest.deadlines().totalMillis());
+		checkRequestTime("deadlines.first_token_seconds", this.manifest.deadlines().firstTokenMillis());
+		checkRequestTime("deadlines.total_seconds", this.manifest.deadlines().totalMillis());
 		return List.copyOf(this.faults);
 	}
 
@@ -88,7 +95,7 @@
 		for (final ServiceSpec service : this.manifest.services()) {
 			final String place = "services[" + index + "].";
 			checkPool(place + "pool", service.pool(), PoolKind.SERVICE);
-			checkPositive(place + "timeout_seconds", service.timeoutMillis());
+			checkRequestTime(place + "timeout_seconds", service.timeoutMillis());
 			int operationIndex = 0;
 			for (final OperationSpec operation : service.operations()) {
 				checkOperation(place + "operations[" + operationIndex + "].", operation);
@@ -176,6 +183,12 @@
 		}
 	}
 
+	private void checkRequestTime(String place, long millis) {
+		if (millis < 1 || millis > MAX_REQUEST_MILLIS) {
+			fault(place, millis + " ms", "1 to " + MAX_REQUEST_MILLIS + " ms");
+		}
+	}
+
 	private void checkPositive(String place, double value) {
 		if (!(value > 0) || Double.isInfinite(value)) {
 			fault(place, Double.toString(value), "a number above 0");
