Traffic, duties: the life of a request in small classes; ticks as rare as they may be

Cause: TrafficCore still held how requests end, suspects and deadlines in 570 lines; an idle daemon spent most of its control time on ticks that only retry. Change: FlightBook ends requests, SuspectWatch follows suspects, FlightClock lets time pass. Ticks: streams 50 to 200 ms, appends 20 to 50, traffic 10 to 25; what is due at once is sent by messages and does not wait for them.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -1,8 +1,5 @@
 package org.pistachioline.core.traffic;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,7 +12,6 @@
 import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.placement.DaemonRank;
 import org.pistachioline.core.placement.TargetLoad;
-import org.pistachioline.core.quarantine.DeathVerdict;
 import org.pistachioline.core.retry.RetryDecision;
 
 /**
@@ -29,44 +25,22 @@
 
 	private static final long RETRY_WITHOUT_CAPACITY_MILLIS = 1_000;
 
-	private static final long LEAST_RETRY_MILLIS = 500;
-
-	/**
-	 * More than the tokens that were generated, but lost on the way, when a group died.
-	 */
-	private static final int TOKENS_PAST_DEATH = 16;
-
-	/** Bounds the prefill that is paid again when group after group drains. */
-	private static final int MOST_ATTEMPTS_WITH_SHIFTS = 6;
-
-	/**
-	 * How long a suspect waits before its second run. A copy may have killed another
-	 * group at another daemon in the same moment; a few appends later both know.
-	 */
-	private static final long SUSPECT_WAIT_NANOS = 300_000_000L;
-
-	/**
-	 * How long a suspect that was giving tokens waits. Most killers crash a group before
-	 * their first token; tried first and found, they free the others.
-	 */
-	private static final long UNLIKELY_SUSPECT_WAIT_NANOS = 1_000_000_000L;
-
 	private final TrafficPolicies policies;
 
-	private final Map<Long, Flight> flights = new LinkedHashMap<>();
+	private final FlightBook flights;
 
 	private final TargetBook targets;
 
 	private final TargetChooser chooser;
 
-	private final List<TrafficAction> actions = new ArrayList<>();
-
-	private final Map<Long, RequestInfo> abandonedClaims = new HashMap<>();
-
 	private final Resumptions resumptions = new Resumptions();
 
 	private final Isolation isolation;
 
+	private final SuspectWatch suspects;
+
+	private final FlightClock clock;
+
 	private Manifest manifest = Manifest.EMPTY;
 
 	private boolean leaving;
@@ -79,7 +53,10 @@
 		this.policies = policies;
 		this.isolation = new Isolation(policies.killer());
 		this.targets = new TargetBook(policies.placement());
+		this.flights = new FlightBook(policies, this.targets, this.isolation, this.resumptions);
+		this.suspects = new SuspectWatch(policies.killer(), this.isolation, this.flights);
 		this.chooser = new TargetChooser(this.targets, this.isolation, policies.placement());
+		this.clock = new FlightClock(this.flights, this.targets, this.chooser);
 	}
 
 	/**
@@ -122,9 +99,9 @@
 	}
 
 	private void endStranded(long nowNanos) {
-		for (final Flight flight : List.copyOf(this.flights.values())) {
+		for (final Flight flight : this.flights.all()) {
 			if (flight.resuming && flight.attempts > 0 && !this.chooser.isPlaceable(flight)) {
-				end(nowNanos, flight, ErrorKind.TARGET_FAILED, RETRY_WITHOUT_CAPACITY_MILLIS);
+				this.flights.end(nowNanos, flight, ErrorKind.TARGET_FAILED, RETRY_WITHOUT_CAPACITY_MILLIS);
 			}
 		}
 	}
@@ -138,9 +115,9 @@
 	 */
 	public List<TrafficAction> onKillers(long nowNanos, Set<String> quarantined, Map<String, String> suspectTargetIds) {
 		this.policies.killer().onAgreed(nowNanos, quarantined, suspectTargetIds);
-		for (final Flight flight : List.copyOf(this.flights.values())) {
+		for (final Flight flight : this.flights.all()) {
 			if (flight.liveAttempt == null && quarantined.contains(flight.info.fingerprint())) {
-				end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
+				this.flights.end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
 			}
 		}
 		return pump(nowNanos);
@@ -167,14 +144,14 @@
 		final Flight flight = new Flight(info, nowNanos);
 		final Optional<Refusal> refusal = refuse(nowNanos, info);
 		if (refusal.isPresent()) {
-			this.actions.add(new TrafficAction.Fail(info.requestId(), refusal.get().kind(), RunState.NOT_RUN,
+			this.flights.act(new TrafficAction.Fail(info.requestId(), refusal.get().kind(), RunState.NOT_RUN,
 					refusal.get().retryAfterMillis()));
-			return drainActions();
+			return this.flights.drainActions();
 		}
-		this.flights.put(info.requestId(), flight);
+		this.flights.add(flight);
 		final Optional<Refusal> full = this.policies.queue().offer(nowNanos, info);
 		if (full.isPresent()) {
-			end(nowNanos, flight, full.get().kind(), full.get().retryAfterMillis());
+			this.flights.end(nowNanos, flight, full.get().kind(), full.get().retryAfterMillis());
 			return pump(nowNanos);
 		}
 		flight.queued = true;
@@ -183,7 +160,7 @@
 
 	private Optional<Refusal> refuse(long nowNanos, RequestInfo info) {
 		if (this.leaving) {
-			return Optional.of(new Refusal(ErrorKind.LEAVING, LEAST_RETRY_MILLIS));
+			return Optional.of(new Refusal(ErrorKind.LEAVING, FlightBook.LEAST_RETRY_MILLIS));
 		}
 		if (this.policies.killer().isQuarantined(info.fingerprint())) {
 			return Optional.of(new Refusal(ErrorKind.QUARANTINED, 0));
@@ -205,8 +182,8 @@
 	public List<TrafficAction> onClaim(long nowNanos, long requestId, ClaimVerdict verdict, long claimOffset) {
 		final Flight flight = this.flights.get(requestId);
 		if (flight == null || !flight.claiming) {
-			giveBack(requestId, verdict, claimOffset);
-			return drainActions();
+			this.flights.giveBack(requestId, verdict, claimOffset);
+			return this.flights.drainActions();
 		}
 		flight.claiming = false;
 		switch (verdict) {
@@ -215,34 +192,21 @@
 				startOrWait(nowNanos, flight);
 			}
 			case SETTLED -> {
-				forget(nowNanos, flight);
-				this.actions.add(new TrafficAction.Replay(requestId, flight.info));
+				this.flights.forget(nowNanos, flight);
+				this.flights.act(new TrafficAction.Replay(requestId, flight.info));
 			}
-			case IN_PROGRESS -> end(nowNanos, flight, ErrorKind.KEY_IN_PROGRESS, RETRY_WITHOUT_CAPACITY_MILLIS);
-			case UNKNOWN -> end(nowNanos, flight, ErrorKind.OUTCOME_UNKNOWN, 0);
-			case REUSED -> end(nowNanos, flight, ErrorKind.KEY_REUSED, 0);
-			case EXPIRED -> end(nowNanos, flight, ErrorKind.KEY_EXPIRED, 0);
-			case UNAVAILABLE -> end(nowNanos, flight, ErrorKind.CLAIM_UNAVAILABLE, RETRY_WITHOUT_CAPACITY_MILLIS);
-			case LIMBO -> endUnknown(nowNanos, flight);
+			case IN_PROGRESS ->
+				this.flights.end(nowNanos, flight, ErrorKind.KEY_IN_PROGRESS, RETRY_WITHOUT_CAPACITY_MILLIS);
+			case UNKNOWN -> this.flights.end(nowNanos, flight, ErrorKind.OUTCOME_UNKNOWN, 0);
+			case REUSED -> this.flights.end(nowNanos, flight, ErrorKind.KEY_REUSED, 0);
+			case EXPIRED -> this.flights.end(nowNanos, flight, ErrorKind.KEY_EXPIRED, 0);
+			case UNAVAILABLE ->
+				this.flights.end(nowNanos, flight, ErrorKind.CLAIM_UNAVAILABLE, RETRY_WITHOUT_CAPACITY_MILLIS);
+			case LIMBO -> this.flights.endUnknown(nowNanos, flight);
 		}
 		return pump(nowNanos);
 	}
 
-	private void giveBack(long requestId, ClaimVerdict verdict, long claimOffset) {
-		final RequestInfo info = this.abandonedClaims.remove(requestId);
-		// The request ended as not run while its claim was on the way. Kept, the claim
-		// would bar the caller's repeats of something that never ran.
-		if (info != null && verdict == ClaimVerdict.GRANTED) {
-			this.actions.add(new TrafficAction.Release(requestId, info, claimOffset));
-		}
-	}
-
-	private void endUnknown(long nowNanos, Flight flight) {
-		forget(nowNanos, flight);
-		this.actions.add(new TrafficAction.Fail(flight.info.requestId(), ErrorKind.CLAIM_UNAVAILABLE, RunState.UNKNOWN,
-				RETRY_WITHOUT_CAPACITY_MILLIS));
-	}
-
 	/**
 	 * Notes how many tokens the caller has.
 	 * @param nowNanos the monotonic time
@@ -250,7 +214,7 @@
 	 * @param tokensDelivered the tokens delivered in all
 	 */
 	public void onProgress(long nowNanos, AttemptId attempt, int tokensDelivered) {
-		final Flight flight = live(attempt);
+		final Flight flight = this.flights.live(attempt);
 		if (flight == null) {
 			return;
 		}
@@ -263,13 +227,7 @@
 		flight.load.onTokens(nowNanos, flight.progressAtNanos, tokensDelivered - flight.tokensDelivered, first);
 		flight.progressAtNanos = nowNanos;
 		flight.tokensDelivered = Math.max(flight.tokensDelivered, tokensDelivered);
-		if (flight.tokensDelivered > flight.resumedFromTokens) {
-			this.isolation.onToken(flight);
-		}
-		if (flight.apart && flight.tokensDelivered >= flight.resumedFromTokens + TOKENS_PAST_DEATH) {
-			this.policies.killer().onSurvived(flight.info.fingerprint(), false);
-			this.isolation.onLeave(flight);
-		}
+		this.suspects.onTokens(flight);
 	}
 
 	/**
@@ -281,7 +239,7 @@
 	 * @return what must be done next
 	 */
 	public List<TrafficAction> onAttemptEnd(long nowNanos, AttemptId attempt, AttemptEnd how, int tokensDelivered) {
-		final Flight flight = live(attempt);
+		final Flight flight = this.flights.live(attempt);
 		if (flight == null) {
 			return pump(nowNanos);
 		}
@@ -293,14 +251,14 @@
 		if (how == AttemptEnd.NOT_CONNECTED) {
 			flight.sentAttempts--;
 		}
-		leaveTarget(nowNanos, flight, shifted ? AttemptEnd.CANCELLED : how);
+		this.flights.leaveTarget(nowNanos, flight, shifted ? AttemptEnd.CANCELLED : how);
 		if (how == AttemptEnd.COMPLETE) {
 			flight.ran = true;
 			flight.complete = true;
 			this.policies.killer().onSurvived(flight.info.fingerprint(), true);
-			forget(nowNanos, flight);
+			this.flights.forget(nowNanos, flight);
 			this.policies.retry().onSuccess(nowNanos);
-			this.actions.add(new TrafficAction.Finish(attempt.requestId()));
+			this.flights.act(new TrafficAction.Finish(attempt.requestId()));
 			return pump(nowNanos);
 		}
 		if (shifted) {
@@ -308,39 +266,15 @@
 			return pump(nowNanos);
 		}
 		if (how == AttemptEnd.BROKEN) {
-			noteDeath(nowNanos, flight);
+			this.suspects.onDeath(nowNanos, flight);
 		}
 		afterFailure(nowNanos, flight, how);
 		return pump(nowNanos);
 	}
 
-	private void leaveTarget(long nowNanos, Flight flight, AttemptEnd how) {
-		flight.liveAttempt = null;
-		flight.shifting = false;
-		flight.load.onEnd(nowNanos, flight.info.costTokens(), how);
-		this.targets.refresh(nowNanos, flight.info, flight.load);
-		this.isolation.onLeave(flight);
-	}
-
-	private void noteDeath(long nowNanos, Flight flight) {
-		if (flight.info.targetKind() != TargetKind.MODEL) {
-			return;
-		}
-		final DeathVerdict verdict = this.policies.killer()
-			.onDeath(nowNanos, flight.info.fingerprint(), flight.target.targetId());
-		if (verdict != DeathVerdict.EXCUSED) {
-			this.actions.add(new TrafficAction.Suspect(flight.info.requestId(), flight.info.fingerprint(),
-					flight.target, verdict == DeathVerdict.QUARANTINED));
-		}
-		if (verdict == DeathVerdict.SUSPECTED) {
-			final boolean likely = flight.tokensDelivered == flight.resumedFromTokens;
-			flight.notBeforeNanos = nowNanos + (likely ? SUSPECT_WAIT_NANOS : UNLIKELY_SUSPECT_WAIT_NANOS);
-		}
-	}
-
 	private void afterFailure(long nowNanos, Flight flight, AttemptEnd how) {
 		if (this.policies.killer().isQuarantined(flight.info.fingerprint())) {
-			end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
+			this.flights.end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
 			return;
 		}
 		final boolean sendable = flight.info.idempotent() || !flight.bytesSent();
@@ -352,7 +286,7 @@
 			return;
 		}
 		final ErrorKind kind = (how == AttemptEnd.MISMATCHED) ? ErrorKind.TARGET_PROTOCOL : ErrorKind.TARGET_FAILED;
-		end(nowNanos, flight, kind, RETRY_WITHOUT_CAPACITY_MILLIS);
+		this.flights.end(nowNanos, flight, kind, RETRY_WITHOUT_CAPACITY_MILLIS);
 	}
 
 	/**
@@ -364,7 +298,7 @@
 	public List<TrafficAction> onCallerGone(long nowNanos, long requestId) {
 		final Flight flight = this.flights.get(requestId);
 		if (flight != null) {
-			end(nowNanos, flight, ErrorKind.CALLER_GONE, 0);
+			this.flights.end(nowNanos, flight, ErrorKind.CALLER_GONE, 0);
 		}
 		return pump(nowNanos);
 	}
@@ -377,35 +311,10 @@
 	public List<TrafficAction> onTick(long nowNanos) {
 		this.targets.onTick(nowNanos);
 		this.policies.killer().onTick(nowNanos);
-		for (final Flight flight : List.copyOf(this.flights.values())) {
-			if (nowNanos >= flight.info.totalDeadlineNanos()) {
-				end(nowNanos, flight, flight.bytesSent() ? ErrorKind.DEADLINE_EXCEEDED : ErrorKind.DEADLINE_UNREACHABLE,
-						0);
-			}
-			else if (flight.resuming && !flight.bytesSent() && nowNanos >= flight.info.firstTokenDeadlineNanos()) {
-				end(nowNanos, flight, ErrorKind.DEADLINE_UNREACHABLE, RETRY_WITHOUT_CAPACITY_MILLIS);
-			}
-			else {
-				shiftIfDue(nowNanos, flight);
-			}
-		}
+		this.clock.onTick(nowNanos);
 		return pump(nowNanos);
 	}
 
-	private void shiftIfDue(long nowNanos, Flight flight) {
-		if (flight.liveAttempt == null
-				|| !ShiftRules.isDue(nowNanos, flight, this.targets.notServingSinceNanos(flight.target.targetId()))) {
-			return;
-		}
-		final boolean elsewhere = flight.attempts < MOST_ATTEMPTS_WITH_SHIFTS && this.chooser.hasUntried(flight);
-		if (elsewhere) {
-			// The next attempt starts when this one is reported as ended, with the exact
-			// count of the tokens that the caller has: never two at once, none lost.
-			flight.shifting = true;
-			this.actions.add(new TrafficAction.Cancel(flight.liveAttempt));
-		}
-	}
-
 	/**
 	 * Stops taking new requests; those held are finished.
 	 */
@@ -451,7 +360,7 @@
 			final Flight flight = this.flights.get(expired.requestId());
 			if (flight != null) {
 				flight.queued = false;
-				end(nowNanos, flight, ErrorKind.DEADLINE_UNREACHABLE, RETRY_WITHOUT_CAPACITY_MILLIS);
+				this.flights.end(nowNanos, flight, ErrorKind.DEADLINE_UNREACHABLE, RETRY_WITHOUT_CAPACITY_MILLIS);
 			}
 		}
 		this.resumptions.poll(nowNanos, this.chooser::hasChoice, (flight) -> dispatch(nowNanos, flight));
@@ -464,17 +373,17 @@
 			}
 			next = this.policies.queue().poll(nowNanos, this.targets::freeSlots);
 		}
-		return drainActions();
+		return this.flights.drainActions();
 	}
 
 	private void dispatch(long nowNanos, Flight flight) {
 		if (this.policies.killer().isQuarantined(flight.info.fingerprint())) {
-			end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
+			this.flights.end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
 			return;
 		}
 		if (flight.info.claim().isNeeded() && flight.claimOffset < 0) {
 			flight.claiming = true;
-			this.actions.add(new TrafficAction.Claim(flight.info.requestId(), flight.info));
+			this.flights.act(new TrafficAction.Claim(flight.info.requestId(), flight.info));
 			return;
 		}
 		startOrWait(nowNanos, flight);
@@ -508,43 +417,7 @@
 		this.isolation.onStart(flight);
 		this.targets.refresh(nowNanos, flight.info, load);
 		this.policies.placement().onPlaced(nowNanos, flight.info, load);
-		this.actions.add(new TrafficAction.Start(flight.liveAttempt, load.view(), flight.tokensDelivered));
-	}
-
-	private void end(long nowNanos, Flight flight, ErrorKind kind, long retryAfterMillis) {
-		if (flight.liveAttempt != null) {
-			this.actions.add(new TrafficAction.Cancel(flight.liveAttempt));
-			leaveTarget(nowNanos, flight, AttemptEnd.CANCELLED);
-		}
-		if (flight.claimOffset >= 0 && !flight.bytesSent()) {
-			this.actions.add(new TrafficAction.Release(flight.info.requestId(), flight.info, flight.claimOffset));
-		}
-		forget(nowNanos, flight);
-		// A kind that says "not run" by itself must not be used once bytes have left.
-		final RunState runState = runStateOf(kind, flight);
-		// Whoever may come back is told when: one who is told nothing comes at once.
-		final long afterMillis = kind.retryable() ? Math.max(retryAfterMillis, LEAST_RETRY_MILLIS) : retryAfterMillis;
-		this.actions.add(new TrafficAction.Fail(flight.info.requestId(), kind, runState, afterMillis));
-	}
-
-	private static RunState runStateOf(ErrorKind kind, Flight flight) {
-		final boolean keyed = kind == ErrorKind.KEY_IN_PROGRESS || kind == ErrorKind.OUTCOME_UNKNOWN
-				|| kind == ErrorKind.KEY_EXPIRED;
-		return keyed ? RunState.UNKNOWN : flight.runState();
-	}
-
-	private void forget(long nowNanos, Flight flight) {
-		this.flights.remove(flight.info.requestId());
-		if (flight.queued) {
-			this.policies.queue().remove(flight.info.requestId());
-		}
-		this.policies.queue()
-			.onEnded(nowNanos, flight.info, flight.complete, flight.tokensDelivered, nowNanos - flight.startedAtNanos);
-		this.resumptions.remove(flight);
-		if (flight.claiming) {
-			this.abandonedClaims.put(flight.info.requestId(), flight.info);
-		}
-		this.policies.admission().release(nowNanos, flight.info);
+		this.flights.act(new TrafficAction.Start(flight.liveAttempt, load.view(), flight.tokensDelivered));
 	}
 
 	/**
@@ -553,18 +426,7 @@
 	 * @return whether its answer counts
 	 */
 	public boolean isLive(AttemptId attempt) {
-		return live(attempt) != null;
-	}
-
-	private Flight live(AttemptId attempt) {
-		final Flight flight = this.flights.get(attempt.requestId());
-		return (flight != null && attempt.equals(flight.liveAttempt)) ? flight : null;
-	}
-
-	private List<TrafficAction> drainActions() {
-		final List<TrafficAction> drained = List.copyOf(this.actions);
-		this.actions.clear();
-		return drained;
+		return this.flights.live(attempt) != null;
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/agreed/AppendDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/agreed/AppendDuty.java
@@ -42,7 +42,7 @@
 
 	private static final double BURST = 8;
 
-	private static final Duration TICK = Duration.ofMillis(20);
+	private static final Duration TICK = Duration.ofMillis(50);
 
 	private final String writer;
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/agreed/StreamDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/agreed/StreamDuty.java
@@ -48,7 +48,7 @@
 	// during an outage would begin the staleness bound afresh.
 	private static final long NEVER_NANOS = Duration.ofDays(36_500).toNanos();
 
-	private static final Duration TICK = Duration.ofMillis(50);
+	private static final Duration TICK = Duration.ofMillis(200);
 
 	private final String stream;
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -34,7 +34,7 @@
 
 	private static final int RING_CAPACITY = 65_536;
 
-	private static final Duration TICK = Duration.ofMillis(10);
+	private static final Duration TICK = Duration.ofMillis(25);
 
 	private static final long KILLERS_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
 
