--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/claims/ClaimForwarderTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/claims/ClaimForwarderTests.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
@@ -155,7 +156,7 @@
 		assertThat(asker.claim(booking("k")).join().verdict()).isEqualTo(ClaimVerdict.UNAVAILABLE);
 		this.lost = (frame) -> false;
 		asker.onFrame(ClaimFrames.answer(1, ClaimResult.granted(folded().find("w", "k").orElseThrow().claimOffset())));
-		this.log.await(STREAM, 2).join();
+		this.log.await(STREAM, 2).orTimeout(1, TimeUnit.MINUTES).join();
 		assertThat(folded().entries()).isEmpty();
 	}
 
