--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -23,6 +23,9 @@
 	/** The daemon is no longer ready. */
 	NOT_READY(105, EventLevel.WARN, "The daemon is not ready to take requests."),
 
+	/** The settings were read again. */
+	RELOADED(106, EventLevel.INFO, "The settings file has changed and was read again."),
+
 	/** The log cannot be read. */
 	LOG_UNAVAILABLE(200, EventLevel.WARN, "The platform's log cannot be read; serving on from what is known."),
 
@@ -69,6 +72,16 @@
 	/** A peer gave a checkpoint. */
 	CHECKPOINT_FETCHED(214, EventLevel.INFO, "A checkpoint was taken over from a peer."),
 
+	/** The platform's store does not answer. */
+	STORE_LOST(215, EventLevel.WARN, "The platform's store does not answer; serving on from what is known."),
+
+	/** The platform's store answers again. */
+	STORE_FOUND(216, EventLevel.INFO, "The platform's store answers again."),
+
+	/** The store's history was dropped. */
+	STORE_HISTORY_LOST(217, EventLevel.INFO,
+			"The store has dropped the history that was to be read; reading its newest records."),
+
 	/** A configuration came into force. */
 	CONFIG_IN_FORCE(300, EventLevel.INFO, "A configuration version is in force on this daemon."),
 
@@ -102,6 +115,21 @@
 	/** A whole fabric domain or availability zone is dark. */
 	DOMAIN_DARK(407, EventLevel.ERROR, "Most of a fabric domain stopped answering at once; changes there wait."),
 
+	/** An order was answered. */
+	ORDER_GIVEN(408, EventLevel.INFO, "An order was given to an instance."),
+
+	/** This daemon holds the planner's lease. */
+	LEASE_WON(409, EventLevel.INFO, "This daemon holds the planner's lease."),
+
+	/** This daemon no longer holds the planner's lease. */
+	LEASE_LOST(410, EventLevel.INFO, "This daemon no longer holds the planner's lease."),
+
+	/** A target appeared. */
+	TARGET_SERVING(411, EventLevel.INFO, "A target takes requests."),
+
+	/** A target takes no requests any more. */
+	TARGET_STOPPED(412, EventLevel.INFO, "A target takes no more requests: it left, closed or lost a member."),
+
 	/** A request was quarantined. */
 	REQUEST_QUARANTINED(500, EventLevel.ERROR, "A request that crashes targets was quarantined."),
 
@@ -118,6 +146,15 @@
 	REQUEST_SUSPECTED(504, EventLevel.WARN,
 			"A group died under a request; it runs once more, apart from other suspects."),
 
+	/** A request goes to another target. */
+	REQUEST_RESENT(505, EventLevel.INFO, "A request goes to another target after one that failed or stood still."),
+
+	/** A request ended without success. */
+	REQUEST_FAILED(506, EventLevel.WARN, "A request ended without an answer of a target, or with a failure."),
+
+	/** A request was refused before it could be placed. */
+	REQUEST_REFUSED(507, EventLevel.WARN, "A request was refused before it was queued."),
+
 	/** A peer link failed. */
 	PEER_LOST(600, EventLevel.INFO, "A peer daemon cannot be reached."),
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -165,6 +165,9 @@
 			this.consecutiveFailures = 0;
 			this.progressAtNanos = nowNanos;
 		}
+		else if (how == AttemptEnd.FAILURE_ANSWERED) {
+			this.progressAtNanos = nowNanos;
+		}
 		else if (how != AttemptEnd.CANCELLED) {
 			this.consecutiveFailures++;
 			this.lastFailureNanos = nowNanos;
@@ -262,7 +265,7 @@
 	 * Returns when the target last delivered anything to this daemon.
 	 * @return the monotonic time, in nanoseconds
 	 */
-	long progressAtNanos() {
+	public long progressAtNanos() {
 		return this.progressAtNanos;
 	}
 
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupRecord.java
@@ -0,0 +1,46 @@
+package org.pistachioline.core.replica;
+
+import java.util.List;
+
+/**
+ * What the planner remembers of one group.
+ */
+final class GroupRecord {
+
+	/** The group. */
+	final GroupId group;
+
+	/** All members, the head first; a null stands for one that was never seen. */
+	final List<String> memberIds;
+
+	/** How many of its members had to load their weights. */
+	final int loads;
+
+	/** Whether this planner formed it, so that the list of members is known for sure. */
+	final boolean formedHere;
+
+	/** When it was formed or first seen, by the monotonic clock. */
+	final long sinceNanos;
+
+	/** When it was first seen incomplete, by the monotonic clock; 0 while it is whole. */
+	long lossNanos;
+
+	/** Whether an order to open it was sent. */
+	boolean opened;
+
+	/** Whether an instance refused to join for good. */
+	boolean refused;
+
+	GroupRecord(GroupId group, List<String> memberIds, int loads, boolean formedHere, long sinceNanos) {
+		this.group = group;
+		this.memberIds = memberIds;
+		this.loads = loads;
+		this.formedHere = formedHere;
+		this.sinceNanos = sinceNanos;
+	}
+
+	String headId() {
+		return this.memberIds.get(0);
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReview.java
@@ -0,0 +1,164 @@
+package org.pistachioline.core.replica;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Looks at every group once a turn: opens those that are whole, closes those that lost a
+ * member, and says whose members are not to be taken into another group yet.
+ * <p>
+ * Two things can go wrong. A group may be opened without all its members; callers then
+ * wait for an answer that cannot come. So an order to open goes out only when every
+ * member itself says that it is prepared under just this group and epoch. And a member
+ * may be taken away while the group's head still runs requests; those would be lost in
+ * silence. So a member is set free only once its head is known to be closed or broken, or
+ * has been gone for longer than a head can go on without noticing.
+ */
+final class GroupReview {
+
+	/** How long a member's word of its new group may be on its way. */
+	private static final long REPORT_NANOS = 2_500_000_000L;
+
+	/** A head that died is known to be gone this much later than it went at most. */
+	private static final long GONE_MARGIN_NANOS = 500_000_000L;
+
+	/** An order that brought no visible change is sent again after this time. */
+	private static final long REPEAT_NANOS = 1_000_000_000L;
+
+	private final PlannerTimes times;
+
+	private final Map<String, Long> sentAtNanos = new HashMap<>();
+
+	private final Set<String> taken = new HashSet<>();
+
+	private final List<ReplicaOrder> orders = new ArrayList<>();
+
+	GroupReview(PlannerTimes times) {
+		this.times = times;
+	}
+
+	void begin(Set<String> listedIds) {
+		this.taken.clear();
+		this.orders.clear();
+		this.sentAtNanos.keySet().removeIf((key) -> !listedIds.contains(key.substring(0, key.indexOf(' '))));
+	}
+
+	/**
+	 * Looks at one group.
+	 * @param nowNanos the monotonic time
+	 * @param known what is remembered of it
+	 * @param instances all listed instances, by id
+	 * @return whether the group is over, so that its members are free
+	 */
+	boolean review(long nowNanos, GroupRecord known, Map<String, ServingInstance> instances) {
+		final GroupSight sight = new GroupSight(known, instances);
+		final boolean over = isOver(nowNanos, known, sight, instances);
+		if (!over) {
+			known.memberIds.stream().filter((id) -> id != null).forEach(this.taken::add);
+		}
+		return over;
+	}
+
+	private boolean isOver(long nowNanos, GroupRecord known, GroupSight sight, Map<String, ServingInstance> instances) {
+		final MemberState headState = sight.headState().orElse(null);
+		if (sight.head().isEmpty()) {
+			return isPast(nowNanos, lossSince(nowNanos, known), this.times.stallNanos() + GONE_MARGIN_NANOS)
+					|| (known.formedHere && !known.opened);
+		}
+		if (headState == MemberState.BROKEN) {
+			return true;
+		}
+		final boolean lost = !sight.allListed() || sight.anySuperseded() || known.refused;
+		if (headState == MemberState.OPEN) {
+			if (lost || sight.anyDraining()) {
+				send(nowNanos, new ReplicaOrder.Close(sight.head().get(), known.group, lost));
+			}
+			return false;
+		}
+		if (headState == MemberState.CLOSING) {
+			return false;
+		}
+		if (lost || sight.anyDraining()) {
+			return mayGiveUp(nowNanos, known, sight);
+		}
+		if (sight.allPrepared()) {
+			known.lossNanos = 0;
+			open(nowNanos, known, sight);
+			return false;
+		}
+		return !sight.allJoined() && !joinAgain(nowNanos, known, instances);
+	}
+
+	// Once an order to open is out, the head may carry it out seconds later. A close that
+	// the head has answered, or its own word that it is in no such group, rules that out.
+	private boolean mayGiveUp(long nowNanos, GroupRecord known, GroupSight sight) {
+		final long sinceNanos = lossSince(nowNanos, known);
+		if (known.formedHere && !known.opened) {
+			return true;
+		}
+		if (known.opened && !isPast(nowNanos, sinceNanos, REPORT_NANOS)) {
+			send(nowNanos, new ReplicaOrder.Close(sight.head().get(), known.group, true));
+			return false;
+		}
+		return isPast(nowNanos, sinceNanos, REPORT_NANOS);
+	}
+
+	private void open(long nowNanos, GroupRecord known, GroupSight sight) {
+		known.opened = true;
+		send(nowNanos, new ReplicaOrder.Open(sight.head().orElseThrow(), known.group));
+	}
+
+	private boolean joinAgain(long nowNanos, GroupRecord known, Map<String, ServingInstance> instances) {
+		if (!known.formedHere) {
+			// What the last planner began is not known in full, so it is begun anew.
+			return !isPast(nowNanos, lossSince(nowNanos, known), REPORT_NANOS);
+		}
+		for (final String id : known.memberIds) {
+			if (!instances.get(id).isMemberOf(known.group)) {
+				join(nowNanos, known, instances.get(id));
+			}
+		}
+		return true;
+	}
+
+	void join(long nowNanos, GroupRecord known, ServingInstance instance) {
+		send(nowNanos, new ReplicaOrder.Join(instance, known.group, known.memberIds));
+	}
+
+	private void send(long nowNanos, ReplicaOrder order) {
+		final String key = order.instance().id() + ' ' + order.verb() + ' ' + order.group().epoch();
+		final Long sent = this.sentAtNanos.get(key);
+		if (sent == null || nowNanos - sent >= REPEAT_NANOS) {
+			this.sentAtNanos.put(key, nowNanos);
+			this.orders.add(order);
+		}
+	}
+
+	private static long lossSince(long nowNanos, GroupRecord known) {
+		if (known.lossNanos == 0) {
+			known.lossNanos = nowNanos;
+		}
+		return known.lossNanos;
+	}
+
+	private static boolean isPast(long nowNanos, long sinceNanos, long boundNanos) {
+		return nowNanos - sinceNanos >= boundNanos;
+	}
+
+	boolean isTaken(String instanceId) {
+		return this.taken.contains(instanceId);
+	}
+
+	void take(String instanceId) {
+		this.taken.add(instanceId);
+	}
+
+	List<ReplicaOrder> orders() {
+		return List.copyOf(this.orders);
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupSight.java
@@ -0,0 +1,62 @@
+package org.pistachioline.core.replica;
+
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * How one group stands by what its members report now.
+ */
+final class GroupSight {
+
+	private final GroupRecord record;
+
+	private final Map<String, ServingInstance> instances;
+
+	GroupSight(GroupRecord record, Map<String, ServingInstance> instances) {
+		this.record = record;
+		this.instances = instances;
+	}
+
+	Optional<ServingInstance> head() {
+		return Optional.ofNullable(this.record.headId()).map(this.instances::get);
+	}
+
+	Optional<MemberState> headState() {
+		return head().flatMap((head) -> head.stateIn(this.record.group));
+	}
+
+	boolean allListed() {
+		return this.record.memberIds.stream().allMatch((id) -> id != null && this.instances.containsKey(id));
+	}
+
+	boolean anyDraining() {
+		return this.record.memberIds.stream()
+			.anyMatch((id) -> id != null && this.instances.containsKey(id) && this.instances.get(id).draining());
+	}
+
+	// Whether every member says that it belongs to the group.
+	boolean allJoined() {
+		return this.record.memberIds.stream()
+			.allMatch((id) -> id != null && this.instances.containsKey(id)
+					&& this.instances.get(id).isMemberOf(this.record.group));
+	}
+
+	// Whether some member belongs to a later group by now.
+	boolean anySuperseded() {
+		return this.record.memberIds.stream()
+			.anyMatch((id) -> id != null && this.instances.containsKey(id)
+					&& this.instances.get(id)
+						.membership()
+						.filter((own) -> own.group().epoch() > this.record.group.epoch())
+						.isPresent());
+	}
+
+	// Whether every member is prepared and none has noticed a loss.
+	boolean allPrepared() {
+		return allJoined() && this.record.memberIds.stream().allMatch((id) -> {
+			final MemberState state = this.instances.get(id).stateIn(this.record.group).orElseThrow();
+			return state == MemberState.READY || state == MemberState.OPEN;
+		});
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/PlannerView.java
@@ -0,0 +1,23 @@
+package org.pistachioline.core.replica;
+
+import java.util.Collection;
+import java.util.List;
+
+import org.pistachioline.core.route.EngineSpec;
+
+/**
+ * What the planner of one service sees at a moment.
+ *
+ * @param nowNanos the monotonic time
+ * @param engine the service's engines
+ * @param instances the service's instances, those that leave included
+ * @param beforeTraffic whether no request has come yet, so that loads are not counted
+ */
+public record PlannerView(long nowNanos, EngineSpec engine, Collection<ServingInstance> instances,
+		boolean beforeTraffic) {
+
+	public PlannerView {
+		instances = List.copyOf(instances);
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -0,0 +1,210 @@
+package org.pistachioline.core.replica;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.pistachioline.core.route.EngineModel;
+
+/**
+ * Keeps the instances of one service in groups that serve.
+ * <p>
+ * It compares what the instances report with what should be and orders the difference, so
+ * that a planner that takes over goes on from the reports alone. Orders may be lost, or
+ * be carried out seconds late and after newer ones: each names its group and epoch, and
+ * epochs only rise over all planners, so that a late order cannot undo a newer one. One
+ * thread calls it.
+ */
+public final class ReplicaPlanner {
+
+	/**
+	 * How many groups one planner may form in one term; epochs of terms do not overlap.
+	 */
+	private static final int TERM_BITS = 20;
+
+	private final GroupReview review;
+
+	private final GroupFormer former = new GroupFormer();
+
+	private final LoadPacer pacer;
+
+	private final Map<GroupId, GroupRecord> records = new HashMap<>();
+
+	/** Groups that are over though members still report them. */
+	private final Set<GroupId> ended = new HashSet<>();
+
+	private long term;
+
+	private long formedInTerm;
+
+	/**
+	 * Creates a planner that knows of no group.
+	 * @param times the times to keep to
+	 */
+	public ReplicaPlanner(PlannerTimes times) {
+		this.review = new GroupReview(times);
+		this.pacer = new LoadPacer(times.loadWindowNanos());
+	}
+
+	/**
+	 * Begins a term: this daemon has become the planner, or its lease was renewed under a
+	 * higher number.
+	 * @param nowNanos the monotonic time
+	 * @param newTerm the lease's number, which rises with every change of its holder
+	 * @param heldBefore whether this daemon held the lease all the while
+	 */
+	public void beginTerm(long nowNanos, long newTerm, boolean heldBefore) {
+		if (!heldBefore) {
+			this.records.clear();
+			this.ended.clear();
+			this.pacer.takeOver(nowNanos);
+		}
+		this.term = newTerm;
+		this.formedInTerm = 0;
+	}
+
+	/**
+	 * Decides which orders are sent now.
+	 * @param view what is seen
+	 * @return the orders
+	 */
+	public List<ReplicaOrder> plan(PlannerView view) {
+		if (view.beforeTraffic()) {
+			this.pacer.open();
+		}
+		final Map<String, ServingInstance> byId = new HashMap<>();
+		view.instances().forEach((instance) -> byId.put(instance.id(), instance));
+		learn(view);
+		this.review.begin(byId.keySet());
+		this.records.values().removeIf((known) -> {
+			final boolean over = this.review.review(view.nowNanos(), known, byId);
+			if (over) {
+				this.ended.add(known.group);
+			}
+			return over;
+		});
+		form(view);
+		return this.review.orders();
+	}
+
+	// Groups that another planner formed are known by their members' reports only.
+	private void learn(PlannerView view) {
+		final Map<GroupId, List<ServingInstance>> reported = new HashMap<>();
+		view.instances()
+			.forEach((instance) -> instance.membership()
+				.ifPresent((own) -> reported.computeIfAbsent(own.group(), (group) -> new ArrayList<>()).add(instance)));
+		this.ended.retainAll(reported.keySet());
+		reported.keySet().removeAll(this.ended);
+		reported.forEach((group, members) -> {
+			final Optional<EngineModel> model = view.engine().model(group.model());
+			final GroupRecord known = this.records.get(group);
+			if (model.isPresent() && (known == null || (!known.formedHere && known.memberIds.contains(null)))) {
+				this.records.put(group, recordOf(view.nowNanos(), group, model.get(), members, known));
+			}
+		});
+	}
+
+	private static GroupRecord recordOf(long nowNanos, GroupId group, EngineModel model,
+			Collection<ServingInstance> members, GroupRecord before) {
+		final String[] ids = new String[model.members()];
+		members.forEach((instance) -> {
+			final int rank = instance.membership().orElseThrow().rank();
+			if (rank >= 0 && rank < ids.length) {
+				ids[rank] = instance.id();
+			}
+		});
+		final GroupRecord learnt = new GroupRecord(group, Arrays.asList(ids), 0, false,
+				(before != null) ? before.sinceNanos : nowNanos);
+		learnt.lossNanos = (before != null) ? before.lossNanos : 0;
+		learnt.opened = true;
+		return learnt;
+	}
+
+	private void form(PlannerView view) {
+		final List<ServingInstance> free = new ArrayList<>(view.instances()
+			.stream()
+			.filter((instance) -> !instance.draining() && !this.review.isTaken(instance.id()))
+			.toList());
+		this.former.note(view.nowNanos(), free);
+		Optional<GroupFormer.Formation> next = this.former.next(view, free, countByModel());
+		while (next.isPresent() && mayBegin(view, next.get())) {
+			begin(view.nowNanos(), next.get());
+			free.removeAll(next.get().members());
+			next = this.former.next(view, free, countByModel());
+		}
+	}
+
+	private boolean mayBegin(PlannerView view, GroupFormer.Formation formation) {
+		if (formation.loads() == 0) {
+			return true;
+		}
+		if (loading(view) >= Math.max(1, view.engine().concurrentLoads())) {
+			return false;
+		}
+		return view.beforeTraffic()
+				|| this.pacer.begin(view.nowNanos(), formation.loads(), view.engine().loadsPerSecond());
+	}
+
+	private int loading(PlannerView view) {
+		final Map<String, ServingInstance> byId = new HashMap<>();
+		view.instances().forEach((instance) -> byId.put(instance.id(), instance));
+		return this.records.values()
+			.stream()
+			.filter((known) -> known.loads > 0 && !new GroupSight(known, byId).allPrepared())
+			.mapToInt((known) -> known.loads)
+			.sum();
+	}
+
+	private void begin(long nowNanos, GroupFormer.Formation formation) {
+		this.formedInTerm++;
+		final GroupId group = GroupId.of(formation.model().name(), (this.term << TERM_BITS) + this.formedInTerm);
+		final GroupRecord formed = new GroupRecord(group,
+				formation.members().stream().map(ServingInstance::id).toList(), formation.loads(), true, nowNanos);
+		this.records.put(group, formed);
+		formation.members().forEach((member) -> {
+			this.review.take(member.id());
+			this.review.join(nowNanos, formed, member);
+		});
+	}
+
+	private Map<String, Integer> countByModel() {
+		final Map<String, Integer> counts = new HashMap<>();
+		this.records.values()
+			.forEach((known) -> counts.merge(known.group.model(), known.memberIds.size(), Integer::sum));
+		return counts;
+	}
+
+	/**
+	 * Takes what came of an order. Only a refusal for good changes anything: all else
+	 * shows in the instances' reports.
+	 * @param order the order
+	 * @param outcome what came of it
+	 */
+	public void onOutcome(ReplicaOrder order, OrderOutcome outcome) {
+		final GroupRecord known = this.records.get(order.group());
+		final boolean refused = outcome == OrderOutcome.FENCED || outcome == OrderOutcome.OTHER_INSTANCE
+				|| outcome == OrderOutcome.INVALID;
+		if (known != null && refused && order instanceof ReplicaOrder.Join) {
+			known.refused = true;
+		}
+	}
+
+	/**
+	 * Returns the groups that the planner knows, for operators.
+	 * @return for each group the ids of its members
+	 */
+	public Map<String, List<String>> groups() {
+		final Map<String, List<String>> groups = new HashMap<>();
+		this.records.values()
+			.forEach((known) -> groups.put(known.group.name(),
+					known.memberIds.stream().map((id) -> (id != null) ? id : "unknown").toList()));
+		return groups;
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/retry/RetryPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/retry/RetryPolicy.java
@@ -18,6 +18,25 @@
 	 */
 	RetryDecision afterFailure(long nowNanos, RequestInfo info, int attempts, AttemptEnd how);
 
+	/**
+	 * Decides whether a running stream may be moved to another target.
+	 * @param nowNanos the monotonic time
+	 * @param info the request
+	 * @return whether the budget has room for another attempt; it is taken where it has
+	 */
+	default boolean mayShift(long nowNanos, RequestInfo info) {
+		return true;
+	}
+
+	/**
+	 * Notes a request that arrived.
+	 * @param nowNanos the monotonic time
+	 * @param info the request
+	 */
+	default void onArrival(long nowNanos, RequestInfo info) {
+		// A budget that successes earn needs no arrivals.
+	}
+
 	/**
 	 * Notes a request that ended well.
 	 * @param nowNanos the monotonic time
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/route/RouteTable.java
@@ -0,0 +1,121 @@
+package org.pistachioline.core.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One whole configuration of routes, services and keys; it is replaced as a whole.
+ * <p>
+ * Made for configurations of several hundred routes that change several times a second:
+ * the routes of a host are kept with the longest prefix first, so that finding one costs
+ * one look at the host and one pass over its routes.
+ */
+public final class RouteTable {
+
+	/** The table before any configuration is known: version 0, and nothing is routed. */
+	public static final RouteTable UNKNOWN = new RouteTable(0, List.of(), List.of(), List.of(), CallerBounds.DEFAULT);
+
+	private final long version;
+
+	private final Map<String, List<Route>> routesByHost = new HashMap<>();
+
+	private final Map<String, ServiceSpec> services = new HashMap<>();
+
+	private final List<KeyHolder> keyHolders;
+
+	private final CallerBounds bounds;
+
+	/**
+	 * Creates a table.
+	 * @param version the configuration's version
+	 * @param routes the routes
+	 * @param services the services
+	 * @param keyHolders the workspaces with their keys
+	 * @param bounds what callers may send
+	 */
+	public RouteTable(long version, List<Route> routes, List<ServiceSpec> services, List<KeyHolder> keyHolders,
+			CallerBounds bounds) {
+		this.version = version;
+		this.keyHolders = List.copyOf(keyHolders);
+		this.bounds = bounds;
+		services.forEach((service) -> this.services.put(service.name(), service));
+		routes.forEach((route) -> this.routesByHost
+			.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), (host) -> new ArrayList<>())
+			.add(route));
+		this.routesByHost.values()
+			.forEach((list) -> list
+				.sort(Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed()));
+	}
+
+	/**
+	 * Finds the route of a request: the longest prefix among those of its host.
+	 * @param host the host that the caller named, with or without a port
+	 * @param path the path as it was sent, without the query
+	 * @return the route, if there is one
+	 */
+	public Optional<Route> route(String host, String path) {
+		final int colon = host.indexOf(':');
+		final String name = ((colon >= 0) ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
+		for (final Route route : this.routesByHost.getOrDefault(name, List.of())) {
+			if (path.startsWith(route.pathPrefix())) {
+				return Optional.of(route);
+			}
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * Finds a service by its name.
+	 * @param name the service's name
+	 * @return the service, if it is declared
+	 */
+	public Optional<ServiceSpec> service(String name) {
+		return Optional.ofNullable(this.services.get(name));
+	}
+
+	/**
+	 * Returns the configuration's version.
+	 * @return the version; 0 where none is known
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Returns whether a configuration is known at all.
+	 * @return whether it is
+	 */
+	public boolean known() {
+		return this.version > 0;
+	}
+
+	/**
+	 * Returns the workspaces with their keys.
+	 * @return the workspaces; empty where requests need no key
+	 */
+	public List<KeyHolder> keyHolders() {
+		return this.keyHolders;
+	}
+
+	/**
+	 * Returns the services.
+	 * @return all declared services
+	 */
+	public List<ServiceSpec> services() {
+		return List.copyOf(this.services.values());
+	}
+
+	/**
+	 * Returns what callers may send.
+	 * @return the bounds
+	 */
+	public CallerBounds bounds() {
+		return this.bounds;
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptEnd.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptEnd.java
@@ -14,6 +14,12 @@
 	/** The target refused the attempt before running it. */
 	REFUSED,
 
+	/** The target said that it has not run the attempt and never will. */
+	DECLINED,
+
+	/** The target ran the attempt and answered with a failure of its own. */
+	FAILURE_ANSWERED,
+
 	/** The connection broke or the target failed after bytes were sent. */
 	BROKEN,
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Flight.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Flight.java
@@ -37,6 +37,8 @@
 
 	boolean shifting;
 
+	boolean stalled;
+
 	boolean apart;
 
 	int tokensDelivered;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/FlightClock.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/FlightClock.java
@@ -9,16 +9,16 @@
 
 	private static final long RETRY_MILLIS = 1_000;
 
-	/** Bounds the prefill that is paid again when group after group drains. */
-	private static final int MOST_ATTEMPTS_WITH_SHIFTS = 6;
-
 	private final FlightBook flights;
 
 	private final TargetBook targets;
 
 	private final TargetChooser chooser;
 
-	FlightClock(FlightBook flights, TargetBook targets, TargetChooser chooser) {
+	private final TrafficPolicies policies;
+
+	FlightClock(FlightBook flights, TargetBook targets, TargetChooser chooser, TrafficPolicies policies) {
+		this.policies = policies;
 		this.flights = flights;
 		this.targets = targets;
 		this.chooser = chooser;
@@ -40,14 +40,22 @@
 	}
 
 	private void shiftIfDue(long nowNanos, Flight flight) {
-		if (flight.liveAttempt == null
-				|| !ShiftRules.isDue(nowNanos, flight, this.targets.notServingSinceNanos(flight.target.targetId()))) {
+		final boolean resumable = flight.info.targetKind() == TargetKind.MODEL && flight.info.idempotent();
+		if (!resumable || flight.liveAttempt == null || flight.shifting) {
+			return;
+		}
+		final StreamProgress progress = new StreamProgress(flight.attemptRan, flight.progressAtNanos,
+				flight.load.progressAtNanos());
+		final Long notServingSinceNanos = this.targets.notServingSinceNanos(flight.target.targetId());
+		if (!this.policies.shift().isDue(nowNanos, progress, notServingSinceNanos)) {
 			return;
 		}
-		if (flight.attempts < MOST_ATTEMPTS_WITH_SHIFTS && this.chooser.hasUntried(flight)) {
+		if (flight.attempts < flight.info.maxAttempts() && this.chooser.hasUntried(flight)
+				&& this.policies.retry().mayShift(nowNanos, flight.info)) {
 			// The next attempt starts when this one is reported as ended, with the exact
 			// count of the tokens that the caller has: never two at once, none lost.
 			flight.shifting = true;
+			flight.stalled = notServingSinceNanos == null;
 			this.flights.act(new TrafficAction.Cancel(flight.liveAttempt));
 		}
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RequestInfo.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RequestInfo.java
@@ -18,15 +18,45 @@
  * @param claim the claim that it needs; {@link ClaimNeed#NONE} where it is idempotent
  * @param fingerprint the request's fingerprint
  * @param prefixHashes hashes of the prompt's growing prefixes, the shortest first
+ * @param maxAttempts how many targets it may be sent to in all
  */
 public record RequestInfo(long requestId, String workspace, TargetKind targetKind, String name, int promptTokens,
 		int maxOutputTokens, int priority, long firstTokenDeadlineNanos, long totalDeadlineNanos, boolean idempotent,
-		ClaimNeed claim, String fingerprint, List<Long> prefixHashes) {
+		ClaimNeed claim, String fingerprint, List<Long> prefixHashes, int maxAttempts) {
+
+	/**
+	 * Bounds the prefill that is paid again when group after group drains or dies, where
+	 * the operator states no bound.
+	 */
+	public static final int USUAL_MAX_ATTEMPTS = 6;
 
 	public RequestInfo {
 		prefixHashes = List.copyOf(prefixHashes);
 	}
 
+	/**
+	 * Describes a request for which the operator states no bound on attempts.
+	 * @param requestId the id that this daemon gave it
+	 * @param workspace the caller's workspace
+	 * @param targetKind whether it goes to a model or to a plain service
+	 * @param name the model's or the service's name
+	 * @param promptTokens the estimated length of the prompt, in tokens
+	 * @param maxOutputTokens the most tokens that it may generate
+	 * @param priority a higher number goes first within its workspace
+	 * @param firstTokenDeadlineNanos when its first token is due
+	 * @param totalDeadlineNanos when it must have ended
+	 * @param idempotent whether it may be sent again
+	 * @param claim the claim that it needs
+	 * @param fingerprint the request's fingerprint
+	 * @param prefixHashes hashes of the prompt's growing prefixes, the shortest first
+	 */
+	public RequestInfo(long requestId, String workspace, TargetKind targetKind, String name, int promptTokens,
+			int maxOutputTokens, int priority, long firstTokenDeadlineNanos, long totalDeadlineNanos,
+			boolean idempotent, ClaimNeed claim, String fingerprint, List<Long> prefixHashes) {
+		this(requestId, workspace, targetKind, name, promptTokens, maxOutputTokens, priority, firstTokenDeadlineNanos,
+				totalDeadlineNanos, idempotent, claim, fingerprint, prefixHashes, USUAL_MAX_ATTEMPTS);
+	}
+
 	/**
 	 * Describes a request of another daemon that only asks for a claim.
 	 * @param workspace the caller's workspace
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ShiftPolicy.java
@@ -0,0 +1,18 @@
+package org.pistachioline.core.traffic;
+
+/**
+ * Decides when a running stream is taken off its target and resumed at another.
+ */
+public interface ShiftPolicy {
+
+	/**
+	 * Decides for a stream that may be resumed elsewhere.
+	 * @param nowNanos the monotonic time
+	 * @param stream how far the stream is
+	 * @param notServingSinceNanos since when its target takes no new work; null where it
+	 * does
+	 * @return whether the stream is moved
+	 */
+	boolean isDue(long nowNanos, StreamProgress stream, Long notServingSinceNanos);
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ShiftRules.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ShiftRules.java
@@ -12,7 +12,7 @@
  * twice the bound after which a silent member counts as lost. A target that serves and
  * has not given a first token may just be busy and is left alone.
  */
-final class ShiftRules {
+final class ShiftRules implements ShiftPolicy {
 
 	private static final long DRAIN_SECONDS = 30;
 
@@ -20,17 +20,11 @@
 
 	private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
-	private ShiftRules() {
-	}
-
-	static boolean isDue(long nowNanos, Flight flight, Long notServingSinceNanos) {
-		final boolean resumable = flight.info.targetKind() == TargetKind.MODEL && flight.info.idempotent();
-		if (!resumable || flight.liveAttempt == null || flight.shifting) {
-			return false;
-		}
-		final boolean stalled = isOlder(nowNanos, flight.progressAtNanos, STALL_SECONDS);
+	@Override
+	public boolean isDue(long nowNanos, StreamProgress stream, Long notServingSinceNanos) {
+		final boolean stalled = isOlder(nowNanos, stream.progressAtNanos(), STALL_SECONDS);
 		if (notServingSinceNanos == null) {
-			return stalled && flight.tokensDelivered > flight.resumedFromTokens;
+			return stalled && stream.attemptRan();
 		}
 		return isOlder(nowNanos, notServingSinceNanos, stalled ? STALL_SECONDS : DRAIN_SECONDS);
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -56,7 +56,7 @@
 		this.flights = new FlightBook(policies, this.targets, this.isolation, this.resumptions);
 		this.suspects = new SuspectWatch(policies.killer(), this.isolation, this.flights);
 		this.chooser = new TargetChooser(this.targets, this.isolation, policies.placement());
-		this.clock = new FlightClock(this.flights, this.targets, this.chooser);
+		this.clock = new FlightClock(this.flights, this.targets, this.chooser, policies);
 	}
 
 	/**
@@ -149,6 +149,7 @@
 			return this.flights.drainActions();
 		}
 		this.flights.add(flight);
+		this.policies.retry().onArrival(nowNanos, info);
 		final Optional<Refusal> full = this.policies.queue().offer(nowNanos, info);
 		if (full.isPresent()) {
 			this.flights.end(nowNanos, flight, full.get().kind(), full.get().retryAfterMillis());
@@ -248,10 +249,11 @@
 		}
 		flight.tokensDelivered = Math.max(flight.tokensDelivered, tokensDelivered);
 		final boolean shifted = flight.shifting;
-		if (how == AttemptEnd.NOT_CONNECTED) {
+		// A target that delivered something cannot say any more that it ran nothing.
+		if (how == AttemptEnd.NOT_CONNECTED || (how == AttemptEnd.DECLINED && !flight.attemptRan)) {
 			flight.sentAttempts--;
 		}
-		this.flights.leaveTarget(nowNanos, flight, shifted ? AttemptEnd.CANCELLED : how);
+		this.flights.leaveTarget(nowNanos, flight, shifted ? shiftEnd(flight) : how);
 		if (how == AttemptEnd.COMPLETE) {
 			flight.ran = true;
 			flight.complete = true;
@@ -272,21 +274,35 @@
 		return pump(nowNanos);
 	}
 
+	// A target that stood still is held to have failed, so that others are not sent
+	// there;
+	// one that merely drains did nothing wrong.
+	private static AttemptEnd shiftEnd(Flight flight) {
+		return flight.stalled ? AttemptEnd.BROKEN : AttemptEnd.CANCELLED;
+	}
+
 	private void afterFailure(long nowNanos, Flight flight, AttemptEnd how) {
 		if (this.policies.killer().isQuarantined(flight.info.fingerprint())) {
 			this.flights.end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
 			return;
 		}
 		final boolean sendable = flight.info.idempotent() || !flight.bytesSent();
-		final RetryDecision decision = sendable
+		final RetryDecision decision = (sendable && flight.attempts < flight.info.maxAttempts())
 				? this.policies.retry().afterFailure(nowNanos, flight.info, flight.attempts, how)
 				: RetryDecision.GIVE_UP;
 		if (decision == RetryDecision.RETRY && this.chooser.isPlaceable(flight)) {
 			startOrWait(nowNanos, flight);
 			return;
 		}
-		final ErrorKind kind = (how == AttemptEnd.MISMATCHED) ? ErrorKind.TARGET_PROTOCOL : ErrorKind.TARGET_FAILED;
-		this.flights.end(nowNanos, flight, kind, RETRY_WITHOUT_CAPACITY_MILLIS);
+		this.flights.end(nowNanos, flight, failureOf(flight, how), RETRY_WITHOUT_CAPACITY_MILLIS);
+	}
+
+	// Where every target declined, the caller may be told so: it did not run anywhere.
+	private static ErrorKind failureOf(Flight flight, AttemptEnd how) {
+		if (how == AttemptEnd.DECLINED && !flight.bytesSent()) {
+			return ErrorKind.NO_CAPACITY;
+		}
+		return (how == AttemptEnd.MISMATCHED) ? ErrorKind.TARGET_PROTOCOL : ErrorKind.TARGET_FAILED;
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficPolicies.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficPolicies.java
@@ -14,8 +14,22 @@
  * @param placement which target a request goes to
  * @param retry whether a failed attempt is followed by another
  * @param killer which requests are suspected of crashing targets
+ * @param shift when a running stream is moved to another target
  */
 public record TrafficPolicies(AdmissionPolicy admission, QueuePolicy queue, PlacementPolicy placement,
-		RetryPolicy retry, KillerPolicy killer) {
+		RetryPolicy retry, KillerPolicy killer, ShiftPolicy shift) {
+
+	/**
+	 * Puts together policies with the usual rules for moving streams.
+	 * @param admission who may enter
+	 * @param queue who waits and who goes next
+	 * @param placement which target a request goes to
+	 * @param retry whether a failed attempt is followed by another
+	 * @param killer which requests are suspected of crashing targets
+	 */
+	public TrafficPolicies(AdmissionPolicy admission, QueuePolicy queue, PlacementPolicy placement, RetryPolicy retry,
+			KillerPolicy killer) {
+		this(admission, queue, placement, retry, killer, new ShiftRules());
+	}
 
 }
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficHistory.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficHistory.java
@@ -77,7 +77,8 @@
 	void end(AttemptId id, AttemptEnd how) {
 		final Attempt attempt = this.live.remove(id);
 		this.over.add(id);
-		if (how == AttemptEnd.NOT_CONNECTED) {
+		final boolean declined = how == AttemptEnd.DECLINED && attempt.request.delivered == attempt.deliveredBefore;
+		if (how == AttemptEnd.NOT_CONNECTED || declined) {
 			attempt.request.mayHaveRun--;
 		}
 		attempt.request.live = null;
@@ -178,9 +179,12 @@
 
 		final Request request;
 
+		final int deliveredBefore;
+
 		boolean cancelled;
 
 		Attempt(AttemptId id, String targetId, Request request) {
+			this.deliveredBefore = request.delivered;
 			this.id = id;
 			this.targetId = targetId;
 			this.request = request;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -27,8 +27,12 @@
 
 	void bind(TrafficDuty traffic, AppendDuty appender, PeerDuty peers, StreamDuty<ConfigState> config,
 			StreamDuty<FleetState> fleet) {
-		bindTraffic(traffic);
+		bind(traffic, peers);
 		bindLog(appender, config, fleet);
+	}
+
+	void bind(TrafficDuty traffic, PeerDuty peers) {
+		bindTraffic(traffic);
 		bindPeers(peers);
 	}
 
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -0,0 +1,319 @@
+package org.pistachioline.daemon;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+
+import org.pistachioline.adapters.http.ConnectionPool;
+import org.pistachioline.core.admission.AdmitAll;
+import org.pistachioline.core.endpoints.EndpointSelector;
+import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.manifest.Manifest;
+import org.pistachioline.core.peer.PeerStatus;
+import org.pistachioline.core.placement.ExpectedWaitPlacement;
+import org.pistachioline.core.quarantine.NoQuarantine;
+import org.pistachioline.core.queueing.FairQueue;
+import org.pistachioline.core.retry.SharedBudgetRetry;
+import org.pistachioline.core.route.RouteTable;
+import org.pistachioline.core.traffic.PromptShift;
+import org.pistachioline.core.traffic.TrafficCore;
+import org.pistachioline.core.traffic.TrafficPolicies;
+import org.pistachioline.daemon.event.Events;
+import org.pistachioline.daemon.http.AdminHandler;
+import org.pistachioline.daemon.http.DaemonView;
+import org.pistachioline.daemon.http.HttpServer;
+import org.pistachioline.daemon.metrics.Metrics;
+import org.pistachioline.daemon.peer.PeerDuty;
+import org.pistachioline.daemon.peer.PeerTransport;
+import org.pistachioline.daemon.relay.CallerServer;
+import org.pistachioline.daemon.relay.RelayHandler;
+import org.pistachioline.daemon.relay.RelayTools;
+import org.pistachioline.daemon.replica.ReplicaDuty;
+import org.pistachioline.daemon.traffic.NoClaims;
+import org.pistachioline.daemon.traffic.ShareKeeper;
+import org.pistachioline.daemon.traffic.TraceRecorder;
+import org.pistachioline.daemon.traffic.TrafficDuty;
+
+/**
+ * A daemon on a platform that keeps configuration, instances and leases: it relays
+ * requests by routes and keeps instances in groups.
+ */
+public final class RoutingDaemon implements DaemonView {
+
+	/** Word of a peer's leaving or death must be round before callers ask again. */
+	private static final long HEARTBEAT_MILLIS = 300;
+
+	private static final int MOST_PEER_CONNECTIONS = 256;
+
+	/** A target in another zone answers within milliseconds; one that is gone never. */
+	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
+
+	/** Shorter than the few seconds for which targets keep idle connections. */
+	private static final Duration KEEP_IDLE = Duration.ofMillis(1_500);
+
+	private static final int MOST_IDLE_PER_TARGET = 6;
+
+	/** Each waiting request holds its body; at a few KB each this is a few MB. */
+	private static final int MOST_QUEUED = 2_000;
+
+	/** What is left of the time to stop when the last requests are given up. */
+	private static final long STOP_MARGIN_MILLIS = 700;
+
+	/** Callers keep an answer of where to connect up to three times its two seconds. */
+	private static final long LINGER_MILLIS = 6_000;
+
+	private static final long STOP_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+	private static final long LONGEST_FIRST_START_NANOS = TimeUnit.MINUTES.toNanos(1);
+
+	private final RoutingSettings settings;
+
+	private final ActorSystem<?> system;
+
+	private final RoutingPorts ports;
+
+	private final long incarnation = System.currentTimeMillis();
+
+	private final long startedAtNanos = System.nanoTime();
+
+	private final AtomicLong heartbeats = new AtomicLong();
+
+	private final AtomicLong lookups = new AtomicLong();
+
+	private final PeerDuty peers;
+
+	private final ShareKeeper shares;
+
+	private final TrafficDuty traffic;
+
+	private final ReplicaDuty replicas;
+
+	private final RelayHandler handler;
+
+	private final CallerServer callers;
+
+	private final Metrics metrics = new Metrics();
+
+	private final List<Lifecycle> parts = new ArrayList<>();
+
+	private final Deque<Lifecycle> started = new ArrayDeque<>();
+
+	private volatile RouteTable table = RouteTable.UNKNOWN;
+
+	private volatile boolean listed;
+
+	private volatile boolean leaving;
+
+	private volatile int mostDaemons = 1;
+
+	/**
+	 * Wires a daemon.
+	 * @param system the process's actor system
+	 * @param settings its settings
+	 * @param ports the platform
+	 */
+	public RoutingDaemon(ActorSystem<?> system, RoutingSettings settings, RoutingPorts ports) {
+		this.system = system;
+		this.settings = settings;
+		this.ports = ports;
+		this.metrics.process();
+		this.peers = new PeerDuty(system,
+				(receiver) -> new PeerTransport(settings.peerAddress(), null, MOST_PEER_CONNECTIONS, receiver),
+				settings.daemonId(), this::status, settings::peerSeeds, HEARTBEAT_MILLIS);
+		this.shares = new ShareKeeper(settings.daemonId(), this.peers::daemonIds, HEARTBEAT_MILLIS);
+		this.traffic = new TrafficDuty(system, new TrafficCore(policies()), new NoClaims(), this.shares,
+				(suspect, nowMillis) -> {
+					// Targets here report their own deaths; no request is held to be
+					// their cause.
+				}, new TraceRecorder(false));
+		this.replicas = new ReplicaDuty(system, ports.lease(), ports.orders(), settings.plannerTimes(),
+				this.traffic::targets, this::beforeTraffic);
+		final ConnectionPool pool = new ConnectionPool(system, CONNECT_TIMEOUT, KEEP_IDLE, MOST_IDLE_PER_TARGET);
+		this.handler = new RelayHandler(() -> this.table,
+				new RelayTools(system, pool, ports.dialect(), this.traffic::callerGone, this.replicas::loaded),
+				this.traffic, () -> this.leaving);
+		this.callers = new CallerServer(system, settings.callerAddress(), this.handler);
+		final HttpServer admin = new HttpServer(system, settings.adminAddress(),
+				new AdminHandler(system, this)::handle);
+		this.parts.addAll(List.of(this.traffic, this.replicas, this.peers, ports.routes(), ports.instances(),
+				ports.lease(), admin, this.callers));
+		connect();
+	}
+
+	private TrafficPolicies policies() {
+		final long seed = this.incarnation ^ ((long) this.settings.daemonId().hashCode() << Integer.SIZE);
+		return new TrafficPolicies(new AdmitAll(), new FairQueue(MOST_QUEUED),
+				new ExpectedWaitPlacement(this.settings.availabilityZone(), seed),
+				new SharedBudgetRetry(this.settings.retryBudget(), this::daemonCount), new NoQuarantine(),
+				new PromptShift());
+	}
+
+	private void connect() {
+		this.ports.routes().onRoutes((next) -> {
+			this.table = next;
+			this.replicas.configured(next);
+			Events.log(EventId.CONFIG_IN_FORCE, "version", next.version());
+		});
+		this.ports.instances().onInstances((instances) -> {
+			this.listed = true;
+			this.replicas.listed(instances);
+		});
+		final DaemonMeters meters = new DaemonMeters(this.metrics);
+		meters.bind(this.traffic, this.peers);
+		this.parts.forEach((part) -> part.rings().forEach(meters::bind));
+		this.metrics.gauge("pistachioline.config.version", "Version of the configuration in force",
+				this::configVersion);
+	}
+
+	// A daemon that has just started counts few others; the most it has ever seen is a
+	// better guess of how many spend from the same budget.
+	private int daemonCount() {
+		this.mostDaemons = Math.max(this.mostDaemons, this.peers.others().size() + 1);
+		return this.mostDaemons;
+	}
+
+	private boolean beforeTraffic() {
+		return this.settings.firstStart() && this.handler.arrived() == 0
+				&& System.nanoTime() - this.startedAtNanos < LONGEST_FIRST_START_NANOS;
+	}
+
+	/**
+	 * Starts all parts in order.
+	 */
+	public void start() {
+		for (final Lifecycle part : this.parts) {
+			part.start();
+			this.started.push(part);
+		}
+		Events.log(EventId.STARTED, "daemon", this.settings.daemonId(), "callers", this.settings.callerAddress(),
+				"admin", this.settings.adminAddress(), "peers", this.settings.peerAddress(), "start_millis",
+				TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startedAtNanos));
+	}
+
+	/**
+	 * Leaves: callers are sent elsewhere at once; whoever still comes is served until the
+	 * requests are done or the time to stop is nearly over.
+	 */
+	public void leave() {
+		final long begunAtNanos = System.nanoTime();
+		Events.log(EventId.STOPPING, "held", this.traffic.held());
+		this.leaving = true;
+		this.ports.lease().release();
+		this.peers.beat();
+		final long mostNanos = TimeUnit.MILLISECONDS
+			.toNanos(Math.max(0, this.settings.graceMillis() - STOP_MARGIN_MILLIS));
+		final long lingerNanos = Math.min(mostNanos, TimeUnit.MILLISECONDS.toNanos(LINGER_MILLIS));
+		long waitedNanos = 0;
+		while (waitedNanos < lingerNanos || (this.traffic.held() > 0 && waitedNanos < mostNanos)) {
+			LockSupport.parkNanos(STOP_CHECK_NANOS);
+			waitedNanos = System.nanoTime() - begunAtNanos;
+		}
+		Events.log(EventId.STOPPED, "held", this.traffic.held(), "waited_millis",
+				TimeUnit.NANOSECONDS.toMillis(waitedNanos));
+	}
+
+	/**
+	 * Stops all started parts in reverse order.
+	 */
+	public void stop() {
+		while (!this.started.isEmpty()) {
+			this.started.pop().stop();
+		}
+		this.system.terminate();
+	}
+
+	private PeerStatus status() {
+		return new PeerStatus(this.settings.daemonId(), this.settings.peerAddress(), this.settings.callerAddress(),
+				this.settings.adminAddress(), this.settings.availabilityZone(), this.incarnation,
+				this.heartbeats.incrementAndGet(), configVersion(), 0, 0, notReadyReason().isEmpty(), this.leaving,
+				this.traffic.held(), 0);
+	}
+
+	/**
+	 * Chooses the addresses that a caller is told to use.
+	 * @param availabilityZone the caller's availability zone; empty where it is not known
+	 * @return the addresses, the best first
+	 */
+	public List<String> endpoints(String availabilityZone) {
+		return EndpointSelector.choose(daemons(), availabilityZone, this.lookups.getAndIncrement())
+			.stream()
+			.map(PeerStatus::callerAddress)
+			.toList();
+	}
+
+	/**
+	 * Returns the meters, for what the platform adds to them.
+	 * @return the meters
+	 */
+	public Metrics meters() {
+		return this.metrics;
+	}
+
+	@Override
+	public Manifest manifest() {
+		return Manifest.EMPTY;
+	}
+
+	@Override
+	public long configVersion() {
+		return this.table.version();
+	}
+
+	@Override
+	public Optional<String> notReadyReason() {
+		if (!this.callers.listening()) {
+			return Optional.of("callers are not served yet");
+		}
+		if (!this.table.known()) {
+			return Optional.of("no configuration is known");
+		}
+		if (!this.listed) {
+			return Optional.of("the instance list has not been read");
+		}
+		return this.leaving ? Optional.of("the daemon is leaving") : Optional.empty();
+	}
+
+	@Override
+	public boolean leaving() {
+		return this.leaving;
+	}
+
+	@Override
+	public List<PeerStatus> daemons() {
+		return this.peers.daemons();
+	}
+
+	@Override
+	public Map<String, Object> dump() {
+		final Map<String, Object> dump = new LinkedHashMap<>();
+		dump.put("daemon", status());
+		dump.put("not_ready_reason", notReadyReason().orElse(""));
+		dump.put("config", Map.of("version", configVersion()));
+		dump.put("requests", Map.of("held", this.traffic.held(), "queued", this.traffic.queued()));
+		dump.put("serving_targets", this.replicas.servingCount());
+		dump.put("planned_groups", this.replicas.groups());
+		dump.put("peers", daemons());
+		return dump;
+	}
+
+	@Override
+	public Optional<String> trace() {
+		return Optional.empty();
+	}
+
+	@Override
+	public String metrics() {
+		return this.metrics.scrape();
+	}
+
+}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metrics.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metrics.java
@@ -62,6 +62,13 @@
 			.register(this.registry);
 	}
 
+	/**
+	 * Adds the meters of the process: memory and processor time.
+	 */
+	public void process() {
+		ProcessMeters.bind(this.registry);
+	}
+
 	/**
 	 * Adds the meters of the process: memory, processor time and control traffic.
 	 * @param calls the counts of calls to the platform and to targets
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/OrderSender.java
@@ -0,0 +1,21 @@
+package org.pistachioline.daemon.port;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.pistachioline.core.replica.OrderOutcome;
+import org.pistachioline.core.replica.ReplicaOrder;
+
+/**
+ * Gives orders to instances.
+ */
+public interface OrderSender {
+
+	/**
+	 * Gives an order.
+	 * @param order the order
+	 * @param fencingToken the number of the lease under which it is given
+	 * @return what came of it; it never fails
+	 */
+	CompletableFuture<OrderOutcome> send(ReplicaOrder order, long fencingToken);
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/PlannerLease.java
@@ -0,0 +1,25 @@
+package org.pistachioline.daemon.port;
+
+import java.util.Optional;
+
+import org.pistachioline.daemon.Lifecycle;
+
+/**
+ * A lease that at most one daemon holds: only its holder gives orders.
+ */
+public interface PlannerLease extends Lifecycle {
+
+	/**
+	 * Returns the lease's number, if this daemon holds it for certain. The number rises
+	 * with each change of the holder, and is the fencing token of every order.
+	 * @param nowNanos the monotonic time
+	 * @return the number; empty where the lease is not held or may have lapsed
+	 */
+	Optional<Long> term(long nowNanos);
+
+	/**
+	 * Gives the lease up, so that another daemon need not wait until it lapses.
+	 */
+	void release();
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/RelayDialect.java
@@ -0,0 +1,51 @@
+package org.pistachioline.daemon.port;
+
+import java.util.Optional;
+
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+
+import org.pistachioline.core.replica.LoadReport;
+import org.pistachioline.core.traffic.TargetView;
+
+/**
+ * Reads and writes the headers of callers and targets.
+ */
+public interface RelayDialect {
+
+	/**
+	 * Reads a caller's request.
+	 * @param request the request
+	 * @return what it says
+	 * @throws org.pistachioline.core.error.PistachiolineException with
+	 * {@code MALFORMED_REQUEST} where its headers cannot be understood
+	 */
+	CallHead read(HttpRequest request);
+
+	/**
+	 * Writes the request that goes to a target.
+	 * @param call the caller's request
+	 * @param target the target
+	 * @param leftMillis how long the caller still waits
+	 * @param lastEventId the last event that the caller has; empty where it has none
+	 * @return the request
+	 */
+	HttpRequest toTarget(RelayedCall call, TargetView target, long leftMillis, Optional<String> lastEventId);
+
+	/**
+	 * Judges the head of a target's answer.
+	 * @param call the caller's request
+	 * @param answer the answer
+	 * @return the verdict
+	 */
+	AnswerVerdict judge(RelayedCall call, HttpResponse answer);
+
+	/**
+	 * Reads what a target says of its load on an answer.
+	 * @param answer the answer
+	 * @param nowNanos the monotonic time
+	 * @return the load; empty where it says nothing
+	 */
+	Optional<LoadReport> load(HttpResponse answer, long nowNanos);
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What a daemon that relays by routes needs from the platform it runs on.
+ */
+package org.pistachioline.daemon.port;
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAnswers.java
@@ -0,0 +1,43 @@
+package org.pistachioline.daemon.relay;
+
+import java.util.Locale;
+
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+
+import org.pistachioline.core.error.ErrorKind;
+import org.pistachioline.core.error.RunState;
+import org.pistachioline.daemon.traffic.ErrorAnswers;
+
+/**
+ * Writes this daemon's own answers to relayed requests.
+ */
+final class RelayAnswers {
+
+	private static final double MILLIS_PER_SECOND = 1_000;
+
+	private static final int REFUSAL_STATUS = 503;
+
+	private RelayAnswers() {
+	}
+
+	/**
+	 * Writes an answer.
+	 * @param requestId the id that the caller gave
+	 * @param kind the error kind
+	 * @param runState whether the request may have run
+	 * @param retryAfterMillis when the caller may come back; 0 where it is not said
+	 * @return the answer
+	 */
+	static HttpResponse of(String requestId, ErrorKind kind, RunState runState, long retryAfterMillis) {
+		final HttpResponse answer = ErrorAnswers.of(requestId, kind, runState, 0);
+		final boolean promises = kind.httpStatus() == REFUSAL_STATUS || kind.httpStatus() == 429;
+		if (!promises || retryAfterMillis <= 0) {
+			return answer;
+		}
+		// A caller that waits a second or two has no use for a time in whole seconds.
+		return answer.addHeader(RawHeader.create("Retry-After",
+				String.format(Locale.ROOT, "%.2f", retryAfterMillis / MILLIS_PER_SECOND)));
+	}
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -0,0 +1,265 @@
+package org.pistachioline.daemon.replica;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+
+import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.replica.LoadReport;
+import org.pistachioline.core.replica.OrderOutcome;
+import org.pistachioline.core.replica.PlannerTimes;
+import org.pistachioline.core.replica.PlannerView;
+import org.pistachioline.core.replica.ReplicaOrder;
+import org.pistachioline.core.replica.ReplicaPlanner;
+import org.pistachioline.core.replica.ServingGroups;
+import org.pistachioline.core.replica.ServingInstance;
+import org.pistachioline.core.route.RouteTable;
+import org.pistachioline.core.route.ServiceSpec;
+import org.pistachioline.core.traffic.TargetView;
+import org.pistachioline.daemon.Lifecycle;
+import org.pistachioline.daemon.duty.Duty;
+import org.pistachioline.daemon.duty.DutyHandler;
+import org.pistachioline.daemon.duty.Ring;
+import org.pistachioline.daemon.event.Events;
+import org.pistachioline.daemon.port.OrderSender;
+import org.pistachioline.daemon.port.PlannerLease;
+
+/**
+ * Derives the targets from the list of instances, and gives orders while this daemon
+ * holds the planner's lease.
+ */
+public final class ReplicaDuty implements Lifecycle, DutyHandler<ReplicaMessage> {
+
+	/** A list or a load report for which there is no room is followed by a newer one. */
+	private static final int RING_CAPACITY = 4_096;
+
+	/**
+	 * How soon after a change a lost member is acted on: a small part of its recovery.
+	 */
+	private static final Duration TICK = Duration.ofMillis(100);
+
+	/** How often loads are handed on; they are a tenth of a second old when they come. */
+	private static final long TARGETS_NANOS = Duration.ofMillis(200).toNanos();
+
+	private final PlannerLease lease;
+
+	private final OrderSender orders;
+
+	private final PlannerTimes times;
+
+	private final Consumer<List<TargetView>> targets;
+
+	private final BooleanSupplier beforeTraffic;
+
+	private final Duty<ReplicaMessage> duty;
+
+	private final Map<String, ReplicaPlanner> planners = new HashMap<>();
+
+	private final Map<String, LoadReport> loads = new HashMap<>();
+
+	private List<ServingInstance> instances = List.of();
+
+	private RouteTable table = RouteTable.UNKNOWN;
+
+	private boolean loadsChanged;
+
+	private long targetsAtNanos;
+
+	private Set<String> serving = Set.of();
+
+	private long termHeld;
+
+	private long fencedTerm;
+
+	private volatile Map<String, List<String>> groups = Map.of();
+
+	private volatile int servingCount;
+
+	/**
+	 * Creates the duty.
+	 * @param system the process's actor system
+	 * @param lease the planner's lease
+	 * @param orders gives orders
+	 * @param times the times that planners keep to
+	 * @param targets takes the targets
+	 * @param beforeTraffic whether no request has come yet to a system that starts
+	 */
+	public ReplicaDuty(ActorSystem<?> system, PlannerLease lease, OrderSender orders, PlannerTimes times,
+			Consumer<List<TargetView>> targets, BooleanSupplier beforeTraffic) {
+		this.lease = lease;
+		this.orders = orders;
+		this.times = times;
+		this.targets = targets;
+		this.beforeTraffic = beforeTraffic;
+		this.duty = new Duty<>(system, "replicas", RING_CAPACITY, TICK, this);
+	}
+
+	@Override
+	public void start() {
+		this.duty.start();
+	}
+
+	@Override
+	public void stop() {
+		this.duty.stop();
+	}
+
+	@Override
+	public List<Ring<?>> rings() {
+		return List.of(this.duty.ring());
+	}
+
+	/**
+	 * Takes over the list of instances.
+	 * @param listed all instances
+	 */
+	public void listed(List<ServingInstance> listed) {
+		this.duty.put(new ReplicaMessage.Listed(listed));
+	}
+
+	/**
+	 * Takes over a configuration.
+	 * @param inForce the configuration
+	 */
+	public void configured(RouteTable inForce) {
+		this.duty.put(new ReplicaMessage.Configured(inForce));
+	}
+
+	/**
+	 * Takes what a target told of its load.
+	 * @param targetId the target
+	 * @param load the load
+	 */
+	public void loaded(String targetId, LoadReport load) {
+		final int at = targetId.indexOf('@');
+		this.duty.offer(new ReplicaMessage.Loaded((at >= 0) ? targetId.substring(0, at) : targetId, load));
+	}
+
+	/**
+	 * Returns the groups that this daemon plans, for operators.
+	 * @return for each group the ids of its members; empty while it does not plan
+	 */
+	public Map<String, List<String>> groups() {
+		return this.groups;
+	}
+
+	/**
+	 * Returns how many targets take requests.
+	 * @return the number of targets
+	 */
+	public int servingCount() {
+		return this.servingCount;
+	}
+
+	@Override
+	public void onMessage(ReplicaMessage message) {
+		if (message instanceof ReplicaMessage.Listed listed) {
+			this.instances = listed.instances();
+			final Set<String> ids = this.instances.stream().map(ServingInstance::id).collect(Collectors.toSet());
+			this.loads.keySet().retainAll(ids);
+			tellTargets(System.nanoTime());
+		}
+		else if (message instanceof ReplicaMessage.Configured configured) {
+			this.table = configured.table();
+			tellTargets(System.nanoTime());
+		}
+		else if (message instanceof ReplicaMessage.Loaded loaded) {
+			this.loads.put(loaded.instanceId(), loaded.load());
+			this.loadsChanged = true;
+		}
+		else if (message instanceof ReplicaMessage.Ordered ordered) {
+			onOrdered(ordered.order(), ordered.outcome());
+		}
+	}
+
+	private void onOrdered(ReplicaOrder order, OrderOutcome outcome) {
+		if (outcome == OrderOutcome.FENCED && !(order instanceof ReplicaOrder.Join)) {
+			// Another planner has begun: whatever this one still wants is out of date.
+			this.fencedTerm = this.termHeld;
+		}
+		final ReplicaPlanner planner = this.planners.get(order.instance().service());
+		if (planner != null) {
+			planner.onOutcome(order, outcome);
+		}
+	}
+
+	@Override
+	public void onTick() {
+		final long nowNanos = System.nanoTime();
+		if (this.loadsChanged && nowNanos - this.targetsAtNanos >= TARGETS_NANOS) {
+			tellTargets(nowNanos);
+		}
+		final Optional<Long> term = this.lease.term(nowNanos);
+		if (term.isEmpty()) {
+			this.termHeld = 0;
+			this.groups = Map.of();
+			return;
+		}
+		plan(nowNanos, term.get());
+	}
+
+	private void plan(long nowNanos, long term) {
+		final boolean heldBefore = this.termHeld != 0;
+		final boolean begins = this.termHeld != term;
+		this.termHeld = term;
+		if (term <= this.fencedTerm) {
+			return;
+		}
+		final Map<String, List<String>> all = new HashMap<>();
+		for (final ServiceSpec service : this.table.services()) {
+			if (service.grouped()) {
+				final ReplicaPlanner planner = this.planners.computeIfAbsent(service.name(),
+						(name) -> new ReplicaPlanner(this.times));
+				if (begins) {
+					planner.beginTerm(nowNanos, term, heldBefore);
+				}
+				planner
+					.plan(new PlannerView(nowNanos, service.engine().orElseThrow(), instancesOf(service),
+							this.beforeTraffic.getAsBoolean()))
+					.forEach((order) -> give(order, term));
+				all.putAll(planner.groups());
+			}
+		}
+		this.groups = all;
+	}
+
+	private List<ServingInstance> instancesOf(ServiceSpec service) {
+		return this.instances.stream().filter((instance) -> instance.service().equals(service.name())).toList();
+	}
+
+	private void give(ReplicaOrder order, long term) {
+		this.orders.send(order, term).thenAccept((outcome) -> {
+			Events.log(EventId.ORDER_GIVEN, "order", order.verb(), "instance", order.instance().id(), "group",
+					order.group().name(), "epoch", order.group().epoch(), "term", term, "outcome", outcome);
+			this.duty.offer(new ReplicaMessage.Ordered(order, outcome));
+		});
+	}
+
+	private void tellTargets(long nowNanos) {
+		this.targetsAtNanos = nowNanos;
+		this.loadsChanged = false;
+		final List<TargetView> views = ServingGroups.targets(this.table, this.instances, this.loads);
+		final Set<String> now = views.stream()
+			.filter(TargetView::serving)
+			.map((view) -> view.name() + ' ' + view.targetId())
+			.collect(Collectors.toSet());
+		now.stream()
+			.filter((name) -> !this.serving.contains(name))
+			.forEach((name) -> Events.log(EventId.TARGET_SERVING, "target", name));
+		this.serving.stream()
+			.filter((name) -> !now.contains(name))
+			.forEach((name) -> Events.log(EventId.TARGET_STOPPED, "target", name));
+		this.serving = now;
+		this.servingCount = now.size();
+		this.targets.accept(views);
+	}
+
+}
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaMessage.java
@@ -0,0 +1,54 @@
+package org.pistachioline.daemon.replica;
+
+import java.util.List;
+
+import org.pistachioline.core.replica.LoadReport;
+import org.pistachioline.core.replica.OrderOutcome;
+import org.pistachioline.core.replica.ReplicaOrder;
+import org.pistachioline.core.replica.ServingInstance;
+import org.pistachioline.core.route.RouteTable;
+
+/**
+ * What the replica duty is told.
+ */
+sealed interface ReplicaMessage {
+
+	/**
+	 * The list of instances has changed.
+	 *
+	 * @param instances all of them
+	 */
+	record Listed(List<ServingInstance> instances) implements ReplicaMessage {
+
+	}
+
+	/**
+	 * A configuration is in force.
+	 *
+	 * @param table the configuration
+	 */
+	record Configured(RouteTable table) implements ReplicaMessage {
+
+	}
+
+	/**
+	 * A target told of its load.
+	 *
+	 * @param instanceId the instance
+	 * @param load its load
+	 */
+	record Loaded(String instanceId, LoadReport load) implements ReplicaMessage {
+
+	}
+
+	/**
+	 * An order was answered, or not.
+	 *
+	 * @param order the order
+	 * @param outcome what came of it
+	 */
+	record Ordered(ReplicaOrder order, OrderOutcome outcome) implements ReplicaMessage {
+
+	}
+
+}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/KillerReports.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/KillerReports.java
@@ -17,7 +17,7 @@
 /**
  * Shares with all daemons which requests groups died under.
  */
-public final class KillerReports {
+public final class KillerReports implements KillerSink {
 
 	private final AppendDuty appender;
 
@@ -39,7 +39,8 @@
 	 * @param suspect the request and the target that died
 	 * @param nowMillis the wall clock's time
 	 */
-	void report(TrafficAction.Suspect suspect, long nowMillis) {
+	@Override
+	public void report(TrafficAction.Suspect suspect, long nowMillis) {
 		this.appender.append(this.fleetStream, recordOf(suspect, nowMillis));
 	}
 
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/KillerSink.java
@@ -0,0 +1,18 @@
+package org.pistachioline.daemon.traffic;
+
+import org.pistachioline.core.traffic.TrafficAction;
+
+/**
+ * Takes word of requests under which targets died.
+ */
+@FunctionalInterface
+public interface KillerSink {
+
+	/**
+	 * Reports a death.
+	 * @param suspect the request and the target that died
+	 * @param nowMillis the wall clock's time
+	 */
+	void report(TrafficAction.Suspect suspect, long nowMillis);
+
+}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -46,7 +46,7 @@
 
 	private final TraceRecorder recorder;
 
-	private final KillerReports killers;
+	private final KillerSink killers;
 
 	private final Duty<TrafficMessage> duty;
 
@@ -77,8 +77,8 @@
 	 * @param killers shares which requests groups died under
 	 * @param recorder keeps recent arrivals, where that is set
 	 */
-	public TrafficDuty(ActorSystem<?> system, TrafficCore core, Claims claims, ShareKeeper shares,
-			KillerReports killers, TraceRecorder recorder) {
+	public TrafficDuty(ActorSystem<?> system, TrafficCore core, Claims claims, ShareKeeper shares, KillerSink killers,
+			TraceRecorder recorder) {
 		this.recorder = recorder;
 		this.shares = shares;
 		this.core = core;
