--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -130,6 +130,9 @@
 	/** A target takes no requests any more. */
 	TARGET_STOPPED(412, EventLevel.INFO, "A target takes no more requests: it left, closed or lost a member."),
 
+	/** A member of a group that stands still does not answer. */
+	INSTANCE_SILENT(413, EventLevel.WARN, "A member of a group that stands still does not answer and counts as gone."),
+
 	/** A request was quarantined. */
 	REQUEST_QUARANTINED(500, EventLevel.ERROR, "A request that crashes targets was quarantined."),
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupRecord.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupRecord.java
@@ -28,6 +28,12 @@
 	/** Whether an order to open it was sent. */
 	boolean opened;
 
+	/** The head as it was last listed; null where it never was. */
+	ServingInstance lastHead;
+
+	/** Whether the head has answered an order to close since the last order to open. */
+	boolean closed;
+
 	/** Whether an instance refused to join for good. */
 	boolean refused;
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReview.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReview.java
@@ -23,12 +23,17 @@
 	/** How long a member's word of its new group may be on its way. */
 	private static final long REPORT_NANOS = 2_500_000_000L;
 
-	/** A head that died is known to be gone this much later than it went at most. */
-	private static final long GONE_MARGIN_NANOS = 500_000_000L;
+	/**
+	 * Clocks of instances and the list are read with a lag of some tenths of a second.
+	 */
+	private static final long GONE_MARGIN_NANOS = 800_000_000L;
 
 	/** An order that brought no visible change is sent again after this time. */
 	private static final long REPEAT_NANOS = 1_000_000_000L;
 
+	/** How long it is remembered that an order was sent; many times its repetition. */
+	private static final long FORGET_NANOS = 60_000_000_000L;
+
 	private final PlannerTimes times;
 
 	private final Map<String, Long> sentAtNanos = new HashMap<>();
@@ -41,10 +46,10 @@
 		this.times = times;
 	}
 
-	void begin(Set<String> listedIds) {
+	void begin(long nowNanos) {
 		this.taken.clear();
 		this.orders.clear();
-		this.sentAtNanos.keySet().removeIf((key) -> !listedIds.contains(key.substring(0, key.indexOf(' '))));
+		this.sentAtNanos.values().removeIf((sentNanos) -> isPast(nowNanos, sentNanos, FORGET_NANOS));
 	}
 
 	/**
@@ -66,9 +71,9 @@
 	private boolean isOver(long nowNanos, GroupRecord known, GroupSight sight, Map<String, ServingInstance> instances) {
 		final MemberState headState = sight.headState().orElse(null);
 		if (sight.head().isEmpty()) {
-			return isPast(nowNanos, lossSince(nowNanos, known), this.times.stallNanos() + GONE_MARGIN_NANOS)
-					|| (known.formedHere && !known.opened);
+			return isHeadOver(nowNanos, known);
 		}
+		known.lastHead = sight.head().get();
 		if (headState == MemberState.BROKEN) {
 			return true;
 		}
@@ -93,6 +98,22 @@
 		return !sight.allJoined() && !joinAgain(nowNanos, known, instances);
 	}
 
+	// A head that vanished from the list may have died, or it may merely have lost the
+	// way
+	// to the store and go on serving. Its own answer to an order to close settles that at
+	// once; where none comes, its group is over when it has been silent for long enough.
+	private boolean isHeadOver(long nowNanos, GroupRecord known) {
+		if (known.closed || (known.formedHere && !known.opened)) {
+			return true;
+		}
+		final long sinceNanos = lossSince(nowNanos, known);
+		if (known.lastHead == null) {
+			return isPast(nowNanos, sinceNanos, this.times.stallNanos() + GONE_MARGIN_NANOS);
+		}
+		send(nowNanos, new ReplicaOrder.Close(known.lastHead, known.group, true));
+		return isPast(nowNanos, sinceNanos, this.times.goneNanos() + GONE_MARGIN_NANOS);
+	}
+
 	// Once an order to open is out, the head may carry it out seconds later. A close that
 	// the head has answered, or its own word that it is in no such group, rules that out.
 	private boolean mayGiveUp(long nowNanos, GroupRecord known, GroupSight sight) {
@@ -100,6 +121,9 @@
 		if (known.formedHere && !known.opened) {
 			return true;
 		}
+		if (known.closed) {
+			return true;
+		}
 		if (known.opened && !isPast(nowNanos, sinceNanos, REPORT_NANOS)) {
 			send(nowNanos, new ReplicaOrder.Close(sight.head().get(), known.group, true));
 			return false;
@@ -109,6 +133,7 @@
 
 	private void open(long nowNanos, GroupRecord known, GroupSight sight) {
 		known.opened = true;
+		known.closed = false;
 		send(nowNanos, new ReplicaOrder.Open(sight.head().orElseThrow(), known.group));
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -81,7 +81,7 @@
 		final Map<String, ServingInstance> byId = new HashMap<>();
 		view.instances().forEach((instance) -> byId.put(instance.id(), instance));
 		learn(view);
-		this.review.begin(byId.keySet());
+		this.review.begin(view.nowNanos());
 		this.records.values().removeIf((known) -> {
 			final boolean over = this.review.review(view.nowNanos(), known, byId);
 			if (over) {
@@ -188,6 +188,11 @@
 	 */
 	public void onOutcome(ReplicaOrder order, OrderOutcome outcome) {
 		final GroupRecord known = this.records.get(order.group());
+		if (known != null && order instanceof ReplicaOrder.Close) {
+			// One that is in no such group, or another process, holds nothing of it
+			// either.
+			known.closed |= outcome != OrderOutcome.UNKNOWN && outcome != OrderOutcome.FENCED;
+		}
 		final boolean refused = outcome == OrderOutcome.FENCED || outcome == OrderOutcome.OTHER_INSTANCE
 				|| outcome == OrderOutcome.INVALID;
 		if (known != null && refused && order instanceof ReplicaOrder.Join) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Flight.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Flight.java
@@ -39,6 +39,8 @@
 
 	boolean stalled;
 
+	boolean stallTold;
+
 	boolean apart;
 
 	int tokensDelivered;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/FlightClock.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/FlightClock.java
@@ -50,6 +50,10 @@
 		if (!this.policies.shift().isDue(nowNanos, progress, notServingSinceNanos)) {
 			return;
 		}
+		if (notServingSinceNanos == null && !flight.stallTold) {
+			flight.stallTold = true;
+			this.flights.act(new TrafficAction.Stalled(flight.info.requestId(), flight.target.targetId()));
+		}
 		if (flight.attempts < flight.info.maxAttempts() && this.chooser.hasUntried(flight)
 				&& this.policies.retry().mayShift(nowNanos, flight.info)) {
 			// The next attempt starts when this one is reported as ended, with the exact
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficAction.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficAction.java
@@ -30,6 +30,16 @@
 
 	}
 
+	/**
+	 * Reports a target that stands still while it holds a request.
+	 *
+	 * @param requestId the request
+	 * @param targetId the target
+	 */
+	record Stalled(long requestId, String targetId) implements TrafficAction {
+
+	}
+
 	/**
 	 * Cancels an attempt at its target.
 	 *
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -168,6 +168,7 @@
 			this.listed = true;
 			this.replicas.listed(instances);
 		});
+		this.traffic.onStalled(this.replicas::stalled);
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
 		this.parts.forEach((part) -> part.rings().forEach(meters::bind));
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/OrderSender.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/OrderSender.java
@@ -4,6 +4,7 @@
 
 import org.pistachioline.core.replica.OrderOutcome;
 import org.pistachioline.core.replica.ReplicaOrder;
+import org.pistachioline.core.replica.ServingInstance;
 
 /**
  * Gives orders to instances.
@@ -18,4 +19,11 @@
 	 */
 	CompletableFuture<OrderOutcome> send(ReplicaOrder order, long fencingToken);
 
+	/**
+	 * Asks an instance whether it lives.
+	 * @param instance the instance
+	 * @return whether it answered; it never fails
+	 */
+	CompletableFuture<Boolean> probe(ServingInstance instance);
+
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerConnectionStage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerConnectionStage.java
@@ -73,8 +73,9 @@
 
 				@Override
 				public void onUpstreamFailure(Throwable failure) {
+					// The connection was reset; there is nobody to tell.
 					gone();
-					failStage(failure);
+					completeStage();
 				}
 
 			});
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -65,6 +65,8 @@
 
 	private final Map<String, LoadReport> loads = new HashMap<>();
 
+	private final SilentInstances silent;
+
 	private List<ServingInstance> instances = List.of();
 
 	private RouteTable table = RouteTable.UNKNOWN;
@@ -100,6 +102,7 @@
 		this.targets = targets;
 		this.beforeTraffic = beforeTraffic;
 		this.duty = new Duty<>(system, "replicas", RING_CAPACITY, TICK, this);
+		this.silent = new SilentInstances(orders, (answered) -> this.duty.offer(new ReplicaMessage.Probed(answered)));
 	}
 
 	@Override
@@ -139,8 +142,21 @@
 	 * @param load the load
 	 */
 	public void loaded(String targetId, LoadReport load) {
+		this.duty.offer(new ReplicaMessage.Loaded(instanceOf(targetId), load));
+	}
+
+	private static String instanceOf(String targetId) {
 		final int at = targetId.indexOf('@');
-		this.duty.offer(new ReplicaMessage.Loaded((at >= 0) ? targetId.substring(0, at) : targetId, load));
+		return (at >= 0) ? targetId.substring(0, at) : targetId;
+	}
+
+	/**
+	 * Takes word of a target that stands still; where the ring is full the next request
+	 * that stands still tells it.
+	 * @param targetId the target
+	 */
+	public void stalled(String targetId) {
+		this.duty.offer(new ReplicaMessage.Stalled(targetId));
 	}
 
 	/**
@@ -175,6 +191,14 @@
 			this.loads.put(loaded.instanceId(), loaded.load());
 			this.loadsChanged = true;
 		}
+		else if (message instanceof ReplicaMessage.Stalled stalled) {
+			if (this.termHeld != 0) {
+				this.silent.onStalled(System.nanoTime(), instanceOf(stalled.targetId()), this.instances);
+			}
+		}
+		else if (message instanceof ReplicaMessage.Probed probed) {
+			this.silent.onProbed(System.nanoTime(), probed.answered());
+		}
 		else if (message instanceof ReplicaMessage.Ordered ordered) {
 			onOrdered(ordered.order(), ordered.outcome());
 		}
@@ -214,6 +238,7 @@
 			return;
 		}
 		final Map<String, List<String>> all = new HashMap<>();
+		final Set<String> gone = this.silent.ids(nowNanos);
 		for (final ServiceSpec service : this.table.services()) {
 			if (service.grouped()) {
 				final ReplicaPlanner planner = this.planners.computeIfAbsent(service.name(),
@@ -222,7 +247,7 @@
 					planner.beginTerm(nowNanos, term, heldBefore);
 				}
 				planner
-					.plan(new PlannerView(nowNanos, service.engine().orElseThrow(), instancesOf(service),
+					.plan(new PlannerView(nowNanos, service.engine().orElseThrow(), instancesOf(service, gone),
 							this.beforeTraffic.getAsBoolean()))
 					.forEach((order) -> give(order, term));
 				all.putAll(planner.groups());
@@ -231,8 +256,10 @@
 		this.groups = all;
 	}
 
-	private List<ServingInstance> instancesOf(ServiceSpec service) {
-		return this.instances.stream().filter((instance) -> instance.service().equals(service.name())).toList();
+	private List<ServingInstance> instancesOf(ServiceSpec service, Set<String> gone) {
+		return this.instances.stream()
+			.filter((instance) -> instance.service().equals(service.name()) && !gone.contains(instance.id()))
+			.toList();
 	}
 
 	private void give(ReplicaOrder order, long term) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaMessage.java
@@ -1,6 +1,7 @@
 package org.pistachioline.daemon.replica;
 
 import java.util.List;
+import java.util.Map;
 
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.core.replica.OrderOutcome;
@@ -41,6 +42,24 @@
 
 	}
 
+	/**
+	 * A target stands still while it holds requests.
+	 *
+	 * @param targetId the target
+	 */
+	record Stalled(String targetId) implements ReplicaMessage {
+
+	}
+
+	/**
+	 * The members of a group that stood still were asked whether they live.
+	 *
+	 * @param answered for each member whether it answered
+	 */
+	record Probed(Map<String, Boolean> answered) implements ReplicaMessage {
+
+	}
+
 	/**
 	 * An order was answered, or not.
 	 *
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
@@ -56,6 +57,9 @@
 
 	private final Map<Long, KeyOutcome> storedOutcomes = new HashMap<>();
 
+	private volatile Consumer<String> stalledTargets = (targetId) -> {
+	};
+
 	private FleetState fleet = FleetState.EMPTY;
 
 	private long killersAtNanos;
@@ -87,6 +91,14 @@
 		this.duty = new Duty<>(system, "traffic", RING_CAPACITY, TICK, this);
 	}
 
+	/**
+	 * Sets what is told of targets that stand still; called before the start.
+	 * @param receiver takes the target's id; it must not block
+	 */
+	public void onStalled(Consumer<String> receiver) {
+		this.stalledTargets = receiver;
+	}
+
 	@Override
 	public void start() {
 		this.duty.start();
@@ -312,6 +324,10 @@
 
 	private void carryOut(TrafficAction action) {
 		// A claim that was granted too late is given back after its request has ended.
+		if (action instanceof TrafficAction.Stalled stalled) {
+			this.stalledTargets.accept(stalled.targetId());
+			return;
+		}
 		if (action instanceof TrafficAction.Release release) {
 			this.claimOffsets.remove(release.requestId());
 			this.claims.release(release.info(), release.claimOffset());
