Replicas: orders of earlier planners that are carried out late can no longer harm a group

Ruled out: the fencing token alone, as a member that got no later order has not seen it. Conclusion: a head leaves its group before its members are taken, and groups of earlier planners are formed anew.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupRecord.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupRecord.java
@@ -34,6 +34,9 @@
 	/** Whether the head has answered an order to close since the last order to open. */
 	boolean closed;
 
+	/** Whether the head is out of the group, so that no late order can open it again. */
+	boolean left;
+
 	/** Whether an instance refused to join for good. */
 	boolean refused;
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReview.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReview.java
@@ -28,6 +28,15 @@
 	 */
 	private static final long GONE_MARGIN_NANOS = 800_000_000L;
 
+	/**
+	 * A head that no daemon remembers cannot be asked; it dropped from the list while the
+	 * daemons were restarted. Ways to the store that were lost are back within this time.
+	 */
+	private static final long UNKNOWN_HEAD_STALLS = 3;
+
+	/** By then the list shows what an earlier planner ordered last. */
+	private static final long SETTLE_NANOS = 600_000_000L;
+
 	/** An order that brought no visible change is sent again after this time. */
 	private static final long REPEAT_NANOS = 1_000_000_000L;
 
@@ -88,12 +97,15 @@
 			return false;
 		}
 		if (lost || sight.anyDraining()) {
-			return mayGiveUp(nowNanos, known, sight);
+			return mayGiveUp(nowNanos, known, sight.head().get());
 		}
 		if (sight.allPrepared()) {
-			known.lossNanos = 0;
-			open(nowNanos, known, sight);
-			return false;
+			// An earlier planner may have closed its group to give the members away, with
+			// orders that are still to be carried out. Opened again, the group would lose
+			// a
+			// member to such an order while it serves. Formed anew under a higher epoch,
+			// the same members refuse it, and are prepared again within half a second.
+			return known.formedHere ? !open(nowNanos, known, sight) : mayGiveUp(nowNanos, known, sight.head().get());
 		}
 		return !sight.allJoined() && !joinAgain(nowNanos, known, instances);
 	}
@@ -103,38 +115,41 @@
 	// to the store and go on serving. Its own answer to an order to close settles that at
 	// once; where none comes, its group is over when it has been silent for long enough.
 	private boolean isHeadOver(long nowNanos, GroupRecord known) {
-		if (known.closed || (known.formedHere && !known.opened)) {
+		if (known.formedHere && !known.opened) {
 			return true;
 		}
 		final long sinceNanos = lossSince(nowNanos, known);
 		if (known.lastHead == null) {
-			return isPast(nowNanos, sinceNanos, this.times.stallNanos() + GONE_MARGIN_NANOS);
+			return isPast(nowNanos, sinceNanos, UNKNOWN_HEAD_STALLS * this.times.stallNanos());
 		}
-		send(nowNanos, new ReplicaOrder.Close(known.lastHead, known.group, true));
-		return isPast(nowNanos, sinceNanos, this.times.goneNanos() + GONE_MARGIN_NANOS);
+		return isHeadOut(nowNanos, known, known.lastHead)
+				|| isPast(nowNanos, sinceNanos, this.times.goneNanos() + GONE_MARGIN_NANOS);
 	}
 
-	// Once an order to open is out, the head may carry it out seconds later. A close that
-	// the head has answered, or its own word that it is in no such group, rules that out.
-	private boolean mayGiveUp(long nowNanos, GroupRecord known, GroupSight sight) {
-		final long sinceNanos = lossSince(nowNanos, known);
+	// Once an order to open is out, the head may carry it out seconds later, also after a
+	// close. Only a head that has left the group can no longer open it.
+	private boolean mayGiveUp(long nowNanos, GroupRecord known, ServingInstance head) {
 		if (known.formedHere && !known.opened) {
 			return true;
 		}
-		if (known.closed) {
+		return isPast(nowNanos, known.sinceNanos, SETTLE_NANOS) && isHeadOut(nowNanos, known, head);
+	}
+
+	private boolean isHeadOut(long nowNanos, GroupRecord known, ServingInstance head) {
+		if (known.left) {
 			return true;
 		}
-		if (known.opened && !isPast(nowNanos, sinceNanos, REPORT_NANOS)) {
-			send(nowNanos, new ReplicaOrder.Close(sight.head().get(), known.group, true));
-			return false;
-		}
-		return isPast(nowNanos, sinceNanos, REPORT_NANOS);
+		send(nowNanos, known.closed ? new ReplicaOrder.Leave(head, known.group)
+				: new ReplicaOrder.Close(head, known.group, true));
+		return false;
 	}
 
-	private void open(long nowNanos, GroupRecord known, GroupSight sight) {
+	private boolean open(long nowNanos, GroupRecord known, GroupSight sight) {
+		known.lossNanos = 0;
 		known.opened = true;
 		known.closed = false;
 		send(nowNanos, new ReplicaOrder.Open(sight.head().orElseThrow(), known.group));
+		return true;
 	}
 
 	private boolean joinAgain(long nowNanos, GroupRecord known, Map<String, ServingInstance> instances) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/PlannerView.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/PlannerView.java
@@ -11,13 +11,15 @@
  * @param nowNanos the monotonic time
  * @param engine the service's engines
  * @param instances the service's instances, those that leave included
+ * @param departed instances that the list dropped lately, as they were listed last
  * @param beforeTraffic whether no request has come yet, so that loads are not counted
  */
 public record PlannerView(long nowNanos, EngineSpec engine, Collection<ServingInstance> instances,
-		boolean beforeTraffic) {
+		Collection<ServingInstance> departed, boolean beforeTraffic) {
 
 	public PlannerView {
 		instances = List.copyOf(instances);
+		departed = List.copyOf(departed);
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaOrder.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaOrder.java
@@ -60,6 +60,21 @@
 
 	}
 
+	/**
+	 * Takes an instance out of its group.
+	 *
+	 * @param instance the instance
+	 * @param group the group
+	 */
+	record Leave(ServingInstance instance, GroupId group) implements ReplicaOrder {
+
+		@Override
+		public String verb() {
+			return "leave";
+		}
+
+	}
+
 	/**
 	 * Makes a head take no more requests.
 	 *
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -105,12 +105,12 @@
 			final Optional<EngineModel> model = view.engine().model(group.model());
 			final GroupRecord known = this.records.get(group);
 			if (model.isPresent() && (known == null || (!known.formedHere && known.memberIds.contains(null)))) {
-				this.records.put(group, recordOf(view.nowNanos(), group, model.get(), members, known));
+				this.records.put(group, recordOf(view, group, model.get(), members, known));
 			}
 		});
 	}
 
-	private static GroupRecord recordOf(long nowNanos, GroupId group, EngineModel model,
+	private static GroupRecord recordOf(PlannerView view, GroupId group, EngineModel model,
 			Collection<ServingInstance> members, GroupRecord before) {
 		final String[] ids = new String[model.members()];
 		members.forEach((instance) -> {
@@ -119,10 +119,22 @@
 				ids[rank] = instance.id();
 			}
 		});
+		final Optional<ServingInstance> departedHead = view.departed()
+			.stream()
+			.filter((instance) -> instance.isMemberOf(group) && instance.membership().orElseThrow().rank() == 0)
+			.findFirst();
+		if (ids[0] == null) {
+			ids[0] = departedHead.map(ServingInstance::id).orElse(null);
+		}
 		final GroupRecord learnt = new GroupRecord(group, Arrays.asList(ids), 0, false,
-				(before != null) ? before.sinceNanos : nowNanos);
-		learnt.lossNanos = (before != null) ? before.lossNanos : 0;
+				(before != null) ? before.sinceNanos : view.nowNanos());
+		learnt.lastHead = departedHead.orElse(null);
 		learnt.opened = true;
+		if (before != null) {
+			learnt.lossNanos = before.lossNanos;
+			learnt.closed = before.closed;
+			learnt.left = before.left;
+		}
 		return learnt;
 	}
 
@@ -189,9 +201,13 @@
 	public void onOutcome(ReplicaOrder order, OrderOutcome outcome) {
 		final GroupRecord known = this.records.get(order.group());
 		if (known != null && order instanceof ReplicaOrder.Close) {
-			// One that is in no such group, or another process, holds nothing of it
-			// either.
-			known.closed |= outcome != OrderOutcome.UNKNOWN && outcome != OrderOutcome.FENCED;
+			known.closed |= outcome == OrderOutcome.STARTED || outcome == OrderOutcome.HOLDS;
+			// One that is in no such group, or another process, holds nothing of it.
+			known.left |= outcome == OrderOutcome.UNFIT || outcome == OrderOutcome.OTHER_INSTANCE;
+		}
+		if (known != null && order instanceof ReplicaOrder.Leave) {
+			known.left |= outcome != OrderOutcome.UNKNOWN && outcome != OrderOutcome.FENCED
+					&& outcome != OrderOutcome.UNFIT;
 		}
 		final boolean refused = outcome == OrderOutcome.FENCED || outcome == OrderOutcome.OTHER_INSTANCE
 				|| outcome == OrderOutcome.INVALID;
--- /dev/null
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -0,0 +1,156 @@
+package org.pistachioline.core.replica;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ReplicaPlannerTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private static final long TICK = 100_000_000L;
+
+	private final ReplicaPlanner planner = new ReplicaPlanner(new PlannerTimes(6 * SECOND, 5 * SECOND, 1_200_000_000L));
+
+	@Test
+	void allInstancesServeBeforeTrafficComes() {
+		final ReplicaWorld world = new ReplicaWorld(1, 6, 0, 0);
+		world.run(25_000, false);
+		assertThat(world.serving()).isEqualTo(60);
+		assertThat(world.violations).isEmpty();
+	}
+
+	/**
+	 * An engine dies every second and a half, some lose the way to the list while they
+	 * serve on, and the planning daemon changes every few seconds. If a member were taken
+	 * from a group whose head still runs requests, callers would lose their answers; if a
+	 * group opened without a member, callers would wait for nothing.
+	 */
+	@Test
+	void noMemberIsTakenFromAServingGroupWhateverDies() {
+		for (long seed = 1; seed <= 60; seed++) {
+			final ReplicaWorld world = new ReplicaWorld(seed, 6, 0, 0);
+			world.run(60_000, true);
+			assertThat(world.violations).as("seed " + seed).isEmpty();
+			assertThat(world.serving()).as("seed " + seed).isGreaterThan(10);
+		}
+	}
+
+	/**
+	 * Beside the deaths a third of the orders get no answer: they are lost, or carried
+	 * out up to twelve seconds later and after newer ones. The planner cannot know which;
+	 * a late order to open or to join must not harm a newer group.
+	 */
+	@Test
+	void lateAndLostOrdersHarmNoNewerGroup() {
+		for (long seed = 1; seed <= 60; seed++) {
+			final ReplicaWorld world = new ReplicaWorld(seed, 6, 0.1, 0.25);
+			world.run(60_000, true);
+			assertThat(world.violations).as("seed " + seed).isEmpty();
+		}
+	}
+
+	@Test
+	void allSurvivorsServeAgainWhenTheDeathsEnd() {
+		final ReplicaWorld world = new ReplicaWorld(7, 6, 0.1, 0.2);
+		world.run(30_000, true);
+		world.run(60_000, false);
+		assertThat(world.serving()).isGreaterThanOrEqualTo(54);
+		assertThat(world.violations).isEmpty();
+	}
+
+	/**
+	 * The head of a group loses the way to the store and drops from the list, but it goes
+	 * on serving. Were its members taken at once, the requests that it runs would be
+	 * lost.
+	 */
+	@Test
+	void aHeadThatOnlyDroppedFromTheListIsAskedToCloseFirst() {
+		final GroupId group = GroupId.of("small", 5);
+		final ServingInstance head = member("a", group, 0, MemberState.OPEN);
+		final ServingInstance other = member("b", group, 1, MemberState.READY);
+		final ServingInstance spare = free("c");
+		this.planner.beginTerm(0, 1, false);
+		this.planner.plan(view(10 * SECOND, head, other));
+		answer(11 * SECOND, new ReplicaOrder.Close(head, group, true), OrderOutcome.STARTED, other, spare);
+		answer(11 * SECOND + TICK, new ReplicaOrder.Leave(head, group), OrderOutcome.STARTED, other, spare);
+		assertThat(this.planner.plan(view(11 * SECOND + 2 * TICK, other, spare)))
+			.allMatch((order) -> order instanceof ReplicaOrder.Join)
+			.extracting((order) -> order.instance().id())
+			.containsExactlyInAnyOrder("b", "c");
+	}
+
+	/**
+	 * A planner closed a group to give its members away and died; one of its orders is
+	 * carried out seconds later. If the next planner opened the group again, that order
+	 * would take a member out of a group that serves.
+	 */
+	@Test
+	void aPreparedGroupOfAnEarlierPlannerIsFormedAnew() {
+		final GroupId group = GroupId.of("small", 5);
+		final ServingInstance head = member("a", group, 0, MemberState.READY);
+		final ServingInstance other = member("b", group, 1, MemberState.READY);
+		this.planner.beginTerm(0, 1, false);
+		assertThat(this.planner.plan(view(SECOND, head, other))).isEmpty();
+		answer(2 * SECOND, new ReplicaOrder.Close(head, group, true), OrderOutcome.HOLDS, head, other);
+		answer(2 * SECOND + TICK, new ReplicaOrder.Leave(head, group), OrderOutcome.STARTED, head, other);
+		assertThat(this.planner.plan(view(2 * SECOND + 2 * TICK, head, other))).hasSize(2)
+			.allMatch((order) -> order instanceof ReplicaOrder.Join && order.group().epoch() > group.epoch());
+	}
+
+	/** Plans, expects one order, and answers it. */
+	private void answer(long nowNanos, ReplicaOrder expected, OrderOutcome outcome, ServingInstance... instances) {
+		assertThat(this.planner.plan(view(nowNanos, instances))).containsExactly(expected);
+		this.planner.onOutcome(expected, outcome);
+	}
+
+	@Test
+	void aGroupWithADrainingMemberFinishesWhatItHas() {
+		final GroupId group = GroupId.of("small", 5);
+		final ServingInstance head = member("a", group, 0, MemberState.OPEN);
+		final ServingInstance leaving = new ServingInstance("b", "pool", "b:1", "zone", "d", true, 12, Set.of("small"),
+				Optional.of(new Membership(group, 1, MemberState.READY)));
+		this.planner.beginTerm(0, 1, false);
+		assertThat(this.planner.plan(view(SECOND, head, leaving)))
+			.containsExactly(new ReplicaOrder.Close(head, group, false));
+	}
+
+	/**
+	 * After a domain came back many hosts want weights at once. Beyond the weight store's
+	 * rate all loads slow down, and the fleet gets none of its groups back soon.
+	 */
+	@Test
+	void loadsStayUnderTheRateOfTheWeightStore() {
+		final List<ServingInstance> hosts = new ArrayList<>();
+		for (int i = 0; i < 40; i++) {
+			hosts.add(free("h" + i));
+		}
+		this.planner.beginTerm(0, 1, false);
+		final List<String> loading = new ArrayList<>();
+		for (int tick = 0; tick < 50; tick++) {
+			this.planner.plan(view(6 * SECOND + tick * SECOND / 10, hosts.toArray(new ServingInstance[0])))
+				.forEach((order) -> loading.add(order.instance().id()));
+		}
+		// Seven loads run at full speed at once, and a group is not begun in part.
+		assertThat(Set.copyOf(loading)).hasSizeBetween(7, 10);
+	}
+
+	private static PlannerView view(long nowNanos, ServingInstance... instances) {
+		return new PlannerView(nowNanos, ReplicaWorld.ENGINE, List.of(instances), List.of(), false);
+	}
+
+	private static ServingInstance member(String id, GroupId group, int rank, MemberState state) {
+		return new ServingInstance(id, "pool", id + ":1", "zone", "d", false, 12, Set.of("small"),
+				Optional.of(new Membership(group, rank, state)));
+	}
+
+	private static ServingInstance free(String id) {
+		return new ServingInstance(id, "pool", id + ":1", "zone", "d", false, 12, Set.of(), Optional.empty());
+	}
+
+}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -13,6 +13,7 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 
 import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.replica.DepartedInstances;
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.core.replica.OrderOutcome;
 import org.pistachioline.core.replica.PlannerTimes;
@@ -67,6 +68,8 @@
 
 	private final SilentInstances silent;
 
+	private final DepartedInstances departed = new DepartedInstances();
+
 	private List<ServingInstance> instances = List.of();
 
 	private RouteTable table = RouteTable.UNKNOWN;
@@ -181,6 +184,7 @@
 			this.instances = listed.instances();
 			final Set<String> ids = this.instances.stream().map(ServingInstance::id).collect(Collectors.toSet());
 			this.loads.keySet().retainAll(ids);
+			this.departed.note(System.nanoTime(), this.instances);
 			tellTargets(System.nanoTime());
 		}
 		else if (message instanceof ReplicaMessage.Configured configured) {
@@ -248,6 +252,7 @@
 				}
 				planner
 					.plan(new PlannerView(nowNanos, service.engine().orElseThrow(), instancesOf(service, gone),
+							this.departed.instances(),
 							this.beforeTraffic.getAsBoolean()))
 					.forEach((order) -> give(order, term));
 				all.putAll(planner.groups());
