--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -23,6 +23,10 @@
 	/** The daemon is no longer ready. */
 	NOT_READY(105, EventLevel.WARN, "The daemon is not ready to take requests."),
 
+	/** The rehearsal failed. */
+	REHEARSAL_FAILED(107, EventLevel.WARN,
+			"The requests that are relayed before callers come failed; the first callers are served more slowly."),
+
 	/** The settings were read again. */
 	RELOADED(106, EventLevel.INFO, "The settings file has changed and was read again."),
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerServer.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerServer.java
@@ -91,6 +91,16 @@
 		}
 	}
 
+	/**
+	 * Returns where it listens.
+	 * @return the address, as host and port; empty until it listens
+	 */
+	public String localAddress() {
+		final ServerBinding bound = this.binding;
+		return (bound != null)
+				? bound.localAddress().getAddress().getHostAddress() + ":" + bound.localAddress().getPort() : "";
+	}
+
 	/**
 	 * Returns whether it listens.
 	 * @return whether callers can connect
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayStack.java
@@ -0,0 +1,95 @@
+package org.pistachioline.daemon.relay;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+
+import org.pistachioline.adapters.http.ConnectionPool;
+import org.pistachioline.core.admission.AdmitAll;
+import org.pistachioline.core.placement.ExpectedWaitPlacement;
+import org.pistachioline.core.quarantine.NoQuarantine;
+import org.pistachioline.core.queueing.FairQueue;
+import org.pistachioline.core.retry.RetryBudget;
+import org.pistachioline.core.retry.SharedBudgetRetry;
+import org.pistachioline.core.route.RouteTable;
+import org.pistachioline.core.traffic.PromptShift;
+import org.pistachioline.core.traffic.TargetView;
+import org.pistachioline.core.traffic.TrafficCore;
+import org.pistachioline.core.traffic.TrafficPolicies;
+import org.pistachioline.daemon.Lifecycle;
+import org.pistachioline.daemon.port.RelayDialect;
+import org.pistachioline.daemon.traffic.NoClaims;
+import org.pistachioline.daemon.traffic.ShareKeeper;
+import org.pistachioline.daemon.traffic.TraceRecorder;
+import org.pistachioline.daemon.traffic.TrafficDuty;
+
+/**
+ * The relay alone, with a fixed configuration and fixed targets and without a platform.
+ */
+public final class RelayStack implements Lifecycle {
+
+	private static final String SELF = "stack";
+
+	private static final int MOST_QUEUED = 100;
+
+	private static final int MOST_IDLE = 8;
+
+	private static final long HEARTBEAT_MILLIS = 1_000;
+
+	private final TrafficDuty traffic;
+
+	private final CallerServer callers;
+
+	private final List<TargetView> targets;
+
+	/**
+	 * Creates the relay.
+	 * @param system the actor system on which it runs
+	 * @param callerAddress where it listens
+	 * @param dialect the headers of callers and targets
+	 * @param table the configuration
+	 * @param targets the targets
+	 */
+	public RelayStack(ActorSystem<?> system, String callerAddress, RelayDialect dialect, RouteTable table,
+			List<TargetView> targets) {
+		this.targets = List.copyOf(targets);
+		this.traffic = new TrafficDuty(system,
+				new TrafficCore(new TrafficPolicies(new AdmitAll(), new FairQueue(MOST_QUEUED),
+						new ExpectedWaitPlacement("", 1),
+						new SharedBudgetRetry(new RetryBudget(1, MOST_QUEUED, Duration.ofSeconds(1).toNanos()),
+								() -> 1),
+						new NoQuarantine(), new PromptShift())),
+				new NoClaims(), new ShareKeeper(SELF, () -> Set.of(SELF), HEARTBEAT_MILLIS), (suspect, nowMillis) -> {
+					// Nothing crashes these targets.
+				}, new TraceRecorder(false));
+		final ConnectionPool pool = new ConnectionPool(system, Duration.ofSeconds(1), Duration.ofSeconds(1), MOST_IDLE);
+		this.callers = new CallerServer(system, callerAddress, new RelayHandler(() -> table,
+				new RelayTools(system, pool, dialect, this.traffic::callerGone, (targetId, load) -> {
+					// The targets are fixed, and so is what is known of them.
+				}), this.traffic, () -> false));
+	}
+
+	@Override
+	public void start() {
+		this.traffic.start();
+		this.traffic.targets(this.targets);
+		this.callers.start();
+	}
+
+	@Override
+	public void stop() {
+		this.callers.stop();
+		this.traffic.stop();
+	}
+
+	/**
+	 * Returns where callers connect.
+	 * @return the address, as host and port
+	 */
+	public String callerAddress() {
+		return this.callers.localAddress();
+	}
+
+}
