--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupFormer.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupFormer.java
@@ -6,9 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.Function;
 
 import org.pistachioline.core.route.EngineModel;
 
@@ -24,9 +22,7 @@
  * its weights up; one with nothing on its host has nothing to wait for. All members of a
  * group are of one fabric domain, as a group across domains runs several times slower.
  * The model that has the fewest instances for its share goes first, and no instance stays
- * idle for want of a share: an idle one serves nobody. Groups of one model are kept
- * together in few domains: two broken groups of four in one domain have the members for a
- * whole one, in two domains they have not.
+ * idle for want of a share: an idle one serves nobody.
  */
 final class GroupFormer {
 
@@ -46,26 +42,22 @@
 	 * @param view what the planner sees
 	 * @param free the instances that may be taken
 	 * @param countByModel how many instances serve or will serve each model
-	 * @param modelsOf tells which models a domain has groups of
 	 * @return the model and its members; empty where no group can be formed now
 	 */
-	Optional<Formation> next(PlannerView view, List<ServingInstance> free, Map<String, Integer> countByModel,
-			Function<String, Set<String>> modelsOf) {
+	Optional<Formation> next(PlannerView view, List<ServingInstance> free, Map<String, Integer> countByModel) {
 		final Map<String, List<ServingInstance>> byDomain = new TreeMap<>();
 		free.forEach((instance) -> byDomain.computeIfAbsent(instance.fabricDomain(), (name) -> new ArrayList<>())
 			.add(instance));
 		final List<Formation> possible = new ArrayList<>();
 		for (final EngineModel model : view.engine().models()) {
 			for (final List<ServingInstance> domain : byDomain.values()) {
-				candidate(view, model, domain, modelsOf).ifPresent(possible::add);
+				candidate(view, model, domain).ifPresent(possible::add);
 			}
 		}
 		return possible.stream()
 			.min(Comparator.comparing((Formation formation) -> formation.loads() > 0)
 				.thenComparingDouble((formation) -> fillRatio(formation.model(), countByModel))
-				.thenComparing((formation) -> !formation.likeNeighbours())
-				.thenComparingInt(Formation::loads)
-				.thenComparingInt((formation) -> -formation.domainFree()));
+				.thenComparingInt(Formation::loads));
 	}
 
 	private static double fillRatio(EngineModel model, Map<String, Integer> countByModel) {
@@ -73,8 +65,7 @@
 		return (countByModel.getOrDefault(model.name(), 0) + model.members() / 2.0) / share;
 	}
 
-	private Optional<Formation> candidate(PlannerView view, EngineModel model, List<ServingInstance> domain,
-			Function<String, Set<String>> modelsOf) {
+	private Optional<Formation> candidate(PlannerView view, EngineModel model, List<ServingInstance> domain) {
 		if (model.members() <= 0 || domain.size() < model.members()) {
 			return Optional.empty();
 		}
@@ -87,8 +78,7 @@
 			.toList();
 		final int loads = (int) members.stream().filter((instance) -> !has(instance, model)).count();
 		final boolean patient = members.stream().anyMatch((instance) -> waits(view, instance, model));
-		return (loads > 0 && patient) ? Optional.empty() : Optional.of(new Formation(model, members, loads,
-				domain.size(), modelsOf.apply(domain.get(0).fabricDomain()).contains(model.name())));
+		return (loads > 0 && patient) ? Optional.empty() : Optional.of(new Formation(model, members, loads));
 	}
 
 	private boolean waits(PlannerView view, ServingInstance instance, EngineModel model) {
@@ -107,11 +97,8 @@
 	 * @param model its model
 	 * @param members its members, the head first
 	 * @param loads how many of them have to load the weights
-	 * @param domainFree how many instances of their domain are free
-	 * @param likeNeighbours whether their domain has groups of the model already
 	 */
-	record Formation(EngineModel model, List<ServingInstance> members, int loads, int domainFree,
-			boolean likeNeighbours) {
+	record Formation(EngineModel model, List<ServingInstance> members, int loads) {
 
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Function;
 
 import org.pistachioline.core.route.EngineModel;
 
@@ -145,31 +144,14 @@
 			.filter((instance) -> !instance.draining() && !this.review.isTaken(instance.id()))
 			.toList());
 		this.former.note(view.nowNanos(), free);
-		final Map<String, Set<String>> models = modelsByDomain(view);
-		final Function<String, Set<String>> modelsOf = (domain) -> models.getOrDefault(domain, Set.of());
-		Optional<GroupFormer.Formation> next = this.former.next(view, free, countByModel(), modelsOf);
+		Optional<GroupFormer.Formation> next = this.former.next(view, free, countByModel());
 		while (next.isPresent() && mayBegin(view, next.get())) {
-			final GroupFormer.Formation formation = next.get();
-			begin(view.nowNanos(), formation);
-			free.removeAll(formation.members());
-			models.computeIfAbsent(formation.members().get(0).fabricDomain(), (domain) -> new HashSet<>())
-				.add(formation.model().name());
-			next = this.former.next(view, free, countByModel(), modelsOf);
+			begin(view.nowNanos(), next.get());
+			free.removeAll(next.get().members());
+			next = this.former.next(view, free, countByModel());
 		}
 	}
 
-	private Map<String, Set<String>> modelsByDomain(PlannerView view) {
-		final Map<String, Set<String>> models = new HashMap<>();
-		for (final ServingInstance instance : view.instances()) {
-			this.records.values()
-				.stream()
-				.filter((known) -> known.memberIds.contains(instance.id()))
-				.forEach((known) -> models.computeIfAbsent(instance.fabricDomain(), (domain) -> new HashSet<>())
-					.add(known.group.model()));
-		}
-		return models;
-	}
-
 	private boolean mayBegin(PlannerView view, GroupFormer.Formation formation) {
 		if (formation.loads() == 0) {
 			return true;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -252,6 +252,22 @@
 			.toList();
 	}
 
+	/**
+	 * Returns where callers connect.
+	 * @return the address, as host and port; empty until it listens
+	 */
+	public String callerAddress() {
+		return this.callers.localAddress();
+	}
+
+	/**
+	 * Returns how many targets take requests.
+	 * @return the number of targets
+	 */
+	public int servingTargets() {
+		return this.replicas.servingCount();
+	}
+
 	/**
 	 * Returns the meters, for what the platform adds to them.
 	 * @return the meters
--- /dev/null
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StreamPositionTests.java
@@ -0,0 +1,84 @@
+package org.pistachioline.daemon.relay;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Optional;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class StreamPositionTests {
+
+	@Test
+	void onlyWholeEventsPass() {
+		final StreamPosition position = new StreamPosition(Optional.empty());
+		final String passed = position.pass(bytes("id: 1\ndata: a\n\nid: 2\nda")).utf8String();
+		assertThat(passed).isEqualTo("id: 1\ndata: a\n\n");
+		assertThat(position.consumedBytes()).isEqualTo(passed.length());
+		assertThat(position.lastEventId()).contains("1");
+		assertThat(position.events()).isEqualTo(1);
+	}
+
+	/**
+	 * A stream is resumed at another target, which begins an event too early. The caller
+	 * would see the event twice.
+	 */
+	@Test
+	void eventsThatTheCallerHasAreDropped() {
+		final StreamPosition position = new StreamPosition(Optional.of("7"));
+		assertThat(position.pass(bytes("id: 7\ndata: g\n\nid: 8\ndata: h\n\n")).utf8String())
+			.isEqualTo("id: 8\ndata: h\n\n");
+		assertThat(position.events()).isEqualTo(1);
+	}
+
+	@Test
+	void eventsWithoutAnIdPassAsTheyAre() {
+		final StreamPosition position = new StreamPosition(Optional.empty());
+		assertThat(position.pass(bytes("data: a\n\n: note\n\n")).utf8String()).isEqualTo("data: a\n\n: note\n\n");
+	}
+
+	@Test
+	void lineEndsOfBothKindsAreUnderstood() {
+		final StreamPosition position = new StreamPosition(Optional.empty());
+		assertThat(position.pass(bytes("id: 3\r\ndata: a\r\n\r\n")).utf8String()).isEqualTo("id: 3\r\ndata: a\r\n\r\n");
+		assertThat(position.lastEventId()).contains("3");
+	}
+
+	/**
+	 * Events arrive in pieces that are cut anywhere. Whatever the cuts, the caller gets
+	 * the same bytes.
+	 * @param events how many events there are
+	 * @param cut the size of the pieces
+	 */
+	@Property(seed = "42")
+	void cutsChangeNothing(@ForAll @IntRange(min = 0, max = 20) int events,
+			@ForAll @IntRange(min = 1, max = 9) int cut) {
+		final StringBuilder whole = new StringBuilder();
+		for (int i = 1; i <= events; i++) {
+			whole.append("id: ").append(i).append("\ndata: ").append("x".repeat(i % 7)).append("\n\n");
+		}
+		final byte[] all = bytes(whole.toString());
+		final StreamPosition position = new StreamPosition(Optional.empty());
+		final ByteArrayOutputStream passed = new ByteArrayOutputStream();
+		byte[] rest = new byte[0];
+		for (int start = 0; start < all.length; start += cut) {
+			final byte[] piece = Arrays.copyOfRange(all, start, Math.min(all.length, start + cut));
+			final byte[] joined = Arrays.copyOf(rest, rest.length + piece.length);
+			System.arraycopy(piece, 0, joined, rest.length, piece.length);
+			passed.writeBytes(position.pass(joined).toArray());
+			rest = Arrays.copyOfRange(joined, position.consumedBytes(), joined.length);
+		}
+		assertThat(passed.toString(StandardCharsets.UTF_8)).isEqualTo(whole.toString());
+		assertThat(position.events()).isEqualTo(events);
+	}
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+}
