--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/FlightClock.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/FlightClock.java
@@ -50,7 +50,7 @@
 		if (!this.policies.shift().isDue(nowNanos, progress, notServingSinceNanos)) {
 			return;
 		}
-		if (notServingSinceNanos == null && !flight.stallTold) {
+		if (this.policies.shift().reportsStalls() && notServingSinceNanos == null && !flight.stallTold) {
 			flight.stallTold = true;
 			this.flights.act(new TrafficAction.Stalled(flight.info.requestId(), flight.target.targetId()));
 		}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/PromptShift.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/PromptShift.java
@@ -22,6 +22,11 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	@Override
+	public boolean reportsStalls() {
+		return true;
+	}
+
 	@Override
 	public boolean isDue(long nowNanos, StreamProgress stream, Long notServingSinceNanos) {
 		final long silentNanos = nowNanos - stream.progressAtNanos();
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ShiftPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ShiftPolicy.java
@@ -15,4 +15,13 @@
 	 */
 	boolean isDue(long nowNanos, StreamProgress stream, Long notServingSinceNanos);
 
+	/**
+	 * Returns whether targets that stand still are reported, so that whoever keeps the
+	 * groups looks at them.
+	 * @return whether they are
+	 */
+	default boolean reportsStalls() {
+		return false;
+	}
+
 }
