Logs: an output that is not read stops nobody; a stream waits in the queue no longer than its caller stays

Ruled out: refusing at once whenever no group serves, as a broken one is back within about two seconds.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMain.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMain.java
@@ -97,7 +97,10 @@
 			daemon.stop();
 			return EXIT_FAILED;
 		}
-		Runtime.getRuntime().addShutdownHook(new Thread(daemon::leave, "leave"));
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+			daemon.leave();
+			Events.close();
+		}, "leave"));
 		return 0;
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/Events.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/Events.java
@@ -39,6 +39,13 @@
 		LOGGER.log(levelOf(event), message);
 	}
 
+	/**
+	 * Writes what is still in the buffer and ends logging; to be called last of all.
+	 */
+	public static void close() {
+		LogManager.shutdown();
+	}
+
 	private static StringMapMessage message(EventId event, Object... fields) {
 		final StringMapMessage message = new StringMapMessage();
 		message.put("event", event.label());
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -78,6 +78,10 @@
 	/** Skipped entries. */
 	LOG_ENTRIES_SKIPPED("pistachioline_log_entries_skipped", "entries", "Broken entries that were skipped.", "above 0"),
 
+	/** Calls to the store of the users' platform. */
+	STORE_CALLS("pistachioline_store_calls_total", "calls by kind",
+			"Calls to the platform's store: all, and those that failed.", "failed rising: the store is away"),
+
 	/** Calls. */
 	CALLS("pistachioline_calls_total", "calls by kind", "Calls to the platform and to targets.", "none"),
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -49,13 +49,6 @@
 
 	private static final int HIGHEST_PRIORITY = 9;
 
-	/**
-	 * The part of a request's time after which a stream that has not begun is not worth
-	 * beginning: the engines take about a second and a half for an answer, callers wait
-	 * six to eight.
-	 */
-	private static final double LATEST_START_RATIO = 0.7;
-
 	private static final long NOT_READY_RETRY_MILLIS = 1_000;
 
 	private final Supplier<RouteTable> routes;
@@ -144,7 +137,7 @@
 		final long waitMillis = Math.min(route.timeoutMillis(), head.waitMillis().orElse(route.timeoutMillis()));
 		final long deadlineNanos = arrivedAtNanos + TimeUnit.MILLISECONDS.toNanos(waitMillis);
 		final long startNanos = arrivedAtNanos
-				+ (long) (LATEST_START_RATIO * TimeUnit.MILLISECONDS.toNanos(waitMillis));
+				+ TimeUnit.MILLISECONDS.toNanos(CallerPatience.latestStartMillis(route, waitMillis));
 		final int rank = holder.map(KeyHolder::priority).filter((own) -> own >= 0).orElse(route.priority());
 		return new RequestInfo(id, call.workspace().orElse(""), grouped ? TargetKind.MODEL : TargetKind.SERVICE,
 				grouped ? ServingGroups.targetName(service, head.model().orElse("")) : service, head.promptTokens(),
