--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -29,6 +29,7 @@
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.replica.ServingGroups;
+import org.pistachioline.core.route.CallerPatience;
 import org.pistachioline.core.route.KeyHolder;
 import org.pistachioline.core.route.Route;
 import org.pistachioline.core.route.RouteKind;
