--- a/pistachioline-core/src/main/java/org/pistachioline/core/error/ErrorKind.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/error/ErrorKind.java
@@ -97,6 +97,10 @@
 	/** A fault of the daemon itself. */
 	INTERNAL("internal", 500, RunState.UNKNOWN, false, "The daemon failed.");
 
+	private static final int TOO_MANY_REQUESTS = 429;
+
+	private static final int UNAVAILABLE = 503;
+
 	private final String code;
 
 	private final int httpStatus;
@@ -139,6 +143,15 @@
 		return this.runState;
 	}
 
+	/**
+	 * Returns whether the status tells a caller that its request has not run and never
+	 * will, so that it may send a non-idempotent request again.
+	 * @return whether it does
+	 */
+	public boolean promisesNotRun() {
+		return this.httpStatus == UNAVAILABLE || this.httpStatus == TOO_MANY_REQUESTS;
+	}
+
 	/**
 	 * Returns whether the same request may succeed later.
 	 * @return whether a caller may retry
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAnswers.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAnswers.java
@@ -16,8 +16,6 @@
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
-	private static final int REFUSAL_STATUS = 503;
-
 	private RelayAnswers() {
 	}
 
@@ -31,8 +29,7 @@
 	 */
 	static HttpResponse of(String requestId, ErrorKind kind, RunState runState, long retryAfterMillis) {
 		final HttpResponse answer = ErrorAnswers.of(requestId, kind, runState, 0);
-		final boolean promises = kind.httpStatus() == REFUSAL_STATUS || kind.httpStatus() == 429;
-		if (!promises || retryAfterMillis <= 0) {
+		if (!kind.promisesNotRun() || retryAfterMillis <= 0) {
 			return answer;
 		}
 		// A caller that waits a second or two has no use for a time in whole seconds.
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.TimeUnit;
 
 import org.apache.pekko.NotUsed;
-import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.stream.KillSwitches;
@@ -143,7 +142,8 @@
 	}
 
 	private void relay(LiveAttempt attempt, HttpResponse head) {
-		final Source<ByteString, UniqueKillSwitch> events = ((HttpEntity) head.entity()).withoutSizeLimit()
+		final Source<ByteString, UniqueKillSwitch> events = head.entity()
+			.withoutSizeLimit()
 			.getDataBytes()
 			.viaMat(KillSwitches.single(), Keep.right())
 			.via(new EventRelayStage(attempt.start.attempt(), this.position, attempt));
@@ -235,10 +235,9 @@
 		}
 	}
 
-	// Status 503 promises that the request has not run and never will.
+	// A status that promises that the request has not run must be true.
 	private static ErrorKind kindFor(ErrorKind kind, RunState runState) {
-		final boolean promises = kind.httpStatus() == 503 || kind.httpStatus() == 429;
-		return (promises && runState != RunState.NOT_RUN) ? ErrorKind.TARGET_FAILED : kind;
+		return (kind.promisesNotRun() && runState != RunState.NOT_RUN) ? ErrorKind.TARGET_FAILED : kind;
 	}
 
 	@Override
