--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReview.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReview.java
@@ -24,9 +24,13 @@
 	private static final long REPORT_NANOS = 2_500_000_000L;
 
 	/**
-	 * Clocks of instances and the list are read with a lag of some tenths of a second.
+	 * A head that is neither listed nor reached may be dead. It may as well be cut off
+	 * from the store and the daemons alone, while its members reach it and it serves who
+	 * reaches it. Cuts of ten seconds were seen; the list shows the head again some two
+	 * seconds after one has ended. A dead head that starts again answers under another
+	 * name at once.
 	 */
-	private static final long GONE_MARGIN_NANOS = 800_000_000L;
+	private static final long UNREACHABLE_HEAD_NANOS = 15_000_000_000L;
 
 	/**
 	 * A head that no daemon remembers cannot be asked; it dropped from the list while the
@@ -122,8 +126,7 @@
 		if (known.lastHead == null) {
 			return isPast(nowNanos, sinceNanos, UNKNOWN_HEAD_STALLS * this.times.stallNanos());
 		}
-		return isHeadOut(nowNanos, known, known.lastHead)
-				|| isPast(nowNanos, sinceNanos, this.times.goneNanos() + GONE_MARGIN_NANOS);
+		return isHeadOut(nowNanos, known, known.lastHead) || isPast(nowNanos, sinceNanos, UNREACHABLE_HEAD_NANOS);
 	}
 
 	// Once an order to open is out, the head may carry it out seconds later, also after a
