Replicas: a head that nobody reaches is broken by a member that leaves, not by a guess of how long cuts last

Ruled out: telling dead from cut by the list, by probes or by the members' reports; none of them knows. A head that has lost a member breaks after its stall time wherever it is, so one follower is told to leave, and the group is over 6.5 s after its answer.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupRecord.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupRecord.java
@@ -37,6 +37,15 @@
 	/** Whether the head is out of the group, so that no late order can open it again. */
 	boolean left;
 
+	/** Whether the head has left an order to close unanswered. */
+	boolean headSilent;
+
+	/** Whether a member other than the head has left on an order. */
+	boolean memberLeft;
+
+	/** When that was seen, by the monotonic clock; 0 before. */
+	long memberLeftNanos;
+
 	/** Whether an instance refused to join for good. */
 	boolean refused;
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReview.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReview.java
@@ -16,7 +16,7 @@
  * member itself says that it is prepared under just this group and epoch. And a member
  * may be taken away while the group's head still runs requests; those would be lost in
  * silence. So a member is set free only once its head is known to be closed or broken, or
- * has been gone for longer than a head can go on without noticing.
+ * a member has left it for longer than a head can go on without noticing.
  */
 final class GroupReview {
 
@@ -24,19 +24,10 @@
 	private static final long REPORT_NANOS = 2_500_000_000L;
 
 	/**
-	 * A head that is neither listed nor reached may be dead. It may as well be cut off
-	 * from the store and the daemons alone, while its members reach it and it serves who
-	 * reaches it. Cuts of ten seconds were seen; the list shows the head again some two
-	 * seconds after one has ended. A dead head that starts again answers under another
-	 * name at once.
+	 * How much longer than its stall time a head is given after a member left its group:
+	 * a head that is slow notices the loss late.
 	 */
-	private static final long UNREACHABLE_HEAD_NANOS = 15_000_000_000L;
-
-	/**
-	 * A head that no daemon remembers cannot be asked; it dropped from the list while the
-	 * daemons were restarted. Ways to the store that were lost are back within this time.
-	 */
-	private static final long UNKNOWN_HEAD_STALLS = 3;
+	private static final long STALL_MARGIN_NANOS = 500_000_000L;
 
 	/** By then the list shows what an earlier planner ordered last. */
 	private static final long SETTLE_NANOS = 600_000_000L;
@@ -84,13 +75,13 @@
 	private boolean isOver(long nowNanos, GroupRecord known, GroupSight sight, Map<String, ServingInstance> instances) {
 		final MemberState headState = sight.headState().orElse(null);
 		if (sight.head().isEmpty()) {
-			return isHeadOver(nowNanos, known);
+			return isHeadOver(nowNanos, known, sight);
 		}
 		known.lastHead = sight.head().get();
 		if (headState == MemberState.BROKEN) {
 			return true;
 		}
-		final boolean lost = !sight.allListed() || sight.anySuperseded() || known.refused;
+		final boolean lost = !sight.allListed() || sight.anySuperseded() || known.refused || known.memberLeft;
 		if (headState == MemberState.OPEN) {
 			if (lost || sight.anyDraining()) {
 				send(nowNanos, new ReplicaOrder.Close(sight.head().get(), known.group, lost));
@@ -114,19 +105,35 @@
 		return !sight.allJoined() && !joinAgain(nowNanos, known, instances);
 	}
 
-	// A head that vanished from the list may have died, or it may merely have lost the
-	// way
-	// to the store and go on serving. Its own answer to an order to close settles that at
-	// once; where none comes, its group is over when it has been silent for long enough.
-	private boolean isHeadOver(long nowNanos, GroupRecord known) {
+	// A head that vanished from the list may have died, or it may have lost the way to
+	// the
+	// store, or to the daemons as well, and go on serving for as long as its members
+	// reach
+	// it. Its own answer to an order to close settles that at once. Where none comes, one
+	// member is told to leave: a head that has lost a member breaks after its stall time,
+	// wherever it is, so that its group is over then whether it lives or not.
+	private boolean isHeadOver(long nowNanos, GroupRecord known, GroupSight sight) {
 		if (known.formedHere && !known.opened) {
 			return true;
 		}
-		final long sinceNanos = lossSince(nowNanos, known);
-		if (known.lastHead == null) {
-			return isPast(nowNanos, sinceNanos, UNKNOWN_HEAD_STALLS * this.times.stallNanos());
+		if (known.lastHead != null && isHeadOut(nowNanos, known, known.lastHead)) {
+			return true;
+		}
+		final boolean asked = known.lastHead == null || known.headSilent;
+		return asked && isHeadBroken(nowNanos, known, sight);
+	}
+
+	private boolean isHeadBroken(long nowNanos, GroupRecord known, GroupSight sight) {
+		if (!known.memberLeft) {
+			sight.firstFollower().ifPresent((member) -> send(nowNanos, new ReplicaOrder.Leave(member, known.group)));
+			return false;
+		}
+		if (known.memberLeftNanos == 0) {
+			// Counted from when the answer is seen, which is later than when it took
+			// effect.
+			known.memberLeftNanos = nowNanos;
 		}
-		return isHeadOut(nowNanos, known, known.lastHead) || isPast(nowNanos, sinceNanos, UNREACHABLE_HEAD_NANOS);
+		return isPast(nowNanos, known.memberLeftNanos, this.times.stallNanos() + STALL_MARGIN_NANOS);
 	}
 
 	// Once an order to open is out, the head may carry it out seconds later, also after a
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupSight.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupSight.java
@@ -25,6 +25,15 @@
 		return head().flatMap((head) -> head.stateIn(this.record.group));
 	}
 
+	// Some member that is listed, belongs to the group and does not head it.
+	Optional<ServingInstance> firstFollower() {
+		return this.record.memberIds.stream()
+			.skip(1)
+			.map(this.instances::get)
+			.filter((instance) -> instance != null && instance.isMemberOf(this.record.group))
+			.findFirst();
+	}
+
 	boolean allListed() {
 		return this.record.memberIds.stream().allMatch((id) -> id != null && this.instances.containsKey(id));
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -126,6 +126,12 @@
 		if (ids[0] == null) {
 			ids[0] = departedHead.map(ServingInstance::id).orElse(null);
 		}
+		if (before != null) {
+			// A member that has left no longer reports the group, but it is not free yet.
+			for (int rank = 0; rank < ids.length; rank++) {
+				ids[rank] = (ids[rank] != null) ? ids[rank] : before.memberIds.get(rank);
+			}
+		}
 		final GroupRecord learnt = new GroupRecord(group, Arrays.asList(ids), 0, false,
 				(before != null) ? before.sinceNanos : view.nowNanos());
 		learnt.lastHead = departedHead.orElse(null);
@@ -134,6 +140,9 @@
 			learnt.lossNanos = before.lossNanos;
 			learnt.closed = before.closed;
 			learnt.left = before.left;
+			learnt.headSilent = before.headSilent;
+			learnt.memberLeft = before.memberLeft;
+			learnt.memberLeftNanos = before.memberLeftNanos;
 		}
 		return learnt;
 	}
@@ -202,12 +211,16 @@
 		final GroupRecord known = this.records.get(order.group());
 		if (known != null && order instanceof ReplicaOrder.Close) {
 			known.closed |= outcome == OrderOutcome.STARTED || outcome == OrderOutcome.HOLDS;
+			known.headSilent |= outcome == OrderOutcome.UNKNOWN;
 			// One that is in no such group, or another process, holds nothing of it.
 			known.left |= outcome == OrderOutcome.UNFIT || outcome == OrderOutcome.OTHER_INSTANCE;
 		}
 		if (known != null && order instanceof ReplicaOrder.Leave) {
-			known.left |= outcome != OrderOutcome.UNKNOWN && outcome != OrderOutcome.FENCED
-					&& outcome != OrderOutcome.UNFIT;
+			final boolean ofHead = order.instance().id().equals(known.headId());
+			final boolean done = outcome != OrderOutcome.UNKNOWN && outcome != OrderOutcome.FENCED;
+			known.left |= ofHead && done && outcome != OrderOutcome.UNFIT;
+			known.headSilent |= ofHead && outcome == OrderOutcome.UNKNOWN;
+			known.memberLeft |= !ofHead && done;
 		}
 		final boolean refused = outcome == OrderOutcome.FENCED || outcome == OrderOutcome.OTHER_INSTANCE
 				|| outcome == OrderOutcome.INVALID;
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -61,6 +61,48 @@
 		}
 	}
 
+	/**
+	 * A head loses the way to the store and to all daemons for most of a minute, while
+	 * its members still reach it. It serves on and never breaks by itself. Whoever takes
+	 * its members after some time out only waited too briefly; the requests that it runs
+	 * are lost.
+	 */
+	@Test
+	void noMemberIsTakenFromAHeadThatNobodyReachesForLong() {
+		for (long seed = 1; seed <= SEEDS; seed++) {
+			final ReplicaWorld world = new ReplicaWorld(seed, 6, 0.05, 0.1);
+			world.longCuts = true;
+			world.run(90_000, true);
+			assertThat(world.violations).as("seed " + seed).isEmpty();
+		}
+	}
+
+	/**
+	 * The machine of a group's head dies. Its members cannot know whether it is dead or
+	 * only out of reach, so one of them leaves; that breaks the head after its stall time
+	 * wherever it is. The survivors have to serve again soon after that and not later.
+	 */
+	@Test
+	void survivorsOfADeadHeadAreFreeAfterItsStallTime() {
+		final GroupId group = GroupId.of("small", 5);
+		final ServingInstance head = member("a", group, 0, MemberState.OPEN);
+		final ServingInstance other = member("b", group, 1, MemberState.READY);
+		final ServingInstance spare = free("c");
+		this.planner.beginTerm(0, 1, false);
+		this.planner.plan(view(10 * SECOND, head, other));
+		answer(10 * SECOND + 5 * TICK, new ReplicaOrder.Close(head, group, true), OrderOutcome.UNKNOWN, other, spare);
+		answer(11 * SECOND, new ReplicaOrder.Leave(other, group), OrderOutcome.HOLDS, other, spare);
+		final ServingInstance left = new ServingInstance("b", "pool", "b:1", "zone", "d", false, 12, Set.of("small"),
+				Optional.empty());
+		assertThat(this.planner.plan(view(11 * SECOND + TICK, left, spare))).isEmpty();
+		assertThat(this.planner.plan(view(17 * SECOND + 4 * TICK, left, spare)))
+			.noneMatch((order) -> order instanceof ReplicaOrder.Join);
+		assertThat(this.planner.plan(view(17 * SECOND + 7 * TICK, left, spare)))
+			.filteredOn((order) -> order instanceof ReplicaOrder.Join)
+			.extracting((order) -> order.instance().id())
+			.containsExactlyInAnyOrder("b", "c");
+	}
+
 	@Test
 	void allSurvivorsServeAgainWhenTheDeathsEnd() {
 		final ReplicaWorld world = new ReplicaWorld(7, 6, 0.1, 0.2);
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaWorld.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaWorld.java
@@ -32,6 +32,8 @@
 
 	private static final long CUT_MILLIS = 10_000;
 
+	private static final long LONG_CUT_MILLIS = 40_000;
+
 	private static final long LIST_LAG_MILLIS = 400;
 
 	final List<String> violations = new ArrayList<>();
@@ -61,6 +63,9 @@
 
 	private int nextId;
 
+	/** Whether instances that nobody reaches stay so for longer than any timeout. */
+	boolean longCuts;
+
 	ReplicaWorld(long seed, int domains, double lostRatio, double lateRatio) {
 		this.random = new Random(seed);
 		this.lostRatio = lostRatio;
@@ -104,8 +109,8 @@
 		if (this.random.nextInt(40) == 0) {
 			final List<Engine> all = List.copyOf(this.engines.values());
 			final Engine cut = all.get(this.random.nextInt(all.size()));
-			cut.cutUntilMillis = this.nowMillis + CUT_MILLIS;
 			cut.unreachable = this.random.nextInt(3) == 0;
+			cut.cutUntilMillis = this.nowMillis + ((cut.unreachable && this.longCuts) ? LONG_CUT_MILLIS : CUT_MILLIS);
 		}
 		if (this.random.nextInt(60) == 0) {
 			this.holder = 1 - this.holder;
