Replicas: loads are staged beside other work, and the model with the larger groups no longer dwindles

Cause: two survivors find each other sooner than four. Survivors of groups of four gave their weights up to pairs after four seconds, and a group that loaded held three ready members for a quarter of a minute.

Change: once requests come hosts load weights ahead (stage) while their instances serve or wait, so that every group is formed warm; nobody gives up the weights of a model that is short; groups of the other model whose members have the weights too are closed to complete one; each model is packed into few domains.

Two tests got a spare whose host has the weights, as only such a one joins at once now; what they assert is unchanged.

--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
@@ -0,0 +1,107 @@
+package org.pistachioline.core.replica;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.pistachioline.core.route.EngineModel;
+import org.pistachioline.core.route.EngineSpec;
+
+/**
+ * Chooses which groups of a well supplied model are closed, so that their members serve a
+ * model that is short.
+ * <p>
+ * Made for a model with large groups of which a member dies: three survivors wait for a
+ * fourth, and every other instance of their fabric domain is in a smaller group. Where
+ * such a group's members have the weights of the short model too, closing it costs its
+ * callers nothing but the move of their next requests, and brings back a group of the
+ * short model within about two seconds. Only whole groups are closed, as few instances
+ * are moved as will do, and never so many that the other model becomes the short one.
+ */
+final class GroupExchange {
+
+	private final HostWeights weights;
+
+	GroupExchange(HostWeights weights) {
+		this.weights = weights;
+	}
+
+	/**
+	 * Chooses groups to close.
+	 * @param engine the service's engines
+	 * @param free the instances that may be taken
+	 * @param serving the groups that are open and whole
+	 * @param byId all listed instances, by id
+	 * @param census how many instances serve each model
+	 * @return the groups to close; empty where nothing is gained
+	 */
+	List<GroupRecord> choose(EngineSpec engine, List<ServingInstance> free, Collection<GroupRecord> serving,
+			Map<String, ServingInstance> byId, PoolCensus census) {
+		final Optional<EngineModel> scarce = engine.models()
+			.stream()
+			.filter((model) -> model.members() > 0 && census.isShort(model))
+			.min(Comparator.comparingDouble(census::fillRatio));
+		if (scarce.isEmpty()) {
+			return List.of();
+		}
+		final Map<String, List<GroupRecord>> byDomain = new TreeMap<>();
+		serving.stream()
+			.filter((known) -> isGiver(engine, known, scarce.get(), census))
+			.forEach((known) -> byDomain
+				.computeIfAbsent(byId.get(known.headId()).fabricDomain(), (name) -> new ArrayList<>())
+				.add(known));
+		final Map<String, Long> holders = new HashMap<>();
+		free.stream()
+			.filter((instance) -> this.weights.holds(instance, scarce.get().name()))
+			.forEach((instance) -> holders.merge(instance.fabricDomain(), 1L, Long::sum));
+		return byDomain.entrySet()
+			.stream()
+			.map((entry) -> cheapest(scarce.get(), holders.getOrDefault(entry.getKey(), 0L), entry.getValue(), byId))
+			.filter((groups) -> !groups.isEmpty())
+			.min(Comparator.comparingInt(GroupExchange::instances))
+			.orElse(List.of());
+	}
+
+	private static int instances(List<GroupRecord> groups) {
+		return groups.stream().mapToInt((known) -> known.memberIds.size()).sum();
+	}
+
+	private static boolean isGiver(EngineSpec engine, GroupRecord known, EngineModel scarce, PoolCensus census) {
+		return engine.model(known.group.model())
+			.filter((model) -> model != scarce && !census.isShort(model)
+					&& census.fillRatio(model) > census.fillRatio(scarce))
+			.isPresent();
+	}
+
+	// The groups whose closing completes one of the short model; empty where none does,
+	// or
+	// where none is needed because the free instances suffice.
+	private List<GroupRecord> cheapest(EngineModel scarce, long held, List<GroupRecord> groups,
+			Map<String, ServingInstance> byId) {
+		final List<GroupRecord> chosen = new ArrayList<>();
+		long have = held;
+		final List<GroupRecord> richest = groups.stream()
+			.sorted(Comparator.comparingLong((GroupRecord known) -> -holders(known, scarce, byId))
+				.thenComparingLong((known) -> known.group.epoch()))
+			.toList();
+		for (final GroupRecord known : richest) {
+			final long more = holders(known, scarce, byId);
+			if (have >= scarce.members() || more == 0) {
+				break;
+			}
+			chosen.add(known);
+			have += more;
+		}
+		return (have >= scarce.members()) ? chosen : List.of();
+	}
+
+	private long holders(GroupRecord known, EngineModel scarce, Map<String, ServingInstance> byId) {
+		return known.memberIds.stream().filter((id) -> this.weights.holds(byId.get(id), scarce.name())).count();
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupRecord.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupRecord.java
@@ -46,6 +46,9 @@
 	/** When that was seen, by the monotonic clock; 0 before. */
 	long memberLeftNanos;
 
+	/** Whether it is closed so that its members can serve another model. */
+	boolean dissolving;
+
 	/** Whether an instance refused to join for good. */
 	boolean refused;
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReview.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReview.java
@@ -83,7 +83,7 @@
 		}
 		final boolean lost = !sight.allListed() || sight.anySuperseded() || known.refused || known.memberLeft;
 		if (headState == MemberState.OPEN) {
-			if (lost || sight.anyDraining()) {
+			if (lost || sight.anyDraining() || known.dissolving) {
 				send(nowNanos, new ReplicaOrder.Close(sight.head().get(), known.group, lost));
 			}
 			return false;
@@ -91,7 +91,7 @@
 		if (headState == MemberState.CLOSING) {
 			return false;
 		}
-		if (lost || sight.anyDraining()) {
+		if (lost || sight.anyDraining() || known.dissolving) {
 			return mayGiveUp(nowNanos, known, sight.head().get());
 		}
 		if (sight.allPrepared()) {
@@ -179,7 +179,7 @@
 		send(nowNanos, new ReplicaOrder.Join(instance, known.group, known.memberIds));
 	}
 
-	private void send(long nowNanos, ReplicaOrder order) {
+	private void send(long nowNanos, ReplicaOrder.OfGroup order) {
 		final String key = order.instance().id() + ' ' + order.verb() + ' ' + order.group().epoch();
 		final Long sent = this.sentAtNanos.get(key);
 		if (sent == null || nowNanos - sent >= REPEAT_NANOS) {
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/PoolCensus.java
@@ -0,0 +1,78 @@
+package org.pistachioline.core.replica;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.pistachioline.core.route.EngineModel;
+
+/**
+ * Counts the instances of each model's groups, in all and by fabric domain and
+ * availability zone. A group that lost a member or is being closed no longer counts.
+ */
+final class PoolCensus {
+
+	/** A model without a declared share still gets instances when others have enough. */
+	private static final double LEAST_SHARE = 0.01;
+
+	private final Map<String, Integer> counts = new HashMap<>();
+
+	private final double sharesInAll;
+
+	private final long usable;
+
+	PoolCensus(PlannerView view, Collection<GroupRecord> records, Map<String, ServingInstance> byId) {
+		this.sharesInAll = view.engine().models().stream().mapToDouble(PoolCensus::share).sum();
+		this.usable = view.instances().stream().filter((instance) -> !instance.draining()).count();
+		for (final GroupRecord known : records) {
+			if (!known.dissolving && new GroupSight(known, byId).allListed()) {
+				known.memberIds.forEach((id) -> add(known.group.model(), byId.get(id)));
+			}
+		}
+	}
+
+	private void add(String model, ServingInstance instance) {
+		this.counts.merge(model, 1, Integer::sum);
+		this.counts.merge(domainKey(model, instance.fabricDomain()), 1, Integer::sum);
+		this.counts.merge(zoneKey(model, instance.availabilityZone()), 1, Integer::sum);
+	}
+
+	private static String domainKey(String model, String domain) {
+		return model + "\ndomain " + domain;
+	}
+
+	private static String zoneKey(String model, String zone) {
+		return model + "\nzone " + zone;
+	}
+
+	private static double share(EngineModel model) {
+		return Math.max(model.shareRatio(), LEAST_SHARE);
+	}
+
+	int inDomain(String model, String domain) {
+		return this.counts.getOrDefault(domainKey(model, domain), 0);
+	}
+
+	int inZone(String model, String zone) {
+		return this.counts.getOrDefault(zoneKey(model, zone), 0);
+	}
+
+	// How far a model's instances fill its share; the least filled model goes first. Half
+	// a group is added, so that of two models the one is taken that stays nearer to its
+	// share after the next group.
+	double fillRatio(EngineModel model) {
+		return (this.counts.getOrDefault(model.name(), 0) + model.members() / 2.0) / share(model);
+	}
+
+	/**
+	 * Returns whether a model has at least one whole group less than its share of the
+	 * instances that there are.
+	 * @param model the model
+	 * @return whether it is short
+	 */
+	boolean isShort(EngineModel model) {
+		final double due = this.usable * share(model) / this.sharesInAll;
+		return due - this.counts.getOrDefault(model.name(), 0) >= model.members();
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaOrder.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaOrder.java
@@ -14,10 +14,10 @@
 	ServingInstance instance();
 
 	/**
-	 * Returns the group that it is about.
-	 * @return the group
+	 * Returns what it is about, for logs: a group or a model.
+	 * @return the name
 	 */
-	GroupId group();
+	String subject();
 
 	/**
 	 * Returns the order's name in logs.
@@ -25,6 +25,44 @@
 	 */
 	String verb();
 
+	/**
+	 * An order about one group, which affects no other.
+	 */
+	sealed interface OfGroup extends ReplicaOrder {
+
+		/**
+		 * Returns the group that it is about.
+		 * @return the group
+		 */
+		GroupId group();
+
+		@Override
+		default String subject() {
+			return group().name();
+		}
+
+	}
+
+	/**
+	 * Makes a host load a model's weights, beside all that its instance does.
+	 *
+	 * @param instance the instance
+	 * @param model the model
+	 */
+	record Stage(ServingInstance instance, String model) implements ReplicaOrder {
+
+		@Override
+		public String verb() {
+			return "stage";
+		}
+
+		@Override
+		public String subject() {
+			return this.model;
+		}
+
+	}
+
 	/**
 	 * Makes the instance a member of a group; it leaves any other.
 	 *
@@ -32,7 +70,7 @@
 	 * @param group the group
 	 * @param memberIds all members, the head first
 	 */
-	record Join(ServingInstance instance, GroupId group, List<String> memberIds) implements ReplicaOrder {
+	record Join(ServingInstance instance, GroupId group, List<String> memberIds) implements OfGroup {
 
 		public Join {
 			memberIds = List.copyOf(memberIds);
@@ -51,7 +89,7 @@
 	 * @param instance the head
 	 * @param group the group
 	 */
-	record Open(ServingInstance instance, GroupId group) implements ReplicaOrder {
+	record Open(ServingInstance instance, GroupId group) implements OfGroup {
 
 		@Override
 		public String verb() {
@@ -66,7 +104,7 @@
 	 * @param instance the instance
 	 * @param group the group
 	 */
-	record Leave(ServingInstance instance, GroupId group) implements ReplicaOrder {
+	record Leave(ServingInstance instance, GroupId group) implements OfGroup {
 
 		@Override
 		public String verb() {
@@ -82,7 +120,7 @@
 	 * @param group the group
 	 * @param dropWork whether it drops what it has instead of finishing it
 	 */
-	record Close(ServingInstance instance, GroupId group, boolean dropWork) implements ReplicaOrder {
+	record Close(ServingInstance instance, GroupId group, boolean dropWork) implements OfGroup {
 
 		@Override
 		public String verb() {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -30,7 +30,13 @@
 
 	private final GroupReview review;
 
-	private final GroupFormer former = new GroupFormer();
+	private final HostWeights weights = new HostWeights();
+
+	private final GroupFormer former = new GroupFormer(this.weights);
+
+	private final GroupExchange exchange = new GroupExchange(this.weights);
+
+	private final WeightStaging staging = new WeightStaging(this.weights);
 
 	private final LoadPacer pacer;
 
@@ -80,6 +86,7 @@
 		}
 		final Map<String, ServingInstance> byId = new HashMap<>();
 		view.instances().forEach((instance) -> byId.put(instance.id(), instance));
+		this.weights.note(view.instances());
 		learn(view);
 		this.review.begin(view.nowNanos());
 		this.records.values().removeIf((known) -> {
@@ -89,8 +96,10 @@
 			}
 			return over;
 		});
-		form(view);
-		return this.review.orders();
+		final List<ReplicaOrder> stagings = supply(view, byId);
+		final List<ReplicaOrder> orders = new ArrayList<>(this.review.orders());
+		orders.addAll(stagings);
+		return orders;
 	}
 
 	// Groups that another planner formed are known by their members' reports only.
@@ -147,35 +156,76 @@
 		return learnt;
 	}
 
-	private void form(PlannerView view) {
+	private List<ReplicaOrder> supply(PlannerView view, Map<String, ServingInstance> byId) {
 		final List<ServingInstance> free = new ArrayList<>(view.instances()
 			.stream()
 			.filter((instance) -> !instance.draining() && !this.review.isTaken(instance.id()))
 			.toList());
 		this.former.note(view.nowNanos(), free);
-		Optional<GroupFormer.Formation> next = this.former.next(view, free, countByModel());
-		while (next.isPresent() && mayBegin(view, next.get())) {
+		this.staging.begin(view.nowNanos(), byId);
+		final boolean loadWaits = form(view, free, byId);
+		final PoolCensus census = census(view, byId);
+		if (!view.beforeTraffic()) {
+			this.exchange.choose(view.engine(), free, serving(byId), byId, census)
+				.forEach((known) -> known.dissolving = true);
+		}
+		return (loadWaits || this.staging.unsupported()) ? List.of() : stage(view, free, census, byId);
+	}
+
+	// Returns whether a group could be formed now but for the loads that it needs.
+	private boolean form(PlannerView view, List<ServingInstance> free, Map<String, ServingInstance> byId) {
+		final boolean loadsAllowed = view.beforeTraffic() || this.staging.unsupported();
+		Optional<GroupFormer.Formation> next = this.former.next(view, free, census(view, byId), loadsAllowed);
+		while (next.isPresent() && mayBegin(view, next.get(), byId)) {
 			begin(view.nowNanos(), next.get());
 			free.removeAll(next.get().members());
-			next = this.former.next(view, free, countByModel());
+			next = this.former.next(view, free, census(view, byId), loadsAllowed);
 		}
+		return next.isPresent();
+	}
+
+	private PoolCensus census(PlannerView view, Map<String, ServingInstance> byId) {
+		return new PoolCensus(view, this.records.values(), byId);
+	}
+
+	private List<GroupRecord> serving(Map<String, ServingInstance> byId) {
+		return this.records.values()
+			.stream()
+			.filter((known) -> !known.dissolving)
+			.filter((known) -> isServing(new GroupSight(known, byId)))
+			.toList();
+	}
+
+	private static boolean isServing(GroupSight sight) {
+		return sight.allListed() && sight.allPrepared() && !sight.anyDraining()
+				&& sight.headState().filter((state) -> state == MemberState.OPEN).isPresent();
 	}
 
-	private boolean mayBegin(PlannerView view, GroupFormer.Formation formation) {
-		if (formation.loads() == 0) {
-			return true;
+	private List<ReplicaOrder> stage(PlannerView view, List<ServingInstance> free, PoolCensus census,
+			Map<String, ServingInstance> byId) {
+		final List<ReplicaOrder> orders = new ArrayList<>();
+		Optional<ReplicaOrder.Stage> next = mayLoad(view, 1, byId) ? this.staging.next(view, census, free)
+				: Optional.empty();
+		while (next.isPresent()) {
+			orders.add(next.get());
+			next = mayLoad(view, 1, byId) ? this.staging.next(view, census, free) : Optional.empty();
 		}
-		if (loading(view) >= Math.max(1, view.engine().concurrentLoads())) {
+		return orders;
+	}
+
+	private boolean mayBegin(PlannerView view, GroupFormer.Formation formation, Map<String, ServingInstance> byId) {
+		return formation.loads() == 0 || mayLoad(view, formation.loads(), byId);
+	}
+
+	private boolean mayLoad(PlannerView view, int loads, Map<String, ServingInstance> byId) {
+		if (loading(byId) >= Math.max(1, view.engine().concurrentLoads())) {
 			return false;
 		}
-		return view.beforeTraffic()
-				|| this.pacer.begin(view.nowNanos(), formation.loads(), view.engine().loadsPerSecond());
+		return view.beforeTraffic() || this.pacer.begin(view.nowNanos(), loads, view.engine().loadsPerSecond());
 	}
 
-	private int loading(PlannerView view) {
-		final Map<String, ServingInstance> byId = new HashMap<>();
-		view.instances().forEach((instance) -> byId.put(instance.id(), instance));
-		return this.records.values()
+	private int loading(Map<String, ServingInstance> byId) {
+		return this.staging.loading() + this.records.values()
 			.stream()
 			.filter((known) -> known.loads > 0 && !new GroupSight(known, byId).allPrepared())
 			.mapToInt((known) -> known.loads)
@@ -194,13 +244,6 @@
 		});
 	}
 
-	private Map<String, Integer> countByModel() {
-		final Map<String, Integer> counts = new HashMap<>();
-		this.records.values()
-			.forEach((known) -> counts.merge(known.group.model(), known.memberIds.size(), Integer::sum));
-		return counts;
-	}
-
 	/**
 	 * Takes what came of an order. Only a refusal for good changes anything: all else
 	 * shows in the instances' reports.
@@ -208,6 +251,15 @@
 	 * @param outcome what came of it
 	 */
 	public void onOutcome(ReplicaOrder order, OrderOutcome outcome) {
+		if (order instanceof ReplicaOrder.OfGroup ofGroup) {
+			onGroupOutcome(ofGroup, outcome);
+		}
+		else if (outcome == OrderOutcome.INVALID) {
+			this.staging.unknownTo(order.instance().id());
+		}
+	}
+
+	private void onGroupOutcome(ReplicaOrder.OfGroup order, OrderOutcome outcome) {
 		final GroupRecord known = this.records.get(order.group());
 		if (known != null && order instanceof ReplicaOrder.Close) {
 			known.closed |= outcome == OrderOutcome.STARTED || outcome == OrderOutcome.HOLDS;
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -87,7 +87,7 @@
 		final GroupId group = GroupId.of("small", 5);
 		final ServingInstance head = member("a", group, 0, MemberState.OPEN);
 		final ServingInstance other = member("b", group, 1, MemberState.READY);
-		final ServingInstance spare = free("c");
+		final ServingInstance spare = free("c", "small");
 		this.planner.beginTerm(0, 1, false);
 		this.planner.plan(view(10 * SECOND, head, other));
 		answer(10 * SECOND + 5 * TICK, new ReplicaOrder.Close(head, group, true), OrderOutcome.UNKNOWN, other, spare);
@@ -103,6 +103,32 @@
 			.containsExactlyInAnyOrder("b", "c");
 	}
 
+	/**
+	 * Two instances of serving groups die every three seconds; after ten seconds as many
+	 * empty ones come. Two survivors find each other sooner than four, so that the model
+	 * with the larger groups loses instances to the other one, until all of its callers
+	 * are refused. It has to keep half of the seven groups with which it began, on
+	 * average.
+	 */
+	@Test
+	void theModelWithTheLargerGroupsKeepsServingWhilePairsDie() {
+		int large = 0;
+		int small = 0;
+		for (long seed = 1; seed <= 10; seed++) {
+			final ReplicaWorld world = new ReplicaWorld(seed, 6, 0, 0);
+			world.run(16_000, false);
+			for (int death = 0; death < 10; death++) {
+				world.killPair(death >= 3);
+				world.run(3_000, false);
+				large += world.groups("large");
+				small += world.groups("small");
+			}
+			assertThat(world.violations).as("seed " + seed).isEmpty();
+		}
+		assertThat(large).isGreaterThanOrEqualTo(100 * 7 / 2);
+		assertThat(small).isGreaterThanOrEqualTo(100 * 8);
+	}
+
 	@Test
 	void allSurvivorsServeAgainWhenTheDeathsEnd() {
 		final ReplicaWorld world = new ReplicaWorld(7, 6, 0.1, 0.2);
@@ -122,7 +148,7 @@
 		final GroupId group = GroupId.of("small", 5);
 		final ServingInstance head = member("a", group, 0, MemberState.OPEN);
 		final ServingInstance other = member("b", group, 1, MemberState.READY);
-		final ServingInstance spare = free("c");
+		final ServingInstance spare = free("c", "small");
 		this.planner.beginTerm(0, 1, false);
 		this.planner.plan(view(10 * SECOND, head, other));
 		answer(11 * SECOND, new ReplicaOrder.Close(head, group, true), OrderOutcome.STARTED, other, spare);
@@ -148,7 +174,7 @@
 		answer(2 * SECOND, new ReplicaOrder.Close(head, group, true), OrderOutcome.HOLDS, head, other);
 		answer(2 * SECOND + TICK, new ReplicaOrder.Leave(head, group), OrderOutcome.STARTED, head, other);
 		assertThat(this.planner.plan(view(2 * SECOND + 2 * TICK, head, other))).hasSize(2)
-			.allMatch((order) -> order instanceof ReplicaOrder.Join && order.group().epoch() > group.epoch());
+			.allMatch((order) -> order instanceof ReplicaOrder.Join join && join.group().epoch() > group.epoch());
 	}
 
 	/** Plans, expects one order, and answers it. */
@@ -197,8 +223,8 @@
 				Optional.of(new Membership(group, rank, state)));
 	}
 
-	private static ServingInstance free(String id) {
-		return new ServingInstance(id, "pool", id + ":1", "zone", "d", false, 12, Set.of(), Optional.empty());
+	private static ServingInstance free(String id, String... staged) {
+		return new ServingInstance(id, "pool", id + ":1", "zone", "d", false, 12, Set.of(staged), Optional.empty());
 	}
 
 }
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaWorld.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaWorld.java
@@ -120,6 +120,10 @@
 	}
 
 	private void live(Engine engine) {
+		if (engine.alive && !engine.staging.isEmpty() && this.nowMillis >= engine.stagedAtMillis) {
+			engine.staged = Set.of(engine.staging);
+			engine.staging = "";
+		}
 		if (!engine.alive || engine.group == null) {
 			return;
 		}
@@ -213,10 +217,14 @@
 			return OrderOutcome.FENCED;
 		}
 		engine.fence = fencingToken;
+		if (order instanceof ReplicaOrder.Stage stage) {
+			return stage(engine, stage.model());
+		}
+		final GroupId group = ((ReplicaOrder.OfGroup) order).group();
 		if (order instanceof ReplicaOrder.Join join) {
 			return join(engine, join);
 		}
-		if (!order.group().equals(engine.group)) {
+		if (!group.equals(engine.group)) {
 			return OrderOutcome.UNFIT;
 		}
 		if (order instanceof ReplicaOrder.Leave) {
@@ -228,6 +236,16 @@
 		return (order instanceof ReplicaOrder.Open) ? open(engine) : close(engine);
 	}
 
+	private OrderOutcome stage(Engine engine, String model) {
+		if (engine.staged.contains(model) || engine.staging.equals(model)) {
+			return OrderOutcome.HOLDS;
+		}
+		final long loadMillis = ENGINE.model(model).orElseThrow().loadMillis();
+		engine.staging = model;
+		engine.stagedAtMillis = this.nowMillis + ((this.nowMillis < 15_000) ? loadMillis / 10 : loadMillis);
+		return OrderOutcome.STARTED;
+	}
+
 	private OrderOutcome join(Engine engine, ReplicaOrder.Join join) {
 		if (join.group().equals(engine.group)) {
 			return engine.members.equals(join.memberIds()) ? OrderOutcome.HOLDS : OrderOutcome.FENCED;
@@ -241,9 +259,18 @@
 		engine.members = join.memberIds();
 		engine.movedAtMillis = this.nowMillis;
 		engine.state = MemberState.JOINING;
-		final boolean staged = engine.staged.contains(join.group().model());
-		engine.staged = Set.of(join.group().model());
-		engine.readyAtMillis = this.nowMillis + (staged ? 1_200 : (this.nowMillis < 15_000) ? 1_600 : 14_000);
+		final String model = join.group().model();
+		if (model.equals(engine.lastModel)) {
+			engine.readyAtMillis = this.nowMillis + 200;
+		}
+		else if (engine.staged.contains(model)) {
+			engine.readyAtMillis = this.nowMillis + 1_200;
+		}
+		else {
+			engine.staged = Set.of(model);
+			engine.readyAtMillis = this.nowMillis + ((this.nowMillis < 15_000) ? 1_600 : 14_000);
+		}
+		engine.lastModel = model;
 		return OrderOutcome.STARTED;
 	}
 
@@ -297,6 +324,40 @@
 		return count;
 	}
 
+	/**
+	 * Counts a model's groups that serve as a whole.
+	 * @param model the model
+	 * @return the number of groups
+	 */
+	int groups(String model) {
+		return (int) this.engines.values()
+			.stream()
+			.filter((engine) -> engine.alive && engine.state == MemberState.OPEN && lostSince(engine) < 0)
+			.filter((engine) -> engine.group.model().equals(model))
+			.count();
+	}
+
+	/**
+	 * Kills two members of groups in one zone, which two domains share, and adds two
+	 * empty instances there.
+	 */
+	void killPair(boolean replaced) {
+		final int zone = this.random.nextInt(3);
+		final List<String> domains = List.of("domain-" + 2 * zone, "domain-" + (2 * zone + 1));
+		for (int i = 0; i < 2; i++) {
+			final List<Engine> grouped = this.engines.values()
+				.stream()
+				.filter((engine) -> engine.alive && engine.group != null && domains.contains(engine.domain))
+				.toList();
+			final Engine dead = grouped.get(this.random.nextInt(grouped.size()));
+			dead.alive = false;
+			dead.diedAtMillis = this.nowMillis;
+			if (replaced) {
+				add(domains.get(i));
+			}
+		}
+	}
+
 	private record Delivery(long atMillis, ReplicaOrder order, long fencingToken) {
 
 	}
@@ -335,6 +396,12 @@
 
 		private Set<String> staged = Set.of();
 
+		private String lastModel = "";
+
+		private String staging = "";
+
+		private long stagedAtMillis;
+
 		private ServingInstance shown;
 
 		Engine(String id, String domain) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -268,8 +268,8 @@
 
 	private void give(ReplicaOrder order, long term) {
 		this.orders.send(order, term).thenAccept((outcome) -> {
-			Events.log(EventId.ORDER_GIVEN, "order", order.verb(), "instance", order.instance().id(), "group",
-					order.group().name(), "epoch", order.group().epoch(), "term", term, "outcome", outcome);
+			Events.log(EventId.ORDER_GIVEN, "order", order.verb(), "instance", order.instance().id(), "subject",
+					order.subject(), "term", term, "outcome", outcome);
 			this.duty.offer(new ReplicaMessage.Ordered(order, outcome));
 		});
 	}
