Peers, replicas: standstills are told to all daemons, and a follower leaves at once where the head answers nothing

Cause: only the daemon that plans asks the members of a group that stands still, and it acted on its own requests alone.

Ruled out: asking all instances all the time (60 probes a second are priced, and more at 200 instances).

Change: a notice on the peer link names the target at which requests stand still; the planner asks its members. A head that answered nothing to that is not waited for.

Test: aMemberLeavesAtOnceWhereTheHeadHasAnsweredNothing, red before.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/PlannerView.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/PlannerView.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Set;
 
 import org.pistachioline.core.route.EngineSpec;
 
@@ -12,14 +13,17 @@
  * @param engine the service's engines
  * @param instances the service's instances, those that leave included
  * @param departed instances that the list dropped lately, as they were listed last
+ * @param silentIds instances that answered nothing though other members of their group
+ * did
  * @param beforeTraffic whether no request has come yet, so that loads are not counted
  */
 public record PlannerView(long nowNanos, EngineSpec engine, Collection<ServingInstance> instances,
-		Collection<ServingInstance> departed, boolean beforeTraffic) {
+		Collection<ServingInstance> departed, Set<String> silentIds, boolean beforeTraffic) {
 
 	public PlannerView {
 		instances = List.copyOf(instances);
 		departed = List.copyOf(departed);
+		silentIds = Set.copyOf(silentIds);
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -89,6 +89,9 @@
 		this.weights.note(view.instances());
 		learn(view);
 		this.review.begin(view.nowNanos());
+		this.records.values()
+			.forEach(
+					(known) -> known.headSilent |= known.headId() != null && view.silentIds().contains(known.headId()));
 		this.records.values().removeIf((known) -> {
 			final boolean over = this.review.review(view.nowNanos(), known, byId);
 			if (over) {
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -129,6 +129,23 @@
 		assertThat(small).isGreaterThanOrEqualTo(100 * 8);
 	}
 
+	/**
+	 * Requests stand still at a group, and its head alone of all members answers nothing.
+	 * The head's order to close would be waited for in vain; each second of that is one
+	 * more in which the survivors serve nobody.
+	 */
+	@Test
+	void aMemberLeavesAtOnceWhereTheHeadHasAnsweredNothing() {
+		final GroupId group = GroupId.of("small", 5);
+		final ServingInstance head = member("a", group, 0, MemberState.OPEN);
+		final ServingInstance other = member("b", group, 1, MemberState.READY);
+		this.planner.beginTerm(0, 1, false);
+		this.planner.plan(view(10 * SECOND, head, other));
+		assertThat(this.planner
+			.plan(new PlannerView(11 * SECOND, ReplicaWorld.ENGINE, List.of(other), List.of(), Set.of("a"), false)))
+			.containsExactlyInAnyOrder(new ReplicaOrder.Close(head, group, true), new ReplicaOrder.Leave(other, group));
+	}
+
 	@Test
 	void allSurvivorsServeAgainWhenTheDeathsEnd() {
 		final ReplicaWorld world = new ReplicaWorld(7, 6, 0.1, 0.2);
@@ -215,7 +232,7 @@
 	}
 
 	private static PlannerView view(long nowNanos, ServingInstance... instances) {
-		return new PlannerView(nowNanos, ReplicaWorld.ENGINE, List.of(instances), List.of(), false);
+		return new PlannerView(nowNanos, ReplicaWorld.ENGINE, List.of(instances), List.of(), Set.of(), false);
 	}
 
 	private static ServingInstance member(String id, GroupId group, int rank, MemberState state) {
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaWorld.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaWorld.java
@@ -182,7 +182,7 @@
 		final long fencingToken = this.term;
 		planner
 			.plan(new PlannerView(this.nowMillis * 1_000_000, ENGINE, seen.values(), this.departed.instances(),
-					this.nowMillis < 15_000))
+					Set.of(), this.nowMillis < 15_000))
 			.forEach((order) -> send(planner, order, fencingToken));
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -168,7 +168,11 @@
 			this.listed = true;
 			this.replicas.listed(instances);
 		});
-		this.traffic.onStalled(this.replicas::stalled);
+		this.traffic.onStalled((targetId) -> {
+			this.replicas.stalled(targetId);
+			this.peers.tellStalled(targetId);
+		});
+		this.peers.onStalled(this.replicas::stalled);
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
 		this.parts.forEach((part) -> part.rings().forEach(meters::bind));
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
@@ -26,6 +26,7 @@
 import org.pistachioline.daemon.duty.Ring;
 import org.pistachioline.daemon.event.Events;
 import org.pistachioline.protocol.peer.PeerFrame;
+import org.pistachioline.protocol.peer.StallNotice;
 import org.pistachioline.protocol.peer.WorkspaceUse;
 
 /**
@@ -63,6 +64,9 @@
 	private volatile Consumer<PeerFrame> claimFrames = (frame) -> {
 	};
 
+	private volatile Consumer<String> stalledTargets = (targetId) -> {
+	};
+
 	private volatile Supplier<Map<String, Double>> demand = Map::of;
 
 	private volatile BiConsumer<PeerStatus, Map<String, Double>> demandReceiver = (status, told) -> {
@@ -175,6 +179,26 @@
 		this.presenceFrames = receiver;
 	}
 
+	/**
+	 * Sets what is told of targets at which other daemons' requests stand still.
+	 * @param receiver takes a target's id; it must not block
+	 */
+	public void onStalled(Consumer<String> receiver) {
+		this.stalledTargets = receiver;
+	}
+
+	/**
+	 * Tells the other daemons that requests stand still at a target. Only the one that
+	 * plans acts on it, and it may not have a request there itself.
+	 * @param targetId the target
+	 */
+	public void tellStalled(String targetId) {
+		final PeerFrame frame = PeerFrame.newBuilder()
+			.setStallNotice(StallNotice.newBuilder().addTargetIds(targetId))
+			.build();
+		this.live.get().forEach((peer) -> this.transport.send(peer.peerAddress(), frame));
+	}
+
 	/**
 	 * Sends a frame to a live daemon; it is dropped where the daemon is not live or its
 	 * link cannot take it.
@@ -223,6 +247,10 @@
 			this.checkpointFrames.accept(frame);
 			return;
 		}
+		if (frame.hasStallNotice()) {
+			frame.getStallNotice().getTargetIdsList().forEach(this.stalledTargets);
+			return;
+		}
 		if (!frame.hasHeartbeat()) {
 			return;
 		}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -252,7 +252,7 @@
 				}
 				planner
 					.plan(new PlannerView(nowNanos, service.engine().orElseThrow(), instancesOf(service, gone),
-							this.departed.instances(), this.beforeTraffic.getAsBoolean()))
+							this.departed.instances(), gone, this.beforeTraffic.getAsBoolean()))
 					.forEach((order) -> give(order, term));
 				all.putAll(planner.groups());
 			}
