Replicas: epochs go on where a lease is held again under its number; a pair is closed where that evens the models

Ruled out: a second planner, late orders. Test red before: aLeaseThatIsHeldAgainUnderTheSameNumberGoesOnWithHigherEpochs.

Now the two models are compared with each other.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
@@ -21,7 +21,9 @@
  * such a group's members have the weights of the short model too, closing it costs its
  * callers nothing but the move of their next requests, and brings back a group of the
  * short model within about two seconds. Only whole groups are closed, as few instances
- * are moved as will do, and never so many that the other model becomes the short one.
+ * are moved as will do, and only where both models are nearer to their shares afterwards.
+ * What counts is how the two stand to each other: after losses both have less than their
+ * share, as survivors wait without partners.
  */
 final class GroupExchange {
 
@@ -44,38 +46,42 @@
 			Map<String, ServingInstance> byId, PoolCensus census) {
 		final Optional<EngineModel> scarce = engine.models()
 			.stream()
-			.filter((model) -> model.members() > 0 && census.isShort(model))
-			.min(Comparator.comparingDouble(census::fillRatio));
+			.filter((model) -> model.members() > 0)
+			.min(Comparator.comparingDouble(census::filledRatio));
 		if (scarce.isEmpty()) {
 			return List.of();
 		}
-		final Map<String, List<GroupRecord>> byDomain = new TreeMap<>();
+		final Map<String, List<GroupRecord>> byGiver = new TreeMap<>();
 		serving.stream()
-			.filter((known) -> isGiver(engine, known, scarce.get(), census))
-			.forEach((known) -> byDomain
-				.computeIfAbsent(byId.get(known.headId()).fabricDomain(), (name) -> new ArrayList<>())
+			.filter((known) -> !known.group.model().equals(scarce.get().name()))
+			.forEach((known) -> byGiver
+				.computeIfAbsent(known.group.model() + '\n' + byId.get(known.headId()).fabricDomain(),
+						(name) -> new ArrayList<>())
 				.add(known));
 		final Map<String, Long> holders = new HashMap<>();
 		free.stream()
 			.filter((instance) -> this.weights.holds(instance, scarce.get().name()))
 			.forEach((instance) -> holders.merge(instance.fabricDomain(), 1L, Long::sum));
-		return byDomain.entrySet()
+		return byGiver.values()
 			.stream()
-			.map((entry) -> cheapest(scarce.get(), holders.getOrDefault(entry.getKey(), 0L), entry.getValue(), byId))
-			.filter((groups) -> !groups.isEmpty())
+			.map((groups) -> cheapest(scarce.get(),
+					holders.getOrDefault(byId.get(groups.get(0).headId()).fabricDomain(), 0L), groups, byId))
+			.filter((groups) -> !groups.isEmpty() && evens(engine, scarce.get(), groups, census))
 			.min(Comparator.comparingInt(GroupExchange::instances))
 			.orElse(List.of());
 	}
 
-	private static int instances(List<GroupRecord> groups) {
-		return groups.stream().mapToInt((known) -> known.memberIds.size()).sum();
+	// Whether the two models stand more evenly to their shares after the exchange.
+	private static boolean evens(EngineSpec engine, EngineModel scarce, List<GroupRecord> groups, PoolCensus census) {
+		final EngineModel giver = engine.model(groups.get(0).group.model()).orElseThrow();
+		final double before = census.filledRatio(giver) - census.filledRatio(scarce);
+		final double after = census.filledRatio(giver, -instances(groups))
+				- census.filledRatio(scarce, scarce.members());
+		return Math.abs(after) < before;
 	}
 
-	private static boolean isGiver(EngineSpec engine, GroupRecord known, EngineModel scarce, PoolCensus census) {
-		return engine.model(known.group.model())
-			.filter((model) -> model != scarce && !census.isShort(model)
-					&& census.fillRatio(model) > census.fillRatio(scarce))
-			.isPresent();
+	private static int instances(List<GroupRecord> groups) {
+		return groups.stream().mapToInt((known) -> known.memberIds.size()).sum();
 	}
 
 	// The groups whose closing completes one of the short model; empty where none does,
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/PoolCensus.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/PoolCensus.java
@@ -64,6 +64,15 @@
 		return (this.counts.getOrDefault(model.name(), 0) + model.members() / 2.0) / share(model);
 	}
 
+	double filledRatio(EngineModel model) {
+		return filledRatio(model, 0);
+	}
+
+	// How far a model's instances would fill its share with some more of them.
+	double filledRatio(EngineModel model, int more) {
+		return (this.counts.getOrDefault(model.name(), 0) + more) / share(model);
+	}
+
 	/**
 	 * Returns whether a model has at least one whole group less than its share of the
 	 * instances that there are.
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -71,8 +71,12 @@
 			this.ended.clear();
 			this.pacer.takeOver(nowNanos);
 		}
+		// A lease that lapsed while the store was away may be held again under the number
+		// that it had. Its epochs go on, as groups of that term still serve.
+		if (newTerm != this.term) {
+			this.formedInTerm = 0;
+		}
 		this.term = newTerm;
-		this.formedInTerm = 0;
 	}
 
 	/**
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -146,6 +146,24 @@
 			.containsExactlyInAnyOrder(new ReplicaOrder.Close(head, group, true), new ReplicaOrder.Leave(other, group));
 	}
 
+	/**
+	 * The store is away until the planner's lease has lapsed, and nobody else took it
+	 * meanwhile: the same daemon holds it again under the same number. Counted from the
+	 * start once more, a new group would get the name and epoch of one that serves, and
+	 * the members of that one would be taken from its open head.
+	 */
+	@Test
+	void aLeaseThatIsHeldAgainUnderTheSameNumberGoesOnWithHigherEpochs() {
+		this.planner.beginTerm(0, 5, false);
+		final List<ReplicaOrder> before = this.planner.plan(view(10 * SECOND, free("a", "small"), free("b", "small")));
+		final GroupId first = ((ReplicaOrder.Join) before.get(0)).group();
+		this.planner.beginTerm(14 * SECOND, 5, false);
+		final List<ReplicaOrder> after = this.planner.plan(view(15 * SECOND, member("a", first, 0, MemberState.OPEN),
+				member("b", first, 1, MemberState.READY), free("c", "small"), free("e", "small")));
+		assertThat(after).hasSize(2)
+			.allMatch((order) -> order instanceof ReplicaOrder.Join join && join.group().epoch() > first.epoch());
+	}
+
 	@Test
 	void allSurvivorsServeAgainWhenTheDeathsEnd() {
 		final ReplicaWorld world = new ReplicaWorld(7, 6, 0.1, 0.2);
