Placement: targets that fell silent or declined are avoided, and a group formed anew is used in full at once

A group whose survivors were warm got a quarter of its slots in its first second. Ruled out: ejection after three failures (later than that second).

Tests red before: newRequestsAvoidATargetThatFellSilent, newRequestsAvoidATargetThatHasJustDeclined, aGroupThatIsFormedAnewOffersAllItsSlotsAtOnce.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
@@ -16,6 +16,11 @@
  * drawn by chance, those that hold the prompt's prefix, and the prefix's home is nearly
  * as good and differs from daemon to daemon. The cost of a decision does not depend on
  * how many targets there are.
+ * <p>
+ * A group that has lost a member takes requests and delivers nothing for seconds. Until
+ * the loss is known each request sent there waits in vain. So for as long as a target has
+ * been silent beyond the usual while requests of this daemon run there, so much longer a
+ * new one is expected to wait; it goes elsewhere after a fraction of a second.
  */
 public final class ExpectedWaitPlacement implements PlacementPolicy {
 
@@ -44,12 +49,33 @@
 	 */
 	private static final double STRAY_TRUST_RATIO = 0.5;
 
+	/** The longest pass of an engine that reads long prompts beside its streams. */
+	private static final double USUAL_SILENCE_MILLIS = 150;
+
+	/**
+	 * What one millisecond of silence beyond the usual counts, as a dead target's ends
+	 * late.
+	 */
+	private static final double SILENCE_WEIGHT = 2;
+
+	/**
+	 * What each failure in a row counts. A group that was closed declines everything
+	 * until the list shows it, about a second later; each request that is sent there uses
+	 * up one of its attempts.
+	 */
+	private static final double FAILURE_MILLIS = 300;
+
+	/** By then the list shows a group that was closed, and a failure says little. */
+	private static final double FAILURE_FRESH_MILLIS = 1_500;
+
 	private static final int MAX_HOMES = 8_192;
 
 	private static final double NANOS_PER_MILLI = 1e6;
 
 	private final String availabilityZone;
 
+	private final boolean groupsStartWarm;
+
 	private final UniformRandomProvider random;
 
 	private final PrefixIndex prefixes = new PrefixIndex(MAX_PREFIXES);
@@ -64,6 +90,17 @@
 	 * @param seed what makes this daemon's choices differ from the others'
 	 */
 	public ExpectedWaitPlacement(String availabilityZone, long seed) {
+		this(availabilityZone, seed, false);
+	}
+
+	/**
+	 * Creates a policy.
+	 * @param availabilityZone where this daemon runs
+	 * @param seed what makes this daemon's choices differ from the others'
+	 * @param groupsStartWarm whether a new group of engines is at its full speed at once
+	 */
+	public ExpectedWaitPlacement(String availabilityZone, long seed, boolean groupsStartWarm) {
+		this.groupsStartWarm = groupsStartWarm;
 		this.availabilityZone = availabilityZone;
 		this.random = RandomSource.SPLIT_MIX_64.create(seed);
 	}
@@ -81,7 +118,8 @@
 		for (int i = 0; i <= DRAWN + this.found.count(); i++) {
 			final TargetLoad load = candidate(i, targets, home);
 			if (load != null && load.openIndex() >= 0 && !triedTargetIds.contains(load.view().targetId())) {
-				final double waitMillis = waitMillis(info, targets, load, load == home);
+				final double waitMillis = waitMillis(info, targets, load, load == home) + silenceMillis(nowNanos, load)
+						+ failureMillis(nowNanos, load);
 				if (waitMillis < bestMillis) {
 					best = load;
 					bestMillis = waitMillis;
@@ -125,6 +163,19 @@
 		return prefillMillis + FULL_MILLIS * full * full + FIRST_TOKENS * tokenNanos / NANOS_PER_MILLI + zoneMillis;
 	}
 
+	private static double silenceMillis(long nowNanos, TargetLoad load) {
+		if (load.inFlight() == 0) {
+			return 0;
+		}
+		final double silentMillis = (nowNanos - load.progressAtNanos()) / NANOS_PER_MILLI;
+		return SILENCE_WEIGHT * Math.max(0, silentMillis - USUAL_SILENCE_MILLIS);
+	}
+
+	private static double failureMillis(long nowNanos, TargetLoad load) {
+		final double sinceMillis = (nowNanos - load.lastFailureNanos()) / NANOS_PER_MILLI;
+		return (sinceMillis < FAILURE_FRESH_MILLIS) ? FAILURE_MILLIS * load.consecutiveFailures() : 0;
+	}
+
 	private static Optional<TargetLoad> firstUntried(TargetSet targets, Set<String> triedTargetIds) {
 		for (final TargetLoad load : targets.open()) {
 			if (!triedTargetIds.contains(load.view().targetId())) {
@@ -139,6 +190,11 @@
 		return true;
 	}
 
+	@Override
+	public boolean groupsStartWarm() {
+		return this.groupsStartWarm;
+	}
+
 	@Override
 	public void onPlaced(long nowNanos, RequestInfo info, TargetLoad load) {
 		this.prefixes.add(nowNanos, info.prefixHashes(), load.view().targetId());
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/PlacementPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/PlacementPolicy.java
@@ -29,6 +29,18 @@
 		return false;
 	}
 
+	/**
+	 * Returns whether a group that was formed anew takes its full share of work at once.
+	 * <p>
+	 * Where groups break every few seconds and their survivors serve again as other
+	 * groups, the slow start of a new target would leave half of a model's slots unused
+	 * just when the fewest groups serve.
+	 * @return whether it does; otherwise each new target starts slowly
+	 */
+	default boolean groupsStartWarm() {
+		return false;
+	}
+
 	/**
 	 * Notes where a request went.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -110,9 +110,9 @@
 	}
 
 	/**
-	 * Skips the slow start, for a target that this daemon merely learnt of late.
+	 * Skips the slow start, for a target that is at its full speed already.
 	 */
-	void warm() {
+	public void warm() {
 		this.servingSinceNanos -= SLOW_START_NANOS;
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
@@ -49,7 +49,11 @@
 	private TargetLoad loadOf(long nowNanos, TargetView view) {
 		final TargetLoad known = this.loads.get(view.targetId());
 		if (known == null) {
-			return new TargetLoad(view, nowNanos);
+			final TargetLoad added = new TargetLoad(view, nowNanos);
+			if (view.kind() == TargetKind.MODEL && this.placement.groupsStartWarm()) {
+				added.warm();
+			}
+			return added;
 		}
 		known.update(view, nowNanos);
 		return known;
