Daemon: a restarted process runs itself warm before callers are sent to it; part of new requests is refused while it is overrun

Ruled out: the engines (their groups serve), the list.

Change: where at least half of the daemons are warm, a restarted one keeps callers and the planner's lease away until it has relayed made-up requests; and a timer that runs late raises the part of requests that is refused at once.

--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/endpoints/WarmUpRule.java
@@ -0,0 +1,42 @@
+package org.pistachioline.core.endpoints;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.pistachioline.core.peer.PeerStatus;
+
+/**
+ * Decides whether a restarted daemon relays made-up requests before callers are sent to
+ * it.
+ * <p>
+ * Code that the virtual machine has not run often enough is interpreted, many times
+ * slower. A restarted daemon that gets its share of callers at once serves them late for
+ * some eight seconds. Where others carry the load meanwhile, it can run itself warm
+ * first. Where all daemons started together nobody else is there, and whoever held back
+ * would leave all callers to the few that did not.
+ */
+public final class WarmUpRule {
+
+	/** By then a daemon is at its full speed; measured on three quarters of a core. */
+	private static final long WARM_AFTER_MILLIS = Duration.ofSeconds(8).toMillis();
+
+	private WarmUpRule() {
+	}
+
+	/**
+	 * Decides for one daemon.
+	 * @param self the daemon
+	 * @param others the other live daemons
+	 * @return whether at least as many others as there are cold daemons can serve its
+	 * callers meanwhile
+	 */
+	public static boolean mayHoldBack(PeerStatus self, List<PeerStatus> others) {
+		final long warm = others.stream()
+			.filter((other) -> other.ready() && !other.leaving())
+			.filter((other) -> self.incarnation() - other.incarnation() >= WARM_AFTER_MILLIS)
+			.count();
+		final long cold = others.size() + 1 - warm;
+		return warm >= cold;
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -27,6 +27,9 @@
 	REHEARSAL_FAILED(107, EventLevel.WARN,
 			"The requests that are relayed before callers come failed; the first callers are served more slowly."),
 
+	/** Callers may be sent here. */
+	CALLERS_WELCOME(108, EventLevel.INFO, "Callers are sent to this daemon from now on."),
+
 	/** The settings were read again. */
 	RELOADED(106, EventLevel.INFO, "The settings file has changed and was read again."),
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -16,7 +16,9 @@
 
 import org.pistachioline.adapters.http.ConnectionPool;
 import org.pistachioline.core.admission.AdmitAll;
+import org.pistachioline.core.admission.LagShedding;
 import org.pistachioline.core.endpoints.EndpointSelector;
+import org.pistachioline.core.endpoints.WarmUpRule;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.peer.PeerStatus;
@@ -36,6 +38,7 @@
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerTransport;
 import org.pistachioline.daemon.relay.CallerServer;
+import org.pistachioline.daemon.relay.LagMeter;
 import org.pistachioline.daemon.relay.RelayHandler;
 import org.pistachioline.daemon.relay.RelayTools;
 import org.pistachioline.daemon.replica.ReplicaDuty;
@@ -98,6 +101,8 @@
 
 	private final ReplicaDuty replicas;
 
+	private final LagShedding shedding;
+
 	private final RelayHandler handler;
 
 	private final CallerServer callers;
@@ -114,6 +119,8 @@
 
 	private volatile boolean leaving;
 
+	private volatile boolean offered;
+
 	private volatile int mostDaemons = 1;
 
 	/**
@@ -139,21 +146,22 @@
 		this.replicas = new ReplicaDuty(system, ports.lease(), ports.orders(), settings.plannerTimes(),
 				this.traffic::targets, this::beforeTraffic);
 		final ConnectionPool pool = new ConnectionPool(system, CONNECT_TIMEOUT, KEEP_IDLE, MOST_IDLE_PER_TARGET);
+		this.shedding = new LagShedding(this.incarnation);
 		this.handler = new RelayHandler(() -> this.table,
 				new RelayTools(system, pool, ports.dialect(), this.traffic::callerGone, this.replicas::loaded),
-				this.traffic, () -> this.leaving);
+				this.traffic, () -> this.leaving, this.shedding);
 		this.callers = new CallerServer(system, settings.callerAddress(), this.handler);
 		final HttpServer admin = new HttpServer(system, settings.adminAddress(),
 				new AdminHandler(system, this)::handle);
 		this.parts.addAll(List.of(this.traffic, this.replicas, this.peers, ports.routes(), ports.instances(),
-				ports.lease(), admin, this.callers));
+				ports.lease(), admin, new LagMeter(system, this.shedding::onTimer), this.callers));
 		connect();
 	}
 
 	private TrafficPolicies policies() {
 		final long seed = this.incarnation ^ ((long) this.settings.daemonId().hashCode() << Integer.SIZE);
 		return new TrafficPolicies(new AdmitAll(), new FairQueue(MOST_QUEUED),
-				new ExpectedWaitPlacement(this.settings.availabilityZone(), seed),
+				new ExpectedWaitPlacement(this.settings.availabilityZone(), seed, true),
 				new SharedBudgetRetry(this.settings.retryBudget(), this::daemonCount), new NoQuarantine(),
 				new PromptShift());
 	}
@@ -176,6 +184,8 @@
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
 		this.parts.forEach((part) -> part.rings().forEach(meters::bind));
+		this.metrics.gauge("pistachioline.requests.shed.ratio",
+				"Part of new requests that is refused for want of processor", this.shedding::refusedRatio);
 		this.metrics.gauge("pistachioline.config.version", "Version of the configuration in force",
 				this::configVersion);
 	}
@@ -237,11 +247,30 @@
 		this.system.terminate();
 	}
 
+	/**
+	 * Returns whether other daemons can serve this one's callers while it runs itself
+	 * warm.
+	 * @return whether they can
+	 */
+	public boolean mayHoldBack() {
+		return WarmUpRule.mayHoldBack(status(), this.peers.others());
+	}
+
+	/**
+	 * Lets callers be sent here from now on.
+	 */
+	public void offer() {
+		this.offered = true;
+		this.peers.beat();
+		Events.log(EventId.CALLERS_WELCOME, "start_millis",
+				TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startedAtNanos));
+	}
+
 	private PeerStatus status() {
 		return new PeerStatus(this.settings.daemonId(), this.settings.peerAddress(), this.settings.callerAddress(),
 				this.settings.adminAddress(), this.settings.availabilityZone(), this.incarnation,
-				this.heartbeats.incrementAndGet(), configVersion(), 0, 0, notReadyReason().isEmpty(), this.leaving,
-				this.traffic.held(), 0);
+				this.heartbeats.incrementAndGet(), configVersion(), 0, 0, this.offered && notReadyReason().isEmpty(),
+				this.leaving, this.traffic.held(), 0);
 	}
 
 	/**
@@ -250,10 +279,12 @@
 	 * @return the addresses, the best first
 	 */
 	public List<String> endpoints(String availabilityZone) {
-		return EndpointSelector.choose(daemons(), availabilityZone, this.lookups.getAndIncrement())
+		final List<String> chosen = EndpointSelector.choose(daemons(), availabilityZone, this.lookups.getAndIncrement())
 			.stream()
 			.map(PeerStatus::callerAddress)
 			.toList();
+		// A daemon that knows of no other serves callers, cold or not.
+		return (chosen.isEmpty() && notReadyReason().isEmpty()) ? List.of(this.settings.callerAddress()) : chosen;
 	}
 
 	/**
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -24,6 +24,7 @@
 import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
 import org.apache.pekko.util.ByteString;
 
+import org.pistachioline.core.admission.ArrivalGate;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.PistachiolineException;
 import org.pistachioline.core.error.RunState;
@@ -50,7 +51,11 @@
 
 	private static final int HIGHEST_PRIORITY = 9;
 
-	private static final long NOT_READY_RETRY_MILLIS = 1_000;
+	/**
+	 * A restarted daemon knows its configuration within a second, and is warm within a
+	 * few.
+	 */
+	private static final long LEAST_RETRY_MILLIS = 1_000;
 
 	private final Supplier<RouteTable> routes;
 
@@ -60,6 +65,8 @@
 
 	private final BooleanSupplier leaving;
 
+	private final ArrivalGate gate;
+
 	private final AtomicLong nextRequestId = new AtomicLong(1);
 
 	/**
@@ -68,8 +75,11 @@
 	 * @param tools what exchanges share
 	 * @param traffic decides
 	 * @param leaving whether the daemon is about to stop
+	 * @param gate refuses requests that the process is too busy for
 	 */
-	public RelayHandler(Supplier<RouteTable> routes, RelayTools tools, TrafficDuty traffic, BooleanSupplier leaving) {
+	public RelayHandler(Supplier<RouteTable> routes, RelayTools tools, TrafficDuty traffic, BooleanSupplier leaving,
+			ArrivalGate gate) {
+		this.gate = gate;
 		this.routes = routes;
 		this.tools = tools;
 		this.traffic = traffic;
@@ -107,6 +117,7 @@
 		final long arrivedAtNanos = System.nanoTime();
 		final RouteTable table = this.routes.get();
 		require(table.known(), ErrorKind.NOT_READY);
+		require(this.gate.admits(arrivedAtNanos), ErrorKind.OVERLOADED);
 		final CallHead head = this.tools.dialect().read(request);
 		final String target = request.getHeader("Raw-Request-URI")
 			.map(HttpHeader::value)
@@ -189,7 +200,12 @@
 					this.routes.get().version(), "path", request.getUri().path());
 		}
 		request.discardEntityBytes(this.tools.system());
-		return RelayAnswers.of(requestId, kind, RunState.NOT_RUN, kind.retryable() ? NOT_READY_RETRY_MILLIS : 0);
+		return RelayAnswers.of(requestId, kind, RunState.NOT_RUN, kind.retryable() ? retryAfterMillis() : 0);
+	}
+
+	// Spread, so that callers who were refused together do not come back together.
+	private static long retryAfterMillis() {
+		return LEAST_RETRY_MILLIS + ThreadLocalRandom.current().nextLong(LEAST_RETRY_MILLIS);
 	}
 
 	private String idOf(HttpRequest request) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayStack.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayStack.java
@@ -8,6 +8,7 @@
 
 import org.pistachioline.adapters.http.ConnectionPool;
 import org.pistachioline.core.admission.AdmitAll;
+import org.pistachioline.core.admission.ArrivalGate;
 import org.pistachioline.core.placement.ExpectedWaitPlacement;
 import org.pistachioline.core.quarantine.NoQuarantine;
 import org.pistachioline.core.queueing.FairQueue;
@@ -68,7 +69,7 @@
 		this.callers = new CallerServer(system, callerAddress, new RelayHandler(() -> table,
 				new RelayTools(system, pool, dialect, this.traffic::callerGone, (targetId, load) -> {
 					// The targets are fixed, and so is what is known of them.
-				}), this.traffic, () -> false));
+				}), this.traffic, () -> false, ArrivalGate.OPEN));
 	}
 
 	@Override
