--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -16,7 +16,6 @@
 
 import org.pistachioline.adapters.http.ConnectionPool;
 import org.pistachioline.core.admission.AdmitAll;
-import org.pistachioline.core.admission.LagShedding;
 import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpRule;
 import org.pistachioline.core.event.EventId;
@@ -38,7 +37,6 @@
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerTransport;
 import org.pistachioline.daemon.relay.CallerServer;
-import org.pistachioline.daemon.relay.LagMeter;
 import org.pistachioline.daemon.relay.RelayHandler;
 import org.pistachioline.daemon.relay.RelayTools;
 import org.pistachioline.daemon.replica.ReplicaDuty;
@@ -101,8 +99,6 @@
 
 	private final ReplicaDuty replicas;
 
-	private final LagShedding shedding;
-
 	private final RelayHandler handler;
 
 	private final CallerServer callers;
@@ -119,7 +115,7 @@
 
 	private volatile boolean leaving;
 
-	private volatile boolean offered;
+	private volatile boolean offered = true;
 
 	private volatile int mostDaemons = 1;
 
@@ -146,15 +142,14 @@
 		this.replicas = new ReplicaDuty(system, ports.lease(), ports.orders(), settings.plannerTimes(),
 				this.traffic::targets, this::beforeTraffic);
 		final ConnectionPool pool = new ConnectionPool(system, CONNECT_TIMEOUT, KEEP_IDLE, MOST_IDLE_PER_TARGET);
-		this.shedding = new LagShedding(this.incarnation);
 		this.handler = new RelayHandler(() -> this.table,
 				new RelayTools(system, pool, ports.dialect(), this.traffic::callerGone, this.replicas::loaded),
-				this.traffic, () -> this.leaving, this.shedding);
+				this.traffic, () -> this.leaving);
 		this.callers = new CallerServer(system, settings.callerAddress(), this.handler);
 		final HttpServer admin = new HttpServer(system, settings.adminAddress(),
 				new AdminHandler(system, this)::handle);
 		this.parts.addAll(List.of(this.traffic, this.replicas, this.peers, ports.routes(), ports.instances(),
-				ports.lease(), admin, new LagMeter(system, this.shedding::onTimer), this.callers));
+				ports.lease(), admin, this.callers));
 		connect();
 	}
 
@@ -184,8 +179,6 @@
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
 		this.parts.forEach((part) -> part.rings().forEach(meters::bind));
-		this.metrics.gauge("pistachioline.requests.shed.ratio",
-				"Part of new requests that is refused for want of processor", this.shedding::refusedRatio);
 		this.metrics.gauge("pistachioline.config.version", "Version of the configuration in force",
 				this::configVersion);
 	}
@@ -257,7 +250,16 @@
 	}
 
 	/**
-	 * Lets callers be sent here from now on.
+	 * Keeps callers away until they are let in again; those who come all the same are
+	 * served.
+	 */
+	public void holdBack() {
+		this.offered = false;
+		this.peers.beat();
+	}
+
+	/**
+	 * Lets callers be sent here.
 	 */
 	public void offer() {
 		this.offered = true;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -29,11 +29,6 @@
 	ANSWERS_DROPPED("pistachioline_answers_dropped", "answers", "Answers that did not match a live attempt.",
 			"rising: an engine mixes up answers"),
 
-	/** Requests that are refused for want of processor. */
-	REQUESTS_SHED_RATIO("pistachioline_requests_shed_ratio", "part of 1",
-			"Part of new requests that is refused for want of processor.",
-			"above 0 for ten seconds: too few daemons, or a slow machine"),
-
 	/** The configuration's version. */
 	CONFIG_VERSION("pistachioline_config_version", "version", "Version of the configuration in force.",
 			"unlike on other daemons for 10 s"),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -24,7 +24,6 @@
 import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
 import org.apache.pekko.util.ByteString;
 
-import org.pistachioline.core.admission.ArrivalGate;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.PistachiolineException;
 import org.pistachioline.core.error.RunState;
@@ -65,8 +64,6 @@
 
 	private final BooleanSupplier leaving;
 
-	private final ArrivalGate gate;
-
 	private final AtomicLong nextRequestId = new AtomicLong(1);
 
 	/**
@@ -75,11 +72,8 @@
 	 * @param tools what exchanges share
 	 * @param traffic decides
 	 * @param leaving whether the daemon is about to stop
-	 * @param gate refuses requests that the process is too busy for
 	 */
-	public RelayHandler(Supplier<RouteTable> routes, RelayTools tools, TrafficDuty traffic, BooleanSupplier leaving,
-			ArrivalGate gate) {
-		this.gate = gate;
+	public RelayHandler(Supplier<RouteTable> routes, RelayTools tools, TrafficDuty traffic, BooleanSupplier leaving) {
 		this.routes = routes;
 		this.tools = tools;
 		this.traffic = traffic;
@@ -117,7 +111,6 @@
 		final long arrivedAtNanos = System.nanoTime();
 		final RouteTable table = this.routes.get();
 		require(table.known(), ErrorKind.NOT_READY);
-		require(this.gate.admits(arrivedAtNanos), ErrorKind.OVERLOADED);
 		final CallHead head = this.tools.dialect().read(request);
 		final String target = request.getHeader("Raw-Request-URI")
 			.map(HttpHeader::value)
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayStack.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayStack.java
@@ -8,7 +8,6 @@
 
 import org.pistachioline.adapters.http.ConnectionPool;
 import org.pistachioline.core.admission.AdmitAll;
-import org.pistachioline.core.admission.ArrivalGate;
 import org.pistachioline.core.placement.ExpectedWaitPlacement;
 import org.pistachioline.core.quarantine.NoQuarantine;
 import org.pistachioline.core.queueing.FairQueue;
@@ -69,7 +68,7 @@
 		this.callers = new CallerServer(system, callerAddress, new RelayHandler(() -> table,
 				new RelayTools(system, pool, dialect, this.traffic::callerGone, (targetId, load) -> {
 					// The targets are fixed, and so is what is known of them.
-				}), this.traffic, () -> false, ArrivalGate.OPEN));
+				}), this.traffic, () -> false));
 	}
 
 	@Override
