--- a/pistachioline-core/src/main/java/org/pistachioline/core/endpoints/WarmUpRule.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/endpoints/WarmUpRule.java
@@ -1,6 +1,5 @@
 package org.pistachioline.core.endpoints;
 
-import java.time.Duration;
 import java.util.List;
 
 import org.pistachioline.core.peer.PeerStatus;
@@ -18,7 +17,7 @@
 public final class WarmUpRule {
 
 	/** By then a daemon is at its full speed; measured on three quarters of a core. */
-	private static final long WARM_AFTER_MILLIS = Duration.ofSeconds(8).toMillis();
+	private static final long WARM_AFTER_MILLIS = 8_000;
 
 	private WarmUpRule() {
 	}
