--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerConnectionStage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerConnectionStage.java
@@ -21,7 +21,9 @@
  * <p>
  * While a request is answered the stage goes on asking for the next one. Otherwise
  * nothing would read the connection, and a caller who left before its answer's head would
- * be noticed only when the answer is written; its target would work on for nobody.
+ * be noticed only when the answer is written; its target would work on for nobody. The
+ * same holds for a stream whose target stands still: nothing is written then that could
+ * fail, and the stream would be moved to another target for nobody.
  */
 final class CallerConnectionStage extends GraphStage<FlowShape<HttpRequest, HttpResponse>> {
 
@@ -51,6 +53,12 @@
 
 		private HandledCall current;
 
+		/**
+		 * The last call whose answer's head was given; its events may still be on the
+		 * way.
+		 */
+		private HandledCall answering;
+
 		private HttpResponse ready;
 
 		private AsyncCallback<HttpResponse> answered;
@@ -121,14 +129,18 @@
 			}
 			final HttpResponse response = this.ready;
 			this.ready = null;
-			// A streamed answer goes on after this; its own end tells when the caller
-			// left.
+			this.answering = this.current;
 			this.current = null;
 			push(CallerConnectionStage.this.out, response);
 			next();
 		}
 
+		// For a call that has ended this changes nothing.
 		private void gone() {
+			if (this.answering != null) {
+				this.answering.callerGone().run();
+				this.answering = null;
+			}
 			if (this.current != null) {
 				this.current.callerGone().run();
 				this.current = null;
