Replicas: a model that is short itself gives nothing away

Both models lacked instances then, as survivors waited everywhere.

The test that asked for the exchange in that case is replaced by nothingIsClosedWhereBothModelsAreShort, which is as strict and says why; the pair that completes a larger group where the giver has enough is tested as before.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
@@ -21,9 +21,10 @@
  * such a group's members have the weights of the short model too, closing it costs its
  * callers nothing but the move of their next requests, and brings back a group of the
  * short model within about two seconds. Only whole groups are closed, as few instances
- * are moved as will do, and only where both models are nearer to their shares afterwards.
- * What counts is how the two stand to each other: after losses both have less than their
- * share, as survivors wait without partners.
+ * are moved as will do, and only where the other model has its share of all instances and
+ * both are nearer to their shares afterwards. After many losses both have less than their
+ * share, as survivors wait everywhere; to take from one for the other then made the one
+ * with more callers the short one.
  */
 final class GroupExchange {
 
@@ -53,7 +54,7 @@
 		}
 		final Map<String, List<GroupRecord>> byGiver = new TreeMap<>();
 		serving.stream()
-			.filter((known) -> !known.group.model().equals(scarce.get().name()))
+			.filter((known) -> mayGive(engine, known, scarce.get(), census))
 			.forEach((known) -> byGiver
 				.computeIfAbsent(known.group.model() + '\n' + byId.get(known.headId()).fabricDomain(),
 						(name) -> new ArrayList<>())
@@ -71,6 +72,12 @@
 			.orElse(List.of());
 	}
 
+	private static boolean mayGive(EngineSpec engine, GroupRecord known, EngineModel scarce, PoolCensus census) {
+		return engine.model(known.group.model())
+			.filter((model) -> model != scarce && !census.isShort(model))
+			.isPresent();
+	}
+
 	// Whether the two models stand more evenly to their shares after the exchange.
 	private static boolean evens(EngineSpec engine, EngineModel scarce, List<GroupRecord> groups, PoolCensus census) {
 		final EngineModel giver = engine.model(groups.get(0).group.model()).orElseThrow();
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/GroupExchangeTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/GroupExchangeTests.java
@@ -30,10 +30,25 @@
 		pair(1, Set.of("small"));
 		pair(2, Set.of("large"));
 		pair(3, Set.of("small"));
-		lonely(8);
+		lonely(6);
 		assertThat(closed()).containsExactly("small.2");
 	}
 
+	/**
+	 * After many losses survivors wait everywhere and both models have less than their
+	 * share. Taken from the smaller model then, it fell from eight groups to five, and
+	 * most of its callers, who are most of all callers, were late.
+	 */
+	@Test
+	void nothingIsClosedWhereBothModelsAreShort() {
+		survivors(3);
+		pair(1, Set.of("small"));
+		pair(2, Set.of("large"));
+		pair(3, Set.of("small"));
+		lonely(8);
+		assertThat(closed()).isEmpty();
+	}
+
 	/** Were the pair closed here, the smaller model would be the one that is short. */
 	@Test
 	void nothingIsClosedWhereTheOtherModelHasNoMore() {
