Directory: callers keep an answer for one second, so a leaving daemon ends after 3.5 s instead of 6 s

With six seconds of lingering three of them were out of the answers at any time, and the restarted ones, still cold, got all callers. Ruled out: a shorter linger alone (callers keep an answer up to three times its lifetime).

The price is about twice the questions of where to connect.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -70,8 +70,8 @@
 	/** What is left of the time to stop when the last requests are given up. */
 	private static final long STOP_MARGIN_MILLIS = 700;
 
-	/** Callers keep an answer of where to connect up to three times its two seconds. */
-	private static final long LINGER_MILLIS = 6_000;
+	/** Callers keep an answer of where to connect up to three times its one second. */
+	private static final long LINGER_MILLIS = 3_500;
 
 	private static final long STOP_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
