--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -231,8 +231,7 @@
 		this.tokenNanos = 0;
 		this.consecutiveFailures = 0;
 		// The way back begins with one attempt at a time: while it is not known whether
-		// the
-		// target is well again, each further one would be another caller who waits.
+		// the target is well again, each further one would be another caller who waits.
 		this.onProbation = true;
 		this.progressAtNanos = this.ejectedUntilNanos;
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
@@ -48,7 +48,7 @@
 		final Optional<EngineModel> scarce = engine.models()
 			.stream()
 			.filter((model) -> model.members() > 0)
-			.min(Comparator.comparingDouble(census::filledRatio));
+			.min(Comparator.comparingDouble(census::fillRatio));
 		if (scarce.isEmpty()) {
 			return List.of();
 		}
@@ -81,9 +81,8 @@
 	// Whether the two models stand more evenly to their shares after the exchange.
 	private static boolean evens(EngineSpec engine, EngineModel scarce, List<GroupRecord> groups, PoolCensus census) {
 		final EngineModel giver = engine.model(groups.get(0).group.model()).orElseThrow();
-		final double before = census.filledRatio(giver) - census.filledRatio(scarce);
-		final double after = census.filledRatio(giver, -instances(groups))
-				- census.filledRatio(scarce, scarce.members());
+		final double before = census.fillRatio(giver) - census.fillRatio(scarce);
+		final double after = census.fillRatio(giver, -instances(groups)) - census.fillRatio(scarce, scarce.members());
 		return Math.abs(after) < before;
 	}
 
@@ -92,8 +91,7 @@
 	}
 
 	// The groups whose closing completes one of the short model; empty where none does,
-	// or
-	// where none is needed because the free instances suffice.
+	// or where none is needed because the free instances suffice.
 	private List<GroupRecord> cheapest(EngineModel scarce, long held, List<GroupRecord> groups,
 			Map<String, ServingInstance> byId) {
 		final List<GroupRecord> chosen = new ArrayList<>();
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupFormer.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupFormer.java
@@ -67,7 +67,7 @@
 		return possible.stream()
 			.filter((formation) -> loadsAllowed || formation.loads() == 0)
 			.min(Comparator.comparing((Formation formation) -> formation.loads() > 0)
-				.thenComparingDouble((formation) -> census.fillRatio(formation.model()))
+				.thenComparingDouble((formation) -> census.nextFillRatio(formation.model()))
 				.thenComparingInt(Formation::loads)
 				.thenComparingInt((formation) -> ofOtherModels(view, formation, census))
 				.thenComparingInt((formation) -> -ofOwnModel(formation, census))
@@ -108,7 +108,10 @@
 		return Optional.of(new Formation(model, members, loads));
 	}
 
-	// Whether an instance is kept for another model whose weights it has.
+	// Whether an instance is kept for another model whose weights it has. One that would
+	// have to load gives its weights up, so it is kept for as long as the other model is
+	// short, and for a while in any case. One that joins warm keeps them, so it waits for
+	// partners for a while only, and only where the other model is short.
 	private boolean isKept(PlannerView view, ServingInstance instance, EngineModel model, PoolCensus census) {
 		final long idleNanos = view.nowNanos() - this.idleSinceNanos.getOrDefault(instance.id(), view.nowNanos());
 		final boolean patient = idleNanos < PATIENCE_NANOS;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReview.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReview.java
@@ -97,21 +97,19 @@
 		if (sight.allPrepared()) {
 			// An earlier planner may have closed its group to give the members away, with
 			// orders that are still to be carried out. Opened again, the group would lose
-			// a
-			// member to such an order while it serves. Formed anew under a higher epoch,
-			// the same members refuse it, and are prepared again within half a second.
+			// a member to such an order while it serves. Formed anew under a higher
+			// epoch, the same members refuse it, and are prepared again within half a
+			// second.
 			return known.formedHere ? !open(nowNanos, known, sight) : mayGiveUp(nowNanos, known, sight.head().get());
 		}
 		return !sight.allJoined() && !joinAgain(nowNanos, known, instances);
 	}
 
 	// A head that vanished from the list may have died, or it may have lost the way to
-	// the
-	// store, or to the daemons as well, and go on serving for as long as its members
-	// reach
-	// it. Its own answer to an order to close settles that at once. Where none comes, one
-	// member is told to leave: a head that has lost a member breaks after its stall time,
-	// wherever it is, so that its group is over then whether it lives or not.
+	// the store, or to the daemons as well, and go on serving for as long as its members
+	// reach it. Its own answer to an order to close settles that at once. Where none
+	// comes, one member is told to leave: a head that has lost a member breaks after its
+	// stall time, wherever it is, so that its group is over then whether it lives or not.
 	private boolean isHeadOver(long nowNanos, GroupRecord known, GroupSight sight) {
 		if (known.formedHere && !known.opened) {
 			return true;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/PoolCensus.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/PoolCensus.java
@@ -57,19 +57,19 @@
 		return this.counts.getOrDefault(zoneKey(model, zone), 0);
 	}
 
-	// How far a model's instances fill its share; the least filled model goes first. Half
-	// a group is added, so that of two models the one is taken that stays nearer to its
-	// share after the next group.
-	double fillRatio(EngineModel model) {
+	// How far a model's share is filled halfway to its next group. Groups differ in size;
+	// of two models the one with the lower value stays nearer to its share after its next
+	// group.
+	double nextFillRatio(EngineModel model) {
 		return (this.counts.getOrDefault(model.name(), 0) + model.members() / 2.0) / share(model);
 	}
 
-	double filledRatio(EngineModel model) {
-		return filledRatio(model, 0);
+	double fillRatio(EngineModel model) {
+		return fillRatio(model, 0);
 	}
 
-	// How far a model's instances would fill its share with some more of them.
-	double filledRatio(EngineModel model, int more) {
+	// How far a model's instances fill its share, or would with some more of them.
+	double fillRatio(EngineModel model, int more) {
 		return (this.counts.getOrDefault(model.name(), 0) + more) / share(model);
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/WeightStaging.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/WeightStaging.java
@@ -111,7 +111,7 @@
 			.filter((model) -> model.members() > 0)
 			.min(Comparator.comparing((EngineModel model) -> lacking(model, near) > empty)
 				.thenComparingLong((model) -> (lacking(model, near) > empty) ? lacking(model, near) : 0)
-				.thenComparingDouble(census::fillRatio));
+				.thenComparingDouble(census::nextFillRatio));
 	}
 
 	private long lacking(EngineModel model, List<ServingInstance> near) {
@@ -134,7 +134,7 @@
 			.models()
 			.stream()
 			.filter((model) -> model.members() > smallest)
-			.sorted(Comparator.comparingDouble(census::fillRatio))
+			.sorted(Comparator.comparingDouble(census::nextFillRatio))
 			.flatMap((model) -> byDomain.entrySet()
 				.stream()
 				.filter((entry) -> lacks(model, entry.getValue(), census.inDomain(model.name(), entry.getKey())))
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -151,8 +151,7 @@
 	}
 
 	// All hashes are compared each time, so that the time of an answer tells nothing of
-	// how
-	// much of a guess was right.
+	// how much of a guess was right.
 	private static Optional<KeyHolder> holderOf(RouteTable table, CallHead head) {
 		if (head.key().isEmpty()) {
 			return Optional.empty();
