--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -2,9 +2,7 @@
 
 import java.io.File;
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,7 +10,6 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
@@ -118,13 +115,9 @@
 
 	private final Metrics metrics = new Metrics();
 
-	private final List<Lifecycle> parts = new ArrayList<>();
+	private final Parts parts = new Parts();
 
-	private final Deque<Lifecycle> started = new ArrayDeque<>();
-
-	private final StalenessBound staleness;
-
-	private final AtomicBoolean stale = new AtomicBoolean();
+	private final ConfigFreshness freshness;
 
 	private volatile boolean leaving;
 
@@ -134,8 +127,6 @@
 	 */
 	public Daemon(Settings settings) {
 		this.settings = settings;
-		this.staleness = new StalenessBound(
-				Duration.ofSeconds(settings.whole(Setting.LOG_STALENESS_BOUND_SECONDS)).toMillis());
 		final HttpCaller http = new HttpCaller(this.system);
 		this.metrics.process(http.meter());
 		final LogService log = new HttpLogService(http, settings.text(Setting.LOG_ADDRESS));
@@ -157,6 +148,9 @@
 		final HttpEngineControl engines = new HttpEngineControl(http);
 		this.peers = new PeerDuty(this.system, this::transport, selfId, this::status, this::seeds,
 				settings.whole(Setting.PEERS_HEARTBEAT_MILLIS));
+		this.freshness = new ConfigFreshness(
+				new StalenessBound(Duration.ofSeconds(settings.whole(Setting.LOG_STALENESS_BOUND_SECONDS)).toMillis()),
+				this.config::view, this.peers::others);
 		this.instances = new FleetDuty(this.system, this.config, this.fleet,
 				new HttpInstanceList(http, settings.text(Setting.INSTANCES_ADDRESS)), engines,
 				new PresenceLinks(selfId, this.peers), writer,
@@ -191,7 +185,7 @@
 				new CheckpointPolicy(Duration.ofSeconds(settings.whole(Setting.LOG_RETENTION_SECONDS)).toMillis(),
 						settings.whole(Setting.LOG_CHECKPOINT_ENTRIES)));
 		final CheckpointTransfer transfer = new CheckpointTransfer(this.system, this.peers, selfId, exchanged(claims));
-		this.parts.addAll(List.of(this.appender, this.config, this.fleet, claims, this.peers, this.claims, checkpoints,
+		this.parts.add(List.of(this.appender, this.config, this.fleet, claims, this.peers, this.claims, checkpoints,
 				transfer, this.traffic, this.instances, this.planner, caches, this.admin, this.callers));
 		connect();
 	}
@@ -233,21 +227,18 @@
 		this.instances.onChange((view) -> this.traffic.targets(view.targets()));
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.appender, this.peers, this.config, this.fleet);
-		this.parts.forEach((part) -> part.rings().forEach(meters::bind));
+		this.parts.all().forEach((part) -> part.rings().forEach(meters::bind));
 		this.metrics.gauge("pistachioline.config.version", "Version of the configuration in force",
 				this::configVersion);
 		this.metrics.gauge("pistachioline.config.age", "Milliseconds since the configuration was known to be fresh",
-				this::configAgeMillis);
+				this.freshness::ageMillis);
 	}
 
 	/**
 	 * Starts all parts in order.
 	 */
 	public void start() {
-		for (final Lifecycle part : this.parts) {
-			part.start();
-			this.started.push(part);
-		}
+		this.parts.start();
 		Events.log(EventId.STARTED, "daemon", this.settings.text(Setting.DAEMON_ID), "callers",
 				this.callers.localAddress(), "admin", this.admin.localAddress(), "peers", this.peers.localAddress());
 	}
@@ -276,9 +267,7 @@
 	 * Stops all started parts in reverse order.
 	 */
 	public void stop() {
-		while (!this.started.isEmpty()) {
-			this.started.pop().stop();
-		}
+		this.parts.stop();
 		this.system.terminate();
 		Events.log(EventId.STOPPED);
 	}
@@ -299,7 +288,8 @@
 				this.callers.localAddress(), this.admin.localAddress(),
 				this.settings.text(Setting.DAEMON_AVAILABILITY_ZONE), this.incarnation,
 				this.heartbeats.incrementAndGet(), configVersion(), this.config.view().nextOffset(),
-				this.fleet.view().nextOffset(), notReadyReason().isEmpty(), this.leaving, loadRatio(), logAgeMillis());
+				this.fleet.view().nextOffset(), notReadyReason().isEmpty(), this.leaving, loadRatio(),
+				this.freshness.logAgeMillis());
 	}
 
 	private double loadRatio() {
@@ -318,29 +308,6 @@
 		return this.peers.others().size() + 1;
 	}
 
-	private long logAgeMillis() {
-		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.config.view().readAtNanos());
-	}
-
-	private long configAgeMillis() {
-		final long ownAgeMillis = logAgeMillis();
-		// The peers are asked only where their word can matter, as each request asks
-		// this.
-		return this.staleness.isPast(ownAgeMillis)
-				? this.staleness.ageMillis(ownAgeMillis, this.config.view().nextOffset(), this.peers.others())
-				: ownAgeMillis;
-	}
-
-	private boolean isStale() {
-		final long ageMillis = configAgeMillis();
-		final boolean now = this.staleness.isPast(ageMillis);
-		if (now != this.stale.getAndSet(now)) {
-			Events.log(now ? EventId.CONFIG_STALE : EventId.CONFIG_FRESH, "version", configVersion(), "age_millis",
-					ageMillis);
-		}
-		return now;
-	}
-
 	@Override
 	public Manifest manifest() {
 		return this.config.view().state().manifest();
@@ -364,7 +331,7 @@
 		if (configVersion() == 0) {
 			return Optional.of("no configuration was published");
 		}
-		if (isStale()) {
+		if (this.freshness.isStale()) {
 			return Optional.of("neither the log nor a daemon that reads it could be reached for too long");
 		}
 		if (!this.instances.view().listed()) {
@@ -404,8 +371,8 @@
 		dump.put("daemon", status());
 		dump.put("not_ready_reason", notReadyReason().orElse(""));
 		dump.putAll(new DaemonDump(this.config, this.fleet, this.instances, this.planner, this.appender, this.traffic,
-				this.shares, this.parts)
-			.sections(configAgeMillis(), daemons()));
+				this.shares, this.parts.all())
+			.sections(this.freshness.ageMillis(), daemons()));
 		return dump;
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -1,9 +1,6 @@
 package org.pistachioline.daemon;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -105,9 +102,7 @@
 
 	private final Metrics metrics = new Metrics();
 
-	private final List<Lifecycle> parts = new ArrayList<>();
-
-	private final Deque<Lifecycle> started = new ArrayDeque<>();
+	private final Parts parts = new Parts();
 
 	private volatile RouteTable table = RouteTable.UNKNOWN;
 
@@ -148,7 +143,7 @@
 		this.callers = new CallerServer(system, settings.callerAddress(), this.handler);
 		final HttpServer admin = new HttpServer(system, settings.adminAddress(),
 				new AdminHandler(system, this)::handle);
-		this.parts.addAll(List.of(this.traffic, this.replicas, this.peers, ports.routes(), ports.instances(),
+		this.parts.add(List.of(this.traffic, this.replicas, this.peers, ports.routes(), ports.instances(),
 				ports.lease(), admin, this.callers));
 		connect();
 	}
@@ -178,7 +173,7 @@
 		this.peers.onStalled(this.replicas::stalled);
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
-		this.parts.forEach((part) -> part.rings().forEach(meters::bind));
+		this.parts.all().forEach((part) -> part.rings().forEach(meters::bind));
 		this.metrics.gauge("pistachioline.config.version", "Version of the configuration in force",
 				this::configVersion);
 	}
@@ -199,10 +194,7 @@
 	 * Starts all parts in order.
 	 */
 	public void start() {
-		for (final Lifecycle part : this.parts) {
-			part.start();
-			this.started.push(part);
-		}
+		this.parts.start();
 		Events.log(EventId.STARTED, "daemon", this.settings.daemonId(), "callers", this.settings.callerAddress(),
 				"admin", this.settings.adminAddress(), "peers", this.settings.peerAddress(), "start_millis",
 				TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startedAtNanos));
@@ -234,9 +226,7 @@
 	 * Stops all started parts in reverse order.
 	 */
 	public void stop() {
-		while (!this.started.isEmpty()) {
-			this.started.pop().stop();
-		}
+		this.parts.stop();
 		this.system.terminate();
 	}
 
