--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaWorld.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaWorld.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -40,7 +38,7 @@
 
 	private final Random random;
 
-	private final Map<String, Engine> engines = new TreeMap<>();
+	private final Map<String, WorldEngine> engines = new TreeMap<>();
 
 	private final PriorityQueue<Delivery> deliveries = new PriorityQueue<>(
 			(first, second) -> Long.compare(first.atMillis(), second.atMillis()));
@@ -80,7 +78,7 @@
 	}
 
 	private void add(String domain) {
-		final Engine engine = new Engine("i-" + this.nextId++, domain);
+		final WorldEngine engine = new WorldEngine("i-" + this.nextId++, domain);
 		this.engines.put(engine.id, engine);
 	}
 
@@ -100,15 +98,15 @@
 
 	private void trouble() {
 		if (this.random.nextInt(15) == 0) {
-			final List<Engine> alive = this.engines.values().stream().filter((engine) -> engine.alive).toList();
-			final Engine dead = alive.get(this.random.nextInt(alive.size()));
+			final List<WorldEngine> alive = this.engines.values().stream().filter((engine) -> engine.alive).toList();
+			final WorldEngine dead = alive.get(this.random.nextInt(alive.size()));
 			dead.alive = false;
 			dead.diedAtMillis = this.nowMillis;
 			add(dead.domain);
 		}
 		if (this.random.nextInt(40) == 0) {
-			final List<Engine> all = List.copyOf(this.engines.values());
-			final Engine cut = all.get(this.random.nextInt(all.size()));
+			final List<WorldEngine> all = List.copyOf(this.engines.values());
+			final WorldEngine cut = all.get(this.random.nextInt(all.size()));
 			cut.unreachable = this.random.nextInt(3) == 0;
 			cut.cutUntilMillis = this.nowMillis + ((cut.unreachable && this.longCuts) ? LONG_CUT_MILLIS : CUT_MILLIS);
 		}
@@ -119,7 +117,7 @@
 		}
 	}
 
-	private void live(Engine engine) {
+	private void live(WorldEngine engine) {
 		if (engine.alive && !engine.staging.isEmpty() && this.nowMillis >= engine.stagedAtMillis) {
 			engine.staged = Set.of(engine.staging);
 			engine.staging = "";
@@ -139,10 +137,10 @@
 		}
 	}
 
-	private long lostSince(Engine head) {
+	private long lostSince(WorldEngine head) {
 		long since = -1;
 		for (final String id : head.members) {
-			final Engine member = this.engines.get(id);
+			final WorldEngine member = this.engines.get(id);
 			if (!member.alive) {
 				since = Math.max(since, member.diedAtMillis);
 			}
@@ -155,7 +153,7 @@
 
 	private void list() {
 		final Map<String, ServingInstance> listed = new HashMap<>();
-		for (final Engine engine : this.engines.values()) {
+		for (final WorldEngine engine : this.engines.values()) {
 			final long silentMillis = engine.alive ? this.nowMillis - engine.cutSince(this.nowMillis)
 					: this.nowMillis - engine.diedAtMillis;
 			if (silentMillis >= 3 * HEARTBEAT_MILLIS) {
@@ -209,7 +207,7 @@
 	}
 
 	private OrderOutcome carryOut(ReplicaOrder order, long fencingToken) {
-		final Engine engine = this.engines.get(order.instance().id());
+		final WorldEngine engine = this.engines.get(order.instance().id());
 		if (!engine.alive || (engine.unreachable && this.nowMillis < engine.cutUntilMillis)) {
 			return OrderOutcome.UNKNOWN;
 		}
@@ -236,7 +234,7 @@
 		return (order instanceof ReplicaOrder.Open) ? open(engine) : close(engine);
 	}
 
-	private OrderOutcome stage(Engine engine, String model) {
+	private OrderOutcome stage(WorldEngine engine, String model) {
 		if (engine.staged.contains(model) || engine.staging.equals(model)) {
 			return OrderOutcome.HOLDS;
 		}
@@ -246,7 +244,7 @@
 		return OrderOutcome.STARTED;
 	}
 
-	private OrderOutcome join(Engine engine, ReplicaOrder.Join join) {
+	private OrderOutcome join(WorldEngine engine, ReplicaOrder.Join join) {
 		if (join.group().equals(engine.group)) {
 			return engine.members.equals(join.memberIds()) ? OrderOutcome.HOLDS : OrderOutcome.FENCED;
 		}
@@ -274,11 +272,11 @@
 		return OrderOutcome.STARTED;
 	}
 
-	private void noteTaken(Engine engine, GroupId next) {
+	private void noteTaken(WorldEngine engine, GroupId next) {
 		if (engine.group == null) {
 			return;
 		}
-		final Engine head = this.engines.get(engine.members.get(0));
+		final WorldEngine head = this.engines.get(engine.members.get(0));
 		if (head.alive && engine.group.equals(head.group)
 				&& (head.state == MemberState.OPEN || head.state == MemberState.CLOSING)) {
 			this.violations.add(this.nowMillis + ": " + engine.id + " taken into " + next + " while " + head.id
@@ -286,7 +284,7 @@
 		}
 	}
 
-	private OrderOutcome open(Engine head) {
+	private OrderOutcome open(WorldEngine head) {
 		if (head.state == MemberState.OPEN) {
 			return OrderOutcome.HOLDS;
 		}
@@ -302,7 +300,7 @@
 		return OrderOutcome.STARTED;
 	}
 
-	private OrderOutcome close(Engine head) {
+	private OrderOutcome close(WorldEngine head) {
 		if (head.state == MemberState.OPEN) {
 			head.state = MemberState.READY;
 			return OrderOutcome.STARTED;
@@ -316,7 +314,7 @@
 	 */
 	int serving() {
 		int count = 0;
-		for (final Engine engine : this.engines.values()) {
+		for (final WorldEngine engine : this.engines.values()) {
 			if (engine.alive && engine.state == MemberState.OPEN && lostSince(engine) < 0) {
 				count += engine.members.size();
 			}
@@ -345,11 +343,11 @@
 		final int zone = this.random.nextInt(3);
 		final List<String> domains = List.of("domain-" + 2 * zone, "domain-" + (2 * zone + 1));
 		for (int i = 0; i < 2; i++) {
-			final List<Engine> grouped = this.engines.values()
+			final List<WorldEngine> grouped = this.engines.values()
 				.stream()
 				.filter((engine) -> engine.alive && engine.group != null && domains.contains(engine.domain))
 				.toList();
-			final Engine dead = grouped.get(this.random.nextInt(grouped.size()));
+			final WorldEngine dead = grouped.get(this.random.nextInt(grouped.size()));
 			dead.alive = false;
 			dead.diedAtMillis = this.nowMillis;
 			if (replaced) {
@@ -362,71 +360,4 @@
 
 	}
 
-	private static final class Engine {
-
-		private final String id;
-
-		private final String domain;
-
-		private final Set<GroupId> everReady = new HashSet<>();
-
-		private boolean alive = true;
-
-		private long diedAtMillis;
-
-		private long movedAtMillis;
-
-		private long cutUntilMillis;
-
-		private boolean unreachable;
-
-		private long cutFromMillis = -1;
-
-		private long fence;
-
-		private long epoch;
-
-		private GroupId group;
-
-		private List<String> members = List.of();
-
-		private MemberState state;
-
-		private long readyAtMillis;
-
-		private Set<String> staged = Set.of();
-
-		private String lastModel = "";
-
-		private String staging = "";
-
-		private long stagedAtMillis;
-
-		private ServingInstance shown;
-
-		Engine(String id, String domain) {
-			this.id = id;
-			this.domain = domain;
-		}
-
-		long cutSince(long nowMillis) {
-			if (nowMillis >= this.cutUntilMillis) {
-				this.cutFromMillis = -1;
-				return nowMillis;
-			}
-			if (this.cutFromMillis < 0) {
-				this.cutFromMillis = nowMillis;
-			}
-			return this.cutFromMillis;
-		}
-
-		ServingInstance view() {
-			final Optional<Membership> membership = Optional.ofNullable(this.group)
-				.map((own) -> new Membership(own, this.members.indexOf(this.id), this.state));
-			return new ServingInstance(this.id, "pool", "address-" + this.id, "zone", this.domain, false, 12,
-					this.staged, membership);
-		}
-
-	}
-
 }
--- /dev/null
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/WorldEngine.java
@@ -0,0 +1,76 @@
+package org.pistachioline.core.replica;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * One instance of a {@link ReplicaWorld}, as it is and as the list last showed it.
+ */
+final class WorldEngine {
+
+	final String id;
+
+	final String domain;
+
+	final Set<GroupId> everReady = new HashSet<>();
+
+	boolean alive = true;
+
+	long diedAtMillis;
+
+	long movedAtMillis;
+
+	long cutUntilMillis;
+
+	boolean unreachable;
+
+	long cutFromMillis = -1;
+
+	long fence;
+
+	long epoch;
+
+	GroupId group;
+
+	List<String> members = List.of();
+
+	MemberState state;
+
+	long readyAtMillis;
+
+	Set<String> staged = Set.of();
+
+	String lastModel = "";
+
+	String staging = "";
+
+	long stagedAtMillis;
+
+	ServingInstance shown;
+
+	WorldEngine(String id, String domain) {
+		this.id = id;
+		this.domain = domain;
+	}
+
+	long cutSince(long nowMillis) {
+		if (nowMillis >= this.cutUntilMillis) {
+			this.cutFromMillis = -1;
+			return nowMillis;
+		}
+		if (this.cutFromMillis < 0) {
+			this.cutFromMillis = nowMillis;
+		}
+		return this.cutFromMillis;
+	}
+
+	ServingInstance view() {
+		final Optional<Membership> membership = Optional.ofNullable(this.group)
+			.map((own) -> new Membership(own, this.members.indexOf(this.id), this.state));
+		return new ServingInstance(this.id, "pool", "address-" + this.id, "zone", this.domain, false, 12, this.staged,
+				membership);
+	}
+
+}
