Placement: silence and refusals count only in pools whose groups break often

Engines of that trace are silent while they read long prompts, and requests left their prefix's home.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
@@ -74,7 +74,7 @@
 
 	private final String availabilityZone;
 
-	private final boolean groupsStartWarm;
+	private final boolean groupsBreakOften;
 
 	private final UniformRandomProvider random;
 
@@ -97,10 +97,11 @@
 	 * Creates a policy.
 	 * @param availabilityZone where this daemon runs
 	 * @param seed what makes this daemon's choices differ from the others'
-	 * @param groupsStartWarm whether a new group of engines is at its full speed at once
+	 * @param groupsBreakOften whether groups break every few seconds: their silence and
+	 * refusals count then, and a new group is at its full speed at once
 	 */
-	public ExpectedWaitPlacement(String availabilityZone, long seed, boolean groupsStartWarm) {
-		this.groupsStartWarm = groupsStartWarm;
+	public ExpectedWaitPlacement(String availabilityZone, long seed, boolean groupsBreakOften) {
+		this.groupsBreakOften = groupsBreakOften;
 		this.availabilityZone = availabilityZone;
 		this.random = RandomSource.SPLIT_MIX_64.create(seed);
 	}
@@ -118,8 +119,7 @@
 		for (int i = 0; i <= DRAWN + this.found.count(); i++) {
 			final TargetLoad load = candidate(i, targets, home);
 			if (load != null && load.openIndex() >= 0 && !triedTargetIds.contains(load.view().targetId())) {
-				final double waitMillis = waitMillis(info, targets, load, load == home) + silenceMillis(nowNanos, load)
-						+ failureMillis(nowNanos, load);
+				final double waitMillis = waitMillis(info, targets, load, load == home) + troubleMillis(nowNanos, load);
 				if (waitMillis < bestMillis) {
 					best = load;
 					bestMillis = waitMillis;
@@ -171,6 +171,10 @@
 		return SILENCE_WEIGHT * Math.max(0, silentMillis - USUAL_SILENCE_MILLIS);
 	}
 
+	private double troubleMillis(long nowNanos, TargetLoad load) {
+		return this.groupsBreakOften ? silenceMillis(nowNanos, load) + failureMillis(nowNanos, load) : 0;
+	}
+
 	private static double failureMillis(long nowNanos, TargetLoad load) {
 		final double sinceMillis = (nowNanos - load.lastFailureNanos()) / NANOS_PER_MILLI;
 		return (sinceMillis < FAILURE_FRESH_MILLIS) ? FAILURE_MILLIS * load.consecutiveFailures() : 0;
@@ -192,7 +196,7 @@
 
 	@Override
 	public boolean groupsStartWarm() {
-		return this.groupsStartWarm;
+		return this.groupsBreakOften;
 	}
 
 	@Override
