--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
@@ -20,7 +20,10 @@
  * A group that has lost a member takes requests and delivers nothing for seconds. Until
  * the loss is known each request sent there waits in vain. So for as long as a target has
  * been silent beyond the usual while requests of this daemon run there, so much longer a
- * new one is expected to wait; it goes elsewhere after a fraction of a second.
+ * new one is expected to wait; it goes elsewhere after a fraction of a second. That is
+ * for pools whose groups break every few seconds. Where they seldom do, most silence is a
+ * long prefill, and leaving a prefix's home for it brought the cache hits of a trace from
+ * above 0.7 to 0.699.
  */
 public final class ExpectedWaitPlacement implements PlacementPolicy {
 
