Replicas: loads go first where a group lacks few, broken groups no longer count as loading, and the planner tells where the instances are

A group formed with loads counted as loading again once one of its members was lost, and took up the store's places. And loads were given to empty hosts and to spares only; three survivors beside a single one of the other model waited for a further death.

Change: a group counts as loading until it is prepared once. Loads go first to the free instances of the domain that need the fewest of them for the members that serve afterwards, then to empty hosts, then to spares.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -89,6 +89,9 @@
 	STORE_HISTORY_LOST(217, EventLevel.INFO,
 			"The store has dropped the history that was to be read; reading its newest records."),
 
+	/** An entry of the instance list names no instance that could be used. */
+	ENTRY_UNUSABLE(218, EventLevel.WARN, "Entries of the instance list name no instance and are ignored."),
+
 	/** A configuration came into force. */
 	CONFIG_IN_FORCE(300, EventLevel.INFO, "A configuration version is in force on this daemon."),
 
@@ -140,6 +143,12 @@
 	/** A member of a group that stands still does not answer. */
 	INSTANCE_SILENT(413, EventLevel.WARN, "A member of a group that stands still does not answer and counts as gone."),
 
+	/**
+	 * Where the instances of a service are; while this daemon plans, at most once in two
+	 * seconds.
+	 */
+	POOL_SUMMED_UP(414, EventLevel.INFO, "Where the instances of a service are, as its planner sees them."),
+
 	/** A request was quarantined. */
 	REQUEST_QUARANTINED(500, EventLevel.ERROR, "A request that crashes targets was quarantined."),
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupSight.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupSight.java
@@ -50,6 +50,14 @@
 					&& this.instances.get(id).isMemberOf(this.record.group));
 	}
 
+	// Whether some member is still on its way into the group, or was not heard of yet.
+	boolean anyJoining() {
+		return !this.record.opened && this.record.memberIds.stream()
+			.map(this.instances::get)
+			.anyMatch((instance) -> instance != null
+					&& instance.stateIn(this.record.group).orElse(MemberState.JOINING) == MemberState.JOINING);
+	}
+
 	// Whether some member belongs to a later group by now.
 	boolean anySuperseded() {
 		return this.record.memberIds.stream()
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -231,10 +231,12 @@
 		return view.beforeTraffic() || this.pacer.begin(view.nowNanos(), loads, view.engine().loadsPerSecond());
 	}
 
+	// A group whose members had to load counts until they are prepared, and no longer
+	// when one of them is lost afterwards.
 	private int loading(Map<String, ServingInstance> byId) {
 		return this.staging.loading() + this.records.values()
 			.stream()
-			.filter((known) -> known.loads > 0 && !new GroupSight(known, byId).allPrepared())
+			.filter((known) -> known.loads > 0 && new GroupSight(known, byId).anyJoining())
 			.mapToInt((known) -> known.loads)
 			.sum();
 	}
@@ -288,6 +290,40 @@
 		}
 	}
 
+	/**
+	 * Sums up where the instances are, for operators.
+	 * @param instances the listed instances
+	 * @return the sums, as of the last turn
+	 */
+	public PoolSummary summary(Collection<ServingInstance> instances) {
+		final Map<String, ServingInstance> byId = new HashMap<>();
+		instances.forEach((instance) -> byId.put(instance.id(), instance));
+		final Map<String, Integer> serving = new HashMap<>();
+		final Set<String> grouped = new HashSet<>();
+		int forming = 0;
+		int waiting = 0;
+		for (final GroupRecord known : this.records.values()) {
+			final GroupSight sight = new GroupSight(known, byId);
+			final int members = (int) known.memberIds.stream().filter(byId::containsKey).count();
+			if (isServing(sight)) {
+				serving.merge(known.group.model(), 1, Integer::sum);
+			}
+			else if (sight.allListed() && !known.opened) {
+				forming += members;
+			}
+			else {
+				waiting += members;
+			}
+			grouped.addAll(known.memberIds);
+		}
+		final List<ServingInstance> free = instances.stream()
+			.filter((instance) -> !instance.draining() && !grouped.contains(instance.id()))
+			.toList();
+		final int freeWarm = (int) free.stream().filter(this.weights::holdsAny).count();
+		return new PoolSummary(byId.size(), (int) instances.stream().filter(ServingInstance::draining).count(), serving,
+				forming, waiting, freeWarm, free.size() - freeWarm, loading(byId));
+	}
+
 	/**
 	 * Returns the groups that the planner knows, for operators.
 	 * @return for each group the ids of its members
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/WeightStaging.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/WeightStaging.java
@@ -85,10 +85,43 @@
 		// Before requests come empty instances load by joining; more of them are on their
 		// way to the list.
 		final Optional<ReplicaOrder.Stage> chosen = view.beforeTraffic() ? Optional.empty()
-				: forEmpty(view, census, free);
+				: forFree(view, census, free);
 		return chosen.or(() -> forSpare(view, census, free)).map((order) -> note(view, order));
 	}
 
+	// The free instances of a domain that lack the fewest loads for the instances that
+	// serve afterwards; an empty host where no such load completes a group.
+	private Optional<ReplicaOrder.Stage> forFree(PlannerView view, PoolCensus census, List<ServingInstance> free) {
+		final Map<String, List<ServingInstance>> byDomain = new TreeMap<>();
+		free.forEach((instance) -> byDomain.computeIfAbsent(instance.fabricDomain(), (name) -> new ArrayList<>())
+			.add(instance));
+		final List<Completion> completions = new ArrayList<>();
+		view.engine()
+			.models()
+			.stream()
+			.filter((model) -> model.members() > 0)
+			.forEach((model) -> byDomain.values()
+				.forEach((near) -> completion(model, near).ifPresent(completions::add)));
+		return completions.stream()
+			.min(Comparator.comparingDouble(Completion::loadsRatio)
+				.thenComparingDouble((completion) -> census.nextFillRatio(completion.model())))
+			.map((completion) -> new ReplicaOrder.Stage(completion.host(), completion.model().name()))
+			.or(() -> forEmpty(view, census, free));
+	}
+
+	private Optional<Completion> completion(EngineModel model, List<ServingInstance> near) {
+		final long lacking = lacking(model, near);
+		final List<ServingInstance> hosts = near.stream()
+			.filter((instance) -> !holdsOrLoads(instance, model) && mayLoad(instance))
+			.toList();
+		if (lacking <= 0 || hosts.size() < lacking) {
+			return Optional.empty();
+		}
+		return hosts.stream()
+			.min(Comparator.comparingInt(this.weights::count).thenComparing(ServingInstance::id))
+			.map((host) -> new Completion(model, lacking, host));
+	}
+
 	private Optional<ReplicaOrder.Stage> forEmpty(PlannerView view, PoolCensus census, List<ServingInstance> free) {
 		return free.stream()
 			.filter((instance) -> !this.weights.holdsAny(instance) && mayLoad(instance))
@@ -97,20 +130,17 @@
 				.map((model) -> new ReplicaOrder.Stage(instance, model.name())));
 	}
 
-	// The least filled of the models that the free instances of the domain can form once
-	// its empty hosts have loaded; where there is none, the one that lacks the fewest.
+	// The model that lacks the fewest instances in the domain; of two, the less filled.
 	private Optional<EngineModel> modelFor(PlannerView view, PoolCensus census, ServingInstance instance,
 			List<ServingInstance> free) {
 		final List<ServingInstance> near = free.stream()
 			.filter((other) -> other.fabricDomain().equals(instance.fabricDomain()))
 			.toList();
-		final long empty = near.stream().filter((other) -> !this.weights.holdsAny(other) && mayLoad(other)).count();
 		return view.engine()
 			.models()
 			.stream()
 			.filter((model) -> model.members() > 0)
-			.min(Comparator.comparing((EngineModel model) -> lacking(model, near) > empty)
-				.thenComparingLong((model) -> (lacking(model, near) > empty) ? lacking(model, near) : 0)
+			.min(Comparator.comparingLong((EngineModel model) -> Math.floorMod(lacking(model, near), model.members()))
 				.thenComparingDouble(census::nextFillRatio));
 	}
 
@@ -181,4 +211,19 @@
 		return !joining && !this.loadingUntilNanos.containsKey(instance.id()) && !this.unable.contains(instance.id());
 	}
 
+	/**
+	 * A group that free instances of one domain can form once some of them have loaded.
+	 *
+	 * @param model its model
+	 * @param lacking how many of them have to load
+	 * @param host the one that loads first
+	 */
+	private record Completion(EngineModel model, long lacking, ServingInstance host) {
+
+		double loadsRatio() {
+			return (double) this.lacking / this.model.members();
+		}
+
+	}
+
 }
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -61,6 +61,21 @@
 		}
 	}
 
+	/**
+	 * Instances start again at once under their address, in the midst of joins and opens,
+	 * and orders for the life that is over reach the next one, some of them late. An
+	 * instance that has forgotten its group must not count as one of its members.
+	 */
+	@Test
+	void ordersForALifeThatIsOverHarmNotTheNextOne() {
+		for (long seed = 1; seed <= SEEDS; seed++) {
+			final ReplicaWorld world = new ReplicaWorld(seed, 6, 0.1, 0.25);
+			world.restarts = true;
+			world.run(60_000, true);
+			assertThat(world.violations).as("seed " + seed).isEmpty();
+		}
+	}
+
 	/**
 	 * A head loses the way to the store and to all daemons for most of a minute, while
 	 * its members still reach it. It serves on and never breaks by itself. Whoever takes
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaWorld.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaWorld.java
@@ -61,9 +61,17 @@
 
 	private int nextId;
 
+	/**
+	 * Where an instance that died has started again: orders for it reach the new life.
+	 */
+	private final Map<String, String> laterLives = new HashMap<>();
+
 	/** Whether instances that nobody reaches stay so for longer than any timeout. */
 	boolean longCuts;
 
+	/** Whether instances that die start again at once at the same address. */
+	boolean restarts;
+
 	ReplicaWorld(long seed, int domains, double lostRatio, double lateRatio) {
 		this.random = new Random(seed);
 		this.lostRatio = lostRatio;
@@ -102,7 +110,7 @@
 			final WorldEngine dead = alive.get(this.random.nextInt(alive.size()));
 			dead.alive = false;
 			dead.diedAtMillis = this.nowMillis;
-			add(dead.domain);
+			replace(dead);
 		}
 		if (this.random.nextInt(40) == 0) {
 			final List<WorldEngine> all = List.copyOf(this.engines.values());
@@ -117,6 +125,23 @@
 		}
 	}
 
+	private void replace(WorldEngine dead) {
+		add(dead.domain);
+		if (this.restarts) {
+			this.laterLives.put(dead.id, "i-" + (this.nextId - 1));
+			// The list has one entry for both lives, and shows the later one.
+			dead.replaced = true;
+		}
+	}
+
+	private WorldEngine receiver(ReplicaOrder order) {
+		String id = order.instance().id();
+		while (this.laterLives.containsKey(id)) {
+			id = this.laterLives.get(id);
+		}
+		return this.engines.get(id);
+	}
+
 	private void live(WorldEngine engine) {
 		if (engine.alive && !engine.staging.isEmpty() && this.nowMillis >= engine.stagedAtMillis) {
 			engine.staged = Set.of(engine.staging);
@@ -156,7 +181,7 @@
 		for (final WorldEngine engine : this.engines.values()) {
 			final long silentMillis = engine.alive ? this.nowMillis - engine.cutSince(this.nowMillis)
 					: this.nowMillis - engine.diedAtMillis;
-			if (silentMillis >= 3 * HEARTBEAT_MILLIS) {
+			if (silentMillis >= 3 * HEARTBEAT_MILLIS || engine.replaced) {
 				engine.shown = null;
 			}
 			else if (engine.alive && silentMillis == 0) {
@@ -207,7 +232,7 @@
 	}
 
 	private OrderOutcome carryOut(ReplicaOrder order, long fencingToken) {
-		final WorldEngine engine = this.engines.get(order.instance().id());
+		final WorldEngine engine = receiver(order);
 		if (!engine.alive || (engine.unreachable && this.nowMillis < engine.cutUntilMillis)) {
 			return OrderOutcome.UNKNOWN;
 		}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/WorldEngine.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/WorldEngine.java
@@ -20,6 +20,9 @@
 
 	long diedAtMillis;
 
+	/** Whether a later life has taken its place in the list. */
+	boolean replaced;
+
 	long movedAtMillis;
 
 	long cutUntilMillis;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -18,6 +18,7 @@
 import org.pistachioline.core.replica.OrderOutcome;
 import org.pistachioline.core.replica.PlannerTimes;
 import org.pistachioline.core.replica.PlannerView;
+import org.pistachioline.core.replica.PoolSummary;
 import org.pistachioline.core.replica.ReplicaOrder;
 import org.pistachioline.core.replica.ReplicaPlanner;
 import org.pistachioline.core.replica.ServingGroups;
@@ -50,6 +51,9 @@
 	/** How often loads are handed on; they are a tenth of a second old when they come. */
 	private static final long TARGETS_NANOS = Duration.ofMillis(200).toNanos();
 
+	/** Often enough to follow a loss of capacity, seldom enough for a busy log. */
+	private static final long SUMMARY_NANOS = Duration.ofSeconds(2).toNanos();
+
 	private final PlannerLease lease;
 
 	private final OrderSender orders;
@@ -80,6 +84,8 @@
 
 	private Set<String> serving = Set.of();
 
+	private long summedUpAtNanos;
+
 	private long termHeld;
 
 	private long fencedTerm;
@@ -243,6 +249,10 @@
 		}
 		final Map<String, List<String>> all = new HashMap<>();
 		final Set<String> gone = this.silent.ids(nowNanos);
+		final boolean sumUp = nowNanos - this.summedUpAtNanos >= SUMMARY_NANOS;
+		if (sumUp) {
+			this.summedUpAtNanos = nowNanos;
+		}
 		for (final ServiceSpec service : this.table.services()) {
 			if (service.grouped()) {
 				final ReplicaPlanner planner = this.planners.computeIfAbsent(service.name(),
@@ -255,11 +265,20 @@
 							this.departed.instances(), gone, this.beforeTraffic.getAsBoolean()))
 					.forEach((order) -> give(order, term));
 				all.putAll(planner.groups());
+				if (sumUp) {
+					sumUp(service, planner.summary(instancesOf(service, gone)));
+				}
 			}
 		}
 		this.groups = all;
 	}
 
+	private static void sumUp(ServiceSpec service, PoolSummary sums) {
+		Events.log(EventId.POOL_SUMMED_UP, "service", service.name(), "listed", sums.listed(), "draining",
+				sums.draining(), "serving", sums.serving(), "forming", sums.forming(), "waiting", sums.waiting(),
+				"free_warm", sums.freeWarm(), "free_empty", sums.freeEmpty(), "loading", sums.loading());
+	}
+
 	private List<ServingInstance> instancesOf(ServiceSpec service, Set<String> gone) {
 		return this.instances.stream()
 			.filter((instance) -> instance.service().equals(service.name()) && !gone.contains(instance.id()))
