--- /dev/null
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -0,0 +1,251 @@
+package org.pistachioline.adapters.web;
+
+import java.io.IOException;
+import java.util.function.Consumer;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+import org.pistachioline.adapters.http.NotConnectedException;
+
+/**
+ * One connection that carries one request at a time.
+ * <p>
+ * A connection whose exchange did not end well is never used again: what arrives on it
+ * next could belong to the request before. The same holds for one on which something
+ * arrives while nobody waits.
+ */
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+
+	private final String address;
+
+	private final Consumer<ClientConnection> idle;
+
+	private ClientCall call;
+
+	private Channel channel;
+
+	private boolean informational;
+
+	private boolean reusable;
+
+	private boolean written;
+
+	private boolean ended;
+
+	private boolean closed;
+
+	private long idleSinceNanos;
+
+	ClientConnection(String address, Consumer<ClientConnection> idle) {
+		this.address = address;
+		this.idle = idle;
+	}
+
+	String address() {
+		return this.address;
+	}
+
+	long idleSinceNanos() {
+		return this.idleSinceNanos;
+	}
+
+	boolean isClosed() {
+		return this.closed || (this.channel != null && !this.channel.isActive());
+	}
+
+	/**
+	 * Begins a request; it leaves once the connection is made.
+	 * @param next the request
+	 */
+	void begin(ClientCall next) {
+		this.call = next;
+		this.ended = false;
+		this.written = false;
+		if (this.channel != null && this.channel.isActive()) {
+			write();
+		}
+	}
+
+	void onNotConnected(Throwable failure) {
+		this.closed = true;
+		if (this.call != null) {
+			this.call.fail(new NotConnectedException(this.address, failure));
+		}
+	}
+
+	void abort() {
+		this.closed = true;
+		this.call = null;
+		if (isOpen()) {
+			// A reset, so that the other side drops the work and what is on its way.
+			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+			this.channel.close();
+		}
+	}
+
+	// A channel that is closed takes no options any more.
+	private boolean isOpen() {
+		return this.channel != null && this.channel.isOpen();
+	}
+
+	void reading(boolean wanted) {
+		if (isOpen()) {
+			this.channel.config().setAutoRead(wanted);
+		}
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext ctx) {
+		this.channel = ctx.channel();
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext ctx) {
+		if (this.closed) {
+			ctx.close();
+		}
+		else if (this.call != null) {
+			write();
+		}
+	}
+
+	private void write() {
+		final WebRequest request = this.call.request();
+		final HttpHeaders headers = request.headers().toNetty();
+		headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
+		final boolean hasBody = request.body().sizeBytes() > 0 || !request.method().equals("GET");
+		if (hasBody) {
+			headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().sizeBytes());
+		}
+		else {
+			headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+		}
+		if (!headers.contains(HttpHeaderNames.HOST)) {
+			headers.set(HttpHeaderNames.HOST, this.address);
+		}
+		final FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+				HttpMethod.valueOf(request.method()), request.target(), request.body().toBuffer(), headers,
+				EmptyHttpHeaders.INSTANCE);
+		final ClientCall sent = this.call;
+		this.channel.writeAndFlush(message).addListener((done) -> {
+			if (this.call != sent && this.call != null) {
+				return;
+			}
+			if (done.isSuccess()) {
+				this.written = true;
+			}
+			else {
+				fail(done.cause());
+			}
+		});
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext ctx, Object message) {
+		try {
+			if (this.call == null || !(message instanceof HttpObject object)) {
+				// Nobody asked: the other side sent more than its answer.
+				abort();
+			}
+			else if (object.decoderResult().isFailure()) {
+				fail(object.decoderResult().cause());
+			}
+			else {
+				take(object);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	private void take(HttpObject object) {
+		if (object instanceof HttpResponse response) {
+			this.informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+			if (!this.informational) {
+				this.reusable = isReusable(response);
+				this.call.head(new AnswerHead(response.status().code(), HeaderFields.of(response.headers())));
+			}
+		}
+		if (this.call == null || this.informational || !(object instanceof HttpContent content)) {
+			return;
+		}
+		if (content.content().isReadable()) {
+			this.call.bytes(ByteBufUtil.getBytes(content.content()));
+		}
+		if (this.call != null && object instanceof LastHttpContent) {
+			final ClientCall done = this.call;
+			this.call = null;
+			this.ended = true;
+			done.end();
+		}
+	}
+
+	// An answer without a length ends with its connection.
+	private static boolean isReusable(HttpResponse response) {
+		final int status = response.status().code();
+		return HttpUtil.isKeepAlive(response) && (HttpUtil.isContentLengthSet(response)
+				|| HttpUtil.isTransferEncodingChunked(response) || status == 204 || status == 304);
+	}
+
+	// What follows an answer in the same packet is seen before the connection is kept.
+	@Override
+	public void channelReadComplete(ChannelHandlerContext ctx) {
+		if (this.call != null) {
+			this.call.batchEnd();
+		}
+		if (!this.ended || this.closed) {
+			return;
+		}
+		this.ended = false;
+		// A target may answer before it has read the request's body. Another request must
+		// not be sent where the rest of that body is due.
+		if (this.reusable && this.written) {
+			ctx.channel().config().setAutoRead(true);
+			this.idleSinceNanos = System.nanoTime();
+			this.idle.accept(this);
+		}
+		else {
+			this.closed = true;
+			ctx.close();
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext ctx) {
+		this.closed = true;
+		fail(new IOException("The connection was closed before the answer's end"));
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+		fail(cause);
+	}
+
+	private void fail(Throwable cause) {
+		final ClientCall failed = this.call;
+		abort();
+		if (failed != null) {
+			failed.fail(cause);
+		}
+	}
+
+}
--- /dev/null
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/HeaderFields.java
@@ -0,0 +1,113 @@
+package org.pistachioline.adapters.web;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * The header fields of one message, in their order. Names are told apart without regard
+ * to case.
+ */
+public final class HeaderFields {
+
+	/** No header fields. */
+	public static final HeaderFields EMPTY = new HeaderFields(List.of());
+
+	private final List<Field> fields;
+
+	private HeaderFields(List<Field> fields) {
+		this.fields = List.copyOf(fields);
+	}
+
+	/**
+	 * Creates header fields.
+	 * @param namesAndValues names and values by turns
+	 * @return the fields
+	 */
+	public static HeaderFields of(String... namesAndValues) {
+		final List<Field> fields = new ArrayList<>();
+		for (int i = 0; i < namesAndValues.length; i += 2) {
+			fields.add(new Field(namesAndValues[i], namesAndValues[i + 1]));
+		}
+		return new HeaderFields(fields);
+	}
+
+	static HeaderFields of(HttpHeaders decoded) {
+		final List<Field> fields = new ArrayList<>(decoded.size());
+		for (final Map.Entry<String, String> entry : decoded) {
+			fields.add(new Field(entry.getKey(), entry.getValue()));
+		}
+		return new HeaderFields(fields);
+	}
+
+	HttpHeaders toNetty() {
+		final HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+		this.fields.forEach((field) -> headers.add(field.name(), field.value()));
+		return headers;
+	}
+
+	/**
+	 * Returns the value of the first field with a name.
+	 * @param name the name
+	 * @return the value; empty where there is no such field
+	 */
+	public Optional<String> first(String name) {
+		for (final Field field : this.fields) {
+			if (field.name().equalsIgnoreCase(name)) {
+				return Optional.of(field.value());
+			}
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * Returns how many fields have a name.
+	 * @param name the name
+	 * @return the number of fields
+	 */
+	public int count(String name) {
+		return (int) this.fields.stream().filter((field) -> field.name().equalsIgnoreCase(name)).count();
+	}
+
+	/**
+	 * Returns these fields without some.
+	 * @param dropped tells by the name whether a field is left out
+	 * @return the others
+	 */
+	public HeaderFields without(Predicate<String> dropped) {
+		final List<Field> kept = new ArrayList<>(this.fields.size());
+		for (final Field field : this.fields) {
+			if (!dropped.test(field.name())) {
+				kept.add(field);
+			}
+		}
+		return new HeaderFields(kept);
+	}
+
+	/**
+	 * Returns these fields and further ones behind them.
+	 * @param namesAndValues names and values by turns
+	 * @return all of them
+	 */
+	public HeaderFields with(String... namesAndValues) {
+		final List<Field> all = new ArrayList<>(this.fields);
+		all.addAll(of(namesAndValues).fields);
+		return new HeaderFields(all);
+	}
+
+	@Override
+	public String toString() {
+		// Values may hold keys, which must not get into a log.
+		return "HeaderFields" + this.fields.stream().map(Field::name).toList();
+	}
+
+	private record Field(String name, String value) {
+
+	}
+
+}
--- /dev/null
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/RequestFault.java
@@ -0,0 +1,34 @@
+package org.pistachioline.adapters.web;
+
+/**
+ * Why a request could not be read.
+ */
+public enum RequestFault {
+
+	/** It is no HTTP request. */
+	MALFORMED(400),
+
+	/** It took longer than it may. */
+	TOO_SLOW(408),
+
+	/** Its body is over the limit. */
+	BODY_TOO_LARGE(413),
+
+	/** Its first line or its header fields are over the limit. */
+	HEAD_TOO_LARGE(431);
+
+	private final int status;
+
+	RequestFault(int status) {
+		this.status = status;
+	}
+
+	/**
+	 * Returns the status that HTTP has for it.
+	 * @return the status
+	 */
+	public int status() {
+		return this.status;
+	}
+
+}
--- /dev/null
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -0,0 +1,279 @@
+package org.pistachioline.adapters.web;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * One caller's connection: reads requests whole and answers them one after the other.
+ * <p>
+ * While a request is answered the connection is read on. Otherwise a caller who left
+ * would be noticed only when something is written, and nothing is written before the
+ * answer's head or while a stream stands still: its target would work on for nobody.
+ */
+final class ServerConnection extends ChannelInboundHandlerAdapter {
+
+	/** Requests that may wait behind the one that is answered before reading stops. */
+	private static final int MOST_WAITING = 1;
+
+	private final WebHandler handler;
+
+	private final Supplier<RequestLimits> limits;
+
+	private final Deque<Arrived> waiting = new ArrayDeque<>();
+
+	private ChannelHandlerContext ctx;
+
+	private HttpRequest head;
+
+	private ByteBuf body = Unpooled.EMPTY_BUFFER;
+
+	private ServerReply current;
+
+	private boolean deaf;
+
+	private long begunAtNanos;
+
+	private boolean begun;
+
+	private boolean bytesRead;
+
+	private boolean messageRead;
+
+	private long idleSinceNanos = System.nanoTime();
+
+	ServerConnection(WebHandler handler, Supplier<RequestLimits> limits) {
+		this.handler = handler;
+		this.limits = limits;
+	}
+
+	/**
+	 * Adds the connection's handlers to a new channel.
+	 * @param pipeline the channel's pipeline
+	 */
+	void addTo(ChannelPipeline pipeline) {
+		final int headBytes = this.limits.get().headBytes();
+		pipeline.addLast(new ByteSensor(), new HttpServerCodec(
+				new HttpDecoderConfig().setMaxInitialLineLength(headBytes).setMaxHeaderSize(headBytes)), this);
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext context) {
+		this.ctx = context;
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		this.messageRead = true;
+		try {
+			if (!this.deaf && message instanceof HttpObject object) {
+				take(object);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	private void take(HttpObject object) {
+		if (object.decoderResult().isFailure()) {
+			fault(faultOf(object.decoderResult().cause()));
+			return;
+		}
+		if (object instanceof HttpRequest request) {
+			begin(request);
+		}
+		if (!this.deaf && object instanceof HttpContent content) {
+			append(content);
+		}
+	}
+
+	private static RequestFault faultOf(Throwable cause) {
+		final boolean tooLong = cause instanceof TooLongHttpLineException
+				|| cause instanceof TooLongHttpHeaderException;
+		return tooLong ? RequestFault.HEAD_TOO_LARGE : RequestFault.MALFORMED;
+	}
+
+	private void begin(HttpRequest request) {
+		this.head = request;
+		this.body = Unpooled.EMPTY_BUFFER;
+		beginTime();
+		if (HttpUtil.getContentLength(request, 0L) > this.limits.get().bodyBytes()) {
+			fault(RequestFault.BODY_TOO_LARGE);
+		}
+		else if (HttpUtil.is100ContinueExpected(request)) {
+			this.ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+					Unpooled.EMPTY_BUFFER));
+		}
+	}
+
+	private void append(HttpContent content) {
+		final ByteBuf piece = content.content();
+		if (this.body.readableBytes() + piece.readableBytes() > this.limits.get().bodyBytes()) {
+			fault(RequestFault.BODY_TOO_LARGE);
+			return;
+		}
+		if (piece.isReadable()) {
+			// Most bodies come in one piece.
+			this.body = this.body.isReadable() ? Unpooled.wrappedBuffer(this.body, Unpooled.copiedBuffer(piece))
+					: Unpooled.copiedBuffer(piece);
+		}
+		if (content instanceof LastHttpContent) {
+			arrive(new Arrived(
+					new WebRequest(this.head.method().name(), this.head.uri(), HeaderFields.of(this.head.headers()),
+							Body.of(this.body)),
+					null, HttpUtil.isKeepAlive(this.head), this.head.protocolVersion().equals(HttpVersion.HTTP_1_1)));
+			this.head = null;
+			this.body = Unpooled.EMPTY_BUFFER;
+			this.begun = false;
+		}
+	}
+
+	private void fault(RequestFault fault) {
+		this.deaf = true;
+		this.begun = false;
+		this.head = null;
+		this.body = Unpooled.EMPTY_BUFFER;
+		arrive(new Arrived(null, fault, false, true));
+	}
+
+	private void arrive(Arrived arrived) {
+		this.waiting.add(arrived);
+		next();
+		if (this.waiting.size() > MOST_WAITING) {
+			this.ctx.channel().config().setAutoRead(false);
+		}
+	}
+
+	private void next() {
+		if (this.current != null || this.waiting.isEmpty()) {
+			return;
+		}
+		final Arrived arrived = this.waiting.poll();
+		this.ctx.channel().config().setAutoRead(true);
+		final ServerReply reply = new ServerReply(this.ctx, arrived.keepAlive(), arrived.chunks(), this::answered);
+		this.current = reply;
+		if (arrived.fault() != null) {
+			reply.whole(this.handler.onFault(arrived.fault()));
+		}
+		else {
+			this.handler.handle(arrived.request(), reply);
+		}
+	}
+
+	private void answered() {
+		this.current = null;
+		this.idleSinceNanos = System.nanoTime();
+		next();
+	}
+
+	private void beginTime() {
+		if (!this.begun) {
+			this.begun = true;
+			this.begunAtNanos = System.nanoTime();
+		}
+	}
+
+	// The codec shows nothing of a head until it is whole.
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		if (this.bytesRead && !this.messageRead && !this.deaf) {
+			beginTime();
+		}
+		this.bytesRead = false;
+		this.messageRead = false;
+	}
+
+	/**
+	 * Closes the connection where its caller is idle for too long, and refuses a request
+	 * that comes too slowly: many such connections would use up the process's
+	 * descriptors.
+	 * @param nowNanos the monotonic time
+	 */
+	void sweep(long nowNanos) {
+		final RequestLimits now = this.limits.get();
+		final long mostMillis = (this.head == null) ? now.headMillis() : now.bodyMillis();
+		if (this.begun && nowNanos - this.begunAtNanos > nanos(mostMillis)) {
+			fault(RequestFault.TOO_SLOW);
+		}
+		else if (this.current == null && !this.begun && nowNanos - this.idleSinceNanos > nanos(now.idleMillis())) {
+			close();
+		}
+	}
+
+	private static long nanos(long millis) {
+		return TimeUnit.MILLISECONDS.toNanos(millis);
+	}
+
+	void close() {
+		this.ctx.close();
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		if (this.current != null) {
+			this.current.onWritable(context.channel().isWritable());
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.deaf = true;
+		this.waiting.clear();
+		if (this.current != null) {
+			this.current.onGone();
+		}
+	}
+
+	// A reset by the caller; there is nobody to tell.
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		context.close();
+	}
+
+	/**
+	 * A request that has arrived, or why none could be read.
+	 *
+	 * @param request the request; null where there is a fault
+	 * @param fault the fault; null where there is a request
+	 * @param keepAlive whether the caller keeps the connection
+	 * @param chunks whether the caller understands answers in chunks
+	 */
+	private record Arrived(WebRequest request, RequestFault fault, boolean keepAlive, boolean chunks) {
+
+	}
+
+	/**
+	 * Notes that something has arrived, whatever the codec makes of it.
+	 */
+	private final class ByteSensor extends ChannelInboundHandlerAdapter {
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object bytes) {
+			ServerConnection.this.bytesRead = true;
+			context.fireChannelRead(bytes);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebHandler.java
@@ -0,0 +1,25 @@
+package org.pistachioline.adapters.web;
+
+/**
+ * Answers the requests of a server's connections, on the loop's thread.
+ */
+public interface WebHandler {
+
+	/**
+	 * Takes a request. Requests of one connection come one after the other, each after
+	 * the answer to the one before.
+	 * @param request the request
+	 * @param reply takes the answer, now or later
+	 */
+	void handle(WebRequest request, WebReply reply);
+
+	/**
+	 * Answers what was no request, or one over a limit; the connection closes afterwards.
+	 * @param fault what was wrong
+	 * @return the answer
+	 */
+	default WebAnswer onFault(RequestFault fault) {
+		return WebAnswer.empty(fault.status());
+	}
+
+}
--- /dev/null
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
@@ -0,0 +1,99 @@
+package org.pistachioline.adapters.web;
+
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+/**
+ * One thread that serves connections.
+ * <p>
+ * Everything that belongs to one caller's request, on its connection and on its target's,
+ * runs on this thread: an event passes from one to the other without a hand-over, and the
+ * state of a request needs no lock. It is made for machines with one core or less, where
+ * a second thread would only wait for that core.
+ */
+public final class WebLoop implements Executor, AutoCloseable {
+
+	/**
+	 * Heap buffers that the collector frees. The processes' direct memory is a few MB,
+	 * and pools with their arenas take as much before the first request, and more
+	 * classes.
+	 */
+	private static final ByteBufAllocator ALLOCATOR = new UnpooledByteBufAllocator(false, true);
+
+	/** Time for closed connections to send what they still hold. */
+	private static final long CLOSE_MILLIS = 200;
+
+	/**
+	 * Connections that wait to be accepted; a burst of callers brings hundreds at once.
+	 */
+	private static final int BACKLOG = 1_024;
+
+	private final EventLoopGroup group;
+
+	/**
+	 * Creates a loop; its thread starts with the first connection.
+	 * @param name the thread's name
+	 */
+	public WebLoop(String name) {
+		this.group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory(name, true),
+				NioIoHandler.newFactory());
+	}
+
+	@Override
+	public void execute(Runnable step) {
+		this.group.next().execute(step);
+	}
+
+	/**
+	 * Runs a step again and again.
+	 * @param step the step
+	 * @param intervalMillis the time between two runs
+	 */
+	public void every(Runnable step, long intervalMillis) {
+		this.group.next().scheduleWithFixedDelay(step, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Runs a step later.
+	 * @param step the step
+	 * @param afterMillis how much later
+	 */
+	public void after(Runnable step, long afterMillis) {
+		this.group.next().schedule(step, afterMillis, TimeUnit.MILLISECONDS);
+	}
+
+	Bootstrap client(int connectMillis) {
+		return new Bootstrap().group(this.group)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.ALLOCATOR, ALLOCATOR)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis);
+	}
+
+	ServerBootstrap server() {
+		return new ServerBootstrap().group(this.group)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.ALLOCATOR, ALLOCATOR)
+			.option(ChannelOption.SO_BACKLOG, BACKLOG)
+			.childOption(ChannelOption.ALLOCATOR, ALLOCATOR)
+			.childOption(ChannelOption.TCP_NODELAY, true);
+	}
+
+	@Override
+	public void close() {
+		this.group.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+}
--- /dev/null
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
@@ -0,0 +1,110 @@
+package org.pistachioline.adapters.web;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+
+/**
+ * Listens on one address and hands each request to a handler.
+ */
+public final class WebServer {
+
+	/** How often connections that are idle or too slow are looked for. */
+	private static final long SWEEP_MILLIS = 500;
+
+	private final WebLoop loop;
+
+	private final String address;
+
+	private final WebHandler handler;
+
+	private final Supplier<RequestLimits> limits;
+
+	private final Set<ServerConnection> connections = new HashSet<>();
+
+	private volatile Channel listener;
+
+	/**
+	 * Creates a server.
+	 * @param loop the thread on which its connections are served
+	 * @param address where to listen, as host and port
+	 * @param handler answers each request
+	 * @param limits gives what callers may send now
+	 */
+	public WebServer(WebLoop loop, String address, WebHandler handler, Supplier<RequestLimits> limits) {
+		this.loop = loop;
+		this.address = address;
+		this.handler = handler;
+		this.limits = limits;
+	}
+
+	/**
+	 * Listens.
+	 */
+	public void start() {
+		final int colon = this.address.lastIndexOf(':');
+		this.listener = this.loop.server().childHandler(new ChannelInitializer<Channel>() {
+
+			@Override
+			protected void initChannel(Channel channel) {
+				accept(channel);
+			}
+
+		})
+			.bind(new InetSocketAddress(this.address.substring(0, colon),
+					Integer.parseInt(this.address.substring(colon + 1))))
+			.syncUninterruptibly()
+			.channel();
+		this.loop.every(this::sweep, SWEEP_MILLIS);
+	}
+
+	private void accept(Channel channel) {
+		final ServerConnection connection = new ServerConnection(this.handler, this.limits);
+		connection.addTo(channel.pipeline());
+		this.connections.add(connection);
+		channel.closeFuture().addListener((closed) -> this.connections.remove(connection));
+	}
+
+	private void sweep() {
+		final long nowNanos = System.nanoTime();
+		Set.copyOf(this.connections).forEach((connection) -> connection.sweep(nowNanos));
+	}
+
+	/**
+	 * Stops listening and closes all connections.
+	 */
+	public void stop() {
+		if (this.listener == null) {
+			return;
+		}
+		this.listener.close().syncUninterruptibly();
+		this.loop.execute(() -> Set.copyOf(this.connections).forEach(ServerConnection::close));
+	}
+
+	/**
+	 * Returns where it listens.
+	 * @return the address, as host and port; empty until it listens, since a port that
+	 * the system chooses is not known before
+	 */
+	public String localAddress() {
+		final Channel bound = this.listener;
+		if (bound == null) {
+			return "";
+		}
+		final InetSocketAddress local = (InetSocketAddress) bound.localAddress();
+		return local.getAddress().getHostAddress() + ":" + local.getPort();
+	}
+
+	/**
+	 * Returns whether it listens.
+	 * @return whether callers can connect
+	 */
+	public boolean listening() {
+		return this.listener != null;
+	}
+
+}
--- /dev/null
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/RecordingHandler.java
@@ -0,0 +1,46 @@
+package org.pistachioline.adapters.web;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Keeps what a connection asks and answers nothing by itself.
+ */
+final class RecordingHandler implements WebHandler, CallerListener {
+
+	private final List<WebRequest> requests = new ArrayList<>();
+
+	private final List<WebReply> replies = new ArrayList<>();
+
+	private int gone;
+
+	@Override
+	public void handle(WebRequest request, WebReply reply) {
+		this.requests.add(request);
+		this.replies.add(reply);
+		reply.listen(this);
+	}
+
+	@Override
+	public void onGone() {
+		this.gone++;
+	}
+
+	@Override
+	public void onWritable(boolean writable) {
+		// The connections of these tests take everything.
+	}
+
+	List<WebRequest> requests() {
+		return this.requests;
+	}
+
+	WebReply reply(int number) {
+		return this.replies.get(number);
+	}
+
+	int gone() {
+		return this.gone;
+	}
+
+}
--- /dev/null
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/WebClientTests.java
@@ -0,0 +1,146 @@
+package org.pistachioline.adapters.web;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import org.pistachioline.adapters.http.NotConnectedException;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * The client before a real socket, whose other side each test plays by hand.
+ */
+class WebClientTests {
+
+	private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+	/** Only a test that fails waits for so long. */
+	private static final long MOST_MILLIS = 20_000;
+
+	private final WebLoop loop = new WebLoop("test");
+
+	private final WebClient client = new WebClient(this.loop, 1_000, 5_000, 2);
+
+	private ServerSocket target;
+
+	@BeforeEach
+	void listen() throws IOException {
+		this.target = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+	}
+
+	@AfterEach
+	void close() throws IOException {
+		this.target.close();
+		this.loop.close();
+	}
+
+	@Test
+	void aConnectionIsUsedAgainAfterAWholeAnswer() throws IOException {
+		final CompletableFuture<WebAnswer> first = call(false);
+		try (Socket connection = this.target.accept()) {
+			answer(connection);
+			assertThat(first.join().body().text()).isEqualTo("ok");
+			final CompletableFuture<WebAnswer> second = call(false);
+			answer(connection);
+			assertThat(second.join().status()).isEqualTo(200);
+		}
+	}
+
+	@Test
+	void aRequestThatMayNotBeSentTwiceGetsAFreshConnection() throws IOException {
+		final CompletableFuture<WebAnswer> first = call(false);
+		try (Socket connection = this.target.accept()) {
+			answer(connection);
+			first.join();
+			final CompletableFuture<WebAnswer> second = call(true);
+			try (Socket fresh = this.target.accept()) {
+				answer(fresh);
+				assertThat(second.join().status()).isEqualTo(200);
+			}
+		}
+	}
+
+	/**
+	 * A target takes the request and closes its connection without a word. Whoever waits
+	 * for the answer must be told so at once, and not when its own time is up.
+	 */
+	@Test
+	void aConnectionThatIsClosedWithoutAnAnswerFailsTheCallAtOnce() throws IOException {
+		final CompletableFuture<WebAnswer> call = call(false);
+		try (Socket connection = this.target.accept()) {
+			read(connection);
+		}
+		assertThatExceptionOfType(CompletionException.class).isThrownBy(call::join)
+			.satisfies((ex) -> assertThat(ex.getCause()).isNotInstanceOf(NotConnectedException.class)
+				.isNotInstanceOf(TimeoutException.class));
+	}
+
+	@Test
+	void aTargetThatIsNotThereIsToldApart() throws IOException {
+		this.target.close();
+		assertThatExceptionOfType(CompletionException.class).isThrownBy(call(false)::join)
+			.withCauseInstanceOf(NotConnectedException.class);
+	}
+
+	@Test
+	void aCallWithoutAnAnswerEndsAfterItsTimeAndClosesItsConnection() throws IOException {
+		final CompletableFuture<WebAnswer> call = this.client.call(address(), request(), false, 50);
+		try (Socket connection = this.target.accept()) {
+			assertThatExceptionOfType(CompletionException.class).isThrownBy(call::join)
+				.withCauseInstanceOf(TimeoutException.class);
+			read(connection);
+			assertThat(endsOrIsReset(connection)).isTrue();
+		}
+	}
+
+	private static boolean endsOrIsReset(Socket connection) {
+		try {
+			return connection.getInputStream().read() < 0;
+		}
+		catch (IOException ex) {
+			return true;
+		}
+	}
+
+	private CompletableFuture<WebAnswer> call(boolean fresh) {
+		return this.client.call(address(), request(), fresh, MOST_MILLIS).orTimeout(MOST_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private static WebRequest request() {
+		return WebRequest.get("/report", HeaderFields.EMPTY);
+	}
+
+	private String address() {
+		return "127.0.0.1:" + this.target.getLocalPort();
+	}
+
+	private static void answer(Socket connection) throws IOException {
+		read(connection);
+		connection.getOutputStream().write(OK.getBytes(StandardCharsets.US_ASCII));
+		connection.getOutputStream().flush();
+	}
+
+	private static void read(Socket connection) throws IOException {
+		final StringBuilder head = new StringBuilder();
+		while (head.indexOf("\r\n\r\n") < 0) {
+			final int next = connection.getInputStream().read();
+			if (next < 0) {
+				return;
+			}
+			head.append((char) next);
+		}
+	}
+
+}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -54,6 +54,7 @@
 import org.pistachioline.daemon.fleet.PlannerDuty;
 import org.pistachioline.daemon.fleet.PresenceLinks;
 import org.pistachioline.daemon.http.AdminHandler;
+import org.pistachioline.daemon.http.AdminServer;
 import org.pistachioline.daemon.http.CallerHandler;
 import org.pistachioline.daemon.http.CallerLimits;
 import org.pistachioline.daemon.http.DaemonView;
@@ -111,7 +112,7 @@
 
 	private final HttpServer callers;
 
-	private final HttpServer admin;
+	private final AdminServer admin;
 
 	private final Metrics metrics = new Metrics();
 
@@ -177,8 +178,7 @@
 		final CallerHandler callerHandler = new CallerHandler(this, new Exchanges(http, this.traffic), http, limits,
 				writer + "-");
 		this.callers = new HttpServer(this.system, settings.text(Setting.CALLERS_ADDRESS), callerHandler::handle);
-		this.admin = new HttpServer(this.system, settings.text(Setting.ADMIN_ADDRESS),
-				new AdminHandler(this.system, this)::handle);
+		this.admin = new AdminServer(settings.text(Setting.ADMIN_ADDRESS), new AdminHandler(this));
 		// The state first, then what derives from it, then what shows it, callers last.
 		final CheckpointDuty checkpoints = new CheckpointDuty(this.system, streams(claims), this.appender, selfId,
 				this.peers::daemonIds,
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -1,6 +1,5 @@
 package org.pistachioline.daemon;
 
-import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,7 +10,6 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
-import org.pistachioline.adapters.http.ConnectionPool;
 import org.pistachioline.core.admission.AdmitAll;
 import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpRule;
@@ -28,14 +26,12 @@
 import org.pistachioline.core.traffic.TrafficPolicies;
 import org.pistachioline.daemon.event.Events;
 import org.pistachioline.daemon.http.AdminHandler;
+import org.pistachioline.daemon.http.AdminServer;
 import org.pistachioline.daemon.http.DaemonView;
-import org.pistachioline.daemon.http.HttpServer;
 import org.pistachioline.daemon.metrics.Metrics;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerTransport;
-import org.pistachioline.daemon.relay.CallerServer;
-import org.pistachioline.daemon.relay.RelayHandler;
-import org.pistachioline.daemon.relay.RelayTools;
+import org.pistachioline.daemon.relay.Relay;
 import org.pistachioline.daemon.replica.ReplicaDuty;
 import org.pistachioline.daemon.traffic.NoClaims;
 import org.pistachioline.daemon.traffic.ShareKeeper;
@@ -53,14 +49,6 @@
 
 	private static final int MOST_PEER_CONNECTIONS = 256;
 
-	/** A target in another zone answers within milliseconds; one that is gone never. */
-	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
-
-	/** Shorter than the few seconds for which targets keep idle connections. */
-	private static final Duration KEEP_IDLE = Duration.ofMillis(1_500);
-
-	private static final int MOST_IDLE_PER_TARGET = 6;
-
 	/** Each waiting request holds its body; at a few KB each this is a few MB. */
 	private static final int MOST_QUEUED = 2_000;
 
@@ -96,9 +84,7 @@
 
 	private final ReplicaDuty replicas;
 
-	private final RelayHandler handler;
-
-	private final CallerServer callers;
+	private final Relay relay;
 
 	private final Metrics metrics = new Metrics();
 
@@ -136,15 +122,10 @@
 				}, new TraceRecorder(false));
 		this.replicas = new ReplicaDuty(system, ports.lease(), ports.orders(), settings.plannerTimes(),
 				this.traffic::targets, this::beforeTraffic);
-		final ConnectionPool pool = new ConnectionPool(system, CONNECT_TIMEOUT, KEEP_IDLE, MOST_IDLE_PER_TARGET);
-		this.handler = new RelayHandler(() -> this.table,
-				new RelayTools(system, pool, ports.dialect(), this.traffic::callerGone, this.replicas::loaded),
-				this.traffic, () -> this.leaving);
-		this.callers = new CallerServer(system, settings.callerAddress(), this.handler);
-		final HttpServer admin = new HttpServer(system, settings.adminAddress(),
-				new AdminHandler(system, this)::handle);
+		this.relay = new Relay(settings.callerAddress(), ports.dialect(), () -> this.table, this.traffic,
+				this.replicas::loaded, () -> this.leaving);
 		this.parts.add(List.of(this.traffic, this.replicas, this.peers, ports.routes(), ports.instances(),
-				ports.lease(), admin, this.callers));
+				ports.lease(), new AdminServer(settings.adminAddress(), new AdminHandler(this)), this.relay));
 		connect();
 	}
 
@@ -186,7 +167,7 @@
 	}
 
 	private boolean beforeTraffic() {
-		return this.settings.firstStart() && this.handler.arrived() == 0
+		return this.settings.firstStart() && this.relay.arrived() == 0
 				&& System.nanoTime() - this.startedAtNanos < LONGEST_FIRST_START_NANOS;
 	}
 
@@ -284,7 +265,7 @@
 	 * @return the address, as host and port; empty until it listens
 	 */
 	public String callerAddress() {
-		return this.callers.localAddress();
+		return this.relay.callerAddress();
 	}
 
 	/**
@@ -315,7 +296,7 @@
 
 	@Override
 	public Optional<String> notReadyReason() {
-		if (!this.callers.listening()) {
+		if (!this.relay.listening()) {
 			return Optional.of("callers are not served yet");
 		}
 		if (!this.table.known()) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/CallerHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/CallerHandler.java
@@ -38,6 +38,7 @@
 import org.pistachioline.core.traffic.TargetKind;
 import org.pistachioline.daemon.event.Events;
 import org.pistachioline.daemon.traffic.ErrorAnswers;
+import org.pistachioline.daemon.traffic.ErrorBody;
 import org.pistachioline.daemon.traffic.Exchanges;
 
 /**
@@ -116,7 +117,7 @@
 		final HttpResponse answer = path.equals("/v1/models") ? models(request) : endpoints(request);
 		request.discardEntityBytes(this.http.system());
 		return CompletableFuture.completedFuture(
-				answer.addHeader(RawHeader.create(ErrorAnswers.REQUEST_ID_HEADER, this.requestIdPrefix + requestId)));
+				answer.addHeader(RawHeader.create(ErrorBody.REQUEST_ID_HEADER, this.requestIdPrefix + requestId)));
 	}
 
 	private CompletionStage<HttpResponse> complete(HttpRequest request, long requestId) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/DumpPage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/DumpPage.java
@@ -6,9 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.apache.pekko.http.javadsl.model.Query;
-
 import org.pistachioline.adapters.http.Json;
+import org.pistachioline.adapters.web.WebRequest;
 
 /**
  * The part of a dump that an operator asked for.
@@ -29,17 +28,17 @@
 	private static final int HIGHEST_LIMIT = 1_000;
 
 	/**
-	 * Reads what is wanted from a query.
-	 * @param query the query
+	 * Reads what is wanted from a request's query.
+	 * @param request the request
 	 * @return the page; where a number is not valid the usual one is taken
 	 */
-	static DumpPage of(Query query) {
-		return new DumpPage(query.get("section"), number(query, "from", 0),
-				Math.min(HIGHEST_LIMIT, number(query, "limit", USUAL_LIMIT)), query.get("match").orElse(""));
+	static DumpPage of(WebRequest request) {
+		return new DumpPage(request.parameter("section"), number(request, "from", 0),
+				Math.min(HIGHEST_LIMIT, number(request, "limit", USUAL_LIMIT)), request.parameter("match").orElse(""));
 	}
 
-	private static int number(Query query, String name, int absent) {
-		return query.get(name).filter((text) -> text.matches("\\d{1,8}")).map(Integer::parseInt).orElse(absent);
+	private static int number(WebRequest request, String name, int absent) {
+		return request.parameter(name).filter((text) -> text.matches("\\d{1,8}")).map(Integer::parseInt).orElse(absent);
 	}
 
 	/**
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -82,6 +82,11 @@
 	STORE_CALLS("pistachioline_store_calls_total", "calls by kind",
 			"Calls to the platform's store: all, and those that failed.", "failed rising: the store is away"),
 
+	/** Entries of the instance list that were ignored. */
+	STORE_ENTRIES("pistachioline_store_entries_total", "entries by kind",
+			"Entries of the instance list that name no instance and were ignored.",
+			"rising: something else writes into the list"),
+
 	/** Calls. */
 	CALLS("pistachioline_calls_total", "calls by kind", "Calls to the platform and to targets.", "none"),
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/RelayDialect.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/RelayDialect.java
@@ -2,9 +2,9 @@
 
 import java.util.Optional;
 
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-
+import org.pistachioline.adapters.web.AnswerHead;
+import org.pistachioline.adapters.web.HeaderFields;
+import org.pistachioline.adapters.web.WebRequest;
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.core.traffic.TargetView;
 
@@ -15,12 +15,12 @@
 
 	/**
 	 * Reads a caller's request.
-	 * @param request the request
+	 * @param headers its header fields
 	 * @return what it says
 	 * @throws org.pistachioline.core.error.PistachiolineException with
 	 * {@code MALFORMED_REQUEST} where its headers cannot be understood
 	 */
-	CallHead read(HttpRequest request);
+	CallHead read(HeaderFields headers);
 
 	/**
 	 * Writes the request that goes to a target.
@@ -30,22 +30,22 @@
 	 * @param lastEventId the last event that the caller has; empty where it has none
 	 * @return the request
 	 */
-	HttpRequest toTarget(RelayedCall call, TargetView target, long leftMillis, Optional<String> lastEventId);
+	WebRequest toTarget(RelayedCall call, TargetView target, long leftMillis, Optional<String> lastEventId);
 
 	/**
 	 * Judges the head of a target's answer.
 	 * @param call the caller's request
-	 * @param answer the answer
+	 * @param answer the answer's head
 	 * @return the verdict
 	 */
-	AnswerVerdict judge(RelayedCall call, HttpResponse answer);
+	AnswerVerdict judge(RelayedCall call, AnswerHead answer);
 
 	/**
 	 * Reads what a target says of its load on an answer.
-	 * @param answer the answer
+	 * @param answer the answer's head
 	 * @param nowNanos the monotonic time
 	 * @return the load; empty where it says nothing
 	 */
-	Optional<LoadReport> load(HttpResponse answer, long nowNanos);
+	Optional<LoadReport> load(AnswerHead answer, long nowNanos);
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerAnswer.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerAnswer.java
@@ -1,98 +1,76 @@
 package org.pistachioline.daemon.relay;
 
-import java.util.concurrent.CompletableFuture;
-
-import org.apache.pekko.NotUsed;
-import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.javadsl.model.HttpEntities;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.japi.Pair;
-import org.apache.pekko.stream.BoundedSourceQueue;
-import org.apache.pekko.stream.javadsl.Sink;
-import org.apache.pekko.stream.javadsl.Source;
-import org.apache.pekko.util.ByteString;
+import java.util.function.BooleanSupplier;
+
+import org.pistachioline.adapters.web.AnswerHead;
+import org.pistachioline.adapters.web.WebAnswer;
+import org.pistachioline.adapters.web.WebReply;
 
 /**
  * The one answer that a caller gets, whatever number of attempts it takes.
  */
 final class CallerAnswer {
 
-	/** A stream is resumed once or twice; more parts than this are a fault. */
-	private static final int MOST_PARTS = 8;
-
-	private final ActorSystem<?> system;
-
-	private final Runnable callerGone;
+	private final WebReply reply;
 
-	private final CompletableFuture<HttpResponse> response = new CompletableFuture<>();
+	private final BooleanSupplier leaving;
 
-	private BoundedSourceQueue<Source<ByteString, NotUsed>> parts;
+	private boolean begun;
 
 	private boolean over;
 
-	CallerAnswer(ActorSystem<?> system, Runnable callerGone) {
-		this.system = system;
-		this.callerGone = callerGone;
-	}
-
-	CompletableFuture<HttpResponse> response() {
-		return this.response;
+	CallerAnswer(WebReply reply, BooleanSupplier leaving) {
+		this.reply = reply;
+		this.leaving = leaving;
 	}
 
 	/**
-	 * Takes the events of an attempt. The head of the first attempt is the answer's head.
+	 * Begins a stream. The head of the first attempt is the answer's head.
 	 * @param head the head of the target's answer
-	 * @param events the events
 	 */
-	synchronized void stream(HttpResponse head, Source<ByteString, NotUsed> events) {
-		if (this.over) {
-			events.runWith(Sink.cancelled(), this.system);
-			return;
-		}
-		if (this.parts == null) {
-			begin(head);
+	void stream(AnswerHead head) {
+		if (!this.begun && !this.over) {
+			this.begun = true;
+			this.reply.begin(onLeaving(TargetAnswer.passedOn(head)));
+			this.reply.flush();
 		}
-		if (!this.parts.offer(events).isEnqueued()) {
-			// The caller has gone. Events that nobody reads would keep the target at
-			// work.
-			events.runWith(Sink.cancelled(), this.system);
+	}
+
+	// Callers move to other daemons with their next request and not in the middle of one.
+	private AnswerHead onLeaving(AnswerHead head) {
+		return this.leaving.getAsBoolean() ? new AnswerHead(head.status(), head.headers().with("Connection", "close"))
+				: head;
+	}
+
+	void piece(byte[] bytes, int offset, int length) {
+		if (!this.over) {
+			this.reply.piece(bytes, offset, length);
 		}
 	}
 
-	private void begin(HttpResponse head) {
-		final Pair<BoundedSourceQueue<Source<ByteString, NotUsed>>, Source<Source<ByteString, NotUsed>, NotUsed>> queue = Source
-			.<Source<ByteString, NotUsed>>queue(MOST_PARTS)
-			.preMaterialize(this.system);
-		this.parts = queue.first();
-		final Source<ByteString, NotUsed> body = queue.second()
-			.flatMapConcat((part) -> part)
-			.watchTermination((mat, done) -> {
-				done.whenComplete((ended, failure) -> this.callerGone.run());
-				return mat;
-			});
-		this.response.complete(HttpResponse.create()
-			.withStatus(head.status())
-			.addHeaders(ConnectionHeaders.passedOn(head))
-			.withEntity(HttpEntities.createChunked(head.entity().getContentType(), body)));
+	void flush() {
+		this.reply.flush();
+	}
+
+	boolean writable() {
+		return this.reply.writable();
 	}
 
 	/**
 	 * Gives a whole answer, unless one has begun.
 	 * @param whole the answer
 	 */
-	synchronized void whole(HttpResponse whole) {
+	void whole(WebAnswer whole) {
 		this.over = true;
-		this.response.complete(whole);
+		this.reply.whole(new WebAnswer(onLeaving(whole.head()), whole.body()));
 	}
 
 	/**
 	 * Ends a stream well.
 	 */
-	synchronized void finish() {
+	void finish() {
 		this.over = true;
-		if (this.parts != null && !this.parts.isCompleted()) {
-			this.parts.complete();
-		}
+		this.reply.end();
 	}
 
 	/**
@@ -101,25 +79,14 @@
 	 * @param failure the answer, where none has begun
 	 * @return whether the caller got the answer and not a broken stream
 	 */
-	synchronized boolean fail(HttpResponse failure) {
-		this.over = true;
-		if (this.parts == null) {
-			return this.response.complete(failure);
-		}
-		if (!this.parts.isCompleted()) {
-			this.parts.fail(new StreamBrokenException());
-		}
-		return false;
-	}
-
-	private static final class StreamBrokenException extends RuntimeException {
-
-		private static final long serialVersionUID = 1L;
-
-		StreamBrokenException() {
-			super("No target could go on with the stream", null, false, false);
+	boolean fail(WebAnswer failure) {
+		if (this.begun) {
+			this.over = true;
+			this.reply.breakOff();
+			return false;
 		}
-
+		whole(failure);
+		return true;
 	}
 
 }
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -0,0 +1,90 @@
+package org.pistachioline.daemon.relay;
+
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import org.pistachioline.adapters.web.WebClient;
+import org.pistachioline.adapters.web.WebLoop;
+import org.pistachioline.core.replica.LoadReport;
+import org.pistachioline.core.route.RouteTable;
+import org.pistachioline.daemon.Lifecycle;
+import org.pistachioline.daemon.port.RelayDialect;
+import org.pistachioline.daemon.traffic.TrafficDuty;
+
+/**
+ * The path of callers' requests: their server, the connections to targets and the thread
+ * that serves both.
+ */
+public final class Relay implements Lifecycle {
+
+	/** A target in another zone answers within milliseconds; one that is gone never. */
+	private static final int CONNECT_MILLIS = 700;
+
+	/** Shorter than the few seconds for which targets keep idle connections. */
+	private static final long KEEP_IDLE_MILLIS = 1_500;
+
+	private static final int MOST_IDLE_PER_TARGET = 6;
+
+	private final WebLoop loop = new WebLoop("relay");
+
+	private final LiveStreams streams = new LiveStreams();
+
+	private final RelayHandler handler;
+
+	private final CallerServer callers;
+
+	/**
+	 * Creates the path.
+	 * @param address where callers connect, as host and port
+	 * @param dialect the headers of callers and targets
+	 * @param routes gives the configuration in force
+	 * @param traffic decides
+	 * @param loads is told what targets say of their load, by target
+	 * @param leaving whether the daemon is about to stop
+	 */
+	public Relay(String address, RelayDialect dialect, Supplier<RouteTable> routes, TrafficDuty traffic,
+			BiConsumer<String, LoadReport> loads, BooleanSupplier leaving) {
+		final WebClient client = new WebClient(this.loop, CONNECT_MILLIS, KEEP_IDLE_MILLIS, MOST_IDLE_PER_TARGET);
+		final RelayTools tools = new RelayTools(this.loop, client, dialect, this.streams, traffic::callerGone, loads);
+		this.handler = new RelayHandler(routes, tools, traffic, leaving);
+		this.callers = new CallerServer(this.loop, address, this.handler, routes);
+	}
+
+	@Override
+	public void start() {
+		this.callers.start();
+		this.loop.every(this.streams::report, LiveStreams.REPORT_MILLIS);
+	}
+
+	@Override
+	public void stop() {
+		this.callers.stop();
+		this.loop.close();
+	}
+
+	/**
+	 * Returns how many requests have come.
+	 * @return the number of requests
+	 */
+	public long arrived() {
+		return this.handler.arrived();
+	}
+
+	/**
+	 * Returns where callers connect.
+	 * @return the address, as host and port; empty until it listens
+	 */
+	public String callerAddress() {
+		return this.callers.localAddress();
+	}
+
+	/**
+	 * Returns whether it listens.
+	 * @return whether callers can connect
+	 */
+	public boolean listening() {
+		return this.callers.listening();
+	}
+
+}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAnswers.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAnswers.java
@@ -2,12 +2,10 @@
 
 import java.util.Locale;
 
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.model.headers.RawHeader;
-
+import org.pistachioline.adapters.web.WebAnswer;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
-import org.pistachioline.daemon.traffic.ErrorAnswers;
+import org.pistachioline.daemon.traffic.ErrorBody;
 
 /**
  * Writes this daemon's own answers to relayed requests.
@@ -27,14 +25,14 @@
 	 * @param retryAfterMillis when the caller may come back; 0 where it is not said
 	 * @return the answer
 	 */
-	static HttpResponse of(String requestId, ErrorKind kind, RunState runState, long retryAfterMillis) {
-		final HttpResponse answer = ErrorAnswers.of(requestId, kind, runState, 0);
+	static WebAnswer of(String requestId, ErrorKind kind, RunState runState, long retryAfterMillis) {
+		final WebAnswer answer = WebAnswer.json(kind.httpStatus(), ErrorBody.of(kind))
+			.with(ErrorBody.REQUEST_ID_HEADER, requestId, ErrorBody.RUN_HEADER, runState.headerValue());
 		if (!kind.promisesNotRun() || retryAfterMillis <= 0) {
 			return answer;
 		}
 		// A caller that waits a second or two has no use for a time in whole seconds.
-		return answer.addHeader(RawHeader.create("Retry-After",
-				String.format(Locale.ROOT, "%.2f", retryAfterMillis / MILLIS_PER_SECOND)));
+		return answer.with("Retry-After", String.format(Locale.ROOT, "%.2f", retryAfterMillis / MILLIS_PER_SECOND));
 	}
 
 }
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -0,0 +1,180 @@
+package org.pistachioline.daemon.relay;
+
+import java.io.ByteArrayOutputStream;
+
+import org.pistachioline.adapters.http.NotConnectedException;
+import org.pistachioline.adapters.web.AnswerHead;
+import org.pistachioline.adapters.web.AnswerReceiver;
+import org.pistachioline.adapters.web.WebCall;
+import org.pistachioline.core.traffic.AttemptEnd;
+import org.pistachioline.core.traffic.AttemptId;
+import org.pistachioline.core.traffic.TrafficAction;
+import org.pistachioline.daemon.port.AnswerVerdict;
+import org.pistachioline.daemon.port.RelayDialect;
+import org.pistachioline.daemon.traffic.AttemptListener;
+
+/**
+ * One attempt at a target; its end is told once.
+ * <p>
+ * It has a connection to itself, and giving it up closes that connection, so that the
+ * target drops the work and nothing of it can reach a later request.
+ */
+final class RelayAttempt implements AnswerReceiver {
+
+	private static final int OK = 200;
+
+	/** No whole answer of a target is larger; more would fill this process's memory. */
+	private static final int MOST_ANSWER_BYTES = 16 * 1024 * 1024;
+
+	private final RelayExchange exchange;
+
+	private final TrafficAction.Start start;
+
+	private final AttemptListener listener;
+
+	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+	private WebCall call;
+
+	private AnswerHead head;
+
+	private AttemptEnd unlessBroken;
+
+	private EventRelay events;
+
+	private boolean over;
+
+	RelayAttempt(RelayExchange exchange, TrafficAction.Start start, AttemptListener listener) {
+		this.exchange = exchange;
+		this.start = start;
+		this.listener = listener;
+	}
+
+	AttemptId id() {
+		return this.start.attempt();
+	}
+
+	void send(long leftMillis) {
+		final RelayTools tools = this.exchange.tools();
+		this.call = tools.client()
+			.send(this.start.target().address(),
+					tools.dialect()
+						.toTarget(this.exchange.call(), this.start.target(), leftMillis,
+								this.exchange.position().lastEventId()),
+					!this.exchange.info().idempotent(), this);
+	}
+
+	@Override
+	public void onHead(AnswerHead received) {
+		final RelayDialect dialect = this.exchange.tools().dialect();
+		this.head = received;
+		dialect.load(received, System.nanoTime())
+			.ifPresent((load) -> this.exchange.tools().loads().accept(this.start.target().targetId(), load));
+		final AnswerVerdict verdict = dialect.judge(this.exchange.call(), received);
+		switch (verdict) {
+			case DECLINED -> expect(AttemptEnd.DECLINED);
+			case FAILURE -> expect(AttemptEnd.FAILURE_ANSWERED);
+			case MISMATCHED -> giveUp(AttemptEnd.MISMATCHED);
+			case ANSWER -> {
+				expect(AttemptEnd.COMPLETE);
+				if (this.exchange.streaming() && received.status() == OK) {
+					stream();
+				}
+			}
+		}
+	}
+
+	private void expect(AttemptEnd how) {
+		this.unlessBroken = how;
+	}
+
+	private void stream() {
+		this.events = new EventRelay(id(), this.exchange.position(), this.listener);
+		this.exchange.tools().streams().add(this.events);
+		this.exchange.answer().stream(this.head);
+		callerTakesMore(this.exchange.answer().writable());
+	}
+
+	@Override
+	public void onBytes(byte[] bytes) {
+		if (this.events != null) {
+			if (!this.events.take(bytes, this.exchange.answer())) {
+				giveUp(AttemptEnd.MISMATCHED);
+			}
+		}
+		else if (this.body.size() + bytes.length > MOST_ANSWER_BYTES) {
+			giveUp(AttemptEnd.BROKEN);
+		}
+		else {
+			this.body.writeBytes(bytes);
+		}
+	}
+
+	@Override
+	public void onBatchEnd() {
+		if (this.events != null) {
+			this.exchange.answer().flush();
+		}
+	}
+
+	@Override
+	public void onEnd() {
+		if (this.events != null) {
+			this.exchange.answer().flush();
+			end(this.events.endInOrder());
+			return;
+		}
+		if (this.unlessBroken != AttemptEnd.DECLINED) {
+			this.exchange.keep(TargetAnswer.of(this.head, this.body.toByteArray()), this.unlessBroken);
+		}
+		end(this.unlessBroken);
+	}
+
+	@Override
+	public void onFailure(Throwable failure) {
+		// A target that said it has not run the request said so, whatever happens to the
+		// rest of its answer.
+		if (this.unlessBroken == AttemptEnd.DECLINED) {
+			end(AttemptEnd.DECLINED);
+		}
+		else {
+			end((failure instanceof NotConnectedException) ? AttemptEnd.NOT_CONNECTED : AttemptEnd.BROKEN);
+		}
+	}
+
+	void cancel() {
+		giveUp(AttemptEnd.CANCELLED);
+	}
+
+	private void giveUp(AttemptEnd how) {
+		if (!this.over) {
+			if (this.call != null) {
+				this.call.abort();
+			}
+			end(how);
+		}
+	}
+
+	/**
+	 * Reads the target only as fast as the caller reads, so that no events pile up here.
+	 * @param writable whether the caller takes more
+	 */
+	void callerTakesMore(boolean writable) {
+		if (this.events != null && !this.over) {
+			this.events.callerIsSlow(!writable);
+			this.call.reading(writable);
+		}
+	}
+
+	private void end(AttemptEnd how) {
+		if (this.over) {
+			return;
+		}
+		this.over = true;
+		if (this.events != null) {
+			this.exchange.tools().streams().remove(this.events);
+		}
+		this.listener.onEnd(id(), how, this.exchange.position().events());
+	}
+
+}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
@@ -1,19 +1,9 @@
 package org.pistachioline.daemon.relay;
 
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-import org.apache.pekko.NotUsed;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.stream.KillSwitches;
-import org.apache.pekko.stream.UniqueKillSwitch;
-import org.apache.pekko.stream.javadsl.Keep;
-import org.apache.pekko.stream.javadsl.Source;
-import org.apache.pekko.util.ByteString;
-
-import org.pistachioline.adapters.http.NotConnectedException;
-import org.pistachioline.adapters.http.PendingCall;
+import org.pistachioline.adapters.web.CallerListener;
+import org.pistachioline.adapters.web.WebAnswer;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.event.EventId;
@@ -23,7 +13,6 @@
 import org.pistachioline.core.traffic.RequestInfo;
 import org.pistachioline.core.traffic.TrafficAction;
 import org.pistachioline.daemon.event.Events;
-import org.pistachioline.daemon.port.AnswerVerdict;
 import org.pistachioline.daemon.port.RelayedCall;
 import org.pistachioline.daemon.traffic.AttemptListener;
 import org.pistachioline.daemon.traffic.Exchange;
@@ -32,15 +21,10 @@
  * One caller's request on its way to a target and back.
  * <p>
  * The traffic duty says which target, when to stop and when to give up; this carries it
- * out. Each attempt has a connection to itself, and giving an attempt up closes it, so
- * that the target drops the work and nothing of it can reach a later request.
+ * out. All of its state belongs to the loop's thread, to which each order of the traffic
+ * duty is handed over in turn.
  */
-final class RelayExchange implements Exchange {
-
-	private static final int OK = 200;
-
-	/** No whole answer of a target is larger; more would fill this process's memory. */
-	private static final long MOST_ANSWER_BYTES = 16L * 1024 * 1024;
+final class RelayExchange implements Exchange, CallerListener {
 
 	private final RequestInfo info;
 
@@ -56,7 +40,7 @@
 
 	private final long arrivedAtNanos = System.nanoTime();
 
-	private LiveAttempt live;
+	private RelayAttempt live;
 
 	private TargetAnswer complete;
 
@@ -66,13 +50,13 @@
 
 	private String lastTargetId = "";
 
-	RelayExchange(RequestInfo info, RelayedCall call, boolean streaming, RelayTools tools) {
+	RelayExchange(RequestInfo info, RelayedCall call, boolean streaming, RelayTools tools, CallerAnswer answer) {
 		this.info = info;
 		this.call = call;
 		this.streaming = streaming;
 		this.tools = tools;
+		this.answer = answer;
 		this.position = new StreamPosition(call.head().lastEventId());
-		this.answer = new CallerAnswer(tools.system(), () -> tools.callerGone().accept(info.requestId()));
 	}
 
 	@Override
@@ -80,99 +64,51 @@
 		return this.info;
 	}
 
+	RelayedCall call() {
+		return this.call;
+	}
+
+	RelayTools tools() {
+		return this.tools;
+	}
+
 	CallerAnswer answer() {
 		return this.answer;
 	}
 
+	StreamPosition position() {
+		return this.position;
+	}
+
+	boolean streaming() {
+		return this.streaming;
+	}
+
 	@Override
 	public void start(TrafficAction.Start start, AttemptListener listener) {
-		final long leftMillis = TimeUnit.NANOSECONDS.toMillis(this.info.totalDeadlineNanos() - System.nanoTime());
-		final HttpRequest request = this.tools.dialect()
-			.toTarget(this.call, start.target(), Math.max(1, leftMillis), this.position.lastEventId());
-		final LiveAttempt attempt = new LiveAttempt(start, listener);
-		synchronized (this) {
-			this.live = attempt;
-			this.attempts++;
-		}
+		this.tools.loop().execute(() -> begin(start, listener));
+	}
+
+	private void begin(TrafficAction.Start start, AttemptListener listener) {
+		final long leftMillis = Math.max(1,
+				TimeUnit.NANOSECONDS.toMillis(this.info.totalDeadlineNanos() - System.nanoTime()));
+		this.attempts++;
 		if (this.attempts > 1) {
 			Events.log(EventId.REQUEST_RESENT, "request", this.call.head().requestId(), "attempt", this.attempts,
 					"from", this.lastTargetId, "to", start.target().targetId(), "events", start.resumeFromTokens(),
 					"left_millis", leftMillis);
 		}
 		this.lastTargetId = start.target().targetId();
-		attempt.pending = this.tools.pool().send(start.target().address(), request, !this.info.idempotent());
-		attempt.pending.answer().whenComplete((head, failed) -> {
-			if (failed != null) {
-				attempt.end((failed instanceof NotConnectedException) ? AttemptEnd.NOT_CONNECTED : AttemptEnd.BROKEN);
-			}
-			else {
-				onHead(attempt, head);
-			}
-		});
-	}
-
-	private void onHead(LiveAttempt attempt, HttpResponse head) {
-		if (!isLive(attempt.start.attempt())) {
-			attempt.pending.abort();
-			return;
-		}
-		this.tools.dialect()
-			.load(head, System.nanoTime())
-			.ifPresent((load) -> this.tools.loads().accept(attempt.start.target().targetId(), load));
-		final AnswerVerdict verdict = this.tools.dialect().judge(this.call, head);
-		switch (verdict) {
-			case DECLINED -> {
-				head.discardEntityBytes(this.tools.system());
-				attempt.end(AttemptEnd.DECLINED);
-			}
-			case MISMATCHED -> {
-				attempt.pending.abort();
-				attempt.end(AttemptEnd.MISMATCHED);
-			}
-			case FAILURE -> collect(attempt, head, AttemptEnd.FAILURE_ANSWERED);
-			case ANSWER -> {
-				if (this.streaming && head.status().intValue() == OK) {
-					relay(attempt, head);
-				}
-				else {
-					collect(attempt, head, AttemptEnd.COMPLETE);
-				}
-			}
-		}
-	}
-
-	private void relay(LiveAttempt attempt, HttpResponse head) {
-		final Source<ByteString, UniqueKillSwitch> events = head.entity()
-			.withoutSizeLimit()
-			.getDataBytes()
-			.viaMat(KillSwitches.single(), Keep.right())
-			.via(new EventRelayStage(attempt.start.attempt(), this.position, attempt));
-		final Source<ByteString, NotUsed> watched = events.mapMaterializedValue((killSwitch) -> {
-			attempt.streaming(killSwitch);
-			return NotUsed.getInstance();
-		});
-		this.answer.stream(head, watched);
-	}
-
-	private void collect(LiveAttempt attempt, HttpResponse head, AttemptEnd unlessBroken) {
-		head.entity()
-			.withSizeLimit(MOST_ANSWER_BYTES)
-			.getDataBytes()
-			.runFold(ByteString.emptyByteString(), ByteString::concat, this.tools.system())
-			.whenComplete((body, failed) -> {
-				if (failed != null) {
-					attempt.end(AttemptEnd.BROKEN);
-					return;
-				}
-				keep(attempt, TargetAnswer.of(head, body), unlessBroken);
-				attempt.end(unlessBroken);
-			});
+		this.live = new RelayAttempt(this, start, listener);
+		this.live.send(leftMillis);
 	}
 
-	private synchronized void keep(LiveAttempt attempt, TargetAnswer whole, AttemptEnd how) {
-		if (this.live != attempt) {
-			return;
-		}
+	/**
+	 * Keeps a target's whole answer until the traffic duty has decided.
+	 * @param whole the answer
+	 * @param how how the attempt ended
+	 */
+	void keep(TargetAnswer whole, AttemptEnd how) {
 		if (how == AttemptEnd.COMPLETE) {
 			this.complete = whole;
 		}
@@ -181,53 +117,43 @@
 		}
 	}
 
-	private synchronized boolean isLive(AttemptId attempt) {
-		return this.live != null && attempt.equals(this.live.start.attempt());
-	}
-
 	@Override
 	public void cancel(AttemptId attempt) {
-		final LiveAttempt cancelled;
-		synchronized (this) {
-			if (!isLive(attempt)) {
-				return;
+		this.tools.loop().execute(() -> {
+			if (this.live != null && this.live.id().equals(attempt)) {
+				this.live.cancel();
 			}
-			cancelled = this.live;
-			this.live = null;
-		}
-		cancelled.cancel();
+		});
 	}
 
 	@Override
 	public void finish() {
-		final TargetAnswer whole;
-		synchronized (this) {
-			whole = this.complete;
-		}
-		if (whole != null) {
-			this.answer.whole(whole.toCaller());
-		}
-		else {
-			this.answer.finish();
-		}
+		this.tools.loop().execute(() -> {
+			if (this.complete != null) {
+				this.answer.whole(this.complete.answer());
+			}
+			else {
+				this.answer.finish();
+			}
+		});
 	}
 
 	@Override
 	public void fail(ErrorKind kind, RunState runState, long retryAfterMillis) {
-		final Optional<TargetAnswer> ownAnswer;
-		synchronized (this) {
-			ownAnswer = Optional.ofNullable(this.failure);
-		}
+		this.tools.loop().execute(() -> giveUp(kind, runState, retryAfterMillis));
+	}
+
+	private void giveUp(ErrorKind kind, RunState runState, long retryAfterMillis) {
 		// A target's own word of what went wrong is worth more than ours, unless it would
 		// promise that the request has not run.
-		final boolean passOn = kind == ErrorKind.TARGET_FAILED
-				&& ownAnswer.filter((given) -> !given.promisesNotRun()).isPresent();
-		final HttpResponse failed = passOn ? ownAnswer.get().toCaller()
+		final boolean passOn = kind == ErrorKind.TARGET_FAILED && this.failure != null
+				&& !this.failure.promisesNotRun();
+		final WebAnswer failed = passOn ? this.failure.answer()
 				: RelayAnswers.of(this.call.head().requestId(), kindFor(kind, runState), runState, retryAfterMillis);
 		final boolean whole = this.answer.fail(failed);
 		if (kind != ErrorKind.CALLER_GONE) {
 			Events.log(EventId.REQUEST_FAILED, "request", this.call.head().requestId(), "kind", kind.code(), "run",
-					runState.headerValue(), "status", whole ? failed.status().intValue() : 0, "name", this.info.name(),
+					runState.headerValue(), "status", whole ? failed.status() : 0, "name", this.info.name(),
 					"workspace", this.info.workspace(), "attempts", this.attempts, "last_target", this.lastTargetId,
 					"events", this.position.events(), "held_millis",
 					TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.arrivedAtNanos), "retry_after_millis",
@@ -245,73 +171,21 @@
 		fail(ErrorKind.INTERNAL, RunState.UNKNOWN, 0);
 	}
 
-	/**
-	 * One attempt; its end is told once.
-	 */
-	private final class LiveAttempt implements AttemptListener {
-
-		private final TrafficAction.Start start;
-
-		private final AttemptListener listener;
-
-		private volatile PendingCall pending;
-
-		private UniqueKillSwitch killSwitch;
-
-		private boolean cancelled;
-
-		private boolean ended;
-
-		LiveAttempt(TrafficAction.Start start, AttemptListener listener) {
-			this.start = start;
-			this.listener = listener;
-		}
-
-		synchronized void streaming(UniqueKillSwitch events) {
-			this.killSwitch = events;
-			if (this.cancelled) {
-				events.abort(new IllegalStateException("cancelled"));
-			}
-		}
-
-		void cancel() {
-			final UniqueKillSwitch events;
-			synchronized (this) {
-				this.cancelled = true;
-				events = this.killSwitch;
-			}
-			if (events != null) {
-				// The relay tells the end, with the exact place that the caller is at.
-				events.abort(new IllegalStateException("cancelled"));
-			}
-			else {
-				end(AttemptEnd.CANCELLED);
-			}
-			if (this.pending != null) {
-				this.pending.abort();
-			}
-		}
-
-		void end(AttemptEnd how) {
-			onEnd(this.start.attempt(), how, RelayExchange.this.position.events());
-		}
-
-		@Override
-		public void onProgress(AttemptId attempt, int tokensDelivered) {
-			this.listener.onProgress(attempt, tokensDelivered);
+	@Override
+	public void onGone() {
+		// Here and not only by way of the traffic duty: the target works for nobody from
+		// now on.
+		if (this.live != null) {
+			this.live.cancel();
 		}
+		this.tools.callerGone().accept(this.info.requestId());
+	}
 
-		@Override
-		public void onEnd(AttemptId attempt, AttemptEnd how, int tokensDelivered) {
-			synchronized (this) {
-				if (this.ended) {
-					return;
-				}
-				this.ended = true;
-			}
-			this.listener.onEnd(attempt, how, tokensDelivered);
+	@Override
+	public void onWritable(boolean writable) {
+		if (this.live != null) {
+			this.live.callerTakesMore(writable);
 		}
-
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -5,25 +5,19 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import org.apache.commons.codec.digest.DigestUtils;
-import org.apache.pekko.http.javadsl.model.HttpEntity;
-import org.apache.pekko.http.javadsl.model.HttpHeader;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.model.headers.RawHeader;
-import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
-import org.apache.pekko.util.ByteString;
 
+import org.pistachioline.adapters.web.RequestFault;
+import org.pistachioline.adapters.web.WebAnswer;
+import org.pistachioline.adapters.web.WebHandler;
+import org.pistachioline.adapters.web.WebReply;
+import org.pistachioline.adapters.web.WebRequest;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.PistachiolineException;
 import org.pistachioline.core.error.RunState;
@@ -43,10 +37,10 @@
 import org.pistachioline.daemon.traffic.TrafficDuty;
 
 /**
- * Takes callers' requests: finds the route and the workspace, reads the body and hands
- * the request to the traffic duty.
+ * Takes callers' requests: finds the route and the workspace and hands the request to the
+ * traffic duty.
  */
-public final class RelayHandler {
+final class RelayHandler implements WebHandler {
 
 	private static final int HIGHEST_PRIORITY = 9;
 
@@ -56,6 +50,9 @@
 	 */
 	private static final long LEAST_RETRY_MILLIS = 1_000;
 
+	/** Stands in logs and answers for the id of a request that was not read. */
+	private static final String UNREAD = "unknown";
+
 	private final Supplier<RouteTable> routes;
 
 	private final RelayTools tools;
@@ -66,72 +63,47 @@
 
 	private final AtomicLong nextRequestId = new AtomicLong(1);
 
-	/**
-	 * Creates a handler.
-	 * @param routes gives the configuration in force
-	 * @param tools what exchanges share
-	 * @param traffic decides
-	 * @param leaving whether the daemon is about to stop
-	 */
-	public RelayHandler(Supplier<RouteTable> routes, RelayTools tools, TrafficDuty traffic, BooleanSupplier leaving) {
+	RelayHandler(Supplier<RouteTable> routes, RelayTools tools, TrafficDuty traffic, BooleanSupplier leaving) {
 		this.routes = routes;
 		this.tools = tools;
 		this.traffic = traffic;
 		this.leaving = leaving;
 	}
 
-	/**
-	 * Returns how many requests have come.
-	 * @return the number of requests
-	 */
-	public long arrived() {
+	long arrived() {
 		return this.nextRequestId.get() - 1;
 	}
 
-	HandledCall handle(HttpRequest request) {
+	@Override
+	public void handle(WebRequest request, WebReply reply) {
 		final long id = this.nextRequestId.getAndIncrement();
-		CompletionStage<HttpResponse> answer;
+		final CallerAnswer answer = new CallerAnswer(reply, this.leaving);
 		try {
-			answer = route(id, request);
+			route(id, request, reply, answer);
 		}
 		catch (RuntimeException ex) {
-			answer = CompletableFuture.failedFuture(ex);
+			answer.whole(refuse(request, ex));
 		}
-		final CompletionStage<HttpResponse> whole = answer.exceptionally((failure) -> refuse(request, failure))
-			.thenApply(this::onLeaving);
-		return new HandledCall(whole, () -> this.traffic.callerGone(id));
 	}
 
-	// Callers move to other daemons with their next request and not in the middle of one.
-	private HttpResponse onLeaving(HttpResponse answer) {
-		return this.leaving.getAsBoolean() ? answer.addHeader(RawHeader.create("Connection", "close")) : answer;
-	}
-
-	private CompletionStage<HttpResponse> route(long id, HttpRequest request) {
+	private void route(long id, WebRequest request, WebReply reply, CallerAnswer answer) {
 		final long arrivedAtNanos = System.nanoTime();
 		final RouteTable table = this.routes.get();
 		require(table.known(), ErrorKind.NOT_READY);
-		final CallHead head = this.tools.dialect().read(request);
-		final String target = request.getHeader("Raw-Request-URI")
-			.map(HttpHeader::value)
-			.orElseGet(() -> request.getUri().toRelative().toString());
-		final int query = target.indexOf('?');
-		final Route route = table
-			.route(request.getHeader("Host").map(HttpHeader::value).orElse(""),
-					(query >= 0) ? target.substring(0, query) : target)
+		final CallHead head = this.tools.dialect().read(request.headers());
+		final Route route = table.route(request.headers().first("Host").orElse(""), request.path())
 			.orElseThrow(() -> new PistachiolineException(ErrorKind.NOT_FOUND));
 		final Optional<KeyHolder> holder = holderOf(table, head);
 		final boolean open = route.anonymous() || table.keyHolders().isEmpty();
 		require(open || holder.isPresent(), ErrorKind.UNAUTHENTICATED);
 		final Optional<String> workspace = open ? Optional.empty() : holder.map(KeyHolder::name);
-		return body(request, table).thenCompose((body) -> {
-			final RelayedCall call = new RelayedCall(head, request.method(), target,
-					ConnectionHeaders.passedOn(request), request.entity().getContentType(), body, workspace);
-			final RequestInfo info = infoOf(id, arrivedAtNanos, table, route, call, holder);
-			final RelayExchange exchange = new RelayExchange(info, call, route.kind() == RouteKind.STREAM, this.tools);
-			this.traffic.arrive(exchange);
-			return exchange.answer().response();
-		});
+		final RelayedCall call = new RelayedCall(head, request.method(), request.target(),
+				ConnectionHeaders.passedOn(request.headers()), request.body(), workspace);
+		final RequestInfo info = infoOf(id, arrivedAtNanos, table, route, call, holder);
+		final RelayExchange exchange = new RelayExchange(info, call, route.kind() == RouteKind.STREAM, this.tools,
+				answer);
+		reply.listen(exchange);
+		this.traffic.arrive(exchange);
 	}
 
 	private static RequestInfo infoOf(long id, long arrivedAtNanos, RouteTable table, Route route, RelayedCall call,
@@ -168,56 +140,47 @@
 		return Optional.ofNullable(found);
 	}
 
-	private CompletionStage<ByteString> body(HttpRequest request, RouteTable table) {
-		if (request.entity() instanceof HttpEntity.Strict strict
-				&& strict.getData().size() <= table.bounds().bodyBytes()) {
-			return CompletableFuture.completedFuture(strict.getData());
-		}
-		return request.entity()
-			.withSizeLimit(table.bounds().bodyBytes())
-			.toStrict(table.bounds().idleMillis(), this.tools.system())
-			.thenApply(HttpEntity.Strict::getData);
-	}
-
-	private HttpResponse refuse(HttpRequest request, Throwable failure) {
-		final Throwable cause = (failure instanceof CompletionException && failure.getCause() != null)
-				? failure.getCause() : failure;
-		final ErrorKind kind = kindOf(cause);
+	private WebAnswer refuse(WebRequest request, RuntimeException cause) {
+		final ErrorKind kind = (cause instanceof PistachiolineException known) ? known.kind() : ErrorKind.INTERNAL;
 		final String requestId = idOf(request);
 		if (kind == ErrorKind.INTERNAL) {
 			Events.log(EventId.REQUEST_FAULT, cause, "request", requestId);
 		}
 		else {
-			Events.log(EventId.REQUEST_REFUSED, "request", requestId, "kind", kind.code(), "config_version",
-					this.routes.get().version(), "path", request.getUri().path());
+			logRefusal(requestId, kind, request.path());
 		}
-		request.discardEntityBytes(this.tools.system());
 		return RelayAnswers.of(requestId, kind, RunState.NOT_RUN, kind.retryable() ? retryAfterMillis() : 0);
 	}
 
+	@Override
+	public WebAnswer onFault(RequestFault fault) {
+		final ErrorKind kind = switch (fault) {
+			case MALFORMED -> ErrorKind.MALFORMED_REQUEST;
+			case TOO_SLOW -> ErrorKind.REQUEST_TIMEOUT;
+			case BODY_TOO_LARGE, HEAD_TOO_LARGE -> ErrorKind.REQUEST_TOO_LARGE;
+		};
+		logRefusal(UNREAD, kind, "");
+		return RelayAnswers.of(UNREAD, kind, RunState.NOT_RUN, 0);
+	}
+
+	private void logRefusal(String requestId, ErrorKind kind, String path) {
+		Events.log(EventId.REQUEST_REFUSED, "request", requestId, "kind", kind.code(), "config_version",
+				this.routes.get().version(), "path", path);
+	}
+
 	// Spread, so that callers who were refused together do not come back together.
 	private static long retryAfterMillis() {
 		return LEAST_RETRY_MILLIS + ThreadLocalRandom.current().nextLong(LEAST_RETRY_MILLIS);
 	}
 
-	private String idOf(HttpRequest request) {
+	private String idOf(WebRequest request) {
 		try {
-			return this.tools.dialect().read(request).requestId();
+			return this.tools.dialect().read(request.headers()).requestId();
 		}
 		catch (PistachiolineException ex) {
 			// The refusal that is being written says just this.
-			return "unknown";
-		}
-	}
-
-	private static ErrorKind kindOf(Throwable cause) {
-		if (cause instanceof PistachiolineException known) {
-			return known.kind();
-		}
-		if (cause instanceof EntityStreamSizeException) {
-			return ErrorKind.REQUEST_TOO_LARGE;
+			return UNREAD;
 		}
-		return (cause instanceof TimeoutException) ? ErrorKind.REQUEST_TIMEOUT : ErrorKind.INTERNAL;
 	}
 
 	private static void require(boolean condition, ErrorKind kind) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayStack.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayStack.java
@@ -6,7 +6,6 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
-import org.pistachioline.adapters.http.ConnectionPool;
 import org.pistachioline.core.admission.AdmitAll;
 import org.pistachioline.core.placement.ExpectedWaitPlacement;
 import org.pistachioline.core.quarantine.NoQuarantine;
@@ -34,13 +33,11 @@
 
 	private static final int MOST_QUEUED = 100;
 
-	private static final int MOST_IDLE = 8;
-
 	private static final long HEARTBEAT_MILLIS = 1_000;
 
 	private final TrafficDuty traffic;
 
-	private final CallerServer callers;
+	private final Relay relay;
 
 	private final List<TargetView> targets;
 
@@ -64,23 +61,21 @@
 				new NoClaims(), new ShareKeeper(SELF, () -> Set.of(SELF), HEARTBEAT_MILLIS), (suspect, nowMillis) -> {
 					// Nothing crashes these targets.
 				}, new TraceRecorder(false));
-		final ConnectionPool pool = new ConnectionPool(system, Duration.ofSeconds(1), Duration.ofSeconds(1), MOST_IDLE);
-		this.callers = new CallerServer(system, callerAddress, new RelayHandler(() -> table,
-				new RelayTools(system, pool, dialect, this.traffic::callerGone, (targetId, load) -> {
-					// The targets are fixed, and so is what is known of them.
-				}), this.traffic, () -> false));
+		this.relay = new Relay(callerAddress, dialect, () -> table, this.traffic, (targetId, load) -> {
+			// The targets are fixed, and so is what is known of them.
+		}, () -> false);
 	}
 
 	@Override
 	public void start() {
 		this.traffic.start();
 		this.traffic.targets(this.targets);
-		this.callers.start();
+		this.relay.start();
 	}
 
 	@Override
 	public void stop() {
-		this.callers.stop();
+		this.relay.stop();
 		this.traffic.stop();
 	}
 
@@ -89,7 +84,7 @@
 	 * @return the address, as host and port
 	 */
 	public String callerAddress() {
-		return this.callers.localAddress();
+		return this.relay.callerAddress();
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayTools.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayTools.java
@@ -1,24 +1,24 @@
 package org.pistachioline.daemon.relay;
 
+import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
 import java.util.function.LongConsumer;
 
-import org.apache.pekko.actor.typed.ActorSystem;
-
-import org.pistachioline.adapters.http.ConnectionPool;
+import org.pistachioline.adapters.web.WebClient;
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.daemon.port.RelayDialect;
 
 /**
  * What every exchange of a daemon shares.
  *
- * @param system the process's actor system
- * @param pool connections to targets
+ * @param loop the thread on which callers' and targets' connections are served
+ * @param client connections to targets
  * @param dialect reads and writes headers
- * @param callerGone is told the requests whose callers have gone, or got all
+ * @param streams the streams that are being relayed
+ * @param callerGone is told the requests whose callers have gone
  * @param loads is told what targets say of their load, by target
  */
-public record RelayTools(ActorSystem<?> system, ConnectionPool pool, RelayDialect dialect, LongConsumer callerGone,
+record RelayTools(Executor loop, WebClient client, RelayDialect dialect, LiveStreams streams, LongConsumer callerGone,
 		BiConsumer<String, LoadReport> loads) {
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/StreamPosition.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/StreamPosition.java
@@ -3,14 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
-import org.apache.pekko.util.ByteString;
-import org.apache.pekko.util.ByteStringBuilder;
-
 /**
- * How far a caller's stream is, over all attempts.
- * <p>
- * Attempts follow each other, and each is told of the next only after it has ended, so
- * one thread at a time calls it; the fields are volatile for the hand-over between them.
+ * How far a caller's stream is, over all attempts. One thread calls it.
  */
 final class StreamPosition {
 
@@ -19,11 +13,11 @@
 	/** More digits than a long holds are no id of ours. */
 	private static final int MOST_DIGITS = 18;
 
-	private volatile String lastEventId;
+	private String lastEventId;
 
-	private volatile int events;
+	private int events;
 
-	private volatile int consumedBytes;
+	private int consumedBytes;
 
 	StreamPosition(Optional<String> lastEventId) {
 		this.lastEventId = lastEventId.orElse(null);
@@ -48,22 +42,20 @@
 	/**
 	 * Takes the whole events out of what has arrived.
 	 * @param bytes what has arrived and was not taken yet
-	 * @return the events that the caller does not have yet
+	 * @param receiver takes the events that the caller does not have yet
 	 */
-	ByteString pass(byte[] bytes) {
-		final ByteStringBuilder passed = new ByteStringBuilder();
+	void pass(byte[] bytes, PieceReceiver receiver) {
 		int start = 0;
 		int end = endOfEvent(bytes, start);
 		while (end >= 0) {
 			if (isNew(bytes, start, end)) {
-				passed.putBytes(bytes, start, end - start);
+				receiver.take(bytes, start, end - start);
 				this.events++;
 			}
 			start = end;
 			end = endOfEvent(bytes, start);
 		}
 		this.consumedBytes = start;
-		return passed.result();
 	}
 
 	private boolean isNew(byte[] bytes, int start, int end) {
@@ -125,4 +117,20 @@
 		return -1;
 	}
 
+	/**
+	 * Takes a part of an array that does not change any more.
+	 */
+	@FunctionalInterface
+	interface PieceReceiver {
+
+		/**
+		 * Takes a part.
+		 * @param bytes the array
+		 * @param offset where the part begins
+		 * @param length its length in bytes
+		 */
+		void take(byte[] bytes, int offset, int length);
+
+	}
+
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/TargetAnswer.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/TargetAnswer.java
@@ -1,32 +1,29 @@
 package org.pistachioline.daemon.relay;
 
-import java.util.List;
 import java.util.Set;
 
-import org.apache.pekko.http.javadsl.model.ContentType;
-import org.apache.pekko.http.javadsl.model.HttpEntities;
-import org.apache.pekko.http.javadsl.model.HttpHeader;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.model.StatusCode;
-import org.apache.pekko.util.ByteString;
+import org.pistachioline.adapters.web.AnswerHead;
+import org.pistachioline.adapters.web.Body;
+import org.pistachioline.adapters.web.WebAnswer;
 
 /**
  * A target's whole answer.
  *
- * @param status the status
- * @param headers the headers that are passed on
- * @param contentType the body's content type
- * @param body the body
+ * @param answer the answer, without the headers of its connection
  */
-record TargetAnswer(StatusCode status, List<HttpHeader> headers, ContentType contentType, ByteString body) {
+record TargetAnswer(WebAnswer answer) {
 
 	/**
 	 * To a caller these say that its request has not run, which only a daemon may say.
 	 */
 	private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
-	static TargetAnswer of(HttpResponse head, ByteString body) {
-		return new TargetAnswer(head.status(), ConnectionHeaders.passedOn(head), head.entity().getContentType(), body);
+	static TargetAnswer of(AnswerHead head, byte[] body) {
+		return new TargetAnswer(new WebAnswer(passedOn(head), Body.of(body)));
+	}
+
+	static AnswerHead passedOn(AnswerHead head) {
+		return new AnswerHead(head.status(), ConnectionHeaders.passedOn(head.headers()));
 	}
 
 	/**
@@ -34,14 +31,7 @@
 	 * @return whether it does
 	 */
 	boolean promisesNotRun() {
-		return PROMISES.contains(this.status.intValue());
-	}
-
-	HttpResponse toCaller() {
-		return HttpResponse.create()
-			.withStatus(this.status)
-			.addHeaders(this.headers)
-			.withEntity(HttpEntities.create(this.contentType, this.body));
+		return PROMISES.contains(this.answer.status());
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ErrorAnswers.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ErrorAnswers.java
@@ -17,12 +17,6 @@
  */
 public final class ErrorAnswers {
 
-	/** Names the request on every answer. */
-	public static final String REQUEST_ID_HEADER = "Pistachioline-Request-Id";
-
-	/** Says on every failure whether the request ran. */
-	public static final String RUN_HEADER = "Pistachioline-Run";
-
 	private static final long MILLIS_PER_SECOND = 1_000;
 
 	private ErrorAnswers() {
@@ -39,9 +33,9 @@
 	public static HttpResponse of(String requestId, ErrorKind kind, RunState runState, long retryAfterMillis) {
 		HttpResponse response = HttpResponse.create()
 			.withStatus(StatusCodes.custom(kind.httpStatus(), kind.code(), kind.message()))
-			.addHeader(RawHeader.create(REQUEST_ID_HEADER, requestId))
-			.addHeader(RawHeader.create(RUN_HEADER, runState.headerValue()))
-			.withEntity(ContentTypes.APPLICATION_JSON, Json.bytes(body(kind)));
+			.addHeader(RawHeader.create(ErrorBody.REQUEST_ID_HEADER, requestId))
+			.addHeader(RawHeader.create(ErrorBody.RUN_HEADER, runState.headerValue()))
+			.withEntity(ContentTypes.APPLICATION_JSON, ErrorBody.of(kind));
 		if (retryAfterMillis > 0) {
 			final long seconds = (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
 			response = response.addHeader(RawHeader.create("Retry-After", Long.toString(seconds)));
@@ -60,8 +54,4 @@
 				kind.message(), "type", kind.type(), "run", runState.headerValue()))) + "\n\n");
 	}
 
-	private static Map<String, Object> body(ErrorKind kind) {
-		return Map.of("error", Map.of("code", kind.code(), "message", kind.message(), "type", kind.type()));
-	}
-
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ServiceExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ServiceExchange.java
@@ -100,7 +100,7 @@
 		final ContentType type = org.apache.pekko.http.javadsl.model.ContentTypes.parse(contentType);
 		this.response.complete(HttpResponse.create()
 			.withStatus(StatusCodes.lookup(status).orElse(StatusCodes.OK))
-			.addHeader(RawHeader.create(ErrorAnswers.REQUEST_ID_HEADER, this.requestIdText))
+			.addHeader(RawHeader.create(ErrorBody.REQUEST_ID_HEADER, this.requestIdText))
 			.withEntity(HttpEntities.create((type != null) ? type : ContentTypes.APPLICATION_OCTET_STREAM, bodyBytes)));
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/StreamedExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/StreamedExchange.java
@@ -49,7 +49,7 @@
 			return;
 		}
 		response().complete(HttpResponse.create()
-			.addHeader(RawHeader.create(ErrorAnswers.REQUEST_ID_HEADER, requestIdText()))
+			.addHeader(RawHeader.create(ErrorBody.REQUEST_ID_HEADER, requestIdText()))
 			.withEntity(HttpEntities.createChunked(ContentTypes.create(MediaTypes.TEXT_EVENT_STREAM), this.answer)));
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/WholeExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/WholeExchange.java
@@ -87,7 +87,7 @@
 				Map.of("prompt_tokens", this.promptTokens, "completion_tokens", this.completionTokens, "total_tokens",
 						this.promptTokens + this.completionTokens));
 		response().complete(HttpResponse.create()
-			.addHeader(RawHeader.create(ErrorAnswers.REQUEST_ID_HEADER, requestIdText()))
+			.addHeader(RawHeader.create(ErrorBody.REQUEST_ID_HEADER, requestIdText()))
 			.withEntity(ContentTypes.APPLICATION_JSON, Json.bytes(body)));
 	}
 
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/http/DumpPageTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/http/DumpPageTests.java
@@ -5,9 +5,11 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 
-import org.apache.pekko.http.javadsl.model.Query;
 import org.junit.jupiter.api.Test;
 
+import org.pistachioline.adapters.web.HeaderFields;
+import org.pistachioline.adapters.web.WebRequest;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 class DumpPageTests {
@@ -24,14 +26,14 @@
 	// groups at once would be megabytes, several times over when several people ask.
 	@Test
 	void aDumpWithoutFilterHasEverySectionAndCutsLongLists() {
-		final Map<String, Object> cut = DumpPage.of(Query.create("")).cut(DUMP);
+		final Map<String, Object> cut = DumpPage.of(asked("")).cut(DUMP);
 		assertThat(cut).containsEntry("daemon", "daemon-0")
 			.containsEntry("fleet", Map.of("groups", GROUPS.subList(0, 100), "groups_total", 1_600, "next_offset", 7));
 	}
 
 	@Test
 	void aSectionIsPagedThrough() {
-		final Map<String, Object> cut = DumpPage.of(Query.create("section=fleet&from=0&limit=1000")).cut(DUMP);
+		final Map<String, Object> cut = DumpPage.of(asked("section=fleet&from=0&limit=1000")).cut(DUMP);
 		assertThat(cut).isEqualTo(
 				Map.of("fleet", Map.of("groups", GROUPS.subList(0, 1_000), "groups_total", 1_600, "next_offset", 7)));
 	}
@@ -45,9 +47,12 @@
 
 	@Test
 	void numbersThatAreNotValidAreTheUsualOnes() {
-		assertThat(DumpPage.of(Query.create("from=-1&limit=many")))
-			.isEqualTo(new DumpPage(Optional.empty(), 0, 100, ""));
-		assertThat(DumpPage.of(Query.create("limit=5000")).limit()).isEqualTo(1_000);
+		assertThat(DumpPage.of(asked("from=-1&limit=many"))).isEqualTo(new DumpPage(Optional.empty(), 0, 100, ""));
+		assertThat(DumpPage.of(asked("limit=5000")).limit()).isEqualTo(1_000);
+	}
+
+	private static WebRequest asked(String query) {
+		return WebRequest.get("/debug/dump?" + query, HeaderFields.EMPTY);
 	}
 
 }
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StreamPositionTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StreamPositionTests.java
@@ -17,7 +17,7 @@
 	@Test
 	void onlyWholeEventsPass() {
 		final StreamPosition position = new StreamPosition(Optional.empty());
-		final String passed = position.pass(bytes("id: 1\ndata: a\n\nid: 2\nda")).utf8String();
+		final String passed = pass(position, bytes("id: 1\ndata: a\n\nid: 2\nda"));
 		assertThat(passed).isEqualTo("id: 1\ndata: a\n\n");
 		assertThat(position.consumedBytes()).isEqualTo(passed.length());
 		assertThat(position.lastEventId()).contains("1");
@@ -31,21 +31,20 @@
 	@Test
 	void eventsThatTheCallerHasAreDropped() {
 		final StreamPosition position = new StreamPosition(Optional.of("7"));
-		assertThat(position.pass(bytes("id: 7\ndata: g\n\nid: 8\ndata: h\n\n")).utf8String())
-			.isEqualTo("id: 8\ndata: h\n\n");
+		assertThat(pass(position, bytes("id: 7\ndata: g\n\nid: 8\ndata: h\n\n"))).isEqualTo("id: 8\ndata: h\n\n");
 		assertThat(position.events()).isEqualTo(1);
 	}
 
 	@Test
 	void eventsWithoutAnIdPassAsTheyAre() {
 		final StreamPosition position = new StreamPosition(Optional.empty());
-		assertThat(position.pass(bytes("data: a\n\n: note\n\n")).utf8String()).isEqualTo("data: a\n\n: note\n\n");
+		assertThat(pass(position, bytes("data: a\n\n: note\n\n"))).isEqualTo("data: a\n\n: note\n\n");
 	}
 
 	@Test
 	void lineEndsOfBothKindsAreUnderstood() {
 		final StreamPosition position = new StreamPosition(Optional.empty());
-		assertThat(position.pass(bytes("id: 3\r\ndata: a\r\n\r\n")).utf8String()).isEqualTo("id: 3\r\ndata: a\r\n\r\n");
+		assertThat(pass(position, bytes("id: 3\r\ndata: a\r\n\r\n"))).isEqualTo("id: 3\r\ndata: a\r\n\r\n");
 		assertThat(position.lastEventId()).contains("3");
 	}
 
@@ -70,7 +69,7 @@
 			final byte[] piece = Arrays.copyOfRange(all, start, Math.min(all.length, start + cut));
 			final byte[] joined = Arrays.copyOf(rest, rest.length + piece.length);
 			System.arraycopy(piece, 0, joined, rest.length, piece.length);
-			passed.writeBytes(position.pass(joined).toArray());
+			position.pass(joined, passed::write);
 			rest = Arrays.copyOfRange(joined, position.consumedBytes(), joined.length);
 		}
 		assertThat(passed.toString(StandardCharsets.UTF_8)).isEqualTo(whole.toString());
@@ -81,4 +80,10 @@
 		return text.getBytes(StandardCharsets.UTF_8);
 	}
 
+	private static String pass(StreamPosition position, byte[] bytes) {
+		final ByteArrayOutputStream passed = new ByteArrayOutputStream();
+		position.pass(bytes, passed::write);
+		return passed.toString(StandardCharsets.UTF_8);
+	}
+
 }
