--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
@@ -173,12 +173,13 @@
 
 	@Override
 	public void onGone() {
-		// Here and not only by way of the traffic duty: the target works for nobody from
-		// now on.
+		// Told first: an attempt that ends while the traffic duty still holds the request
+		// is sent to another target, for nobody.
+		this.tools.callerGone().accept(this.info.requestId());
+		// Not only by way of the traffic duty: the target works for nobody from now on.
 		if (this.live != null) {
 			this.live.cancel();
 		}
-		this.tools.callerGone().accept(this.info.requestId());
 	}
 
 	@Override
--- /dev/null
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -0,0 +1,161 @@
+package org.pistachioline.daemon.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import org.pistachioline.adapters.web.AnswerHead;
+import org.pistachioline.adapters.web.Body;
+import org.pistachioline.adapters.web.CallerListener;
+import org.pistachioline.adapters.web.HeaderFields;
+import org.pistachioline.adapters.web.WebAnswer;
+import org.pistachioline.adapters.web.WebClient;
+import org.pistachioline.adapters.web.WebLoop;
+import org.pistachioline.adapters.web.WebReply;
+import org.pistachioline.adapters.web.WebRequest;
+import org.pistachioline.core.replica.LoadReport;
+import org.pistachioline.core.traffic.AttemptEnd;
+import org.pistachioline.core.traffic.AttemptId;
+import org.pistachioline.core.traffic.ClaimNeed;
+import org.pistachioline.core.traffic.RequestInfo;
+import org.pistachioline.core.traffic.TargetKind;
+import org.pistachioline.core.traffic.TargetView;
+import org.pistachioline.core.traffic.TrafficAction;
+import org.pistachioline.daemon.port.AnswerVerdict;
+import org.pistachioline.daemon.port.CallHead;
+import org.pistachioline.daemon.port.RelayDialect;
+import org.pistachioline.daemon.port.RelayedCall;
+import org.pistachioline.daemon.traffic.AttemptListener;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RelayExchangeTests {
+
+	private static final TargetView TARGET = new TargetView("i-1@1", TargetKind.MODEL, "pool/m", "127.0.0.1:9", 1, "z",
+			true, 12, 0, 0, 0);
+
+	private final WebLoop loop = new WebLoop("test");
+
+	private final List<String> told = new ArrayList<>();
+
+	@AfterEach
+	void stop() {
+		this.loop.close();
+	}
+
+	/**
+	 * A caller leaves in the middle of its stream. Were the end of the attempt told
+	 * before the caller's leaving, the request would be sent to another target, which
+	 * would begin to work for nobody and use up a part of the budget for repeats.
+	 */
+	@Test
+	void aCallerWhoLeavesIsToldBeforeItsAttemptEnds() {
+		final RelayTools tools = new RelayTools(Runnable::run, new WebClient(this.loop, 1_000, 1_000, 1),
+				new FixedDialect(), new LiveStreams(), (requestId) -> this.told.add("gone " + requestId),
+				(targetId, load) -> {
+				});
+		final RelayExchange exchange = new RelayExchange(info(), call(), true, tools,
+				new CallerAnswer(new SilentReply(), () -> false));
+		exchange.start(new TrafficAction.Start(new AttemptId(7, 1), TARGET, 0), new Ends());
+		exchange.onGone();
+		assertThat(this.told).containsExactly("gone 7", "CANCELLED");
+	}
+
+	private static RequestInfo info() {
+		return new RequestInfo(7, "", TargetKind.MODEL, "pool/m", 100, 60, 0, Long.MAX_VALUE, Long.MAX_VALUE, true,
+				ClaimNeed.NONE, "", List.of());
+	}
+
+	private static RelayedCall call() {
+		return new RelayedCall(
+				new CallHead("r7", OptionalLong.empty(), Optional.empty(), Optional.empty(), 100, 60, Optional.empty()),
+				"POST", "/copy/1", HeaderFields.EMPTY, Body.EMPTY, Optional.empty());
+	}
+
+	private final class Ends implements AttemptListener {
+
+		@Override
+		public void onProgress(AttemptId attempt, int tokensDelivered) {
+			RelayExchangeTests.this.told.add("progress");
+		}
+
+		@Override
+		public void onEnd(AttemptId attempt, AttemptEnd how, int tokensDelivered) {
+			RelayExchangeTests.this.told.add(how.name());
+		}
+
+	}
+
+	private static final class FixedDialect implements RelayDialect {
+
+		@Override
+		public CallHead read(HeaderFields headers) {
+			return call().head();
+		}
+
+		@Override
+		public WebRequest toTarget(RelayedCall call, TargetView target, long leftMillis, Optional<String> lastEventId) {
+			return new WebRequest(call.method(), call.target(), call.headers(), call.body());
+		}
+
+		@Override
+		public AnswerVerdict judge(RelayedCall call, AnswerHead answer) {
+			return AnswerVerdict.ANSWER;
+		}
+
+		@Override
+		public Optional<LoadReport> load(AnswerHead answer, long nowNanos) {
+			return Optional.empty();
+		}
+
+	}
+
+	private static final class SilentReply implements WebReply {
+
+		@Override
+		public void whole(WebAnswer answer) {
+			// Nobody reads it.
+		}
+
+		@Override
+		public void begin(AnswerHead head) {
+			// Nobody reads it.
+		}
+
+		@Override
+		public void piece(byte[] bytes, int offset, int length) {
+			// Nobody reads it.
+		}
+
+		@Override
+		public void flush() {
+			// Nobody reads it.
+		}
+
+		@Override
+		public void end() {
+			// Nobody reads it.
+		}
+
+		@Override
+		public void breakOff() {
+			// Nobody reads it.
+		}
+
+		@Override
+		public boolean writable() {
+			return true;
+		}
+
+		@Override
+		public void listen(CallerListener listener) {
+			// The test tells it by itself.
+		}
+
+	}
+
+}
