--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -237,6 +237,7 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+		ConnectionFaults.log(cause);
 		fail(cause);
 	}
 
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -245,9 +245,9 @@
 		}
 	}
 
-	// A reset by the caller; there is nobody to tell.
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		ConnectionFaults.log(cause);
 		context.close();
 	}
 
