Relay: nothing is sent for a caller who has left

Cause: an order of the traffic duty to send an attempt is a task of the relay's loop. Ruled out there: the order of the two words to the traffic duty.

Change: the exchange remembers that its caller has left. Test red before, green after.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
@@ -50,6 +50,8 @@
 
 	private String lastTargetId = "";
 
+	private boolean gone;
+
 	RelayExchange(RequestInfo info, RelayedCall call, boolean streaming, RelayTools tools, CallerAnswer answer) {
 		this.info = info;
 		this.call = call;
@@ -90,6 +92,13 @@
 	}
 
 	private void begin(TrafficAction.Start start, AttemptListener listener) {
+		if (this.gone) {
+			// The order to send was on its way when the caller left. On a daemon that
+			// runs
+			// late that is most of a second, and the target would work for nobody.
+			listener.onEnd(start.attempt(), AttemptEnd.CANCELLED, this.position.events());
+			return;
+		}
 		final long leftMillis = Math.max(1,
 				TimeUnit.NANOSECONDS.toMillis(this.info.totalDeadlineNanos() - System.nanoTime()));
 		this.attempts++;
@@ -173,6 +182,7 @@
 
 	@Override
 	public void onGone() {
+		this.gone = true;
 		// Told first: an attempt that ends while the traffic duty still holds the request
 		// is sent to another target, for nobody.
 		this.tools.callerGone().accept(this.info.requestId());
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -42,6 +42,8 @@
 
 	private final List<String> told = new ArrayList<>();
 
+	private final FixedDialect dialect = new FixedDialect();
+
 	@AfterEach
 	void stop() {
 		this.loop.close();
@@ -54,17 +56,33 @@
 	 */
 	@Test
 	void aCallerWhoLeavesIsToldBeforeItsAttemptEnds() {
-		final RelayTools tools = new RelayTools(Runnable::run, new WebClient(this.loop, 1_000, 1_000, 1),
-				new FixedDialect(), new LiveStreams(), (requestId) -> this.told.add("gone " + requestId),
-				(targetId, load) -> {
-				});
-		final RelayExchange exchange = new RelayExchange(info(), call(), true, tools,
-				new CallerAnswer(new SilentReply(), () -> false));
+		final RelayExchange exchange = exchange();
 		exchange.start(new TrafficAction.Start(new AttemptId(7, 1), TARGET, 0), new Ends());
 		exchange.onGone();
 		assertThat(this.told).containsExactly("gone 7", "CANCELLED");
 	}
 
+	/**
+	 * A daemon that has just started runs most of a second late. A caller leaves while
+	 * the order to send its request once more is on its way between two threads. Sent all
+	 * the same, it would keep a target at work for nobody.
+	 */
+	@Test
+	void nothingIsSentForACallerWhoHasLeft() {
+		final RelayExchange exchange = exchange();
+		exchange.onGone();
+		exchange.start(new TrafficAction.Start(new AttemptId(7, 2), TARGET, 0), new Ends());
+		assertThat(this.told).containsExactly("gone 7", "CANCELLED");
+		assertThat(this.dialect.written).isZero();
+	}
+
+	private RelayExchange exchange() {
+		final RelayTools tools = new RelayTools(Runnable::run, new WebClient(this.loop, 1_000, 1_000, 1), this.dialect,
+				new LiveStreams(), (requestId) -> this.told.add("gone " + requestId), (targetId, load) -> {
+				});
+		return new RelayExchange(info(), call(), true, tools, new CallerAnswer(new SilentReply(), () -> false));
+	}
+
 	private static RequestInfo info() {
 		return new RequestInfo(7, "", TargetKind.MODEL, "pool/m", 100, 60, 0, Long.MAX_VALUE, Long.MAX_VALUE, true,
 				ClaimNeed.NONE, "", List.of());
@@ -92,6 +110,8 @@
 
 	private static final class FixedDialect implements RelayDialect {
 
+		private int written;
+
 		@Override
 		public CallHead read(HeaderFields headers) {
 			return call().head();
@@ -99,6 +119,7 @@
 
 		@Override
 		public WebRequest toTarget(RelayedCall call, TargetView target, long leftMillis, Optional<String> lastEventId) {
+			this.written++;
 			return new WebRequest(call.method(), call.target(), call.headers(), call.body());
 		}
 
