--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -50,7 +50,7 @@
 
 	private ServerReply current;
 
-	private boolean deaf;
+	private boolean ignoresInput;
 
 	private long begunAtNanos;
 
@@ -73,7 +73,7 @@
 	 */
 	void addTo(ChannelPipeline pipeline) {
 		final int headBytes = this.limits.get().headBytes();
-		pipeline.addLast(new ByteSensor(), new HttpServerCodec(
+		pipeline.addLast(new ReadObserver(), new HttpServerCodec(
 				new HttpDecoderConfig().setMaxInitialLineLength(headBytes).setMaxHeaderSize(headBytes)), this);
 	}
 
@@ -86,7 +86,7 @@
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		this.messageRead = true;
 		try {
-			if (!this.deaf && message instanceof HttpObject object) {
+			if (!this.ignoresInput && message instanceof HttpObject object) {
 				take(object);
 			}
 		}
@@ -103,7 +103,7 @@
 		if (object instanceof HttpRequest request) {
 			begin(request);
 		}
-		if (!this.deaf && object instanceof HttpContent content) {
+		if (!this.ignoresInput && object instanceof HttpContent content) {
 			append(content);
 		}
 	}
@@ -150,7 +150,7 @@
 	}
 
 	private void fault(RequestFault fault) {
-		this.deaf = true;
+		this.ignoresInput = true;
 		this.begun = false;
 		this.head = null;
 		this.body = Unpooled.EMPTY_BUFFER;
@@ -197,7 +197,7 @@
 	// The codec shows nothing of a head until it is whole.
 	@Override
 	public void channelReadComplete(ChannelHandlerContext context) {
-		if (this.bytesRead && !this.messageRead && !this.deaf) {
+		if (this.bytesRead && !this.messageRead && !this.ignoresInput) {
 			beginTime();
 		}
 		this.bytesRead = false;
@@ -238,7 +238,7 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
-		this.deaf = true;
+		this.ignoresInput = true;
 		this.waiting.clear();
 		if (this.current != null) {
 			this.current.onGone();
@@ -266,7 +266,7 @@
 	/**
 	 * Notes that something has arrived, whatever the codec makes of it.
 	 */
-	private final class ByteSensor extends ChannelInboundHandlerAdapter {
+	private final class ReadObserver extends ChannelInboundHandlerAdapter {
 
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object bytes) {
