Adapters: a callers' connection gets its clock, so that its tests read none

Cause: the tests of slow and idle callers compared the running clock with margins of 500 ms; a test thread that stalled for longer would have turned them red. Ruled out: a real wait in the code. Change: the connection is given the monotonic clock; the tests' clock stands still.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import io.netty.buffer.ByteBuf;
@@ -40,6 +41,8 @@
 
 	private final Supplier<RequestLimits> limits;
 
+	private final LongSupplier nanoClock;
+
 	private final Deque<Arrived> waiting = new ArrayDeque<>();
 
 	private ChannelHandlerContext ctx;
@@ -60,11 +63,19 @@
 
 	private boolean messageRead;
 
-	private long idleSinceNanos = System.nanoTime();
+	private long idleSinceNanos;
 
-	ServerConnection(WebHandler handler, Supplier<RequestLimits> limits) {
+	/**
+	 * Creates a connection.
+	 * @param handler answers its requests
+	 * @param limits gives what its caller may send now
+	 * @param nanoClock the monotonic time, in nanoseconds
+	 */
+	ServerConnection(WebHandler handler, Supplier<RequestLimits> limits, LongSupplier nanoClock) {
 		this.handler = handler;
 		this.limits = limits;
+		this.nanoClock = nanoClock;
+		this.idleSinceNanos = nanoClock.getAsLong();
 	}
 
 	/**
@@ -183,14 +194,14 @@
 
 	private void answered() {
 		this.current = null;
-		this.idleSinceNanos = System.nanoTime();
+		this.idleSinceNanos = this.nanoClock.getAsLong();
 		next();
 	}
 
 	private void beginTime() {
 		if (!this.begun) {
 			this.begun = true;
-			this.begunAtNanos = System.nanoTime();
+			this.begunAtNanos = this.nanoClock.getAsLong();
 		}
 	}
 
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
@@ -63,7 +63,7 @@
 	}
 
 	private void accept(Channel channel) {
-		final ServerConnection connection = new ServerConnection(this.handler, this.limits);
+		final ServerConnection connection = new ServerConnection(this.handler, this.limits, System::nanoTime);
 		connection.addTo(channel.pipeline());
 		this.connections.add(connection);
 		channel.closeFuture().addListener((closed) -> this.connections.remove(connection));
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ServerConnectionTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ServerConnectionTests.java
@@ -15,6 +15,9 @@
 
 class ServerConnectionTests {
 
+	/** The clock of these tests stands still; only sweeps are told of later times. */
+	private static final long START_NANOS = 7_000_000_000L;
+
 	private static final RequestLimits LIMITS = new RequestLimits(1_000, 3_000, 100, 10_000, 15_000);
 
 	private static final String POST = "POST /copy/1?a=%20b HTTP/1.1\r\nHost: shop\r\nContent-Length: 6\r\n\r\nprompt";
@@ -24,7 +27,7 @@
 
 	private final RecordingHandler handler = new RecordingHandler();
 
-	private final ServerConnection connection = new ServerConnection(this.handler, () -> LIMITS);
+	private final ServerConnection connection = new ServerConnection(this.handler, () -> LIMITS, () -> START_NANOS);
 
 	private final EmbeddedChannel channel = channelOf(this.connection);
 
@@ -49,7 +52,7 @@
 	@Property(seed = "7")
 	void cutsChangeNothing(@ForAll @IntRange(min = 1, max = 200) int cut) {
 		final RecordingHandler recorder = new RecordingHandler();
-		final EmbeddedChannel cutChannel = channelOf(new ServerConnection(recorder, () -> LIMITS));
+		final EmbeddedChannel cutChannel = channelOf(new ServerConnection(recorder, () -> LIMITS, () -> START_NANOS));
 		final String both = POST + CHUNKED;
 		for (int start = 0; start < both.length(); start += cut) {
 			cutChannel.writeInbound(buffer(both.substring(start, Math.min(both.length(), start + cut))));
@@ -162,12 +165,12 @@
 		assertThat(this.channel.outboundMessages()).isEmpty();
 		sweep(LIMITS.headMillis() + 500);
 		assertThat(sent()).startsWith("HTTP/1.1 408 ");
-		final ServerConnection slow = new ServerConnection(this.handler, () -> LIMITS);
+		final ServerConnection slow = new ServerConnection(this.handler, () -> LIMITS, () -> START_NANOS);
 		final EmbeddedChannel other = channelOf(slow);
 		other.writeInbound(buffer("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab"));
-		slow.sweep(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMITS.headMillis() + 500));
+		slow.sweep(START_NANOS + TimeUnit.MILLISECONDS.toNanos(LIMITS.headMillis() + 500));
 		assertThat(other.outboundMessages()).isEmpty();
-		slow.sweep(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMITS.bodyMillis() + 500));
+		slow.sweep(START_NANOS + TimeUnit.MILLISECONDS.toNanos(LIMITS.bodyMillis() + 500));
 		assertThat(text(other)).startsWith("HTTP/1.1 408 ");
 		assertThat(this.handler.requests()).isEmpty();
 	}
@@ -180,11 +183,11 @@
 	@Test
 	void aConnectionWhoseRequestIsAnsweredAtOnceIsIdle() {
 		final ServerConnection quick = new ServerConnection(
-				(request, reply) -> reply.whole(WebAnswer.text(404, "none")), () -> LIMITS);
+				(request, reply) -> reply.whole(WebAnswer.text(404, "none")), () -> LIMITS, () -> START_NANOS);
 		final EmbeddedChannel other = channelOf(quick);
 		other.writeInbound(buffer(POST));
 		assertThat(text(other)).startsWith("HTTP/1.1 404 ");
-		quick.sweep(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMITS.headMillis() + 500));
+		quick.sweep(START_NANOS + TimeUnit.MILLISECONDS.toNanos(LIMITS.headMillis() + 500));
 		assertThat(other.outboundMessages()).isEmpty();
 		assertThat(other.isOpen()).isTrue();
 	}
@@ -203,7 +206,7 @@
 
 	private void assertRefused(String request, int status) {
 		final RecordingHandler recorder = new RecordingHandler();
-		final EmbeddedChannel refused = channelOf(new ServerConnection(recorder, () -> LIMITS));
+		final EmbeddedChannel refused = channelOf(new ServerConnection(recorder, () -> LIMITS, () -> START_NANOS));
 		refused.writeInbound(buffer(request));
 		assertThat(text(refused)).startsWith("HTTP/1.1 " + status + ' ');
 		assertThat(refused.isOpen()).isFalse();
@@ -217,7 +220,7 @@
 	}
 
 	private void sweep(long afterMillis) {
-		this.connection.sweep(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(afterMillis));
+		this.connection.sweep(START_NANOS + TimeUnit.MILLISECONDS.toNanos(afterMillis));
 	}
 
 	private void stream(String event) {
