Relay: callers wait on a port that is open from the start, and their leaving is read with their request

Change: the callers' port opens before anything is loaded; callers are taken when configuration and instances are known, or after 0.8 s; a read goes on until the end of a connection would show. The pool-wide list of peers is made anew only where a frame says something new.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
@@ -1,5 +1,6 @@
 package org.pistachioline.adapters.web;
 
+import java.nio.channels.ServerSocketChannel;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 
@@ -7,9 +8,11 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -35,10 +38,15 @@
 	/** Time for closed connections to send what they still hold. */
 	private static final long CLOSE_MILLIS = 200;
 
-	/**
-	 * Connections that wait to be accepted; a burst of callers brings hundreds at once.
-	 */
-	private static final int BACKLOG = 1_024;
+	/** One caller with a long body must not keep the others waiting. */
+	private static final int MOST_READS = 16;
+
+	// Reads on until nothing is left, as the end of a connection comes last. By default a
+	// request that fits into the buffer is handed on before the next read finds that its
+	// caller has left, and a loop that runs late would send it to a target all the same.
+	private static final RecvByteBufAllocator READS_TO_THE_END = new AdaptiveRecvByteBufAllocator()
+		.respectMaybeMoreData(false)
+		.maxMessagesPerRead(MOST_READS);
 
 	private final EventLoopGroup group;
 
@@ -82,12 +90,12 @@
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis);
 	}
 
-	ServerBootstrap server() {
+	ServerBootstrap server(ServerSocketChannel socket) {
 		return new ServerBootstrap().group(this.group)
-			.channel(NioServerSocketChannel.class)
+			.channelFactory(() -> new NioServerSocketChannel(socket))
 			.option(ChannelOption.ALLOCATOR, ALLOCATOR)
-			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.childOption(ChannelOption.ALLOCATOR, ALLOCATOR)
+			.childOption(ChannelOption.RECVBUF_ALLOCATOR, READS_TO_THE_END)
 			.childOption(ChannelOption.TCP_NODELAY, true);
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/peer/PeerTable.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/peer/PeerTable.java
@@ -48,6 +48,8 @@
 
 	private long told;
 
+	private boolean changed;
+
 	/**
 	 * Creates an empty table.
 	 * @param selfId this daemon's name
@@ -70,10 +72,14 @@
 		}
 		final Known known = this.peers.get(status.daemonId());
 		if (known == null) {
-			return this.peers.size() < MAX_DAEMONS
-					&& this.peers.put(status.daemonId(), new Known(status, nowNanos)) == null;
+			if (this.peers.size() >= MAX_DAEMONS) {
+				return false;
+			}
+			this.peers.put(status.daemonId(), new Known(status, nowNanos));
+			this.changed = true;
+			return true;
 		}
-		return status.isNewerThan(known.status) && known.renew(status, nowNanos, boundNanos());
+		return status.isNewerThan(known.status) && renew(known, status, nowNanos);
 	}
 
 	/**
@@ -89,7 +95,25 @@
 				|| news.sequence() <= known.status.sequence()) {
 			return false;
 		}
-		return known.renew(known.status.with(news), nowNanos, boundNanos());
+		return renew(known, known.status.with(news), nowNanos);
+	}
+
+	private boolean renew(Known known, PeerStatus newer, long nowNanos) {
+		this.changed |= newer.incarnation() != known.status.incarnation() || newer.differsFrom(known.status);
+		final boolean wasLost = known.renew(newer, nowNanos, boundNanos());
+		this.changed |= wasLost;
+		return wasLost;
+	}
+
+	/**
+	 * Returns whether anything but the time at which daemons were heard of has changed
+	 * since the last call. In a large fleet most frames say only that all still live.
+	 * @return whether it has
+	 */
+	public boolean takeChanged() {
+		final boolean now = this.changed;
+		this.changed = false;
+		return now;
 	}
 
 	/**
--- a/pistachioline-core/src/test/java/org/pistachioline/core/peer/PeerTableTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/peer/PeerTableTests.java
@@ -120,6 +120,37 @@
 		assertThat(table.live(SECOND)).containsExactly(status(1, 7, 3, 1));
 	}
 
+	/**
+	 * Load: each of hundreds of daemons hears several times a second that all others
+	 * still live. The list of all is made anew only where it says something else.
+	 */
+	@Test
+	void aLaterWordThatSaysTheSameIsNoChange() {
+		final PeerTable table = new PeerTable("self", 8 * BEAT_NANOS);
+		table.merge(status(1, 7, 3, 1), 0);
+		assertThat(table.takeChanged()).isTrue();
+		table.merge(status(1, 7, 4, 1), SECOND);
+		table.merge(new PeerNews("daemon-1", 7, 5, 1, true, false), SECOND);
+		assertThat(table.takeChanged()).isFalse();
+		table.merge(new PeerNews("daemon-1", 7, 6, 1, true, true), SECOND);
+		assertThat(table.takeChanged()).isTrue();
+		table.merge(status(1, 8, 1, 1), SECOND);
+		assertThat(table.takeChanged()).isTrue();
+	}
+
+	/**
+	 * A daemon was cut off and is heard of again with nothing new to tell. It has to
+	 * count as live at once, or its callers are sent elsewhere.
+	 */
+	@Test
+	void aDaemonThatWasLostAndComesBackIsAChange() {
+		final PeerTable table = new PeerTable("self", 8 * BEAT_NANOS);
+		table.merge(status(1, 7, 3, 1), 0);
+		table.takeChanged();
+		table.merge(status(1, 7, 4, 1), 60 * SECOND);
+		assertThat(table.takeChanged()).isTrue();
+	}
+
 	@Test
 	void aStrangersInventedDaemonsDoNotFillTheMemory() {
 		final PeerTable table = new PeerTable("self", 8 * BEAT_NANOS);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -4,12 +4,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
+import org.pistachioline.adapters.web.ListeningSocket;
 import org.pistachioline.core.admission.AdmitAll;
 import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpRule;
@@ -19,6 +21,7 @@
 import org.pistachioline.core.placement.ExpectedWaitPlacement;
 import org.pistachioline.core.quarantine.NoQuarantine;
 import org.pistachioline.core.queueing.FairQueue;
+import org.pistachioline.core.replica.PlannerCandidates;
 import org.pistachioline.core.replica.ServingInstance;
 import org.pistachioline.core.retry.SharedBudgetRetry;
 import org.pistachioline.core.route.RouteTable;
@@ -60,6 +63,12 @@
 	/** Callers keep an answer of where to connect up to three times its one second. */
 	private static final long LINGER_MILLIS = 3_500;
 
+	/** Some heartbeats, and the time to connect. */
+	private static final long HEAR_OTHERS_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+	/** A caller gives a daemon up that has not read its request within a second. */
+	private static final long LONGEST_HOLD_MILLIS = 800;
+
 	private static final long STOP_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
 	private static final long LONGEST_FIRST_START_NANOS = TimeUnit.MINUTES.toNanos(1);
@@ -96,6 +105,8 @@
 
 	private volatile RouteTable table = RouteTable.UNKNOWN;
 
+	private final CountDownLatch informed = new CountDownLatch(1);
+
 	private volatile boolean listed;
 
 	private volatile boolean leaving;
@@ -109,8 +120,9 @@
 	 * @param system the process's actor system
 	 * @param settings its settings
 	 * @param ports the platform
+	 * @param callers the port on which callers come; it may be open already
 	 */
-	public RoutingDaemon(ActorSystem<?> system, RoutingSettings settings, RoutingPorts ports) {
+	public RoutingDaemon(ActorSystem<?> system, RoutingSettings settings, RoutingPorts ports, ListeningSocket callers) {
 		this.system = system;
 		this.settings = settings;
 		this.ports = ports;
@@ -129,10 +141,10 @@
 		this.listing = new ListingDuty(system, settings.daemonId(), settings.listAgeMillis(), ports.instances(),
 				() -> ports.lease().term(System.nanoTime()).isPresent(), this.peers::daemonIds, this.peers::send,
 				this::listed);
-		this.relay = new Relay(settings.callerAddress(), ports.dialect(), () -> this.table, this.traffic,
-				this.replicas::loaded, () -> this.leaving);
+		this.relay = new Relay(callers, ports.dialect(), () -> this.table, this.traffic, this.replicas::loaded,
+				() -> this.leaving);
 		this.parts.add(List.of(this.traffic, this.replicas, this.peers, ports.routes(), this.listing, ports.lease(),
-				new AdminServer(settings.adminAddress(), new AdminHandler(this)), this.relay));
+				new AdminServer(settings.adminAddress(), new AdminHandler(this))));
 		connect();
 	}
 
@@ -147,10 +159,12 @@
 	private void connect() {
 		this.ports.routes().onRoutes((next) -> {
 			this.table = next;
+			noteInformed();
 			this.replicas.configured(next);
 			Events.log(EventId.CONFIG_IN_FORCE, "version", next.version());
 		});
 		this.ports.routes().followOthers(() -> this.peers.others().size() + 1, this.peers::newestConfigVersion);
+		this.ports.lease().onlyIf(this::isPlannerCandidate);
 		this.peers.onListingFrame(this.listing::onFrame);
 		this.traffic.onStalled((targetId) -> {
 			this.replicas.stalled(targetId);
@@ -168,9 +182,23 @@
 				() -> this.listing.readsForOthers() ? 1 : 0);
 	}
 
+	private void noteInformed() {
+		if (this.listed && this.table.known()) {
+			this.informed.countDown();
+		}
+	}
+
+	// A daemon that has just started knows of no other, and would take itself for the
+	// first.
+	private boolean isPlannerCandidate() {
+		return System.nanoTime() - this.startedAtNanos >= HEAR_OTHERS_NANOS
+				&& PlannerCandidates.includes(this.settings.daemonId(), this.peers.daemonIds());
+	}
+
 	private void listed(List<ServingInstance> instances) {
 		this.listed = true;
 		this.replicas.listed(instances);
+		noteInformed();
 	}
 
 	// A daemon that has just started counts few others; the most it has ever seen is a
@@ -186,10 +214,30 @@
 	}
 
 	/**
-	 * Starts all parts in order.
+	 * Starts all parts in order, but for those that callers see.
 	 */
 	public void start() {
 		this.parts.start();
+	}
+
+	/**
+	 * Takes callers as soon as the configuration and the instances are known. Those who
+	 * come before wait on the open port; taken at once, each of them would be refused.
+	 * Where the platform does not tell, as its store is away, they are taken all the same
+	 * after a while, to be told to come again.
+	 * @throws IllegalStateException if the thread is interrupted
+	 */
+	public void welcome() {
+		try {
+			if (!this.informed.await(LONGEST_HOLD_MILLIS, TimeUnit.MILLISECONDS)) {
+				Events.log(EventId.STARTED_UNINFORMED, "version", configVersion(), "listed", this.listed);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException("Interrupted before callers were taken", ex);
+		}
+		this.relay.start();
 		Events.log(EventId.STARTED, "daemon", this.settings.daemonId(), "callers", this.settings.callerAddress(),
 				"admin", this.settings.adminAddress(), "peers", this.settings.peerAddress(), "start_millis",
 				TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startedAtNanos));
@@ -221,6 +269,7 @@
 	 * Stops all started parts in reverse order.
 	 */
 	public void stop() {
+		this.relay.stop();
 		this.parts.stop();
 		this.system.terminate();
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/JsonLinesConfiguration.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/JsonLinesConfiguration.java
@@ -2,7 +2,6 @@
 
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.core.appender.AsyncAppender;
-import org.apache.logging.log4j.core.appender.ConsoleAppender;
 import org.apache.logging.log4j.core.config.AbstractConfiguration;
 import org.apache.logging.log4j.core.config.AppenderRef;
 import org.apache.logging.log4j.core.config.ConfigurationSource;
@@ -33,12 +32,7 @@
 
 	@Override
 	protected void doConfigure() {
-		final ConsoleAppender output = ConsoleAppender.newBuilder()
-			.setName(OUTPUT)
-			.setTarget(ConsoleAppender.Target.SYSTEM_OUT)
-			.setLayout(new JsonLinesLayout())
-			.setConfiguration(this)
-			.build();
+		final OutputAppender output = new OutputAppender(OUTPUT, new JsonLinesLayout());
 		output.start();
 		addAppender(output);
 		addBuffer();
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
@@ -287,7 +287,10 @@
 				Events.log(EventId.PEER_FOUND, "daemon", news.getDaemonId());
 			}
 		});
-		setLive(this.table.live(nowNanos));
+		// The next tick shows the rest.
+		if (this.table.takeChanged()) {
+			setLive(this.table.live(nowNanos));
+		}
 		this.demandReceiver.accept(PeerCodec.decode(frame.getHeartbeat().getSender()), frame.getHeartbeat()
 			.getWorkspaceUseList()
 			.stream()
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/PlannerLease.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/PlannerLease.java
@@ -1,6 +1,7 @@
 package org.pistachioline.daemon.port;
 
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 import org.pistachioline.daemon.Lifecycle;
 
@@ -17,6 +18,12 @@
 	 */
 	Optional<Long> term(long nowNanos);
 
+	/**
+	 * Sets who asks for the lease; whoever holds it keeps it until it is lost.
+	 * @param isCandidate returns whether this daemon asks; it must not block
+	 */
+	void onlyIf(BooleanSupplier isCandidate);
+
 	/**
 	 * Gives the lease up, so that another daemon need not wait until it lapses.
 	 */
