--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/FairQueue.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/FairQueue.java
@@ -42,6 +42,8 @@
 
 	private final int maxRequests;
 
+	private final WaitingOrder order;
+
 	private final OutputEstimates estimates = new OutputEstimates();
 
 	private final Map<String, Lane> lanes = new LinkedHashMap<>();
@@ -57,11 +59,21 @@
 	private long sequence;
 
 	/**
-	 * Creates an empty queue.
+	 * Creates an empty queue in which deadlines decide within a workspace.
 	 * @param maxRequests how many requests may wait in all
 	 */
 	public FairQueue(int maxRequests) {
+		this(maxRequests, new DeadlineOrder());
+	}
+
+	/**
+	 * Creates an empty queue.
+	 * @param maxRequests how many requests may wait in all
+	 * @param order who goes first within a workspace
+	 */
+	public FairQueue(int maxRequests, WaitingOrder order) {
 		this.maxRequests = maxRequests;
+		this.order = order;
 	}
 
 	@Override
@@ -119,7 +131,7 @@
 			// All requests of a lane can be placed at the same targets, so its head is
 			// asked for all: a full model costs one question and not one a request.
 			final Waiting next = lane.isEmpty() ? null
-					: lane.dispatch(nowNanos, freeSlots.applyAsInt(lane.head().info()), this::weight);
+					: lane.dispatch(nowNanos, freeSlots.applyAsInt(lane.head().info()), this.order, this::weight);
 			if (next != null) {
 				leave(next);
 				this.running.put(next.info().requestId(), next.cost());
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/Lane.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/Lane.java
@@ -92,26 +92,28 @@
 	 * Takes the next request out.
 	 * @param nowNanos the monotonic time
 	 * @param freeSlots how many could start now
+	 * @param order who goes first within a workspace
 	 * @param weights the weights of workspaces
 	 * @return the request; null where none may start
 	 */
-	Waiting dispatch(long nowNanos, int freeSlots, ToDoubleFunction<String> weights) {
+	Waiting dispatch(long nowNanos, int freeSlots, WaitingOrder order, ToDoubleFunction<String> weights) {
 		if (freeSlots <= 0) {
 			return null;
 		}
 		for (final Flow flow : this.backlogged) {
 			if (freeSlots > this.reserve.against(nowNanos, flow, isLong(flow), freeSlots + this.running,
 					this.flows.values(), weights)) {
-				return dispatch(nowNanos, flow, weights.applyAsDouble(flow.workspace));
+				return dispatch(nowNanos, flow, order, weights.applyAsDouble(flow.workspace));
 			}
 		}
 		return null;
 	}
 
-	private Waiting dispatch(long nowNanos, Flow flow, double weight) {
+	private Waiting dispatch(long nowNanos, Flow flow, WaitingOrder order, double weight) {
 		this.backlogged.remove(flow);
 		flow.observe(nowNanos);
-		final Waiting waiting = flow.queue.pollFirst();
+		final Waiting waiting = order.next(nowNanos, (long) this.firstTokenMeanNanos, flow.queue);
+		flow.queue.remove(waiting);
 		this.virtualTime = Math.max(this.virtualTime, flow.startTag);
 		flow.finishTag = flow.startTag + waiting.cost() / weight;
 		flow.startTag = flow.finishTag;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/Waiting.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/Waiting.java
@@ -12,7 +12,7 @@
  * @param queuedAtNanos when it came, by the monotonic clock
  * @param cost its estimated cost, in output tokens
  */
-record Waiting(RequestInfo info, long sequence, long queuedAtNanos, double cost) {
+public record Waiting(RequestInfo info, long sequence, long queuedAtNanos, double cost) {
 
 	/** Who goes first within a workspace. */
 	static final Comparator<Waiting> BY_URGENCY = Comparator.comparingInt((Waiting waiting) -> -waiting.info.priority())
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RequestInfo.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RequestInfo.java
@@ -19,10 +19,12 @@
  * @param fingerprint the request's fingerprint
  * @param prefixHashes hashes of the prompt's growing prefixes, the shortest first
  * @param maxAttempts how many targets it may be sent to in all
+ * @param onTimeNanos until when its first token is on time for its caller, by the
+ * monotonic clock; after that it is still of some use up to its deadline
  */
 public record RequestInfo(long requestId, String workspace, TargetKind targetKind, String name, int promptTokens,
 		int maxOutputTokens, int priority, long firstTokenDeadlineNanos, long totalDeadlineNanos, boolean idempotent,
-		ClaimNeed claim, String fingerprint, List<Long> prefixHashes, int maxAttempts) {
+		ClaimNeed claim, String fingerprint, List<Long> prefixHashes, int maxAttempts, long onTimeNanos) {
 
 	/**
 	 * Bounds the prefill that is paid again when group after group drains or dies, where
@@ -35,7 +37,8 @@
 	}
 
 	/**
-	 * Describes a request for which the operator states no bound on attempts.
+	 * Describes a request for which the operator states no bound on attempts, and no time
+	 * other than its deadline.
 	 * @param requestId the id that this daemon gave it
 	 * @param workspace the caller's workspace
 	 * @param targetKind whether it goes to a model or to a plain service
@@ -54,7 +57,8 @@
 			int maxOutputTokens, int priority, long firstTokenDeadlineNanos, long totalDeadlineNanos,
 			boolean idempotent, ClaimNeed claim, String fingerprint, List<Long> prefixHashes) {
 		this(requestId, workspace, targetKind, name, promptTokens, maxOutputTokens, priority, firstTokenDeadlineNanos,
-				totalDeadlineNanos, idempotent, claim, fingerprint, prefixHashes, USUAL_MAX_ATTEMPTS);
+				totalDeadlineNanos, idempotent, claim, fingerprint, prefixHashes, USUAL_MAX_ATTEMPTS,
+				firstTokenDeadlineNanos);
 	}
 
 	/**
--- a/pistachioline-core/src/test/java/org/pistachioline/core/placement/LargeFleetPlacementTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/placement/LargeFleetPlacementTests.java
@@ -120,7 +120,8 @@
 
 		Optional<TargetLoad> choose() {
 			final RequestInfo info = new RequestInfo(1, "shop", TargetKind.SERVICE, "desk", 0, 0, 0,
-					NOW_NANOS + 1_000_000_000L, NOW_NANOS + 1_000_000_000L, false, ClaimNeed.NONE, "", List.of(), 1);
+					NOW_NANOS + 1_000_000_000L, NOW_NANOS + 1_000_000_000L, false, ClaimNeed.NONE, "", List.of(), 1,
+					NOW_NANOS + 1_000_000_000L);
 			return this.placement.choose(NOW_NANOS, info, this.set, Set.of());
 		}
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/placement/SilentTargetPlacementTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/placement/SilentTargetPlacementTests.java
@@ -110,7 +110,8 @@
 
 	private static RequestInfo request() {
 		return new RequestInfo(1, "workspace", TargetKind.MODEL, "pool/large", 1_000, 100, 0,
-				START_NANOS + 2_000 * MILLI, START_NANOS + 8_000 * MILLI, true, ClaimNeed.NONE, "", List.of(), 2);
+				START_NANOS + 2_000 * MILLI, START_NANOS + 8_000 * MILLI, true, ClaimNeed.NONE, "", List.of(), 2,
+				START_NANOS + 2_000 * MILLI);
 	}
 
 }
--- a/pistachioline-core/src/test/java/org/pistachioline/core/retry/SharedBudgetRetryTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/retry/SharedBudgetRetryTests.java
@@ -67,7 +67,7 @@
 
 	private static RequestInfo info(long nowNanos, int maxAttempts) {
 		return new RequestInfo(1, "shop", TargetKind.MODEL, "pool/small", 100, 50, 0, nowNanos + SECOND,
-				nowNanos + 6 * SECOND, true, ClaimNeed.NONE, "", List.of(), maxAttempts);
+				nowNanos + 6 * SECOND, true, ClaimNeed.NONE, "", List.of(), maxAttempts, nowNanos + SECOND);
 	}
 
 }
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/GroupStartTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/GroupStartTests.java
@@ -14,7 +14,7 @@
 	private static final long SECOND = 1_000_000_000L;
 
 	private static final RequestInfo REQUEST = new RequestInfo(1, "workspace", TargetKind.MODEL, "pool/large", 100, 100,
-			0, 100 * SECOND, 100 * SECOND, true, ClaimNeed.NONE, "", List.of(), 2);
+			0, 100 * SECOND, 100 * SECOND, true, ClaimNeed.NONE, "", List.of(), 2, 100 * SECOND);
 
 	/**
 	 * A group breaks and its survivors form another within a second. Its engines ran all
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -21,6 +21,7 @@
 import org.pistachioline.core.placement.ExpectedWaitPlacement;
 import org.pistachioline.core.quarantine.NoQuarantine;
 import org.pistachioline.core.queueing.FairQueue;
+import org.pistachioline.core.queueing.OnTimeFirstOrder;
 import org.pistachioline.core.replica.PlannerCandidates;
 import org.pistachioline.core.replica.ServingInstance;
 import org.pistachioline.core.retry.SharedBudgetRetry;
@@ -150,7 +151,7 @@
 
 	private TrafficPolicies policies() {
 		final long seed = this.incarnation ^ ((long) this.settings.daemonId().hashCode() << Integer.SIZE);
-		return new TrafficPolicies(new AdmitAll(), new FairQueue(MOST_QUEUED),
+		return new TrafficPolicies(new AdmitAll(), new FairQueue(MOST_QUEUED, new OnTimeFirstOrder()),
 				new ExpectedWaitPlacement(this.settings.availabilityZone(), seed, true),
 				new SharedBudgetRetry(this.settings.retryBudget(), this::daemonCount), new NoQuarantine(),
 				new PromptShift());
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -119,7 +119,8 @@
 		return new RequestInfo(id, call.workspace().orElse(""), grouped ? TargetKind.MODEL : TargetKind.SERVICE,
 				grouped ? ServingGroups.targetName(service, head.model().orElse("")) : service, head.promptTokens(),
 				head.maxOutputTokens(), HIGHEST_PRIORITY - rank, startNanos, deadlineNanos, route.idempotent(),
-				ClaimNeed.NONE, "", List.of(), Math.max(1, route.maxAttempts()));
+				ClaimNeed.NONE, "", List.of(), Math.max(1, route.maxAttempts()),
+				arrivedAtNanos + TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis()));
 	}
 
 	// All hashes are compared each time, so that the time of an answer tells nothing of
