Relay: the callers' port stays closed until it can serve, again; eight ask for the lease

Cause: the hypothesis of an open port did not hold. Those who were held come at once when a cold daemon starts, are late and make the next ones late. Lease: eight candidates in place of five, so that fleets of seven or eight keep all and nobody has to leave the group when daemons come back.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
@@ -1,6 +1,5 @@
 package org.pistachioline.adapters.web;
 
-import java.nio.channels.ServerSocketChannel;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 
@@ -38,6 +37,11 @@
 	/** Time for closed connections to send what they still hold. */
 	private static final long CLOSE_MILLIS = 200;
 
+	/**
+	 * Connections that wait to be accepted; a burst of callers brings hundreds at once.
+	 */
+	private static final int BACKLOG = 1_024;
+
 	/** One caller with a long body must not keep the others waiting. */
 	private static final int MOST_READS = 16;
 
@@ -90,10 +94,11 @@
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis);
 	}
 
-	ServerBootstrap server(ServerSocketChannel socket) {
+	ServerBootstrap server() {
 		return new ServerBootstrap().group(this.group)
-			.channelFactory(() -> new NioServerSocketChannel(socket))
+			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.ALLOCATOR, ALLOCATOR)
+			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.childOption(ChannelOption.ALLOCATOR, ALLOCATOR)
 			.childOption(ChannelOption.RECVBUF_ALLOCATOR, READS_TO_THE_END)
 			.childOption(ChannelOption.TCP_NODELAY, true);
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
@@ -18,7 +18,7 @@
 
 	private final WebLoop loop;
 
-	private final ListeningSocket socket;
+	private final String address;
 
 	private final WebHandler handler;
 
@@ -36,19 +36,8 @@
 	 * @param limits gives what callers may send now
 	 */
 	public WebServer(WebLoop loop, String address, WebHandler handler, Supplier<RequestLimits> limits) {
-		this(loop, ListeningSocket.at(address), handler, limits);
-	}
-
-	/**
-	 * Creates a server on a port that may be open already.
-	 * @param loop the thread on which its connections are served
-	 * @param socket the port
-	 * @param handler answers each request
-	 * @param limits gives what callers may send now
-	 */
-	public WebServer(WebLoop loop, ListeningSocket socket, WebHandler handler, Supplier<RequestLimits> limits) {
 		this.loop = loop;
-		this.socket = socket;
+		this.address = address;
 		this.handler = handler;
 		this.limits = limits;
 	}
@@ -57,14 +46,19 @@
 	 * Listens.
 	 */
 	public void start() {
-		this.listener = this.loop.server(this.socket.open()).childHandler(new ChannelInitializer<Channel>() {
+		final int colon = this.address.lastIndexOf(':');
+		this.listener = this.loop.server().childHandler(new ChannelInitializer<Channel>() {
 
 			@Override
 			protected void initChannel(Channel channel) {
 				accept(channel);
 			}
 
-		}).register().syncUninterruptibly().channel();
+		})
+			.bind(new InetSocketAddress(this.address.substring(0, colon),
+					Integer.parseInt(this.address.substring(colon + 1))))
+			.syncUninterruptibly()
+			.channel();
 		this.loop.every(this::sweep, SWEEP_MILLIS);
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -8,12 +8,6 @@
 	/** The process has started. */
 	STARTED(100, EventLevel.INFO, "The process has started."),
 
-	/** The platform has not told what a daemon needs to serve callers. */
-	STARTED_UNINFORMED(109, EventLevel.WARN, "Callers are taken though configuration or instances are not known yet."),
-
-	/** A seed does not answer while the process starts. */
-	SEED_SILENT(110, EventLevel.INFO, "A seed does not answer while the process starts."),
-
 	/** The process is stopping. */
 	STOPPING(101, EventLevel.INFO, "The process is stopping; requests in progress are finished first."),
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/PlannerCandidates.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/PlannerCandidates.java
@@ -18,8 +18,12 @@
  */
 public final class PlannerCandidates {
 
-	/** Half of a fleet may die at once; that all of these are among them is unlikely. */
-	private static final int CANDIDATES = 5;
+	/**
+	 * Half of a fleet may die at once; that all of these are among them is unlikely. In a
+	 * fleet no larger than this all ask, so that nobody has to leave the group again when
+	 * daemons come back.
+	 */
+	private static final int CANDIDATES = 8;
 
 	private static final Comparator<String> ORDER = Comparator
 		.comparingInt((String id) -> MurmurHash3.hash32x86(id.getBytes(StandardCharsets.UTF_8)))
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -4,14 +4,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
-import org.pistachioline.adapters.web.ListeningSocket;
 import org.pistachioline.core.admission.AdmitAll;
 import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpRule;
@@ -67,9 +65,6 @@
 	/** Some heartbeats, and the time to connect. */
 	private static final long HEAR_OTHERS_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
-	/** A caller gives a daemon up that has not read its request within a second. */
-	private static final long LONGEST_HOLD_MILLIS = 800;
-
 	private static final long STOP_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
 	private static final long LONGEST_FIRST_START_NANOS = TimeUnit.MINUTES.toNanos(1);
@@ -106,8 +101,6 @@
 
 	private volatile RouteTable table = RouteTable.UNKNOWN;
 
-	private final CountDownLatch informed = new CountDownLatch(1);
-
 	private volatile boolean listed;
 
 	private volatile boolean leaving;
@@ -121,9 +114,8 @@
 	 * @param system the process's actor system
 	 * @param settings its settings
 	 * @param ports the platform
-	 * @param callers the port on which callers come; it may be open already
 	 */
-	public RoutingDaemon(ActorSystem<?> system, RoutingSettings settings, RoutingPorts ports, ListeningSocket callers) {
+	public RoutingDaemon(ActorSystem<?> system, RoutingSettings settings, RoutingPorts ports) {
 		this.system = system;
 		this.settings = settings;
 		this.ports = ports;
@@ -142,10 +134,10 @@
 		this.listing = new ListingDuty(system, settings.daemonId(), settings.listAgeMillis(), ports.instances(),
 				() -> ports.lease().term(System.nanoTime()).isPresent(), this.peers::daemonIds, this.peers::send,
 				this::listed);
-		this.relay = new Relay(callers, ports.dialect(), () -> this.table, this.traffic, this.replicas::loaded,
-				() -> this.leaving);
+		this.relay = new Relay(settings.callerAddress(), ports.dialect(), () -> this.table, this.traffic,
+				this.replicas::loaded, () -> this.leaving);
 		this.parts.add(List.of(this.traffic, this.replicas, this.peers, ports.routes(), this.listing, ports.lease(),
-				new AdminServer(settings.adminAddress(), new AdminHandler(this))));
+				new AdminServer(settings.adminAddress(), new AdminHandler(this)), this.relay));
 		connect();
 	}
 
@@ -160,7 +152,6 @@
 	private void connect() {
 		this.ports.routes().onRoutes((next) -> {
 			this.table = next;
-			noteInformed();
 			this.replicas.configured(next);
 			Events.log(EventId.CONFIG_IN_FORCE, "version", next.version());
 		});
@@ -183,12 +174,6 @@
 				() -> this.listing.readsForOthers() ? 1 : 0);
 	}
 
-	private void noteInformed() {
-		if (this.listed && this.table.known()) {
-			this.informed.countDown();
-		}
-	}
-
 	// A daemon that has just started knows of no other, and would take itself for the
 	// first.
 	private boolean isPlannerCandidate() {
@@ -199,7 +184,6 @@
 	private void listed(List<ServingInstance> instances) {
 		this.listed = true;
 		this.replicas.listed(instances);
-		noteInformed();
 	}
 
 	// A daemon that has just started counts few others; the most it has ever seen is a
@@ -215,30 +199,10 @@
 	}
 
 	/**
-	 * Starts all parts in order, but for those that callers see.
+	 * Starts all parts in order.
 	 */
 	public void start() {
 		this.parts.start();
-	}
-
-	/**
-	 * Takes callers as soon as the configuration and the instances are known. Those who
-	 * come before wait on the open port; taken at once, each of them would be refused.
-	 * Where the platform does not tell, as its store is away, they are taken all the same
-	 * after a while, to be told to come again.
-	 * @throws IllegalStateException if the thread is interrupted
-	 */
-	public void welcome() {
-		try {
-			if (!this.informed.await(LONGEST_HOLD_MILLIS, TimeUnit.MILLISECONDS)) {
-				Events.log(EventId.STARTED_UNINFORMED, "version", configVersion(), "listed", this.listed);
-			}
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			throw new IllegalStateException("Interrupted before callers were taken", ex);
-		}
-		this.relay.start();
 		Events.log(EventId.STARTED, "daemon", this.settings.daemonId(), "callers", this.settings.callerAddress(),
 				"admin", this.settings.adminAddress(), "peers", this.settings.peerAddress(), "start_millis",
 				TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startedAtNanos));
@@ -270,7 +234,6 @@
 	 * Stops all started parts in reverse order.
 	 */
 	public void stop() {
-		this.relay.stop();
 		this.parts.stop();
 		this.system.terminate();
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerServer.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerServer.java
@@ -2,7 +2,6 @@
 
 import java.util.function.Supplier;
 
-import org.pistachioline.adapters.web.ListeningSocket;
 import org.pistachioline.adapters.web.RequestLimits;
 import org.pistachioline.adapters.web.WebLoop;
 import org.pistachioline.adapters.web.WebServer;
@@ -20,12 +19,12 @@
 	/**
 	 * Creates a server.
 	 * @param loop the thread on which its connections are served
-	 * @param socket the port on which callers come
+	 * @param address where to listen, as host and port
 	 * @param handler answers each request
 	 * @param routes gives the configuration in force, whose bounds callers must keep
 	 */
-	public CallerServer(WebLoop loop, ListeningSocket socket, RelayHandler handler, Supplier<RouteTable> routes) {
-		this.server = new WebServer(loop, socket, handler, () -> limits(routes.get().bounds()));
+	public CallerServer(WebLoop loop, String address, RelayHandler handler, Supplier<RouteTable> routes) {
+		this.server = new WebServer(loop, address, handler, () -> limits(routes.get().bounds()));
 	}
 
 	private static RequestLimits limits(CallerBounds bounds) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -4,7 +4,6 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
-import org.pistachioline.adapters.web.ListeningSocket;
 import org.pistachioline.adapters.web.WebClient;
 import org.pistachioline.adapters.web.WebLoop;
 import org.pistachioline.core.replica.LoadReport;
@@ -37,19 +36,19 @@
 
 	/**
 	 * Creates the path.
-	 * @param socket the port on which callers come
+	 * @param address where callers connect, as host and port
 	 * @param dialect the headers of callers and targets
 	 * @param routes gives the configuration in force
 	 * @param traffic decides
 	 * @param loads is told what targets say of their load, by target
 	 * @param leaving whether the daemon is about to stop
 	 */
-	public Relay(ListeningSocket socket, RelayDialect dialect, Supplier<RouteTable> routes, TrafficDuty traffic,
+	public Relay(String address, RelayDialect dialect, Supplier<RouteTable> routes, TrafficDuty traffic,
 			BiConsumer<String, LoadReport> loads, BooleanSupplier leaving) {
 		final WebClient client = new WebClient(this.loop, CONNECT_MILLIS, KEEP_IDLE_MILLIS, MOST_IDLE_PER_TARGET);
 		final RelayTools tools = new RelayTools(this.loop, client, dialect, this.streams, traffic::callerGone, loads);
 		this.handler = new RelayHandler(routes, tools, traffic, leaving);
-		this.callers = new CallerServer(this.loop, socket, this.handler, routes);
+		this.callers = new CallerServer(this.loop, address, this.handler, routes);
 	}
 
 	@Override
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayStack.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayStack.java
@@ -6,7 +6,6 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
-import org.pistachioline.adapters.web.ListeningSocket;
 import org.pistachioline.core.admission.AdmitAll;
 import org.pistachioline.core.placement.ExpectedWaitPlacement;
 import org.pistachioline.core.quarantine.NoQuarantine;
@@ -62,10 +61,9 @@
 				new NoClaims(), new ShareKeeper(SELF, () -> Set.of(SELF), HEARTBEAT_MILLIS), (suspect, nowMillis) -> {
 					// Nothing crashes these targets.
 				}, new TraceRecorder(false));
-		this.relay = new Relay(ListeningSocket.at(callerAddress), dialect, () -> table, this.traffic,
-				(targetId, load) -> {
-					// The targets are fixed, and so is what is known of them.
-				}, () -> false);
+		this.relay = new Relay(callerAddress, dialect, () -> table, this.traffic, (targetId, load) -> {
+			// The targets are fixed, and so is what is known of them.
+		}, () -> false);
 	}
 
 	@Override
