Logs: lines of JSON go on until the daemon has drained

Cause: the configuration in code left the library's shutdown hook on, which the file had turned off: events of a daemon that drains after its stop signal would be lost. Comments no longer tell of tuning.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/JsonLinesConfiguration.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/JsonLinesConfiguration.java
@@ -10,8 +10,9 @@
 /**
  * Logs events as lines of JSON on standard output.
  * <p>
- * It is assembled in code: a file in place of it is found by trying the readers of five
- * formats, and parsed and turned into objects by reflection, at each start.
+ * It is assembled in code. The library would find a file by trying the readers of five
+ * formats, parse it and make objects of it by reflection, in each start of a process
+ * whose callers wait.
  */
 final class JsonLinesConfiguration extends AbstractConfiguration {
 
@@ -28,6 +29,10 @@
 	JsonLinesConfiguration() {
 		super(null, ConfigurationSource.NULL_SOURCE);
 		setName("json-lines");
+		// A process that is told to stop drains for seconds, and its last events tell
+		// what
+		// it still held. The library's own hook would end logging at the signal.
+		this.isShutdownHookEnabled = false;
 	}
 
 	@Override
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/JsonLinesLayout.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/JsonLinesLayout.java
@@ -17,8 +17,8 @@
 /**
  * Writes each event as one line of JSON, with the fields of an event as an object.
  * <p>
- * A layout that is assembled from a template at each start took a third of the processor
- * time that a daemon needs before it can serve anybody.
+ * A layout that the library assembles from a template would be parsed and built in each
+ * start of a process, before it can serve anybody.
  */
 final class JsonLinesLayout extends AbstractStringLayout {
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/OutputAppender.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/OutputAppender.java
@@ -16,7 +16,7 @@
  * Writes events to standard output, as many at once as wait for it.
  * <p>
  * The library's own appender for this checks itself by reflection over its annotations
- * when it is made, which takes as long as all other preparation of logging.
+ * when it is made, which costs each start of a process as much as the rest of logging.
  */
 final class OutputAppender extends AbstractAppender {
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metrics.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metrics.java
@@ -17,10 +17,10 @@
 /**
  * The daemon's meters; docs/METRICS.md lists them.
  * <p>
- * They are registered when somebody asks for them first: a registry with a hundred meters
- * and the management beans that it reads took a tenth of the processor time of a start,
- * while callers waited for it. Meters only read what the daemon counts anyway, so nothing
- * is missing from what is asked for late.
+ * They are registered when somebody asks for them first, as a start whose callers wait
+ * has no time for a registry with a hundred meters and the management beans that it
+ * reads. Meters only read what the daemon counts anyway, so nothing is missing from what
+ * is asked for late.
  */
 public final class Metrics {
 
