--- a/pistachioline-core/src/main/java/org/pistachioline/core/endpoints/WarmUpRule.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/endpoints/WarmUpRule.java
@@ -16,7 +16,9 @@
  */
 public final class WarmUpRule {
 
-	/** By then a daemon is at its full speed; measured on three quarters of a core. */
+	/**
+	 * By then a daemon is at its full speed, on a machine with less than one core too.
+	 */
 	private static final long WARM_AFTER_MILLIS = 8_000;
 
 	private WarmUpRule() {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -307,8 +307,8 @@
 	}
 
 	/**
-	 * Returns the mean time between two tokens, as this daemon measured it.
-	 * @return the time, in nanoseconds; 0 where too little was measured
+	 * Returns the mean time between two tokens, as this daemon saw it.
+	 * @return the time, in nanoseconds; 0 where too few came
 	 */
 	double tokenNanos() {
 		return this.tokenNanos;
