Limits: daemons show which targets name a limit and what they send there

A limit ends with an answer whose request was sent after it was last heard. No decision changes. The instance of a target's id is read in one place, where it was in four.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -156,6 +156,12 @@
 	 */
 	POOL_SUMMED_UP(414, EventLevel.INFO, "Where the instances of a service are, as its planner sees them."),
 
+	/** A target names a limit. */
+	TARGET_LIMITED(415, EventLevel.WARN, "A target names how many requests it takes from all daemons together."),
+
+	/** A target names no limit any more. */
+	TARGET_UNLIMITED(416, EventLevel.INFO, "A target no longer names a limit."),
+
 	/** A request was quarantined. */
 	REQUEST_QUARANTINED(500, EventLevel.ERROR, "A request that crashes targets was quarantined."),
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
+import org.pistachioline.core.limit.LimitBook;
 import org.pistachioline.core.placement.DaemonRank;
 import org.pistachioline.core.placement.PlacementPolicy;
 import org.pistachioline.core.placement.TargetLoad;
@@ -25,6 +27,8 @@
 
 	private final Map<String, Long> notServingSinceNanos = new HashMap<>();
 
+	private final LimitBook limits = new LimitBook();
+
 	private DaemonRank daemons = DaemonRank.ALONE;
 
 	TargetBook(PlacementPolicy placement) {
@@ -44,6 +48,7 @@
 		this.loads.putAll(next);
 		replaceSets(nowNanos, byName);
 		noteServing(nowNanos, views);
+		this.limits.retain(next.values().stream().map((load) -> load.view().instanceId()).collect(Collectors.toSet()));
 	}
 
 	private TargetLoad loadOf(long nowNanos, TargetView view) {
@@ -107,6 +112,10 @@
 		}
 	}
 
+	LimitBook limits() {
+		return this.limits;
+	}
+
 	boolean isKnown(String targetId) {
 		return this.loads.containsKey(targetId);
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetView.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetView.java
@@ -19,4 +19,24 @@
 		String availabilityZone, boolean serving, int slots, int reportedRunning, int reportedWaiting,
 		long reportedAtNanos) {
 
+	private static final char EPOCH_SEPARATOR = '@';
+
+	/**
+	 * Returns the instance, or the group, without its epoch.
+	 * @param targetId a target's id
+	 * @return what stands before the epoch
+	 */
+	public static String instanceId(String targetId) {
+		final int separator = targetId.lastIndexOf(EPOCH_SEPARATOR);
+		return (separator >= 0) ? targetId.substring(0, separator) : targetId;
+	}
+
+	/**
+	 * Returns the instance that takes its requests, or the group, without the epoch.
+	 * @return what stands before the epoch in its id
+	 */
+	public String instanceId() {
+		return instanceId(this.targetId);
+	}
+
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -3,11 +3,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 import org.pistachioline.core.admission.Refusal;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
+import org.pistachioline.core.limit.LimitReport;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.placement.DaemonRank;
@@ -231,6 +233,28 @@
 		this.suspects.onTokens(flight);
 	}
 
+	/**
+	 * Takes what an instance's answer said of the requests that it takes from all
+	 * daemons.
+	 * @param nowNanos the monotonic time
+	 * @param sentAtNanos when the answer's request was sent
+	 * @param instanceId the instance
+	 * @param requestsPerSecond the limit that it names; empty where it names none
+	 * @return whether that changes anything
+	 */
+	public boolean onLimit(long nowNanos, long sentAtNanos, String instanceId, OptionalDouble requestsPerSecond) {
+		return this.targets.limits().onAnswer(nowNanos, sentAtNanos, instanceId, requestsPerSecond);
+	}
+
+	/**
+	 * Returns the limits that instances name.
+	 * @param nowNanos the monotonic time
+	 * @return the limits that hold
+	 */
+	public List<LimitReport> limits(long nowNanos) {
+		return this.targets.limits().reports(nowNanos);
+	}
+
 	/**
 	 * Takes the end of an attempt.
 	 * @param nowNanos the monotonic time
@@ -430,6 +454,7 @@
 		flight.attemptRan = false;
 		flight.progressAtNanos = nowNanos;
 		load.onStart(nowNanos, flight.info.costTokens());
+		this.targets.limits().onStart(nowNanos, load.view().instanceId());
 		this.isolation.onStart(flight);
 		this.targets.refresh(nowNanos, flight.info, load);
 		this.policies.placement().onPlaced(nowNanos, flight.info, load);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 
 import org.pistachioline.core.error.ErrorKind;
+import org.pistachioline.core.limit.LimitReport;
 import org.pistachioline.core.state.ConfigState;
 import org.pistachioline.core.state.FleetState;
 import org.pistachioline.daemon.agreed.AppendDuty;
@@ -41,6 +42,10 @@
 		this.metrics.gauge("pistachioline.requests.queued", "Requests that wait for a target", traffic::queued);
 		this.metrics.gauge("pistachioline.answers.dropped", "Answers that did not match a live attempt",
 				traffic::answersDropped);
+		this.metrics.gauge("pistachioline.targets.limited", "Targets that name a limit", () -> traffic.limits().size());
+		this.metrics.gauge("pistachioline.attempts.limited",
+				"Attempts of the last four seconds at targets that name a limit",
+				() -> traffic.limits().stream().mapToInt(LimitReport::recentAttempts).sum());
 		for (final ErrorKind kind : ErrorKind.values()) {
 			this.metrics.counter("pistachioline.requests.failed", "Requests that ended with a failure", kind.code(),
 					() -> traffic.failures().total(kind));
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -29,6 +29,15 @@
 	ANSWERS_DROPPED("pistachioline_answers_dropped", "answers", "Answers that did not match a live attempt.",
 			"rising: an engine mixes up answers"),
 
+	/** Targets that name a limit. */
+	TARGETS_LIMITED("pistachioline_targets_limited", "targets", "Targets that name a limit.",
+			"most of a service's targets: it takes less than its slots"),
+
+	/** Attempts at targets that name a limit. */
+	ATTEMPTS_LIMITED("pistachioline_attempts_limited", "attempts",
+			"Attempts of the last four seconds at targets that name a limit.",
+			"over all daemons above four times the limits"),
+
 	/** The configuration's version. */
 	CONFIG_VERSION("pistachioline_config_version", "version", "Version of the configuration in force.",
 			"unlike on other daemons for 10 s"),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/RelayDialect.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/RelayDialect.java
@@ -1,6 +1,7 @@
 package org.pistachioline.daemon.port;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import org.pistachioline.adapters.web.AnswerHead;
 import org.pistachioline.adapters.web.HeaderFields;
@@ -40,6 +41,14 @@
 	 */
 	AnswerVerdict judge(RelayedCall call, AnswerHead answer);
 
+	/**
+	 * Reads the limit that a target names on an answer.
+	 * @param answer the answer's head
+	 * @return how many requests a second it takes from all daemons together; empty where
+	 * it names no limit
+	 */
+	OptionalDouble requestLimit(AnswerHead answer);
+
 	/**
 	 * Reads what a target says of its load on an answer.
 	 * @param answer the answer's head
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -1,6 +1,7 @@
 package org.pistachioline.daemon.relay;
 
 import java.io.ByteArrayOutputStream;
+import java.util.OptionalDouble;
 
 import org.pistachioline.adapters.http.NotConnectedException;
 import org.pistachioline.adapters.web.AnswerHead;
@@ -36,6 +37,8 @@
 
 	private WebCall call;
 
+	private long sentAtNanos;
+
 	private AnswerHead head;
 
 	private AttemptEnd unlessBroken;
@@ -56,6 +59,7 @@
 
 	void send(long leftMillis) {
 		final RelayTools tools = this.exchange.tools();
+		this.sentAtNanos = System.nanoTime();
 		this.call = tools.client()
 			.send(this.start.target().address(),
 					tools.dialect()
@@ -69,8 +73,9 @@
 		final RelayDialect dialect = this.exchange.tools().dialect();
 		this.head = received;
 		dialect.load(received, System.nanoTime())
-			.ifPresent((load) -> this.exchange.tools().loads().accept(this.start.target().targetId(), load));
+			.ifPresent((load) -> this.exchange.tools().targets().onLoad(this.start.target().targetId(), load));
 		final AnswerVerdict verdict = dialect.judge(this.exchange.call(), received);
+		hearLimit(verdict, dialect.requestLimit(received));
 		switch (verdict) {
 			case DECLINED -> expect(AttemptEnd.DECLINED);
 			case FAILURE -> expect(AttemptEnd.FAILURE_ANSWERED);
@@ -84,6 +89,17 @@
 		}
 	}
 
+	// A refusal or a failure may leave the limit out, and an answer that is not the
+	// target's says nothing of it.
+	private void hearLimit(AnswerVerdict verdict, OptionalDouble requestsPerSecond) {
+		final boolean named = requestsPerSecond.isPresent() && verdict != AnswerVerdict.MISMATCHED;
+		if (named || verdict == AnswerVerdict.ANSWER) {
+			this.exchange.tools()
+				.targets()
+				.onLimit(this.start.target().targetId(), this.sentAtNanos, requestsPerSecond);
+		}
+	}
+
 	private void expect(AttemptEnd how) {
 		this.unlessBroken = how;
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayTools.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayTools.java
@@ -1,11 +1,9 @@
 package org.pistachioline.daemon.relay;
 
 import java.util.concurrent.Executor;
-import java.util.function.BiConsumer;
 import java.util.function.LongConsumer;
 
 import org.pistachioline.adapters.web.WebClient;
-import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.daemon.port.RelayDialect;
 
 /**
@@ -16,9 +14,9 @@
  * @param dialect reads and writes headers
  * @param streams the streams that are being relayed
  * @param callerGone is told the requests whose callers have gone
- * @param loads is told what targets say of their load, by target
+ * @param targets hears what targets say of themselves
  */
 record RelayTools(Executor loop, WebClient client, RelayDialect dialect, LiveStreams streams, LongConsumer callerGone,
-		BiConsumer<String, LoadReport> loads) {
+		TargetListener targets) {
 
 }
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/TargetNews.java
@@ -0,0 +1,27 @@
+package org.pistachioline.daemon.relay;
+
+import java.util.OptionalDouble;
+import java.util.function.BiConsumer;
+
+import org.pistachioline.core.replica.LoadReport;
+import org.pistachioline.daemon.traffic.TrafficDuty;
+
+/**
+ * Hands what targets say of themselves to the duties that decide by it.
+ *
+ * @param loads is told of loads, by target
+ * @param traffic is told of limits
+ */
+record TargetNews(BiConsumer<String, LoadReport> loads, TrafficDuty traffic) implements TargetListener {
+
+	@Override
+	public void onLoad(String targetId, LoadReport load) {
+		this.loads.accept(targetId, load);
+	}
+
+	@Override
+	public void onLimit(String targetId, long sentAtNanos, OptionalDouble requestsPerSecond) {
+		this.traffic.limitHeard(targetId, sentAtNanos, requestsPerSecond);
+	}
+
+}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -151,12 +151,7 @@
 	 * @param load the load
 	 */
 	public void loaded(String targetId, LoadReport load) {
-		this.duty.offer(new ReplicaMessage.Loaded(instanceOf(targetId), load));
-	}
-
-	private static String instanceOf(String targetId) {
-		final int at = targetId.indexOf('@');
-		return (at >= 0) ? targetId.substring(0, at) : targetId;
+		this.duty.offer(new ReplicaMessage.Loaded(TargetView.instanceId(targetId), load));
 	}
 
 	/**
@@ -203,7 +198,7 @@
 		}
 		else if (message instanceof ReplicaMessage.Stalled stalled) {
 			if (this.termHeld != 0) {
-				this.silent.onStalled(System.nanoTime(), instanceOf(stalled.targetId()), this.instances);
+				this.silent.onStalled(System.nanoTime(), TargetView.instanceId(stalled.targetId()), this.instances);
 			}
 		}
 		else if (message instanceof ReplicaMessage.Probed probed) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ModelExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ModelExchange.java
@@ -126,7 +126,7 @@
 
 	private HttpRequest request(TrafficAction.Start start) {
 		final TargetView target = start.target();
-		final String groupId = target.targetId().substring(0, target.targetId().lastIndexOf('@'));
+		final String groupId = target.instanceId();
 		return HttpRequest.POST("http://" + target.address() + "/v1/chat/completions")
 			.withEntity(ContentTypes.APPLICATION_JSON, this.engineBody)
 			.addHeader(RawHeader.create("Pistachioline-Attempt", start.attempt().wireForm()))
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.Consumer;
 
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -12,6 +13,7 @@
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.limit.LimitReport;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.record.KeyOutcome;
@@ -70,6 +72,8 @@
 
 	private final FailureCounts failures = new FailureCounts();
 
+	private final LimitWatch limits = new LimitWatch();
+
 	private volatile int held;
 
 	private volatile int queued;
@@ -180,6 +184,28 @@
 		this.duty.put(new TrafficMessage.CallerGone(requestId));
 	}
 
+	/**
+	 * Takes what a target's answer said of its limit; where the ring is full the next
+	 * answer says it again.
+	 * @param targetId the target
+	 * @param sentAtNanos when the answer's request was sent, by the monotonic clock
+	 * @param requestsPerSecond the limit that it names; empty where it names none
+	 */
+	public void limitHeard(String targetId, long sentAtNanos, OptionalDouble requestsPerSecond) {
+		final String instanceId = TargetView.instanceId(targetId);
+		if (this.limits.isNews(instanceId, requestsPerSecond)) {
+			this.duty.offer(new TrafficMessage.LimitHeard(instanceId, sentAtNanos, requestsPerSecond));
+		}
+	}
+
+	/**
+	 * Returns the limits that targets name now.
+	 * @return the limits, and what this daemon sent there
+	 */
+	public List<LimitReport> limits() {
+		return this.limits.reports();
+	}
+
 	/**
 	 * Stops taking new requests.
 	 */
@@ -226,6 +252,7 @@
 		final long nowNanos = System.nanoTime();
 		carryOut(this.core.onTick(nowNanos));
 		carryOut(this.shares.renew(nowNanos, this.core));
+		this.limits.renew(nowNanos, this.core);
 		// Quarantines expire by the wall clock, without a record.
 		if (nowNanos - this.killersAtNanos >= KILLERS_INTERVAL_NANOS) {
 			killers(nowNanos);
@@ -282,11 +309,21 @@
 		else if (message instanceof TrafficMessage.Cached cached) {
 			this.core.onCacheEvents(nowNanos, cached.events());
 		}
+		else if (message instanceof TrafficMessage.LimitHeard heard) {
+			onLimitHeard(nowNanos, heard);
+		}
 		else if (message instanceof TrafficMessage.Leave) {
 			this.core.leave();
 		}
 	}
 
+	private void onLimitHeard(long nowNanos, TrafficMessage.LimitHeard heard) {
+		if (this.core.onLimit(nowNanos, heard.sentAtNanos(), heard.instanceId(), heard.requestsPerSecond())) {
+			this.limits.onChange(heard.instanceId(), heard.requestsPerSecond());
+			this.limits.renew(nowNanos, this.core);
+		}
+	}
+
 	private void onEnded(long nowNanos, TrafficMessage.Ended ended) {
 		final boolean answered = ended.how() == AttemptEnd.COMPLETE || ended.how() == AttemptEnd.MISMATCHED;
 		if (ended.how() == AttemptEnd.MISMATCHED || (answered && !this.core.isLive(ended.attempt()))) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
@@ -92,6 +93,16 @@
 	record Cached(CacheEvents events) implements TrafficMessage {
 	}
 
+	/**
+	 * A target's answer said something of its limit.
+	 *
+	 * @param instanceId the instance
+	 * @param sentAtNanos when the answer's request was sent
+	 * @param requestsPerSecond the limit that it names; empty where it names none
+	 */
+	record LimitHeard(String instanceId, long sentAtNanos, OptionalDouble requestsPerSecond) implements TrafficMessage {
+	}
+
 	/**
 	 * The daemon leaves.
 	 */
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 import org.junit.jupiter.api.AfterEach;
@@ -78,8 +79,7 @@
 
 	private RelayExchange exchange() {
 		final RelayTools tools = new RelayTools(Runnable::run, new WebClient(this.loop, 1_000, 1_000, 1), this.dialect,
-				new LiveStreams(), (requestId) -> this.told.add("gone " + requestId), (targetId, load) -> {
-				});
+				new LiveStreams(), (requestId) -> this.told.add("gone " + requestId), new DeafListener());
 		return new RelayExchange(info(), call(), true, tools, new CallerAnswer(new SilentReply(), () -> false));
 	}
 
@@ -133,6 +133,25 @@
 			return Optional.empty();
 		}
 
+		@Override
+		public OptionalDouble requestLimit(AnswerHead answer) {
+			return OptionalDouble.empty();
+		}
+
+	}
+
+	private static final class DeafListener implements TargetListener {
+
+		@Override
+		public void onLoad(String targetId, LoadReport load) {
+			// No test here asks for loads.
+		}
+
+		@Override
+		public void onLimit(String targetId, long sentAtNanos, OptionalDouble requestsPerSecond) {
+			// No test here asks for limits.
+		}
+
 	}
 
 	private static final class SilentReply implements WebReply {
