--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/DecisionsBenchmark.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/DecisionsBenchmark.java
@@ -12,7 +12,7 @@
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.manifest.WeightSpec;
 import org.pistachioline.core.manifest.WorkspaceSpec;
-import org.pistachioline.core.placement.DaemonRank;
+import org.pistachioline.core.placement.LiveDaemons;
 import org.pistachioline.core.traffic.AttemptEnd;
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.ClaimNeed;
@@ -100,7 +100,7 @@
 					true, SLOTS, 0, 0, 1));
 		}
 		core.onTargets(1, views);
-		core.onShares(1, DaemonRank.ALONE, Map.of());
+		core.onShares(1, LiveDaemons.ALONE, Map.of());
 		return core;
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -12,7 +12,7 @@
 import org.pistachioline.core.limit.LimitReport;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
-import org.pistachioline.core.placement.DaemonRank;
+import org.pistachioline.core.placement.LiveDaemons;
 import org.pistachioline.core.placement.TargetLoad;
 import org.pistachioline.core.retry.RetryDecision;
 
@@ -87,16 +87,15 @@
 	}
 
 	/**
-	 * Takes over where this daemon stands among the live ones and its shares of the
-	 * limits.
+	 * Takes over which daemons live and this one's shares of the limits.
 	 * @param nowNanos the monotonic time
-	 * @param rank this daemon's place
+	 * @param daemons the live daemons
 	 * @param shareRatios this daemon's share of each workspace's limits, by workspace
 	 * @return what must be done next
 	 */
-	public List<TrafficAction> onShares(long nowNanos, DaemonRank rank, Map<String, Double> shareRatios) {
+	public List<TrafficAction> onShares(long nowNanos, LiveDaemons daemons, Map<String, Double> shareRatios) {
 		this.policies.admission().share(nowNanos, shareRatios);
-		this.targets.rank(nowNanos, rank);
+		this.targets.rank(nowNanos, daemons.rank());
 		return pump(nowNanos);
 	}
 
--- /dev/null
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorld.java
@@ -0,0 +1,192 @@
+package org.pistachioline.core.limit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.pistachioline.core.traffic.TargetKind;
+import org.pistachioline.core.traffic.TargetView;
+
+/**
+ * Daemons before the same targets, some of which name a limit, in virtual time. It notes
+ * every moment at which a target that names a limit has got more than half as much again
+ * as it takes, from the daemons that it had told.
+ */
+final class LimitWorld {
+
+	static final long SECOND_NANOS = 1_000_000_000L;
+
+	static final long MILLI_NANOS = 1_000_000L;
+
+	/** Until then daemons may not have heard of a limit. */
+	private static final long SPREAD_NANOS = 3 * SECOND_NANOS;
+
+	private static final long WINDOW_NANOS = 4 * SECOND_NANOS;
+
+	private static final long TOLD_NANOS = SECOND_NANOS / 2;
+
+	private static final double ALLOWED_RATIO = 1.5;
+
+	private static final int ALLOWED_BURST = 5;
+
+	private static final int SLOTS = 12;
+
+	private static final long TICK_NANOS = 50 * MILLI_NANOS;
+
+	private static final long LIVE_NANOS = 250 * MILLI_NANOS;
+
+	/** How long a dead daemon counts as live. */
+	private static final long LOST_NANOS = 2_400 * MILLI_NANOS;
+
+	final List<String> violations = new ArrayList<>();
+
+	final Random random;
+
+	private final TargetKind kind;
+
+	private final List<LimitedEngine> engines = new ArrayList<>();
+
+	private final List<LimitWorldDaemon> daemons = new ArrayList<>();
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>();
+
+	private long nowNanos = SECOND_NANOS;
+
+	private long sequence;
+
+	LimitWorld(long seed, int daemonCount, int targetCount, TargetKind kind) {
+		this.random = new Random(seed);
+		this.kind = kind;
+		for (int i = 0; i < targetCount; i++) {
+			this.engines.add(new LimitedEngine("i-" + i));
+		}
+		for (int i = 0; i < daemonCount; i++) {
+			this.daemons.add(new LimitWorldDaemon(this, "daemon-" + i));
+		}
+		every(TICK_NANOS, () -> this.daemons.forEach(LimitWorldDaemon::tick));
+		every(LIVE_NANOS, () -> this.daemons.forEach((daemon) -> daemon.live(liveIds())));
+	}
+
+	TargetKind kind() {
+		return this.kind;
+	}
+
+	List<TargetView> views() {
+		return this.engines.stream()
+			.map((engine) -> new TargetView(engine.id + "@1", this.kind, "pool/m", engine.id, 1, "zone", true, SLOTS, 0,
+					0, 0))
+			.toList();
+	}
+
+	LimitedEngine engine(int index) {
+		return this.engines.get(index);
+	}
+
+	LimitedEngine engine(String instanceId) {
+		return this.engines.stream().filter((engine) -> engine.id.equals(instanceId)).findFirst().orElseThrow();
+	}
+
+	LimitWorldDaemon daemon(int index) {
+		return this.daemons.get(index);
+	}
+
+	List<LimitWorldDaemon> daemons() {
+		return this.daemons;
+	}
+
+	private Set<String> liveIds() {
+		final Set<String> ids = new TreeSet<>();
+		this.daemons.stream()
+			.filter((daemon) -> daemon.running() || this.nowNanos - daemon.stoppedAtNanos() < LOST_NANOS)
+			.forEach((daemon) -> ids.add(daemon.id()));
+		return ids;
+	}
+
+	long nowNanos() {
+		return this.nowNanos;
+	}
+
+	/**
+	 * Lets requests come, evenly over the daemons, as independent callers send them.
+	 * @param perSecond how many a second
+	 */
+	void traffic(double perSecond) {
+		final double gapSeconds = -Math.log(1 - this.random.nextDouble()) / perSecond;
+		after((long) (gapSeconds * SECOND_NANOS), () -> {
+			final LimitWorldDaemon daemon = this.daemons.get(this.random.nextInt(this.daemons.size()));
+			if (daemon.running()) {
+				daemon.arrive();
+			}
+			traffic(perSecond);
+		});
+	}
+
+	void after(long nanos, Runnable what) {
+		this.events.add(new Event(this.nowNanos + nanos, this.sequence++, what));
+	}
+
+	private void every(long nanos, Runnable what) {
+		after(nanos, () -> {
+			what.run();
+			every(nanos, what);
+		});
+	}
+
+	void run(double seconds) {
+		final long untilNanos = this.nowNanos + (long) (seconds * SECOND_NANOS);
+		while (!this.events.isEmpty() && this.events.peek().atNanos() <= untilNanos) {
+			final Event next = this.events.poll();
+			this.nowNanos = next.atNanos();
+			next.what().run();
+		}
+		this.nowNanos = untilNanos;
+	}
+
+	/**
+	 * Makes a target name a limit.
+	 * @param index the target
+	 * @param requestsPerSecond the limit; empty to end it
+	 */
+	void limit(int index, OptionalDouble requestsPerSecond) {
+		final LimitedEngine engine = engine(index);
+		engine.limit = requestsPerSecond;
+		engine.namedAtNanos = this.nowNanos;
+		engine.arrivals.clear();
+		engine.got = 0;
+		this.daemons.forEach((daemon) -> daemon.toldAtNanos.remove(engine.id));
+	}
+
+	void onArrival(LimitWorldDaemon from, LimitedEngine engine) {
+		engine.got++;
+		final Long toldAtNanos = from.toldAtNanos.get(engine.id);
+		if (engine.limit.isEmpty() || toldAtNanos == null || this.nowNanos - toldAtNanos < TOLD_NANOS) {
+			return;
+		}
+		engine.arrivals.addLast(this.nowNanos);
+		while (this.nowNanos - engine.arrivals.peekFirst() > WINDOW_NANOS) {
+			engine.arrivals.removeFirst();
+		}
+		final double perWindow = engine.limit.getAsDouble() * WINDOW_NANOS / SECOND_NANOS;
+		final double allowed = ALLOWED_RATIO * perWindow + ALLOWED_BURST;
+		if (this.nowNanos - engine.namedAtNanos >= SPREAD_NANOS && engine.arrivals.size() > allowed) {
+			this.violations
+				.add(this.nowNanos / MILLI_NANOS + " ms: " + engine.id + " named " + engine.limit.getAsDouble()
+						+ " a second and got " + engine.arrivals.size() + ", allowed " + allowed);
+		}
+	}
+
+	private record Event(long atNanos, long order, Runnable what) implements Comparable<Event> {
+
+		@Override
+		public int compareTo(Event other) {
+			final int byTime = Long.compare(this.atNanos, other.atNanos);
+			return (byTime != 0) ? byTime : Long.compare(this.order, other.order);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorldDaemon.java
@@ -0,0 +1,178 @@
+package org.pistachioline.core.limit;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
+
+import org.pistachioline.core.admission.AdmitAll;
+import org.pistachioline.core.placement.ExpectedWaitPlacement;
+import org.pistachioline.core.placement.LiveDaemons;
+import org.pistachioline.core.quarantine.NoQuarantine;
+import org.pistachioline.core.queueing.FairQueue;
+import org.pistachioline.core.queueing.OnTimeFirstOrder;
+import org.pistachioline.core.retry.RetryBudget;
+import org.pistachioline.core.retry.SharedBudgetRetry;
+import org.pistachioline.core.traffic.AttemptEnd;
+import org.pistachioline.core.traffic.AttemptId;
+import org.pistachioline.core.traffic.ClaimNeed;
+import org.pistachioline.core.traffic.PromptShift;
+import org.pistachioline.core.traffic.RequestInfo;
+import org.pistachioline.core.traffic.TrafficAction;
+import org.pistachioline.core.traffic.TrafficCore;
+import org.pistachioline.core.traffic.TrafficPolicies;
+
+/**
+ * One daemon of a {@link LimitWorld}: the decision core, and what carries out its
+ * actions.
+ */
+final class LimitWorldDaemon {
+
+	private static final long ONE_WAY_NANOS = 2 * LimitWorld.MILLI_NANOS;
+
+	private static final long FIRST_TOKEN_NANOS = 120 * LimitWorld.MILLI_NANOS;
+
+	private static final long RUN_NANOS = 600 * LimitWorld.MILLI_NANOS;
+
+	private static final long AIM_NANOS = 400 * LimitWorld.MILLI_NANOS;
+
+	private static final long DEADLINE_NANOS = 6 * LimitWorld.SECOND_NANOS;
+
+	private final LimitWorld world;
+
+	private final String id;
+
+	/** When it first heard of the limit of each target that names one. */
+	final Map<String, Long> toldAtNanos = new HashMap<>();
+
+	int served;
+
+	int refused;
+
+	/** Requests that were refused though they had waited for most of their time. */
+	int refusedLate;
+
+	private final Map<Long, Long> arrivedAtNanos = new HashMap<>();
+
+	private TrafficCore core;
+
+	private int life;
+
+	private boolean running = true;
+
+	private long stoppedAtNanos;
+
+	private long requests;
+
+	LimitWorldDaemon(LimitWorld world, String id) {
+		this.world = world;
+		this.id = id;
+		start();
+	}
+
+	String id() {
+		return this.id;
+	}
+
+	boolean running() {
+		return this.running;
+	}
+
+	long stoppedAtNanos() {
+		return this.stoppedAtNanos;
+	}
+
+	TrafficCore core() {
+		return this.core;
+	}
+
+	void stop() {
+		this.running = false;
+		this.stoppedAtNanos = this.world.nowNanos();
+		this.life++;
+		this.toldAtNanos.clear();
+	}
+
+	void start() {
+		this.running = true;
+		this.core = new TrafficCore(new TrafficPolicies(new AdmitAll(), new FairQueue(2_000, new OnTimeFirstOrder()),
+				new ExpectedWaitPlacement("zone", this.world.random.nextLong(), true),
+				new SharedBudgetRetry(new RetryBudget(0.2, 100, 10 * LimitWorld.SECOND_NANOS), () -> 8),
+				new NoQuarantine(), new PromptShift()));
+		act(this.core.onTargets(this.world.nowNanos(), this.world.views()));
+	}
+
+	void tick() {
+		if (this.running) {
+			act(this.core.onTick(this.world.nowNanos()));
+		}
+	}
+
+	void live(Set<String> liveIds) {
+		if (this.running) {
+			act(this.core.onShares(this.world.nowNanos(), LiveDaemons.of(this.id, liveIds), Map.of()));
+		}
+	}
+
+	void arrive() {
+		final long nowNanos = this.world.nowNanos();
+		final long requestId = ++this.requests;
+		this.arrivedAtNanos.put(requestId, nowNanos);
+		act(this.core.onRequest(nowNanos,
+				new RequestInfo(requestId, "shop", this.world.kind(), "pool/m", 100, 60, 0, nowNanos + DEADLINE_NANOS,
+						nowNanos + DEADLINE_NANOS, true, ClaimNeed.NONE, "", List.of(), 2, nowNanos + AIM_NANOS)));
+	}
+
+	private void act(List<TrafficAction> actions) {
+		actions.forEach(this::act);
+	}
+
+	private void act(TrafficAction action) {
+		if (action instanceof TrafficAction.Start start) {
+			send(start);
+		}
+		else if (action instanceof TrafficAction.Cancel cancel) {
+			act(this.core.onAttemptEnd(this.world.nowNanos(), cancel.attempt(), AttemptEnd.CANCELLED, 0));
+		}
+		else if (action instanceof TrafficAction.Finish finish) {
+			this.arrivedAtNanos.remove(finish.requestId());
+			this.served++;
+		}
+		else if (action instanceof TrafficAction.Fail fail) {
+			this.refused++;
+			final long heldNanos = this.world.nowNanos() - this.arrivedAtNanos.remove(fail.requestId());
+			this.refusedLate += (heldNanos > DEADLINE_NANOS / 2) ? 1 : 0;
+		}
+	}
+
+	private void send(TrafficAction.Start start) {
+		final long sentAtNanos = this.world.nowNanos();
+		final LimitedEngine engine = this.world.engine(start.target().instanceId());
+		this.world.after(ONE_WAY_NANOS, () -> this.world.onArrival(this, engine));
+		inThisLife(FIRST_TOKEN_NANOS, () -> {
+			final OptionalDouble limit = engine.limit;
+			inThisLife(ONE_WAY_NANOS, () -> onHead(start.attempt(), engine, sentAtNanos, limit));
+		});
+		inThisLife(RUN_NANOS,
+				() -> act(this.core.onAttemptEnd(this.world.nowNanos(), start.attempt(), AttemptEnd.COMPLETE, 10)));
+	}
+
+	private void onHead(AttemptId attempt, LimitedEngine engine, long sentAtNanos, OptionalDouble limit) {
+		if (limit.isPresent()) {
+			this.toldAtNanos.putIfAbsent(engine.id, this.world.nowNanos());
+		}
+		this.core.onLimit(this.world.nowNanos(), sentAtNanos, engine.id, limit);
+		this.core.onProgress(this.world.nowNanos(), attempt, 1);
+	}
+
+	private void inThisLife(long nanos, Runnable what) {
+		final int inLife = this.life;
+		this.world.after(nanos, () -> {
+			if (this.running && this.life == inLife) {
+				what.run();
+			}
+		});
+	}
+
+}
--- /dev/null
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitedEngine.java
@@ -0,0 +1,28 @@
+package org.pistachioline.core.limit;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.OptionalDouble;
+
+/**
+ * One target of a {@link LimitWorld}.
+ */
+final class LimitedEngine {
+
+	final String id;
+
+	OptionalDouble limit = OptionalDouble.empty();
+
+	long namedAtNanos;
+
+	/** When the last requests of daemons came that had heard of the limit. */
+	final Deque<Long> arrivals = new ArrayDeque<>();
+
+	/** How many requests came since the limit was last changed. */
+	int got;
+
+	LimitedEngine(String id) {
+		this.id = id;
+	}
+
+}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ShareKeeper.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ShareKeeper.java
@@ -8,7 +8,7 @@
 
 import org.pistachioline.core.admission.LimitShares;
 import org.pistachioline.core.manifest.WorkspaceSpec;
-import org.pistachioline.core.placement.DaemonRank;
+import org.pistachioline.core.placement.LiveDaemons;
 import org.pistachioline.core.traffic.TrafficAction;
 import org.pistachioline.core.traffic.TrafficCore;
 
@@ -82,7 +82,7 @@
 		live.stream().filter((id) -> !id.equals(this.selfId)).forEach((id) -> this.shares.onAlive(nowNanos, id));
 		final List<String> workspaces = core.manifest().workspaces().stream().map(WorkspaceSpec::name).toList();
 		this.shareRatios = Map.copyOf(this.shares.shareRatios(nowNanos, workspaces));
-		return core.onShares(nowNanos, DaemonRank.among(this.selfId, live), this.shareRatios);
+		return core.onShares(nowNanos, LiveDaemons.of(this.selfId, live), this.shareRatios);
 	}
 
 }
--- a/pistachioline-replay/src/main/java/org/pistachioline/replay/simulation/SimulatedDaemon.java
+++ b/pistachioline-replay/src/main/java/org/pistachioline/replay/simulation/SimulatedDaemon.java
@@ -14,7 +14,7 @@
 import org.pistachioline.core.admission.LimitShares;
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.manifest.Manifest;
-import org.pistachioline.core.placement.DaemonRank;
+import org.pistachioline.core.placement.LiveDaemons;
 import org.pistachioline.core.traffic.AttemptEnd;
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.ClaimVerdict;
@@ -141,7 +141,7 @@
 			}
 		});
 		final long nowNanos = this.events.nowNanos();
-		act(this.core.onShares(nowNanos, DaemonRank.among(this.daemonId, live),
+		act(this.core.onShares(nowNanos, LiveDaemons.of(this.daemonId, live),
 				this.shares.shareRatios(nowNanos, workspaces)));
 	}
 
