Limits: daemons tell each other what targets said last

Cause: a daemon without a permit sends nothing to a target in need, so it does not hear that the limit is over; and one that has sent nothing there does not know of the limit. Ends are told for half a minute.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/limit/InstanceLimit.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/limit/InstanceLimit.java
@@ -22,6 +22,12 @@
 
 	private static final long RECENT_NANOS = 4_000_000_000L;
 
+	/** How long after its last word the end of a limit is told to other daemons. */
+	private static final long TOLD_NANOS = 30_000_000_000L;
+
+	/** More than a heartbeat takes from daemon to daemon. */
+	private static final long PEERS_INEXACT_NANOS = 500_000_000L;
+
 	/** Makes up for attempts that start a tick late. */
 	private static final long SAVED_NANOS = 200_000_000L;
 
@@ -40,6 +46,8 @@
 
 	private StatedLimit stated;
 
+	private boolean everLimited;
+
 	private LiveDaemons daemons;
 
 	private double ownPerSecond;
@@ -73,6 +81,30 @@
 		return this.stated.requestsPerSecond().isPresent();
 	}
 
+	/**
+	 * Returns whether other daemons are to be told: of a limit that holds, and of one
+	 * that ended lately.
+	 * @param nowNanos the monotonic time
+	 * @return whether they are
+	 */
+	boolean isTold(long nowNanos) {
+		return isLimited() || (this.everLimited && nowNanos - this.stated.heardAtNanos() < TOLD_NANOS);
+	}
+
+	/**
+	 * Takes what another daemon told. Its time is known less exactly than that of an
+	 * answer, and what this daemon told itself comes back a little newer than it was.
+	 * @param nowNanos the monotonic time
+	 * @param word the word
+	 * @return whether it says something else than the last
+	 */
+	boolean hearFromPeer(long nowNanos, StatedLimit word) {
+		final boolean newer = !this.everLimited
+				|| word.heardAtNanos() - this.stated.heardAtNanos() > PEERS_INEXACT_NANOS;
+		final boolean meant = this.everLimited || word.requestsPerSecond().isPresent();
+		return newer && meant && hear(nowNanos, word);
+	}
+
 	/**
 	 * Returns how many requests the instance takes from all daemons together.
 	 * @return the requests a second; 0 where it names no limit
@@ -98,6 +130,7 @@
 	boolean hear(long nowNanos, StatedLimit word) {
 		final OptionalDouble before = this.stated.requestsPerSecond();
 		this.stated = word;
+		this.everLimited |= word.requestsPerSecond().isPresent();
 		if (before.equals(word.requestsPerSecond())) {
 			return false;
 		}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 
 import org.pistachioline.core.limit.LimitBook;
+import org.pistachioline.core.limit.StatedLimit;
 import org.pistachioline.core.placement.DaemonRank;
 import org.pistachioline.core.placement.LiveDaemons;
 import org.pistachioline.core.placement.PlacementPolicy;
@@ -113,6 +114,14 @@
 		return changed;
 	}
 
+	List<StatedLimit> hearLimitsOfPeer(long nowNanos, List<StatedLimit> words) {
+		final List<StatedLimit> changed = this.limits.onPeer(nowNanos, words);
+		if (!changed.isEmpty()) {
+			refresh(nowNanos);
+		}
+		return changed;
+	}
+
 	private void refresh(long nowNanos) {
 		this.setsByName.values().forEach((set) -> set.refresh(nowNanos, this.daemons));
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -10,6 +10,7 @@
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.limit.LimitReport;
+import org.pistachioline.core.limit.StatedLimit;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.placement.LiveDaemons;
@@ -245,6 +246,25 @@
 		return this.targets.hearLimit(nowNanos, sentAtNanos, instanceId, requestsPerSecond);
 	}
 
+	/**
+	 * Takes what another daemon told of instances' limits.
+	 * @param nowNanos the monotonic time
+	 * @param words what instances said
+	 * @return the words that change anything
+	 */
+	public List<StatedLimit> onPeerLimits(long nowNanos, List<StatedLimit> words) {
+		return this.targets.hearLimitsOfPeer(nowNanos, words);
+	}
+
+	/**
+	 * Returns what other daemons are to be told of instances' limits.
+	 * @param nowNanos the monotonic time
+	 * @return what instances said last, the newest first
+	 */
+	public List<StatedLimit> limitWords(long nowNanos) {
+		return this.targets.limits().words(nowNanos);
+	}
+
 	/**
 	 * Returns the limits that instances name.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorld.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorld.java
@@ -37,6 +37,12 @@
 
 	private static final long TICK_NANOS = 50 * MILLI_NANOS;
 
+	private static final long HEARTBEAT_NANOS = 300 * MILLI_NANOS;
+
+	private static final int FAN_OUT = 2;
+
+	private static final int MOST_FRAME_MILLIS = 20;
+
 	private static final long LIVE_NANOS = 250 * MILLI_NANOS;
 
 	/** How long a dead daemon counts as live. */
@@ -44,6 +50,9 @@
 
 	final List<String> violations = new ArrayList<>();
 
+	/** Whether daemons tell each other of limits. */
+	boolean peersTell = true;
+
 	final Random random;
 
 	private final TargetKind kind;
@@ -68,9 +77,21 @@
 			this.daemons.add(new LimitWorldDaemon(this, "daemon-" + i));
 		}
 		every(TICK_NANOS, () -> this.daemons.forEach(LimitWorldDaemon::tick));
+		every(HEARTBEAT_NANOS, this::tell);
 		every(LIVE_NANOS, () -> this.daemons.forEach((daemon) -> daemon.live(liveIds())));
 	}
 
+	private void tell() {
+		for (final LimitWorldDaemon daemon : this.daemons) {
+			final List<StatedLimit> words = (daemon.running() && this.peersTell) ? daemon.words() : List.of();
+			for (int i = 0; i < FAN_OUT && !words.isEmpty(); i++) {
+				final LimitWorldDaemon peer = this.daemons.get(this.random.nextInt(this.daemons.size()));
+				final long delayNanos = MILLI_NANOS + this.random.nextInt(MOST_FRAME_MILLIS) * MILLI_NANOS;
+				after(delayNanos, () -> peer.hear(words, delayNanos));
+			}
+		}
+	}
+
 	TargetKind kind() {
 		return this.kind;
 	}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorldDaemon.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorldDaemon.java
@@ -119,6 +119,25 @@
 		}
 	}
 
+	List<StatedLimit> words() {
+		return this.core.limitWords(this.world.nowNanos());
+	}
+
+	/**
+	 * Takes a heartbeat's words.
+	 * @param words the words
+	 * @param delayNanos how long the frame took, by which they look newer than they are
+	 */
+	void hear(List<StatedLimit> words, long delayNanos) {
+		if (this.running) {
+			this.core.onPeerLimits(this.world.nowNanos(),
+					words.stream()
+						.map((word) -> new StatedLimit(word.instanceId(), word.requestsPerSecond(),
+								word.heardAtNanos() + delayNanos))
+						.toList());
+		}
+	}
+
 	void arrive() {
 		final long nowNanos = this.world.nowNanos();
 		final long requestId = ++this.requests;
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/SharedLimitTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/SharedLimitTests.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.pistachioline.core.traffic.TargetKind;
 
@@ -32,6 +33,46 @@
 		}
 	}
 
+	/**
+	 * Guards against daemons that keep to a limit only as long as they hear each other.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 8, 40 })
+	void theLimitHoldsAmongDaemonsThatTellEachOtherNothing(int daemons) {
+		for (long seed = 1; seed <= SEEDS; seed++) {
+			final LimitWorld world = new LimitWorld(seed, daemons, 23, TargetKind.MODEL);
+			world.peersTell = false;
+			world.traffic(23 * 6);
+			world.run(4);
+			world.limit(0, OptionalDouble.of(1));
+			world.run(40);
+			assertThat(world.violations).as("seed " + seed).isEmpty();
+		}
+	}
+
+	/**
+	 * Guards against a target that is well again and is left alone by all who send
+	 * nothing there, and so hear nothing from it.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 8, 40 })
+	void aLimitThatIsOverIsSoonOverOnAllDaemons(int daemons) {
+		for (long seed = 1; seed <= SEEDS; seed++) {
+			final LimitWorld world = new LimitWorld(seed, daemons, 6, TargetKind.MODEL);
+			world.traffic(6 * 8);
+			world.run(4);
+			world.limit(0, OptionalDouble.of(1));
+			world.run(10);
+			world.limit(0, OptionalDouble.empty());
+			world.run(6);
+			final int before = world.engine(0).got;
+			world.run(10);
+			assertThat(world.engine(0).got - before).as("seed " + seed).isGreaterThan(40);
+			assertThat(world.daemons()).as("seed " + seed)
+				.allMatch((daemon) -> daemon.core().limits(world.nowNanos()).isEmpty());
+		}
+	}
+
 	/**
 	 * Guards against a limit that is kept by sending next to nothing.
 	 */
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerCodec.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerCodec.java
@@ -1,5 +1,6 @@
 package org.pistachioline.daemon.peer;
 
+import java.util.List;
 import java.util.Map;
 
 import org.pistachioline.core.peer.GossipSample;
@@ -9,6 +10,7 @@
 import org.pistachioline.protocol.peer.DaemonStatus;
 import org.pistachioline.protocol.peer.Heartbeat;
 import org.pistachioline.protocol.peer.PeerFrame;
+import org.pistachioline.protocol.peer.TargetLimit;
 import org.pistachioline.protocol.peer.WorkspaceUse;
 
 /**
@@ -29,10 +31,12 @@
 	 * @param self what the sender says of itself
 	 * @param sample what it tells of others
 	 * @param demand the sender's demand, by workspace
+	 * @param limits the limits that targets name
 	 * @return the frame
 	 */
-	public static PeerFrame heartbeat(PeerStatus self, GossipSample sample, Map<String, Double> demand) {
-		final Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setSender(encode(self));
+	public static PeerFrame heartbeat(PeerStatus self, GossipSample sample, Map<String, Double> demand,
+			List<TargetLimit> limits) {
+		final Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setSender(encode(self)).addAllTargetLimits(limits);
 		sample.whole().forEach((peer) -> heartbeat.addKnown(encode(peer)));
 		sample.news().forEach((news) -> heartbeat.addNews(encode(news)));
 		// Workspaces without demand are left out: an absent one counts as none.
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
@@ -18,6 +18,7 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 
 import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.limit.StatedLimit;
 import org.pistachioline.core.peer.PeerStatus;
 import org.pistachioline.core.peer.PeerTable;
 import org.pistachioline.daemon.Lifecycle;
@@ -75,6 +76,11 @@
 	private volatile BiConsumer<PeerStatus, Map<String, Double>> demandReceiver = (status, told) -> {
 	};
 
+	private volatile Supplier<List<StatedLimit>> limits = List::of;
+
+	private volatile Consumer<List<StatedLimit>> limitReceiver = (told) -> {
+	};
+
 	private volatile long newestConfigVersion;
 
 	private final AtomicReference<List<PeerStatus>> live = new AtomicReference<>(List.of());
@@ -245,6 +251,16 @@
 		this.demandReceiver = receiver;
 	}
 
+	/**
+	 * Sets what tells and takes the limits that targets name.
+	 * @param own what this daemon knows
+	 * @param receiver takes what a peer knows; it must not block
+	 */
+	public void onLimits(Supplier<List<StatedLimit>> own, Consumer<List<StatedLimit>> receiver) {
+		this.limits = own;
+		this.limitReceiver = receiver;
+	}
+
 	private void onFrame(PeerFrame frame) {
 		if (frame.hasListingQuestion() || frame.hasListingAnswer()) {
 			this.listingFrames.accept(frame);
@@ -287,6 +303,9 @@
 				Events.log(EventId.PEER_FOUND, "daemon", news.getDaemonId());
 			}
 		});
+		if (frame.getHeartbeat().getTargetLimitsCount() > 0) {
+			this.limitReceiver.accept(LimitCodec.decode(frame.getHeartbeat(), nowNanos));
+		}
 		// The next tick shows the rest.
 		if (this.table.takeChanged()) {
 			setLive(this.table.live(nowNanos));
@@ -335,7 +354,9 @@
 
 	private void beat(int fanOut) {
 		final PeerStatus status = this.self.get();
-		final PeerFrame frame = PeerCodec.heartbeat(status, this.table.sample(System.nanoTime()), this.demand.get());
+		final long nowNanos = System.nanoTime();
+		final PeerFrame frame = PeerCodec.heartbeat(status, this.table.sample(nowNanos), this.demand.get(),
+				LimitCodec.encode(this.limits.get(), nowNanos));
 		final Set<String> addresses = new TreeSet<>(this.seeds.get());
 		this.live.get().forEach((peer) -> addresses.add(peer.peerAddress()));
 		addresses.remove(status.peerAddress());
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/LimitWatch.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/LimitWatch.java
@@ -7,6 +7,7 @@
 
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.limit.LimitReport;
+import org.pistachioline.core.limit.StatedLimit;
 import org.pistachioline.core.traffic.TrafficCore;
 import org.pistachioline.daemon.event.Events;
 
@@ -15,34 +16,41 @@
  */
 final class LimitWatch {
 
-	private volatile Set<String> limitedIds = Set.of();
+	private volatile Set<String> toldIds = Set.of();
+
+	private volatile List<StatedLimit> words = List.of();
 
 	private volatile List<LimitReport> reports = List.of();
 
 	/**
 	 * Returns whether an answer may change what is known: it names a limit, or its target
-	 * has named one before. All others are nearly all answers.
+	 * has named one lately. All others are nearly all answers.
 	 * @param instanceId the instance
 	 * @param requestsPerSecond the limit that it names; empty where it names none
 	 * @return whether it may
 	 */
 	boolean isNews(String instanceId, OptionalDouble requestsPerSecond) {
-		return requestsPerSecond.isPresent() || this.limitedIds.contains(instanceId);
+		return requestsPerSecond.isPresent() || this.toldIds.contains(instanceId);
 	}
 
-	void onChange(String instanceId, OptionalDouble requestsPerSecond) {
-		if (requestsPerSecond.isPresent()) {
-			Events.log(EventId.TARGET_LIMITED, "instance", instanceId, "requests_per_second",
-					requestsPerSecond.getAsDouble());
+	void onChange(StatedLimit word, boolean toldByPeer) {
+		if (word.requestsPerSecond().isPresent()) {
+			Events.log(EventId.TARGET_LIMITED, "instance", word.instanceId(), "requests_per_second",
+					word.requestsPerSecond().getAsDouble(), "told_by_peer", toldByPeer);
 		}
 		else {
-			Events.log(EventId.TARGET_UNLIMITED, "instance", instanceId);
+			Events.log(EventId.TARGET_UNLIMITED, "instance", word.instanceId(), "told_by_peer", toldByPeer);
 		}
 	}
 
 	void renew(long nowNanos, TrafficCore core) {
 		this.reports = core.limits(nowNanos);
-		this.limitedIds = this.reports.stream().map(LimitReport::instanceId).collect(Collectors.toUnmodifiableSet());
+		this.words = core.limitWords(nowNanos);
+		this.toldIds = this.words.stream().map(StatedLimit::instanceId).collect(Collectors.toUnmodifiableSet());
+	}
+
+	List<StatedLimit> words() {
+		return this.words;
 	}
 
 	List<LimitReport> reports() {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -14,6 +14,7 @@
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.limit.LimitReport;
+import org.pistachioline.core.limit.StatedLimit;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.record.KeyOutcome;
@@ -198,6 +199,23 @@
 		}
 	}
 
+	/**
+	 * Takes what another daemon told of targets' limits; where the ring is full the next
+	 * beat brings it.
+	 * @param words what the targets said
+	 */
+	public void limitsTold(List<StatedLimit> words) {
+		this.duty.offer(new TrafficMessage.LimitsTold(words));
+	}
+
+	/**
+	 * Returns what other daemons are to be told of targets' limits.
+	 * @return what the targets said last, the newest first
+	 */
+	public List<StatedLimit> limitWords() {
+		return this.limits.words();
+	}
+
 	/**
 	 * Returns the limits that targets name now.
 	 * @return the limits, and what this daemon sent there
@@ -312,6 +330,9 @@
 		else if (message instanceof TrafficMessage.LimitHeard heard) {
 			onLimitHeard(nowNanos, heard);
 		}
+		else if (message instanceof TrafficMessage.LimitsTold told) {
+			onLimitsChanged(nowNanos, this.core.onPeerLimits(nowNanos, told.words()), true);
+		}
 		else if (message instanceof TrafficMessage.Leave) {
 			this.core.leave();
 		}
@@ -319,8 +340,16 @@
 
 	private void onLimitHeard(long nowNanos, TrafficMessage.LimitHeard heard) {
 		if (this.core.onLimit(nowNanos, heard.sentAtNanos(), heard.instanceId(), heard.requestsPerSecond())) {
-			this.limits.onChange(heard.instanceId(), heard.requestsPerSecond());
+			onLimitsChanged(nowNanos, List.of(new StatedLimit(heard.instanceId(), heard.requestsPerSecond(), nowNanos)),
+					false);
+		}
+	}
+
+	private void onLimitsChanged(long nowNanos, List<StatedLimit> changed, boolean toldByPeer) {
+		changed.forEach((word) -> this.limits.onChange(word, toldByPeer));
+		if (!changed.isEmpty()) {
 			this.limits.renew(nowNanos, this.core);
+			carryOut(this.core.onTick(nowNanos));
 		}
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 
+import org.pistachioline.core.limit.StatedLimit;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.state.FleetState;
@@ -103,6 +104,14 @@
 	record LimitHeard(String instanceId, long sentAtNanos, OptionalDouble requestsPerSecond) implements TrafficMessage {
 	}
 
+	/**
+	 * Another daemon told of targets' limits.
+	 *
+	 * @param words what the targets said
+	 */
+	record LimitsTold(List<StatedLimit> words) implements TrafficMessage {
+	}
+
 	/**
 	 * The daemon leaves.
 	 */
