Limits: callers are refused at once where all targets take less than is asked

Cause: the queue expects its wait from what runs, and on-time requests overtake late ones for as long as more come than are taken. Change: LimitedTargets refuses whose turn cannot come in time, when it comes and with each tick, and tells when all daemons together take the next; a retry waits for no target whose turn comes after its time. The spread of refusals stands in one place.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/admission/Refusal.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/admission/Refusal.java
@@ -10,4 +10,20 @@
  */
 public record Refusal(ErrorKind kind, long retryAfterMillis) {
 
+	private static final long SPREAD_PARTS = 16;
+
+	/**
+	 * Refuses one of many requests, such that callers who are refused together do not all
+	 * come back together.
+	 * @param kind why
+	 * @param requestId the request
+	 * @param millis when the first of them may come back
+	 * @param mostMillis the most that any of them is told
+	 * @return the refusal
+	 */
+	public static Refusal spread(ErrorKind kind, long requestId, double millis, long mostMillis) {
+		final double factor = 1 + (double) (requestId % SPREAD_PARTS) / SPREAD_PARTS;
+		return new Refusal(kind, Math.min(mostMillis, Math.round(millis * factor)));
+	}
+
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * The targets of one model or service, with those apart that have room.
@@ -245,6 +246,15 @@
 		return this.ejector.medianTokenNanos();
 	}
 
+	/**
+	 * Returns what the targets take, where all that serve name limits.
+	 * @param nowNanos the monotonic time
+	 * @return what they take; empty where some target names none, or none serves
+	 */
+	public Optional<LimitedSupply> limitedSupply(long nowNanos) {
+		return this.limited.isEmpty() ? Optional.empty() : LimitedSupply.of(nowNanos, this.members);
+	}
+
 	/**
 	 * Returns all targets.
 	 * @return the members
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/FairQueue.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/FairQueue.java
@@ -38,8 +38,6 @@
 	/** How many prompt tokens take an engine as long as one output token. */
 	private static final double PROMPT_TOKENS_PER_OUTPUT = 100;
 
-	private static final long SPREAD_PARTS = 16;
-
 	private final int maxRequests;
 
 	private final WaitingOrder order;
@@ -118,11 +116,9 @@
 		lane.add(nowNanos, entry, weight(info.workspace()));
 	}
 
-	// Callers that were refused together must not all come back together.
 	private static Refusal refusal(ErrorKind kind, RequestInfo info, double waitNanos) {
-		final double spread = 1 + (double) (info.requestId() % SPREAD_PARTS) / SPREAD_PARTS;
-		final long millis = Math.round(Math.max(LEAST_RETRY_MILLIS, waitNanos / NANOS_PER_MILLI) * spread);
-		return new Refusal(kind, Math.min(MOST_RETRY_MILLIS, millis));
+		return Refusal.spread(kind, info.requestId(), Math.max(LEAST_RETRY_MILLIS, waitNanos / NANOS_PER_MILLI),
+				MOST_RETRY_MILLIS);
 	}
 
 	@Override
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
@@ -162,6 +162,10 @@
 		return this.setsByName.get(nameKey(info.targetKind(), info.name()));
 	}
 
+	boolean anyLimitedSupply(long nowNanos) {
+		return this.setsByName.values().stream().anyMatch((set) -> set.limitedSupply(nowNanos).isPresent());
+	}
+
 	int freeSlots(RequestInfo info) {
 		final TargetSet set = set(info);
 		// A suspect that may run nowhere yet counts too: taken out of the queue it waits
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetChooser.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetChooser.java
@@ -47,15 +47,15 @@
 
 	/**
 	 * Returns whether some target that the request has not failed at serves, with room or
-	 * without. With none it is given its answer now; waiting for one would be waiting for
-	 * ever.
+	 * without, and takes an attempt before its time is up. With none it is given its
+	 * answer now; waiting for one would be waiting for ever.
 	 * @param flight the request
 	 * @return whether there is one
 	 */
 	boolean isPlaceable(Flight flight) {
 		return this.targets.members(flight.info)
 			.stream()
-			.anyMatch((load) -> load.view().serving()
+			.anyMatch((load) -> load.view().serving() && load.limit().mayStart(flight.info.totalDeadlineNanos())
 					&& (flight.claimOffset >= 0 || !flight.triedTargetIds.contains(load.view().targetId())));
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -44,6 +44,8 @@
 
 	private final FlightClock clock;
 
+	private final LimitedTargets limited;
+
 	private Manifest manifest = Manifest.EMPTY;
 
 	private boolean leaving;
@@ -59,6 +61,7 @@
 		this.flights = new FlightBook(policies, this.targets, this.isolation, this.resumptions);
 		this.suspects = new SuspectWatch(policies.killer(), this.isolation, this.flights);
 		this.chooser = new TargetChooser(this.targets, this.isolation, policies.placement());
+		this.limited = new LimitedTargets(this.targets, this.flights);
 		this.clock = new FlightClock(this.flights, this.targets, this.chooser, policies);
 	}
 
@@ -171,7 +174,7 @@
 		if (!this.targets.isDeclared(info)) {
 			return Optional.of(new Refusal(ErrorKind.NO_CAPACITY, RETRY_WITHOUT_CAPACITY_MILLIS));
 		}
-		return this.policies.admission().admit(nowNanos, info);
+		return this.limited.refuse(nowNanos, info).or(() -> this.policies.admission().admit(nowNanos, info));
 	}
 
 	/**
@@ -243,7 +246,7 @@
 	 * @return whether that changes anything
 	 */
 	public boolean onLimit(long nowNanos, long sentAtNanos, String instanceId, OptionalDouble requestsPerSecond) {
-		return this.targets.hearLimit(nowNanos, sentAtNanos, instanceId, requestsPerSecond);
+		return this.limited.hear(nowNanos, sentAtNanos, instanceId, requestsPerSecond);
 	}
 
 	/**
@@ -253,7 +256,7 @@
 	 * @return the words that change anything
 	 */
 	public List<StatedLimit> onPeerLimits(long nowNanos, List<StatedLimit> words) {
-		return this.targets.hearLimitsOfPeer(nowNanos, words);
+		return this.limited.hearFromPeer(nowNanos, words);
 	}
 
 	/**
@@ -371,6 +374,7 @@
 		this.targets.onTick(nowNanos);
 		this.policies.killer().onTick(nowNanos);
 		this.clock.onTick(nowNanos);
+		this.limited.onTick(nowNanos);
 		return pump(nowNanos);
 	}
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/SharedLimitTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/SharedLimitTests.java
@@ -92,6 +92,28 @@
 		}
 	}
 
+	/**
+	 * Guards against callers who wait until their time is up for a service whose only
+	 * targets take far less than is asked of them.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 8, 40 })
+	void callersOfAServiceThatTakesLittleAreRefusedAtOnce(int daemons) {
+		for (long seed = 1; seed <= SEEDS; seed++) {
+			final LimitWorld world = new LimitWorld(seed, daemons, 3, TargetKind.SERVICE);
+			world.traffic(60);
+			world.run(4);
+			for (int target = 0; target < 3; target++) {
+				world.limit(target, OptionalDouble.of(4));
+			}
+			world.run(20);
+			assertThat(world.violations).as("seed " + seed).isEmpty();
+			assertThat(world.daemons()).as("seed " + seed).allMatch((daemon) -> daemon.refusedLate == 0);
+			assertThat(world.daemons().stream().mapToInt((daemon) -> daemon.served).sum()).as("seed " + seed)
+				.isGreaterThan(4 * 50 + 20 * 6);
+		}
+	}
+
 	/**
 	 * Guards against permits that are used twice while daemons come and go.
 	 */
