Planner: a group that late orders open again is closed before it is taken apart

Cause: a group that is over was over for good. A head that had left it carried out an unanswered join of the same epoch, which it does not refuse, and then an unanswered order to open; the list showed it open, and the planner did not look. Change: EndedGroups lets a group count again if, a second after its end, its head reports it open, or reports it at all after having left. Why it works: such a group takes the way of any other that has lost a member: closed, its head out, and only then its members free. Conclusion: fixed; found by looking for the same cause elsewhere.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -43,8 +43,7 @@
 
 	private final Map<GroupId, GroupRecord> records = new HashMap<>();
 
-	/** Groups that are over though members still report them. */
-	private final Set<GroupId> ended = new HashSet<>();
+	private final EndedGroups ended = new EndedGroups();
 
 	private long term;
 
@@ -100,7 +99,7 @@
 		this.records.values().removeIf((known) -> {
 			final boolean over = this.review.review(view.nowNanos(), known, byId);
 			if (over) {
-				this.ended.add(known.group);
+				this.ended.add(view.nowNanos(), known);
 			}
 			return over;
 		});
@@ -116,8 +115,7 @@
 		view.instances()
 			.forEach((instance) -> instance.membership()
 				.ifPresent((own) -> reported.computeIfAbsent(own.group(), (group) -> new ArrayList<>()).add(instance)));
-		this.ended.retainAll(reported.keySet());
-		reported.keySet().removeAll(this.ended);
+		this.ended.removeFrom(view.nowNanos(), reported);
 		reported.forEach((group, members) -> {
 			final Optional<EngineModel> model = view.engine().model(group.model());
 			final GroupRecord known = this.records.get(group);
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -93,6 +93,20 @@
 		assertThat(world.violations).isEmpty();
 	}
 
+	/**
+	 * Guards against a group that is over, is joined and opened again by orders that were
+	 * carried out late, and loses its members while it serves.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 379, 1022, 1861 })
+	void aGroupThatLateOrdersOpenAgainKeepsItsMembers(long seed) {
+		final ReplicaWorld world = new ReplicaWorld(seed, 6, 0.1, 0.25);
+		world.restarts = true;
+		world.lateOrdersOutliveTheirLife = true;
+		world.run(60_000, true);
+		assertThat(world.violations).isEmpty();
+	}
+
 	/**
 	 * A head loses the way to the store and to all daemons for most of a minute, while
 	 * its members still reach it. It serves on and never breaks by itself. Whoever takes
