Traffic: claims, limits and other daemons' load have files of their own

Change: ClaimBook keeps a duty's claims, OthersInFlight what reports say of other daemons' attempts, LimitedTargets is what the duty asks about limits. No decision changes.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -28,13 +28,10 @@
 	/** Weighs one sample of many, so that a single slow reader does not move the mean. */
 	private static final double SAMPLE_WEIGHT = 0.2;
 
-	/** Weighs one report of several, since each shows a moment only. */
-	private static final double REPORT_WEIGHT = 0.3;
-
-	private static final int HISTORY = 16;
-
 	private final InstanceLimit limit;
 
+	private final OthersInFlight others;
+
 	private TargetView view;
 
 	private long servingSinceNanos;
@@ -47,8 +44,6 @@
 
 	private long lastFailureNanos;
 
-	private double othersInFlight;
-
 	private double tokenNanos;
 
 	private int tokenSamples;
@@ -67,12 +62,6 @@
 
 	private boolean onProbation;
 
-	private final long[] historyNanos = new long[HISTORY];
-
-	private final int[] historyInFlight = new int[HISTORY];
-
-	private int historyNext;
-
 	/**
 	 * Creates the load of a target that was just learnt of and names no limit.
 	 * @param view the target's view
@@ -93,9 +82,7 @@
 		this.view = view;
 		this.servingSinceNanos = nowNanos;
 		this.progressAtNanos = nowNanos;
-		this.othersInFlight = view.reportedRunning() + view.reportedWaiting();
-		this.historyNanos[0] = nowNanos;
-		this.historyNext = 1;
+		this.others = new OthersInFlight(view, nowNanos);
 	}
 
 	/**
@@ -107,25 +94,8 @@
 		if (newView.serving() && !this.view.serving()) {
 			this.servingSinceNanos = nowNanos;
 		}
-		if (newView.reportedAtNanos() != this.view.reportedAtNanos()) {
-			final int reported = newView.reportedRunning() + newView.reportedWaiting();
-			final int others = Math.max(0, reported - inFlightAt(newView.reportedAtNanos()));
-			this.othersInFlight += REPORT_WEIGHT * (others - this.othersInFlight);
-		}
+		this.others.update(newView, nowNanos, this.inFlight);
 		this.view = newView;
-		this.historyNanos[this.historyNext % HISTORY] = nowNanos;
-		this.historyInFlight[this.historyNext % HISTORY] = this.inFlight;
-		this.historyNext++;
-	}
-
-	private int inFlightAt(long atNanos) {
-		final int oldest = Math.max(0, this.historyNext - HISTORY);
-		for (int i = this.historyNext - 1; i >= oldest; i--) {
-			if (this.historyNanos[i % HISTORY] <= atNanos) {
-				return this.historyInFlight[i % HISTORY];
-			}
-		}
-		return this.historyInFlight[oldest % HISTORY];
 	}
 
 	/**
@@ -203,7 +173,7 @@
 	int limit(long nowNanos, DaemonRank daemons) {
 		final int slots = this.view.slots();
 		final int equal = daemons.equalPart(slots, this.view.targetId());
-		final double unused = slots - this.othersInFlight - ((this.othersInFlight > 0) ? 1 : 0);
+		final double unused = slots - this.others.attempts() - ((this.others.attempts() > 0) ? 1 : 0);
 		// An engine that queues has more than its slots already, whatever the figures
 		// say.
 		final double left = (this.view.reportedWaiting() > 0) ? equal : Math.max(equal, unused);
@@ -365,7 +335,7 @@
 	double fullRatio(int daemonCount) {
 		// What others have is known late; that they do as this daemon does is a guess
 		// without noise. Half of each keeps the small differences exact.
-		final double byReport = this.inFlight + this.othersInFlight;
+		final double byReport = this.inFlight + this.others.attempts();
 		final double byOwn = (double) this.inFlight * daemonCount;
 		return (byReport + byOwn) / 2 / this.view.slots();
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/LimitedTargets.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/LimitedTargets.java
@@ -8,18 +8,19 @@
 
 import org.pistachioline.core.admission.Refusal;
 import org.pistachioline.core.error.ErrorKind;
+import org.pistachioline.core.limit.LimitReport;
 import org.pistachioline.core.limit.StatedLimit;
 import org.pistachioline.core.placement.LimitedSupply;
 import org.pistachioline.core.placement.TargetSet;
 
 /**
- * Refuses the requests whose turn cannot come in time since all their targets name
- * limits.
+ * Keeps to the limits that targets name, and refuses the requests whose turn cannot come
+ * in time since all their targets name one.
  * <p>
  * The queue expects its wait from what runs; where the targets take less than their slots
  * it would keep callers until their time is up.
  */
-final class LimitedTargets {
+public final class LimitedTargets {
 
 	private static final double MILLIS_PER_SECOND = 1e3;
 
@@ -34,7 +35,16 @@
 		this.flights = flights;
 	}
 
-	boolean hear(long nowNanos, long sentAtNanos, String instanceId, OptionalDouble requestsPerSecond) {
+	/**
+	 * Takes what an instance's answer said of the requests that it takes from all
+	 * daemons.
+	 * @param nowNanos the monotonic time
+	 * @param sentAtNanos when the answer's request was sent
+	 * @param instanceId the instance
+	 * @param requestsPerSecond the limit that it names; empty where it names none
+	 * @return whether that changes anything
+	 */
+	public boolean hear(long nowNanos, long sentAtNanos, String instanceId, OptionalDouble requestsPerSecond) {
 		final boolean changed = this.targets.hearLimit(nowNanos, sentAtNanos, instanceId, requestsPerSecond);
 		if (changed) {
 			refuseWaiting(nowNanos);
@@ -42,7 +52,13 @@
 		return changed;
 	}
 
-	List<StatedLimit> hearFromPeer(long nowNanos, List<StatedLimit> words) {
+	/**
+	 * Takes what another daemon told of instances' limits.
+	 * @param nowNanos the monotonic time
+	 * @param words what instances said
+	 * @return the words that change anything
+	 */
+	public List<StatedLimit> hearFromPeer(long nowNanos, List<StatedLimit> words) {
 		final List<StatedLimit> changed = this.targets.hearLimitsOfPeer(nowNanos, words);
 		if (!changed.isEmpty()) {
 			refuseWaiting(nowNanos);
@@ -50,6 +66,24 @@
 		return changed;
 	}
 
+	/**
+	 * Returns what other daemons are to be told.
+	 * @param nowNanos the monotonic time
+	 * @return what instances said last, the newest first
+	 */
+	public List<StatedLimit> words(long nowNanos) {
+		return this.targets.limits().words(nowNanos);
+	}
+
+	/**
+	 * Describes the limits that hold, for operators.
+	 * @param nowNanos the monotonic time
+	 * @return the limits
+	 */
+	public List<LimitReport> reports(long nowNanos) {
+		return this.targets.limits().reports(nowNanos);
+	}
+
 	/**
 	 * Lets time pass: whoever waits in vain by now is told so.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -3,14 +3,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 
 import org.pistachioline.core.admission.Refusal;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
-import org.pistachioline.core.limit.LimitReport;
-import org.pistachioline.core.limit.StatedLimit;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.placement.LiveDaemons;
@@ -237,44 +234,11 @@
 	}
 
 	/**
-	 * Takes what an instance's answer said of the requests that it takes from all
-	 * daemons.
-	 * @param nowNanos the monotonic time
-	 * @param sentAtNanos when the answer's request was sent
-	 * @param instanceId the instance
-	 * @param requestsPerSecond the limit that it names; empty where it names none
-	 * @return whether that changes anything
-	 */
-	public boolean onLimit(long nowNanos, long sentAtNanos, String instanceId, OptionalDouble requestsPerSecond) {
-		return this.limited.hear(nowNanos, sentAtNanos, instanceId, requestsPerSecond);
-	}
-
-	/**
-	 * Takes what another daemon told of instances' limits.
-	 * @param nowNanos the monotonic time
-	 * @param words what instances said
-	 * @return the words that change anything
-	 */
-	public List<StatedLimit> onPeerLimits(long nowNanos, List<StatedLimit> words) {
-		return this.limited.hearFromPeer(nowNanos, words);
-	}
-
-	/**
-	 * Returns what other daemons are to be told of instances' limits.
-	 * @param nowNanos the monotonic time
-	 * @return what instances said last, the newest first
-	 */
-	public List<StatedLimit> limitWords(long nowNanos) {
-		return this.targets.limits().words(nowNanos);
-	}
-
-	/**
-	 * Returns the limits that instances name.
-	 * @param nowNanos the monotonic time
-	 * @return the limits that hold
+	 * Returns the limits that instances name, to which this core keeps.
+	 * @return the limits
 	 */
-	public List<LimitReport> limits(long nowNanos) {
-		return this.targets.limits().reports(nowNanos);
+	public LimitedTargets limits() {
+		return this.limited;
 	}
 
 	/**
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorldDaemon.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorldDaemon.java
@@ -120,7 +120,7 @@
 	}
 
 	List<StatedLimit> words() {
-		return this.core.limitWords(this.world.nowNanos());
+		return this.core.limits().words(this.world.nowNanos());
 	}
 
 	/**
@@ -130,11 +130,12 @@
 	 */
 	void hear(List<StatedLimit> words, long delayNanos) {
 		if (this.running) {
-			this.core.onPeerLimits(this.world.nowNanos(),
-					words.stream()
-						.map((word) -> new StatedLimit(word.instanceId(), word.requestsPerSecond(),
-								word.heardAtNanos() + delayNanos))
-						.toList());
+			this.core.limits()
+				.hearFromPeer(this.world.nowNanos(),
+						words.stream()
+							.map((word) -> new StatedLimit(word.instanceId(), word.requestsPerSecond(),
+									word.heardAtNanos() + delayNanos))
+							.toList());
 		}
 	}
 
@@ -185,7 +186,7 @@
 		if (limit.isPresent()) {
 			this.toldAtNanos.putIfAbsent(engine.id, this.world.nowNanos());
 		}
-		this.core.onLimit(this.world.nowNanos(), sentAtNanos, engine.id, limit);
+		this.core.limits().hear(this.world.nowNanos(), sentAtNanos, engine.id, limit);
 		this.core.onProgress(this.world.nowNanos(), attempt, 1);
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/LimitWatch.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/LimitWatch.java
@@ -44,8 +44,8 @@
 	}
 
 	void renew(long nowNanos, TrafficCore core) {
-		this.reports = core.limits(nowNanos);
-		this.words = core.limitWords(nowNanos);
+		this.reports = core.limits().reports(nowNanos);
+		this.words = core.limits().words(nowNanos);
 		this.toldIds = this.words.stream().map(StatedLimit::instanceId).collect(Collectors.toUnmodifiableSet());
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -50,6 +50,8 @@
 
 	private final Claims claims;
 
+	private final ClaimBook claimBook;
+
 	private final ShareKeeper shares;
 
 	private final TraceRecorder recorder;
@@ -60,10 +62,6 @@
 
 	private final Map<Long, Exchange> exchanges = new HashMap<>();
 
-	private final Map<Long, Long> claimOffsets = new HashMap<>();
-
-	private final Map<Long, KeyOutcome> storedOutcomes = new HashMap<>();
-
 	private volatile Consumer<String> stalledTargets = (targetId) -> {
 	};
 
@@ -96,6 +94,7 @@
 		this.shares = shares;
 		this.core = core;
 		this.claims = claims;
+		this.claimBook = new ClaimBook(claims);
 		this.killers = killers;
 		this.duty = new Duty<>(system, "traffic", RING_CAPACITY, TICK, this);
 	}
@@ -331,7 +330,7 @@
 			onLimitHeard(nowNanos, heard);
 		}
 		else if (message instanceof TrafficMessage.LimitsTold told) {
-			onLimitsChanged(nowNanos, this.core.onPeerLimits(nowNanos, told.words()), true);
+			onLimitsChanged(nowNanos, this.core.limits().hearFromPeer(nowNanos, told.words()), true);
 		}
 		else if (message instanceof TrafficMessage.Leave) {
 			this.core.leave();
@@ -339,7 +338,7 @@
 	}
 
 	private void onLimitHeard(long nowNanos, TrafficMessage.LimitHeard heard) {
-		if (this.core.onLimit(nowNanos, heard.sentAtNanos(), heard.instanceId(), heard.requestsPerSecond())) {
+		if (this.core.limits().hear(nowNanos, heard.sentAtNanos(), heard.instanceId(), heard.requestsPerSecond())) {
 			onLimitsChanged(nowNanos, List.of(new StatedLimit(heard.instanceId(), heard.requestsPerSecond(), nowNanos)),
 					false);
 		}
@@ -367,13 +366,10 @@
 	}
 
 	private void onClaimed(long nowNanos, TrafficMessage.Claimed claimed) {
-		if (claimed.result().claimOffset() >= 0 && this.exchanges.containsKey(claimed.requestId())) {
-			this.claimOffsets.put(claimed.requestId(), claimed.result().claimOffset());
-		}
-		claimed.result().outcome().ifPresent((outcome) -> this.storedOutcomes.put(claimed.requestId(), outcome));
+		this.claimBook.note(claimed, this.exchanges.containsKey(claimed.requestId()));
 		carryOut(this.core.onClaim(nowNanos, claimed.requestId(), claimed.result().verdict(),
 				claimed.result().claimOffset()));
-		this.storedOutcomes.remove(claimed.requestId());
+		this.claimBook.forgetOutcome(claimed.requestId());
 	}
 
 	private void carryOut(List<TrafficAction> actions) {
@@ -399,8 +395,7 @@
 			return;
 		}
 		if (action instanceof TrafficAction.Release release) {
-			this.claimOffsets.remove(release.requestId());
-			this.claims.release(release.info(), release.claimOffset());
+			this.claimBook.release(release);
 			return;
 		}
 		final Exchange exchange = this.exchanges.get(action.requestId());
@@ -419,7 +414,7 @@
 		}
 		else if (action instanceof TrafficAction.Fail fail) {
 			this.failures.add(exchange.info().workspace(), fail.kind());
-			settleUnknown(exchange, fail);
+			this.claimBook.settleUnknown(exchange, fail);
 			forget(fail.requestId());
 			exchange.fail(fail.kind(), fail.runState(), fail.retryAfterMillis());
 		}
@@ -446,15 +441,8 @@
 		return this.failures;
 	}
 
-	private void settleUnknown(Exchange exchange, TrafficAction.Fail fail) {
-		final Long claimOffset = this.claimOffsets.get(fail.requestId());
-		if (claimOffset != null && fail.runState() != RunState.NOT_RUN) {
-			this.claims.settle(exchange.info(), claimOffset, 0, "", "", true);
-		}
-	}
-
 	private void replay(Exchange exchange) {
-		final Optional<KeyOutcome> outcome = Optional.ofNullable(this.storedOutcomes.get(exchange.info().requestId()));
+		final Optional<KeyOutcome> outcome = this.claimBook.outcome(exchange.info().requestId());
 		if (outcome.isPresent()) {
 			exchange.replay(outcome.get());
 		}
@@ -471,16 +459,13 @@
 	 * @param body the answer's body
 	 */
 	void settle(Exchange exchange, int status, String contentType, String body) {
-		final Long claimOffset = this.claimOffsets.get(exchange.info().requestId());
-		if (claimOffset != null) {
-			this.claims.settle(exchange.info(), claimOffset, status, contentType, body, false);
-		}
+		this.claimBook.settle(exchange, status, contentType, body);
 	}
 
 	private void forget(long requestId) {
 		this.recorder.ended(requestId);
 		this.exchanges.remove(requestId);
-		this.claimOffsets.remove(requestId);
+		this.claimBook.forget(requestId);
 	}
 
 }
