--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/LimitCodec.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/LimitCodec.java
@@ -27,9 +27,10 @@
 	}
 
 	private static TargetLimit encode(StatedLimit limit, long nowNanos) {
+		final long ageMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - limit.heardAtNanos());
 		final TargetLimit.Builder encoded = TargetLimit.newBuilder()
 			.setInstanceId(limit.instanceId())
-			.setHeardAgeMillis(Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - limit.heardAtNanos())));
+			.setHeardAgeMillis(Math.max(0, Math.min(MOST_AGE_MILLIS, ageMillis)));
 		limit.requestsPerSecond().ifPresent(encoded::setRequestsPerSecond);
 		return encoded.build();
 	}
