Planner: a head that comes back to a group that is over counts at once

Cause: for a second after a group's end its head's reports were held to be old. One that had left, and came back by a late join and was opened within that time, was ordered elsewhere while it served. Change: once the list has shown the head out of the group, any report of it counts, without waiting.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/EndedGroups.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/EndedGroups.java
@@ -1,9 +1,9 @@
 package org.pistachioline.core.replica;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Remembers groups that are over though members still report them.
@@ -35,27 +35,43 @@
 	 */
 	void removeFrom(long nowNanos, Map<GroupId, List<ServingInstance>> reported) {
 		this.ends.keySet().retainAll(reported.keySet());
-		this.ends.entrySet().removeIf((entry) -> isAlive(nowNanos, entry.getValue(), reported.get(entry.getKey())));
+		this.ends.entrySet().removeIf((entry) -> entry.getValue().isUndone(nowNanos, reported.get(entry.getKey())));
 		reported.keySet().removeAll(this.ends.keySet());
 	}
 
-	private static boolean isAlive(long nowNanos, End end, Collection<ServingInstance> members) {
-		return nowNanos - end.atNanos() >= SHOWN_NANOS && members.stream()
-			.map((member) -> member.membership().orElseThrow())
-			.anyMatch((own) -> own.rank() == 0 && mayServe(own.state(), end.headLeft()));
-	}
-
-	private static boolean mayServe(MemberState state, boolean headLeft) {
-		return state == MemberState.OPEN || state == MemberState.CLOSING || (headLeft && state != MemberState.BROKEN);
-	}
-
 	/**
-	 * How a group ended.
-	 *
-	 * @param atNanos when, by the monotonic clock
-	 * @param headLeft whether its head had left it
+	 * How a group ended, and what its head has shown since.
 	 */
-	private record End(long atNanos, boolean headLeft) {
+	private static final class End {
+
+		private final long atNanos;
+
+		private final boolean headLeft;
+
+		private boolean headShownOut;
+
+		End(long atNanos, boolean headLeft) {
+			this.atNanos = atNanos;
+			this.headLeft = headLeft;
+		}
+
+		boolean isUndone(long nowNanos, List<ServingInstance> members) {
+			final Optional<MemberState> head = members.stream()
+				.map((member) -> member.membership().orElseThrow())
+				.filter((own) -> own.rank() == 0)
+				.map(Membership::state)
+				.findFirst();
+			this.headShownOut |= this.headLeft && head.isEmpty();
+			if (head.isEmpty() || head.get() == MemberState.BROKEN) {
+				return false;
+			}
+			final boolean shown = nowNanos - this.atNanos >= SHOWN_NANOS;
+			return this.headShownOut || (shown && (this.headLeft || isServing(head.get())));
+		}
+
+		private static boolean isServing(MemberState state) {
+			return state == MemberState.OPEN || state == MemberState.CLOSING;
+		}
 
 	}
 
