Limits: names that say what they hold

Cause: what targets state was called words, which is none of the field's. Figures: SharedLimitTests, LimitCodecTests, PeerLimitsTests and PlatformDaemonTests green on the renamed code. Conclusion: no behaviour changes.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/limit/InstanceLimit.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/limit/InstanceLimit.java
@@ -22,7 +22,7 @@
 
 	private static final long RECENT_NANOS = 4_000_000_000L;
 
-	/** How long after its last word the end of a limit is told to other daemons. */
+	/** How long the end of a limit is told to other daemons. */
 	private static final long TOLD_NANOS = 30_000_000_000L;
 
 	/** More than a heartbeat takes from daemon to daemon. */
@@ -34,7 +34,9 @@
 	/** For how many requests' time nothing is heard before one without permits asks. */
 	private static final double SILENT_REQUESTS = 5;
 
-	/** Without any word between daemons, those without permits add an eighth at most. */
+	/**
+	 * Where daemons tell each other nothing, those without permits add an eighth at most.
+	 */
 	private static final double ASKING_SPREAD = 16;
 
 	/** The rate at which an instance is asked that takes less, or nothing. */
@@ -95,14 +97,14 @@
 	 * Takes what another daemon told. Its time is known less exactly than that of an
 	 * answer, and what this daemon told itself comes back a little newer than it was.
 	 * @param nowNanos the monotonic time
-	 * @param word the word
+	 * @param heard what the instance said
 	 * @return whether it says something else than the last
 	 */
-	boolean hearFromPeer(long nowNanos, StatedLimit word) {
+	boolean hearFromPeer(long nowNanos, StatedLimit heard) {
 		final boolean newer = !this.everLimited
-				|| word.heardAtNanos() - this.stated.heardAtNanos() > PEERS_INEXACT_NANOS;
-		final boolean meant = this.everLimited || word.requestsPerSecond().isPresent();
-		return newer && meant && hear(nowNanos, word);
+				|| heard.heardAtNanos() - this.stated.heardAtNanos() > PEERS_INEXACT_NANOS;
+		final boolean meant = this.everLimited || heard.requestsPerSecond().isPresent();
+		return newer && meant && hear(nowNanos, heard);
 	}
 
 	/**
@@ -122,16 +124,16 @@
 	}
 
 	/**
-	 * Takes newer word.
+	 * Takes what the instance said last.
 	 * @param nowNanos the monotonic time
-	 * @param word the word
+	 * @param heard what the instance said
 	 * @return whether it says something else than the last
 	 */
-	boolean hear(long nowNanos, StatedLimit word) {
+	boolean hear(long nowNanos, StatedLimit heard) {
 		final OptionalDouble before = this.stated.requestsPerSecond();
-		this.stated = word;
-		this.everLimited |= word.requestsPerSecond().isPresent();
-		if (before.equals(word.requestsPerSecond())) {
+		this.stated = heard;
+		this.everLimited |= heard.requestsPerSecond().isPresent();
+		if (before.equals(heard.requestsPerSecond())) {
 			return false;
 		}
 		if (before.isEmpty()) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/limit/LimitBook.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/limit/LimitBook.java
@@ -13,8 +13,8 @@
  * <p>
  * An instance names a limit in each answer for as long as it holds. One answer without it
  * ends it, but only if its request was sent after the limit was last heard: answers on
- * different connections overtake each other. Daemons tell each other the last words that
- * they know, so that those who send nothing there hear of the end.
+ * different connections overtake each other. Daemons tell each other what they heard
+ * last, so that those who send nothing there hear of the end.
  */
 public final class LimitBook {
 
@@ -54,20 +54,20 @@
 	/**
 	 * Takes what another daemon told.
 	 * @param nowNanos the monotonic time
-	 * @param words what instances said there, or farther away
-	 * @return the words that change anything
+	 * @param stated what instances said there, or farther away
+	 * @return those that change anything
 	 */
-	public List<StatedLimit> onPeer(long nowNanos, List<StatedLimit> words) {
-		return words.stream().filter((word) -> of(word.instanceId()).hearFromPeer(nowNanos, word)).toList();
+	public List<StatedLimit> onPeer(long nowNanos, List<StatedLimit> stated) {
+		return stated.stream().filter((heard) -> of(heard.instanceId()).hearFromPeer(nowNanos, heard)).toList();
 	}
 
 	/**
 	 * Returns what other daemons are to be told.
 	 * @param nowNanos the monotonic time
-	 * @return the last words of instances that name a limit, or did so lately; the newest
-	 * first
+	 * @return what each instance said last that names a limit, or did so lately; the
+	 * newest first
 	 */
-	public List<StatedLimit> words(long nowNanos) {
+	public List<StatedLimit> stated(long nowNanos) {
 		return this.limits.values()
 			.stream()
 			.filter((known) -> known.isTold(nowNanos))
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/LimitedTargets.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/LimitedTargets.java
@@ -55,11 +55,11 @@
 	/**
 	 * Takes what another daemon told of instances' limits.
 	 * @param nowNanos the monotonic time
-	 * @param words what instances said
-	 * @return the words that change anything
+	 * @param stated what instances said
+	 * @return those that change anything
 	 */
-	public List<StatedLimit> hearFromPeer(long nowNanos, List<StatedLimit> words) {
-		final List<StatedLimit> changed = this.targets.hearLimitsOfPeer(nowNanos, words);
+	public List<StatedLimit> hearFromPeer(long nowNanos, List<StatedLimit> stated) {
+		final List<StatedLimit> changed = this.targets.hearLimitsOfPeer(nowNanos, stated);
 		if (!changed.isEmpty()) {
 			refuseWaiting(nowNanos);
 		}
@@ -71,8 +71,8 @@
 	 * @param nowNanos the monotonic time
 	 * @return what instances said last, the newest first
 	 */
-	public List<StatedLimit> words(long nowNanos) {
-		return this.targets.limits().words(nowNanos);
+	public List<StatedLimit> stated(long nowNanos) {
+		return this.targets.limits().stated(nowNanos);
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
@@ -114,8 +114,8 @@
 		return changed;
 	}
 
-	List<StatedLimit> hearLimitsOfPeer(long nowNanos, List<StatedLimit> words) {
-		final List<StatedLimit> changed = this.limits.onPeer(nowNanos, words);
+	List<StatedLimit> hearLimitsOfPeer(long nowNanos, List<StatedLimit> stated) {
+		final List<StatedLimit> changed = this.limits.onPeer(nowNanos, stated);
 		if (!changed.isEmpty()) {
 			refresh(nowNanos);
 		}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorld.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorld.java
@@ -83,11 +83,11 @@
 
 	private void tell() {
 		for (final LimitWorldDaemon daemon : this.daemons) {
-			final List<StatedLimit> words = (daemon.running() && this.peersTell) ? daemon.words() : List.of();
-			for (int i = 0; i < FAN_OUT && !words.isEmpty(); i++) {
+			final List<StatedLimit> stated = (daemon.running() && this.peersTell) ? daemon.stated() : List.of();
+			for (int i = 0; i < FAN_OUT && !stated.isEmpty(); i++) {
 				final LimitWorldDaemon peer = this.daemons.get(this.random.nextInt(this.daemons.size()));
 				final long delayNanos = MILLI_NANOS + this.random.nextInt(MOST_FRAME_MILLIS) * MILLI_NANOS;
-				after(delayNanos, () -> peer.hear(words, delayNanos));
+				after(delayNanos, () -> peer.hear(stated, delayNanos));
 			}
 		}
 	}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorldDaemon.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorldDaemon.java
@@ -119,22 +119,22 @@
 		}
 	}
 
-	List<StatedLimit> words() {
-		return this.core.limits().words(this.world.nowNanos());
+	List<StatedLimit> stated() {
+		return this.core.limits().stated(this.world.nowNanos());
 	}
 
 	/**
-	 * Takes a heartbeat's words.
-	 * @param words the words
+	 * Takes what a heartbeat tells.
+	 * @param stated what it tells
 	 * @param delayNanos how long the frame took, by which they look newer than they are
 	 */
-	void hear(List<StatedLimit> words, long delayNanos) {
+	void hear(List<StatedLimit> stated, long delayNanos) {
 		if (this.running) {
 			this.core.limits()
 				.hearFromPeer(this.world.nowNanos(),
-						words.stream()
-							.map((word) -> new StatedLimit(word.instanceId(), word.requestsPerSecond(),
-									word.heardAtNanos() + delayNanos))
+						stated.stream()
+							.map((heard) -> new StatedLimit(heard.instanceId(), heard.requestsPerSecond(),
+									heard.heardAtNanos() + delayNanos))
 							.toList());
 		}
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -162,7 +162,7 @@
 			this.replicas.stalled(targetId);
 			this.peers.tellStalled(targetId);
 		});
-		this.peers.onLimits(this.traffic::limitWords, this.traffic::limitsTold);
+		this.peers.onLimits(this.traffic::statedLimits, this.traffic::limitsTold);
 		this.peers.onStalled(this.replicas::stalled);
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/LimitWatch.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/LimitWatch.java
@@ -18,7 +18,7 @@
 
 	private volatile Set<String> toldIds = Set.of();
 
-	private volatile List<StatedLimit> words = List.of();
+	private volatile List<StatedLimit> stated = List.of();
 
 	private volatile List<LimitReport> reports = List.of();
 
@@ -33,24 +33,24 @@
 		return requestsPerSecond.isPresent() || this.toldIds.contains(instanceId);
 	}
 
-	void onChange(StatedLimit word, boolean toldByPeer) {
-		if (word.requestsPerSecond().isPresent()) {
-			Events.log(EventId.TARGET_LIMITED, "instance", word.instanceId(), "requests_per_second",
-					word.requestsPerSecond().getAsDouble(), "told_by_peer", toldByPeer);
+	void onChange(StatedLimit heard, boolean toldByPeer) {
+		if (heard.requestsPerSecond().isPresent()) {
+			Events.log(EventId.TARGET_LIMITED, "instance", heard.instanceId(), "requests_per_second",
+					heard.requestsPerSecond().getAsDouble(), "told_by_peer", toldByPeer);
 		}
 		else {
-			Events.log(EventId.TARGET_UNLIMITED, "instance", word.instanceId(), "told_by_peer", toldByPeer);
+			Events.log(EventId.TARGET_UNLIMITED, "instance", heard.instanceId(), "told_by_peer", toldByPeer);
 		}
 	}
 
 	void renew(long nowNanos, TrafficCore core) {
 		this.reports = core.limits().reports(nowNanos);
-		this.words = core.limits().words(nowNanos);
-		this.toldIds = this.words.stream().map(StatedLimit::instanceId).collect(Collectors.toUnmodifiableSet());
+		this.stated = core.limits().stated(nowNanos);
+		this.toldIds = this.stated.stream().map(StatedLimit::instanceId).collect(Collectors.toUnmodifiableSet());
 	}
 
-	List<StatedLimit> words() {
-		return this.words;
+	List<StatedLimit> stated() {
+		return this.stated;
 	}
 
 	List<LimitReport> reports() {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -201,18 +201,18 @@
 	/**
 	 * Takes what another daemon told of targets' limits; where the ring is full the next
 	 * beat brings it.
-	 * @param words what the targets said
+	 * @param stated what the targets said
 	 */
-	public void limitsTold(List<StatedLimit> words) {
-		this.duty.offer(new TrafficMessage.LimitsTold(words));
+	public void limitsTold(List<StatedLimit> stated) {
+		this.duty.offer(new TrafficMessage.LimitsTold(stated));
 	}
 
 	/**
 	 * Returns what other daemons are to be told of targets' limits.
 	 * @return what the targets said last, the newest first
 	 */
-	public List<StatedLimit> limitWords() {
-		return this.limits.words();
+	public List<StatedLimit> statedLimits() {
+		return this.limits.stated();
 	}
 
 	/**
@@ -330,7 +330,7 @@
 			onLimitHeard(nowNanos, heard);
 		}
 		else if (message instanceof TrafficMessage.LimitsTold told) {
-			onLimitsChanged(nowNanos, this.core.limits().hearFromPeer(nowNanos, told.words()), true);
+			onLimitsChanged(nowNanos, this.core.limits().hearFromPeer(nowNanos, told.stated()), true);
 		}
 		else if (message instanceof TrafficMessage.Leave) {
 			this.core.leave();
@@ -345,7 +345,7 @@
 	}
 
 	private void onLimitsChanged(long nowNanos, List<StatedLimit> changed, boolean toldByPeer) {
-		changed.forEach((word) -> this.limits.onChange(word, toldByPeer));
+		changed.forEach((heard) -> this.limits.onChange(heard, toldByPeer));
 		if (!changed.isEmpty()) {
 			this.limits.renew(nowNanos, this.core);
 			carryOut(this.core.onTick(nowNanos));
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
@@ -107,9 +107,9 @@
 	/**
 	 * Another daemon told of targets' limits.
 	 *
-	 * @param words what the targets said
+	 * @param stated what the targets said
 	 */
-	record LimitsTold(List<StatedLimit> words) implements TrafficMessage {
+	record LimitsTold(List<StatedLimit> stated) implements TrafficMessage {
 	}
 
 	/**
