--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -79,6 +79,14 @@
 		}
 	}
 
+	private static List<String> brokenWhereLateOrdersOutliveTheirLife(long seed, double lateRatio) {
+		final ReplicaWorld world = new ReplicaWorld(seed, 6, 0.1, lateRatio);
+		world.restarts = true;
+		world.lateOrdersOutliveTheirLife = true;
+		world.run(60_000, true);
+		return world.violations;
+	}
+
 	/**
 	 * Guards against an instance that started again, carried out an order to join that
 	 * its former life had left unanswered, and is taken from that group while its head
@@ -87,11 +95,7 @@
 	@ParameterizedTest
 	@ValueSource(longs = { 29, 140, 158, 199, 298 })
 	void aJoinThatTheNextLifeCarriesOutTakesItFromNoServingGroup(long seed) {
-		final ReplicaWorld world = new ReplicaWorld(seed, 6, 0.1, 0.25);
-		world.restarts = true;
-		world.lateOrdersOutliveTheirLife = true;
-		world.run(60_000, true);
-		assertThat(world.violations).isEmpty();
+		assertThat(brokenWhereLateOrdersOutliveTheirLife(seed, 0.25)).isEmpty();
 	}
 
 	/**
@@ -101,11 +105,7 @@
 	@ParameterizedTest
 	@CsvSource({ "379, 0.25", "1022, 0.25", "1861, 0.25", "187, 0.5" })
 	void aGroupThatLateOrdersOpenAgainKeepsItsMembers(long seed, double lateRatio) {
-		final ReplicaWorld world = new ReplicaWorld(seed, 6, 0.1, lateRatio);
-		world.restarts = true;
-		world.lateOrdersOutliveTheirLife = true;
-		world.run(60_000, true);
-		assertThat(world.violations).isEmpty();
+		assertThat(brokenWhereLateOrdersOutliveTheirLife(seed, lateRatio)).isEmpty();
 	}
 
 	/**
@@ -116,11 +116,7 @@
 	@ParameterizedTest
 	@ValueSource(longs = { 191, 435, 456 })
 	void aLaterLifeIsLeftAloneWhileAnOrderForTheFormerOneMayCome(long seed) {
-		final ReplicaWorld world = new ReplicaWorld(seed, 6, 0.1, 0.5);
-		world.restarts = true;
-		world.lateOrdersOutliveTheirLife = true;
-		world.run(60_000, true);
-		assertThat(world.violations).isEmpty();
+		assertThat(brokenWhereLateOrdersOutliveTheirLife(seed, 0.5)).isEmpty();
 	}
 
 	/**
