Traffic: what targets ask of a daemon is read and shown

Change: the adapter reads Retry-After on refusals with 503 and Server-Leaving on all answers but those of another instance (421); the traffic core keeps them by instance and counts the attempts that are started there all the same. No decision uses any of it yet. Conclusion: with this an attempt that is started while a target wants none shows.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -162,6 +162,12 @@
 	/** A target names no limit any more. */
 	TARGET_UNLIMITED(416, EventLevel.INFO, "A target no longer names a limit."),
 
+	/** A target wants no requests of this daemon for a while. */
+	TARGET_BACKOFF(417, EventLevel.WARN, "A target wants no requests of this daemon for a while."),
+
+	/** A target leaves. */
+	TARGET_LEAVING(418, EventLevel.INFO, "A target said in an answer that it leaves."),
+
 	/** A request was quarantined. */
 	REQUEST_QUARANTINED(500, EventLevel.ERROR, "A request that crashes targets was quarantined."),
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -1,5 +1,7 @@
 package org.pistachioline.core.placement;
 
+import org.pistachioline.core.backoff.BackoffBook;
+import org.pistachioline.core.backoff.InstanceBackoff;
 import org.pistachioline.core.limit.InstanceLimit;
 import org.pistachioline.core.traffic.AttemptEnd;
 import org.pistachioline.core.traffic.TargetView;
@@ -30,6 +32,8 @@
 
 	private final InstanceLimit limit;
 
+	private final InstanceBackoff backoff;
+
 	private final OthersInFlight others;
 
 	private TargetView view;
@@ -63,12 +67,13 @@
 	private boolean onProbation;
 
 	/**
-	 * Creates the load of a target that was just learnt of and names no limit.
+	 * Creates the load of a target that was just learnt of and asks for nothing.
 	 * @param view the target's view
 	 * @param nowNanos the monotonic time
 	 */
 	public TargetLoad(TargetView view, long nowNanos) {
-		this(view, nowNanos, new InstanceLimit(view.instanceId(), LiveDaemons.ALONE));
+		this(view, nowNanos, new InstanceLimit(view.instanceId(), LiveDaemons.ALONE),
+				new BackoffBook().of(view.instanceId()));
 	}
 
 	/**
@@ -76,9 +81,11 @@
 	 * @param view the target's view
 	 * @param nowNanos the monotonic time
 	 * @param limit the limit of its instance
+	 * @param backoff the backoff that its instance asks for
 	 */
-	public TargetLoad(TargetView view, long nowNanos, InstanceLimit limit) {
+	public TargetLoad(TargetView view, long nowNanos, InstanceLimit limit, InstanceBackoff backoff) {
 		this.limit = limit;
+		this.backoff = backoff;
 		this.view = view;
 		this.servingSinceNanos = nowNanos;
 		this.progressAtNanos = nowNanos;
@@ -117,6 +124,7 @@
 		this.inFlight++;
 		this.inFlightTokens += costTokens;
 		this.limit.onStart(nowNanos);
+		this.backoff.onStart(nowNanos);
 	}
 
 	/**
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AvoidedTargets.java
@@ -0,0 +1,48 @@
+package org.pistachioline.core.traffic;
+
+import java.util.List;
+
+import org.pistachioline.core.backoff.BackoffReport;
+
+/**
+ * Keeps away from the instances that want no requests of this daemon.
+ */
+public final class AvoidedTargets {
+
+	private final TargetBook targets;
+
+	AvoidedTargets(TargetBook targets) {
+		this.targets = targets;
+	}
+
+	/**
+	 * Takes word that an instance wants no requests for a while.
+	 * @param nowNanos the monotonic time
+	 * @param instanceId the instance
+	 * @param forNanos for how long
+	 * @return whether it wanted requests before
+	 */
+	public boolean hearBackoff(long nowNanos, String instanceId, long forNanos) {
+		return this.targets.backoffs().onBackoff(nowNanos, instanceId, forNanos);
+	}
+
+	/**
+	 * Takes word that an instance leaves.
+	 * @param nowNanos the monotonic time
+	 * @param instanceId the instance
+	 * @return whether that is news
+	 */
+	public boolean hearLeaving(long nowNanos, String instanceId) {
+		return this.targets.backoffs().onLeaving(instanceId);
+	}
+
+	/**
+	 * Describes the instances that want no requests, for operators.
+	 * @param nowNanos the monotonic time
+	 * @return the instances
+	 */
+	public List<BackoffReport> reports(long nowNanos) {
+		return this.targets.backoffs().reports(nowNanos);
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.pistachioline.core.backoff.BackoffBook;
 import org.pistachioline.core.limit.LimitBook;
 import org.pistachioline.core.limit.StatedLimit;
 import org.pistachioline.core.placement.DaemonRank;
@@ -32,6 +34,8 @@
 
 	private final LimitBook limits = new LimitBook();
 
+	private final BackoffBook backoffs = new BackoffBook();
+
 	private DaemonRank daemons = DaemonRank.ALONE;
 
 	TargetBook(PlacementPolicy placement) {
@@ -51,14 +55,19 @@
 		this.loads.putAll(next);
 		replaceSets(nowNanos, byName);
 		noteServing(nowNanos, views);
-		this.limits.retain(nowNanos,
-				next.values().stream().map((load) -> load.view().instanceId()).collect(Collectors.toSet()));
+		final Set<String> instanceIds = next.values()
+			.stream()
+			.map((load) -> load.view().instanceId())
+			.collect(Collectors.toSet());
+		this.limits.retain(nowNanos, instanceIds);
+		this.backoffs.retain(nowNanos, instanceIds);
 	}
 
 	private TargetLoad loadOf(long nowNanos, TargetView view) {
 		final TargetLoad known = this.loads.get(view.targetId());
 		if (known == null) {
-			final TargetLoad added = new TargetLoad(view, nowNanos, this.limits.of(view.instanceId()));
+			final TargetLoad added = new TargetLoad(view, nowNanos, this.limits.of(view.instanceId()),
+					this.backoffs.of(view.instanceId()));
 			if (view.kind() == TargetKind.MODEL && this.placement.groupsStartWarm()) {
 				added.warm();
 			}
@@ -137,6 +146,10 @@
 		}
 	}
 
+	BackoffBook backoffs() {
+		return this.backoffs;
+	}
+
 	LimitBook limits() {
 		return this.limits;
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -43,6 +43,8 @@
 
 	private final LimitedTargets limited;
 
+	private final AvoidedTargets avoided;
+
 	private Manifest manifest = Manifest.EMPTY;
 
 	private boolean leaving;
@@ -59,6 +61,7 @@
 		this.suspects = new SuspectWatch(policies.killer(), this.isolation, this.flights);
 		this.chooser = new TargetChooser(this.targets, this.isolation, policies.placement());
 		this.limited = new LimitedTargets(this.targets, this.flights);
+		this.avoided = new AvoidedTargets(this.targets);
 		this.clock = new FlightClock(this.flights, this.targets, this.chooser, policies);
 	}
 
@@ -241,6 +244,14 @@
 		return this.limited;
 	}
 
+	/**
+	 * Returns the instances that want no requests, from which this core keeps away.
+	 * @return the instances
+	 */
+	public AvoidedTargets avoided() {
+		return this.avoided;
+	}
+
 	/**
 	 * Takes the end of an attempt.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 
+import org.pistachioline.core.backoff.BackoffReport;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.limit.LimitReport;
 import org.pistachioline.core.state.ConfigState;
@@ -46,6 +47,11 @@
 		this.metrics.gauge("pistachioline.attempts.limited",
 				"Attempts of the last four seconds at targets that name a limit",
 				() -> traffic.limits().stream().mapToInt(LimitReport::recentAttempts).sum());
+		this.metrics.gauge("pistachioline.targets.backoff", "Targets that want no requests of this daemon",
+				() -> traffic.backoffs().size());
+		this.metrics.gauge("pistachioline.attempts.backoff",
+				"Attempts that were started at targets while they wanted no requests",
+				() -> traffic.backoffs().stream().mapToInt(BackoffReport::attempts).sum());
 		for (final ErrorKind kind : ErrorKind.values()) {
 			this.metrics.counter("pistachioline.requests.failed", "Requests that ended with a failure", kind.code(),
 					() -> traffic.failures().total(kind));
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -365,6 +365,7 @@
 				Map.of("age_millis", this.listing.ageMillis(), "reads_for_others", this.listing.readsForOthers()));
 		dump.put("serving_targets", this.replicas.servingCount());
 		dump.put("limited_targets", this.traffic.limits());
+		dump.put("backoff_targets", this.traffic.backoffs());
 		dump.put("planned_groups", this.replicas.groups());
 		dump.put("peers", daemons());
 		return dump;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -38,6 +38,14 @@
 			"Attempts of the last four seconds at targets that name a limit.",
 			"over all daemons above four times the limits"),
 
+	/** Targets that want no requests. */
+	TARGETS_BACKOFF("pistachioline_targets_backoff", "targets", "Targets that want no requests of this daemon.",
+			"most of a service's targets"),
+
+	/** Attempts at targets that want none. */
+	ATTEMPTS_BACKOFF("pistachioline_attempts_backoff", "attempts",
+			"Attempts that were started at targets while they wanted no requests.", "above 0"),
+
 	/** The configuration's version. */
 	CONFIG_VERSION("pistachioline_config_version", "version", "Version of the configuration in force.",
 			"unlike on other daemons for 10 s"),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/RelayDialect.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/RelayDialect.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 import org.pistachioline.adapters.web.AnswerHead;
 import org.pistachioline.adapters.web.HeaderFields;
@@ -49,6 +50,20 @@
 	 */
 	OptionalDouble requestLimit(AnswerHead answer);
 
+	/**
+	 * Reads for how long a target wants no requests of this daemon.
+	 * @param answer the answer's head
+	 * @return the time in milliseconds; empty where it does not ask for any
+	 */
+	OptionalLong backoffMillis(AnswerHead answer);
+
+	/**
+	 * Reads whether a target says that it leaves.
+	 * @param answer the answer's head
+	 * @return whether it does; never on an answer that may be another instance's
+	 */
+	boolean leaving(AnswerHead answer);
+
 	/**
 	 * Reads what a target says of its load on an answer.
 	 * @param answer the answer's head
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -76,6 +76,9 @@
 			.ifPresent((load) -> this.exchange.tools().targets().onLoad(this.start.target().targetId(), load));
 		final AnswerVerdict verdict = dialect.judge(this.exchange.call(), received);
 		hearLimit(verdict, dialect.requestLimit(received));
+		if (verdict != AnswerVerdict.MISMATCHED) {
+			hearBackoff(dialect, received);
+		}
 		switch (verdict) {
 			case DECLINED -> expect(AttemptEnd.DECLINED);
 			case FAILURE -> expect(AttemptEnd.FAILURE_ANSWERED);
@@ -100,6 +103,15 @@
 		}
 	}
 
+	private void hearBackoff(RelayDialect dialect, AnswerHead received) {
+		final String targetId = this.start.target().targetId();
+		dialect.backoffMillis(received)
+			.ifPresent((millis) -> this.exchange.tools().targets().onBackoff(targetId, millis));
+		if (dialect.leaving(received)) {
+			this.exchange.tools().targets().onLeaving(targetId);
+		}
+	}
+
 	private void expect(AttemptEnd how) {
 		this.unlessBroken = how;
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/TargetNews.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/TargetNews.java
@@ -10,7 +10,7 @@
  * Hands what targets say of themselves to the duties that decide by it.
  *
  * @param loads is told of loads, by target
- * @param traffic is told of limits
+ * @param traffic is told of limits, of backoffs and of targets that leave
  */
 record TargetNews(BiConsumer<String, LoadReport> loads, TrafficDuty traffic) implements TargetListener {
 
@@ -24,4 +24,14 @@
 		this.traffic.limitHeard(targetId, sentAtNanos, requestsPerSecond);
 	}
 
+	@Override
+	public void onBackoff(String targetId, long forMillis) {
+		this.traffic.backoffHeard(targetId, forMillis);
+	}
+
+	@Override
+	public void onLeaving(String targetId) {
+		this.traffic.leavingHeard(targetId);
+	}
+
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -6,10 +6,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
+import org.pistachioline.core.backoff.BackoffReport;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.event.EventId;
@@ -73,6 +75,8 @@
 
 	private final LimitWatch limits = new LimitWatch();
 
+	private final BackoffWatch backoffs = new BackoffWatch();
+
 	private volatile int held;
 
 	private volatile int queued;
@@ -198,6 +202,32 @@
 		}
 	}
 
+	/**
+	 * Takes word that a target wants no requests of this daemon for a while.
+	 * @param targetId the target
+	 * @param forMillis for how long
+	 */
+	public void backoffHeard(String targetId, long forMillis) {
+		this.duty.put(new TrafficMessage.BackoffHeard(TargetView.instanceId(targetId), System.nanoTime(),
+				TimeUnit.MILLISECONDS.toNanos(forMillis)));
+	}
+
+	/**
+	 * Takes word that a target leaves.
+	 * @param targetId the target
+	 */
+	public void leavingHeard(String targetId) {
+		this.duty.put(new TrafficMessage.LeavingHeard(TargetView.instanceId(targetId)));
+	}
+
+	/**
+	 * Returns the targets that want no requests now.
+	 * @return the targets, and what this daemon sent there all the same
+	 */
+	public List<BackoffReport> backoffs() {
+		return this.backoffs.reports();
+	}
+
 	/**
 	 * Takes what another daemon told of targets' limits; where the ring is full the next
 	 * beat brings it.
@@ -270,6 +300,7 @@
 		carryOut(this.core.onTick(nowNanos));
 		carryOut(this.shares.renew(nowNanos, this.core));
 		this.limits.renew(nowNanos, this.core);
+		this.backoffs.renew(nowNanos, this.core);
 		// Quarantines expire by the wall clock, without a record.
 		if (nowNanos - this.killersAtNanos >= KILLERS_INTERVAL_NANOS) {
 			killers(nowNanos);
@@ -329,6 +360,12 @@
 		else if (message instanceof TrafficMessage.LimitHeard heard) {
 			onLimitHeard(nowNanos, heard);
 		}
+		else if (message instanceof TrafficMessage.BackoffHeard heard) {
+			onBackoffHeard(nowNanos, heard);
+		}
+		else if (message instanceof TrafficMessage.LeavingHeard heard) {
+			onLeavingHeard(nowNanos, heard.instanceId());
+		}
 		else if (message instanceof TrafficMessage.LimitsTold told) {
 			onLimitsChanged(nowNanos, this.core.limits().hearFromPeer(nowNanos, told.stated()), true);
 		}
@@ -344,6 +381,20 @@
 		}
 	}
 
+	private void onBackoffHeard(long nowNanos, TrafficMessage.BackoffHeard heard) {
+		if (this.core.avoided().hearBackoff(heard.heardAtNanos(), heard.instanceId(), heard.forNanos())) {
+			this.backoffs.onBackoff(heard.instanceId(), heard.forNanos());
+			this.backoffs.renew(nowNanos, this.core);
+		}
+	}
+
+	private void onLeavingHeard(long nowNanos, String instanceId) {
+		if (this.core.avoided().hearLeaving(nowNanos, instanceId)) {
+			this.backoffs.onLeaving(instanceId);
+			this.backoffs.renew(nowNanos, this.core);
+		}
+	}
+
 	private void onLimitsChanged(long nowNanos, List<StatedLimit> changed, boolean toldByPeer) {
 		changed.forEach((heard) -> this.limits.onChange(heard, toldByPeer));
 		if (!changed.isEmpty()) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
@@ -104,6 +104,24 @@
 	record LimitHeard(String instanceId, long sentAtNanos, OptionalDouble requestsPerSecond) implements TrafficMessage {
 	}
 
+	/**
+	 * A target's answer asked for no requests for a while.
+	 *
+	 * @param instanceId the instance
+	 * @param heardAtNanos when the answer came
+	 * @param forNanos for how long
+	 */
+	record BackoffHeard(String instanceId, long heardAtNanos, long forNanos) implements TrafficMessage {
+	}
+
+	/**
+	 * A target's answer said that it leaves.
+	 *
+	 * @param instanceId the instance
+	 */
+	record LeavingHeard(String instanceId) implements TrafficMessage {
+	}
+
 	/**
 	 * Another daemon told of targets' limits.
 	 *
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -138,6 +138,16 @@
 			return OptionalDouble.empty();
 		}
 
+		@Override
+		public OptionalLong backoffMillis(AnswerHead answer) {
+			return OptionalLong.empty();
+		}
+
+		@Override
+		public boolean leaving(AnswerHead answer) {
+			return false;
+		}
+
 	}
 
 	private static final class DeafListener implements TargetListener {
@@ -152,6 +162,16 @@
 			// No test here asks for limits.
 		}
 
+		@Override
+		public void onBackoff(String targetId, long forMillis) {
+			// No test here asks for backoffs.
+		}
+
+		@Override
+		public void onLeaving(String targetId) {
+			// No test here asks for targets that leave.
+		}
+
 	}
 
 	private static final class SilentReply implements WebReply {
