Traffic: a target that asks for rest gets nothing from this daemon while it rests

What callers saw: requests were sent to targets that had turned the daemon away and asked for rest, were turned away again, and then refused or served late. Cause: Retry-After on a refusal was no part of any decision. Change: an instance's rest bars it from every way in which an attempt starts: the targets with room, those beyond this daemon's part, and where a request may still be placed. What was decided before the answer came is held back on the loop that read it, and once more when its connection is made (WITHHELD, which uses up neither an attempt nor the budget for repeats). Where all targets of a service rest or name limits, callers whose turn cannot come in time are refused at once and told when the first rest is over; the refusals of limits moved to SupplyGuard for it. A request that was never sent and has nowhere to go is refused as not run (503) instead of failed (502). TrafficHistoryTests knows the new end of an attempt.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerReceiver.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerReceiver.java
@@ -6,6 +6,16 @@
  */
 public interface AnswerReceiver {
 
+	/**
+	 * Called when the request is about to leave, which may be some time after it was
+	 * handed over: its connection has to be made first.
+	 * @return whether it is still to be sent; otherwise its connection is closed, and
+	 * nothing comes after this
+	 */
+	default boolean onLeave() {
+		return true;
+	}
+
 	/**
 	 * Takes the head.
 	 * @param head the head
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientCall.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientCall.java
@@ -23,6 +23,10 @@
 		return this.request;
 	}
 
+	boolean leave() {
+		return !this.over && this.receiver.onLeave();
+	}
+
 	void head(AnswerHead head) {
 		if (!this.over) {
 			this.receiver.onHead(head);
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -128,6 +128,10 @@
 	}
 
 	private void write() {
+		if (!this.call.leave()) {
+			abort();
+			return;
+		}
 		final WebRequest request = this.call.request();
 		final HttpHeaders headers = request.headers().toNetty();
 		headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -166,7 +166,7 @@
 		else if (how == AttemptEnd.FAILURE_ANSWERED) {
 			this.progressAtNanos = nowNanos;
 		}
-		else if (how != AttemptEnd.CANCELLED) {
+		else if (how != AttemptEnd.CANCELLED && how != AttemptEnd.WITHHELD) {
 			this.consecutiveFailures++;
 			this.lastFailureNanos = nowNanos;
 		}
@@ -216,7 +216,26 @@
 
 	private int withinLimit(long nowNanos, int free) {
 		final int most = this.limit.isLimited() ? 1 : Integer.MAX_VALUE;
-		return this.limit.mayStart(nowNanos) ? Math.max(0, Math.min(most, free)) : 0;
+		return mayStart(nowNanos) ? Math.max(0, Math.min(most, free)) : 0;
+	}
+
+	/**
+	 * Returns whether the target's instance lets this daemon start an attempt there, with
+	 * room or without.
+	 * @param atNanos the moment, by the monotonic clock
+	 * @return whether it may be started then, as far as is known
+	 */
+	public boolean mayStart(long atNanos) {
+		return this.limit.mayStart(atNanos) && !this.backoff.rests(atNanos);
+	}
+
+	/**
+	 * Returns whether the target's instance takes less than it has room for.
+	 * @param nowNanos the monotonic time
+	 * @return whether it names a limit or wants nothing for a while
+	 */
+	boolean isPaced(long nowNanos) {
+		return this.limit.isLimited() || this.backoff.rests(nowNanos);
 	}
 
 	/**
@@ -226,10 +245,10 @@
 	 * @return whether one may
 	 */
 	boolean mayTakeOne(long nowNanos) {
-		final boolean usable = this.view.serving() && !ejected(nowNanos) && !this.onProbation;
+		final boolean usable = this.view.serving() && !ejected(nowNanos) && !this.onProbation && !isPaced(nowNanos);
 		final boolean heardFull = nowNanos - this.view.reportedAtNanos() < REPORT_TRUST_NANOS
 				&& this.view.reportedRunning() + this.view.reportedWaiting() >= this.view.slots();
-		return usable && this.inFlight == 0 && !heardFull && !failedLately(nowNanos) && !this.limit.isLimited();
+		return usable && this.inFlight == 0 && !heardFull && !failedLately(nowNanos);
 	}
 
 	/**
@@ -269,6 +288,14 @@
 		return this.limit;
 	}
 
+	/**
+	 * Returns the backoff that the target's instance asks for, if it does.
+	 * @return the backoff
+	 */
+	public InstanceBackoff backoff() {
+		return this.backoff;
+	}
+
 	/**
 	 * Takes the target out of use for a while; longer each time.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
@@ -43,7 +43,7 @@
 
 	private final List<TargetLoad> spareView = Collections.unmodifiableList(this.spare);
 
-	private final List<TargetLoad> limited = new ArrayList<>();
+	private final List<TargetLoad> paced = new ArrayList<>();
 
 	private final Map<String, TargetLoad> byId = new HashMap<>();
 
@@ -105,7 +105,7 @@
 			refresh(nowNanos, daemons);
 		}
 		else {
-			this.limited.forEach((load) -> refresh(nowNanos, daemons, load));
+			this.paced.forEach((load) -> refresh(nowNanos, daemons, load));
 		}
 	}
 
@@ -117,12 +117,12 @@
 	public void refresh(long nowNanos, DaemonRank daemons) {
 		this.daemonCount = daemons.count();
 		this.refreshedAtNanos = nowNanos;
-		this.limited.clear();
+		this.paced.clear();
 		int slots = 0;
 		for (final TargetLoad load : this.members) {
 			refresh(nowNanos, daemons, load);
-			if (load.limit().isLimited()) {
-				this.limited.add(load);
+			if (load.isPaced(nowNanos)) {
+				this.paced.add(load);
 			}
 			slots += load.view().serving() ? load.view().slots() : 0;
 		}
@@ -247,12 +247,14 @@
 	}
 
 	/**
-	 * Returns what the targets take, where all that serve name limits.
+	 * Returns what the targets take, where all that serve name limits or want nothing for
+	 * a while.
 	 * @param nowNanos the monotonic time
-	 * @return what they take; empty where some target names none, or none serves
+	 * @return what they take; empty where some target takes all that it has room for, or
+	 * none serves
 	 */
-	public Optional<LimitedSupply> limitedSupply(long nowNanos) {
-		return this.limited.isEmpty() ? Optional.empty() : LimitedSupply.of(nowNanos, this.members);
+	public Optional<PacedSupply> pacedSupply(long nowNanos) {
+		return this.paced.isEmpty() ? Optional.empty() : PacedSupply.of(nowNanos, this.members);
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptEnd.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptEnd.java
@@ -27,6 +27,9 @@
 	MISMATCHED,
 
 	/** The attempt was cancelled by this daemon. */
-	CANCELLED
+	CANCELLED,
+
+	/** It was not sent: the target wanted nothing any more when its turn came. */
+	WITHHELD
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AvoidedTargets.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AvoidedTargets.java
@@ -11,8 +11,11 @@
 
 	private final TargetBook targets;
 
-	AvoidedTargets(TargetBook targets) {
+	private final SupplyGuard guard;
+
+	AvoidedTargets(TargetBook targets, SupplyGuard guard) {
 		this.targets = targets;
+		this.guard = guard;
 	}
 
 	/**
@@ -23,7 +26,9 @@
 	 * @return whether it wanted requests before
 	 */
 	public boolean hearBackoff(long nowNanos, String instanceId, long forNanos) {
-		return this.targets.backoffs().onBackoff(nowNanos, instanceId, forNanos);
+		final boolean news = this.targets.hearBackoff(nowNanos, instanceId, forNanos);
+		this.guard.refuseWaiting(nowNanos);
+		return news;
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Flight.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Flight.java
@@ -25,6 +25,8 @@
 
 	TargetLoad load;
 
+	int withheldAttempts;
+
 	int sentAttempts;
 
 	boolean ran;
@@ -64,6 +66,14 @@
 		this.arrivedAtNanos = arrivedAtNanos;
 	}
 
+	/**
+	 * Returns how many of the attempts that the request may have are used up.
+	 * @return the number of attempts that were begun and not withheld
+	 */
+	int usedAttempts() {
+		return this.attempts - this.withheldAttempts;
+	}
+
 	boolean bytesSent() {
 		return this.sentAttempts > 0;
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/FlightClock.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/FlightClock.java
@@ -54,7 +54,7 @@
 			flight.stallTold = true;
 			this.flights.act(new TrafficAction.Stalled(flight.info.requestId(), flight.target.targetId()));
 		}
-		if (flight.attempts < flight.info.maxAttempts() && this.chooser.hasUntried(flight)
+		if (flight.usedAttempts() < flight.info.maxAttempts() && this.chooser.hasUntried(flight)
 				&& this.policies.retry().mayShift(nowNanos, flight.info)) {
 			// The next attempt starts when this one is reported as ended, with the exact
 			// count of the tokens that the caller has: never two at once, none lost.
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/SupplyGuard.java
@@ -0,0 +1,130 @@
+package org.pistachioline.core.traffic;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.pistachioline.core.admission.Refusal;
+import org.pistachioline.core.error.ErrorKind;
+import org.pistachioline.core.placement.PacedSupply;
+import org.pistachioline.core.placement.TargetSet;
+
+/**
+ * Refuses the requests whose turn cannot come in time since all their targets take less
+ * than they have room for.
+ * <p>
+ * The queue expects its wait from what runs; where the targets name limits or want
+ * nothing for a while it would keep callers until their time is up.
+ */
+final class SupplyGuard {
+
+	private static final double NANOS_PER_MILLI = 1e6;
+
+	private static final long MOST_RETRY_MILLIS = 60_000;
+
+	private final TargetBook targets;
+
+	private final FlightBook flights;
+
+	SupplyGuard(TargetBook targets, FlightBook flights) {
+		this.targets = targets;
+		this.flights = flights;
+	}
+
+	/**
+	 * Decides whether a request that comes now can still be served in time.
+	 * @param nowNanos the monotonic time
+	 * @param info the request
+	 * @return the refusal; empty where it can, or nothing stands in its way
+	 */
+	Optional<Refusal> refuse(long nowNanos, RequestInfo info) {
+		final Optional<PacedSupply> supply = supply(nowNanos, info);
+		if (supply.isEmpty()) {
+			return Optional.empty();
+		}
+		final int others = waiting().getOrDefault(nameOf(info), 0);
+		return refuse(nowNanos, info, supply.get(), others, others);
+	}
+
+	/**
+	 * Refuses those who wait and whose turn cannot come in time any more.
+	 * @param nowNanos the monotonic time
+	 */
+	void refuseWaiting(long nowNanos) {
+		final Map<String, Integer> waiting = waiting();
+		final Map<String, Integer> ahead = new HashMap<>();
+		for (final Flight flight : this.flights.all()) {
+			final Optional<PacedSupply> supply = flight.queued ? supply(nowNanos, flight.info) : Optional.empty();
+			if (supply.isPresent()) {
+				final String name = nameOf(flight.info);
+				final Optional<Refusal> refusal = refuse(nowNanos, flight.info, supply.get(),
+						ahead.getOrDefault(name, 0), waiting.get(name) - 1);
+				if (refusal.isPresent()) {
+					this.flights.end(nowNanos, flight, refusal.get().kind(), refusal.get().retryAfterMillis());
+					waiting.merge(name, -1, Integer::sum);
+				}
+				else {
+					ahead.merge(name, 1, Integer::sum);
+				}
+			}
+		}
+	}
+
+	/**
+	 * Lets time pass: whoever waits in vain by now is told so.
+	 * @param nowNanos the monotonic time
+	 */
+	void onTick(long nowNanos) {
+		if (this.targets.anyPacedSupply(nowNanos)) {
+			refuseWaiting(nowNanos);
+		}
+	}
+
+	/**
+	 * Returns when a request that its targets turned away may come back.
+	 * @param nowNanos the monotonic time
+	 * @param info the request
+	 * @param usualMillis when it may where nothing is known of what the targets take
+	 * @return the time, in milliseconds
+	 */
+	long retryMillis(long nowNanos, RequestInfo info, long usualMillis) {
+		return supply(nowNanos, info).map((supply) -> Math.max(usualMillis, spread(info, supply, 0).retryAfterMillis()))
+			.orElse(usualMillis);
+	}
+
+	private Optional<PacedSupply> supply(long nowNanos, RequestInfo info) {
+		final TargetSet set = this.targets.set(info);
+		return (set != null) ? set.pacedSupply(nowNanos) : Optional.empty();
+	}
+
+	private Map<String, Integer> waiting() {
+		final Map<String, Integer> waiting = new HashMap<>();
+		this.flights.all()
+			.stream()
+			.filter((flight) -> flight.queued)
+			.forEach((flight) -> waiting.merge(nameOf(flight.info), 1, Integer::sum));
+		return waiting;
+	}
+
+	private static String nameOf(RequestInfo info) {
+		return info.targetKind() + info.name();
+	}
+
+	// Whoever is late while others wait is overtaken by those who are on time; where a
+	// target takes all that waits as soon as its rest is over, nobody is.
+	private static Optional<Refusal> refuse(long nowNanos, RequestInfo info, PacedSupply supply, int ahead,
+			int others) {
+		final long halfNanos = (info.firstTokenDeadlineNanos() - nowNanos) / 2;
+		final long allowedNanos = (others > 0) ? info.onTimeNanos() - nowNanos : halfNanos;
+		if (supply.openWaitNanos() <= halfNanos || supply.waitNanos(ahead) <= allowedNanos) {
+			return Optional.empty();
+		}
+		return Optional.of(spread(info, supply, ahead));
+	}
+
+	private static Refusal spread(RequestInfo info, PacedSupply supply, int ahead) {
+		final double millis = Math.max(FlightBook.LEAST_RETRY_MILLIS, supply.returnNanos(ahead) / NANOS_PER_MILLI);
+		return Refusal.spread(ErrorKind.DEADLINE_UNREACHABLE, info.requestId(), millis, MOST_RETRY_MILLIS);
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
@@ -131,6 +131,12 @@
 		return changed;
 	}
 
+	boolean hearBackoff(long nowNanos, String instanceId, long forNanos) {
+		final boolean news = this.backoffs.onBackoff(nowNanos, instanceId, forNanos);
+		refresh(nowNanos);
+		return news;
+	}
+
 	private void refresh(long nowNanos) {
 		this.setsByName.values().forEach((set) -> set.refresh(nowNanos, this.daemons));
 	}
@@ -175,8 +181,8 @@
 		return this.setsByName.get(nameKey(info.targetKind(), info.name()));
 	}
 
-	boolean anyLimitedSupply(long nowNanos) {
-		return this.setsByName.values().stream().anyMatch((set) -> set.limitedSupply(nowNanos).isPresent());
+	boolean anyPacedSupply(long nowNanos) {
+		return this.setsByName.values().stream().anyMatch((set) -> set.pacedSupply(nowNanos).isPresent());
 	}
 
 	int freeSlots(RequestInfo info) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetChooser.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetChooser.java
@@ -55,7 +55,7 @@
 	boolean isPlaceable(Flight flight) {
 		return this.targets.members(flight.info)
 			.stream()
-			.anyMatch((load) -> load.view().serving() && load.limit().mayStart(flight.info.totalDeadlineNanos())
+			.anyMatch((load) -> load.view().serving() && load.mayStart(flight.info.totalDeadlineNanos())
 					&& (flight.claimOffset >= 0 || !flight.triedTargetIds.contains(load.view().targetId())));
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -41,6 +41,8 @@
 
 	private final FlightClock clock;
 
+	private final SupplyGuard guard;
+
 	private final LimitedTargets limited;
 
 	private final AvoidedTargets avoided;
@@ -60,8 +62,9 @@
 		this.flights = new FlightBook(policies, this.targets, this.isolation, this.resumptions);
 		this.suspects = new SuspectWatch(policies.killer(), this.isolation, this.flights);
 		this.chooser = new TargetChooser(this.targets, this.isolation, policies.placement());
-		this.limited = new LimitedTargets(this.targets, this.flights);
-		this.avoided = new AvoidedTargets(this.targets);
+		this.guard = new SupplyGuard(this.targets, this.flights);
+		this.limited = new LimitedTargets(this.targets, this.guard);
+		this.avoided = new AvoidedTargets(this.targets, this.guard);
 		this.clock = new FlightClock(this.flights, this.targets, this.chooser, policies);
 	}
 
@@ -106,7 +109,9 @@
 	private void endStranded(long nowNanos) {
 		for (final Flight flight : this.flights.all()) {
 			if (flight.resuming && flight.attempts > 0 && !this.chooser.isPlaceable(flight)) {
-				this.flights.end(nowNanos, flight, ErrorKind.TARGET_FAILED, RETRY_WITHOUT_CAPACITY_MILLIS);
+				final ErrorKind kind = flight.bytesSent() ? ErrorKind.TARGET_FAILED : ErrorKind.NO_CAPACITY;
+				this.flights.end(nowNanos, flight, kind,
+						this.guard.retryMillis(nowNanos, flight.info, RETRY_WITHOUT_CAPACITY_MILLIS));
 			}
 		}
 	}
@@ -174,7 +179,7 @@
 		if (!this.targets.isDeclared(info)) {
 			return Optional.of(new Refusal(ErrorKind.NO_CAPACITY, RETRY_WITHOUT_CAPACITY_MILLIS));
 		}
-		return this.limited.refuse(nowNanos, info).or(() -> this.policies.admission().admit(nowNanos, info));
+		return this.guard.refuse(nowNanos, info).or(() -> this.policies.admission().admit(nowNanos, info));
 	}
 
 	/**
@@ -269,6 +274,10 @@
 			flight.load.onTokens(nowNanos, flight.progressAtNanos, tokensDelivered - flight.tokensDelivered, false);
 		}
 		flight.tokensDelivered = Math.max(flight.tokensDelivered, tokensDelivered);
+		if (how == AttemptEnd.WITHHELD) {
+			onWithheld(nowNanos, flight);
+			return pump(nowNanos);
+		}
 		final boolean shifted = flight.shifting;
 		// A target that delivered something cannot say any more that it ran nothing.
 		if (how == AttemptEnd.NOT_CONNECTED || (how == AttemptEnd.DECLINED && !flight.attemptRan)) {
@@ -295,6 +304,20 @@
 		return pump(nowNanos);
 	}
 
+	// Nothing left this daemon, so neither the request nor the target is charged with it.
+	private void onWithheld(long nowNanos, Flight flight) {
+		flight.sentAttempts--;
+		flight.withheldAttempts++;
+		flight.triedTargetIds.remove(flight.target.targetId());
+		this.flights.leaveTarget(nowNanos, flight, AttemptEnd.WITHHELD);
+		if (this.chooser.isPlaceable(flight)) {
+			startOrWait(nowNanos, flight);
+		}
+		else {
+			giveUp(nowNanos, flight, AttemptEnd.WITHHELD);
+		}
+	}
+
 	// A target that stood still is held to have failed, so that others are not sent
 	// there;
 	// one that merely drains did nothing wrong.
@@ -308,19 +331,24 @@
 			return;
 		}
 		final boolean sendable = flight.info.idempotent() || !flight.bytesSent();
-		final RetryDecision decision = (sendable && flight.attempts < flight.info.maxAttempts())
-				? this.policies.retry().afterFailure(nowNanos, flight.info, flight.attempts, how)
+		final RetryDecision decision = (sendable && flight.usedAttempts() < flight.info.maxAttempts())
+				? this.policies.retry().afterFailure(nowNanos, flight.info, flight.usedAttempts(), how)
 				: RetryDecision.GIVE_UP;
 		if (decision == RetryDecision.RETRY && this.chooser.isPlaceable(flight)) {
 			startOrWait(nowNanos, flight);
 			return;
 		}
-		this.flights.end(nowNanos, flight, failureOf(flight, how), RETRY_WITHOUT_CAPACITY_MILLIS);
+		giveUp(nowNanos, flight, how);
+	}
+
+	private void giveUp(long nowNanos, Flight flight, AttemptEnd how) {
+		this.flights.end(nowNanos, flight, failureOf(flight, how),
+				this.guard.retryMillis(nowNanos, flight.info, RETRY_WITHOUT_CAPACITY_MILLIS));
 	}
 
 	// Where every target declined, the caller may be told so: it did not run anywhere.
 	private static ErrorKind failureOf(Flight flight, AttemptEnd how) {
-		if (how == AttemptEnd.DECLINED && !flight.bytesSent()) {
+		if ((how == AttemptEnd.DECLINED || how == AttemptEnd.WITHHELD) && !flight.bytesSent()) {
 			return ErrorKind.NO_CAPACITY;
 		}
 		return (how == AttemptEnd.MISMATCHED) ? ErrorKind.TARGET_PROTOCOL : ErrorKind.TARGET_FAILED;
@@ -349,7 +377,8 @@
 		this.targets.onTick(nowNanos);
 		this.policies.killer().onTick(nowNanos);
 		this.clock.onTick(nowNanos);
-		this.limited.onTick(nowNanos);
+		this.guard.onTick(nowNanos);
+		endStranded(nowNanos);
 		return pump(nowNanos);
 	}
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorld.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorld.java
@@ -12,9 +12,10 @@
 import org.pistachioline.core.traffic.TargetView;
 
 /**
- * Daemons before the same targets, some of which name a limit, in virtual time. It notes
- * every moment at which a target that names a limit has got more than half as much again
- * as it takes, from the daemons that it had told.
+ * Daemons before the same targets, some of which name a limit or turn requests away, in
+ * virtual time. It notes every moment at which a target that names a limit has got more
+ * than half as much again as it takes, from the daemons that it had told, and every
+ * request but two that reach a target from a daemon that it had asked for rest.
  */
 final class LimitWorld {
 
@@ -33,6 +34,8 @@
 
 	private static final int ALLOWED_BURST = 5;
 
+	private static final int ALLOWED_IN_REST = 2;
+
 	private static final int SLOTS = 12;
 
 	private static final long TICK_NANOS = 50 * MILLI_NANOS;
@@ -197,8 +200,39 @@
 		});
 	}
 
+	/**
+	 * Makes a target turn requests away.
+	 * @param index the target
+	 * @param restSeconds for how long it asks daemons for rest; 0 to serve again
+	 */
+	void turnAway(int index, double restSeconds) {
+		engine(index).restNanos = (long) (restSeconds * SECOND_NANOS);
+	}
+
+	/**
+	 * Turns a request away and asks its daemon for rest.
+	 * @param from the daemon
+	 * @param engine the target
+	 */
+	void askForRest(LimitWorldDaemon from, LimitedEngine engine) {
+		engine.rests.computeIfAbsent(from.id(), (id) -> new ArrayList<>())
+			.add(new LimitedEngine.AskedRest(this.nowNanos + TOLD_NANOS, this.nowNanos + engine.restNanos));
+	}
+
+	private void noteInRest(LimitWorldDaemon from, LimitedEngine engine) {
+		for (final LimitedEngine.AskedRest rest : engine.rests.getOrDefault(from.id(), List.of())) {
+			final boolean within = this.nowNanos >= rest.fromNanos && this.nowNanos < rest.untilNanos;
+			rest.got += within ? 1 : 0;
+			if (within && rest.got > ALLOWED_IN_REST) {
+				this.violations.add(this.nowNanos / MILLI_NANOS + " ms: " + engine.id + " asked " + from.id()
+						+ " for rest and got " + rest.got);
+			}
+		}
+	}
+
 	void onArrival(LimitWorldDaemon from, LimitedEngine engine) {
 		engine.got++;
+		noteInRest(from, engine);
 		final Long toldAtNanos = from.toldAtNanos.get(engine.id);
 		if (engine.limit.isEmpty() || toldAtNanos == null || this.nowNanos - toldAtNanos < TOLD_NANOS) {
 			return;
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorldDaemon.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorldDaemon.java
@@ -50,6 +50,9 @@
 
 	int refused;
 
+	/** The soonest that any caller who was refused was told to come back. */
+	long leastRetryMillis = Long.MAX_VALUE;
+
 	/** Requests that were refused though they had waited for most of their time. */
 	int refusedLate;
 
@@ -165,6 +168,7 @@
 		}
 		else if (action instanceof TrafficAction.Fail fail) {
 			this.refused++;
+			this.leastRetryMillis = Math.min(this.leastRetryMillis, fail.retryAfterMillis());
 			final long heldNanos = this.world.nowNanos() - this.arrivedAtNanos.remove(fail.requestId());
 			this.refusedLate += (heldNanos > DEADLINE_NANOS / 2) ? 1 : 0;
 		}
@@ -174,6 +178,10 @@
 		final long sentAtNanos = this.world.nowNanos();
 		final LimitedEngine engine = this.world.engine(start.target().instanceId());
 		this.world.after(ONE_WAY_NANOS, () -> this.world.onArrival(this, engine));
+		if (engine.restNanos > 0) {
+			turnedAway(start, engine);
+			return;
+		}
 		inThisLife(FIRST_TOKEN_NANOS, () -> {
 			final OptionalDouble limit = engine.limit;
 			inThisLife(ONE_WAY_NANOS, () -> onHead(start.attempt(), engine, sentAtNanos, limit));
@@ -182,6 +190,17 @@
 				() -> act(this.core.onAttemptEnd(this.world.nowNanos(), start.attempt(), AttemptEnd.COMPLETE, 10)));
 	}
 
+	private void turnedAway(TrafficAction.Start start, LimitedEngine engine) {
+		final long restNanos = engine.restNanos;
+		inThisLife(ONE_WAY_NANOS, () -> {
+			this.world.askForRest(this, engine);
+			inThisLife(ONE_WAY_NANOS, () -> {
+				this.core.avoided().hearBackoff(this.world.nowNanos(), engine.id, restNanos);
+				act(this.core.onAttemptEnd(this.world.nowNanos(), start.attempt(), AttemptEnd.DECLINED, 0));
+			});
+		});
+	}
+
 	private void onHead(AttemptId attempt, LimitedEngine engine, long sentAtNanos, OptionalDouble limit) {
 		if (limit.isPresent()) {
 			this.toldAtNanos.putIfAbsent(engine.id, this.world.nowNanos());
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitedEngine.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitedEngine.java
@@ -2,6 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.OptionalDouble;
 
 /**
@@ -21,6 +24,12 @@
 	/** When the last requests of daemons came that had heard of the limit. */
 	final Deque<Long> arrivals = new ArrayDeque<>();
 
+	/** For how long it asks a daemon for rest that it turns away; 0 while it serves. */
+	long restNanos;
+
+	/** The rest that it asked daemons for, by the daemon's name. */
+	final Map<String, List<AskedRest>> rests = new HashMap<>();
+
 	/** How many requests came since the limit was last changed. */
 	int got;
 
@@ -28,4 +37,22 @@
 		this.id = id;
 	}
 
+	/**
+	 * A time in which one daemon is to send next to nothing.
+	 */
+	static final class AskedRest {
+
+		final long fromNanos;
+
+		final long untilNanos;
+
+		int got;
+
+		AskedRest(long fromNanos, long untilNanos) {
+			this.fromNanos = fromNanos;
+			this.untilNanos = untilNanos;
+		}
+
+	}
+
 }
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficHistory.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficHistory.java
@@ -78,7 +78,7 @@
 		final Attempt attempt = this.live.remove(id);
 		this.over.add(id);
 		final boolean declined = how == AttemptEnd.DECLINED && attempt.request.delivered == attempt.deliveredBefore;
-		if (how == AttemptEnd.NOT_CONNECTED || declined) {
+		if (how == AttemptEnd.NOT_CONNECTED || how == AttemptEnd.WITHHELD || declined) {
 			attempt.request.mayHaveRun--;
 		}
 		attempt.request.live = null;
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficHistoryTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficHistoryTests.java
@@ -88,6 +88,9 @@
 		else if (how == AttemptEnd.NOT_CONNECTED && attempt.request.delivered > 0) {
 			how = AttemptEnd.BROKEN;
 		}
+		else if (how == AttemptEnd.WITHHELD && attempt.request.delivered > attempt.deliveredBefore) {
+			how = AttemptEnd.BROKEN;
+		}
 		history.end(id, how);
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -46,8 +46,9 @@
 	public Relay(String address, RelayDialect dialect, Supplier<RouteTable> routes, TrafficDuty traffic,
 			BiConsumer<String, LoadReport> loads, BooleanSupplier leaving) {
 		final WebClient client = new WebClient(this.loop, CONNECT_MILLIS, KEEP_IDLE_MILLIS, MOST_IDLE_PER_TARGET);
-		final RelayTools tools = new RelayTools(this.loop, client, dialect, this.streams, traffic::callerGone,
-				new TargetNews(loads, traffic));
+		final TargetListener targets = new TargetNews(loads, traffic);
+		final RelayTools tools = new RelayTools(this.loop, client, dialect, this.streams, traffic::callerGone, targets,
+				new BackoffGate(targets));
 		this.handler = new RelayHandler(routes, tools, traffic, leaving);
 		this.callers = new CallerServer(this.loop, address, this.handler, routes);
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -68,6 +68,15 @@
 					!this.exchange.info().idempotent(), this);
 	}
 
+	@Override
+	public boolean onLeave() {
+		final boolean wanted = this.exchange.tools().gate().maySend(System.nanoTime(), this.start.target().targetId());
+		if (!wanted) {
+			end(AttemptEnd.WITHHELD);
+		}
+		return wanted;
+	}
+
 	@Override
 	public void onHead(AnswerHead received) {
 		final RelayDialect dialect = this.exchange.tools().dialect();
@@ -105,8 +114,7 @@
 
 	private void hearBackoff(RelayDialect dialect, AnswerHead received) {
 		final String targetId = this.start.target().targetId();
-		dialect.backoffMillis(received)
-			.ifPresent((millis) -> this.exchange.tools().targets().onBackoff(targetId, millis));
+		this.exchange.tools().gate().hearBackoff(System.nanoTime(), targetId, dialect.backoffMillis(received));
 		if (dialect.leaving(received)) {
 			this.exchange.tools().targets().onLeaving(targetId);
 		}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
@@ -99,6 +99,10 @@
 			listener.onEnd(start.attempt(), AttemptEnd.CANCELLED, this.position.events());
 			return;
 		}
+		if (!this.tools.gate().maySend(System.nanoTime(), start.target().targetId())) {
+			listener.onEnd(start.attempt(), AttemptEnd.WITHHELD, this.position.events());
+			return;
+		}
 		final long leftMillis = Math.max(1,
 				TimeUnit.NANOSECONDS.toMillis(this.info.totalDeadlineNanos() - System.nanoTime()));
 		this.attempts++;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayTools.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayTools.java
@@ -15,8 +15,9 @@
  * @param streams the streams that are being relayed
  * @param callerGone is told the requests whose callers have gone
  * @param targets hears what targets say of themselves
+ * @param gate holds back what targets want no more
  */
 record RelayTools(Executor loop, WebClient client, RelayDialect dialect, LiveStreams streams, LongConsumer callerGone,
-		TargetListener targets) {
+		TargetListener targets, BackoffGate gate) {
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -386,6 +386,7 @@
 			this.backoffs.onBackoff(heard.instanceId(), heard.forNanos());
 			this.backoffs.renew(nowNanos, this.core);
 		}
+		carryOut(this.core.onTick(nowNanos));
 	}
 
 	private void onLeavingHeard(long nowNanos, String instanceId) {
@@ -410,7 +411,7 @@
 			Events.log(EventId.ANSWER_DROPPED, "attempt", ended.attempt().wireForm(), "end", ended.how());
 		}
 		else if (ended.how() != AttemptEnd.COMPLETE && ended.how() != AttemptEnd.CANCELLED
-				&& this.core.isLive(ended.attempt())) {
+				&& ended.how() != AttemptEnd.WITHHELD && this.core.isLive(ended.attempt())) {
 			Events.log(EventId.ATTEMPT_FAILED, "attempt", ended.attempt().wireForm(), "end", ended.how());
 		}
 		carryOut(this.core.onAttemptEnd(nowNanos, ended.attempt(), ended.how(), ended.tokensDelivered()));
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -45,6 +45,8 @@
 
 	private final FixedDialect dialect = new FixedDialect();
 
+	private final BackoffGate gate = new BackoffGate(new DeafListener());
+
 	@AfterEach
 	void stop() {
 		this.loop.close();
@@ -77,9 +79,21 @@
 		assertThat(this.dialect.written).isZero();
 	}
 
+	/**
+	 * Guards against an attempt that was decided before its target asked for rest, and
+	 * that is sent after it.
+	 */
+	@Test
+	void nothingIsSentToATargetThatAskedForRestMeanwhile() {
+		this.gate.hearBackoff(System.nanoTime(), TARGET.targetId(), OptionalLong.of(60_000));
+		exchange().start(new TrafficAction.Start(new AttemptId(7, 1), TARGET, 0), new Ends());
+		assertThat(this.told).containsExactly("WITHHELD");
+		assertThat(this.dialect.written).isZero();
+	}
+
 	private RelayExchange exchange() {
 		final RelayTools tools = new RelayTools(Runnable::run, new WebClient(this.loop, 1_000, 1_000, 1), this.dialect,
-				new LiveStreams(), (requestId) -> this.told.add("gone " + requestId), new DeafListener());
+				new LiveStreams(), (requestId) -> this.told.add("gone " + requestId), new DeafListener(), this.gate);
 		return new RelayExchange(info(), call(), true, tools, new CallerAnswer(new SilentReply(), () -> false));
 	}
 
