Traffic: a target that says that it leaves gets nothing more from this daemon

What callers saw: requests were sent to a target that had said in an answer that it leaves, for as long as the list of instances showed it as ready. One that was still there when the target stopped failed. Cause: a target's leaving was read from the list alone. Change: for the traffic core a target that has said so takes no new work, whatever the list says, and for the planner it drains, so its group is formed anew without it. What was decided before is held back like other unwanted requests. The word is kept by the instance's id for as long as that is remembered, since the list may show as ready again what has left.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/backoff/BackoffBook.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/backoff/BackoffBook.java
@@ -60,14 +60,14 @@
 	}
 
 	/**
-	 * Returns whether an instance wants no requests for a while.
+	 * Returns whether an instance wants no requests.
 	 * @param nowNanos the monotonic time
 	 * @param instanceId the instance
-	 * @return whether it rests
+	 * @return whether it rests or leaves
 	 */
-	public boolean rests(long nowNanos, String instanceId) {
+	public boolean holds(long nowNanos, String instanceId) {
 		final InstanceBackoff known = this.backoffs.get(instanceId);
-		return known != null && known.rests(nowNanos);
+		return known != null && known.holds(nowNanos);
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/backoff/InstanceBackoff.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/backoff/InstanceBackoff.java
@@ -74,15 +74,6 @@
 		return leftNanos(nowNanos) > 0;
 	}
 
-	/**
-	 * Returns whether the instance wants no requests for a while.
-	 * @param nowNanos the monotonic time
-	 * @return whether it rests
-	 */
-	public boolean rests(long nowNanos) {
-		return this.asked && this.untilNanos - nowNanos > 0;
-	}
-
 	/**
 	 * Returns how long the instance wants no requests yet.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -226,16 +226,16 @@
 	 * @return whether it may be started then, as far as is known
 	 */
 	public boolean mayStart(long atNanos) {
-		return this.limit.mayStart(atNanos) && !this.backoff.rests(atNanos);
+		return this.limit.mayStart(atNanos) && !this.backoff.holds(atNanos);
 	}
 
 	/**
 	 * Returns whether the target's instance takes less than it has room for.
 	 * @param nowNanos the monotonic time
-	 * @return whether it names a limit or wants nothing for a while
+	 * @return whether it names a limit or wants nothing for a while, or any more
 	 */
 	boolean isPaced(long nowNanos) {
-		return this.limit.isLimited() || this.backoff.rests(nowNanos);
+		return this.limit.isLimited() || this.backoff.holds(nowNanos);
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ServingInstance.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ServingInstance.java
@@ -23,6 +23,15 @@
 		stagedModels = Set.copyOf(stagedModels);
 	}
 
+	/**
+	 * Returns the same instance as one that is about to leave.
+	 * @return the instance
+	 */
+	ServingInstance asDraining() {
+		return new ServingInstance(this.id, this.service, this.address, this.availabilityZone, this.fabricDomain, true,
+				this.slots, this.stagedModels, this.membership);
+	}
+
 	/**
 	 * Returns whether it says that it belongs to a group.
 	 * @param group the group
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AvoidedTargets.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AvoidedTargets.java
@@ -38,7 +38,9 @@
 	 * @return whether that is news
 	 */
 	public boolean hearLeaving(long nowNanos, String instanceId) {
-		return this.targets.backoffs().onLeaving(instanceId);
+		final boolean news = this.targets.hearLeaving(nowNanos, instanceId);
+		this.guard.refuseWaiting(nowNanos);
+		return news;
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
@@ -38,11 +38,15 @@
 
 	private DaemonRank daemons = DaemonRank.ALONE;
 
+	private List<TargetView> listed = List.of();
+
 	TargetBook(PlacementPolicy placement) {
 		this.placement = placement;
 	}
 
-	void update(long nowNanos, List<TargetView> views) {
+	void update(long nowNanos, List<TargetView> newViews) {
+		this.listed = newViews;
+		final List<TargetView> views = newViews.stream().map(this::asHeard).toList();
 		final Map<String, TargetLoad> next = new HashMap<>();
 		final Map<String, List<TargetLoad>> byName = new HashMap<>();
 		for (final TargetView view : views) {
@@ -63,6 +67,11 @@
 		this.backoffs.retain(nowNanos, instanceIds);
 	}
 
+	// A target that has said that it leaves takes no new work, whatever the list says.
+	private TargetView asHeard(TargetView view) {
+		return this.backoffs.isLeaving(view.instanceId()) ? view.notServing() : view;
+	}
+
 	private TargetLoad loadOf(long nowNanos, TargetView view) {
 		final TargetLoad known = this.loads.get(view.targetId());
 		if (known == null) {
@@ -137,6 +146,14 @@
 		return news;
 	}
 
+	boolean hearLeaving(long nowNanos, String instanceId) {
+		final boolean news = this.backoffs.onLeaving(instanceId);
+		if (news) {
+			update(nowNanos, this.listed);
+		}
+		return news;
+	}
+
 	private void refresh(long nowNanos) {
 		this.setsByName.values().forEach((set) -> set.refresh(nowNanos, this.daemons));
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetView.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetView.java
@@ -21,6 +21,15 @@
 
 	private static final char EPOCH_SEPARATOR = '@';
 
+	/**
+	 * Returns the same target as one that takes no new work.
+	 * @return the view
+	 */
+	TargetView notServing() {
+		return new TargetView(this.targetId, this.kind, this.name, this.address, this.epoch, this.availabilityZone,
+				false, this.slots, this.reportedRunning, this.reportedWaiting, this.reportedAtNanos);
+	}
+
 	/**
 	 * Returns the instance, or the group, without its epoch.
 	 * @param targetId a target's id
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorld.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorld.java
@@ -15,7 +15,8 @@
  * Daemons before the same targets, some of which name a limit or turn requests away, in
  * virtual time. It notes every moment at which a target that names a limit has got more
  * than half as much again as it takes, from the daemons that it had told, and every
- * request but two that reach a target from a daemon that it had asked for rest.
+ * request but two that reach a target from a daemon that it had asked for rest, or that
+ * reaches one from a daemon that it had told of its leaving.
  */
 final class LimitWorld {
 
@@ -36,6 +37,9 @@
 
 	private static final int ALLOWED_IN_REST = 2;
 
+	/** What was on its way when a target said that it leaves has arrived by then. */
+	private static final long LEAVING_NANOS = SECOND_NANOS / 10;
+
 	private static final int SLOTS = 12;
 
 	private static final long TICK_NANOS = 50 * MILLI_NANOS;
@@ -230,9 +234,17 @@
 		}
 	}
 
+	private void noteLeft(LimitWorldDaemon from, LimitedEngine engine) {
+		final Long toldAtNanos = engine.leavingToldNanos.get(from.id());
+		if (toldAtNanos != null && this.nowNanos - toldAtNanos > LEAVING_NANOS) {
+			this.violations.add(this.nowNanos / MILLI_NANOS + " ms: " + engine.id + " has left for " + from.id());
+		}
+	}
+
 	void onArrival(LimitWorldDaemon from, LimitedEngine engine) {
 		engine.got++;
 		noteInRest(from, engine);
+		noteLeft(from, engine);
 		final Long toldAtNanos = from.toldAtNanos.get(engine.id);
 		if (engine.limit.isEmpty() || toldAtNanos == null || this.nowNanos - toldAtNanos < TOLD_NANOS) {
 			return;
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorldDaemon.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorldDaemon.java
@@ -206,6 +206,10 @@
 			this.toldAtNanos.putIfAbsent(engine.id, this.world.nowNanos());
 		}
 		this.core.limits().hear(this.world.nowNanos(), sentAtNanos, engine.id, limit);
+		if (engine.leaving) {
+			engine.leavingToldNanos.putIfAbsent(this.id, this.world.nowNanos());
+			this.core.avoided().hearLeaving(this.world.nowNanos(), engine.id);
+		}
 		this.core.onProgress(this.world.nowNanos(), attempt, 1);
 	}
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitedEngine.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitedEngine.java
@@ -27,6 +27,12 @@
 	/** For how long it asks a daemon for rest that it turns away; 0 while it serves. */
 	long restNanos;
 
+	/** Whether it says in its answers that it leaves. */
+	boolean leaving;
+
+	/** When daemons first passed on that it leaves, by the daemon's name. */
+	final Map<String, Long> leavingToldNanos = new HashMap<>();
+
 	/** The rest that it asked daemons for, by the daemon's name. */
 	final Map<String, List<AskedRest>> rests = new HashMap<>();
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/AskedRestTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/UnwantedRequestsTests.java
@@ -8,7 +8,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class AskedRestTests {
+class UnwantedRequestsTests {
 
 	private static final int SEEDS = 5;
 
@@ -74,6 +74,28 @@
 		}
 	}
 
+	/**
+	 * Guards against requests to a target that has said that it leaves, also where the
+	 * list shows it as ready for long, or its group is formed anew.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 8, 95 })
+	void aTargetThatLeavesGetsNothingFromADaemonThatItHasTold(int daemons) {
+		for (long seed = 1; seed <= SEEDS; seed++) {
+			final LimitWorld world = new LimitWorld(seed, daemons, TARGETS, TargetKind.MODEL);
+			world.traffic(TARGETS * 6);
+			world.run(4);
+			for (int target = 0; target < TARGETS / 2; target++) {
+				world.engine(target).leaving = true;
+				world.run(1);
+			}
+			world.formAnew(0);
+			world.run(4);
+			assertThat(world.engine(0).leavingToldNanos).as("seed " + seed).isNotEmpty();
+			assertThat(world.violations).as("seed " + seed).isEmpty();
+		}
+	}
+
 	/**
 	 * Guards against callers who wait until their time is up for a service all of whose
 	 * targets rest, or who are sent back again and again while they do.
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -135,7 +135,7 @@
 				() -> ports.lease().term(System.nanoTime()).isPresent(), this.peers::daemonIds, this.peers::send,
 				this::listed);
 		this.relay = new Relay(settings.callerAddress(), ports.dialect(), () -> this.table, this.traffic,
-				this.replicas::loaded, () -> this.leaving);
+				this.replicas::loaded, this.replicas::leaving, () -> this.leaving);
 		this.parts.add(List.of(this.traffic, this.replicas, this.peers, ports.routes(), this.listing, ports.lease(),
 				new AdminServer(settings.adminAddress(), new AdminHandler(this)), this.relay));
 		connect();
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/BackoffGate.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/BackoffGate.java
@@ -33,8 +33,14 @@
 		}
 	}
 
+	void hearLeaving(String targetId) {
+		if (this.heard.onLeaving(TargetView.instanceId(targetId))) {
+			this.listener.onLeaving(targetId);
+		}
+	}
+
 	boolean maySend(long nowNanos, String targetId) {
-		return !this.heard.rests(nowNanos, TargetView.instanceId(targetId));
+		return !this.heard.holds(nowNanos, TargetView.instanceId(targetId));
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -2,6 +2,7 @@
 
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.pistachioline.adapters.web.WebClient;
@@ -41,12 +42,13 @@
 	 * @param routes gives the configuration in force
 	 * @param traffic decides
 	 * @param loads is told what targets say of their load, by target
+	 * @param leavingTargets is told of targets that say that they leave
 	 * @param leaving whether the daemon is about to stop
 	 */
 	public Relay(String address, RelayDialect dialect, Supplier<RouteTable> routes, TrafficDuty traffic,
-			BiConsumer<String, LoadReport> loads, BooleanSupplier leaving) {
+			BiConsumer<String, LoadReport> loads, Consumer<String> leavingTargets, BooleanSupplier leaving) {
 		final WebClient client = new WebClient(this.loop, CONNECT_MILLIS, KEEP_IDLE_MILLIS, MOST_IDLE_PER_TARGET);
-		final TargetListener targets = new TargetNews(loads, traffic);
+		final TargetListener targets = new TargetNews(loads, traffic, leavingTargets);
 		final RelayTools tools = new RelayTools(this.loop, client, dialect, this.streams, traffic::callerGone, targets,
 				new BackoffGate(targets));
 		this.handler = new RelayHandler(routes, tools, traffic, leaving);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -116,7 +116,7 @@
 		final String targetId = this.start.target().targetId();
 		this.exchange.tools().gate().hearBackoff(System.nanoTime(), targetId, dialect.backoffMillis(received));
 		if (dialect.leaving(received)) {
-			this.exchange.tools().targets().onLeaving(targetId);
+			this.exchange.tools().gate().hearLeaving(targetId);
 		}
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayStack.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayStack.java
@@ -63,6 +63,8 @@
 				}, new TraceRecorder(false));
 		this.relay = new Relay(callerAddress, dialect, () -> table, this.traffic, (targetId, load) -> {
 			// The targets are fixed, and so is what is known of them.
+		}, (targetId) -> {
+			// Nobody plans here.
 		}, () -> false);
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/TargetListener.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/TargetListener.java
@@ -32,7 +32,7 @@
 	void onBackoff(String targetId, long forMillis);
 
 	/**
-	 * Called for each answer that says that its target leaves.
+	 * Called for the first answer that says that its target leaves.
 	 * @param targetId the target
 	 */
 	void onLeaving(String targetId);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/TargetNews.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/TargetNews.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalDouble;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.daemon.traffic.TrafficDuty;
@@ -11,8 +12,10 @@
  *
  * @param loads is told of loads, by target
  * @param traffic is told of limits, of backoffs and of targets that leave
+ * @param leaving is told of targets that leave, too
  */
-record TargetNews(BiConsumer<String, LoadReport> loads, TrafficDuty traffic) implements TargetListener {
+record TargetNews(BiConsumer<String, LoadReport> loads, TrafficDuty traffic,
+		Consumer<String> leaving) implements TargetListener {
 
 	@Override
 	public void onLoad(String targetId, LoadReport load) {
@@ -32,6 +35,7 @@
 	@Override
 	public void onLeaving(String targetId) {
 		this.traffic.leavingHeard(targetId);
+		this.leaving.accept(targetId);
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -15,6 +15,7 @@
 
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.replica.DepartedInstances;
+import org.pistachioline.core.replica.LeavingInstances;
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.core.replica.OrderOutcome;
 import org.pistachioline.core.replica.PlannerTimes;
@@ -75,6 +76,8 @@
 
 	private final DepartedInstances departed = new DepartedInstances();
 
+	private final LeavingInstances leaving = new LeavingInstances();
+
 	private List<ServingInstance> instances = List.of();
 
 	private RouteTable table = RouteTable.UNKNOWN;
@@ -155,6 +158,14 @@
 		this.duty.offer(new ReplicaMessage.Loaded(TargetView.instanceId(targetId), load));
 	}
 
+	/**
+	 * Takes word of a target that leaves: its group is formed anew without it.
+	 * @param targetId the target, or the instance
+	 */
+	public void leaving(String targetId) {
+		this.duty.put(new ReplicaMessage.Leaving(TargetView.instanceId(targetId)));
+	}
+
 	/**
 	 * Takes word of a target that stands still; where the ring is full the next request
 	 * that stands still tells it.
@@ -183,7 +194,7 @@
 	@Override
 	public void onMessage(ReplicaMessage message) {
 		if (message instanceof ReplicaMessage.Listed listed) {
-			this.instances = listed.instances();
+			this.instances = this.leaving.mark(listed.instances());
 			final Set<String> ids = this.instances.stream().map(ServingInstance::id).collect(Collectors.toSet());
 			this.loads.keySet().retainAll(ids);
 			this.departed.note(System.nanoTime(), this.instances);
@@ -197,6 +208,9 @@
 			this.loads.put(loaded.instanceId(), loaded.load());
 			this.loadsChanged = true;
 		}
+		else if (message instanceof ReplicaMessage.Leaving gone) {
+			onLeaving(gone.instanceId());
+		}
 		else if (message instanceof ReplicaMessage.Stalled stalled) {
 			if (this.termHeld != 0) {
 				this.silent.onStalled(System.nanoTime(), TargetView.instanceId(stalled.targetId()), this.instances);
@@ -210,6 +224,13 @@
 		}
 	}
 
+	private void onLeaving(String instanceId) {
+		if (this.leaving.note(instanceId)) {
+			this.instances = this.leaving.mark(this.instances);
+			tellTargets(System.nanoTime());
+		}
+	}
+
 	private void onOrdered(ReplicaOrder order, OrderOutcome outcome) {
 		if (outcome == OrderOutcome.FENCED && !(order instanceof ReplicaOrder.Join)) {
 			// Another planner has begun: whatever this one still wants is out of date.
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaMessage.java
@@ -42,6 +42,15 @@
 
 	}
 
+	/**
+	 * An instance said that it leaves.
+	 *
+	 * @param instanceId the instance
+	 */
+	record Leaving(String instanceId) implements ReplicaMessage {
+
+	}
+
 	/**
 	 * A target stands still while it holds requests.
 	 *
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -91,6 +91,17 @@
 		assertThat(this.dialect.written).isZero();
 	}
 
+	/**
+	 * Guards against an attempt that is sent to a target which has said that it leaves.
+	 */
+	@Test
+	void nothingIsSentToATargetThatLeaves() {
+		this.gate.hearLeaving(TARGET.targetId());
+		exchange().start(new TrafficAction.Start(new AttemptId(7, 1), TARGET, 0), new Ends());
+		assertThat(this.told).containsExactly("WITHHELD");
+		assertThat(this.dialect.written).isZero();
+	}
+
 	private RelayExchange exchange() {
 		final RelayTools tools = new RelayTools(Runnable::run, new WebClient(this.loop, 1_000, 1_000, 1), this.dialect,
 				new LiveStreams(), (requestId) -> this.told.add("gone " + requestId), new DeafListener(), this.gate);
