Orders: what instances want is read from their answers to orders and questions too

Orders themselves are not held back from an instance that rests: they are few, and most are for a group that has lost a member.

--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/InstanceNews.java
@@ -0,0 +1,26 @@
+package org.pistachioline.daemon;
+
+import org.pistachioline.daemon.port.InstanceListener;
+import org.pistachioline.daemon.replica.ReplicaDuty;
+import org.pistachioline.daemon.traffic.TrafficDuty;
+
+/**
+ * Hands what instances want of this daemon to the duties that decide by it.
+ *
+ * @param traffic sends requests
+ * @param replicas plans groups
+ */
+record InstanceNews(TrafficDuty traffic, ReplicaDuty replicas) implements InstanceListener {
+
+	@Override
+	public void onBackoff(String instanceId, long forMillis) {
+		this.traffic.backoffHeard(instanceId, forMillis);
+	}
+
+	@Override
+	public void onLeaving(String instanceId) {
+		this.traffic.leavingHeard(instanceId);
+		this.replicas.leaving(instanceId);
+	}
+
+}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -134,8 +134,10 @@
 		this.listing = new ListingDuty(system, settings.daemonId(), settings.listAgeMillis(), ports.instances(),
 				() -> ports.lease().term(System.nanoTime()).isPresent(), this.peers::daemonIds, this.peers::send,
 				this::listed);
+		final InstanceNews news = new InstanceNews(this.traffic, this.replicas);
+		ports.orders().onAnswers(news);
 		this.relay = new Relay(settings.callerAddress(), ports.dialect(), () -> this.table, this.traffic,
-				this.replicas::loaded, this.replicas::leaving, () -> this.leaving);
+				this.replicas::loaded, news, () -> this.leaving);
 		this.parts.add(List.of(this.traffic, this.replicas, this.peers, ports.routes(), this.listing, ports.lease(),
 				new AdminServer(settings.adminAddress(), new AdminHandler(this)), this.relay));
 		connect();
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/OrderSender.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/OrderSender.java
@@ -19,6 +19,13 @@
 	 */
 	CompletableFuture<OrderOutcome> send(ReplicaOrder order, long fencingToken);
 
+	/**
+	 * Sets what hears of instances that leave or want nothing for a while, from their
+	 * answers to orders and questions; called before the start.
+	 * @param listener hears it
+	 */
+	void onAnswers(InstanceListener listener);
+
 	/**
 	 * Asks an instance whether it lives.
 	 * @param instance the instance
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/BackoffGate.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/BackoffGate.java
@@ -6,6 +6,7 @@
 
 import org.pistachioline.core.backoff.BackoffBook;
 import org.pistachioline.core.traffic.TargetView;
+import org.pistachioline.daemon.port.InstanceListener;
 
 /**
  * Holds back attempts that were decided before it was known that their target wants none.
@@ -18,24 +19,25 @@
 
 	private final BackoffBook heard = new BackoffBook();
 
-	private final TargetListener listener;
+	private final InstanceListener listener;
 
-	BackoffGate(TargetListener listener) {
+	BackoffGate(InstanceListener listener) {
 		this.listener = listener;
 	}
 
 	void hearBackoff(long nowNanos, String targetId, OptionalLong forMillis) {
 		if (forMillis.isPresent()) {
-			this.heard.onBackoff(nowNanos, TargetView.instanceId(targetId),
-					TimeUnit.MILLISECONDS.toNanos(forMillis.getAsLong()));
+			final String instanceId = TargetView.instanceId(targetId);
+			this.heard.onBackoff(nowNanos, instanceId, TimeUnit.MILLISECONDS.toNanos(forMillis.getAsLong()));
 			this.heard.retain(nowNanos, Set.of());
-			this.listener.onBackoff(targetId, forMillis.getAsLong());
+			this.listener.onBackoff(instanceId, forMillis.getAsLong());
 		}
 	}
 
 	void hearLeaving(String targetId) {
-		if (this.heard.onLeaving(TargetView.instanceId(targetId))) {
-			this.listener.onLeaving(targetId);
+		final String instanceId = TargetView.instanceId(targetId);
+		if (this.heard.onLeaving(instanceId)) {
+			this.listener.onLeaving(instanceId);
 		}
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -2,7 +2,6 @@
 
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.pistachioline.adapters.web.WebClient;
@@ -10,6 +9,7 @@
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.core.route.RouteTable;
 import org.pistachioline.daemon.Lifecycle;
+import org.pistachioline.daemon.port.InstanceListener;
 import org.pistachioline.daemon.port.RelayDialect;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 
@@ -42,15 +42,14 @@
 	 * @param routes gives the configuration in force
 	 * @param traffic decides
 	 * @param loads is told what targets say of their load, by target
-	 * @param leavingTargets is told of targets that say that they leave
+	 * @param instances is told what targets want of this daemon
 	 * @param leaving whether the daemon is about to stop
 	 */
 	public Relay(String address, RelayDialect dialect, Supplier<RouteTable> routes, TrafficDuty traffic,
-			BiConsumer<String, LoadReport> loads, Consumer<String> leavingTargets, BooleanSupplier leaving) {
+			BiConsumer<String, LoadReport> loads, InstanceListener instances, BooleanSupplier leaving) {
 		final WebClient client = new WebClient(this.loop, CONNECT_MILLIS, KEEP_IDLE_MILLIS, MOST_IDLE_PER_TARGET);
-		final TargetListener targets = new TargetNews(loads, traffic, leavingTargets);
-		final RelayTools tools = new RelayTools(this.loop, client, dialect, this.streams, traffic::callerGone, targets,
-				new BackoffGate(targets));
+		final RelayTools tools = new RelayTools(this.loop, client, dialect, this.streams, traffic::callerGone,
+				new TargetNews(loads, traffic), new BackoffGate(instances));
 		this.handler = new RelayHandler(routes, tools, traffic, leaving);
 		this.callers = new CallerServer(this.loop, address, this.handler, routes);
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayStack.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayStack.java
@@ -18,6 +18,7 @@
 import org.pistachioline.core.traffic.TrafficCore;
 import org.pistachioline.core.traffic.TrafficPolicies;
 import org.pistachioline.daemon.Lifecycle;
+import org.pistachioline.daemon.port.InstanceListener;
 import org.pistachioline.daemon.port.RelayDialect;
 import org.pistachioline.daemon.traffic.NoClaims;
 import org.pistachioline.daemon.traffic.ShareKeeper;
@@ -63,9 +64,7 @@
 				}, new TraceRecorder(false));
 		this.relay = new Relay(callerAddress, dialect, () -> table, this.traffic, (targetId, load) -> {
 			// The targets are fixed, and so is what is known of them.
-		}, (targetId) -> {
-			// Nobody plans here.
-		}, () -> false);
+		}, new SteadyInstances(), () -> false);
 	}
 
 	@Override
@@ -89,4 +88,18 @@
 		return this.relay.callerAddress();
 	}
 
+	private static final class SteadyInstances implements InstanceListener {
+
+		@Override
+		public void onBackoff(String instanceId, long forMillis) {
+			// The targets are fixed, and so is what they want.
+		}
+
+		@Override
+		public void onLeaving(String instanceId) {
+			// The targets are fixed, and none leaves.
+		}
+
+	}
+
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/TargetListener.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/TargetListener.java
@@ -24,17 +24,4 @@
 	 */
 	void onLimit(String targetId, long sentAtNanos, OptionalDouble requestsPerSecond);
 
-	/**
-	 * Called for each answer that asks this daemon for no requests for a while.
-	 * @param targetId the target
-	 * @param forMillis for how long
-	 */
-	void onBackoff(String targetId, long forMillis);
-
-	/**
-	 * Called for the first answer that says that its target leaves.
-	 * @param targetId the target
-	 */
-	void onLeaving(String targetId);
-
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/TargetNews.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/TargetNews.java
@@ -2,7 +2,6 @@
 
 import java.util.OptionalDouble;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.daemon.traffic.TrafficDuty;
@@ -11,11 +10,9 @@
  * Hands what targets say of themselves to the duties that decide by it.
  *
  * @param loads is told of loads, by target
- * @param traffic is told of limits, of backoffs and of targets that leave
- * @param leaving is told of targets that leave, too
+ * @param traffic is told of limits
  */
-record TargetNews(BiConsumer<String, LoadReport> loads, TrafficDuty traffic,
-		Consumer<String> leaving) implements TargetListener {
+record TargetNews(BiConsumer<String, LoadReport> loads, TrafficDuty traffic) implements TargetListener {
 
 	@Override
 	public void onLoad(String targetId, LoadReport load) {
@@ -27,15 +24,4 @@
 		this.traffic.limitHeard(targetId, sentAtNanos, requestsPerSecond);
 	}
 
-	@Override
-	public void onBackoff(String targetId, long forMillis) {
-		this.traffic.backoffHeard(targetId, forMillis);
-	}
-
-	@Override
-	public void onLeaving(String targetId) {
-		this.traffic.leavingHeard(targetId);
-		this.leaving.accept(targetId);
-	}
-
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -159,11 +159,11 @@
 	}
 
 	/**
-	 * Takes word of a target that leaves: its group is formed anew without it.
-	 * @param targetId the target, or the instance
+	 * Takes word of an instance that leaves: its group is formed anew without it.
+	 * @param instanceId the instance
 	 */
-	public void leaving(String targetId) {
-		this.duty.put(new ReplicaMessage.Leaving(TargetView.instanceId(targetId)));
+	public void leaving(String instanceId) {
+		this.duty.put(new ReplicaMessage.Leaving(instanceId));
 	}
 
 	/**
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -204,20 +204,20 @@
 
 	/**
 	 * Takes word that a target wants no requests of this daemon for a while.
-	 * @param targetId the target
+	 * @param instanceId the target's instance
 	 * @param forMillis for how long
 	 */
-	public void backoffHeard(String targetId, long forMillis) {
-		this.duty.put(new TrafficMessage.BackoffHeard(TargetView.instanceId(targetId), System.nanoTime(),
+	public void backoffHeard(String instanceId, long forMillis) {
+		this.duty.put(new TrafficMessage.BackoffHeard(instanceId, System.nanoTime(),
 				TimeUnit.MILLISECONDS.toNanos(forMillis)));
 	}
 
 	/**
 	 * Takes word that a target leaves.
-	 * @param targetId the target
+	 * @param instanceId the target's instance
 	 */
-	public void leavingHeard(String targetId) {
-		this.duty.put(new TrafficMessage.LeavingHeard(TargetView.instanceId(targetId)));
+	public void leavingHeard(String instanceId) {
+		this.duty.put(new TrafficMessage.LeavingHeard(instanceId));
 	}
 
 	/**
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -28,6 +28,7 @@
 import org.pistachioline.core.traffic.TrafficAction;
 import org.pistachioline.daemon.port.AnswerVerdict;
 import org.pistachioline.daemon.port.CallHead;
+import org.pistachioline.daemon.port.InstanceListener;
 import org.pistachioline.daemon.port.RelayDialect;
 import org.pistachioline.daemon.port.RelayedCall;
 import org.pistachioline.daemon.traffic.AttemptListener;
@@ -175,7 +176,7 @@
 
 	}
 
-	private static final class DeafListener implements TargetListener {
+	private static final class DeafListener implements TargetListener, InstanceListener {
 
 		@Override
 		public void onLoad(String targetId, LoadReport load) {
@@ -188,12 +189,12 @@
 		}
 
 		@Override
-		public void onBackoff(String targetId, long forMillis) {
+		public void onBackoff(String instanceId, long forMillis) {
 			// No test here asks for backoffs.
 		}
 
 		@Override
-		public void onLeaving(String targetId) {
+		public void onLeaving(String instanceId) {
 			// No test here asks for targets that leave.
 		}
 
