Store: the era that its answers name is read and shown

No decision uses any of it yet. Conclusion: with this it shows when a daemon notices, and which configurations it found and left aside.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -99,6 +99,10 @@
 	/** The list of instances is up to date again. */
 	LISTING_FRESH(220, EventLevel.INFO, "The list of instances is up to date."),
 
+	/** The store came back from a copy. */
+	STORE_RESTORED(221, EventLevel.WARN,
+			"The platform's store came back from a copy; what was written since then is lost and its offsets begin anew."),
+
 	/** A configuration came into force. */
 	CONFIG_IN_FORCE(300, EventLevel.INFO, "A configuration version is in force on this daemon."),
 
@@ -108,6 +112,10 @@
 	/** The configuration is fresh again. */
 	CONFIG_FRESH(302, EventLevel.INFO, "The configuration is known to be fresh again; taking work."),
 
+	/** A configuration was found that is no newer. */
+	CONFIG_NOT_NEWER(303, EventLevel.INFO,
+			"The platform's store shows a configuration that is no newer than the one in force."),
+
 	/** A group was formed. */
 	GROUP_FORMED(400, EventLevel.INFO, "A replica group was formed."),
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -107,6 +107,10 @@
 	STORE_CALLS("pistachioline_store_calls_total", "calls by kind",
 			"Calls to the platform's store: all, and those that failed.", "failed rising: the store is away"),
 
+	/** The store's era. */
+	STORE_ERA("pistachioline_store_era", "number", "How often the platform's store came back from a copy.",
+			"rising: what was written shortly before is lost there"),
+
 	/** Entries of the instance list that were ignored. */
 	STORE_ENTRIES("pistachioline_store_entries_total", "entries by kind",
 			"Entries of the instance list that name no instance and were ignored.",
