--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingNodeTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingNodeTests.java
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -155,6 +156,58 @@
 		holds(world, 5_000, BOUND_MILLIS);
 	}
 
+	/**
+	 * Guards against lists that go back with a store that came back from a copy, and
+	 * against those that hear nothing more, since its offsets are given out again.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1, 61", "2, 62", "6, 63", "6, 64", "95, 65", "95, 66" })
+	void aStoreThatComesBackFromACopyTakesNobodyBack(int daemons, long seed) {
+		final ListingWorld world = world(daemons, seed);
+		for (int turn = 0; turn < 3; turn++) {
+			world.storeDown(true);
+			world.run(1_000 + 700 * turn);
+			world.restore(2_000 + 3_000 * turn);
+			world.storeDown(false);
+			world.run(8_000);
+			assertThat(world.stepsBack).isEmpty();
+			assertThat(world.mostLateMillis()).isLessThanOrEqualTo(BOUND_MILLIS);
+			assertNoneIsWrong(world);
+		}
+	}
+
+	/**
+	 * Guards against lists that go back or stay wrong where daemons die, start and hear
+	 * nothing of each other while the store comes back from copies.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 71, 72, 73, 74, 75, 76, 77, 78 })
+	void troubleOfManyKindsBesideCopiesLeavesNoListWrong(long seed) {
+		final ListingWorld world = world(20, seed);
+		world.framesLost(0.1);
+		world.frameDelayMillis(300);
+		world.answersLost(0.1);
+		final Random random = new Random(seed);
+		for (int step = 0; step < 30; step++) {
+			final int index = random.nextInt(20);
+			switch (random.nextInt(6)) {
+				case 0 -> world.pause(index, random.nextInt(3_000));
+				case 1 -> world.cutPeers(index, random.nextBoolean());
+				case 2 -> world.refuse(random.nextDouble() * 0.5);
+				case 3 -> world.restart(index);
+				default -> world.restore(random.nextInt(8_000));
+			}
+			world.run(400);
+		}
+		world.framesLost(0);
+		world.frameDelayMillis(2);
+		world.answersLost(0);
+		world.refuse(0);
+		IntStream.range(0, 20).forEach((index) -> world.cutPeers(index, false));
+		world.run(9_000);
+		holds(world, 3_000, BOUND_MILLIS);
+	}
+
 	/**
 	 * Frames are lost and come late, some after newer ones; daemons die, come back empty,
 	 * stand still and are cut off, one after the other and together. Nobody may hold a
