Listing: a daemon that lacks what came between is told the whole list

Cause: a daemon that knew more of the list than the one it asks, up to a gap in what that one saw, was told nothing and read the platform's whole list itself, with 300 daemons up to six seconds later. Change: it is told the whole list, which its asker takes as it takes one that it read: what is not on it is dropped. Only a list too long for a frame is still read from the platform.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/listing/InstanceListing.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/listing/InstanceListing.java
@@ -159,9 +159,13 @@
 	 * @param change what was told
 	 */
 	void takeTold(long nowNanos, long askedAtNanos, ListingChange change) {
-		// What was asked for when nothing was known leaves drops out, and what was asked
-		// for later is not the whole list.
-		if (this.known == (change.fromOffset() == 0) || change.fromOffset() > this.nextOffset) {
+		if (this.known && change.fromOffset() == 0) {
+			takeWhole(nowNanos, askedAtNanos,
+					new ListingChange(change.nextOffset(), change.nextOffset(), change.records()), false);
+			return;
+		}
+		// What was asked for later than the start is not the whole list.
+		if ((!this.known && change.fromOffset() != 0) || change.fromOffset() > this.nextOffset) {
 			return;
 		}
 		if (!this.known) {
@@ -272,13 +276,17 @@
 	/**
 	 * Returns what another daemon lacks.
 	 * @param fromOffset the first offset that it lacks; 0 where it knows nothing
-	 * @return the change; empty where drops that it may not know of are forgotten here
+	 * @return the change; the whole list where drops that it may not know of are
+	 * forgotten here; empty where that is too long to tell
 	 */
 	Optional<ListingChange> since(long fromOffset) {
 		final boolean inGap = fromOffset > this.gapStart && fromOffset < this.gapEnd;
-		if (!this.known || inGap || (fromOffset > 0 && fromOffset < this.completeFrom)) {
+		if (!this.known) {
 			return Optional.empty();
 		}
+		if (inGap || (fromOffset > 0 && fromOffset < this.completeFrom)) {
+			return since(0);
+		}
 		final long nextToTell = Math.max(fromOffset, certainOffset());
 		if (fromOffset > this.changedOffset) {
 			return Optional.of(new ListingChange(fromOffset, nextToTell, this.gapEnd, List.of()));
