Traffic: the duty, its actions and the targets' words have files of their own

Change: ActionRunner carries out what the core decides, TargetWatch takes what targets say, Dispatcher starts attempts. After word that a target leaves the core is asked at once what follows, as after the other words, instead of with the next tick. No other decision changes.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -11,7 +11,6 @@
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.placement.LiveDaemons;
-import org.pistachioline.core.placement.TargetLoad;
 import org.pistachioline.core.retry.RetryDecision;
 
 /**
@@ -35,6 +34,8 @@
 
 	private final Resumptions resumptions = new Resumptions();
 
+	private final Dispatcher dispatcher;
+
 	private final Isolation isolation;
 
 	private final SuspectWatch suspects;
@@ -62,6 +63,8 @@
 		this.flights = new FlightBook(policies, this.targets, this.isolation, this.resumptions);
 		this.suspects = new SuspectWatch(policies.killer(), this.isolation, this.flights);
 		this.chooser = new TargetChooser(this.targets, this.isolation, policies.placement());
+		this.dispatcher = new Dispatcher(policies, this.flights, this.targets, this.chooser, this.isolation,
+				this.resumptions);
 		this.guard = new SupplyGuard(this.targets, this.flights);
 		this.limited = new LimitedTargets(this.targets, this.guard);
 		this.avoided = new AvoidedTargets(this.targets, this.guard);
@@ -200,7 +203,7 @@
 		switch (verdict) {
 			case GRANTED -> {
 				flight.claimOffset = claimOffset;
-				startOrWait(nowNanos, flight);
+				this.dispatcher.startOrWait(nowNanos, flight);
 			}
 			case SETTLED -> {
 				this.flights.forget(nowNanos, flight);
@@ -294,7 +297,7 @@
 			return pump(nowNanos);
 		}
 		if (shifted) {
-			startOrWait(nowNanos, flight);
+			this.dispatcher.startOrWait(nowNanos, flight);
 			return pump(nowNanos);
 		}
 		if (how == AttemptEnd.BROKEN) {
@@ -311,7 +314,7 @@
 		flight.triedTargetIds.remove(flight.target.targetId());
 		this.flights.leaveTarget(nowNanos, flight, AttemptEnd.WITHHELD);
 		if (this.chooser.isPlaceable(flight)) {
-			startOrWait(nowNanos, flight);
+			this.dispatcher.startOrWait(nowNanos, flight);
 		}
 		else {
 			giveUp(nowNanos, flight, AttemptEnd.WITHHELD);
@@ -335,7 +338,7 @@
 				? this.policies.retry().afterFailure(nowNanos, flight.info, flight.usedAttempts(), how)
 				: RetryDecision.GIVE_UP;
 		if (decision == RetryDecision.RETRY && this.chooser.isPlaceable(flight)) {
-			startOrWait(nowNanos, flight);
+			this.dispatcher.startOrWait(nowNanos, flight);
 			return;
 		}
 		giveUp(nowNanos, flight, how);
@@ -423,70 +426,10 @@
 	}
 
 	private List<TrafficAction> pump(long nowNanos) {
-		for (final RequestInfo expired : this.policies.queue().expire(nowNanos)) {
-			final Flight flight = this.flights.get(expired.requestId());
-			if (flight != null) {
-				flight.queued = false;
-				this.flights.end(nowNanos, flight, ErrorKind.DEADLINE_UNREACHABLE, RETRY_WITHOUT_CAPACITY_MILLIS);
-			}
-		}
-		this.resumptions.poll(nowNanos, this.chooser::hasChoice, (flight) -> dispatch(nowNanos, flight));
-		Optional<RequestInfo> next = this.policies.queue().poll(nowNanos, this.targets::freeSlots);
-		while (next.isPresent()) {
-			final Flight flight = this.flights.get(next.get().requestId());
-			if (flight != null) {
-				flight.queued = false;
-				dispatch(nowNanos, flight);
-			}
-			next = this.policies.queue().poll(nowNanos, this.targets::freeSlots);
-		}
+		this.dispatcher.pump(nowNanos);
 		return this.flights.drainActions();
 	}
 
-	private void dispatch(long nowNanos, Flight flight) {
-		if (this.policies.killer().isQuarantined(flight.info.fingerprint())) {
-			this.flights.end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
-			return;
-		}
-		if (flight.info.claim().isNeeded() && flight.claimOffset < 0) {
-			flight.claiming = true;
-			this.flights.act(new TrafficAction.Claim(flight.info.requestId(), flight.info));
-			return;
-		}
-		startOrWait(nowNanos, flight);
-	}
-
-	private void startOrWait(long nowNanos, Flight flight) {
-		final boolean mayStart = nowNanos - flight.notBeforeNanos >= 0;
-		final Optional<TargetLoad> chosen = mayStart ? this.chooser.choose(nowNanos, flight) : Optional.empty();
-		if (chosen.isPresent()) {
-			start(nowNanos, flight, chosen.get());
-		}
-		else {
-			this.resumptions.add(flight);
-		}
-	}
-
-	private void start(long nowNanos, Flight flight, TargetLoad load) {
-		flight.attempts++;
-		// Counted as sent before a byte can leave: a crash in between must not read as
-		// "not run".
-		flight.sentAttempts++;
-		flight.liveAttempt = new AttemptId(flight.info.requestId(), flight.attempts);
-		flight.target = load.view();
-		flight.load = load;
-		flight.resumedFromTokens = flight.tokensDelivered;
-		flight.triedTargetIds.add(load.view().targetId());
-		flight.startedAtNanos = nowNanos;
-		flight.attemptRan = false;
-		flight.progressAtNanos = nowNanos;
-		load.onStart(nowNanos, flight.info.costTokens());
-		this.isolation.onStart(flight);
-		this.targets.refresh(nowNanos, flight.info, load);
-		this.policies.placement().onPlaced(nowNanos, flight.info, load);
-		this.flights.act(new TrafficAction.Start(flight.liveAttempt, load.view(), flight.tokensDelivered));
-	}
-
 	/**
 	 * Returns whether an attempt is still waited for.
 	 * @param attempt the attempt
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetWatch.java
@@ -0,0 +1,89 @@
+package org.pistachioline.daemon.traffic;
+
+import java.util.List;
+
+import org.pistachioline.core.limit.StatedLimit;
+import org.pistachioline.core.traffic.TrafficCore;
+
+/**
+ * Tells the core what targets said of what they take, and shows what of it holds.
+ */
+final class TargetWatch {
+
+	private final TrafficCore core;
+
+	private final LimitWatch limits = new LimitWatch();
+
+	private final BackoffWatch backoffs = new BackoffWatch();
+
+	TargetWatch(TrafficCore core) {
+		this.core = core;
+	}
+
+	LimitWatch limits() {
+		return this.limits;
+	}
+
+	BackoffWatch backoffs() {
+		return this.backoffs;
+	}
+
+	/**
+	 * Takes a message, if it tells what targets take.
+	 * @param nowNanos the monotonic time
+	 * @param message the message
+	 * @return whether that changes what the core does
+	 */
+	boolean take(long nowNanos, TrafficMessage message) {
+		if (message instanceof TrafficMessage.LimitHeard heard) {
+			return onLimit(nowNanos, heard);
+		}
+		if (message instanceof TrafficMessage.LimitsTold told) {
+			return onLimitsChanged(nowNanos, this.core.limits().hearFromPeer(nowNanos, told.stated()), true);
+		}
+		if (message instanceof TrafficMessage.BackoffHeard heard) {
+			onBackoff(nowNanos, heard);
+			return true;
+		}
+		if (message instanceof TrafficMessage.LeavingHeard heard) {
+			return onLeaving(nowNanos, heard.instanceId());
+		}
+		return false;
+	}
+
+	private boolean onLimit(long nowNanos, TrafficMessage.LimitHeard heard) {
+		return this.core.limits().hear(nowNanos, heard.sentAtNanos(), heard.instanceId(), heard.requestsPerSecond())
+				&& onLimitsChanged(nowNanos,
+						List.of(new StatedLimit(heard.instanceId(), heard.requestsPerSecond(), nowNanos)), false);
+	}
+
+	private boolean onLimitsChanged(long nowNanos, List<StatedLimit> changed, boolean toldByPeer) {
+		changed.forEach((heard) -> this.limits.onChange(heard, toldByPeer));
+		if (!changed.isEmpty()) {
+			this.limits.renew(nowNanos, this.core);
+		}
+		return !changed.isEmpty();
+	}
+
+	private void onBackoff(long nowNanos, TrafficMessage.BackoffHeard heard) {
+		if (this.core.avoided().hearBackoff(heard.heardAtNanos(), heard.instanceId(), heard.forNanos())) {
+			this.backoffs.onBackoff(heard.instanceId(), heard.forNanos());
+			this.backoffs.renew(nowNanos, this.core);
+		}
+	}
+
+	private boolean onLeaving(long nowNanos, String instanceId) {
+		final boolean news = this.core.avoided().hearLeaving(nowNanos, instanceId);
+		if (news) {
+			this.backoffs.onLeaving(instanceId);
+			this.backoffs.renew(nowNanos, this.core);
+		}
+		return news;
+	}
+
+	void renew(long nowNanos) {
+		this.limits.renew(nowNanos, this.core);
+		this.backoffs.renew(nowNanos, this.core);
+	}
+
+}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -1,10 +1,8 @@
 package org.pistachioline.daemon.traffic;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -19,7 +17,6 @@
 import org.pistachioline.core.limit.StatedLimit;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
-import org.pistachioline.core.record.KeyOutcome;
 import org.pistachioline.core.state.FleetState;
 import org.pistachioline.core.traffic.AttemptEnd;
 import org.pistachioline.core.traffic.AttemptId;
@@ -50,32 +47,19 @@
 
 	private final TrafficCore core;
 
-	private final Claims claims;
-
-	private final ClaimBook claimBook;
-
 	private final ShareKeeper shares;
 
 	private final TraceRecorder recorder;
 
-	private final KillerSink killers;
+	private final ActionRunner runner;
 
 	private final Duty<TrafficMessage> duty;
 
-	private final Map<Long, Exchange> exchanges = new HashMap<>();
-
-	private volatile Consumer<String> stalledTargets = (targetId) -> {
-	};
-
 	private FleetState fleet = FleetState.EMPTY;
 
 	private long killersAtNanos;
 
-	private final FailureCounts failures = new FailureCounts();
-
-	private final LimitWatch limits = new LimitWatch();
-
-	private final BackoffWatch backoffs = new BackoffWatch();
+	private final TargetWatch watch;
 
 	private volatile int held;
 
@@ -97,10 +81,9 @@
 		this.recorder = recorder;
 		this.shares = shares;
 		this.core = core;
-		this.claims = claims;
-		this.claimBook = new ClaimBook(claims);
-		this.killers = killers;
+		this.watch = new TargetWatch(core);
 		this.duty = new Duty<>(system, "traffic", RING_CAPACITY, TICK, this);
+		this.runner = new ActionRunner(claims, killers, recorder, this, this.duty::put);
 	}
 
 	/**
@@ -108,7 +91,7 @@
 	 * @param receiver takes the target's id; it must not block
 	 */
 	public void onStalled(Consumer<String> receiver) {
-		this.stalledTargets = receiver;
+		this.runner.onStalled(receiver);
 	}
 
 	@Override
@@ -197,7 +180,7 @@
 	 */
 	public void limitHeard(String targetId, long sentAtNanos, OptionalDouble requestsPerSecond) {
 		final String instanceId = TargetView.instanceId(targetId);
-		if (this.limits.isNews(instanceId, requestsPerSecond)) {
+		if (this.watch.limits().isNews(instanceId, requestsPerSecond)) {
 			this.duty.offer(new TrafficMessage.LimitHeard(instanceId, sentAtNanos, requestsPerSecond));
 		}
 	}
@@ -225,7 +208,7 @@
 	 * @return the targets, and what this daemon sent there all the same
 	 */
 	public List<BackoffReport> backoffs() {
-		return this.backoffs.reports();
+		return this.watch.backoffs().reports();
 	}
 
 	/**
@@ -242,7 +225,7 @@
 	 * @return what the targets said last, the newest first
 	 */
 	public List<StatedLimit> statedLimits() {
-		return this.limits.stated();
+		return this.watch.limits().stated();
 	}
 
 	/**
@@ -250,7 +233,7 @@
 	 * @return the limits, and what this daemon sent there
 	 */
 	public List<LimitReport> limits() {
-		return this.limits.reports();
+		return this.watch.limits().reports();
 	}
 
 	/**
@@ -299,8 +282,7 @@
 		final long nowNanos = System.nanoTime();
 		carryOut(this.core.onTick(nowNanos));
 		carryOut(this.shares.renew(nowNanos, this.core));
-		this.limits.renew(nowNanos, this.core);
-		this.backoffs.renew(nowNanos, this.core);
+		this.watch.renew(nowNanos);
 		// Quarantines expire by the wall clock, without a record.
 		if (nowNanos - this.killersAtNanos >= KILLERS_INTERVAL_NANOS) {
 			killers(nowNanos);
@@ -318,10 +300,9 @@
 	public void onMessage(TrafficMessage message) {
 		final long nowNanos = System.nanoTime();
 		if (message instanceof TrafficMessage.Arrived arrived) {
-			final Exchange exchange = arrived.exchange();
-			this.exchanges.put(exchange.info().requestId(), exchange);
-			this.recorder.arrived(nowNanos, exchange.info());
-			carryOut(this.core.onRequest(nowNanos, exchange.info()));
+			this.runner.add(arrived.exchange());
+			this.recorder.arrived(nowNanos, arrived.exchange().info());
+			carryOut(this.core.onRequest(nowNanos, arrived.exchange().info()));
 		}
 		else if (message instanceof TrafficMessage.Progressed progressed) {
 			this.recorder.generated(progressed.attempt().requestId(), progressed.tokensDelivered());
@@ -357,49 +338,10 @@
 		else if (message instanceof TrafficMessage.Cached cached) {
 			this.core.onCacheEvents(nowNanos, cached.events());
 		}
-		else if (message instanceof TrafficMessage.LimitHeard heard) {
-			onLimitHeard(nowNanos, heard);
-		}
-		else if (message instanceof TrafficMessage.BackoffHeard heard) {
-			onBackoffHeard(nowNanos, heard);
-		}
-		else if (message instanceof TrafficMessage.LeavingHeard heard) {
-			onLeavingHeard(nowNanos, heard.instanceId());
-		}
-		else if (message instanceof TrafficMessage.LimitsTold told) {
-			onLimitsChanged(nowNanos, this.core.limits().hearFromPeer(nowNanos, told.stated()), true);
-		}
 		else if (message instanceof TrafficMessage.Leave) {
 			this.core.leave();
 		}
-	}
-
-	private void onLimitHeard(long nowNanos, TrafficMessage.LimitHeard heard) {
-		if (this.core.limits().hear(nowNanos, heard.sentAtNanos(), heard.instanceId(), heard.requestsPerSecond())) {
-			onLimitsChanged(nowNanos, List.of(new StatedLimit(heard.instanceId(), heard.requestsPerSecond(), nowNanos)),
-					false);
-		}
-	}
-
-	private void onBackoffHeard(long nowNanos, TrafficMessage.BackoffHeard heard) {
-		if (this.core.avoided().hearBackoff(heard.heardAtNanos(), heard.instanceId(), heard.forNanos())) {
-			this.backoffs.onBackoff(heard.instanceId(), heard.forNanos());
-			this.backoffs.renew(nowNanos, this.core);
-		}
-		carryOut(this.core.onTick(nowNanos));
-	}
-
-	private void onLeavingHeard(long nowNanos, String instanceId) {
-		if (this.core.avoided().hearLeaving(nowNanos, instanceId)) {
-			this.backoffs.onLeaving(instanceId);
-			this.backoffs.renew(nowNanos, this.core);
-		}
-	}
-
-	private void onLimitsChanged(long nowNanos, List<StatedLimit> changed, boolean toldByPeer) {
-		changed.forEach((heard) -> this.limits.onChange(heard, toldByPeer));
-		if (!changed.isEmpty()) {
-			this.limits.renew(nowNanos, this.core);
+		else if (this.watch.take(nowNanos, message)) {
 			carryOut(this.core.onTick(nowNanos));
 		}
 	}
@@ -418,89 +360,24 @@
 	}
 
 	private void onClaimed(long nowNanos, TrafficMessage.Claimed claimed) {
-		this.claimBook.note(claimed, this.exchanges.containsKey(claimed.requestId()));
+		this.runner.noteClaim(claimed);
 		carryOut(this.core.onClaim(nowNanos, claimed.requestId(), claimed.result().verdict(),
 				claimed.result().claimOffset()));
-		this.claimBook.forgetOutcome(claimed.requestId());
+		this.runner.forgetOutcome(claimed.requestId());
 	}
 
 	private void carryOut(List<TrafficAction> actions) {
-		actions.forEach(this::carryOutGuarded);
+		this.runner.run(actions);
 		this.held = this.core.held();
 		this.queued = this.core.queued();
 	}
 
-	private void carryOutGuarded(TrafficAction action) {
-		try {
-			carryOut(action);
-		}
-		catch (RuntimeException ex) {
-			// The actions after this one are other requests'; left out, those would hang.
-			Events.log(EventId.REQUEST_FAULT, ex, "request", action.requestId());
-		}
-	}
-
-	private void carryOut(TrafficAction action) {
-		// A claim that was granted too late is given back after its request has ended.
-		if (action instanceof TrafficAction.Stalled stalled) {
-			this.stalledTargets.accept(stalled.targetId());
-			return;
-		}
-		if (action instanceof TrafficAction.Release release) {
-			this.claimBook.release(release);
-			return;
-		}
-		final Exchange exchange = this.exchanges.get(action.requestId());
-		if (exchange == null) {
-			return;
-		}
-		if (action instanceof TrafficAction.Start start) {
-			exchange.start(start, this);
-		}
-		else if (action instanceof TrafficAction.Cancel cancel) {
-			exchange.cancel(cancel.attempt());
-		}
-		else if (action instanceof TrafficAction.Finish finish) {
-			exchange.finish();
-			forget(finish.requestId());
-		}
-		else if (action instanceof TrafficAction.Fail fail) {
-			this.failures.add(exchange.info().workspace(), fail.kind());
-			this.claimBook.settleUnknown(exchange, fail);
-			forget(fail.requestId());
-			exchange.fail(fail.kind(), fail.runState(), fail.retryAfterMillis());
-		}
-		else if (action instanceof TrafficAction.Claim claim) {
-			this.claims.claim(claim.info())
-				.thenAccept((result) -> this.duty.put(new TrafficMessage.Claimed(claim.requestId(), result)));
-		}
-		else if (action instanceof TrafficAction.Replay replay) {
-			forget(replay.requestId());
-			replay(exchange);
-		}
-		else if (action instanceof TrafficAction.Suspect suspect) {
-			this.killers.report(suspect, System.currentTimeMillis());
-			Events.log(suspect.quarantine() ? EventId.REQUEST_QUARANTINED : EventId.REQUEST_SUSPECTED, "fingerprint",
-					suspect.fingerprint(), "target", suspect.target().targetId());
-		}
-	}
-
 	/**
 	 * Returns how many requests ended with a failure, for metrics and operators.
 	 * @return the counts
 	 */
 	public FailureCounts failures() {
-		return this.failures;
-	}
-
-	private void replay(Exchange exchange) {
-		final Optional<KeyOutcome> outcome = this.claimBook.outcome(exchange.info().requestId());
-		if (outcome.isPresent()) {
-			exchange.replay(outcome.get());
-		}
-		else {
-			exchange.fail(ErrorKind.OUTCOME_UNKNOWN, RunState.UNKNOWN, 0);
-		}
+		return this.runner.failures();
 	}
 
 	/**
@@ -511,13 +388,7 @@
 	 * @param body the answer's body
 	 */
 	void settle(Exchange exchange, int status, String contentType, String body) {
-		this.claimBook.settle(exchange, status, contentType, body);
-	}
-
-	private void forget(long requestId) {
-		this.recorder.ended(requestId);
-		this.exchanges.remove(requestId);
-		this.claimBook.forget(requestId);
+		this.runner.settle(exchange, status, contentType, body);
 	}
 
 }
