Placement: a target's place in its set and its pace have files of their own

Change: SetPlace holds what TargetSet counts of a target, TokenPace the mean time between two tokens. No decision changes.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
@@ -158,7 +158,7 @@
 		final double heldTokens = trusted * PrefixHashes.BLOCK_TOKENS;
 		final double prefillMillis = Math.max(0, info.promptTokens() - heldTokens) / PREFILL_TOKENS_PER_MILLI;
 		final double full = load.fullRatio(targets.daemonCount());
-		final double tokenNanos = (load.tokenSamples() > 0) ? load.tokenNanos() : targets.medianTokenNanos();
+		final double tokenNanos = (load.pace().samples() > 0) ? load.pace().meanNanos() : targets.medianTokenNanos();
 		final double zoneMillis = load.view().availabilityZone().equals(this.availabilityZone) ? 0 : OTHER_ZONE_MILLIS;
 		return prefillMillis + FULL_MILLIS * full * full + FIRST_TOKENS * tokenNanos / NANOS_PER_MILLI + zoneMillis;
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/StragglerEjector.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/StragglerEjector.java
@@ -75,8 +75,8 @@
 		}
 		final long stallNanos = Math.max(STALL_NANOS, (long) (STALL_TOKENS * this.medianTokenNanos));
 		final boolean stalled = load.inFlight() > 0 && nowNanos - load.progressAtNanos() > stallNanos;
-		final boolean slow = load.tokenSamples() >= LEAST_SAMPLES
-				&& load.tokenNanos() > SLOW_RATIO * this.medianTokenNanos;
+		final boolean slow = load.pace().samples() >= LEAST_SAMPLES
+				&& load.pace().meanNanos() > SLOW_RATIO * this.medianTokenNanos;
 		return stalled || slow;
 	}
 
@@ -86,8 +86,8 @@
 		}
 		int measured = 0;
 		for (final TargetLoad load : members) {
-			if (load.tokenSamples() >= LEAST_SAMPLES) {
-				this.scratch[measured++] = load.tokenNanos();
+			if (load.pace().samples() >= LEAST_SAMPLES) {
+				this.scratch[measured++] = load.pace().meanNanos();
 			}
 		}
 		if (measured == 0) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -27,15 +27,16 @@
 	/** A target that just came takes its full share of work only after this time. */
 	private static final long SLOW_START_NANOS = 4_000_000_000L;
 
-	/** Weighs one sample of many, so that a single slow reader does not move the mean. */
-	private static final double SAMPLE_WEIGHT = 0.2;
-
 	private final InstanceLimit limit;
 
 	private final InstanceBackoff backoff;
 
 	private final OthersInFlight others;
 
+	private final SetPlace place = new SetPlace();
+
+	private final TokenPace pace = new TokenPace();
+
 	private TargetView view;
 
 	private long servingSinceNanos;
@@ -48,22 +49,12 @@
 
 	private long lastFailureNanos;
 
-	private double tokenNanos;
-
-	private int tokenSamples;
-
 	private long progressAtNanos;
 
 	private long ejectedUntilNanos;
 
 	private int ejections;
 
-	private int openIndex = -1;
-
-	private int countedSlots;
-
-	private int countedBeyond;
-
 	private boolean onProbation;
 
 	/**
@@ -140,11 +131,8 @@
 		if (first || tokens <= 0) {
 			return;
 		}
-		final double sample = (double) (nowNanos - sinceNanos) / tokens;
-		this.tokenNanos = (this.tokenSamples == 0) ? sample
-				: this.tokenNanos + SAMPLE_WEIGHT * (sample - this.tokenNanos);
-		this.tokenSamples++;
-		if (this.tokenSamples >= StragglerEjector.LEAST_SAMPLES && this.onProbation) {
+		this.pace.add((double) (nowNanos - sinceNanos) / tokens);
+		if (this.pace.samples() >= StragglerEjector.LEAST_SAMPLES && this.onProbation) {
 			this.onProbation = false;
 			this.servingSinceNanos = nowNanos;
 		}
@@ -305,8 +293,7 @@
 	void eject(long nowNanos, long baseNanos, int mostDoublings) {
 		this.ejectedUntilNanos = nowNanos + (baseNanos << Math.min(mostDoublings, this.ejections));
 		this.ejections++;
-		this.tokenSamples = 0;
-		this.tokenNanos = 0;
+		this.pace.reset();
 		this.consecutiveFailures = 0;
 		// The way back begins with one attempt at a time: while it is not known whether
 		// the target is well again, each further one would be another caller who waits.
@@ -347,19 +334,11 @@
 	}
 
 	/**
-	 * Returns the mean time between two tokens, as this daemon saw it.
-	 * @return the time, in nanoseconds; 0 where too few came
-	 */
-	double tokenNanos() {
-		return this.tokenNanos;
-	}
-
-	/**
-	 * Returns how many measurements the mean rests on.
-	 * @return the number of samples
+	 * Returns the time between two tokens, as this daemon saw it.
+	 * @return the pace since the target was last taken out of use
 	 */
-	int tokenSamples() {
-		return this.tokenSamples;
+	TokenPace pace() {
+		return this.pace;
 	}
 
 	/**
@@ -375,34 +354,12 @@
 		return (byReport + byOwn) / 2 / this.view.slots();
 	}
 
-	int countedBeyond() {
-		return this.countedBeyond;
-	}
-
-	void countedBeyond(int attempts) {
-		this.countedBeyond = attempts;
-	}
-
-	int countedSlots() {
-		return this.countedSlots;
-	}
-
-	void countedSlots(int slots) {
-		this.countedSlots = slots;
-	}
-
-	void close() {
-		this.openIndex = -1;
-		this.countedSlots = 0;
-		this.countedBeyond = 0;
-	}
-
-	int openIndex() {
-		return this.openIndex;
-	}
-
-	void openIndex(int index) {
-		this.openIndex = index;
+	/**
+	 * Returns where the target stands in its set; the set keeps it.
+	 * @return the place
+	 */
+	SetPlace place() {
+		return this.place;
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
@@ -82,7 +82,7 @@
 			newMembers.forEach(TargetLoad::warm);
 			this.filled = true;
 		}
-		this.members.forEach((load) -> load.close());
+		this.members.forEach((load) -> load.place().leave());
 		this.open.clear();
 		this.freeSlots = 0;
 		this.beyond = 0;
@@ -137,7 +137,7 @@
 			return;
 		}
 		for (final TargetLoad load : this.members) {
-			if (load.openIndex() < 0 && load.mayTakeOne(nowNanos)) {
+			if (!load.place().isOpen() && load.mayTakeOne(nowNanos)) {
 				this.spare.add(load);
 			}
 		}
@@ -152,30 +152,31 @@
 	public void refresh(long nowNanos, DaemonRank daemons, TargetLoad load) {
 		// A target that left the set may still have attempts in flight that end later.
 		if (this.byId.get(load.view().targetId()) != load) {
-			load.close();
+			load.place().leave();
 			return;
 		}
 		final int freed = this.guarded ? load.freeSlots(nowNanos, daemons) : load.freeSlots(nowNanos);
-		final boolean room = freed > 0;
-		this.freeSlots += freed - load.countedSlots();
-		load.countedSlots(freed);
+		this.freeSlots += load.place().countSlots(freed);
 		if (this.guarded) {
-			final int beyondLimit = load.beyondLimit(nowNanos, daemons);
-			this.beyond += beyondLimit - load.countedBeyond();
-			load.countedBeyond(beyondLimit);
+			this.beyond += load.place().countBeyond(load.beyondLimit(nowNanos, daemons));
 			this.spare.removeIf((each) -> each == load && !load.mayTakeOne(nowNanos));
 		}
-		if (room && load.openIndex() < 0) {
-			load.openIndex(this.open.size());
+		place(load, freed > 0);
+	}
+
+	private void place(TargetLoad load, boolean room) {
+		final SetPlace place = load.place();
+		if (room && !place.isOpen()) {
+			place.open(this.open.size());
 			this.open.add(load);
 		}
-		else if (!room && load.openIndex() >= 0) {
+		else if (!room && place.isOpen()) {
 			final TargetLoad last = this.open.remove(this.open.size() - 1);
 			if (last != load) {
-				this.open.set(load.openIndex(), last);
-				last.openIndex(load.openIndex());
+				this.open.set(place.openIndex(), last);
+				last.place().open(place.openIndex());
 			}
-			load.openIndex(-1);
+			place.shut();
 		}
 	}
 
@@ -208,7 +209,7 @@
 	 * @return whether it is among the open ones
 	 */
 	boolean isOpen(TargetLoad load) {
-		return goesBeyond() ? this.spare.contains(load) : load.openIndex() >= 0;
+		return goesBeyond() ? this.spare.contains(load) : load.place().isOpen();
 	}
 
 	/**
