Traffic: one look at those who wait is enough where many requests are turned away

Cause: each refusal with a rest looked at all sets and all waiting requests again, also where its target rested already; a service that is full turns hundreds away. Change: only the first word of a rest does; a later end shows with the next tick. The loop's own memory of targets that leave is kept within its bound too.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AvoidedTargets.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AvoidedTargets.java
@@ -26,9 +26,7 @@
 	 * @return whether it wanted requests before
 	 */
 	public boolean hearBackoff(long nowNanos, String instanceId, long forNanos) {
-		final boolean news = this.targets.hearBackoff(nowNanos, instanceId, forNanos);
-		this.guard.refuseWaiting(nowNanos);
-		return news;
+		return tellWaiting(nowNanos, this.targets.hearBackoff(nowNanos, instanceId, forNanos));
 	}
 
 	/**
@@ -38,8 +36,14 @@
 	 * @return whether that is news
 	 */
 	public boolean hearLeaving(long nowNanos, String instanceId) {
-		final boolean news = this.targets.hearLeaving(nowNanos, instanceId);
-		this.guard.refuseWaiting(nowNanos);
+		return tellWaiting(nowNanos, this.targets.hearLeaving(nowNanos, instanceId));
+	}
+
+	// Where many requests are turned away at once, one look at those who wait is enough.
+	private boolean tellWaiting(long nowNanos, boolean news) {
+		if (news) {
+			this.guard.refuseWaiting(nowNanos);
+		}
 		return news;
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetBook.java
@@ -142,7 +142,9 @@
 
 	boolean hearBackoff(long nowNanos, String instanceId, long forNanos) {
 		final boolean news = this.backoffs.onBackoff(nowNanos, instanceId, forNanos);
-		refresh(nowNanos);
+		if (news) {
+			refresh(nowNanos);
+		}
 		return news;
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/BackoffGate.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/BackoffGate.java
@@ -29,14 +29,15 @@
 		if (forMillis.isPresent()) {
 			final String instanceId = TargetView.instanceId(targetId);
 			this.heard.onBackoff(nowNanos, instanceId, TimeUnit.MILLISECONDS.toNanos(forMillis.getAsLong()));
-			this.heard.retain(nowNanos, Set.of());
 			this.listener.onBackoff(instanceId, forMillis.getAsLong());
+			this.heard.retain(nowNanos, Set.of());
 		}
 	}
 
-	void hearLeaving(String targetId) {
+	void hearLeaving(long nowNanos, String targetId) {
 		final String instanceId = TargetView.instanceId(targetId);
 		if (this.heard.onLeaving(instanceId)) {
+			this.heard.retain(nowNanos, Set.of());
 			this.listener.onLeaving(instanceId);
 		}
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -114,9 +114,10 @@
 
 	private void hearBackoff(RelayDialect dialect, AnswerHead received) {
 		final String targetId = this.start.target().targetId();
-		this.exchange.tools().gate().hearBackoff(System.nanoTime(), targetId, dialect.backoffMillis(received));
+		final long nowNanos = System.nanoTime();
+		this.exchange.tools().gate().hearBackoff(nowNanos, targetId, dialect.backoffMillis(received));
 		if (dialect.leaving(received)) {
-			this.exchange.tools().gate().hearLeaving(targetId);
+			this.exchange.tools().gate().hearLeaving(nowNanos, targetId);
 		}
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetWatch.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetWatch.java
@@ -42,8 +42,7 @@
 			return onLimitsChanged(nowNanos, this.core.limits().hearFromPeer(nowNanos, told.stated()), true);
 		}
 		if (message instanceof TrafficMessage.BackoffHeard heard) {
-			onBackoff(nowNanos, heard);
-			return true;
+			return onBackoff(nowNanos, heard);
 		}
 		if (message instanceof TrafficMessage.LeavingHeard heard) {
 			return onLeaving(nowNanos, heard.instanceId());
@@ -65,11 +64,14 @@
 		return !changed.isEmpty();
 	}
 
-	private void onBackoff(long nowNanos, TrafficMessage.BackoffHeard heard) {
-		if (this.core.avoided().hearBackoff(heard.heardAtNanos(), heard.instanceId(), heard.forNanos())) {
+	private boolean onBackoff(long nowNanos, TrafficMessage.BackoffHeard heard) {
+		final boolean news = this.core.avoided()
+			.hearBackoff(heard.heardAtNanos(), heard.instanceId(), heard.forNanos());
+		if (news) {
 			this.backoffs.onBackoff(heard.instanceId(), heard.forNanos());
 			this.backoffs.renew(nowNanos, this.core);
 		}
+		return news;
 	}
 
 	private boolean onLeaving(long nowNanos, String instanceId) {
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -97,7 +97,7 @@
 	 */
 	@Test
 	void nothingIsSentToATargetThatLeaves() {
-		this.gate.hearLeaving(TARGET.targetId());
+		this.gate.hearLeaving(System.nanoTime(), TARGET.targetId());
 		exchange().start(new TrafficAction.Start(new AttemptId(7, 1), TARGET, 0), new Ends());
 		assertThat(this.told).containsExactly("WITHHELD");
 		assertThat(this.dialect.written).isZero();
