Tests: a request that is not wanted any more when its connection is made does not leave

Cause: the last place where unwanted requests are held back had no test. Change: ClientConnectionTests and its recorded answer.

--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ClientConnectionTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ClientConnectionTests.java
@@ -50,6 +50,23 @@
 			.endsWith("\r\n\r\nprompt");
 	}
 
+	/**
+	 * Guards against a request that leaves though it is not wanted any more when its
+	 * connection is made.
+	 */
+	@Test
+	void aRequestThatIsNotWantedAnyMoreDoesNotLeave() {
+		final ClientConnection own = new ClientConnection("target:80", this.idle::add);
+		final RecordedAnswer unwanted = new RecordedAnswer();
+		unwanted.wanted = false;
+		own.begin(new ClientCall(REQUEST, unwanted, own));
+		final EmbeddedChannel made = new EmbeddedChannel(new HttpClientCodec(), own);
+		assertThat(made.<Object>readOutbound()).isNull();
+		assertThat(made.isOpen()).isFalse();
+		assertThat(unwanted.ends()).isZero();
+		assertThat(this.idle).isEmpty();
+	}
+
 	/**
 	 * Answers arrive cut anywhere. Whatever the cuts, the receiver gets the same bytes
 	 * and one end, and the connection is kept.
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/RecordedAnswer.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/RecordedAnswer.java
@@ -10,12 +10,20 @@
 
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
+	/** Whether the request may leave when its connection is made. */
+	boolean wanted = true;
+
 	private AnswerHead head;
 
 	private Throwable failure;
 
 	private int ends;
 
+	@Override
+	public boolean onLeave() {
+		return this.wanted;
+	}
+
 	@Override
 	public void onHead(AnswerHead received) {
 		this.head = received;
