Tests: a daemon is killed in a stream that outlasts every delay of the test

A stream of 1,000 tokens lasts 10 s by the engine's clock, and on a starved machine opening it, waiting for ten tokens and killing the daemon takes longer. Shown: beside 40 busy processes (load 62) the test fails in the same line. Change: the stream is 20,000 tokens long, minutes; what is asked is the same.

--- a/pistachioline-e2e/src/test/java/org/pistachioline/e2e/KilledDaemonTests.java
+++ b/pistachioline-e2e/src/test/java/org/pistachioline/e2e/KilledDaemonTests.java
@@ -13,6 +13,9 @@
 
 class KilledDaemonTests {
 
+	/** A stream of minutes, which no delay of this test outlasts. */
+	private static final int OUTLASTING_TOKENS = 20_000;
+
 	// A daemon is killed after it handed a booking to the order desk and before the
 	// answer.
 	// Its caller sees the connection break and repeats the booking at the two other
@@ -44,7 +47,7 @@
 	@Test
 	void aCallerWhoseDaemonIsKilledMidStreamGetsTheWholeAnswerAtAnother() throws Exception {
 		try (TestSystem system = new TestSystem(2, "")) {
-			final CallerStream broken = CallerStream.open(system.daemon(0), 1_000);
+			final CallerStream broken = CallerStream.open(system.daemon(0), OUTLASTING_TOKENS);
 			broken.awaitTokens(10);
 			system.daemon(0).process().kill();
 			assertThatThrownBy(broken::readToEnd).isInstanceOf(IOException.class);
