--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerReceiver.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerReceiver.java
@@ -7,12 +7,12 @@
 public interface AnswerReceiver {
 
 	/**
-	 * Called when the request is about to leave, which may be some time after it was
+	 * Called when the request is about to be sent, which may be some time after it was
 	 * handed over: its connection has to be made first.
 	 * @return whether it is still to be sent; otherwise its connection is closed, and
 	 * nothing comes after this
 	 */
-	default boolean onLeave() {
+	default boolean onSending() {
 		return true;
 	}
 
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientCall.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientCall.java
@@ -23,8 +23,8 @@
 		return this.request;
 	}
 
-	boolean leave() {
-		return !this.over && this.receiver.onLeave();
+	boolean sending() {
+		return !this.over && this.receiver.onSending();
 	}
 
 	void head(AnswerHead head) {
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -128,7 +128,7 @@
 	}
 
 	private void write() {
-		if (!this.call.leave()) {
+		if (!this.call.sending()) {
 			abort();
 			return;
 		}
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ClientConnectionTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ClientConnectionTests.java
@@ -51,11 +51,11 @@
 	}
 
 	/**
-	 * Guards against a request that leaves though it is not wanted any more when its
+	 * Guards against a request that is sent though it is not wanted any more when its
 	 * connection is made.
 	 */
 	@Test
-	void aRequestThatIsNotWantedAnyMoreDoesNotLeave() {
+	void aRequestThatIsNotWantedAnyMoreIsNotSent() {
 		final ClientConnection own = new ClientConnection("target:80", this.idle::add);
 		final RecordedAnswer unwanted = new RecordedAnswer();
 		unwanted.wanted = false;
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/RecordedAnswer.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/RecordedAnswer.java
@@ -20,7 +20,7 @@
 	private int ends;
 
 	@Override
-	public boolean onLeave() {
+	public boolean onSending() {
 		return this.wanted;
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -69,7 +69,7 @@
 	}
 
 	@Override
-	public boolean onLeave() {
+	public boolean onSending() {
 		final boolean wanted = this.exchange.tools().gate().maySend(System.nanoTime(), this.start.target().targetId());
 		if (!wanted) {
 			end(AttemptEnd.WITHHELD);
