Listing: an answer from across a gap is not taken inside it

A daemon asks from an offset before its teller's gap, reads the whole list itself while it waits, and learns of an instance. The teller looks later, when that instance has gone; it came and went in the teller's gap, so its answer tells neither. The daemon took the answer, though it stood inside the gap by then, and kept the instance for good. Change: such an answer is not taken; the daemon asks again from where it stands. It could come about after any outage that leaves a gap.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/listing/InstanceListing.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/listing/InstanceListing.java
@@ -168,6 +168,11 @@
 		if ((!this.known && change.fromOffset() != 0) || change.fromOffset() > this.nextOffset) {
 			return;
 		}
+		// What came and went in a gap is missing in what was told. This daemon may have
+		// read of its coming since it asked.
+		if (this.known && change.fromOffset() < this.nextOffset && this.nextOffset < change.gapEnd()) {
+			return;
+		}
 		if (!this.known) {
 			this.completeFrom = change.nextOffset();
 		}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/InstanceListingTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/InstanceListingTests.java
@@ -53,6 +53,23 @@
 		assertThat(third.nextOffset()).isEqualTo(140);
 	}
 
+	/**
+	 * Guards against an answer that comes after its asker has read on: an instance that
+	 * came and went in the teller's gap, and that the asker has read of, would be kept.
+	 */
+	@Test
+	void anAnswerFromAcrossAGapIsNotTakenInsideIt() {
+		final InstanceListing teller = listedUpTo(100);
+		teller.takeWhole(0, 0, new ListingChange(140, 140, List.of()), false);
+		final ListingChange late = teller.since(100).orElseThrow();
+		final InstanceListing asker = listedUpTo(100);
+		asker.takeRead(0, 0, new ListingChange(100, 120, List.of(listed("i-1", 110))), false);
+		asker.takeTold(0, 0, late);
+		assertThat(asker.nextOffset()).isEqualTo(120);
+		asker.takeTold(0, 0, teller.since(120).orElseThrow());
+		assertThat(asker.instances()).isEmpty();
+	}
+
 	/**
 	 * Guards against a whole list that is older than what its reader knows.
 	 */
--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingNodeTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingNodeTests.java
@@ -162,21 +162,11 @@
 	 * against those that hear nothing more, since its offsets are given out again.
 	 */
 	@ParameterizedTest
-	@CsvSource({ "1, 61", "2, 62", "6, 63", "6, 64", "95, 65", "95, 66", "300, 67" })
+	@CsvSource({ "1, 61", "2, 62", "6, 63", "6, 64", "95, 65", "95, 66", "95, 210", "300, 67" })
 	void aStoreThatComesBackFromACopyTakesNobodyBack(int daemons, long seed) {
 		assertNobodyGoesBack(daemons, seed);
 	}
 
-	/**
-	 * Guards against a daemon that keeps an instance which has gone, since it was told of
-	 * the list in a gap and reads on from there.
-	 */
-	@Test
-	@Tag("known-red")
-	void noDaemonKeepsWhatHasGoneAfterAStoreCameBackFromACopy() {
-		assertNobodyGoesBack(95, 210);
-	}
-
 	private static void assertNobodyGoesBack(int daemons, long seed) {
 		final ListingWorld world = world(daemons, seed);
 		for (int turn = 0; turn < 3; turn++) {
