--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -11,7 +11,6 @@
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.placement.LiveDaemons;
-import org.pistachioline.core.retry.RetryDecision;
 
 /**
  * Decides for every request on one daemon, without input, output or a clock.
@@ -44,6 +43,8 @@
 
 	private final SupplyGuard guard;
 
+	private final AttemptOutcomes outcomes;
+
 	private final LimitedTargets limited;
 
 	private final AvoidedTargets avoided;
@@ -66,6 +67,8 @@
 		this.dispatcher = new Dispatcher(policies, this.flights, this.targets, this.chooser, this.isolation,
 				this.resumptions);
 		this.guard = new SupplyGuard(this.targets, this.flights);
+		this.outcomes = new AttemptOutcomes(policies, this.flights, this.chooser, this.suspects, this.dispatcher,
+				this.guard);
 		this.limited = new LimitedTargets(this.targets, this.guard);
 		this.avoided = new AvoidedTargets(this.targets, this.guard);
 		this.clock = new FlightClock(this.flights, this.targets, this.chooser, policies);
@@ -92,7 +95,7 @@
 	 */
 	public List<TrafficAction> onTargets(long nowNanos, List<TargetView> views) {
 		this.targets.update(nowNanos, views);
-		endStranded(nowNanos);
+		this.outcomes.endStranded(nowNanos);
 		return pump(nowNanos);
 	}
 
@@ -109,16 +112,6 @@
 		return pump(nowNanos);
 	}
 
-	private void endStranded(long nowNanos) {
-		for (final Flight flight : this.flights.all()) {
-			if (flight.resuming && flight.attempts > 0 && !this.chooser.isPlaceable(flight)) {
-				final ErrorKind kind = flight.bytesSent() ? ErrorKind.TARGET_FAILED : ErrorKind.NO_CAPACITY;
-				this.flights.end(nowNanos, flight, kind,
-						this.guard.retryMillis(nowNanos, flight.info, RETRY_WITHOUT_CAPACITY_MILLIS));
-			}
-		}
-	}
-
 	/**
 	 * Takes over the quarantined and suspected requests that are agreed on the log.
 	 * @param nowNanos the monotonic time
@@ -270,93 +263,12 @@
 	 */
 	public List<TrafficAction> onAttemptEnd(long nowNanos, AttemptId attempt, AttemptEnd how, int tokensDelivered) {
 		final Flight flight = this.flights.live(attempt);
-		if (flight == null) {
-			return pump(nowNanos);
-		}
-		if (flight.attemptRan) {
-			flight.load.onTokens(nowNanos, flight.progressAtNanos, tokensDelivered - flight.tokensDelivered, false);
-		}
-		flight.tokensDelivered = Math.max(flight.tokensDelivered, tokensDelivered);
-		if (how == AttemptEnd.WITHHELD) {
-			onWithheld(nowNanos, flight);
-			return pump(nowNanos);
-		}
-		final boolean shifted = flight.shifting;
-		// A target that delivered something cannot say any more that it ran nothing.
-		if (how == AttemptEnd.NOT_CONNECTED || (how == AttemptEnd.DECLINED && !flight.attemptRan)) {
-			flight.sentAttempts--;
-		}
-		this.flights.leaveTarget(nowNanos, flight, shifted ? shiftEnd(flight) : how);
-		if (how == AttemptEnd.COMPLETE) {
-			flight.ran = true;
-			flight.complete = true;
-			this.policies.killer().onSurvived(flight.info.fingerprint(), true);
-			this.flights.forget(nowNanos, flight);
-			this.policies.retry().onSuccess(nowNanos);
-			this.flights.act(new TrafficAction.Finish(attempt.requestId()));
-			return pump(nowNanos);
-		}
-		if (shifted) {
-			this.dispatcher.startOrWait(nowNanos, flight);
-			return pump(nowNanos);
-		}
-		if (how == AttemptEnd.BROKEN) {
-			this.suspects.onDeath(nowNanos, flight);
+		if (flight != null) {
+			this.outcomes.onEnd(nowNanos, flight, how, tokensDelivered);
 		}
-		afterFailure(nowNanos, flight, how);
 		return pump(nowNanos);
 	}
 
-	// Nothing left this daemon, so neither the request nor the target is charged with it.
-	private void onWithheld(long nowNanos, Flight flight) {
-		flight.sentAttempts--;
-		flight.withheldAttempts++;
-		flight.triedTargetIds.remove(flight.target.targetId());
-		this.flights.leaveTarget(nowNanos, flight, AttemptEnd.WITHHELD);
-		if (this.chooser.isPlaceable(flight)) {
-			this.dispatcher.startOrWait(nowNanos, flight);
-		}
-		else {
-			giveUp(nowNanos, flight, AttemptEnd.WITHHELD);
-		}
-	}
-
-	// A target that stood still is held to have failed, so that others are not sent
-	// there;
-	// one that merely drains did nothing wrong.
-	private static AttemptEnd shiftEnd(Flight flight) {
-		return flight.stalled ? AttemptEnd.BROKEN : AttemptEnd.CANCELLED;
-	}
-
-	private void afterFailure(long nowNanos, Flight flight, AttemptEnd how) {
-		if (this.policies.killer().isQuarantined(flight.info.fingerprint())) {
-			this.flights.end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
-			return;
-		}
-		final boolean sendable = flight.info.idempotent() || !flight.bytesSent();
-		final RetryDecision decision = (sendable && flight.usedAttempts() < flight.info.maxAttempts())
-				? this.policies.retry().afterFailure(nowNanos, flight.info, flight.usedAttempts(), how)
-				: RetryDecision.GIVE_UP;
-		if (decision == RetryDecision.RETRY && this.chooser.isPlaceable(flight)) {
-			this.dispatcher.startOrWait(nowNanos, flight);
-			return;
-		}
-		giveUp(nowNanos, flight, how);
-	}
-
-	private void giveUp(long nowNanos, Flight flight, AttemptEnd how) {
-		this.flights.end(nowNanos, flight, failureOf(flight, how),
-				this.guard.retryMillis(nowNanos, flight.info, RETRY_WITHOUT_CAPACITY_MILLIS));
-	}
-
-	// Where every target declined, the caller may be told so: it did not run anywhere.
-	private static ErrorKind failureOf(Flight flight, AttemptEnd how) {
-		if ((how == AttemptEnd.DECLINED || how == AttemptEnd.WITHHELD) && !flight.bytesSent()) {
-			return ErrorKind.NO_CAPACITY;
-		}
-		return (how == AttemptEnd.MISMATCHED) ? ErrorKind.TARGET_PROTOCOL : ErrorKind.TARGET_FAILED;
-	}
-
 	/**
 	 * Takes word that a caller went away.
 	 * @param nowNanos the monotonic time
@@ -381,7 +293,7 @@
 		this.policies.killer().onTick(nowNanos);
 		this.clock.onTick(nowNanos);
 		this.guard.onTick(nowNanos);
-		endStranded(nowNanos);
+		this.outcomes.endStranded(nowNanos);
 		return pump(nowNanos);
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/BackoffGate.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/BackoffGate.java
@@ -3,6 +3,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import org.pistachioline.core.backoff.BackoffBook;
 import org.pistachioline.core.traffic.TargetView;
@@ -21,29 +22,38 @@
 
 	private final InstanceListener listener;
 
-	BackoffGate(InstanceListener listener) {
+	private final LongSupplier clockNanos;
+
+	/**
+	 * Creates a gate that holds nothing back.
+	 * @param listener is told what targets want of this daemon
+	 * @param clockNanos the monotonic clock
+	 */
+	BackoffGate(InstanceListener listener, LongSupplier clockNanos) {
 		this.listener = listener;
+		this.clockNanos = clockNanos;
 	}
 
-	void hearBackoff(long nowNanos, String targetId, OptionalLong forMillis) {
+	void hearBackoff(String targetId, OptionalLong forMillis) {
 		if (forMillis.isPresent()) {
 			final String instanceId = TargetView.instanceId(targetId);
+			final long nowNanos = this.clockNanos.getAsLong();
 			this.heard.onBackoff(nowNanos, instanceId, TimeUnit.MILLISECONDS.toNanos(forMillis.getAsLong()));
 			this.listener.onBackoff(instanceId, forMillis.getAsLong());
 			this.heard.retain(nowNanos, Set.of());
 		}
 	}
 
-	void hearLeaving(long nowNanos, String targetId) {
+	void hearLeaving(String targetId) {
 		final String instanceId = TargetView.instanceId(targetId);
 		if (this.heard.onLeaving(instanceId)) {
-			this.heard.retain(nowNanos, Set.of());
+			this.heard.retain(this.clockNanos.getAsLong(), Set.of());
 			this.listener.onLeaving(instanceId);
 		}
 	}
 
-	boolean maySend(long nowNanos, String targetId) {
-		return !this.heard.holds(nowNanos, TargetView.instanceId(targetId));
+	boolean maySend(String targetId) {
+		return !this.heard.holds(this.clockNanos.getAsLong(), TargetView.instanceId(targetId));
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -70,7 +70,7 @@
 
 	@Override
 	public boolean onSending() {
-		final boolean wanted = this.exchange.tools().gate().maySend(System.nanoTime(), this.start.target().targetId());
+		final boolean wanted = this.exchange.tools().gate().maySend(this.start.target().targetId());
 		if (!wanted) {
 			end(AttemptEnd.WITHHELD);
 		}
@@ -114,10 +114,9 @@
 
 	private void hearBackoff(RelayDialect dialect, AnswerHead received) {
 		final String targetId = this.start.target().targetId();
-		final long nowNanos = System.nanoTime();
-		this.exchange.tools().gate().hearBackoff(nowNanos, targetId, dialect.backoffMillis(received));
+		this.exchange.tools().gate().hearBackoff(targetId, dialect.backoffMillis(received));
 		if (dialect.leaving(received)) {
-			this.exchange.tools().gate().hearLeaving(nowNanos, targetId);
+			this.exchange.tools().gate().hearLeaving(targetId);
 		}
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
@@ -99,7 +99,7 @@
 			listener.onEnd(start.attempt(), AttemptEnd.CANCELLED, this.position.events());
 			return;
 		}
-		if (!this.tools.gate().maySend(System.nanoTime(), start.target().targetId())) {
+		if (!this.tools.gate().maySend(start.target().targetId())) {
 			listener.onEnd(start.attempt(), AttemptEnd.WITHHELD, this.position.events());
 			return;
 		}
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -40,13 +40,15 @@
 	private static final TargetView TARGET = new TargetView("i-1@1", TargetKind.MODEL, "pool/m", "127.0.0.1:9", 1, "z",
 			true, 12, 0, 0, 0);
 
+	private static final long NOW_NANOS = 1_000_000_000L;
+
 	private final WebLoop loop = new WebLoop("test");
 
 	private final List<String> told = new ArrayList<>();
 
 	private final FixedDialect dialect = new FixedDialect();
 
-	private final BackoffGate gate = new BackoffGate(new DeafListener());
+	private final BackoffGate gate = new BackoffGate(new DeafListener(), () -> NOW_NANOS);
 
 	@AfterEach
 	void stop() {
@@ -86,7 +88,7 @@
 	 */
 	@Test
 	void nothingIsSentToATargetThatAskedForRestMeanwhile() {
-		this.gate.hearBackoff(System.nanoTime(), TARGET.targetId(), OptionalLong.of(60_000));
+		this.gate.hearBackoff(TARGET.targetId(), OptionalLong.of(60_000));
 		exchange().start(new TrafficAction.Start(new AttemptId(7, 1), TARGET, 0), new Ends());
 		assertThat(this.told).containsExactly("WITHHELD");
 		assertThat(this.dialect.written).isZero();
@@ -97,7 +99,7 @@
 	 */
 	@Test
 	void nothingIsSentToATargetThatLeaves() {
-		this.gate.hearLeaving(System.nanoTime(), TARGET.targetId());
+		this.gate.hearLeaving(TARGET.targetId());
 		exchange().start(new TrafficAction.Start(new AttemptId(7, 1), TARGET, 0), new Ends());
 		assertThat(this.told).containsExactly("WITHHELD");
 		assertThat(this.dialect.written).isZero();
