--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/Body.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/Body.java
@@ -1,6 +1,7 @@
 package org.pistachioline.adapters.web;
 
 import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -54,6 +55,14 @@
 		return this.bytes.length;
 	}
 
+	/**
+	 * Feeds the bytes to a digest, without copying them.
+	 * @param digest the digest
+	 */
+	public void digest(MessageDigest digest) {
+		digest.update(this.bytes);
+	}
+
 	/**
 	 * Returns the bytes.
 	 * @return a copy of the bytes
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -201,6 +201,9 @@
 	/** A request was refused before it could be placed. */
 	REQUEST_REFUSED(507, EventLevel.WARN, "A request was refused before it was queued."),
 
+	/** A target broke off under a request. */
+	TARGET_BROKE_OFF(508, EventLevel.WARN, "A target broke off while it had a request."),
+
 	/** A peer link failed. */
 	PEER_LOST(600, EventLevel.INFO, "A peer daemon cannot be reached."),
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -7,9 +7,11 @@
 import org.pistachioline.adapters.web.AnswerHead;
 import org.pistachioline.adapters.web.AnswerReceiver;
 import org.pistachioline.adapters.web.WebCall;
+import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.traffic.AttemptEnd;
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.TrafficAction;
+import org.pistachioline.daemon.event.Events;
 import org.pistachioline.daemon.port.AnswerVerdict;
 import org.pistachioline.daemon.port.RelayDialect;
 import org.pistachioline.daemon.traffic.AttemptListener;
@@ -210,7 +212,17 @@
 		if (this.events != null) {
 			this.exchange.tools().streams().remove(this.events);
 		}
+		if (how == AttemptEnd.BROKEN) {
+			logBreak();
+		}
 		this.listener.onEnd(id(), how, this.exchange.position().events());
 	}
 
+	private void logBreak() {
+		Events.log(EventId.TARGET_BROKE_OFF, "request", this.exchange.call().head().requestId(), "fingerprint",
+				this.exchange.info().fingerprint(), "target", this.start.target().targetId(), "status",
+				(this.head != null) ? this.head.status() : 0, "events",
+				this.exchange.position().events() - this.start.resumeFromTokens());
+	}
+
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -119,7 +119,7 @@
 		return new RequestInfo(id, call.workspace().orElse(""), grouped ? TargetKind.MODEL : TargetKind.SERVICE,
 				grouped ? ServingGroups.targetName(service, head.model().orElse("")) : service, head.promptTokens(),
 				head.maxOutputTokens(), HIGHEST_PRIORITY - rank, startNanos, deadlineNanos, route.idempotent(),
-				ClaimNeed.NONE, "", List.of(), Math.max(1, route.maxAttempts()),
+				ClaimNeed.NONE, RequestFingerprint.of(call), List.of(), Math.max(1, route.maxAttempts()),
 				arrivedAtNanos + TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis()));
 	}
 
