Traffic: a request under which three targets died is sent nowhere, by any daemon

Cause: the daemon that the users run held no death against any request, and gave all requests the same empty fingerprint; the quarantine stood in the other daemon, whose daemons learn of deaths through a log of their own. Change: SharedDeaths. A broken attempt is looked into: the target has died if nothing listens at its address. Three targets that die as they begin with a request, or six that had been answering it for a while, bar it for ten minutes (422, final; copies that have given nothing are cut off); an end in order excuses them, and a death that another request explains better does not count. Daemons tell all others at once, heartbeats make up for lost frames, and newcomers are told by those whom they greet. RoutingPolicies is what the daemon and the worlds of its tests run.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
@@ -1,5 +1,6 @@
 package org.pistachioline.adapters.web;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -7,9 +8,13 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpClientCodec;
 
 /**
@@ -91,8 +96,30 @@
 		return answer;
 	}
 
-	private void connect(String address, ClientConnection connection) {
+	/**
+	 * Asks whether nothing listens at an address any more, by a connection that is closed
+	 * at once; called on the loop's thread. Silence is no answer: what is cut off or
+	 * stands still may live.
+	 * @param address where, as host and port
+	 * @param receiver is told, on the loop's thread, whether a connection was refused
+	 */
+	public void askWhetherRefused(String address, Consumer<Boolean> receiver) {
+		this.loop.client(this.connectMillis)
+			.handler(new ChannelInboundHandlerAdapter())
+			.connect(socketAddress(address))
+			.addListener((ChannelFuture made) -> {
+				made.channel().close();
+				receiver.accept(
+						made.cause() instanceof ConnectException && !(made.cause() instanceof ConnectTimeoutException));
+			});
+	}
+
+	private static InetSocketAddress socketAddress(String address) {
 		final int colon = address.lastIndexOf(':');
+		return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+	}
+
+	private void connect(String address, ClientConnection connection) {
 		this.loop.client(this.connectMillis).handler(new ChannelInitializer<Channel>() {
 
 			@Override
@@ -100,13 +127,11 @@
 				channel.pipeline().addLast(new HttpClientCodec(), connection);
 			}
 
-		})
-			.connect(new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))))
-			.addListener((made) -> {
-				if (!made.isSuccess()) {
-					connection.onNotConnected(made.cause());
-				}
-			});
+		}).connect(socketAddress(address)).addListener((made) -> {
+			if (!made.isSuccess()) {
+				connection.onNotConnected(made.cause());
+			}
+		});
 	}
 
 	private ClientConnection take(String address) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -176,6 +176,9 @@
 	/** A target leaves. */
 	TARGET_LEAVING(418, EventLevel.INFO, "A target said in an answer that it leaves."),
 
+	/** A target died. */
+	TARGET_DIED(419, EventLevel.WARN, "A target died while it had requests of this daemon."),
+
 	/** A request was quarantined. */
 	REQUEST_QUARANTINED(500, EventLevel.ERROR, "A request that crashes targets was quarantined."),
 
@@ -204,6 +207,9 @@
 	/** A target broke off under a request. */
 	TARGET_BROKE_OFF(508, EventLevel.WARN, "A target broke off while it had a request."),
 
+	/** A quarantine is over. */
+	REQUEST_RELEASED(509, EventLevel.INFO, "A request is no longer quarantined."),
+
 	/** A peer link failed. */
 	PEER_LOST(600, EventLevel.INFO, "A peer daemon cannot be reached."),
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/peer/PeerTable.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/peer/PeerTable.java
@@ -98,6 +98,18 @@
 		return renew(known, known.status.with(news), nowNanos);
 	}
 
+	/**
+	 * Returns whether a daemon has been heard of lately in its present incarnation.
+	 * @param status what it says of itself
+	 * @param nowNanos the monotonic time
+	 * @return whether it has
+	 */
+	public boolean isLive(PeerStatus status, long nowNanos) {
+		final Known known = this.peers.get(status.daemonId());
+		return known != null && known.status.incarnation() == status.incarnation()
+				&& nowNanos - known.heardAtNanos <= boundNanos();
+	}
+
 	private boolean renew(Known known, PeerStatus newer, long nowNanos) {
 		this.changed |= newer.incarnation() != known.status.incarnation() || newer.differsFrom(known.status);
 		final boolean wasLost = known.renew(newer, nowNanos, boundNanos());
--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/KillerPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/KillerPolicy.java
@@ -1,5 +1,6 @@
 package org.pistachioline.core.quarantine;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -65,4 +66,73 @@
 	 */
 	Map<String, Set<String>> suspects();
 
+	/**
+	 * Takes word that a target has died, and under what.
+	 * @param nowNanos the monotonic time
+	 * @param crash the target, and what it was running for this daemon
+	 */
+	default void onCrash(long nowNanos, TargetCrash crash) {
+		// Judged by broken attempts alone.
+	}
+
+	/**
+	 * Takes what another daemon told of requests under which targets died.
+	 * @param nowNanos the monotonic time
+	 * @param told the requests
+	 */
+	default void onTold(long nowNanos, List<SuspectedRequest> told) {
+		// Daemons share it by other means.
+	}
+
+	/**
+	 * Notes that a target answered a request with a failure and lives on.
+	 * @param fingerprint the request's fingerprint
+	 */
+	default void onAnswered(String fingerprint) {
+		// A failure says nothing.
+	}
+
+	/**
+	 * Returns what daemons that tell each other directly have quarantined.
+	 * @return the fingerprints
+	 */
+	default Set<String> quarantined() {
+		return Set.of();
+	}
+
+	/**
+	 * Returns what all other daemons are to be told at once, and forgets that they are.
+	 * @param nowNanos the monotonic time
+	 * @return the requests
+	 */
+	default List<SuspectedRequest> takeNews(long nowNanos) {
+		return List.of();
+	}
+
+	/**
+	 * Returns what the next heartbeat tells.
+	 * @param nowNanos the monotonic time
+	 * @return some requests
+	 */
+	default List<SuspectedRequest> sample(long nowNanos) {
+		return List.of();
+	}
+
+	/**
+	 * Returns what a daemon is told that has just started.
+	 * @return the requests
+	 */
+	default List<SuspectedRequest> known() {
+		return List.of();
+	}
+
+	/**
+	 * Describes the requests under which targets died, for operators.
+	 * @param nowNanos the monotonic time
+	 * @return the requests
+	 */
+	default List<DeathReport> reports(long nowNanos) {
+		return List.of();
+	}
+
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomes.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomes.java
@@ -71,6 +71,9 @@
 		if (how == AttemptEnd.BROKEN) {
 			this.suspects.onDeath(nowNanos, flight);
 		}
+		else if (how == AttemptEnd.FAILURE_ANSWERED) {
+			this.policies.killer().onAnswered(flight.info.fingerprint());
+		}
 		afterFailure(nowNanos, flight, how);
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -49,6 +49,8 @@
 
 	private final AvoidedTargets avoided;
 
+	private final CrashedTargets crashed;
+
 	private Manifest manifest = Manifest.EMPTY;
 
 	private boolean leaving;
@@ -71,6 +73,7 @@
 				this.guard);
 		this.limited = new LimitedTargets(this.targets, this.guard);
 		this.avoided = new AvoidedTargets(this.targets, this.guard);
+		this.crashed = new CrashedTargets(policies.killer(), this.flights);
 		this.clock = new FlightClock(this.flights, this.targets, this.chooser, policies);
 	}
 
@@ -253,6 +256,14 @@
 		return this.avoided;
 	}
 
+	/**
+	 * Returns what is known of requests that crash targets.
+	 * @return the targets that crashed, and under what
+	 */
+	public CrashedTargets crashed() {
+		return this.crashed;
+	}
+
 	/**
 	 * Takes the end of an attempt.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorldDaemon.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorldDaemon.java
@@ -6,22 +6,16 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 
-import org.pistachioline.core.admission.AdmitAll;
-import org.pistachioline.core.placement.ExpectedWaitPlacement;
 import org.pistachioline.core.placement.LiveDaemons;
-import org.pistachioline.core.quarantine.NoQuarantine;
-import org.pistachioline.core.queueing.FairQueue;
-import org.pistachioline.core.queueing.OnTimeFirstOrder;
+import org.pistachioline.core.quarantine.SharedDeaths;
 import org.pistachioline.core.retry.RetryBudget;
-import org.pistachioline.core.retry.SharedBudgetRetry;
 import org.pistachioline.core.traffic.AttemptEnd;
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.ClaimNeed;
-import org.pistachioline.core.traffic.PromptShift;
 import org.pistachioline.core.traffic.RequestInfo;
+import org.pistachioline.core.traffic.RoutingPolicies;
 import org.pistachioline.core.traffic.TrafficAction;
 import org.pistachioline.core.traffic.TrafficCore;
-import org.pistachioline.core.traffic.TrafficPolicies;
 
 /**
  * One daemon of a {@link LimitWorld}: the decision core, and what carries out its
@@ -99,10 +93,8 @@
 
 	void start() {
 		this.running = true;
-		this.core = new TrafficCore(new TrafficPolicies(new AdmitAll(), new FairQueue(2_000, new OnTimeFirstOrder()),
-				new ExpectedWaitPlacement("zone", this.world.random.nextLong(), true),
-				new SharedBudgetRetry(new RetryBudget(0.2, 100, 10 * LimitWorld.SECOND_NANOS), () -> 8),
-				new NoQuarantine(), new PromptShift()));
+		this.core = new TrafficCore(RoutingPolicies.create("zone", this.world.random.nextLong(),
+				new RetryBudget(0.2, 100, 10 * LimitWorld.SECOND_NANOS), () -> 8, new SharedDeaths()));
 		list();
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -10,21 +10,16 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
-import org.pistachioline.core.admission.AdmitAll;
 import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpRule;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.peer.PeerStatus;
-import org.pistachioline.core.placement.ExpectedWaitPlacement;
-import org.pistachioline.core.quarantine.NoQuarantine;
-import org.pistachioline.core.queueing.FairQueue;
-import org.pistachioline.core.queueing.OnTimeFirstOrder;
+import org.pistachioline.core.quarantine.SharedDeaths;
 import org.pistachioline.core.replica.PlannerCandidates;
 import org.pistachioline.core.replica.ServingInstance;
-import org.pistachioline.core.retry.SharedBudgetRetry;
 import org.pistachioline.core.route.RouteTable;
-import org.pistachioline.core.traffic.PromptShift;
+import org.pistachioline.core.traffic.RoutingPolicies;
 import org.pistachioline.core.traffic.TrafficCore;
 import org.pistachioline.core.traffic.TrafficPolicies;
 import org.pistachioline.daemon.event.Events;
@@ -53,9 +48,6 @@
 
 	private static final int MOST_PEER_CONNECTIONS = 256;
 
-	/** Each waiting request holds its body; at a few KB each this is a few MB. */
-	private static final int MOST_QUEUED = 2_000;
-
 	/** What is left of the time to stop when the last requests are given up. */
 	private static final long STOP_MARGIN_MILLIS = 700;
 
@@ -126,8 +118,7 @@
 		this.shares = new ShareKeeper(settings.daemonId(), this.peers::daemonIds, HEARTBEAT_MILLIS);
 		this.traffic = new TrafficDuty(system, new TrafficCore(policies()), new NoClaims(), this.shares,
 				(suspect, nowMillis) -> {
-					// Targets here report their own deaths; no request is held to be
-					// their cause.
+					// Daemons tell each other directly of the targets that died.
 				}, new TraceRecorder(false));
 		this.replicas = new ReplicaDuty(system, ports.lease(), ports.orders(), settings.plannerTimes(),
 				this.traffic::targets, this::beforeTraffic);
@@ -145,10 +136,8 @@
 
 	private TrafficPolicies policies() {
 		final long seed = this.incarnation ^ ((long) this.settings.daemonId().hashCode() << Integer.SIZE);
-		return new TrafficPolicies(new AdmitAll(), new FairQueue(MOST_QUEUED, new OnTimeFirstOrder()),
-				new ExpectedWaitPlacement(this.settings.availabilityZone(), seed, true),
-				new SharedBudgetRetry(this.settings.retryBudget(), this::daemonCount), new NoQuarantine(),
-				new PromptShift());
+		return RoutingPolicies.create(this.settings.availabilityZone(), seed, this.settings.retryBudget(),
+				this::daemonCount, new SharedDeaths());
 	}
 
 	private void connect() {
@@ -166,6 +155,9 @@
 		});
 		this.peers.onLimits(this.traffic::statedLimits, this.traffic::limitsTold);
 		this.peers.onStalled(this.replicas::stalled);
+		this.peers.onSuspected(this.traffic::suspectedSample, this.traffic::suspectedKnown,
+				this.traffic::suspectedTold);
+		this.traffic.onSuspected(this.peers::tellSuspected);
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
 		this.parts.all().forEach((part) -> part.rings().forEach(meters::bind));
@@ -368,6 +360,7 @@
 		dump.put("serving_targets", this.replicas.servingCount());
 		dump.put("limited_targets", this.traffic.limits());
 		dump.put("backoff_targets", this.traffic.backoffs());
+		dump.put("crash_suspects", this.traffic.suspected());
 		dump.put("planned_groups", this.replicas.groups());
 		dump.put("peers", daemons());
 		return dump;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -18,6 +18,10 @@
 	REQUESTS_FAILED("pistachioline_requests_failed_total", "requests by kind", "Requests that ended with a failure.",
 			"queue_full, no_capacity or target_failed rising"),
 
+	/** Requests that are quarantined. */
+	REQUESTS_QUARANTINED("pistachioline_requests_quarantined", "requests",
+			"Requests that are sent nowhere, since targets died under them.", "above 0"),
+
 	/** Messages in rings. */
 	RING_MESSAGES("pistachioline_ring_messages", "messages by ring", "Messages that wait in a ring between duties.",
 			"above half of its capacity"),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerCodec.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerCodec.java
@@ -6,6 +6,7 @@
 import org.pistachioline.core.peer.GossipSample;
 import org.pistachioline.core.peer.PeerNews;
 import org.pistachioline.core.peer.PeerStatus;
+import org.pistachioline.protocol.peer.CrashSuspect;
 import org.pistachioline.protocol.peer.DaemonNews;
 import org.pistachioline.protocol.peer.DaemonStatus;
 import org.pistachioline.protocol.peer.Heartbeat;
@@ -32,11 +33,15 @@
 	 * @param sample what it tells of others
 	 * @param demand the sender's demand, by workspace
 	 * @param limits the limits that targets name
+	 * @param suspects requests under which targets died
 	 * @return the frame
 	 */
 	public static PeerFrame heartbeat(PeerStatus self, GossipSample sample, Map<String, Double> demand,
-			List<TargetLimit> limits) {
-		final Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setSender(encode(self)).addAllTargetLimits(limits);
+			List<TargetLimit> limits, List<CrashSuspect> suspects) {
+		final Heartbeat.Builder heartbeat = Heartbeat.newBuilder()
+			.setSender(encode(self))
+			.addAllTargetLimits(limits)
+			.addAllCrashSuspects(suspects);
 		sample.whole().forEach((peer) -> heartbeat.addKnown(encode(peer)));
 		sample.news().forEach((news) -> heartbeat.addNews(encode(news)));
 		// Workspaces without demand are left out: an absent one counts as none.
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
@@ -21,11 +21,13 @@
 import org.pistachioline.core.limit.StatedLimit;
 import org.pistachioline.core.peer.PeerStatus;
 import org.pistachioline.core.peer.PeerTable;
+import org.pistachioline.core.quarantine.SuspectedRequest;
 import org.pistachioline.daemon.Lifecycle;
 import org.pistachioline.daemon.duty.Duty;
 import org.pistachioline.daemon.duty.DutyHandler;
 import org.pistachioline.daemon.duty.Ring;
 import org.pistachioline.daemon.event.Events;
+import org.pistachioline.protocol.peer.CrashNotice;
 import org.pistachioline.protocol.peer.PeerFrame;
 import org.pistachioline.protocol.peer.StallNotice;
 import org.pistachioline.protocol.peer.WorkspaceUse;
@@ -81,6 +83,13 @@
 	private volatile Consumer<List<StatedLimit>> limitReceiver = (told) -> {
 	};
 
+	private volatile Supplier<List<SuspectedRequest>> suspected = List::of;
+
+	private volatile Supplier<List<SuspectedRequest>> suspectedKnown = List::of;
+
+	private volatile Consumer<List<SuspectedRequest>> suspectedReceiver = (told) -> {
+	};
+
 	private volatile long newestConfigVersion;
 
 	private final AtomicReference<List<PeerStatus>> live = new AtomicReference<>(List.of());
@@ -261,6 +270,43 @@
 		this.limitReceiver = receiver;
 	}
 
+	/**
+	 * Sets what tells and takes the requests under which targets died.
+	 * @param sample some of what this daemon knows, for one heartbeat
+	 * @param known what it tells a daemon that has just started
+	 * @param receiver takes what a peer knows; it must not block
+	 */
+	public void onSuspected(Supplier<List<SuspectedRequest>> sample, Supplier<List<SuspectedRequest>> known,
+			Consumer<List<SuspectedRequest>> receiver) {
+		this.suspected = sample;
+		this.suspectedKnown = known;
+		this.suspectedReceiver = receiver;
+	}
+
+	/**
+	 * Tells all other daemons of requests under which targets died, so that the next copy
+	 * finds them warned. Heartbeats make up for frames that are lost.
+	 * @param requests the requests
+	 */
+	public void tellSuspected(List<SuspectedRequest> requests) {
+		final PeerFrame frame = crashNotice(requests);
+		this.live.get().forEach((peer) -> this.transport.send(peer.peerAddress(), frame));
+	}
+
+	private static PeerFrame crashNotice(List<SuspectedRequest> requests) {
+		return PeerFrame.newBuilder()
+			.setCrashNotice(CrashNotice.newBuilder().addAllSuspects(CrashCodec.encode(requests, System.nanoTime())))
+			.build();
+	}
+
+	// Until it hears, a daemon that has just started runs what all others refuse.
+	private void tellNewcomer(PeerStatus newcomer) {
+		final List<SuspectedRequest> known = this.suspectedKnown.get();
+		if (!known.isEmpty()) {
+			this.transport.send(newcomer.peerAddress(), crashNotice(known));
+		}
+	}
+
 	private void onFrame(PeerFrame frame) {
 		if (frame.hasListingQuestion() || frame.hasListingAnswer()) {
 			this.listingFrames.accept(frame);
@@ -292,11 +338,20 @@
 			frame.getStallNotice().getTargetIdsList().forEach(this.stalledTargets);
 			return;
 		}
+		if (frame.hasCrashNotice()) {
+			this.suspectedReceiver
+				.accept(CrashCodec.decode(frame.getCrashNotice().getSuspectsList(), System.nanoTime()));
+			return;
+		}
 		if (!frame.hasHeartbeat()) {
 			return;
 		}
 		final long nowNanos = System.nanoTime();
-		merge(PeerCodec.decode(frame.getHeartbeat().getSender()), nowNanos);
+		final PeerStatus sender = PeerCodec.decode(frame.getHeartbeat().getSender());
+		if (!this.table.isLive(sender, nowNanos)) {
+			tellNewcomer(sender);
+		}
+		merge(sender, nowNanos);
 		frame.getHeartbeat().getKnownList().forEach((status) -> merge(PeerCodec.decode(status), nowNanos));
 		frame.getHeartbeat().getNewsList().forEach((news) -> {
 			if (this.table.merge(PeerCodec.decode(news), nowNanos)) {
@@ -306,11 +361,14 @@
 		if (frame.getHeartbeat().getTargetLimitsCount() > 0) {
 			this.limitReceiver.accept(LimitCodec.decode(frame.getHeartbeat(), nowNanos));
 		}
+		if (frame.getHeartbeat().getCrashSuspectsCount() > 0) {
+			this.suspectedReceiver.accept(CrashCodec.decode(frame.getHeartbeat().getCrashSuspectsList(), nowNanos));
+		}
 		// The next tick shows the rest.
 		if (this.table.takeChanged()) {
 			setLive(this.table.live(nowNanos));
 		}
-		this.demandReceiver.accept(PeerCodec.decode(frame.getHeartbeat().getSender()), frame.getHeartbeat()
+		this.demandReceiver.accept(sender, frame.getHeartbeat()
 			.getWorkspaceUseList()
 			.stream()
 			.limit(PeerCodec.MAX_WORKSPACES)
@@ -356,7 +414,7 @@
 		final PeerStatus status = this.self.get();
 		final long nowNanos = System.nanoTime();
 		final PeerFrame frame = PeerCodec.heartbeat(status, this.table.sample(nowNanos), this.demand.get(),
-				LimitCodec.encode(this.limits.get(), nowNanos));
+				LimitCodec.encode(this.limits.get(), nowNanos), CrashCodec.encode(this.suspected.get(), nowNanos));
 		final Set<String> addresses = new TreeSet<>(this.seeds.get());
 		this.live.get().forEach((peer) -> addresses.add(peer.peerAddress()));
 		addresses.remove(status.peerAddress());
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -29,6 +29,9 @@
 	/** No whole answer of a target is larger; more would fill this process's memory. */
 	private static final int MOST_ANSWER_BYTES = 16 * 1024 * 1024;
 
+	/** A target that has given more was not crashed by what it read first. */
+	private static final int FEW_EVENTS = 3;
+
 	private final RelayExchange exchange;
 
 	private final TrafficAction.Start start;
@@ -176,7 +179,11 @@
 			end(AttemptEnd.DECLINED);
 		}
 		else {
-			end((failure instanceof NotConnectedException) ? AttemptEnd.NOT_CONNECTED : AttemptEnd.BROKEN);
+			final boolean connected = !(failure instanceof NotConnectedException);
+			if (connected && !this.over) {
+				onBreak();
+			}
+			end(connected ? AttemptEnd.BROKEN : AttemptEnd.NOT_CONNECTED);
 		}
 	}
 
@@ -212,17 +219,16 @@
 		if (this.events != null) {
 			this.exchange.tools().streams().remove(this.events);
 		}
-		if (how == AttemptEnd.BROKEN) {
-			logBreak();
-		}
 		this.listener.onEnd(id(), how, this.exchange.position().events());
 	}
 
-	private void logBreak() {
+	private void onBreak() {
+		final int given = this.exchange.position().events() - this.start.resumeFromTokens();
+		final String fingerprint = this.exchange.info().fingerprint();
 		Events.log(EventId.TARGET_BROKE_OFF, "request", this.exchange.call().head().requestId(), "fingerprint",
-				this.exchange.info().fingerprint(), "target", this.start.target().targetId(), "status",
-				(this.head != null) ? this.head.status() : 0, "events",
-				this.exchange.position().events() - this.start.resumeFromTokens());
+				fingerprint, "target", this.start.target().targetId(), "status",
+				(this.head != null) ? this.head.status() : 0, "events", given);
+		this.exchange.tools().crashes().onBreak(this.start.target(), fingerprint, given > FEW_EVENTS);
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayTools.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayTools.java
@@ -16,8 +16,9 @@
  * @param callerGone is told the requests whose callers have gone
  * @param targets hears what targets say of themselves
  * @param gate holds back what targets want no more
+ * @param crashes finds out which targets have died
  */
 record RelayTools(Executor loop, WebClient client, RelayDialect dialect, LiveStreams streams, LongConsumer callerGone,
-		TargetListener targets, BackoffGate gate) {
+		TargetListener targets, BackoffGate gate, CrashProbe crashes) {
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetWatch.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetWatch.java
@@ -6,7 +6,8 @@
 import org.pistachioline.core.traffic.TrafficCore;
 
 /**
- * Tells the core what targets said of what they take, and shows what of it holds.
+ * Tells the core what targets said of what they take, and of those that died, and shows
+ * what of it holds.
  */
 final class TargetWatch {
 
@@ -16,6 +17,8 @@
 
 	private final BackoffWatch backoffs = new BackoffWatch();
 
+	private final CrashWatch crashes = new CrashWatch();
+
 	TargetWatch(TrafficCore core) {
 		this.core = core;
 	}
@@ -28,8 +31,12 @@
 		return this.backoffs;
 	}
 
+	CrashWatch crashes() {
+		return this.crashes;
+	}
+
 	/**
-	 * Takes a message, if it tells what targets take.
+	 * Takes a message, if it tells what targets take, or that they died.
 	 * @param nowNanos the monotonic time
 	 * @param message the message
 	 * @return whether that changes what the core does
@@ -47,6 +54,14 @@
 		if (message instanceof TrafficMessage.LeavingHeard heard) {
 			return onLeaving(nowNanos, heard.instanceId());
 		}
+		if (message instanceof TrafficMessage.TargetCrashed crashed) {
+			this.crashes.hear(nowNanos, crashed.crash(), this.core);
+			return true;
+		}
+		if (message instanceof TrafficMessage.SuspectedTold told) {
+			this.crashes.hearFromPeer(nowNanos, told.requests(), this.core);
+			return true;
+		}
 		return false;
 	}
 
@@ -86,6 +101,7 @@
 	void renew(long nowNanos) {
 		this.limits.renew(nowNanos, this.core);
 		this.backoffs.renew(nowNanos, this.core);
+		this.crashes.renew(nowNanos, this.core);
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
@@ -7,6 +7,8 @@
 import org.pistachioline.core.limit.StatedLimit;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
+import org.pistachioline.core.quarantine.SuspectedRequest;
+import org.pistachioline.core.quarantine.TargetCrash;
 import org.pistachioline.core.state.FleetState;
 import org.pistachioline.core.traffic.AttemptEnd;
 import org.pistachioline.core.traffic.AttemptId;
@@ -130,6 +132,22 @@
 	record LimitsTold(List<StatedLimit> stated) implements TrafficMessage {
 	}
 
+	/**
+	 * A target died.
+	 *
+	 * @param crash the target, and what it was running for this daemon
+	 */
+	record TargetCrashed(TargetCrash crash) implements TrafficMessage {
+	}
+
+	/**
+	 * Another daemon told of requests under which targets died.
+	 *
+	 * @param requests the requests
+	 */
+	record SuspectedTold(List<SuspectedRequest> requests) implements TrafficMessage {
+	}
+
 	/**
 	 * The daemon leaves.
 	 */
--- /dev/null
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/peer/CrashCodecTests.java
@@ -0,0 +1,61 @@
+package org.pistachioline.daemon.peer;
+
+import java.util.Collections;
+import java.util.List;
+
+import com.google.protobuf.ByteString;
+import org.junit.jupiter.api.Test;
+
+import org.pistachioline.core.quarantine.DeathPhase;
+import org.pistachioline.core.quarantine.SuspectedRequest;
+import org.pistachioline.core.quarantine.TargetDeath;
+import org.pistachioline.protocol.peer.CrashSuspect;
+import org.pistachioline.protocol.peer.CrashedTarget;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CrashCodecTests {
+
+	private static final long SENDER_NANOS = 5_000_000_000L;
+
+	private static final long RECEIVER_NANOS = -7_000_000_000L;
+
+	private static final String FINGERPRINT = "00ff17";
+
+	private static List<TargetDeath> deaths(long nowNanos) {
+		return List.of(new TargetDeath("i-1@1", nowNanos - 2_000_000_000L, DeathPhase.BEGINNING, false),
+				new TargetDeath("i-2@1", nowNanos, DeathPhase.UNDER_WAY, true));
+	}
+
+	@Test
+	void requestsArriveWithTheAgesOfTheDeathsUnderThem() {
+		final List<SuspectedRequest> told = List.of(new SuspectedRequest(FINGERPRINT, deaths(SENDER_NANOS)));
+		assertThat(CrashCodec.decode(CrashCodec.encode(told, SENDER_NANOS), RECEIVER_NANOS))
+			.containsExactly(new SuspectedRequest(FINGERPRINT, deaths(RECEIVER_NANOS)));
+	}
+
+	/**
+	 * Guards against a broken frame that bars a request.
+	 */
+	@Test
+	void whatCannotBeMeantIsLeftOut() {
+		final CrashSuspect.Builder suspect = CrashSuspect.newBuilder().setFingerprint(ByteString.copyFromUtf8("f"));
+		final List<CrashSuspect> broken = List.of(CrashSuspect.getDefaultInstance(), suspect.build(),
+				suspect.addTargets(CrashedTarget.newBuilder().setTargetId("i-1").setAgeMillis(-1))
+					.addTargets(CrashedTarget.newBuilder().setAgeMillis(1))
+					.build());
+		assertThat(CrashCodec.decode(broken, RECEIVER_NANOS)).flatExtracting(SuspectedRequest::deaths).isEmpty();
+	}
+
+	/**
+	 * Guards against frames that grow with the number of targets that die.
+	 */
+	@Test
+	void aFrameTellsOfABoundedNumberOfRequests() {
+		final List<SuspectedRequest> many = Collections.nCopies(1_000,
+				new SuspectedRequest(FINGERPRINT, Collections.nCopies(100, deaths(0).get(0))));
+		assertThat(CrashCodec.encode(many, SENDER_NANOS)).hasSize(CrashCodec.MAX_REQUESTS)
+			.allMatch((suspect) -> suspect.getTargetsCount() == CrashCodec.MAX_DEATHS);
+	}
+
+}
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -107,7 +107,9 @@
 
 	private RelayExchange exchange() {
 		final RelayTools tools = new RelayTools(Runnable::run, new WebClient(this.loop, 1_000, 1_000, 1), this.dialect,
-				new LiveStreams(), (requestId) -> this.told.add("gone " + requestId), new DeafListener(), this.gate);
+				new LiveStreams(), (requestId) -> this.told.add("gone " + requestId), new DeafListener(), this.gate,
+				new CrashProbe((address, receiver) -> receiver.accept(false),
+						(crash) -> this.told.add("crash " + crash.targetId())));
 		return new RelayExchange(info(), call(), true, tools, new CallerAnswer(new SilentReply(), () -> false));
 	}
 
