Quarantine: while other targets die too, one more must die under a request

Change: while three targets die without it within ten seconds, a fourth must die under a request. Targets that another request explains do not count for that.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/DeathBook.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/DeathBook.java
@@ -38,6 +38,11 @@
 	 */
 	private static final long MEMORY_NANOS = 60 * MINUTE_NANOS;
 
+	/** While so many targets die without a request, one more must die under it. */
+	private static final int OUTAGE_TARGETS = 3;
+
+	private static final long OUTAGE_NANOS = MINUTE_NANOS / 6;
+
 	/** How many requests one heartbeat tells of. */
 	static final int MOST_TOLD = 8;
 
@@ -112,17 +117,36 @@
 	 */
 	void judge(long nowNanos) {
 		this.quarantined.clear();
-		this.requests.forEach((fingerprint, deaths) -> {
+		final List<RequestDeaths> enough = this.requests.values()
+			.stream()
+			.filter((deaths) -> isEnough(deaths.weight(), 0))
+			.toList();
+		if (enough.isEmpty()) {
+			return;
+		}
+		final boolean outage = targetsThatDieWithout(enough, nowNanos) >= OUTAGE_TARGETS;
+		for (final RequestDeaths deaths : enough) {
+			final int more = deaths.doubtful(outage) ? 1 : 0;
 			final boolean recent = deaths.lastDeathAgeNanos(nowNanos) < QUARANTINE_NANOS;
 			final boolean room = this.quarantined.size() < MOST_QUARANTINED;
-			if (recent && room && isEnough(deaths.weight()) && isEnough(deaths.weightBeside(this.requests.values()))) {
-				this.quarantined.add(fingerprint);
+			if (recent && room && isEnough(deaths.weightBeside(this.requests.values()), more)) {
+				this.quarantined.add(deaths.fingerprint());
 			}
-		});
+		}
+	}
+
+	private long targetsThatDieWithout(List<RequestDeaths> explained, long nowNanos) {
+		final Set<String> targetIds = new HashSet<>();
+		this.requests.values()
+			.stream()
+			.filter((deaths) -> deaths.lastDeathAgeNanos(nowNanos) < OUTAGE_NANOS)
+			.forEach((deaths) -> targetIds.addAll(deaths.targetIds()));
+		explained.forEach((deaths) -> targetIds.removeAll(deaths.targetIds()));
+		return targetIds.size();
 	}
 
-	private boolean isEnough(int weight) {
-		return weight >= this.deathsToQuarantine * DeathPhase.BEGINNING.weight();
+	private boolean isEnough(int weight, int moreDeaths) {
+		return weight >= (this.deathsToQuarantine + moreDeaths) * DeathPhase.BEGINNING.weight();
 	}
 
 	private RequestDeaths of(long nowNanos, String fingerprint) {
@@ -158,7 +182,7 @@
 		}
 		this.expiredAtNanos = nowNanos;
 		this.requests.values().removeIf((deaths) -> {
-			final long keptNanos = isEnough(deaths.weight()) ? MEMORY_NANOS : SUSPICION_NANOS;
+			final long keptNanos = isEnough(deaths.weight(), 0) ? MEMORY_NANOS : SUSPICION_NANOS;
 			return deaths.lastDeathAgeNanos(nowNanos) >= keptNanos;
 		});
 		if (!this.quarantined.isEmpty()) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/RequestDeaths.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/RequestDeaths.java
@@ -20,6 +20,10 @@
 
 	private long lastDiedAtNanos;
 
+	private boolean judged;
+
+	private boolean doubtful;
+
 	private int timesTold;
 
 	private long toldAtNanos;
@@ -54,6 +58,7 @@
 	boolean excuse() {
 		final boolean news = weight() > 0;
 		this.byTargetId.replaceAll((targetId, death) -> death.excuse());
+		this.judged = false;
 		return news;
 	}
 
@@ -99,6 +104,10 @@
 		return known >= DeathPhase.BEGINNING.weight();
 	}
 
+	String fingerprint() {
+		return this.fingerprint;
+	}
+
 	Set<String> targetIds() {
 		return Set.copyOf(this.byTargetId.keySet());
 	}
@@ -112,6 +121,20 @@
 		return nowNanos - this.lastDiedAtNanos;
 	}
 
+	/**
+	 * Returns whether targets were dying without the request when enough had died under
+	 * it. What was so then stays so: their deaths are forgotten sooner than this one's.
+	 * @param now whether they are
+	 * @return whether they were
+	 */
+	boolean doubtful(boolean now) {
+		if (!this.judged) {
+			this.judged = true;
+			this.doubtful = now;
+		}
+		return this.doubtful;
+	}
+
 	void renew() {
 		this.timesTold = 0;
 	}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/SharedDeathsTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/SharedDeathsTests.java
@@ -93,6 +93,22 @@
 		}
 	}
 
+	/**
+	 * Guards against a request that met three such deaths by chance, one right after the
+	 * other, and is refused for good.
+	 */
+	@Test
+	void threeDeathsBarNothingWhileOtherTargetsDieWithoutIt() {
+		final CrashWorld world = new CrashWorld(16, 1, TARGETS, SharedDeaths::new);
+		world.traffic(PER_SECOND);
+		world.plainCrashes(0.7);
+		world.popular("popular", 10);
+		for (int second = 0; second < 30; second++) {
+			world.run(1);
+			assertThat(world.daemon(0).core().crashed().quarantined()).isEmpty();
+		}
+	}
+
 	/**
 	 * Guards against callers who are refused for good since connections to targets that
 	 * live on are reset again and again.
