--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -53,7 +53,7 @@
 				"Attempts that were started at targets while they wanted no requests",
 				() -> traffic.backoffs().stream().mapToInt(BackoffReport::attempts).sum());
 		this.metrics.gauge("pistachioline.requests.quarantined",
-				"Requests that are sent nowhere, since targets died under them", traffic::quarantined);
+				"Requests that are sent nowhere, since targets died under them", traffic.crashes()::quarantinedCount);
 		for (final ErrorKind kind : ErrorKind.values()) {
 			this.metrics.counter("pistachioline.requests.failed", "Requests that ended with a failure", kind.code(),
 					() -> traffic.failures().total(kind));
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -32,6 +32,7 @@
 import org.pistachioline.daemon.peer.PeerTransport;
 import org.pistachioline.daemon.relay.Relay;
 import org.pistachioline.daemon.replica.ReplicaDuty;
+import org.pistachioline.daemon.traffic.CrashWatch;
 import org.pistachioline.daemon.traffic.NoClaims;
 import org.pistachioline.daemon.traffic.ShareKeeper;
 import org.pistachioline.daemon.traffic.TraceRecorder;
@@ -155,9 +156,9 @@
 		});
 		this.peers.onLimits(this.traffic::statedLimits, this.traffic::limitsTold);
 		this.peers.onStalled(this.replicas::stalled);
-		this.peers.onSuspected(this.traffic::suspectedSample, this.traffic::suspectedKnown,
-				this.traffic::suspectedTold);
-		this.traffic.onSuspected(this.peers::tellSuspected);
+		final CrashWatch crashes = this.traffic.crashes();
+		this.peers.suspects().bind(crashes::sample, crashes::known, crashes::onTold);
+		crashes.onNews(this.peers::tellSuspects);
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
 		this.parts.all().forEach((part) -> part.rings().forEach(meters::bind));
@@ -360,7 +361,7 @@
 		dump.put("serving_targets", this.replicas.servingCount());
 		dump.put("limited_targets", this.traffic.limits());
 		dump.put("backoff_targets", this.traffic.backoffs());
-		dump.put("crash_suspects", this.traffic.suspected());
+		dump.put("crash_suspects", this.traffic.crashes().reports());
 		dump.put("planned_groups", this.replicas.groups());
 		dump.put("peers", daemons());
 		return dump;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
@@ -27,7 +27,6 @@
 import org.pistachioline.daemon.duty.DutyHandler;
 import org.pistachioline.daemon.duty.Ring;
 import org.pistachioline.daemon.event.Events;
-import org.pistachioline.protocol.peer.CrashNotice;
 import org.pistachioline.protocol.peer.PeerFrame;
 import org.pistachioline.protocol.peer.StallNotice;
 import org.pistachioline.protocol.peer.WorkspaceUse;
@@ -83,12 +82,7 @@
 	private volatile Consumer<List<StatedLimit>> limitReceiver = (told) -> {
 	};
 
-	private volatile Supplier<List<SuspectedRequest>> suspected = List::of;
-
-	private volatile Supplier<List<SuspectedRequest>> suspectedKnown = List::of;
-
-	private volatile Consumer<List<SuspectedRequest>> suspectedReceiver = (told) -> {
-	};
+	private final SuspectExchange suspects = new SuspectExchange();
 
 	private volatile long newestConfigVersion;
 
@@ -271,16 +265,11 @@
 	}
 
 	/**
-	 * Sets what tells and takes the requests under which targets died.
-	 * @param sample some of what this daemon knows, for one heartbeat
-	 * @param known what it tells a daemon that has just started
-	 * @param receiver takes what a peer knows; it must not block
+	 * Returns what is told of requests under which targets died.
+	 * @return what daemons tell each other
 	 */
-	public void onSuspected(Supplier<List<SuspectedRequest>> sample, Supplier<List<SuspectedRequest>> known,
-			Consumer<List<SuspectedRequest>> receiver) {
-		this.suspected = sample;
-		this.suspectedKnown = known;
-		this.suspectedReceiver = receiver;
+	public SuspectExchange suspects() {
+		return this.suspects;
 	}
 
 	/**
@@ -288,25 +277,11 @@
 	 * finds them warned. Heartbeats make up for frames that are lost.
 	 * @param requests the requests
 	 */
-	public void tellSuspected(List<SuspectedRequest> requests) {
-		final PeerFrame frame = crashNotice(requests);
+	public void tellSuspects(List<SuspectedRequest> requests) {
+		final PeerFrame frame = SuspectExchange.notice(requests, System.nanoTime());
 		this.live.get().forEach((peer) -> this.transport.send(peer.peerAddress(), frame));
 	}
 
-	private static PeerFrame crashNotice(List<SuspectedRequest> requests) {
-		return PeerFrame.newBuilder()
-			.setCrashNotice(CrashNotice.newBuilder().addAllSuspects(CrashCodec.encode(requests, System.nanoTime())))
-			.build();
-	}
-
-	// Until it hears, a daemon that has just started runs what all others refuse.
-	private void tellNewcomer(PeerStatus newcomer) {
-		final List<SuspectedRequest> known = this.suspectedKnown.get();
-		if (!known.isEmpty()) {
-			this.transport.send(newcomer.peerAddress(), crashNotice(known));
-		}
-	}
-
 	private void onFrame(PeerFrame frame) {
 		if (frame.hasListingQuestion() || frame.hasListingAnswer()) {
 			this.listingFrames.accept(frame);
@@ -339,8 +314,7 @@
 			return;
 		}
 		if (frame.hasCrashNotice()) {
-			this.suspectedReceiver
-				.accept(CrashCodec.decode(frame.getCrashNotice().getSuspectsList(), System.nanoTime()));
+			this.suspects.take(frame.getCrashNotice().getSuspectsList(), System.nanoTime());
 			return;
 		}
 		if (!frame.hasHeartbeat()) {
@@ -349,7 +323,7 @@
 		final long nowNanos = System.nanoTime();
 		final PeerStatus sender = PeerCodec.decode(frame.getHeartbeat().getSender());
 		if (!this.table.isLive(sender, nowNanos)) {
-			tellNewcomer(sender);
+			this.suspects.greet(nowNanos, (greeting) -> this.transport.send(sender.peerAddress(), greeting));
 		}
 		merge(sender, nowNanos);
 		frame.getHeartbeat().getKnownList().forEach((status) -> merge(PeerCodec.decode(status), nowNanos));
@@ -361,9 +335,7 @@
 		if (frame.getHeartbeat().getTargetLimitsCount() > 0) {
 			this.limitReceiver.accept(LimitCodec.decode(frame.getHeartbeat(), nowNanos));
 		}
-		if (frame.getHeartbeat().getCrashSuspectsCount() > 0) {
-			this.suspectedReceiver.accept(CrashCodec.decode(frame.getHeartbeat().getCrashSuspectsList(), nowNanos));
-		}
+		this.suspects.take(frame.getHeartbeat().getCrashSuspectsList(), nowNanos);
 		// The next tick shows the rest.
 		if (this.table.takeChanged()) {
 			setLive(this.table.live(nowNanos));
@@ -414,7 +386,7 @@
 		final PeerStatus status = this.self.get();
 		final long nowNanos = System.nanoTime();
 		final PeerFrame frame = PeerCodec.heartbeat(status, this.table.sample(nowNanos), this.demand.get(),
-				LimitCodec.encode(this.limits.get(), nowNanos), CrashCodec.encode(this.suspected.get(), nowNanos));
+				LimitCodec.encode(this.limits.get(), nowNanos), this.suspects.forHeartbeat(nowNanos));
 		final Set<String> addresses = new TreeSet<>(this.seeds.get());
 		this.live.get().forEach((peer) -> addresses.add(peer.peerAddress()));
 		addresses.remove(status.peerAddress());
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -50,7 +50,7 @@
 		final WebClient client = new WebClient(this.loop, CONNECT_MILLIS, KEEP_IDLE_MILLIS, MOST_IDLE_PER_TARGET);
 		final RelayTools tools = new RelayTools(this.loop, client, dialect, this.streams, traffic::callerGone,
 				new TargetNews(loads, traffic), new BackoffGate(instances, System::nanoTime),
-				new CrashProbe(client::askWhetherRefused, traffic::targetCrashed));
+				new CrashProbe(client::askWhetherRefused, traffic.crashes()::onCrash));
 		this.handler = new RelayHandler(routes, tools, traffic, leaving);
 		this.callers = new CallerServer(this.loop, address, this.handler, routes);
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
@@ -167,8 +167,8 @@
 		if (kind != ErrorKind.CALLER_GONE) {
 			Events.log(EventId.REQUEST_FAILED, "request", this.call.head().requestId(), "kind", kind.code(), "run",
 					runState.headerValue(), "status", whole ? failed.status() : 0, "name", this.info.name(),
-					"workspace", this.info.workspace(), "attempts", this.attempts, "last_target", this.lastTargetId,
-					"events", this.position.events(), "held_millis",
+					"workspace", this.info.workspace(), "fingerprint", this.info.fingerprint(), "attempts",
+					this.attempts, "last_target", this.lastTargetId, "events", this.position.events(), "held_millis",
 					TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.arrivedAtNanos), "retry_after_millis",
 					retryAfterMillis);
 		}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayStack.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayStack.java
@@ -6,17 +6,12 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
-import org.pistachioline.core.admission.AdmitAll;
-import org.pistachioline.core.placement.ExpectedWaitPlacement;
-import org.pistachioline.core.quarantine.NoQuarantine;
-import org.pistachioline.core.queueing.FairQueue;
+import org.pistachioline.core.quarantine.SharedDeaths;
 import org.pistachioline.core.retry.RetryBudget;
-import org.pistachioline.core.retry.SharedBudgetRetry;
 import org.pistachioline.core.route.RouteTable;
-import org.pistachioline.core.traffic.PromptShift;
+import org.pistachioline.core.traffic.RoutingPolicies;
 import org.pistachioline.core.traffic.TargetView;
 import org.pistachioline.core.traffic.TrafficCore;
-import org.pistachioline.core.traffic.TrafficPolicies;
 import org.pistachioline.daemon.Lifecycle;
 import org.pistachioline.daemon.port.InstanceListener;
 import org.pistachioline.daemon.port.RelayDialect;
@@ -32,7 +27,7 @@
 
 	private static final String SELF = "stack";
 
-	private static final int MOST_QUEUED = 100;
+	private static final int RETRIES_PER_SECOND = 100;
 
 	private static final long HEARTBEAT_MILLIS = 1_000;
 
@@ -53,12 +48,8 @@
 	public RelayStack(ActorSystem<?> system, String callerAddress, RelayDialect dialect, RouteTable table,
 			List<TargetView> targets) {
 		this.targets = List.copyOf(targets);
-		this.traffic = new TrafficDuty(system,
-				new TrafficCore(new TrafficPolicies(new AdmitAll(), new FairQueue(MOST_QUEUED),
-						new ExpectedWaitPlacement("", 1),
-						new SharedBudgetRetry(new RetryBudget(1, MOST_QUEUED, Duration.ofSeconds(1).toNanos()),
-								() -> 1),
-						new NoQuarantine(), new PromptShift())),
+		this.traffic = new TrafficDuty(system, new TrafficCore(RoutingPolicies.create("", 1,
+				new RetryBudget(1, RETRIES_PER_SECOND, Duration.ofSeconds(1).toNanos()), () -> 1, new SharedDeaths())),
 				new NoClaims(), new ShareKeeper(SELF, () -> Set.of(SELF), HEARTBEAT_MILLIS), (suspect, nowMillis) -> {
 					// Nothing crashes these targets.
 				}, new TraceRecorder(false));
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/CrashWatch.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/CrashWatch.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.quarantine.DeathReport;
@@ -15,7 +16,7 @@
 /**
  * Tells the core and other daemons of requests under which targets died, and shows them.
  */
-final class CrashWatch {
+public final class CrashWatch {
 
 	private volatile List<DeathReport> reports = List.of();
 
@@ -28,9 +29,40 @@
 	private volatile Consumer<List<SuspectedRequest>> peers = (news) -> {
 	};
 
+	private final Predicate<TrafficMessage> duty;
+
 	private Set<String> quarantined = Set.of();
 
-	void onNews(Consumer<List<SuspectedRequest>> receiver) {
+	/**
+	 * Creates a watch.
+	 * @param duty takes what other threads tell, unless it has no room
+	 */
+	CrashWatch(Predicate<TrafficMessage> duty) {
+		this.duty = duty;
+	}
+
+	/**
+	 * Takes word that a target has died. Where there is no room it is lost, as the next
+	 * copy of what crashed it makes another.
+	 * @param crash the target, and what it was running for this daemon
+	 */
+	public void onCrash(TargetCrash crash) {
+		this.duty.test(new TrafficMessage.TargetCrashed(crash));
+	}
+
+	/**
+	 * Takes what another daemon told; where there is no room a later heartbeat brings it.
+	 * @param requests the requests under which targets died
+	 */
+	public void onTold(List<SuspectedRequest> requests) {
+		this.duty.test(new TrafficMessage.SuspectedTold(requests));
+	}
+
+	/**
+	 * Sets what tells all other daemons at once; called before the start.
+	 * @param receiver takes the requests; it must not block
+	 */
+	public void onNews(Consumer<List<SuspectedRequest>> receiver) {
 		this.peers = receiver;
 	}
 
@@ -86,7 +118,7 @@
 	 * Returns what the next heartbeat tells; called by the duty that sends heartbeats.
 	 * @return some requests
 	 */
-	List<SuspectedRequest> sample() {
+	public List<SuspectedRequest> sample() {
 		final List<SuspectedRequest> told = this.sample;
 		this.sampled = true;
 		return told;
@@ -96,15 +128,23 @@
 	 * Returns what a daemon is told that has just started.
 	 * @return the requests
 	 */
-	List<SuspectedRequest> known() {
+	public List<SuspectedRequest> known() {
 		return this.known;
 	}
 
-	List<DeathReport> reports() {
+	/**
+	 * Returns the requests under which targets died.
+	 * @return the requests, and which of them are quarantined
+	 */
+	public List<DeathReport> reports() {
 		return this.reports;
 	}
 
-	int quarantinedCount() {
+	/**
+	 * Returns how many requests are quarantined.
+	 * @return the number of requests
+	 */
+	public int quarantinedCount() {
 		return (int) this.reports.stream().filter(DeathReport::quarantined).count();
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetWatch.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetWatch.java
@@ -1,6 +1,7 @@
 package org.pistachioline.daemon.traffic;
 
 import java.util.List;
+import java.util.function.Predicate;
 
 import org.pistachioline.core.limit.StatedLimit;
 import org.pistachioline.core.traffic.TrafficCore;
@@ -17,10 +18,11 @@
 
 	private final BackoffWatch backoffs = new BackoffWatch();
 
-	private final CrashWatch crashes = new CrashWatch();
+	private final CrashWatch crashes;
 
-	TargetWatch(TrafficCore core) {
+	TargetWatch(TrafficCore core, Predicate<TrafficMessage> duty) {
 		this.core = core;
+		this.crashes = new CrashWatch(duty);
 	}
 
 	LimitWatch limits() {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -17,9 +17,6 @@
 import org.pistachioline.core.limit.StatedLimit;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
-import org.pistachioline.core.quarantine.DeathReport;
-import org.pistachioline.core.quarantine.SuspectedRequest;
-import org.pistachioline.core.quarantine.TargetCrash;
 import org.pistachioline.core.state.FleetState;
 import org.pistachioline.core.traffic.AttemptEnd;
 import org.pistachioline.core.traffic.AttemptId;
@@ -84,7 +81,7 @@
 		this.recorder = recorder;
 		this.shares = shares;
 		this.core = core;
-		this.watch = new TargetWatch(core);
+		this.watch = new TargetWatch(core, this::offer);
 		this.duty = new Duty<>(system, "traffic", RING_CAPACITY, TICK, this);
 		this.runner = new ActionRunner(claims, killers, recorder, this, this.duty::put);
 	}
@@ -97,6 +94,10 @@
 		this.runner.onStalled(receiver);
 	}
 
+	private boolean offer(TrafficMessage message) {
+		return this.duty.offer(message);
+	}
+
 	@Override
 	public void start() {
 		this.duty.start();
@@ -240,61 +241,12 @@
 	}
 
 	/**
-	 * Takes word that a target has died.
-	 * @param crash the target, and what it was running for this daemon
-	 */
-	public void targetCrashed(TargetCrash crash) {
-		this.duty.put(new TrafficMessage.TargetCrashed(crash));
-	}
-
-	/**
-	 * Takes what another daemon told of requests under which targets died; where the ring
-	 * is full a later beat brings it.
-	 * @param requests the requests
-	 */
-	public void suspectedTold(List<SuspectedRequest> requests) {
-		this.duty.offer(new TrafficMessage.SuspectedTold(requests));
-	}
-
-	/**
-	 * Sets what tells all other daemons of requests under which targets died; called
-	 * before the start.
-	 * @param receiver takes the requests; it must not block
-	 */
-	public void onSuspected(Consumer<List<SuspectedRequest>> receiver) {
-		this.watch.crashes().onNews(receiver);
-	}
-
-	/**
-	 * Returns what the next heartbeat is to tell of requests under which targets died.
-	 * @return some requests
-	 */
-	public List<SuspectedRequest> suspectedSample() {
-		return this.watch.crashes().sample();
-	}
-
-	/**
-	 * Returns what a daemon is to be told that has just started.
-	 * @return the requests under which targets died
-	 */
-	public List<SuspectedRequest> suspectedKnown() {
-		return this.watch.crashes().known();
-	}
-
-	/**
-	 * Returns the requests under which targets died.
-	 * @return the requests, and which of them are quarantined
-	 */
-	public List<DeathReport> suspected() {
-		return this.watch.crashes().reports();
-	}
-
-	/**
-	 * Returns how many requests are quarantined.
-	 * @return the number of requests
+	 * Returns what is known of targets that died, and of the requests under which they
+	 * did.
+	 * @return the watch, which any thread may tell
 	 */
-	public int quarantined() {
-		return this.watch.crashes().quarantinedCount();
+	public CrashWatch crashes() {
+		return this.watch.crashes();
 	}
 
 	/**
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/peer/PeerSuspectsTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/peer/PeerSuspectsTests.java
@@ -70,11 +70,11 @@
 	@Test
 	void aDaemonThatStartsIsToldByTheFirstThatItGreets() throws InterruptedException {
 		final PeerDuty first = daemon("first", List.of());
-		first.onSuspected(List::of, () -> KNOWN, (told) -> {
+		first.suspects().bind(List::of, () -> KNOWN, (told) -> {
 		});
 		first.start();
 		final PeerDuty second = daemon("second", List.of(first.localAddress()));
-		second.onSuspected(List::of, List::of, this.heard::add);
+		second.suspects().bind(List::of, List::of, this.heard::add);
 		second.start();
 		assertHeard();
 	}
@@ -82,10 +82,10 @@
 	@Test
 	void aHeartbeatTellsWhatANoticeDidNot() throws InterruptedException {
 		final PeerDuty second = daemon("second", List.of());
-		second.onSuspected(List::of, List::of, this.heard::add);
+		second.suspects().bind(List::of, List::of, this.heard::add);
 		second.start();
 		final PeerDuty first = daemon("first", List.of(second.localAddress()));
-		first.onSuspected(() -> KNOWN, List::of, (told) -> {
+		first.suspects().bind(() -> KNOWN, List::of, (told) -> {
 		});
 		first.start();
 		assertHeard();
