Listing: who doubts that an entry has gone tells nothing after its last sight of it

A daemon looked at the whole list while entries may have lapsed, kept one that was missing, and told others up to the place of that look. Another had started shortly before and had never seen the entry; its knowledge was whole from an earlier place on, so it told the others the rest, and no drop. They kept the entry for good. Change: a doubt from a look at the whole list begins where the daemon last knew all, and nothing after that is told until it is settled. A test of the class is red without this. While such a doubt lasts (2.3 s after an outage) those who ask are told the same news again.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/listing/InstanceListing.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/listing/InstanceListing.java
@@ -48,7 +48,7 @@
 
 	private final Map<String, InstanceRecord.Dropped> dropped = new LinkedHashMap<>();
 
-	private final Map<String, InstanceRecord.Dropped> lapsing = new HashMap<>();
+	private final Map<String, Lapse> lapsing = new HashMap<>();
 
 	private final Map<String, Doubt> doubts = new HashMap<>();
 
@@ -196,7 +196,7 @@
 		}
 		else if (found instanceof InstanceRecord.Dropped gone) {
 			if (unsettled && isNews(gone)) {
-				this.lapsing.put(gone.key(), gone);
+				lapse(gone, renews);
 			}
 			else {
 				drop(gone);
@@ -207,6 +207,14 @@
 		}
 	}
 
+	// A look at the whole list does not tell when the entry went: others may have seen it
+	// gone at any place since this daemon last knew all.
+	private void lapse(InstanceRecord.Dropped gone, boolean missing) {
+		final Lapse before = this.lapsing.get(gone.key());
+		final long since = missing ? this.nextOffset : gone.offset();
+		this.lapsing.put(gone.key(), new Lapse(gone, (before != null) ? Math.min(before.sinceOffset(), since) : since));
+	}
+
 	// A live instance writes again within a heartbeat. Taken out for what another writer
 	// put in its place, it would break its group for nothing.
 	private boolean isNews(InstanceRecord found) {
@@ -225,7 +233,8 @@
 			return;
 		}
 		final boolean inDoubt = this.lapsing.containsKey(entry.key()) || this.doubts.containsKey(entry.key());
-		this.lapsing.computeIfPresent(entry.key(), (key, lapse) -> (lapse.offset() < entry.offset()) ? null : lapse);
+		this.lapsing.computeIfPresent(entry.key(),
+				(key, lapse) -> (lapse.gone().offset() < entry.offset()) ? null : lapse);
 		this.doubts.computeIfPresent(entry.key(), (key, doubt) -> (doubt.offset() < entry.offset()) ? null : doubt);
 		final boolean same = before != null && entry.sameAs(before);
 		// The late word of a life that is over is no news, nor is a heartbeat.
@@ -272,7 +281,7 @@
 	 */
 	void settle(long nowNanos, boolean unsettled) {
 		if (!unsettled && !this.lapsing.isEmpty()) {
-			List.copyOf(this.lapsing.values()).forEach(this::drop);
+			List.copyOf(this.lapsing.values()).forEach((lapse) -> drop(lapse.gone()));
 			this.lapsing.clear();
 		}
 		if (!this.doubts.isEmpty()) {
@@ -321,8 +330,8 @@
 	// must not pass them before.
 	private long certainOffset() {
 		long offset = this.nextOffset;
-		for (final InstanceRecord.Dropped lapse : this.lapsing.values()) {
-			offset = Math.min(offset, lapse.offset());
+		for (final Lapse lapse : this.lapsing.values()) {
+			offset = Math.min(offset, lapse.sinceOffset());
 		}
 		for (final Doubt doubt : this.doubts.values()) {
 			offset = Math.min(offset, doubt.offset());
@@ -361,6 +370,16 @@
 			.toList();
 	}
 
+	/**
+	 * The entry of an instance that may live has lapsed.
+	 *
+	 * @param gone the drop, once it is certain
+	 * @param sinceOffset the first offset at which it may have gone
+	 */
+	private record Lapse(InstanceRecord.Dropped gone, long sinceOffset) {
+
+	}
+
 	/**
 	 * A record that names no instance stands in an instance's place.
 	 *
--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/InstanceListingTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/InstanceListingTests.java
@@ -83,6 +83,26 @@
 		assertThat(teller.since(120).orElseThrow().records()).containsExactly(listed("i-1", 145));
 	}
 
+	/**
+	 * Guards against an entry that one daemon still doubts has gone, and that another
+	 * never saw: told the rest by that one, a third would keep it for good.
+	 */
+	@Test
+	void whoDoubtsThatAnEntryHasGoneTellsNothingAfterItsLastSight() {
+		final InstanceListing doubting = listedUpTo(100);
+		doubting.takeRead(0, 0, new ListingChange(100, 120, List.of(listed("i-1", 110))), false);
+		doubting.takeWhole(0, 0, new ListingChange(160, 160, List.of()), true);
+		final InstanceListing started = new InstanceListing();
+		started.takeWhole(0, 0, new ListingChange(140, 140, List.of()), false);
+		started.takeRead(0, 0, new ListingChange(140, 170, List.of()), false);
+		final InstanceListing third = listedUpTo(100);
+		third.takeRead(0, 0, new ListingChange(100, 120, List.of(listed("i-1", 110))), false);
+		third.takeTold(0, 0, doubting.since(120).orElseThrow());
+		third.takeTold(0, 0, started.since(third.nextOffset()).orElseThrow());
+		assertThat(third.instances()).isEmpty();
+		assertThat(third.nextOffset()).isEqualTo(170);
+	}
+
 	/**
 	 * Guards against a whole list that is older than what its reader knows.
 	 */
--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingNodeTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingNodeTests.java
@@ -4,7 +4,6 @@
 import java.util.Random;
 import java.util.stream.IntStream;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -196,7 +195,6 @@
 	 * and daemons start meanwhile.
 	 */
 	@ParameterizedTest
-	@Tag("known-red")
 	@ValueSource(longs = { 1176, 1199 })
 	void moreTroubleBesideCopiesLeavesNoListWrong(long seed) {
 		assertTroubleBesideCopiesLeavesNoListWrong(seed);
