Traffic: a barred request whose stream stands still is not moved to another target

Callers' targets saw: a request that was barred while it ran went on to the next target when its own stood still, or was held back. Cause: a move and an attempt that was withheld start the next attempt without asking whether the request is barred; new, waiting and failed ones did ask. Evidence: the random histories, run with the policies of a daemon that relays by routes for the first time: a barred request is sent, at one of the first histories. Change: whatever starts an attempt or waits for one passes Dispatcher.startOrWait, which asks. The histories check it at each start.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Dispatcher.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Dispatcher.java
@@ -59,8 +59,7 @@
 	}
 
 	private void dispatch(long nowNanos, Flight flight) {
-		if (this.policies.killer().isQuarantined(flight.info.fingerprint())) {
-			this.flights.end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
+		if (endIfQuarantined(nowNanos, flight)) {
 			return;
 		}
 		if (flight.info.claim().isNeeded() && flight.claimOffset < 0) {
@@ -71,12 +70,23 @@
 		startOrWait(nowNanos, flight);
 	}
 
+	private boolean endIfQuarantined(long nowNanos, Flight flight) {
+		final boolean quarantined = this.policies.killer().isQuarantined(flight.info.fingerprint());
+		if (quarantined) {
+			this.flights.end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
+		}
+		return quarantined;
+	}
+
 	/**
 	 * Starts a request's next attempt, or lets it wait for a target before the queue.
 	 * @param nowNanos the monotonic time
 	 * @param flight the request
 	 */
 	void startOrWait(long nowNanos, Flight flight) {
+		if (endIfQuarantined(nowNanos, flight)) {
+			return;
+		}
 		final boolean mayStart = nowNanos - flight.notBeforeNanos >= 0;
 		final Optional<TargetLoad> chosen = mayStart ? this.chooser.choose(nowNanos, flight) : Optional.empty();
 		if (chosen.isPresent()) {
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficHistory.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficHistory.java
@@ -41,8 +41,11 @@
 	long nowNanos;
 
 	TrafficHistory(KillerPolicy killer) {
-		this.core = new TrafficCore(new TrafficPolicies(new AdmitAll(), new FifoQueue(100), new LeastInFlight(),
-				new BudgetedRetry(), killer));
+		this(new TrafficPolicies(new AdmitAll(), new FifoQueue(100), new LeastInFlight(), new BudgetedRetry(), killer));
+	}
+
+	TrafficHistory(TrafficPolicies policies) {
+		this.core = new TrafficCore(policies);
 	}
 
 	static TargetView model(String targetId, boolean serving) {
@@ -58,8 +61,26 @@
 		final RequestInfo info = new RequestInfo(requestId, "w", kind, (kind == TargetKind.MODEL) ? "m" : "s", 1, 100,
 				0, this.nowNanos + 60_000_000_000L, this.nowNanos + 120_000_000_000L, !keyed, claim, fingerprint,
 				List.of());
+		return arrive(info);
+	}
+
+	/**
+	 * Lets a request arrive that needs no claim, whether it may be sent again or not.
+	 * @param requestId its id
+	 * @param kind where it goes
+	 * @param fingerprint its fingerprint
+	 * @param idempotent whether it may be sent again
+	 * @return the request
+	 */
+	Request arriveUnclaimed(long requestId, TargetKind kind, String fingerprint, boolean idempotent) {
+		return arrive(new RequestInfo(requestId, "w", kind, (kind == TargetKind.MODEL) ? "m" : "s", 1, 100, 0,
+				this.nowNanos + 60_000_000_000L, this.nowNanos + 120_000_000_000L, idempotent, ClaimNeed.NONE,
+				fingerprint, List.of(), 3, this.nowNanos + 1_000_000_000L));
+	}
+
+	private Request arrive(RequestInfo info) {
 		final Request request = new Request(info);
-		this.requests.put(requestId, request);
+		this.requests.put(info.requestId(), request);
 		carryOut(this.core.onRequest(this.nowNanos, info));
 		return request;
 	}
@@ -138,7 +159,7 @@
 		else if (action instanceof TrafficAction.Suspect suspect) {
 			this.reports.add(suspect);
 		}
-		else {
+		else if (!(action instanceof TrafficAction.Stalled)) {
 			finish(request, action);
 		}
 	}
@@ -149,8 +170,12 @@
 		assertThat(start.resumeFromTokens()).as("no token lost or doubled").isEqualTo(request.delivered);
 		if (!request.info.idempotent()) {
 			assertThat(request.mayHaveRun).as("never sent again").isZero();
+		}
+		if (request.info.claim().isNeeded()) {
 			assertThat(this.heldClaims).containsKey(request.info.requestId());
 		}
+		assertThat(this.core.crashed().quarantined()).as("nothing that is barred is sent")
+			.doesNotContain(request.info.fingerprint());
 		request.mayHaveRun++;
 		request.live = start.attempt();
 		this.live.put(start.attempt(), new Attempt(start.attempt(), start.target().targetId(), request));
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficHistoryTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficHistoryTests.java
@@ -3,12 +3,20 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 
 import org.pistachioline.core.quarantine.DeathCounter;
+import org.pistachioline.core.quarantine.DeathPhase;
+import org.pistachioline.core.quarantine.SharedDeaths;
+import org.pistachioline.core.quarantine.SuspectedRequest;
+import org.pistachioline.core.quarantine.TargetCrash;
+import org.pistachioline.core.quarantine.TargetDeath;
+import org.pistachioline.core.retry.RetryBudget;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -45,6 +53,66 @@
 		assertThat(history.heldClaims.keySet()).allMatch((requestId) -> history.requests.get(requestId).mayHaveRun > 0);
 	}
 
+	/**
+	 * Guards against the same with the policies of a daemon that relays by routes: a
+	 * booking that is sent twice or ran after a refusal, a request that is sent though it
+	 * is barred, and one that never ends.
+	 */
+	@Property(seed = "7202", tries = 400, shrinking = ShrinkingMode.OFF)
+	void whateverHappensEachRelayedRequestEndsOnceAndTruthfully(@ForAll long seed) {
+		final Random random = new Random(seed);
+		final TrafficHistory history = new TrafficHistory(RoutingPolicies.create("a", seed,
+				new RetryBudget(0.2, 100, 10_000_000_000L), () -> 2, new SharedDeaths()));
+		views(history, random);
+		for (int step = 0; step < STEPS; step++) {
+			relayedStep(history, random);
+		}
+		history.nowNanos += 500_000_000_000L;
+		history.pass(1);
+		assertThat(history.requests.values()).allMatch((request) -> request.ended);
+		assertThat(history.core.held()).isZero();
+		assertThat(history.core.queued()).isZero();
+	}
+
+	private void relayedStep(TrafficHistory history, Random random) {
+		switch (random.nextInt(12)) {
+			case 0, 1,
+					2 ->
+				history.arriveUnclaimed(this.nextRequestId++,
+						random.nextBoolean() ? TargetKind.MODEL : TargetKind.SERVICE, "f" + random.nextInt(12),
+						random.nextInt(3) > 0);
+			case 3, 4 -> answer(history, random);
+			case 5 -> history.pass(random.nextInt(4_000));
+			case 6 -> views(history, random);
+			case 7 -> told(history, random);
+			case 8 -> history.carryOut(history.core.onCallerGone(history.nowNanos, 1 + random.nextLong(10)));
+			case 9 -> late(history, random);
+			case 10 -> crash(history, random);
+			default -> ended(history, random);
+		}
+	}
+
+	private static void crash(TrafficHistory history, Random random) {
+		final String targetId = random.nextBoolean() ? "g" + random.nextInt(3) + "@1" : "s" + random.nextInt(3);
+		final Set<String> ran = history.live.values()
+			.stream()
+			.filter((attempt) -> attempt.targetId.equals(targetId))
+			.map((attempt) -> attempt.request.info.fingerprint())
+			.collect(Collectors.toSet());
+		history.dies(targetId);
+		history.core.crashed()
+			.hear(history.nowNanos, new TargetCrash(targetId + "-" + history.nowNanos, ran, Set.of()));
+		history.pass(1);
+	}
+
+	private static void told(TrafficHistory history, Random random) {
+		final TargetDeath death = new TargetDeath("elsewhere-" + random.nextInt(20), history.nowNanos,
+				random.nextBoolean() ? DeathPhase.BEGINNING : DeathPhase.UNDER_WAY, random.nextInt(4) == 0);
+		history.core.crashed()
+			.hearFromPeer(history.nowNanos, List.of(new SuspectedRequest("f" + random.nextInt(12), List.of(death))));
+		history.pass(1);
+	}
+
 	private void step(TrafficHistory history, Random random) {
 		switch (random.nextInt(12)) {
 			case 0, 1, 2 -> arrive(history, random);
