--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -18,6 +18,8 @@
 import org.pistachioline.adapters.web.WebLoop;
 import org.pistachioline.adapters.web.WebReply;
 import org.pistachioline.adapters.web.WebRequest;
+import org.pistachioline.core.error.ErrorKind;
+import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.core.traffic.AttemptEnd;
 import org.pistachioline.core.traffic.AttemptId;
@@ -46,6 +48,8 @@
 
 	private final List<String> told = new ArrayList<>();
 
+	private final List<WebAnswer> answers = new ArrayList<>();
+
 	private final FixedDialect dialect = new FixedDialect();
 
 	private final BackoffGate gate = new BackoffGate(new DeafListener(), () -> NOW_NANOS);
@@ -105,12 +109,25 @@
 		assertThat(this.dialect.written).isZero();
 	}
 
+	/**
+	 * Guards against a status that promises that a request has not run where it may have:
+	 * its caller would send a booking again.
+	 */
+	@Test
+	void aRequestThatMayHaveRunIsNotRefusedAsNotRun() {
+		exchange().fail(ErrorKind.NO_CAPACITY, RunState.UNKNOWN, 1_000);
+		exchange().fail(ErrorKind.NO_CAPACITY, RunState.NOT_RUN, 1_000);
+		exchange().fail(ErrorKind.QUARANTINED, RunState.UNKNOWN, 0);
+		assertThat(this.answers).extracting(WebAnswer::status).containsExactly(502, 503, 422);
+		assertThat(this.answers.get(0).head().header("Retry-After")).isEmpty();
+	}
+
 	private RelayExchange exchange() {
 		final RelayTools tools = new RelayTools(Runnable::run, new WebClient(this.loop, 1_000, 1_000, 1), this.dialect,
 				new LiveStreams(), (requestId) -> this.told.add("gone " + requestId), new DeafListener(), this.gate,
 				new CrashProbe((address, receiver) -> receiver.accept(false),
 						(crash) -> this.told.add("crash " + crash.targetId())));
-		return new RelayExchange(info(), call(), true, tools, new CallerAnswer(new SilentReply(), () -> false));
+		return new RelayExchange(info(), call(), true, tools, new CallerAnswer(new KeptReply(), () -> false));
 	}
 
 	private static RequestInfo info() {
@@ -204,11 +221,11 @@
 
 	}
 
-	private static final class SilentReply implements WebReply {
+	private final class KeptReply implements WebReply {
 
 		@Override
 		public void whole(WebAnswer answer) {
-			// Nobody reads it.
+			RelayExchangeTests.this.answers.add(answer);
 		}
 
 		@Override
