Quarantine: excused deaths leave room for later ones

Cause: a request holds eight deaths; eight that were excused, as of a popular request that outlives its targets, filled it, and no later one counted. Change: the oldest excused death goes first. Figures: a test of the class, red before.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/RequestDeaths.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/RequestDeaths.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -39,7 +40,7 @@
 	 */
 	boolean add(TargetDeath death) {
 		final TargetDeath known = this.byTargetId.get(death.targetId());
-		if (known == null && this.byTargetId.size() >= MOST_DEATHS) {
+		if (known == null && this.byTargetId.size() >= MOST_DEATHS && !forgetExcused()) {
 			return false;
 		}
 		if (this.byTargetId.isEmpty() || death.diedAtNanos() - this.lastDiedAtNanos > 0) {
@@ -51,6 +52,17 @@
 		return known == null || known.phase() != merged.phase() || known.excused() != merged.excused();
 	}
 
+	// A popular request outlives many targets, and may begin to crash them all the same.
+	private boolean forgetExcused() {
+		final Optional<String> excused = this.byTargetId.values()
+			.stream()
+			.filter(TargetDeath::excused)
+			.map(TargetDeath::targetId)
+			.findFirst();
+		excused.ifPresent(this.byTargetId::remove);
+		return excused.isPresent();
+	}
+
 	/**
 	 * Excuses all deaths, as the request has run to its end.
 	 * @return whether any death was held against it
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/DeathBookTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/DeathBookTests.java
@@ -56,6 +56,20 @@
 		assertThat(this.book.isQuarantined("a")).isFalse();
 	}
 
+	/**
+	 * Guards against a popular request that has outlived many targets, and is never
+	 * barred when it begins to crash them.
+	 */
+	@Test
+	void excusedDeathsLeaveRoomForLaterOnes() {
+		for (int i = 0; i < 20; i++) {
+			dies(0, "a", "before-" + i, DeathPhase.BEGINNING);
+			this.book.excuse("a");
+		}
+		condemn(0, "a");
+		assertThat(this.book.isQuarantined("a")).isTrue();
+	}
+
 	/**
 	 * Guards against a request that is barred since it ran beside one that crashes
 	 * targets three times.
