Traffic: what is shown of dead targets is made anew twice a second, not with each tick

Cause: reports and greetings were made with each tick, and each heartbeat that told of suspects cost a tick of the core. Change: they are made when a request is barred, a target dies or half a second has passed; word from others is followed by a tick only where it bars a request.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/CrashWatch.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/CrashWatch.java
@@ -18,6 +18,9 @@
  */
 public final class CrashWatch {
 
+	/** How old may be what operators and daemons that start are shown. */
+	private static final long SHOWN_NANOS = 500_000_000L;
+
 	private volatile List<DeathReport> reports = List.of();
 
 	private volatile List<SuspectedRequest> sample = List.of();
@@ -33,6 +36,8 @@
 
 	private Set<String> quarantined = Set.of();
 
+	private long shownAtNanos = System.nanoTime();
+
 	/**
 	 * Creates a watch.
 	 * @param duty takes what other threads tell, unless it has no room
@@ -66,29 +71,50 @@
 		this.peers = receiver;
 	}
 
-	void hear(long nowNanos, TargetCrash crash, TrafficCore core) {
+	/**
+	 * Tells the core of a target that has died.
+	 * @param nowNanos the monotonic time
+	 * @param crash the target
+	 * @param core the core
+	 * @return whether a request is quarantined since
+	 */
+	boolean hear(long nowNanos, TargetCrash crash, TrafficCore core) {
 		Events.log(EventId.TARGET_DIED, "target", crash.targetId(), "beginning", crash.beginning().size(), "under_way",
 				crash.underWay().size());
-		core.crashed().hear(nowNanos, crash);
-		renew(nowNanos, core);
+		final boolean news = !core.crashed().hear(nowNanos, crash).isEmpty();
+		show(nowNanos, core);
+		tell(nowNanos, core);
+		return news;
 	}
 
-	void hearFromPeer(long nowNanos, List<SuspectedRequest> told, TrafficCore core) {
-		core.crashed().hearFromPeer(nowNanos, told);
-		renew(nowNanos, core);
+	/**
+	 * Tells the core what another daemon told.
+	 * @param nowNanos the monotonic time
+	 * @param told the requests under which targets died
+	 * @param core the core
+	 * @return whether a request is quarantined since
+	 */
+	boolean hearFromPeer(long nowNanos, List<SuspectedRequest> told, TrafficCore core) {
+		final boolean news = !core.crashed().hearFromPeer(nowNanos, told).isEmpty();
+		if (news) {
+			show(nowNanos, core);
+		}
+		return news;
 	}
 
 	/**
-	 * Shows what the core knows now, and tells the other daemons what they do not.
+	 * Lets time pass.
 	 * @param nowNanos the monotonic time
 	 * @param core the core
 	 */
 	void renew(long nowNanos, TrafficCore core) {
-		this.reports = core.crashed().reports(nowNanos);
-		this.known = core.crashed().known();
-		final Set<String> now = core.crashed().quarantined();
-		logChange(now);
-		this.quarantined = now;
+		tell(nowNanos, core);
+		if (nowNanos - this.shownAtNanos >= SHOWN_NANOS) {
+			show(nowNanos, core);
+		}
+	}
+
+	private void tell(long nowNanos, TrafficCore core) {
 		final List<SuspectedRequest> news = core.crashed().takeNews(nowNanos);
 		if (!news.isEmpty()) {
 			this.peers.accept(news);
@@ -99,6 +125,15 @@
 		}
 	}
 
+	private void show(long nowNanos, TrafficCore core) {
+		this.shownAtNanos = nowNanos;
+		this.reports = core.crashed().reports(nowNanos);
+		this.known = core.crashed().known();
+		final Set<String> now = core.crashed().quarantined();
+		logChange(now);
+		this.quarantined = now;
+	}
+
 	private void logChange(Set<String> now) {
 		if (now.equals(this.quarantined)) {
 			return;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetWatch.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetWatch.java
@@ -57,12 +57,10 @@
 			return onLeaving(nowNanos, heard.instanceId());
 		}
 		if (message instanceof TrafficMessage.TargetCrashed crashed) {
-			this.crashes.hear(nowNanos, crashed.crash(), this.core);
-			return true;
+			return this.crashes.hear(nowNanos, crashed.crash(), this.core);
 		}
 		if (message instanceof TrafficMessage.SuspectedTold told) {
-			this.crashes.hearFromPeer(nowNanos, told.requests(), this.core);
-			return true;
+			return this.crashes.hearFromPeer(nowNanos, told.requests(), this.core);
 		}
 		return false;
 	}
