Tests: racks that go bar nothing, and addresses that refuse

Cause: read as a newcomer: what asks whether a target is dead had no test of its own, and a rack that goes none in the worlds.

--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/WebClientTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/WebClientTests.java
@@ -46,6 +46,23 @@
 		this.loop.close();
 	}
 
+	@Test
+	void anAddressAtWhichSomethingListensRefusesNothing() {
+		assertThat(askWhetherRefused(this.target.getLocalPort())).isFalse();
+	}
+
+	@Test
+	void anAddressAtWhichNothingListensAnyMoreRefuses() throws IOException {
+		this.target.close();
+		assertThat(askWhetherRefused(this.target.getLocalPort())).isTrue();
+	}
+
+	private boolean askWhetherRefused(int port) {
+		final CompletableFuture<Boolean> refused = new CompletableFuture<>();
+		this.loop.execute(() -> this.client.askWhetherRefused("127.0.0.1:" + port, refused::complete));
+		return refused.join();
+	}
+
 	@Test
 	void aConnectionIsUsedAgainAfterAWholeAnswer() throws IOException {
 		final CompletableFuture<WebAnswer> first = call(false);
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/CrashedTargets.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/CrashedTargets.java
@@ -50,14 +50,14 @@
 	}
 
 	// A copy whose target has given nothing yet may still be on its way there, or wait in
-	// its queue: cut off, it does not crash it.
+	// its queue: cut off, it does not crash it. One that is being answered may end well.
 	private Set<String> endQuarantined(long nowNanos, Set<String> before) {
 		final Set<String> added = new HashSet<>(this.killer.quarantined());
 		added.removeAll(before);
 		if (!added.isEmpty()) {
 			for (final Flight flight : this.flights.all()) {
-				final boolean harmless = flight.liveAttempt != null && flight.attemptRan;
-				if (added.contains(flight.info.fingerprint()) && !harmless) {
+				final boolean answering = flight.liveAttempt != null && flight.attemptRan;
+				if (added.contains(flight.info.fingerprint()) && !answering) {
 					this.flights.end(nowNanos, flight, ErrorKind.QUARANTINED, 0);
 				}
 			}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashWorld.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashWorld.java
@@ -203,6 +203,15 @@
 		});
 	}
 
+	/**
+	 * Lets several targets die in the same moment.
+	 * @param first the first of them
+	 * @param count how many
+	 */
+	void rackGoes(int first, int count) {
+		this.targets.subList(first, first + count).forEach(CrashWorldTarget::crash);
+	}
+
 	private long gapNanos(double perSecond) {
 		return (long) (-Math.log(1 - this.random.nextDouble()) / perSecond * SECOND_NANOS);
 	}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/SharedDeathsTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/SharedDeathsTests.java
@@ -93,6 +93,24 @@
 		}
 	}
 
+	/**
+	 * Guards against callers who are refused for good since rack after rack went under
+	 * their requests.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 8, 95 })
+	void racksThatGoBarNoRequest(int daemons) {
+		for (long seed = 1; seed <= SEEDS; seed++) {
+			final CrashWorld world = world(seed, daemons);
+			for (int rack = 0; rack < 4; rack++) {
+				world.rackGoes(10 * rack, 10);
+				world.run(0.2);
+			}
+			world.run(5);
+			assertThat(world.barredInnocents).as("seed " + seed).isEmpty();
+		}
+	}
+
 	/**
 	 * Guards against a request that met three such deaths by chance, one right after the
 	 * other, and is refused for good.
