--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorld.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitWorld.java
@@ -3,13 +3,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalDouble;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
 
 import org.pistachioline.core.traffic.TargetKind;
 import org.pistachioline.core.traffic.TargetView;
+import org.pistachioline.core.world.VirtualTime;
 
 /**
  * Daemons before the same targets, some of which name a limit or turn requests away, in
@@ -20,7 +20,7 @@
  */
 final class LimitWorld {
 
-	static final long SECOND_NANOS = 1_000_000_000L;
+	static final long SECOND_NANOS = VirtualTime.SECOND_NANOS;
 
 	static final long MILLI_NANOS = 1_000_000L;
 
@@ -68,11 +68,7 @@
 
 	private final List<LimitWorldDaemon> daemons = new ArrayList<>();
 
-	private final PriorityQueue<Event> events = new PriorityQueue<>();
-
-	private long nowNanos = SECOND_NANOS;
-
-	private long sequence;
+	private final VirtualTime time = new VirtualTime();
 
 	LimitWorld(long seed, int daemonCount, int targetCount, TargetKind kind) {
 		this.random = new Random(seed);
@@ -83,9 +79,9 @@
 		for (int i = 0; i < daemonCount; i++) {
 			this.daemons.add(new LimitWorldDaemon(this, "daemon-" + i));
 		}
-		every(TICK_NANOS, () -> this.daemons.forEach(LimitWorldDaemon::tick));
-		every(HEARTBEAT_NANOS, this::tell);
-		every(LIVE_NANOS, () -> this.daemons.forEach((daemon) -> daemon.live(liveIds())));
+		this.time.every(TICK_NANOS, () -> this.daemons.forEach(LimitWorldDaemon::tick));
+		this.time.every(HEARTBEAT_NANOS, this::tell);
+		this.time.every(LIVE_NANOS, () -> this.daemons.forEach((daemon) -> daemon.live(liveIds())));
 	}
 
 	private void tell() {
@@ -130,13 +126,13 @@
 	private Set<String> liveIds() {
 		final Set<String> ids = new TreeSet<>();
 		this.daemons.stream()
-			.filter((daemon) -> daemon.running() || this.nowNanos - daemon.stoppedAtNanos() < LOST_NANOS)
+			.filter((daemon) -> daemon.running() || this.time.nowNanos() - daemon.stoppedAtNanos() < LOST_NANOS)
 			.forEach((daemon) -> ids.add(daemon.id()));
 		return ids;
 	}
 
 	long nowNanos() {
-		return this.nowNanos;
+		return this.time.nowNanos();
 	}
 
 	/**
@@ -155,24 +151,11 @@
 	}
 
 	void after(long nanos, Runnable what) {
-		this.events.add(new Event(this.nowNanos + nanos, this.sequence++, what));
-	}
-
-	private void every(long nanos, Runnable what) {
-		after(nanos, () -> {
-			what.run();
-			every(nanos, what);
-		});
+		this.time.after(nanos, what);
 	}
 
 	void run(double seconds) {
-		final long untilNanos = this.nowNanos + (long) (seconds * SECOND_NANOS);
-		while (!this.events.isEmpty() && this.events.peek().atNanos() <= untilNanos) {
-			final Event next = this.events.poll();
-			this.nowNanos = next.atNanos();
-			next.what().run();
-		}
-		this.nowNanos = untilNanos;
+		this.time.run(seconds);
 	}
 
 	/**
@@ -183,7 +166,7 @@
 	void limit(int index, OptionalDouble requestsPerSecond) {
 		final LimitedEngine engine = engine(index);
 		engine.limit = requestsPerSecond;
-		engine.namedAtNanos = this.nowNanos;
+		engine.namedAtNanos = this.time.nowNanos();
 		engine.arrivals.clear();
 		engine.got = 0;
 		this.daemons.forEach((daemon) -> daemon.toldAtNanos.remove(engine.id));
@@ -220,15 +203,16 @@
 	 */
 	void askForRest(LimitWorldDaemon from, LimitedEngine engine) {
 		engine.rests.computeIfAbsent(from.id(), (id) -> new ArrayList<>())
-			.add(new LimitedEngine.AskedRest(this.nowNanos + TOLD_NANOS, this.nowNanos + engine.restNanos));
+			.add(new LimitedEngine.AskedRest(this.time.nowNanos() + TOLD_NANOS,
+					this.time.nowNanos() + engine.restNanos));
 	}
 
 	private void noteInRest(LimitWorldDaemon from, LimitedEngine engine) {
 		for (final LimitedEngine.AskedRest rest : engine.rests.getOrDefault(from.id(), List.of())) {
-			final boolean within = this.nowNanos >= rest.fromNanos && this.nowNanos < rest.untilNanos;
+			final boolean within = this.time.nowNanos() >= rest.fromNanos && this.time.nowNanos() < rest.untilNanos;
 			rest.got += within ? 1 : 0;
 			if (within && rest.got > ALLOWED_IN_REST) {
-				this.violations.add(this.nowNanos / MILLI_NANOS + " ms: " + engine.id + " asked " + from.id()
+				this.violations.add(this.time.nowNanos() / MILLI_NANOS + " ms: " + engine.id + " asked " + from.id()
 						+ " for rest and got " + rest.got);
 			}
 		}
@@ -236,8 +220,9 @@
 
 	private void noteLeft(LimitWorldDaemon from, LimitedEngine engine) {
 		final Long toldAtNanos = engine.leavingToldNanos.get(from.id());
-		if (toldAtNanos != null && this.nowNanos - toldAtNanos > LEAVING_NANOS) {
-			this.violations.add(this.nowNanos / MILLI_NANOS + " ms: " + engine.id + " has left for " + from.id());
+		if (toldAtNanos != null && this.time.nowNanos() - toldAtNanos > LEAVING_NANOS) {
+			this.violations
+				.add(this.time.nowNanos() / MILLI_NANOS + " ms: " + engine.id + " has left for " + from.id());
 		}
 	}
 
@@ -246,30 +231,20 @@
 		noteInRest(from, engine);
 		noteLeft(from, engine);
 		final Long toldAtNanos = from.toldAtNanos.get(engine.id);
-		if (engine.limit.isEmpty() || toldAtNanos == null || this.nowNanos - toldAtNanos < TOLD_NANOS) {
+		if (engine.limit.isEmpty() || toldAtNanos == null || this.time.nowNanos() - toldAtNanos < TOLD_NANOS) {
 			return;
 		}
-		engine.arrivals.addLast(this.nowNanos);
-		while (this.nowNanos - engine.arrivals.peekFirst() > WINDOW_NANOS) {
+		engine.arrivals.addLast(this.time.nowNanos());
+		while (this.time.nowNanos() - engine.arrivals.peekFirst() > WINDOW_NANOS) {
 			engine.arrivals.removeFirst();
 		}
 		final double perWindow = engine.limit.getAsDouble() * WINDOW_NANOS / SECOND_NANOS;
 		final double allowed = ALLOWED_RATIO * perWindow + ALLOWED_BURST;
-		if (this.nowNanos - engine.namedAtNanos >= SPREAD_NANOS && engine.arrivals.size() > allowed) {
+		if (this.time.nowNanos() - engine.namedAtNanos >= SPREAD_NANOS && engine.arrivals.size() > allowed) {
 			this.violations
-				.add(this.nowNanos / MILLI_NANOS + " ms: " + engine.id + " named " + engine.limit.getAsDouble()
+				.add(this.time.nowNanos() / MILLI_NANOS + " ms: " + engine.id + " named " + engine.limit.getAsDouble()
 						+ " a second and got " + engine.arrivals.size() + ", allowed " + allowed);
 		}
 	}
 
-	private record Event(long atNanos, long order, Runnable what) implements Comparable<Event> {
-
-		@Override
-		public int compareTo(Event other) {
-			final int byTime = Long.compare(this.atNanos, other.atNanos);
-			return (byTime != 0) ? byTime : Long.compare(this.order, other.order);
-		}
-
-	}
-
 }
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashWorld.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashWorld.java
@@ -5,13 +5,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Supplier;
 
 import org.pistachioline.core.traffic.TargetView;
+import org.pistachioline.core.world.VirtualTime;
 
 /**
  * Daemons before the same targets in virtual time, and requests that crash each target
@@ -21,7 +21,7 @@
  */
 final class CrashWorld {
 
-	static final long SECOND_NANOS = 1_000_000_000L;
+	static final long SECOND_NANOS = VirtualTime.SECOND_NANOS;
 
 	static final long MILLI_NANOS = 1_000_000L;
 
@@ -73,11 +73,7 @@
 
 	private final Map<String, Integer> lateArrivals = new HashMap<>();
 
-	private final PriorityQueue<Event> events = new PriorityQueue<>();
-
-	private long nowNanos = SECOND_NANOS;
-
-	private long sequence;
+	private final VirtualTime time = new VirtualTime();
 
 	CrashWorld(long seed, int daemonCount, int targetCount, Supplier<KillerPolicy> policy) {
 		this.random = new Random(seed);
@@ -88,8 +84,8 @@
 		for (int i = 0; i < daemonCount; i++) {
 			this.daemons.add(new CrashWorldDaemon(this, "daemon-" + i));
 		}
-		every(TICK_NANOS, () -> this.daemons.forEach(CrashWorldDaemon::tick));
-		every(HEARTBEAT_NANOS, () -> this.daemons.forEach(this::heartbeat));
+		this.time.every(TICK_NANOS, () -> this.daemons.forEach(CrashWorldDaemon::tick));
+		this.time.every(HEARTBEAT_NANOS, () -> this.daemons.forEach(this::heartbeat));
 	}
 
 	KillerPolicy policy() {
@@ -143,7 +139,7 @@
 	}
 
 	long nowNanos() {
-		return this.nowNanos;
+		return this.time.nowNanos();
 	}
 
 	/**
@@ -178,12 +174,12 @@
 	 * @param seconds for how long
 	 */
 	void killer(String name, double perSecond, int copies, double seconds) {
-		killerUntil(KILLER + name, perSecond, copies, this.nowNanos + (long) (seconds * SECOND_NANOS));
+		killerUntil(KILLER + name, perSecond, copies, this.time.nowNanos() + (long) (seconds * SECOND_NANOS));
 	}
 
 	private void killerUntil(String fingerprint, double perSecond, int copies, long untilNanos) {
 		after(gapNanos(perSecond), () -> {
-			if (this.nowNanos < untilNanos) {
+			if (this.time.nowNanos() < untilNanos) {
 				for (int i = 0; i < copies; i++) {
 					arrive(fingerprint, 0);
 				}
@@ -231,13 +227,14 @@
 	void onDeath(String fingerprint) {
 		final int known = this.deaths.merge(fingerprint, 1, Integer::sum);
 		if (known == KNOWN_DEATHS) {
-			this.thirdDeathNanos.put(fingerprint, this.nowNanos);
+			this.thirdDeathNanos.put(fingerprint, this.time.nowNanos());
 		}
 	}
 
 	void onArrival(CrashWorldDaemon from, String fingerprint) {
 		final Long thirdNanos = this.thirdDeathNanos.get(fingerprint);
-		if (thirdNanos != null && this.nowNanos - thirdNanos > SPREAD_NANOS && from.uptimeNanos() > SPREAD_NANOS) {
+		if (thirdNanos != null && this.time.nowNanos() - thirdNanos > SPREAD_NANOS
+				&& from.uptimeNanos() > SPREAD_NANOS) {
 			this.lateArrivals.merge(fingerprint, 1, Integer::sum);
 		}
 	}
@@ -262,38 +259,15 @@
 	}
 
 	void after(long nanos, Runnable what) {
-		this.events.add(new Event(this.nowNanos + nanos, this.sequence++, what));
+		this.time.after(nanos, what);
 	}
 
 	void unlist(Runnable what) {
 		after(LISTED_NANOS, what);
 	}
 
-	private void every(long nanos, Runnable what) {
-		after(nanos, () -> {
-			what.run();
-			every(nanos, what);
-		});
-	}
-
 	void run(double seconds) {
-		final long untilNanos = this.nowNanos + (long) (seconds * SECOND_NANOS);
-		while (!this.events.isEmpty() && this.events.peek().atNanos() <= untilNanos) {
-			final Event next = this.events.poll();
-			this.nowNanos = next.atNanos();
-			next.what().run();
-		}
-		this.nowNanos = untilNanos;
-	}
-
-	private record Event(long atNanos, long order, Runnable what) implements Comparable<Event> {
-
-		@Override
-		public int compareTo(Event other) {
-			final int byTime = Long.compare(this.atNanos, other.atNanos);
-			return (byTime != 0) ? byTime : Long.compare(this.order, other.order);
-		}
-
+		this.time.run(seconds);
 	}
 
 }
