Listing: a daemon holds the list at its offset, and tells nothing beyond it

An answer of a daemon in doubt told records that lie beyond the offset up to which it told all; whoever took it held pieces of a later list. A daemon that looked at the store after such a piece had gone never saw it, so it told the rest without a drop. Change: doubt is no part of what is known. A drop is known and told at once, and the instance is used on while it may live (DoubtfulInstances); answers name the drops that their teller doubts (doubted_keys). Nothing is withheld, nothing told ahead, and a look at the whole list replaces what was known. Why it works: two daemons at one offset hold the same list, so a change from there is the same whoever tells it. Four tests of the class, one of the codec.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/listing/InstanceListing.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/listing/InstanceListing.java
@@ -1,6 +1,7 @@
 package org.pistachioline.core.listing;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,29 +11,28 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 
+import org.pistachioline.core.listing.DoubtfulInstances.Cause;
 import org.pistachioline.core.replica.ServingInstance;
 
 /**
  * The platform's list of instances as far as this daemon knows it, whether it read it or
  * was told by another daemon.
  * <p>
- * Both ways may be mixed, and what is told may come late or twice: a record counts only
- * if its offset is higher than that of what is known of its key, so nothing goes back.
- * <p>
- * An instance that the platform dropped is kept for a moment where it may live all the
- * same: while the platform's store is away, entries lapse that their instances could not
- * renew, and a stranger's record may stand in an entry's place. What this daemon tells
- * others ends before such an instance's record, so that they hear of the drop once it is
- * certain.
+ * Two things hold at any time, whoever told what in which order:
+ * <ul>
+ * <li>What is held as listed is the platform's list at {@link #nextOffset()}, no more and
+ * no less, so any two daemons at one offset hold the same.</li>
+ * <li>What is told from one offset to another turns the list at the first into the list
+ * at the second; nothing is told that lies beyond.</li>
+ * </ul>
+ * An instance that the list shows no more and that may live all the same is used on for a
+ * moment ({@link DoubtfulInstances}). That it is in doubt is told beside the drop, and
+ * changes neither of the two.
  */
 final class InstanceListing {
 
-	private static final long NANOS_PER_MILLI = 1_000_000;
-
-	/** Three heartbeats: by then an instance has written again, or is taken for gone. */
-	private static final long DOUBT_NANOS = 3_600 * NANOS_PER_MILLI;
-
 	/**
 	 * How many drops are remembered for daemons that were told nothing for a while; some
 	 * minutes' worth where ten instances die every three seconds.
@@ -48,9 +48,9 @@
 
 	private final Map<String, InstanceRecord.Dropped> dropped = new LinkedHashMap<>();
 
-	private final Map<String, Lapse> lapsing = new HashMap<>();
+	private final DoubtfulInstances doubtful = new DoubtfulInstances();
 
-	private final Map<String, Doubt> doubts = new HashMap<>();
+	private final SeenHistory seen = new SeenHistory();
 
 	private boolean known;
 
@@ -58,16 +58,15 @@
 
 	private long changedOffset;
 
-	private long completeFrom;
-
-	private long gapStart;
-
-	private long gapEnd;
+	/** A look at the whole list may show records that were written while it went on. */
+	private long aheadOffset;
 
 	private long freshAtNanos;
 
 	private boolean changed;
 
+	private boolean settled;
+
 	/**
 	 * Returns whether the list is known at all.
 	 * @return whether it is
@@ -76,6 +75,14 @@
 		return this.known;
 	}
 
+	/**
+	 * Returns whether others can be told what is known.
+	 * @return whether all that is known lies before the first offset that is not
+	 */
+	boolean tellable() {
+		return this.known && this.aheadOffset <= this.nextOffset;
+	}
+
 	/**
 	 * Returns the first offset that is not known.
 	 * @return the offset
@@ -104,28 +111,51 @@
 		if (this.known && whole.fromOffset() < this.nextOffset) {
 			return;
 		}
-		final Set<String> found = new HashSet<>();
-		whole.records().forEach((each) -> found.add(each.key()));
-		final List<InstanceRecord.Listed> missing = this.listed.values()
-			.stream()
-			.filter((each) -> !found.contains(each.key()) && each.offset() < whole.fromOffset())
-			.toList();
-		missing.forEach((each) -> take(nowNanos, new InstanceRecord.Dropped(each.key(), whole.fromOffset() - 1),
-				unsettled, true));
-		whole.records().forEach((each) -> take(nowNanos, each, unsettled, true));
-		noteGap(whole.fromOffset());
+		replace(nowNanos, whole, (key) -> lapsed(unsettled));
+		whole.records().forEach((each) -> this.aheadOffset = Math.max(this.aheadOffset, each.offset() + 1));
 		advance(whole.nextOffset(), askedAtNanos);
 	}
 
-	// What came and went between two looks was never seen here, nor by whoever was told
-	// of
-	// them by a daemon that looked. A daemon that knows the list up to some offset
-	// between
-	// the two may have seen it come, and would keep it for ever if it were told the rest.
-	private void noteGap(long offset) {
-		this.completeFrom = this.known ? Math.max(this.completeFrom, this.gapEnd) : offset;
-		this.gapStart = this.nextOffset;
-		this.gapEnd = offset;
+	private static Optional<Cause> lapsed(boolean unsettled) {
+		return unsettled ? Optional.of(Cause.LAPSED) : Optional.empty();
+	}
+
+	// What a whole list shows goes before all that was known, so one look settles
+	// whatever was wrong here.
+	private void replace(long nowNanos, ListingChange whole, Function<String, Optional<Cause>> doubtOf) {
+		final long offset = whole.nextOffset();
+		final Map<String, InstanceRecord.Listed> found = new HashMap<>();
+		final Set<String> overwritten = new HashSet<>();
+		for (final InstanceRecord each : whole.records()) {
+			if (each instanceof InstanceRecord.Listed entry) {
+				found.put(entry.key(), entry);
+			}
+			else {
+				overwritten.add(each.key());
+			}
+		}
+		final Set<String> missing = new HashSet<>(this.listed.keySet());
+		missing.addAll(this.doubtful.keys());
+		missing.removeAll(found.keySet());
+		missing.forEach((key) -> vanish(nowNanos, new InstanceRecord.Dropped(key, offset - 1),
+				overwritten.contains(key) ? Optional.of(Cause.OVERWRITTEN) : doubtOf.apply(key)));
+		found.values().forEach((entry) -> list(renewed(entry, offset), true));
+		if (this.known) {
+			this.seen.noteGap(this.nextOffset, offset);
+		}
+		else {
+			this.seen.beginAt(offset);
+		}
+	}
+
+	// An entry that lies before what was known and is new all the same was missed here,
+	// and whoever was told by this daemon misses it, too.
+	private InstanceRecord.Listed renewed(InstanceRecord.Listed entry, long offset) {
+		final InstanceRecord.Listed before = this.listed.get(entry.key());
+		final boolean missed = this.known && entry.offset() < this.nextOffset
+				&& (before == null || !entry.sameAs(before));
+		return missed ? new InstanceRecord.Listed(entry.key(), offset - 1, entry.bornMillis(), entry.instance())
+				: entry;
 	}
 
 	/**
@@ -136,20 +166,28 @@
 	 * @param unsettled whether entries may have lapsed though their instances live
 	 */
 	void takeRead(long nowNanos, long askedAtNanos, ListingChange change, boolean unsettled) {
-		if (change.fromOffset() <= this.nextOffset) {
-			takeNew(nowNanos, change, unsettled, false);
-			advance(change.nextOffset(), askedAtNanos);
+		if (change.fromOffset() > this.nextOffset) {
+			return;
 		}
+		for (final InstanceRecord each : newIn(change)) {
+			if (each instanceof InstanceRecord.Listed entry) {
+				list(entry, false);
+			}
+			else if (each instanceof InstanceRecord.Dropped gone) {
+				vanish(nowNanos, gone, lapsed(unsettled));
+			}
+			else if (this.listed.containsKey(each.key())) {
+				vanish(nowNanos, new InstanceRecord.Dropped(each.key(), each.offset()), Optional.of(Cause.OVERWRITTEN));
+			}
+		}
+		advance(change.nextOffset(), askedAtNanos);
 	}
 
 	// All that lies before the next offset is known, drops included: what is told of it
 	// again may be of an instance that was dropped since and is forgotten here.
-	private void takeNew(long nowNanos, ListingChange change, boolean unsettled, boolean renews) {
+	private List<InstanceRecord> newIn(ListingChange change) {
 		final long before = this.known ? this.nextOffset : 0;
-		change.records()
-			.stream()
-			.filter((each) -> each.offset() >= before)
-			.forEach((each) -> take(nowNanos, each, unsettled, renews));
+		return change.records().stream().filter((each) -> each.offset() >= before).toList();
 	}
 
 	/**
@@ -159,72 +197,61 @@
 	 * @param change what was told
 	 */
 	void takeTold(long nowNanos, long askedAtNanos, ListingChange change) {
-		if (this.known && change.fromOffset() == 0) {
-			takeWhole(nowNanos, askedAtNanos,
-					new ListingChange(change.nextOffset(), change.nextOffset(), change.records()), false);
+		if (!joins(change)) {
 			return;
 		}
-		// What was asked for later than the start is not the whole list.
-		if ((!this.known && change.fromOffset() != 0) || change.fromOffset() > this.nextOffset) {
-			return;
+		if (change.fromOffset() == 0) {
+			replace(nowNanos, change, (key) -> toldDoubt(change, key));
 		}
-		// What came and went in a gap is missing in what was told. This daemon may have
-		// read of its coming since it asked.
-		if (this.known && change.fromOffset() < this.nextOffset && this.nextOffset < change.gapEnd()) {
-			return;
-		}
-		if (!this.known) {
-			this.completeFrom = change.nextOffset();
-		}
-		else if (change.gapEnd() > this.nextOffset) {
-			noteGap(change.gapEnd());
+		else {
+			if (change.gapEnd() > this.nextOffset) {
+				this.seen.noteGap(this.nextOffset, change.gapEnd());
+			}
+			newIn(change).forEach((each) -> takeToldRecord(nowNanos, change, each));
 		}
-		takeNew(nowNanos, change, false, true);
+		noteSettled(this.doubtful.settleTold(change));
 		advance(change.nextOffset(), askedAtNanos);
 	}
 
-	private void advance(long offset, long askedAtNanos) {
-		this.changed |= !this.known;
-		this.freshAtNanos = this.known ? Math.max(this.freshAtNanos, askedAtNanos) : askedAtNanos;
-		this.known = true;
-		this.nextOffset = Math.max(this.nextOffset, offset);
-	}
-
-	private void take(long nowNanos, InstanceRecord found, boolean unsettled, boolean renews) {
+	private void takeToldRecord(long nowNanos, ListingChange change, InstanceRecord found) {
 		if (found instanceof InstanceRecord.Listed entry) {
-			list(entry, renews);
+			list(entry, true);
 		}
 		else if (found instanceof InstanceRecord.Dropped gone) {
-			if (unsettled && isNews(gone)) {
-				lapse(gone, renews);
-			}
-			else {
-				drop(gone);
-			}
-		}
-		else if (isNews(found)) {
-			this.doubts.putIfAbsent(found.key(), new Doubt(found.offset(), nowNanos));
+			vanish(nowNanos, gone, toldDoubt(change, gone.key()));
 		}
 	}
 
-	// A look at the whole list does not tell when the entry went: others may have seen it
-	// gone at any place since this daemon last knew all.
-	private void lapse(InstanceRecord.Dropped gone, boolean missing) {
-		final Lapse before = this.lapsing.get(gone.key());
-		final long since = missing ? this.nextOffset : gone.offset();
-		this.lapsing.put(gone.key(), new Lapse(gone, (before != null) ? Math.min(before.sinceOffset(), since) : since));
+	private static Optional<Cause> toldDoubt(ListingChange change, String key) {
+		return change.doubtedKeys().contains(key) ? Optional.of(Cause.TOLD) : Optional.empty();
 	}
 
-	// A live instance writes again within a heartbeat. Taken out for what another writer
-	// put in its place, it would break its group for nothing.
-	private boolean isNews(InstanceRecord found) {
-		final InstanceRecord.Listed before = this.listed.get(found.key());
-		return before != null && found.offset() > before.offset();
+	private void noteSettled(boolean any) {
+		this.settled |= any;
+		this.changed |= any;
+	}
+
+	// What was asked for later than the start is not the whole list, and what came and
+	// went in a gap is missing in what was told: this daemon may have read of its coming
+	// since it asked.
+	private boolean joins(ListingChange change) {
+		if (change.fromOffset() == 0) {
+			return !this.known || change.nextOffset() >= this.nextOffset;
+		}
+		final boolean acrossGap = change.gapEnd() > this.nextOffset;
+		final boolean readOn = change.fromOffset() < this.nextOffset || !tellable();
+		return this.known && change.fromOffset() <= this.nextOffset && !(acrossGap && readOn);
+	}
+
+	private void advance(long offset, long askedAtNanos) {
+		this.changed |= !this.known;
+		this.freshAtNanos = this.known ? Math.max(this.freshAtNanos, askedAtNanos) : askedAtNanos;
+		this.known = true;
+		this.nextOffset = Math.max(this.nextOffset, offset);
 	}
 
 	// What was not seen written may have come anew since others were told of it. Its
-	// place
-	// is renewed, though it says what is known, so that they hear of it again.
+	// place is renewed, though it says what is known, so that they hear of it again.
 	private void list(InstanceRecord.Listed entry, boolean renews) {
 		final InstanceRecord.Listed before = this.listed.get(entry.key());
 		final InstanceRecord.Dropped gone = this.dropped.get(entry.key());
@@ -232,34 +259,40 @@
 				|| (gone != null && entry.offset() <= gone.offset())) {
 			return;
 		}
-		final boolean inDoubt = this.lapsing.containsKey(entry.key()) || this.doubts.containsKey(entry.key());
-		this.lapsing.computeIfPresent(entry.key(),
-				(key, lapse) -> (lapse.gone().offset() < entry.offset()) ? null : lapse);
-		this.doubts.computeIfPresent(entry.key(), (key, doubt) -> (doubt.offset() < entry.offset()) ? null : doubt);
+		final Optional<InstanceRecord.Listed> used = used(entry.key());
 		final boolean same = before != null && entry.sameAs(before);
 		// The late word of a life that is over is no news, nor is a heartbeat.
-		if ((before != null && entry.bornMillis() < before.bornMillis()) || (same && !renews && !inDoubt)) {
+		if ((before != null && entry.bornMillis() < before.bornMillis()) || (same && !renews)) {
 			return;
 		}
+		noteSettled(this.doubtful.end(entry.key()));
 		this.listed.put(entry.key(), entry);
 		this.dropped.remove(entry.key());
-		this.changed |= !same;
+		this.changed |= used.isEmpty() || !entry.sameAs(used.get());
 		this.changedOffset = Math.max(this.changedOffset, entry.offset());
 	}
 
+	private Optional<InstanceRecord.Listed> used(String key) {
+		return Optional.ofNullable(this.listed.get(key)).or(() -> this.doubtful.entry(key));
+	}
+
 	// A drop is remembered even where its instance was never heard of here: what is told
 	// leaves out the coming of an instance that has gone, but others may have heard of
 	// it.
-	private void drop(InstanceRecord.Dropped gone) {
+	private void vanish(long nowNanos, InstanceRecord.Dropped gone, Optional<Cause> cause) {
 		final InstanceRecord.Listed before = this.listed.get(gone.key());
 		final InstanceRecord.Dropped earlier = this.dropped.get(gone.key());
 		if ((before != null && gone.offset() <= before.offset())
 				|| (earlier != null && gone.offset() <= earlier.offset())) {
 			return;
 		}
+		if (cause.isEmpty()) {
+			noteSettled(this.doubtful.end(gone.key()));
+		}
+		else if (before != null) {
+			this.doubtful.keep(nowNanos, before, gone.offset(), cause.get());
+		}
 		this.changed |= this.listed.remove(gone.key()) != null;
-		this.lapsing.remove(gone.key());
-		this.doubts.remove(gone.key());
 		this.dropped.remove(gone.key());
 		this.dropped.put(gone.key(), gone);
 		this.changedOffset = Math.max(this.changedOffset, gone.offset());
@@ -269,7 +302,7 @@
 	private void forgetOldDrops() {
 		final Iterator<InstanceRecord.Dropped> oldest = this.dropped.values().iterator();
 		while (this.dropped.size() > MOST_DROPPED) {
-			this.completeFrom = Math.max(this.completeFrom, oldest.next().offset() + 1);
+			this.seen.noteForgotten(oldest.next().offset());
 			oldest.remove();
 		}
 	}
@@ -280,16 +313,7 @@
 	 * @param unsettled whether entries may have lapsed though their instances live
 	 */
 	void settle(long nowNanos, boolean unsettled) {
-		if (!unsettled && !this.lapsing.isEmpty()) {
-			List.copyOf(this.lapsing.values()).forEach((lapse) -> drop(lapse.gone()));
-			this.lapsing.clear();
-		}
-		if (!this.doubts.isEmpty()) {
-			final Map<String, Doubt> old = new HashMap<>(this.doubts);
-			old.values().removeIf((doubt) -> nowNanos - doubt.sinceNanos() < DOUBT_NANOS);
-			old.forEach((key, doubt) -> drop(new InstanceRecord.Dropped(key, doubt.offset())));
-			this.doubts.keySet().removeAll(old.keySet());
-		}
+		noteSettled(this.doubtful.settle(nowNanos, unsettled));
 	}
 
 	/**
@@ -299,44 +323,38 @@
 	 * forgotten here; empty where that is too long to tell
 	 */
 	Optional<ListingChange> since(long fromOffset) {
-		final boolean inGap = fromOffset > this.gapStart && fromOffset < this.gapEnd;
 		if (!this.known) {
 			return Optional.empty();
 		}
-		if (inGap || (fromOffset > 0 && fromOffset < this.completeFrom)) {
+		if (fromOffset > 0 && !this.seen.covers(fromOffset)) {
 			return since(0);
 		}
-		final long nextToTell = Math.max(fromOffset, certainOffset());
-		if (fromOffset > this.changedOffset) {
-			return Optional.of(new ListingChange(fromOffset, nextToTell, this.gapEnd, List.of()));
-		}
-		final List<InstanceRecord> news = new ArrayList<>();
-		this.listed.values().stream().filter((each) -> each.offset() >= fromOffset).forEach(news::add);
-		if (fromOffset > 0) {
-			this.dropped.values().stream().filter((each) -> each.offset() >= fromOffset).forEach(news::add);
-		}
+		final List<InstanceRecord> news = newsSince(fromOffset);
 		if (news.size() <= MOST_TOLD) {
-			return Optional.of(new ListingChange(fromOffset, nextToTell, this.gapEnd, news));
+			return Optional.of(told(fromOffset, Math.max(fromOffset, this.nextOffset), news));
 		}
 		if (fromOffset == 0) {
 			return Optional.empty();
 		}
 		news.sort(BY_OFFSET);
 		final List<InstanceRecord> first = news.subList(0, MOST_TOLD);
-		return Optional.of(new ListingChange(fromOffset, first.get(MOST_TOLD - 1).offset() + 1, this.gapEnd, first));
+		return Optional.of(told(fromOffset, first.get(MOST_TOLD - 1).offset() + 1, first));
 	}
 
-	// Drops that are in doubt are told, if ever, when they are certain; so the offset
-	// must not pass them before.
-	private long certainOffset() {
-		long offset = this.nextOffset;
-		for (final Lapse lapse : this.lapsing.values()) {
-			offset = Math.min(offset, lapse.sinceOffset());
+	private List<InstanceRecord> newsSince(long fromOffset) {
+		final List<InstanceRecord> news = new ArrayList<>();
+		if (fromOffset > this.changedOffset) {
+			return news;
 		}
-		for (final Doubt doubt : this.doubts.values()) {
-			offset = Math.min(offset, doubt.offset());
+		this.listed.values().stream().filter((each) -> each.offset() >= fromOffset).forEach(news::add);
+		if (fromOffset > 0) {
+			this.dropped.values().stream().filter((each) -> each.offset() >= fromOffset).forEach(news::add);
 		}
-		return offset;
+		return news;
+	}
+
+	private ListingChange told(long fromOffset, long toOffset, List<InstanceRecord> news) {
+		return new ListingChange(fromOffset, toOffset, this.seen.gapEnd(), news, this.doubtful.keys());
 	}
 
 	/**
@@ -348,6 +366,16 @@
 		return this.known && fromOffset <= this.changedOffset;
 	}
 
+	/**
+	 * Returns whether a doubt that others share has ended since this was last asked.
+	 * @return whether one has
+	 */
+	boolean takeSettled() {
+		final boolean was = this.settled;
+		this.settled = false;
+		return was;
+	}
+
 	/**
 	 * Returns whether the list has changed since this was last asked.
 	 * @return whether it has
@@ -359,35 +387,16 @@
 	}
 
 	/**
-	 * Returns all listed instances.
+	 * Returns all instances that are listed, or may live though they are not.
 	 * @return the instances, by id
 	 */
 	List<ServingInstance> instances() {
-		return this.listed.values()
-			.stream()
+		final Collection<InstanceRecord.Listed> entries = new ArrayList<>(this.listed.values());
+		entries.addAll(this.doubtful.entries());
+		return entries.stream()
 			.map(InstanceRecord.Listed::instance)
 			.sorted(Comparator.comparing(ServingInstance::id))
 			.toList();
 	}
 
-	/**
-	 * The entry of an instance that may live has lapsed.
-	 *
-	 * @param gone the drop, once it is certain
-	 * @param sinceOffset the first offset at which it may have gone
-	 */
-	private record Lapse(InstanceRecord.Dropped gone, long sinceOffset) {
-
-	}
-
-	/**
-	 * A record that names no instance stands in an instance's place.
-	 *
-	 * @param offset the offset of the first such record
-	 * @param sinceNanos when it was read, by the monotonic clock
-	 */
-	private record Doubt(long offset, long sinceNanos) {
-
-	}
-
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/listing/ListingNode.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/listing/ListingNode.java
@@ -293,17 +293,18 @@
 	}
 
 	private void answerKept(long nowNanos) {
+		final boolean settled = this.listing.takeSettled();
 		final Iterator<Kept> waiting = this.kept.values().iterator();
 		while (waiting.hasNext()) {
 			final Kept each = waiting.next();
 			final long keptNanos = nowNanos - each.sinceNanos();
-			if (!this.listing.known()) {
+			if (!this.listing.tellable()) {
 				// Others may know it; the asker goes to them when this one is silent.
 				if (keptNanos >= ANSWER_NANOS) {
 					waiting.remove();
 				}
 			}
-			else if (keptNanos >= KEPT_NANOS || this.listing.hasNewsSince(each.question().fromOffset())) {
+			else if (settled || keptNanos >= KEPT_NANOS || this.listing.hasNewsSince(each.question().fromOffset())) {
 				waiting.remove();
 				final Optional<ListingChange> change = this.listing.since(each.question().fromOffset());
 				this.actions.add(new ListingAction.Answer(each.question().askerId(), new ListingAnswer(this.selfId,
--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/InstanceListingTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/InstanceListingTests.java
@@ -103,6 +103,87 @@
 		assertThat(third.nextOffset()).isEqualTo(170);
 	}
 
+	/**
+	 * Guards against an entry that one daemon told ahead of the offset up to which it
+	 * told all, and that another never saw: told the rest by that one, a third would keep
+	 * it for good.
+	 */
+	@Test
+	void nothingIsToldThatLiesBeyondTheOffsetUpToWhichAllIsTold() {
+		final InstanceListing doubting = listedUpTo(100);
+		doubting.takeRead(0, 0, new ListingChange(100, 120, List.of(listed("i-1", 110))), false);
+		doubting.takeWhole(0, 0, new ListingChange(160, 160, List.of(listed("i-2", 150))), true);
+		final InstanceListing third = listedUpTo(100);
+		third.takeRead(0, 0, new ListingChange(100, 120, List.of(listed("i-1", 110))), false);
+		final InstanceListing looked = listedUpTo(100);
+		looked.takeRead(0, 0, new ListingChange(100, 120, List.of(listed("i-1", 110))), false);
+		looked.takeWhole(0, 0, new ListingChange(170, 170, List.of()), false);
+		third.takeTold(0, 0, doubting.since(120).orElseThrow());
+		third.takeTold(0, 0, looked.since(third.nextOffset()).orElseThrow());
+		assertThat(third.instances()).isEmpty();
+		assertThat(third.nextOffset()).isEqualTo(170);
+	}
+
+	/**
+	 * Guards against an instance whose entry lapsed while the platform's store was away,
+	 * and that daemons which were told of the drop would take out, though it writes again
+	 * a moment later.
+	 */
+	@Test
+	void whoIsToldOfADropInDoubtKeepsTheInstanceUntilTheDoubtEnds() {
+		final InstanceListing doubting = listedUpTo(100);
+		doubting.takeRead(0, 0, new ListingChange(100, 120, List.of(listed("i-1", 110))), false);
+		doubting.takeRead(0, 0, new ListingChange(120, 130, List.of(new InstanceRecord.Dropped("i-1", 125))), true);
+		final InstanceListing told = listedUpTo(100);
+		told.takeRead(0, 0, new ListingChange(100, 120, List.of(listed("i-1", 110))), false);
+		told.takeTold(0, 0, doubting.since(120).orElseThrow());
+		told.takeRead(0, 0, new ListingChange(130, 131, List.of(listed("i-2", 130))), false);
+		told.takeTold(0, 0, doubting.since(130).orElseThrow());
+		told.settle(0, false);
+		assertThat(told.instances()).extracting(ServingInstance::id).containsExactly("i-1", "i-2");
+		doubting.settle(0, false);
+		assertThat(doubting.takeSettled()).isTrue();
+		told.takeTold(0, 0, doubting.since(131).orElseThrow());
+		assertThat(told.instances()).extracting(ServingInstance::id).containsExactly("i-2");
+		assertThat(told.takeSettled()).isTrue();
+	}
+
+	/**
+	 * Guards against a look at the whole list that takes a while: what was written while
+	 * it went on lies ahead of what it stands for. Told on, it would be kept for good by
+	 * whoever hears of its drop from nobody.
+	 */
+	@Test
+	void whoSawRecordsAheadOfItsOffsetTellsNothingUntilItHasReadOn() {
+		final InstanceListing looked = new InstanceListing();
+		looked.takeWhole(0, 0, new ListingChange(140, 140, List.of(listed("i-1", 143))), false);
+		assertThat(looked.known()).isTrue();
+		assertThat(looked.tellable()).isFalse();
+		final InstanceListing gap = listedUpTo(140);
+		gap.takeWhole(0, 0, new ListingChange(150, 150, List.of()), false);
+		looked.takeTold(0, 0, gap.since(140).orElseThrow());
+		assertThat(looked.nextOffset()).isEqualTo(140);
+		looked.takeRead(0, 0,
+				new ListingChange(140, 150, List.of(listed("i-1", 143), new InstanceRecord.Dropped("i-1", 145))),
+				false);
+		assertThat(looked.tellable()).isTrue();
+		assertThat(looked.instances()).isEmpty();
+	}
+
+	/**
+	 * Guards against a daemon that holds a wrong list after it has looked at the store.
+	 */
+	@Test
+	void aLookAtTheWholeListSettlesWhateverWasWrong() {
+		final InstanceListing wrong = listedUpTo(100);
+		wrong.takeRead(0, 0, new ListingChange(100, 130, List.of(listed("i-1", 110))), false);
+		wrong.takeWhole(0, 0, new ListingChange(140, 140, List.of(listed("i-2", 115))), false);
+		assertThat(wrong.instances()).extracting(ServingInstance::id).containsExactly("i-2");
+		assertThat(wrong.since(135).orElseThrow().fromOffset()).isZero();
+		assertThat(wrong.since(130).orElseThrow().records()).containsExactlyInAnyOrder(listed("i-2", 139),
+				new InstanceRecord.Dropped("i-1", 139));
+	}
+
 	/**
 	 * Guards against a whole list that is older than what its reader knows.
 	 */
--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingNodeTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingNodeTests.java
@@ -195,7 +195,7 @@
 	 * and daemons start meanwhile.
 	 */
 	@ParameterizedTest
-	@ValueSource(longs = { 1176, 1199 })
+	@ValueSource(longs = { 1176, 1199, 700_642, 701_957 })
 	void moreTroubleBesideCopiesLeavesNoListWrong(long seed) {
 		assertTroubleBesideCopiesLeavesNoListWrong(seed);
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/listing/ListingCodec.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/listing/ListingCodec.java
@@ -58,6 +58,7 @@
 		answer.change().ifPresent((change) -> {
 			built.setFromOffset(change.fromOffset()).setNextOffset(change.nextOffset()).setGapEnd(change.gapEnd());
 			change.records().forEach((each) -> add(built, each));
+			built.addAllDoubtedKeys(change.doubtedKeys());
 		});
 		return PeerFrame.newBuilder().setListingAnswer(built).build();
 	}
@@ -106,7 +107,8 @@
 		answer.getListedList().forEach((entry) -> records.add(decode(entry)));
 		answer.getDroppedList()
 			.forEach((gone) -> records.add(new InstanceRecord.Dropped(gone.getKey(), gone.getOffset())));
-		return new ListingChange(answer.getFromOffset(), answer.getNextOffset(), answer.getGapEnd(), records);
+		return new ListingChange(answer.getFromOffset(), answer.getNextOffset(), answer.getGapEnd(), records,
+				new HashSet<>(answer.getDoubtedKeysList()));
 	}
 
 	private static InstanceRecord.Listed decode(ListedInstance entry) {
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/listing/ListingCodecTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/listing/ListingCodecTests.java
@@ -42,6 +42,17 @@
 		assertThat(ListingCodec.decode(ListingCodec.encode(answer).getListingAnswer())).isEqualTo(answer);
 	}
 
+	/**
+	 * Guards against an instance whose entry lapsed in an outage, and that a daemon which
+	 * was told takes for gone.
+	 */
+	@Test
+	void whoIsInDoubtIsToldBesideTheDrop() {
+		final ListingAnswer answer = new ListingAnswer("daemon-2", 7, 0, 0, Optional
+			.of(new ListingChange(100, 110, 0, List.of(new InstanceRecord.Dropped("i-3", 103)), Set.of("i-3"))));
+		assertThat(ListingCodec.decode(ListingCodec.encode(answer).getListingAnswer())).isEqualTo(answer);
+	}
+
 	@Test
 	void anAnswerThatCannotTellSaysSo() {
 		final ListingAnswer answer = new ListingAnswer("daemon-2", 7, 0, 0, Optional.empty());
