Listing: a long change counts once all of it was told

Cause: an answer that could not hold all told the first 2,000 records, and that the asker knows the list up to the last of them. A teller keeps only the newest place of an entry, so an entry with an earlier change was left out of that stretch, and the next daemon told only what came after. Records at one offset could be cut apart, too. Change: an answer is a portion and says where the rest begins; the asker takes the change when it has all (ListingPortions), from one life of one teller. Portions of 1,000, which fit into a frame with as many drops. An old daemon that gets one reads the store.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/listing/InstanceListing.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/listing/InstanceListing.java
@@ -39,10 +39,8 @@
 	 */
 	private static final int MOST_DROPPED = 1_024;
 
-	/** How many records one answer holds; at some 110 bytes each it fits into a frame. */
-	static final int MOST_TOLD = 2_000;
-
-	private static final Comparator<InstanceRecord> BY_OFFSET = Comparator.comparingLong(InstanceRecord::offset);
+	/** A longer list is read from the platform rather than told. */
+	private static final int LONGEST_TOLD = 2_000;
 
 	private final Map<String, InstanceRecord.Listed> listed = new HashMap<>();
 
@@ -330,15 +328,11 @@
 			return since(0);
 		}
 		final List<InstanceRecord> news = newsSince(fromOffset);
-		if (news.size() <= MOST_TOLD) {
-			return Optional.of(told(fromOffset, Math.max(fromOffset, this.nextOffset), news));
-		}
-		if (fromOffset == 0) {
+		if (fromOffset == 0 && news.size() > LONGEST_TOLD) {
 			return Optional.empty();
 		}
-		news.sort(BY_OFFSET);
-		final List<InstanceRecord> first = news.subList(0, MOST_TOLD);
-		return Optional.of(told(fromOffset, first.get(MOST_TOLD - 1).offset() + 1, first));
+		return Optional.of(new ListingChange(fromOffset, Math.max(fromOffset, this.nextOffset), this.seen.gapEnd(),
+				news, this.doubtful.keys()));
 	}
 
 	private List<InstanceRecord> newsSince(long fromOffset) {
@@ -353,10 +347,6 @@
 		return news;
 	}
 
-	private ListingChange told(long fromOffset, long toOffset, List<InstanceRecord> news) {
-		return new ListingChange(fromOffset, toOffset, this.seen.gapEnd(), news, this.doubtful.keys());
-	}
-
 	/**
 	 * Returns whether a daemon that knows the list up to an offset lacks anything.
 	 * @param fromOffset the first offset that it lacks
--- a/pistachioline-core/src/main/java/org/pistachioline/core/listing/ListingNode.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/listing/ListingNode.java
@@ -70,6 +70,12 @@
 	/** Who lives is looked at this often; the order costs a sort of all names. */
 	private static final long ORDER_NANOS = 500 * NANOS_PER_MILLI;
 
+	/**
+	 * How many records one answer holds; at some 150 bytes each, and as many drops again,
+	 * it fits into a frame.
+	 */
+	static final int MOST_TOLD = 1_000;
+
 	/** Daemons that may ask this one at once; more are not kept, and ask elsewhere. */
 	private static final int MOST_KEPT = 64;
 
@@ -97,10 +103,14 @@
 
 	private boolean wholeWanted = true;
 
+	private final long lifeId;
+
 	private long lastToken;
 
 	private Asked asked;
 
+	private final ListingPortions portions = new ListingPortions();
+
 	private long nextAskNanos;
 
 	private final Map<String, Long> suspectSinceNanos = new HashMap<>();
@@ -123,7 +133,8 @@
 		this.nextReadNanos = nowNanos;
 		this.nextAskNanos = nowNanos;
 		// A late answer to this daemon's former life must match none of its questions.
-		this.lastToken = this.random.nextLong() >>> 1;
+		this.lifeId = this.random.nextLong() >>> 1;
+		this.lastToken = this.lifeId;
 	}
 
 	/**
@@ -189,6 +200,7 @@
 		if (this.asked != null && nowNanos - this.asked.atNanos() >= ANSWER_NANOS) {
 			suspect(nowNanos, this.asked.daemonId());
 			this.asked = null;
+			this.portions.clear();
 			this.nextAskNanos = nowNanos;
 		}
 		if (this.asked != null || nowNanos - this.nextAskNanos < 0) {
@@ -196,14 +208,16 @@
 		}
 		final boolean old = isOld(nowNanos);
 		if (this.order.reads() && !old) {
+			this.portions.clear();
 			return;
 		}
-		final String daemonId = choose(old);
+		final String daemonId = this.portions.tellerId().orElseGet(() -> choose(old));
 		if (!daemonId.isEmpty()) {
 			this.lastToken++;
 			this.asked = new Asked(daemonId, this.lastToken, nowNanos);
+			final long fromOffset = this.listing.known() ? this.listing.nextOffset() : 0;
 			this.actions.add(new ListingAction.Ask(daemonId, new ListingQuestion(this.selfId, this.lastToken,
-					this.listing.known() ? this.listing.nextOffset() : 0)));
+					this.portions.fromOffset(fromOffset), this.portions.restOffset())));
 		}
 	}
 
@@ -244,17 +258,29 @@
 		final long askedAtNanos = this.asked.atNanos();
 		this.asked = null;
 		this.nextAskNanos = nowNanos + PAUSE_NANOS;
-		final Optional<ListingChange> change = answer.change();
-		if (change.isPresent()) {
-			this.listing.takeTold(nowNanos, askedAtNanos + answer.heldNanos() - answer.ageNanos(), change.get());
-		}
-		this.wholeWanted = change.isEmpty();
+		takeTold(nowNanos, askedAtNanos + answer.heldNanos() - answer.ageNanos(), answer);
 		if (answer.ageNanos() > this.mostAgeNanos) {
 			suspect(nowNanos, answer.answererId());
 		}
 		return next(nowNanos);
 	}
 
+	private void takeTold(long nowNanos, long toldOfNanos, ListingAnswer answer) {
+		if (answer.change().isEmpty()) {
+			this.portions.clear();
+			this.wholeWanted = true;
+			return;
+		}
+		this.portions.join(answer, answer.change().get()).ifPresent((change) -> {
+			this.listing.takeTold(nowNanos, toldOfNanos, change);
+			this.wholeWanted = false;
+		});
+		if (this.portions.restOffset() > 0) {
+			this.nextAskNanos = nowNanos;
+			askWhenDue(nowNanos);
+		}
+	}
+
 	/**
 	 * Takes what came of a read of the platform's list.
 	 * @param nowNanos the monotonic time
@@ -306,13 +332,19 @@
 			}
 			else if (settled || keptNanos >= KEPT_NANOS || this.listing.hasNewsSince(each.question().fromOffset())) {
 				waiting.remove();
-				final Optional<ListingChange> change = this.listing.since(each.question().fromOffset());
-				this.actions.add(new ListingAction.Answer(each.question().askerId(), new ListingAnswer(this.selfId,
-						each.question().token(), keptNanos, this.listing.ageNanos(nowNanos), change)));
+				this.actions.add(new ListingAction.Answer(each.question().askerId(),
+						answer(nowNanos, keptNanos, each.question())));
 			}
 		}
 	}
 
+	private ListingAnswer answer(long nowNanos, long keptNanos, ListingQuestion question) {
+		final Optional<ListingPortion> portion = this.listing.since(question.fromOffset())
+			.map((change) -> ListingPortion.of(change, question, MOST_TOLD));
+		return new ListingAnswer(this.selfId, question.token(), keptNanos, this.listing.ageNanos(nowNanos),
+				portion.map(ListingPortion::change), portion.map(ListingPortion::restOffset).orElse(0L), this.lifeId);
+	}
+
 	/**
 	 * Returns how old the list is at most.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingModel.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingModel.java
@@ -19,13 +19,20 @@
 	/** The store's era stands before a record's index in the log. */
 	private static final int ERA_BITS = 40;
 
+	/** How many records one answer holds. */
+	private static final int MOST_TOLD = 1;
+
 	/** Past every doubt. */
 	private static final long LATER_NANOS = 60_000_000_000L;
 
 	private final List<InstanceListing> daemons = new ArrayList<>();
 
-	/** What an answer on its way tells each daemon; empty where there is none. */
-	private final List<Optional<ListingChange>> onTheWay = new ArrayList<>();
+	/** The answer that is on its way to each daemon; empty where there is none. */
+	private final List<Optional<ListingAnswer>> onTheWay = new ArrayList<>();
+
+	private final List<ListingPortions> portions = new ArrayList<>();
+
+	private final List<Integer> lives = new ArrayList<>();
 
 	/** The log of each era, with what a copy left out of it. */
 	private final List<List<InstanceRecord>> logs = new ArrayList<>();
@@ -43,6 +50,8 @@
 		for (int i = 0; i < daemonCount; i++) {
 			this.daemons.add(new InstanceListing());
 			this.onTheWay.add(Optional.empty());
+			this.portions.add(new ListingPortions());
+			this.lives.add(0);
 		}
 		this.logs.add(new ArrayList<>());
 		// What stands at the first offset could not be told from knowing nothing.
@@ -134,7 +143,9 @@
 
 	void restart(int daemon) {
 		this.daemons.set(daemon, new InstanceListing());
+		this.lives.set(daemon, this.lives.get(daemon) + 1);
 		this.onTheWay.set(daemon, Optional.empty());
+		this.portions.get(daemon).clear();
 	}
 
 	/**
@@ -174,13 +185,22 @@
 	}
 
 	/**
-	 * Has a daemon ask another one, whose answer is on its way then.
+	 * Has a daemon ask another one, whose answer is on its way then. One that was told in
+	 * part asks the same one for the rest.
 	 * @param asker the daemon that asks
 	 * @param teller the daemon that answers
 	 */
 	void ask(int asker, int teller) {
 		final InstanceListing listing = this.daemons.get(asker);
-		this.onTheWay.set(asker, this.daemons.get(teller).since(listing.known() ? listing.nextOffset() : 0));
+		final ListingPortions told = this.portions.get(asker);
+		final int asked = told.tellerId().map(Integer::parseInt).orElse(teller);
+		final ListingQuestion question = new ListingQuestion(Integer.toString(asker), 0,
+				told.fromOffset(listing.known() ? listing.nextOffset() : 0), told.restOffset());
+		final Optional<ListingPortion> portion = this.daemons.get(asked)
+			.since(question.fromOffset())
+			.map((change) -> ListingPortion.of(change, question, MOST_TOLD));
+		this.onTheWay.set(asker, portion.map((each) -> new ListingAnswer(Integer.toString(asked), 0, 0, 0,
+				Optional.of(each.change()), each.restOffset(), this.lives.get(asked))));
 	}
 
 	/**
@@ -188,10 +208,30 @@
 	 * @param asker the daemon that asked
 	 */
 	void hear(int asker) {
-		this.onTheWay.get(asker).ifPresent((change) -> this.daemons.get(asker).takeTold(0, 0, change));
+		this.onTheWay.get(asker)
+			.flatMap((answer) -> this.portions.get(asker).join(answer, answer.change().orElseThrow()))
+			.ifPresent((change) -> this.daemons.get(asker).takeTold(0, 0, change));
 		this.onTheWay.set(asker, Optional.empty());
 	}
 
+	/**
+	 * Has a daemon give up what it was told in part.
+	 * @param asker the daemon
+	 */
+	void giveUp(int asker) {
+		this.onTheWay.set(asker, Optional.empty());
+		this.portions.get(asker).clear();
+	}
+
+	private void askForAll(int asker, int teller) {
+		giveUp(asker);
+		do {
+			ask(asker, teller);
+			hear(asker);
+		}
+		while (this.portions.get(asker).restOffset() > 0);
+	}
+
 	/**
 	 * Lets all doubts end and all daemons hear of everything.
 	 */
@@ -200,14 +240,12 @@
 		for (int i = 0; i < this.daemons.size(); i++) {
 			read(i);
 			for (int other = 0; other < this.daemons.size(); other++) {
-				ask(i, other);
-				hear(i);
+				askForAll(i, other);
 			}
 		}
 		this.daemons.forEach((daemon) -> daemon.settle(LATER_NANOS, false));
 		for (int i = 0; i < this.daemons.size(); i++) {
-			ask(i, 0);
-			hear(i);
+			askForAll(i, 0);
 		}
 	}
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingModelTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingModelTests.java
@@ -116,6 +116,7 @@
 				steps.add(isTold(daemon, teller));
 			}
 		}
+		steps.add(new Step("give up " + daemon, (model) -> model.giveUp(daemon)));
 		steps.add(new Step("restart " + daemon, (model) -> model.restart(daemon)));
 	}
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingNodeTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingNodeTests.java
@@ -29,8 +29,12 @@
 	private static final long BOUND_MILLIS = 2_000 - 100;
 
 	private static ListingWorld world(int daemons, long seed) {
-		final ListingWorld world = new ListingWorld(daemons, INSTANCES, seed);
-		world.changeInstances(CHANGES_PER_SECOND, INSTANCES);
+		return world(daemons, INSTANCES, CHANGES_PER_SECOND, seed);
+	}
+
+	private static ListingWorld world(int daemons, int instances, int changesPerSecond, long seed) {
+		final ListingWorld world = new ListingWorld(daemons, instances, seed);
+		world.changeInstances(changesPerSecond, instances);
 		world.run(3_000);
 		world.takeCalls();
 		return world;
@@ -200,8 +204,20 @@
 		assertTroubleBesideCopiesLeavesNoListWrong(seed);
 	}
 
+	/**
+	 * Guards against lists that stay wrong where more has changed than one answer holds.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 800_000, 800_001, 800_003, 800_008, 800_011 })
+	void troubleBesideCopiesLeavesNoLongListWrong(long seed) {
+		assertTroubleBesideCopiesLeavesNoListWrong(world(20, 2_600, 300, seed), seed);
+	}
+
 	private static void assertTroubleBesideCopiesLeavesNoListWrong(long seed) {
-		final ListingWorld world = world(20, seed);
+		assertTroubleBesideCopiesLeavesNoListWrong(world(20, seed), seed);
+	}
+
+	private static void assertTroubleBesideCopiesLeavesNoListWrong(ListingWorld world, long seed) {
 		world.framesLost(0.1);
 		world.frameDelayMillis(300);
 		world.answersLost(0.1);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/listing/ListingCodec.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/listing/ListingCodec.java
@@ -39,12 +39,14 @@
 			.setListingQuestion(org.pistachioline.protocol.peer.ListingQuestion.newBuilder()
 				.setAskerId(question.askerId())
 				.setToken(question.token())
-				.setFromOffset(question.fromOffset()))
+				.setFromOffset(question.fromOffset())
+				.setRestOffset(question.restOffset()))
 			.build();
 	}
 
 	static ListingQuestion decode(org.pistachioline.protocol.peer.ListingQuestion question) {
-		return new ListingQuestion(question.getAskerId(), question.getToken(), question.getFromOffset());
+		return new ListingQuestion(question.getAskerId(), question.getToken(), question.getFromOffset(),
+				question.getRestOffset());
 	}
 
 	static PeerFrame encode(ListingAnswer answer) {
@@ -54,7 +56,9 @@
 			.setToken(answer.token())
 			.setHeldMillis(TimeUnit.NANOSECONDS.toMillis(answer.heldNanos()))
 			.setAgeMillis(TimeUnit.NANOSECONDS.toMillis(answer.ageNanos()))
-			.setComplete(answer.change().isPresent());
+			.setComplete(answer.change().isPresent() && answer.restOffset() == 0)
+			.setRestOffset(answer.restOffset())
+			.setLifeId(answer.lifeId());
 		answer.change().ifPresent((change) -> {
 			built.setFromOffset(change.fromOffset()).setNextOffset(change.nextOffset()).setGapEnd(change.gapEnd());
 			change.records().forEach((each) -> add(built, each));
@@ -99,7 +103,8 @@
 		return new ListingAnswer(answer.getAnswererId(), answer.getToken(),
 				TimeUnit.MILLISECONDS.toNanos(answer.getHeldMillis()),
 				TimeUnit.MILLISECONDS.toNanos(answer.getAgeMillis()),
-				answer.getComplete() ? Optional.of(change(answer)) : Optional.empty());
+				(answer.getComplete() || answer.getRestOffset() > 0) ? Optional.of(change(answer)) : Optional.empty(),
+				answer.getRestOffset(), answer.getLifeId());
 	}
 
 	private static ListingChange change(org.pistachioline.protocol.peer.ListingAnswer answer) {
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/listing/ListingCodecTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/listing/ListingCodecTests.java
@@ -53,6 +53,17 @@
 		assertThat(ListingCodec.decode(ListingCodec.encode(answer).getListingAnswer())).isEqualTo(answer);
 	}
 
+	@Test
+	void anAnswerThatLeavesARestSaysWhereItBeginsAndWhoeverAsksForItDoes() {
+		final ListingAnswer answer = new ListingAnswer("daemon-2", 7, 0, 0,
+				Optional.of(new ListingChange(100, 110, 105, List.of(new InstanceRecord.Dropped("i-3", 103)))), 104,
+				-7);
+		assertThat(ListingCodec.encode(answer).getListingAnswer().getComplete()).isFalse();
+		assertThat(ListingCodec.decode(ListingCodec.encode(answer).getListingAnswer())).isEqualTo(answer);
+		final ListingQuestion question = new ListingQuestion("daemon-1", 8, 100, 104);
+		assertThat(ListingCodec.decode(ListingCodec.encode(question).getListingQuestion())).isEqualTo(question);
+	}
+
 	@Test
 	void anAnswerThatCannotTellSaysSo() {
 		final ListingAnswer answer = new ListingAnswer("daemon-2", 7, 0, 0, Optional.empty());
