Listing: a later life of an instance is taken in though its clock went back

Callers would see: requests that go by an entry which the instance has replaced. Cause: an entry whose process started earlier than the one known was passed over, so two daemons held different lists at one offset, and a life whose machine's clock was set back was never taken in. Change: what stands in the list is known as it stands; the entry with the later start is used on as one in doubt, until it writes again or for three heartbeats. Tests: that step in the model, and one of the class.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/listing/DoubtfulInstances.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/listing/DoubtfulInstances.java
@@ -9,11 +9,13 @@
 import java.util.Set;
 
 /**
- * Instances that are listed no longer and may live all the same.
+ * Entries that are used on though the list shows them no longer, as their instances may
+ * live.
  * <p>
- * While the platform's store is away, entries lapse that their instances could not renew,
- * and a stranger's record may stand in an entry's place. A live instance writes again
- * within a heartbeat. Taken out before, it would break its group for nothing.
+ * While the platform's store is away, entries lapse that their instances could not renew;
+ * a stranger's record, or the late word of an instance's former life, may stand in an
+ * entry's place. A live instance writes again within a heartbeat. Taken out before, it
+ * would break its group for nothing.
  */
 final class DoubtfulInstances {
 
@@ -25,14 +27,14 @@
 	private final Map<String, Doubt> doubts = new HashMap<>();
 
 	/**
-	 * Keeps an instance whose entry went.
+	 * Keeps an entry that went, unless one is kept already.
 	 * @param nowNanos the monotonic time
-	 * @param entry the entry that it had
+	 * @param entry the entry
 	 * @param goneOffset where it went
-	 * @param cause why it may live
+	 * @param cause why its instance may live
 	 */
 	void keep(long nowNanos, InstanceRecord.Listed entry, long goneOffset, Cause cause) {
-		this.doubts.put(entry.key(), new Doubt(entry, goneOffset, nowNanos, cause));
+		this.doubts.putIfAbsent(entry.key(), new Doubt(entry, goneOffset, nowNanos, cause));
 	}
 
 	/**
@@ -95,14 +97,16 @@
 	}
 
 	/**
-	 * Why an instance that is not listed may live.
+	 * Why an instance may live whose entry went.
 	 */
 	enum Cause {
 
 		/** Its entry may have lapsed while the platform's store was away. */
 		LAPSED,
 
-		/** Another writer's record stands in its entry's place. */
+		/**
+		 * Another writer's record, or its own former life's, stands in its entry's place.
+		 */
 		OVERWRITTEN,
 
 		/** The daemon that told of it doubts that it has gone. */
--- a/pistachioline-core/src/main/java/org/pistachioline/core/listing/InstanceListing.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/listing/InstanceListing.java
@@ -1,7 +1,6 @@
 package org.pistachioline.core.listing;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -27,9 +26,9 @@
  * <li>What is told from one offset to another turns the list at the first into the list
  * at the second; nothing is told that lies beyond.</li>
  * </ul>
- * An instance that the list shows no more and that may live all the same is used on for a
- * moment ({@link DoubtfulInstances}). That it is in doubt is told beside the drop, and
- * changes neither of the two.
+ * An entry that the list shows no more and whose instance may live all the same is used
+ * on for a moment ({@link DoubtfulInstances}). That a drop is in doubt is told beside it,
+ * and changes neither of the two.
  */
 final class InstanceListing {
 
@@ -137,7 +136,7 @@
 		missing.removeAll(found.keySet());
 		missing.forEach((key) -> vanish(nowNanos, new InstanceRecord.Dropped(key, offset - 1),
 				overwritten.contains(key) ? Optional.of(Cause.OVERWRITTEN) : doubtOf.apply(key)));
-		found.values().forEach((entry) -> list(renewed(entry, offset), true));
+		found.values().forEach((entry) -> list(nowNanos, renewed(entry, offset), true));
 		if (this.known) {
 			this.seen.noteGap(this.nextOffset, offset);
 		}
@@ -169,7 +168,7 @@
 		}
 		for (final InstanceRecord each : newIn(change)) {
 			if (each instanceof InstanceRecord.Listed entry) {
-				list(entry, false);
+				list(nowNanos, entry, false);
 			}
 			else if (each instanceof InstanceRecord.Dropped gone) {
 				vanish(nowNanos, gone, lapsed(unsettled));
@@ -213,7 +212,7 @@
 
 	private void takeToldRecord(long nowNanos, ListingChange change, InstanceRecord found) {
 		if (found instanceof InstanceRecord.Listed entry) {
-			list(entry, true);
+			list(nowNanos, entry, true);
 		}
 		else if (found instanceof InstanceRecord.Dropped gone) {
 			vanish(nowNanos, gone, toldDoubt(change, gone.key()));
@@ -250,20 +249,22 @@
 
 	// What was not seen written may have come anew since others were told of it. Its
 	// place is renewed, though it says what is known, so that they hear of it again.
-	private void list(InstanceRecord.Listed entry, boolean renews) {
+	private void list(long nowNanos, InstanceRecord.Listed entry, boolean renews) {
 		final InstanceRecord.Listed before = this.listed.get(entry.key());
 		final InstanceRecord.Dropped gone = this.dropped.get(entry.key());
-		if ((before != null && entry.offset() <= before.offset())
-				|| (gone != null && entry.offset() <= gone.offset())) {
+		final boolean old = (before != null && entry.offset() <= before.offset())
+				|| (gone != null && entry.offset() <= gone.offset());
+		final boolean heartbeat = before != null && entry.sameAs(before) && !renews;
+		if (old || heartbeat) {
 			return;
 		}
 		final Optional<InstanceRecord.Listed> used = used(entry.key());
-		final boolean same = before != null && entry.sameAs(before);
-		// The late word of a life that is over is no news, nor is a heartbeat.
-		if ((before != null && entry.bornMillis() < before.bornMillis()) || (same && !renews)) {
-			return;
+		if (used.isEmpty() || entry.bornMillis() >= used.get().bornMillis()) {
+			noteSettled(this.doubtful.end(entry.key()));
+		}
+		else {
+			this.doubtful.keep(nowNanos, used.get(), entry.offset(), Cause.OVERWRITTEN);
 		}
-		noteSettled(this.doubtful.end(entry.key()));
 		this.listed.put(entry.key(), entry);
 		this.dropped.remove(entry.key());
 		this.changed |= used.isEmpty() || !entry.sameAs(used.get());
@@ -271,7 +272,7 @@
 	}
 
 	private Optional<InstanceRecord.Listed> used(String key) {
-		return Optional.ofNullable(this.listed.get(key)).or(() -> this.doubtful.entry(key));
+		return this.doubtful.entry(key).or(() -> Optional.ofNullable(this.listed.get(key)));
 	}
 
 	// A drop is remembered even where its instance was never heard of here: what is told
@@ -381,9 +382,10 @@
 	 * @return the instances, by id
 	 */
 	List<ServingInstance> instances() {
-		final Collection<InstanceRecord.Listed> entries = new ArrayList<>(this.listed.values());
-		entries.addAll(this.doubtful.entries());
-		return entries.stream()
+		final Map<String, InstanceRecord.Listed> used = new HashMap<>(this.listed);
+		this.doubtful.entries().forEach((each) -> used.put(each.key(), each));
+		return used.values()
+			.stream()
 			.map(InstanceRecord.Listed::instance)
 			.sorted(Comparator.comparing(ServingInstance::id))
 			.toList();
--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/InstanceListingTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/InstanceListingTests.java
@@ -12,6 +12,9 @@
 
 class InstanceListingTests {
 
+	/** Past every doubt. */
+	private static final long LATER_NANOS = 60_000_000_000L;
+
 	/**
 	 * An instance comes and goes between two questions, so that only its drop is told.
 	 * Another daemon has read of its coming and asks for the rest. Not told of the drop,
@@ -148,6 +151,31 @@
 		assertThat(told.takeSettled()).isTrue();
 	}
 
+	/**
+	 * Guards against the late word of a former life, which takes a live instance out of
+	 * its group, and against a list that shows the life before for good where the clock
+	 * has been set back between the two.
+	 */
+	@Test
+	void theWordOfAFormerLifeIsBelievedOnlyIfTheLaterLifeStaysSilent() {
+		final InstanceListing listing = listedUpTo(100);
+		listing.takeRead(0, 0, new ListingChange(100, 101, List.of(life("domain-2", 100, 2_000))), false);
+		listing.takeRead(0, 0, new ListingChange(101, 102, List.of(life("domain-1", 101, 1_000))), false);
+		assertThat(listing.instances()).extracting(ServingInstance::fabricDomain).containsExactly("domain-2");
+		listing.takeRead(0, 0, new ListingChange(102, 103, List.of(life("domain-2", 102, 2_000))), false);
+		listing.settle(LATER_NANOS, false);
+		assertThat(listing.instances()).extracting(ServingInstance::fabricDomain).containsExactly("domain-2");
+		assertThat(listing.since(102).orElseThrow().records()).containsExactly(life("domain-2", 102, 2_000));
+		listing.takeRead(LATER_NANOS, 0, new ListingChange(103, 104, List.of(life("domain-1", 103, 1_000))), false);
+		listing.settle(2 * LATER_NANOS, false);
+		assertThat(listing.instances()).extracting(ServingInstance::fabricDomain).containsExactly("domain-1");
+	}
+
+	private static InstanceRecord.Listed life(String domain, long offset, long bornMillis) {
+		return new InstanceRecord.Listed("i-1", offset, bornMillis, new ServingInstance("i-1", "pool", "10.0.0.1:80",
+				"zone", domain, false, 4, Set.of(), Optional.empty()));
+	}
+
 	/**
 	 * Guards against a look at the whole list that takes a while: what was written while
 	 * it went on lies ahead of what it stands for. Told on, it would be kept for good by
--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingModel.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingModel.java
@@ -84,7 +84,16 @@
 	 * @param key the instance
 	 */
 	void write(String key) {
-		append(key, this.contents++);
+		append(key, this.contents++, 0);
+	}
+
+	/**
+	 * Has a former life of an instance write once more, as it stops or as its clock has
+	 * been set.
+	 * @param key the instance
+	 */
+	void writeOfFormerLife(String key) {
+		append(key, this.contents++, -1);
 	}
 
 	/**
@@ -92,15 +101,16 @@
 	 * @param key the instance
 	 */
 	void writeAgain(String key) {
-		final ServingInstance now = listAt(end()).get(key);
-		if (now != null) {
-			log().add(new InstanceRecord.Listed(key, end(), 0, now));
-		}
+		log().stream()
+			.filter((each) -> each.key().equals(key))
+			.reduce((earlier, later) -> later)
+			.filter((last) -> last instanceof InstanceRecord.Listed)
+			.ifPresent((last) -> log().add(copied(last, end())));
 	}
 
-	private void append(String key, int content) {
-		log().add(new InstanceRecord.Listed(key, end(), 0, new ServingInstance(key, "pool", "10.0.0.1:80", "zone-a",
-				"domain-" + content, false, 4, Set.of(), Optional.empty())));
+	private void append(String key, int content, long bornMillis) {
+		log().add(new InstanceRecord.Listed(key, end(), bornMillis, new ServingInstance(key, "pool", "10.0.0.1:80",
+				"zone-a", "domain-" + content, false, 4, Set.of(), Optional.empty())));
 	}
 
 	void drop(String key) {
--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingModelTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingModelTests.java
@@ -96,8 +96,9 @@
 
 	private static List<Step> steps() {
 		final List<Step> steps = new ArrayList<>(List.of(writes(INSTANCE), drops(INSTANCE), writes(OTHER), drops(OTHER),
-				new Step("write again", (model) -> model.writeAgain(INSTANCE)), READ_ALL, RESTORE, CHANGE_SETTLED,
-				new Step("restore the newest", (model) -> model.restore(1)),
+				new Step("write again", (model) -> model.writeAgain(INSTANCE)),
+				new Step("write of a former life", (model) -> model.writeOfFormerLife(INSTANCE)), READ_ALL, RESTORE,
+				CHANGE_SETTLED, new Step("restore the newest", (model) -> model.restore(1)),
 				new Step("forget history", ListingModel::forgetHistory)));
 		for (int daemon = 0; daemon < DAEMONS; daemon++) {
 			addSteps(daemon, steps);
