Stand-ins: who signals a process that has ended is told how it ended

A crash in native code left its report in the folder of the run, which is not kept. Change: the failure names kill's status and words, the process's exit status, how long ago it ended, and all of its output; the report of a native crash goes into that output.

--- a/pistachioline-standins/src/main/java/org/pistachioline/standins/local/LocalProcess.java
+++ b/pistachioline-standins/src/main/java/org/pistachioline/standins/local/LocalProcess.java
@@ -25,6 +25,8 @@
 
 	private static final double TICKS_PER_SECOND = 100;
 
+	private static final double NANOS_PER_SECOND = 1e9;
+
 	private static final int USER_TICKS = 11;
 
 	private static final int BYTES_PER_KIBIBYTE = 1_024;
@@ -37,6 +39,8 @@
 
 	private boolean ended;
 
+	private long endedAtNanos;
+
 	private LocalProcess(String name, Process process) {
 		this.name = name;
 		this.process = process;
@@ -56,6 +60,8 @@
 	public static LocalProcess start(String name, List<String> jvmOptions, String mainClass, List<String> arguments) {
 		final List<String> command = new ArrayList<>();
 		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+		// A crash in native code is told in the output, which is all that is kept.
+		command.add("-XX:+ErrorFileToStdout");
 		command.addAll(jvmOptions);
 		command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
 		command.addAll(arguments);
@@ -82,6 +88,7 @@
 			add(new Line(System.nanoTime(), "output closed: " + ex.getMessage()));
 		}
 		synchronized (this) {
+			this.endedAtNanos = System.nanoTime();
 			this.ended = true;
 			notifyAll();
 		}
@@ -154,9 +161,14 @@
 	 */
 	public void signal(String signal) {
 		try {
-			final int status = new ProcessBuilder("kill", "-" + signal, Long.toString(pid())).start().waitFor();
+			final Process kill = new ProcessBuilder("kill", "-" + signal, Long.toString(pid()))
+				.redirectErrorStream(true)
+				.start();
+			final String said = new String(kill.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
+			final int status = kill.waitFor();
 			if (status != 0) {
-				throw new IllegalStateException(this.name + " took no signal " + signal);
+				throw new IllegalStateException("%s took no signal %s: kill ended with %d and said '%s'; %s"
+					.formatted(this.name, signal, status, said, state()));
 			}
 		}
 		catch (IOException ex) {
@@ -168,6 +180,15 @@
 		}
 	}
 
+	private String state() {
+		if (this.process.isAlive()) {
+			return "it lives and printed:\n" + output();
+		}
+		final String output = awaitOutput();
+		return "it ended with %d, %.1f s ago, and printed:%n%s".formatted(this.process.exitValue(),
+				(System.nanoTime() - this.endedAtNanos) / NANOS_PER_SECOND, output);
+	}
+
 	/**
 	 * Waits until the process has ended.
 	 * @return its exit status
