--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingNodeTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingNodeTests.java
@@ -1,7 +1,9 @@
 package org.pistachioline.core.listing;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
@@ -9,6 +11,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import org.pistachioline.core.replica.ServingInstance;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -294,4 +298,31 @@
 		holds(world, 2_000, BOUND_MILLIS);
 	}
 
+	/**
+	 * Guards against an instance that has gone and that daemons which were told of it in
+	 * doubt use on, though the doubt has ended.
+	 */
+	@Test
+	void whoeverAsksIsToldAtOnceThatADoubtHasEnded() {
+		final ListingNode node = new ListingNode("daemon-0", ListingWorld.MOST_AGE_NANOS, 0, 1);
+		final InstanceRecord entry = new InstanceRecord.Listed("i-1", 110, 0,
+				new ServingInstance("i-1", "pool", "10.0.0.1:80", "zone-a", "", false, 4, Set.of(), Optional.empty()));
+		node.onRead(0, ListingRead.whole(new ListingChange(120, 120, List.of(entry))), false);
+		node.onRead(0,
+				ListingRead.changes(new ListingChange(120, 130, List.of(new InstanceRecord.Dropped("i-1", 125)))),
+				true);
+		assertThat(node.onQuestion(0, new ListingQuestion("daemon-1", 7, 130))).isEmpty();
+		assertThat(answers(node.onTick(50 * ListingWorld.MILLI, List::of, false, true))).isEmpty();
+		final List<ListingAnswer> told = answers(node.onTick(100 * ListingWorld.MILLI, List::of, false, false));
+		assertThat(told).hasSize(1);
+		assertThat(told.get(0).change().orElseThrow().doubtedKeys()).isEmpty();
+	}
+
+	private static List<ListingAnswer> answers(List<ListingAction> actions) {
+		return actions.stream()
+			.filter(ListingAction.Answer.class::isInstance)
+			.map((action) -> ((ListingAction.Answer) action).answer())
+			.toList();
+	}
+
 }
