Observability: which target an attempt could not connect to, and why

WebClient opens its connections through a Connector, of which DirectConnector does what the client did itself before; RoutingPorts hands the connectors to targets on, so that a test can partition a daemon from them. No decision changes.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -1,6 +1,7 @@
 package org.pistachioline.adapters.web;
 
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBufUtil;
@@ -11,6 +12,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -40,8 +42,14 @@
 
 	private ClientCall call;
 
+	private CompletableFuture<OpenedConnection> opening = CompletableFuture.completedFuture(null);
+
 	private Channel channel;
 
+	private boolean connected;
+
+	private boolean keptAlive = true;
+
 	private boolean informational;
 
 	private boolean reusable;
@@ -84,6 +92,20 @@
 		}
 	}
 
+	/**
+	 * Sets the pending connection, which is given up if the request is.
+	 * @param pending the connection
+	 */
+	void onConnecting(CompletableFuture<OpenedConnection> pending) {
+		this.opening = pending;
+	}
+
+	void onConnected(OpenedConnection opened) {
+		this.keptAlive = opened.reusable();
+		opened.channel().pipeline().addLast(new HttpClientCodec(), this);
+		onConnected();
+	}
+
 	void onNotConnected(Throwable failure) {
 		this.closed = true;
 		if (this.call != null) {
@@ -94,6 +116,7 @@
 	void abort() {
 		this.closed = true;
 		this.call = null;
+		this.opening.cancel(false);
 		if (isOpen()) {
 			// A reset, so that the other side drops the work and what is on its way.
 			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
@@ -119,8 +142,17 @@
 
 	@Override
 	public void channelActive(ChannelHandlerContext ctx) {
+		onConnected();
+	}
+
+	// A channel that became active before it got this handler does not report that again.
+	private void onConnected() {
+		if (this.connected) {
+			return;
+		}
+		this.connected = true;
 		if (this.closed) {
-			ctx.close();
+			this.channel.close();
 		}
 		else if (this.call != null) {
 			write();
@@ -222,7 +254,7 @@
 		this.ended = false;
 		// A target may answer before it has read the request's body. Another request must
 		// not be sent where the rest of that body is due.
-		if (this.reusable && this.written) {
+		if (this.keptAlive && this.reusable && this.written) {
 			ctx.channel().config().setAutoRead(true);
 			this.idleSinceNanos = System.nanoTime();
 			this.idle.accept(this);
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
@@ -1,7 +1,6 @@
 package org.pistachioline.adapters.web;
 
 import java.net.ConnectException;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -10,12 +9,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ConnectTimeoutException;
-import io.netty.handler.codec.http.HttpClientCodec;
 
 /**
  * Connections towards targets and the platform, each with one request at a time, so that
@@ -27,7 +21,7 @@
 
 	private final WebLoop loop;
 
-	private final int connectMillis;
+	private final Connector connector;
 
 	private final long keepNanos;
 
@@ -35,18 +29,29 @@
 
 	private final Map<String, Deque<ClientConnection>> idle = new HashMap<>();
 
+	/**
+	 * Creates a client that connects to the addresses themselves.
+	 * @param loop the thread on which its connections are served
+	 * @param connectMillis how long a connection may take to be made
+	 * @param keepMillis how long an idle connection is used again
+	 * @param mostIdlePerAddress how many idle connections are kept for one address
+	 */
+	public WebClient(WebLoop loop, int connectMillis, long keepMillis, int mostIdlePerAddress) {
+		this(loop, new DirectConnector(loop, connectMillis), keepMillis, mostIdlePerAddress);
+	}
+
 	/**
 	 * Creates a client without connections.
 	 * @param loop the thread on which they are served
-	 * @param connectMillis how long a connection may take to be made
+	 * @param connector opens the connections, on the same thread
 	 * @param keepMillis how long an idle connection is used again; it must be shorter
 	 * than the other side keeps it, as a request that meets its close may or may not have
 	 * been read
 	 * @param mostIdlePerAddress how many idle connections are kept for one address
 	 */
-	public WebClient(WebLoop loop, int connectMillis, long keepMillis, int mostIdlePerAddress) {
+	public WebClient(WebLoop loop, Connector connector, long keepMillis, int mostIdlePerAddress) {
 		this.loop = loop;
-		this.connectMillis = connectMillis;
+		this.connector = connector;
 		this.keepNanos = keepMillis * 1_000_000;
 		this.mostIdlePerAddress = mostIdlePerAddress;
 		loop.every(this::prune, PRUNE_MILLIS);
@@ -67,7 +72,7 @@
 		final ClientCall call = new ClientCall(request, receiver, connection);
 		connection.begin(call);
 		if (kept == null) {
-			connect(address, connection);
+			connect(connection);
 		}
 		return call;
 	}
@@ -104,32 +109,23 @@
 	 * @param receiver is told, on the loop's thread, whether a connection was refused
 	 */
 	public void askWhetherRefused(String address, Consumer<Boolean> receiver) {
-		this.loop.client(this.connectMillis)
-			.handler(new ChannelInboundHandlerAdapter())
-			.connect(socketAddress(address))
-			.addListener((ChannelFuture made) -> {
-				made.channel().close();
-				receiver.accept(
-						made.cause() instanceof ConnectException && !(made.cause() instanceof ConnectTimeoutException));
-			});
-	}
-
-	private static InetSocketAddress socketAddress(String address) {
-		final int colon = address.lastIndexOf(':');
-		return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+		this.connector.connect(address).whenComplete((opened, failure) -> {
+			if (opened != null) {
+				opened.channel().close();
+			}
+			receiver.accept(failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException));
+		});
 	}
 
-	private void connect(String address, ClientConnection connection) {
-		this.loop.client(this.connectMillis).handler(new ChannelInitializer<Channel>() {
-
-			@Override
-			protected void initChannel(Channel channel) {
-				channel.pipeline().addLast(new HttpClientCodec(), connection);
+	private void connect(ClientConnection connection) {
+		final CompletableFuture<OpenedConnection> opening = this.connector.connect(connection.address());
+		connection.onConnecting(opening);
+		opening.whenComplete((opened, failure) -> {
+			if (opened != null) {
+				connection.onConnected(opened);
 			}
-
-		}).connect(socketAddress(address)).addListener((made) -> {
-			if (!made.isSuccess()) {
-				connection.onNotConnected(made.cause());
+			else if (!opening.isCancelled()) {
+				connection.onNotConnected(failure);
 			}
 		});
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -233,6 +233,9 @@
 	/** Logged when a quarantine expires. */
 	QUARANTINE_ENDED(509, EventLevel.INFO, "A request is no longer quarantined."),
 
+	/** Logged with the cause: the connection was refused, or not established in time. */
+	TARGET_NOT_CONNECTED(510, EventLevel.INFO, "A target could not be connected to, so nothing was sent to it."),
+
 	/** Logged when the heartbeats of a live peer have timed out. */
 	PEER_LOST(600, EventLevel.INFO, "A peer daemon is no longer live."),
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -131,7 +131,7 @@
 		final InstanceSignalDispatcher signals = new InstanceSignalDispatcher(this.traffic, this.replicas);
 		ports.orders().setInstanceListener(signals);
 		this.relay = new Relay(settings.callerAddress(), ports.dialect(), () -> this.routeTable, this.traffic,
-				this.replicas::onLoadReport, signals, () -> this.leaving);
+				this.replicas::onLoadReport, signals, () -> this.leaving, ports.targetConnectors());
 		this.components.add(List.of(this.traffic, this.replicas, this.peers, ports.routes(), this.listing,
 				ports.lease(), new AdminServer(settings.adminAddress(), new AdminHandler(this)), this.relay));
 		registerListeners();
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingPorts.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingPorts.java
@@ -1,5 +1,9 @@
 package org.pistachioline.daemon;
 
+import java.util.function.Function;
+
+import org.pistachioline.adapters.web.Connector;
+import org.pistachioline.adapters.web.WebLoop;
 import org.pistachioline.daemon.port.InstanceSource;
 import org.pistachioline.daemon.port.OrderSender;
 import org.pistachioline.daemon.port.PlannerLease;
@@ -14,8 +18,9 @@
  * @param lease the planner's lease
  * @param orders the sender of orders to instances
  * @param dialect the mapping of the headers of callers and targets
+ * @param targetConnectors creates the connector to targets for a loop
  */
 public record RoutingPorts(RouteSource routes, InstanceSource instances, PlannerLease lease, OrderSender orders,
-		RelayProtocol dialect) {
+		RelayProtocol dialect, Function<WebLoop, Connector> targetConnectors) {
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -2,8 +2,10 @@
 
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
+import org.pistachioline.adapters.web.Connector;
 import org.pistachioline.adapters.web.WebClient;
 import org.pistachioline.adapters.web.WebLoop;
 import org.pistachioline.core.replica.LoadReport;
@@ -19,12 +21,6 @@
  */
 public final class Relay implements Lifecycle {
 
-	/**
-	 * A reachable target accepts within milliseconds, also across availability zones; an
-	 * unreachable one never does.
-	 */
-	private static final int CONNECT_TIMEOUT_MILLIS = 700;
-
 	/**
 	 * Shorter than the few seconds for which targets keep idle connections open, so that
 	 * a request is not sent on a connection that the target is closing.
@@ -51,10 +47,12 @@
 	 * @param instances receives the backoff requests and announced departures of
 	 * instances
 	 * @param leaving whether the daemon is shutting down
+	 * @param targetConnectors creates the connector to targets for a loop
 	 */
 	public Relay(String address, RelayProtocol protocol, Supplier<RouteTable> routes, TrafficDuty traffic,
-			BiConsumer<String, LoadReport> loadReceiver, InstanceListener instances, BooleanSupplier leaving) {
-		final WebClient client = new WebClient(this.loop, CONNECT_TIMEOUT_MILLIS, IDLE_CONNECTION_MILLIS,
+			BiConsumer<String, LoadReport> loadReceiver, InstanceListener instances, BooleanSupplier leaving,
+			Function<WebLoop, Connector> targetConnectors) {
+		final WebClient client = new WebClient(this.loop, targetConnectors.apply(this.loop), IDLE_CONNECTION_MILLIS,
 				MAX_IDLE_PER_TARGET);
 		final RelayContext context = new RelayContext(this.loop, client, protocol, this.streams,
 				traffic::onCallerDisconnected, new TargetReportDispatcher(loadReceiver, traffic),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -191,6 +191,11 @@
 			if (connected && !this.ended) {
 				reportBrokenConnection();
 			}
+			else if (!connected) {
+				Events.log(EventId.TARGET_NOT_CONNECTED, failure.getCause(), "request",
+						this.exchange.request().metadata().requestId(), "target", this.start.target().targetId(),
+						"address", this.start.target().address());
+			}
 			end(connected ? AttemptOutcome.BROKEN : AttemptOutcome.NOT_CONNECTED);
 		}
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/StandaloneRelay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/StandaloneRelay.java
@@ -19,6 +19,7 @@
 import org.pistachioline.daemon.traffic.NoClaims;
 import org.pistachioline.daemon.traffic.TraceRecorder;
 import org.pistachioline.daemon.traffic.TrafficDuty;
+import org.pistachioline.daemon.tunnel.TargetConnections;
 
 /**
  * Runs the relay without a platform, with a fixed configuration and fixed targets.
@@ -58,7 +59,7 @@
 				}, new TraceRecorder(false));
 		this.relay = new Relay(callerAddress, protocol, () -> table, this.traffic, (targetId, load) -> {
 			// The targets are fixed, so their load is not tracked.
-		}, new NoOpInstanceListener(), () -> false);
+		}, new NoOpInstanceListener(), () -> false, TargetConnections::direct);
 	}
 
 	@Override
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/tunnel/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Opens connections to targets.
+ */
+package org.pistachioline.daemon.tunnel;
