A daemon that is partitioned from targets connects through another daemon

Cause: a daemon knew one way to a target, its own. Ruled out: the retry budget, used up as well, but with nothing in reach to repeat at; the look-ups, as callers keep answers and connections for seconds. Change: FallbackConnector goes through another daemon's TunnelServer where the direct connection fails at once or is overdue after 150 ms; the first connection that is established is used. The request stays where its caller sent it; nothing is sent before a path is chosen. Targets that only others reach are remembered, tried again each 250 ms and reported. Daemons that are partitioned tell so by gossip and leave the look-ups while at least half of the daemons are not. Orders, probes and the question whether a target has crashed go the same way. End-to-end tests not run yet.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/Connector.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/Connector.java
@@ -16,4 +16,13 @@
 	 */
 	CompletableFuture<OpenedConnection> connect(String address);
 
+	/**
+	 * Returns whether idle connections to an address may carry another request.
+	 * @param address the address, as host and port
+	 * @return false if they may have failed without notice
+	 */
+	default boolean mayReuse(String address) {
+		return true;
+	}
+
 }
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
@@ -134,7 +134,7 @@
 		final Deque<ClientConnection> kept = this.idle.get(address);
 		while (kept != null && !kept.isEmpty()) {
 			final ClientConnection connection = kept.pollLast();
-			if (!connection.isClosed() && isYoung(connection)) {
+			if (!connection.isClosed() && isYoung(connection) && this.connector.mayReuse(address)) {
 				return connection;
 			}
 			connection.abort();
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
@@ -86,7 +86,12 @@
 		this.group.next().schedule(step, afterMillis, TimeUnit.MILLISECONDS);
 	}
 
-	Bootstrap client(int connectMillis) {
+	/**
+	 * Creates the settings of outbound connections.
+	 * @param connectMillis how long a connection may take to be made
+	 * @return the settings, without a handler
+	 */
+	public Bootstrap client(int connectMillis) {
 		return new Bootstrap().group(this.group)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.ALLOCATOR, ALLOCATOR)
@@ -94,7 +99,11 @@
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis);
 	}
 
-	ServerBootstrap server() {
+	/**
+	 * Creates the settings of inbound connections.
+	 * @return the settings, without a handler
+	 */
+	public ServerBootstrap server() {
 		return new ServerBootstrap().group(this.group)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.ALLOCATOR, ALLOCATOR)
--- a/pistachioline-core/src/main/java/org/pistachioline/core/endpoints/EndpointSelector.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/endpoints/EndpointSelector.java
@@ -11,7 +11,8 @@
 
 /**
  * Selects the daemons whose addresses are returned to a caller: ready and not leaving,
- * the caller's availability zone first, weighted by load.
+ * the caller's availability zone first, weighted by load. Daemons that are partitioned
+ * from the targets are left out as long as the others are at least as many.
  * <p>
  * Callers keep a response for long and use its first address. If the least loaded daemon
  * always came first, all callers that ask within one heartbeat would go to it and stay.
@@ -48,10 +49,8 @@
 	public static List<PeerStatus> select(List<PeerStatus> daemons, String availabilityZone, long lookup) {
 		final List<PeerStatus> sameZone = new ArrayList<>();
 		final List<PeerStatus> otherZones = new ArrayList<>();
-		for (final PeerStatus daemon : daemons) {
-			if (daemon.ready() && !daemon.leaving()) {
-				(daemon.availabilityZone().equals(availabilityZone) ? sameZone : otherZones).add(daemon);
-			}
+		for (final PeerStatus daemon : preferred(daemons)) {
+			(daemon.availabilityZone().equals(availabilityZone) ? sameZone : otherZones).add(daemon);
 		}
 		final Comparator<PeerStatus> bySample = Comparator
 			.comparingDouble((PeerStatus daemon) -> exponentialSample(daemon, lookup))
@@ -64,6 +63,16 @@
 		return selected;
 	}
 
+	// A partitioned daemon serves its callers through another one, which costs both of
+	// them. If most daemons are partitioned, the others could not take all callers.
+	private static List<PeerStatus> preferred(List<PeerStatus> daemons) {
+		final List<PeerStatus> ready = daemons.stream()
+			.filter((daemon) -> daemon.ready() && !daemon.leaving())
+			.toList();
+		final List<PeerStatus> connected = ready.stream().filter((daemon) -> !daemon.partitioned()).toList();
+		return (2 * connected.size() >= ready.size()) ? connected : ready;
+	}
+
 	// The minimum of exponentially distributed samples belongs to each daemon with a
 	// probability proportional to its rate, the inverse of its load.
 	private static double exponentialSample(PeerStatus daemon, long lookup) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -202,6 +202,20 @@
 	/** Logged with the number of requests that the target had from this daemon. */
 	TARGET_CRASHED(419, EventLevel.WARN, "A target crashed while it was running requests of this daemon."),
 
+	/** Logged with the daemon through which the target is reached instead. */
+	TARGET_UNREACHABLE(420, EventLevel.WARN,
+			"A target cannot be connected to directly, but another daemon connects to it."),
+
+	/** Logged when a direct connection to an unreachable target was established. */
+	TARGET_REACHED_AGAIN(421, EventLevel.INFO, "An unreachable target can be connected to directly again."),
+
+	/** Logged when most targets are unreachable, with their number. */
+	PARTITION_BEGAN(422, EventLevel.ERROR,
+			"This daemon is partitioned from most targets and reaches them through other daemons."),
+
+	/** Logged with the number of targets that are still unreachable. */
+	PARTITION_ENDED(423, EventLevel.INFO, "This daemon is no longer partitioned from most targets."),
+
 	/** Logged when the evidence that a request crashes its targets suffices. */
 	REQUEST_QUARANTINED(500, EventLevel.ERROR, "A request that crashes targets was quarantined."),
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/peer/PeerUpdate.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/peer/PeerUpdate.java
@@ -10,8 +10,9 @@
  * @param configVersion the version of the configuration in force on the daemon
  * @param ready whether the daemon accepts requests
  * @param leaving whether the daemon is about to stop
+ * @param partitioned whether the daemon cannot connect to most targets itself
  */
 public record PeerUpdate(String daemonId, long incarnation, long sequence, long configVersion, boolean ready,
-		boolean leaving) {
+		boolean leaving, boolean partitioned) {
 
 }
--- a/pistachioline-core/src/test/java/org/pistachioline/core/peer/PeerTableTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/peer/PeerTableTests.java
@@ -119,8 +119,8 @@
 	void updatesOfAnotherIncarnationAreIgnored() {
 		final PeerTable table = new PeerTable("self", 8 * HEARTBEAT_NANOS);
 		table.merge(status(1, 7, 3, 1), 0);
-		assertThat(table.merge(new PeerUpdate("daemon-1", 6, 99, 9, false, true), SECOND_NANOS)).isFalse();
-		assertThat(table.merge(new PeerUpdate("daemon-1", 8, 1, 9, false, true), SECOND_NANOS)).isFalse();
+		assertThat(table.merge(new PeerUpdate("daemon-1", 6, 99, 9, false, true, false), SECOND_NANOS)).isFalse();
+		assertThat(table.merge(new PeerUpdate("daemon-1", 8, 1, 9, false, true, false), SECOND_NANOS)).isFalse();
 		assertThat(table.live(SECOND_NANOS)).containsExactly(status(1, 7, 3, 1));
 	}
 
@@ -135,9 +135,9 @@
 		table.merge(status(1, 7, 3, 1), 0);
 		assertThat(table.takeChanged()).isTrue();
 		table.merge(status(1, 7, 4, 1), SECOND_NANOS);
-		table.merge(new PeerUpdate("daemon-1", 7, 5, 1, true, false), SECOND_NANOS);
+		table.merge(new PeerUpdate("daemon-1", 7, 5, 1, true, false, false), SECOND_NANOS);
 		assertThat(table.takeChanged()).isFalse();
-		table.merge(new PeerUpdate("daemon-1", 7, 6, 1, true, true), SECOND_NANOS);
+		table.merge(new PeerUpdate("daemon-1", 7, 6, 1, true, true, false), SECOND_NANOS);
 		assertThat(table.takeChanged()).isTrue();
 		table.merge(status(1, 8, 1, 1), SECOND_NANOS);
 		assertThat(table.takeChanged()).isTrue();
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -14,6 +14,8 @@
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerMeter;
 import org.pistachioline.daemon.traffic.TrafficDuty;
+import org.pistachioline.daemon.tunnel.TargetConnections;
+import org.pistachioline.daemon.tunnel.TunnelServer;
 import org.pistachioline.protocol.peer.PeerFrame;
 
 /**
@@ -38,6 +40,15 @@
 		bindPeers(peers);
 	}
 
+	void bind(TargetConnections targets, TunnelServer tunnels) {
+		this.metrics.gauge("pistachioline.targets.unreachable", "Targets that only other daemons can connect to",
+				() -> targets.reachability().unreachable().size());
+		this.metrics.gauge("pistachioline.tunnels.open", "Open connections to targets on behalf of other daemons",
+				tunnels::openTunnels);
+		this.metrics.gauge("pistachioline.tunnels.established",
+				"Connections to targets that were opened on behalf of other daemons", tunnels::establishedTunnels);
+	}
+
 	private void bindTraffic(TrafficDuty traffic) {
 		this.metrics.gauge("pistachioline.requests.held", "Requests that have not ended", traffic::activeRequestCount);
 		this.metrics.gauge("pistachioline.requests.queued", "Requests that wait for a target",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -1,6 +1,5 @@
 package org.pistachioline.daemon;
 
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,6 +9,8 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
+import org.pistachioline.adapters.web.Connector;
+import org.pistachioline.adapters.web.WebLoop;
 import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpPolicy;
 import org.pistachioline.core.event.EventId;
@@ -20,6 +21,7 @@
 import org.pistachioline.core.replica.ServingInstance;
 import org.pistachioline.core.route.RouteTable;
 import org.pistachioline.core.traffic.RoutingPolicies;
+import org.pistachioline.core.traffic.TargetView;
 import org.pistachioline.core.traffic.TrafficCore;
 import org.pistachioline.core.traffic.TrafficPolicies;
 import org.pistachioline.daemon.event.Events;
@@ -37,6 +39,8 @@
 import org.pistachioline.daemon.traffic.NoClaims;
 import org.pistachioline.daemon.traffic.TraceRecorder;
 import org.pistachioline.daemon.traffic.TrafficDuty;
+import org.pistachioline.daemon.tunnel.TargetConnections;
+import org.pistachioline.daemon.tunnel.TunnelServer;
 
 /**
  * Daemon on a platform that provides the configuration, the instance list and the
@@ -87,8 +91,14 @@
 
 	private final ListingDuty listing;
 
+	private final WebLoop relayLoop = new WebLoop("relay");
+
+	private final Connector targetConnector;
+
 	private final Relay relay;
 
+	private final TunnelServer tunnels;
+
 	private final Metrics metrics = new Metrics();
 
 	private final Components components = new Components();
@@ -130,10 +140,13 @@
 				this::onInstanceList);
 		final InstanceSignalDispatcher signals = new InstanceSignalDispatcher(this.traffic, this.replicas);
 		ports.orders().setInstanceListener(signals);
-		this.relay = new Relay(settings.callerAddress(), ports.dialect(), () -> this.routeTable, this.traffic,
-				this.replicas::onLoadReport, signals, () -> this.leaving, ports.targetConnectors());
-		this.components.add(List.of(this.traffic, this.replicas, this.peers, ports.routes(), this.listing,
-				ports.lease(), new AdminServer(settings.adminAddress(), new AdminHandler(this)), this.relay));
+		this.targetConnector = ports.targetConnections().connector(this.relayLoop);
+		this.relay = new Relay(this.relayLoop, settings.callerAddress(), ports.dialect(), () -> this.routeTable,
+				this.traffic, this.replicas::onLoadReport, signals, () -> this.leaving, this.targetConnector);
+		this.tunnels = ports.targetConnections().server(this.relayLoop, settings.tunnelAddress());
+		this.components
+			.add(List.of(this.traffic, this.replicas, this.peers, ports.routes(), this.listing, ports.lease(),
+					new AdminServer(settings.adminAddress(), new AdminHandler(this)), this.relay, this.tunnels));
 		registerListeners();
 	}
 
@@ -152,7 +165,12 @@
 		this.ports.routes().setFleetView(() -> this.peers.livePeers().size() + 1, this.peers::newestConfigVersion);
 		this.ports.lease().setCandidacy(this::isPlannerCandidate);
 		this.peers.setListingReceiver(this.listing::onFrame);
+		final TargetConnections targets = this.ports.targetConnections();
+		targets.setPeers(this.peers::livePeers);
+		targets.setPartitionListener(this.peers::sendHeartbeat);
+		targets.startProbing(this.relayLoop);
 		this.traffic.setStallListener((targetId) -> {
+			targets.check(this.targetConnector, this.relayLoop, TargetView.instanceId(targetId));
 			this.replicas.onTargetStalled(targetId);
 			this.peers.broadcastStall(targetId);
 		});
@@ -164,6 +182,7 @@
 		crashMonitor.setBroadcaster(this.peers::broadcastSuspects);
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
+		meters.bind(targets, this.tunnels);
 		this.components.all().forEach((component) -> component.rings().forEach(meters::bind));
 		this.metrics.gauge("pistachioline.config.version", "Version of the configuration in force",
 				this::configVersion);
@@ -182,6 +201,7 @@
 
 	private void onInstanceList(List<ServingInstance> instances) {
 		this.instanceListKnown = true;
+		this.ports.targetConnections().updateInstances(instances);
 		this.replicas.updateInstances(instances);
 	}
 
@@ -222,7 +242,7 @@
 			.toNanos(Math.max(0, this.settings.graceMillis() - STOP_MARGIN_MILLIS));
 		final long lingerNanos = Math.min(maxWaitNanos, TimeUnit.MILLISECONDS.toNanos(LINGER_MILLIS));
 		long waitedNanos = 0;
-		while (waitedNanos < lingerNanos || (this.traffic.activeRequestCount() > 0 && waitedNanos < maxWaitNanos)) {
+		while (waitedNanos < lingerNanos || (isServing() && waitedNanos < maxWaitNanos)) {
 			LockSupport.parkNanos(DRAIN_CHECK_INTERVAL_NANOS);
 			waitedNanos = System.nanoTime() - leaveStartedAtNanos;
 		}
@@ -230,6 +250,10 @@
 				TimeUnit.NANOSECONDS.toMillis(waitedNanos));
 	}
 
+	private boolean isServing() {
+		return this.traffic.activeRequestCount() > 0 || this.tunnels.openTunnels() > 0;
+	}
+
 	/**
 	 * Stops all started components in reverse order, without draining.
 	 */
@@ -269,8 +293,8 @@
 		return new PeerStatus(this.settings.daemonId(), this.settings.peerAddress(), this.settings.callerAddress(),
 				this.settings.adminAddress(), this.settings.availabilityZone(), this.incarnation,
 				this.heartbeatSequence.incrementAndGet(), configVersion(), 0, 0,
-				this.acceptingTraffic && notReadyReason().isEmpty(), this.leaving, this.traffic.activeRequestCount(),
-				0);
+				this.acceptingTraffic && notReadyReason().isEmpty(), this.leaving, this.traffic.activeRequestCount(), 0,
+				this.tunnels.localAddress(), this.ports.targetConnections().reachability().isPartitioned());
 	}
 
 	/**
@@ -356,21 +380,9 @@
 
 	@Override
 	public Map<String, Object> dump() {
-		final Map<String, Object> dump = new LinkedHashMap<>();
-		dump.put("daemon", status());
-		dump.put("not_ready_reason", notReadyReason().orElse(""));
-		dump.put("config", Map.of("version", configVersion()));
-		dump.put("requests",
-				Map.of("held", this.traffic.activeRequestCount(), "queued", this.traffic.queuedRequestCount()));
-		dump.put("listing",
-				Map.of("age_millis", this.listing.ageMillis(), "reads_for_others", this.listing.readsForOthers()));
-		dump.put("serving_targets", this.replicas.servingTargetCount());
-		dump.put("limited_targets", this.traffic.limitReports());
-		dump.put("backoff_targets", this.traffic.backoffReports());
-		dump.put("crash_suspects", this.traffic.crashMonitor().reports());
-		dump.put("planned_groups", this.replicas.plannedGroups());
-		dump.put("peers", daemons());
-		return dump;
+		return new RoutingDaemonDump(this.traffic, this.replicas, this.listing, this.ports.targetConnections(),
+				this.tunnels)
+			.of(status(), notReadyReason(), daemons());
 	}
 
 	@Override
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingSettings.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingSettings.java
@@ -13,6 +13,8 @@
  * @param callerAddress the address on which it listens for callers, as host and port
  * @param adminAddress the address on which it listens for operators, as host and port
  * @param peerAddress the address on which it listens for other daemons, as host and port
+ * @param tunnelAddress the address on which it opens connections to targets on behalf of
+ * other daemons, as host and port
  * @param peerSeeds the addresses of daemons through which it discovers the others
  * @param firstStart whether the whole system starts for the first time
  * @param graceMillis the time from the signal to stop until the process is killed
@@ -22,8 +24,8 @@
  * @param plannerTimes the timing parameters of the planner
  */
 public record RoutingSettings(String daemonId, String availabilityZone, String callerAddress, String adminAddress,
-		String peerAddress, List<String> peerSeeds, boolean firstStart, long graceMillis, long maxListAgeMillis,
-		RetryBudget retryBudget, PlannerTimes plannerTimes) {
+		String peerAddress, String tunnelAddress, List<String> peerSeeds, boolean firstStart, long graceMillis,
+		long maxListAgeMillis, RetryBudget retryBudget, PlannerTimes plannerTimes) {
 
 	public RoutingSettings {
 		peerSeeds = List.copyOf(peerSeeds);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -50,6 +50,20 @@
 	ATTEMPTS_BACKOFF("pistachioline_attempts_backoff", "attempts",
 			"Attempts that were started at targets during their backoff.", "above 0"),
 
+	/** Gauge of the targets that this daemon reaches through other daemons. */
+	TARGETS_UNREACHABLE("pistachioline_targets_unreachable", "targets",
+			"Targets that this daemon cannot connect to although another one can.",
+			"above 0 for a minute: look at the network between this daemon and them"),
+
+	/** Gauge of the tunnels of other daemons. */
+	TUNNELS_OPEN("pistachioline_tunnels_open", "connections", "Open connections to targets on behalf of other daemons.",
+			"near 512, the most that a daemon opens"),
+
+	/** Count of the tunnels of other daemons since the start. */
+	TUNNELS_ESTABLISHED("pistachioline_tunnels_established", "connections",
+			"Connections to targets that were established on behalf of other daemons.",
+			"rising: another daemon is partitioned from targets"),
+
 	/** Gauge of the manifest's or route table's version. */
 	CONFIG_VERSION("pistachioline_config_version", "version", "Version of the configuration in force.",
 			"differs from other daemons for 10 s"),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerCodec.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerCodec.java
@@ -74,6 +74,8 @@
 			.setLeaving(status.leaving())
 			.setLoadRatio(status.loadRatio())
 			.setLogAgeMillis(status.logAgeMillis())
+			.setTunnelAddress(status.tunnelAddress())
+			.setPartitioned(status.partitioned())
 			.build();
 	}
 
@@ -81,7 +83,8 @@
 		return new PeerStatus(status.getDaemonId(), status.getPeerAddress(), status.getCallerAddress(),
 				status.getAdminAddress(), status.getAvailabilityZone(), status.getIncarnation(), status.getSequence(),
 				status.getConfigVersion(), status.getConfigOffset(), status.getFleetOffset(), status.getReady(),
-				status.getLeaving(), status.getLoadRatio(), status.getLogAgeMillis());
+				status.getLeaving(), status.getLoadRatio(), status.getLogAgeMillis(), status.getTunnelAddress(),
+				status.getPartitioned());
 	}
 
 	static DaemonNews encode(PeerUpdate news) {
@@ -92,12 +95,13 @@
 			.setConfigVersion(news.configVersion())
 			.setReady(news.ready())
 			.setLeaving(news.leaving())
+			.setPartitioned(news.partitioned())
 			.build();
 	}
 
 	static PeerUpdate decode(DaemonNews news) {
 		return new PeerUpdate(news.getDaemonId(), news.getIncarnation(), news.getSequence(), news.getConfigVersion(),
-				news.getReady(), news.getLeaving());
+				news.getReady(), news.getLeaving(), news.getPartitioned());
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -2,7 +2,6 @@
 
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
-import java.util.function.Function;
 import java.util.function.Supplier;
 
 import org.pistachioline.adapters.web.Connector;
@@ -29,7 +28,7 @@
 
 	private static final int MAX_IDLE_PER_TARGET = 6;
 
-	private final WebLoop loop = new WebLoop("relay");
+	private final WebLoop loop;
 
 	private final ActiveStreams streams = new ActiveStreams();
 
@@ -39,6 +38,7 @@
 
 	/**
 	 * Creates a relay that does not listen yet.
+	 * @param loop the thread that serves callers and targets; closed with the relay
 	 * @param address the listen address for callers, as host and port
 	 * @param protocol reads and writes the headers of callers and targets
 	 * @param routes supplies the active configuration
@@ -47,13 +47,13 @@
 	 * @param instances receives the backoff requests and announced departures of
 	 * instances
 	 * @param leaving whether the daemon is shutting down
-	 * @param targetConnectors creates the connector to targets for a loop
+	 * @param targetConnector opens the connections to targets, on the same thread
 	 */
-	public Relay(String address, RelayProtocol protocol, Supplier<RouteTable> routes, TrafficDuty traffic,
+	public Relay(WebLoop loop, String address, RelayProtocol protocol, Supplier<RouteTable> routes, TrafficDuty traffic,
 			BiConsumer<String, LoadReport> loadReceiver, InstanceListener instances, BooleanSupplier leaving,
-			Function<WebLoop, Connector> targetConnectors) {
-		final WebClient client = new WebClient(this.loop, targetConnectors.apply(this.loop), IDLE_CONNECTION_MILLIS,
-				MAX_IDLE_PER_TARGET);
+			Connector targetConnector) {
+		this.loop = loop;
+		final WebClient client = new WebClient(this.loop, targetConnector, IDLE_CONNECTION_MILLIS, MAX_IDLE_PER_TARGET);
 		final RelayContext context = new RelayContext(this.loop, client, protocol, this.streams,
 				traffic::onCallerDisconnected, new TargetReportDispatcher(loadReceiver, traffic),
 				new BackoffGate(instances, System::nanoTime),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/StandaloneRelay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/StandaloneRelay.java
@@ -6,6 +6,7 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
+import org.pistachioline.adapters.web.WebLoop;
 import org.pistachioline.core.quarantine.GossipQuarantine;
 import org.pistachioline.core.retry.RetryBudget;
 import org.pistachioline.core.route.RouteTable;
@@ -57,9 +58,10 @@
 				(suspect, nowMillis) -> {
 					// Requests are not expected to crash the fixed targets.
 				}, new TraceRecorder(false));
-		this.relay = new Relay(callerAddress, protocol, () -> table, this.traffic, (targetId, load) -> {
+		final WebLoop loop = new WebLoop("relay");
+		this.relay = new Relay(loop, callerAddress, protocol, () -> table, this.traffic, (targetId, load) -> {
 			// The targets are fixed, so their load is not tracked.
-		}, new NoOpInstanceListener(), () -> false, TargetConnections::direct);
+		}, new NoOpInstanceListener(), () -> false, TargetConnections.direct(loop));
 	}
 
 	@Override
--- /dev/null
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/tunnel/TunnelTests.java
@@ -0,0 +1,197 @@
+package org.pistachioline.daemon.tunnel;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import org.pistachioline.adapters.web.Connector;
+import org.pistachioline.adapters.web.DirectConnector;
+import org.pistachioline.adapters.web.HeaderFields;
+import org.pistachioline.adapters.web.OpenedConnection;
+import org.pistachioline.adapters.web.WebAnswer;
+import org.pistachioline.adapters.web.WebClient;
+import org.pistachioline.adapters.web.WebLoop;
+import org.pistachioline.adapters.web.WebRequest;
+import org.pistachioline.core.reachability.TargetReachability;
+import org.pistachioline.protocol.peer.TunnelResult;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Tests tunnels over real connections to a target that each test plays by hand.
+ */
+class TunnelTests {
+
+	private static final String UNFRAMED_ANSWER = "HTTP/1.1 200 OK\r\n\r\nwhole";
+
+	/** Only a test that fails waits for so long. */
+	private static final long MAX_MILLIS = 20_000;
+
+	private final WebLoop loop = new WebLoop("test");
+
+	private final Set<String> targets = ConcurrentHashMap.newKeySet();
+
+	private final TargetReachability reachability = new TargetReachability();
+
+	private final Connector direct = new DirectConnector(this.loop, 1_000);
+
+	private final TunnelServer server = new TunnelServer(this.loop, "127.0.0.1:0", this.direct, this.targets::contains,
+			this.reachability);
+
+	private final TunnelClient client = new TunnelClient(this.loop, this.direct);
+
+	private ServerSocket target;
+
+	private String targetAddress;
+
+	@BeforeEach
+	void listen() throws IOException {
+		this.server.start();
+		this.target = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+		this.targetAddress = "127.0.0.1:" + this.target.getLocalPort();
+		this.targets.add(this.targetAddress);
+	}
+
+	@AfterEach
+	void close() throws IOException {
+		this.target.close();
+		this.server.stop();
+		this.loop.close();
+	}
+
+	private CompletableFuture<OpenedConnection> open() {
+		final CompletableFuture<OpenedConnection> opened = new CompletableFuture<>();
+		this.loop.execute(
+				() -> this.client.open(this.server.localAddress(), this.targetAddress).whenComplete((tunnel, ex) -> {
+					if (ex != null) {
+						opened.completeExceptionally(ex);
+					}
+					else {
+						opened.complete(tunnel);
+					}
+				}));
+		return opened;
+	}
+
+	private CompletableFuture<WebAnswer> call() {
+		final WebClient throughTunnel = new WebClient(this.loop,
+				(address) -> this.client.open(this.server.localAddress(), address), 5_000, 2);
+		return throughTunnel.call(this.targetAddress, WebRequest.get("/report", HeaderFields.of("Host", "shop")), false,
+				MAX_MILLIS);
+	}
+
+	private static void readRequest(Socket connection) throws IOException {
+		final InputStream in = connection.getInputStream();
+		final StringBuilder request = new StringBuilder();
+		while (!request.toString().endsWith("\r\n\r\n")) {
+			request.append((char) in.read());
+		}
+		assertThat(request.toString()).startsWith("GET /report HTTP/1.1\r\n");
+	}
+
+	private static void write(Socket connection, String bytes) throws IOException {
+		connection.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
+		connection.getOutputStream().flush();
+	}
+
+	@Test
+	void aTunnelCarriesARequestAndItsAnswer() throws IOException {
+		final CompletableFuture<WebAnswer> answer = call();
+		try (Socket connection = this.target.accept()) {
+			readRequest(connection);
+			write(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+			assertThat(answer.join().body().text()).isEqualTo("ok");
+		}
+		assertThat(this.server.establishedTunnels()).isEqualTo(1);
+	}
+
+	@Test
+	void anAnswerWithoutALengthEndsWithItsConnection() throws IOException {
+		final CompletableFuture<WebAnswer> answer = call();
+		try (Socket connection = this.target.accept()) {
+			readRequest(connection);
+			write(connection, UNFRAMED_ANSWER);
+		}
+		assertThat(answer.join().body().text()).isEqualTo("whole");
+	}
+
+	/**
+	 * Guards against a truncated answer that looks complete because a tunnel turned the
+	 * target's reset into an orderly close.
+	 */
+	@Test
+	void anAnswerThatIsResetFailsAtTheOtherEnd() throws IOException {
+		final CompletableFuture<WebAnswer> answer = call();
+		try (Socket connection = this.target.accept()) {
+			readRequest(connection);
+			write(connection, UNFRAMED_ANSWER);
+			connection.setSoLinger(true, 0);
+		}
+		assertThatExceptionOfType(CompletionException.class).isThrownBy(answer::join);
+	}
+
+	/**
+	 * Guards against a target that works on for a caller who has left.
+	 */
+	@Test
+	void aRequestThatIsGivenUpClosesTheConnectionToTheTarget() throws IOException {
+		final OpenedConnection tunnel = open().join();
+		try (Socket connection = this.target.accept()) {
+			tunnel.channel().close();
+			assertThat(connection.getInputStream().read()).isEqualTo(-1);
+		}
+	}
+
+	@Test
+	void aTargetThatRefusesIsToldApart() throws IOException {
+		this.target.close();
+		assertThat(resultOf(open())).isEqualTo(TunnelResult.REFUSED);
+	}
+
+	/**
+	 * Guards against a daemon that opens connections to anything that is asked for.
+	 */
+	@Test
+	void onlyListedTargetsAreConnectedTo() {
+		this.targets.clear();
+		assertThat(resultOf(open())).isEqualTo(TunnelResult.UNKNOWN_TARGET);
+	}
+
+	/**
+	 * Guards against requests that pass from daemon to daemon because none of them
+	 * reaches the target.
+	 */
+	@Test
+	void aDaemonThatIsPartitionedItselfSaysSoAtOnce() {
+		IntStream.range(0, 3).forEach((index) -> this.reachability.onIndirectConnection(index, "t" + index));
+		assertThat(resultOf(open())).isEqualTo(TunnelResult.UNREACHABLE);
+	}
+
+	@Test
+	void aDaemonThatIsNotThereGivesNoResult() {
+		final String address = this.server.localAddress();
+		this.server.stop();
+		final CompletableFuture<OpenedConnection> opened = new CompletableFuture<>();
+		this.loop.execute(() -> this.client.open(address, this.targetAddress)
+			.whenComplete((tunnel, failure) -> opened.completeExceptionally(failure)));
+		assertThat(resultOf(opened)).isEqualTo(TunnelResult.UNKNOWN_RESULT);
+	}
+
+	private static TunnelResult resultOf(CompletableFuture<OpenedConnection> tunnel) {
+		return tunnel.handle((opened, failure) -> ((TunnelException) failure).result()).join();
+	}
+
+}
