--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RequestInfo.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RequestInfo.java
@@ -24,10 +24,13 @@
  * @param maxAttempts the maximum number of targets that it may be sent to
  * @param softDeadlineNanos until when its first token counts as on time, by the monotonic
  * clock; a later one is still useful to the caller up to the first-token deadline
+ * @param sharedPromptParts the ids of the parts of its prompt that other requests may
+ * share
  */
 public record RequestInfo(long requestId, String workspace, TargetKind targetKind, String name, int promptTokens,
 		int maxOutputTokens, int priority, long firstTokenDeadlineNanos, long totalDeadlineNanos, boolean idempotent,
-		ClaimRequirement claim, String fingerprint, List<Long> prefixHashes, int maxAttempts, long softDeadlineNanos) {
+		ClaimRequirement claim, String fingerprint, List<Long> prefixHashes, int maxAttempts, long softDeadlineNanos,
+		List<String> sharedPromptParts) {
 
 	/**
 	 * The limit of attempts if the operator configures none. It bounds the cost of
@@ -37,6 +40,34 @@
 
 	public RequestInfo {
 		prefixHashes = List.copyOf(prefixHashes);
+		sharedPromptParts = List.copyOf(sharedPromptParts);
+	}
+
+	/**
+	 * Creates a request whose prompt has no parts that are known.
+	 * @param requestId the id that this daemon assigned to it
+	 * @param workspace the caller's workspace
+	 * @param targetKind whether it is for a model or for a plain service
+	 * @param name the model's or the service's name
+	 * @param promptTokens the estimated length of the prompt, in tokens
+	 * @param maxOutputTokens the maximum number of tokens that it may generate
+	 * @param priority its priority within its workspace; higher numbers go first
+	 * @param firstTokenDeadlineNanos when its first token is due
+	 * @param totalDeadlineNanos when it must have ended
+	 * @param idempotent whether it may be sent again
+	 * @param claim the claim that it requires
+	 * @param fingerprint the request's fingerprint
+	 * @param prefixHashes hashes of the prompt's prefixes of increasing length
+	 * @param maxAttempts the maximum number of targets that it may be sent to
+	 * @param softDeadlineNanos until when its first token counts as on time
+	 */
+	public RequestInfo(long requestId, String workspace, TargetKind targetKind, String name, int promptTokens,
+			int maxOutputTokens, int priority, long firstTokenDeadlineNanos, long totalDeadlineNanos,
+			boolean idempotent, ClaimRequirement claim, String fingerprint, List<Long> prefixHashes, int maxAttempts,
+			long softDeadlineNanos) {
+		this(requestId, workspace, targetKind, name, promptTokens, maxOutputTokens, priority, firstTokenDeadlineNanos,
+				totalDeadlineNanos, idempotent, claim, fingerprint, prefixHashes, maxAttempts, softDeadlineNanos,
+				List.of());
 	}
 
 	/**
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -240,8 +240,9 @@
 		final int deliveredByAttempt = this.exchange.position().deliveredEvents() - this.start.resumeFromTokens();
 		final String fingerprint = this.exchange.info().fingerprint();
 		Events.log(EventId.TARGET_CONNECTION_LOST, "request", this.exchange.request().metadata().requestId(),
-				"fingerprint", fingerprint, "target", this.start.target().targetId(), "status",
-				(this.responseHead != null) ? this.responseHead.status() : 0, "events", deliveredByAttempt);
+				"fingerprint", fingerprint, "parts", this.exchange.info().sharedPromptParts(), "target",
+				this.start.target().targetId(), "status", (this.responseHead != null) ? this.responseHead.status() : 0,
+				"events", deliveredByAttempt);
 		this.exchange.context()
 			.crashProbe()
 			.onConnectionBroken(this.start.target(), fingerprint, deliveredByAttempt > STARTING_PHASE_EVENTS);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -127,7 +127,8 @@
 				metadata.promptTokens(), metadata.maxOutputTokens(), HIGHEST_PRIORITY - priority,
 				firstTokenDeadlineNanos, deadlineNanos, route.idempotent(), ClaimRequirement.NONE,
 				RequestFingerprint.of(relayed), List.of(), Math.max(1, route.maxAttempts()),
-				arrivedAtNanos + TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis()));
+				arrivedAtNanos + TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis()),
+				metadata.sharedPromptParts());
 	}
 
 	// Compares every hash, so that the response time does not reveal how much of a
