--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashSimulation.java
@@ -5,10 +5,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 import org.pistachioline.core.traffic.TargetView;
 import org.pistachioline.core.world.VirtualTime;
@@ -27,14 +29,26 @@
 
 	static final long MILLI_NANOS = 1_000_000L;
 
-	/** Prefix of the fingerprints of requests that crash targets. */
+	/** Prefix of the fingerprints of requests that crash targets, and of such parts. */
 	static final String CRASHING_PREFIX = "killer";
 
+	/** Marks the names of parts. */
+	static final String PART_MARK = "-part-";
+
 	/** Time after which all daemons are expected to know of the third crash. */
 	private static final long PROPAGATION_NANOS = 3 * SECOND_NANOS;
 
 	private static final int DETECTION_CRASHES = 3;
 
+	/** Requests that only share a part are recognized later than copies of one. */
+	private static final int PART_DETECTION_CRASHES = 5;
+
+	private static final int WORKSPACES = 10;
+
+	private static final int SUBJECTS = 300;
+
+	private static final int PART_POSITIONS = 3;
+
 	/** Time for which a crashed target remains in the target list. */
 	private static final long DELISTING_DELAY_NANOS = 3_600 * MILLI_NANOS;
 
@@ -71,12 +85,14 @@
 
 	private final Map<String, Integer> crashCount = new HashMap<>();
 
-	private final Map<String, Long> thirdCrashNanos = new HashMap<>();
+	private final Map<String, Long> detectableSinceNanos = new HashMap<>();
 
 	private final Map<String, Integer> lateArrivals = new HashMap<>();
 
 	private final VirtualTime time = new VirtualTime();
 
+	private int requestsWithCrashingPart;
+
 	CrashSimulation(long seed, int daemonCount, int targetCount, Supplier<QuarantinePolicy> policy) {
 		this.random = new Random(seed);
 		this.policy = policy;
@@ -215,6 +231,58 @@
 		this.targets.subList(first, first + count).forEach(CrashSimulationTarget::crash);
 	}
 
+	/**
+	 * Sends harmless requests whose prompts share a part with all others, one with those
+	 * of their workspace and one with those about the same subject.
+	 * @param perSecond the mean rate in requests per second
+	 */
+	void sendRequestsWithParts(double perSecond) {
+		after(nextGapNanos(perSecond), () -> {
+			arrive("innocent-" + this.bystanders++, randomParts(), 1);
+			sendRequestsWithParts(perSecond);
+		});
+	}
+
+	private List<String> randomParts() {
+		return List.of("a0", "b" + this.random.nextInt(WORKSPACES), "c" + this.random.nextInt(SUBJECTS));
+	}
+
+	/**
+	 * Sends requests that differ but have a part in common that crashes targets.
+	 * @param name the name of the part
+	 * @param position which part of the prompt it is; the others are shared with harmless
+	 * requests
+	 * @param perSecond the mean rate in requests per second
+	 * @param seconds for how long they are sent
+	 */
+	void sendCrashingPart(String name, int position, double perSecond, double seconds) {
+		sendCrashingPartUntil(CRASHING_PREFIX + name, position, perSecond,
+				this.time.nowNanos() + (long) (seconds * SECOND_NANOS));
+	}
+
+	private void sendCrashingPartUntil(String part, int position, double perSecond, long untilNanos) {
+		after(nextGapNanos(perSecond), () -> {
+			if (this.time.nowNanos() < untilNanos) {
+				final List<String> parts = new ArrayList<>(randomParts());
+				parts.set(position % PART_POSITIONS, part);
+				arrive("with-" + part + "-" + this.requestsWithCrashingPart++, parts, 1);
+				sendCrashingPartUntil(part, position, perSecond, untilNanos);
+			}
+		});
+	}
+
+	/**
+	 * Returns what makes a request crash its targets.
+	 * @param fingerprint the request's fingerprint
+	 * @param promptParts the parts of its prompt
+	 * @return the request itself or one of its parts; empty if it is harmless
+	 */
+	static Optional<String> culprit(String fingerprint, List<String> promptParts) {
+		return Stream.concat(Stream.of(fingerprint), promptParts.stream())
+			.filter((subject) -> subject.startsWith(CRASHING_PREFIX))
+			.findFirst();
+	}
+
 	private long nextGapNanos(double perSecond) {
 		return (long) (-Math.log(1 - this.random.nextDouble()) / perSecond * SECOND_NANOS);
 	}
@@ -225,23 +293,37 @@
 	 * @param resubmissions how often its caller resubmits it after a failure
 	 */
 	void arrive(String fingerprint, int resubmissions) {
+		arrive(fingerprint, List.of(), resubmissions);
+	}
+
+	/**
+	 * Sends a request to a random running daemon.
+	 * @param fingerprint the request's fingerprint
+	 * @param promptParts the parts of its prompt that it shares with others
+	 * @param resubmissions how often its caller resubmits it after a failure
+	 */
+	void arrive(String fingerprint, List<String> promptParts, int resubmissions) {
 		final List<CrashSimulationDaemon> running = this.daemons.stream()
 			.filter(CrashSimulationDaemon::running)
 			.toList();
 		if (!running.isEmpty()) {
-			running.get(this.random.nextInt(running.size())).arrive(fingerprint, resubmissions);
+			running.get(this.random.nextInt(running.size())).arrive(fingerprint, promptParts, resubmissions);
 		}
 	}
 
-	void onCrash(String fingerprint) {
-		final int count = this.crashCount.merge(fingerprint, 1, Integer::sum);
-		if (count == DETECTION_CRASHES) {
-			this.thirdCrashNanos.put(fingerprint, this.time.nowNanos());
+	void onServed() {
+		this.bystandersServed++;
+	}
+
+	void onCrash(String culprit) {
+		final int count = this.crashCount.merge(culprit, 1, Integer::sum);
+		if (count == (culprit.contains(PART_MARK) ? PART_DETECTION_CRASHES : DETECTION_CRASHES)) {
+			this.detectableSinceNanos.put(culprit, this.time.nowNanos());
 		}
 	}
 
 	void onArrival(CrashSimulationDaemon sender, String fingerprint) {
-		final Long crashedAtNanos = this.thirdCrashNanos.get(fingerprint);
+		final Long crashedAtNanos = this.detectableSinceNanos.get(fingerprint);
 		if (crashedAtNanos != null && this.time.nowNanos() - crashedAtNanos > PROPAGATION_NANOS
 				&& sender.uptimeNanos() > PROPAGATION_NANOS) {
 			this.lateArrivals.merge(fingerprint, 1, Integer::sum);
@@ -259,7 +341,7 @@
 
 	/**
 	 * Returns how often a request reached a target more than three seconds after the
-	 * third crash.
+	 * third crash, or the fifth one under requests with the same part.
 	 * @param name the name of the request
 	 * @return the number of arrivals
 	 */
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashSimulationDaemon.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashSimulationDaemon.java
@@ -151,14 +151,14 @@
 				evidence.excused());
 	}
 
-	void arrive(String fingerprint, int resubmissions) {
+	void arrive(String fingerprint, List<String> promptParts, int resubmissions) {
 		final long nowNanos = this.simulation.nowNanos();
 		final long requestId = ++this.lastRequestId;
-		this.callers.put(requestId, new Caller(fingerprint, resubmissions));
+		this.callers.put(requestId, new Caller(fingerprint, promptParts, resubmissions));
 		apply(this.core.onRequest(nowNanos,
 				new RequestInfo(requestId, "shop", TargetKind.MODEL, "pool/m", 100, 60, 0, nowNanos + DEADLINE_NANOS,
 						nowNanos + DEADLINE_NANOS, true, ClaimRequirement.NONE, fingerprint, List.of(), 2,
-						nowNanos + SOFT_DEADLINE_NANOS)));
+						nowNanos + SOFT_DEADLINE_NANOS, promptParts)));
 	}
 
 	/**
@@ -188,7 +188,7 @@
 	private void apply(TrafficAction action) {
 		final long requestId = action.requestId();
 		if (action instanceof TrafficAction.Start start) {
-			send(start, this.callers.get(requestId).fingerprint());
+			send(start, this.callers.get(requestId));
 		}
 		else if (action instanceof TrafficAction.Cancel cancel) {
 			final SentAttempt sent = this.liveAttempts.get(cancel.attempt());
@@ -197,7 +197,9 @@
 		}
 		else if (action instanceof TrafficAction.Finish) {
 			final Caller caller = this.callers.remove(requestId);
-			this.simulation.bystandersServed += caller.crashesTargets() ? 0 : 1;
+			if (!caller.crashesTargets()) {
+				this.simulation.onServed();
+			}
 		}
 		else if (action instanceof TrafficAction.Fail fail) {
 			onFail(this.callers.remove(requestId), fail.kind());
@@ -209,12 +211,12 @@
 			this.simulation.quarantinedBystanders.add(caller.fingerprint());
 		}
 		if (kind != ErrorKind.QUARANTINED && caller.resubmissions() > 0) {
-			this.simulation.after(RESUBMIT_DELAY_NANOS,
-					() -> this.simulation.arrive(caller.fingerprint(), caller.resubmissions() - 1));
+			this.simulation.after(RESUBMIT_DELAY_NANOS, () -> this.simulation.arrive(caller.fingerprint(),
+					caller.promptParts(), caller.resubmissions() - 1));
 		}
 	}
 
-	private void send(TrafficAction.Start start, String fingerprint) {
+	private void send(TrafficAction.Start start, Caller caller) {
 		final CrashSimulationTarget target = this.simulation.target(start.target().targetId());
 		final SentAttempt sent = new SentAttempt(start.attempt(), target, start.resumeFromTokens());
 		this.liveAttempts.put(start.attempt(), sent);
@@ -223,7 +225,7 @@
 				afterUnlessRestarted(ONE_WAY_NANOS, () -> sent.end(AttemptOutcome.NOT_CONNECTED, 0));
 			}
 			else if (!sent.ended) {
-				target.run(sent, fingerprint);
+				target.run(sent, caller.fingerprint(), caller.promptParts());
 			}
 		});
 	}
@@ -237,10 +239,10 @@
 		});
 	}
 
-	private record Caller(String fingerprint, int resubmissions) {
+	private record Caller(String fingerprint, List<String> promptParts, int resubmissions) {
 
 		boolean crashesTargets() {
-			return this.fingerprint.startsWith(CrashSimulation.CRASHING_PREFIX);
+			return CrashSimulation.culprit(this.fingerprint, this.promptParts).isPresent();
 		}
 
 	}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashSimulationTarget.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashSimulationTarget.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.pistachioline.core.traffic.TargetKind;
 import org.pistachioline.core.traffic.TargetView;
@@ -66,14 +67,16 @@
 	 * completion.
 	 * @param attempt the attempt
 	 * @param fingerprint the request's fingerprint
+	 * @param promptParts the parts of its prompt that it shares with others
 	 */
-	void run(CrashSimulationDaemon.SentAttempt attempt, String fingerprint) {
+	void run(CrashSimulationDaemon.SentAttempt attempt, String fingerprint, List<String> promptParts) {
 		final long runId = this.nextRunId++;
-		final Run run = new Run(attempt, fingerprint);
+		final Run run = new Run(attempt, fingerprint, promptParts);
+		final Optional<String> culprit = CrashSimulation.culprit(fingerprint, promptParts);
 		this.runs.put(runId, run);
-		this.simulation.onArrival(attempt.daemon(), fingerprint);
-		if (fingerprint.startsWith(CrashSimulation.CRASHING_PREFIX)) {
-			whileRunning(runId, FIRST_EVENT_NANOS + CRASH_DELAY_NANOS, () -> crashUnder(fingerprint));
+		if (culprit.isPresent()) {
+			this.simulation.onArrival(attempt.daemon(), culprit.get());
+			whileRunning(runId, FIRST_EVENT_NANOS + CRASH_DELAY_NANOS, () -> crashUnder(culprit.get()));
 		}
 		else if (this.simulation.random.nextDouble() < this.simulation.resetRatio) {
 			whileRunning(runId, RESET_DELAY_NANOS, () -> {
@@ -111,8 +114,8 @@
 		this.runs.values().removeIf((run) -> run.attempt == attempt);
 	}
 
-	private void crashUnder(String fingerprint) {
-		this.simulation.onCrash(fingerprint);
+	private void crashUnder(String culprit) {
+		this.simulation.onCrash(culprit);
 		crash();
 	}
 
@@ -148,11 +151,14 @@
 
 		final String fingerprint;
 
+		final List<String> promptParts;
+
 		int events;
 
-		Run(CrashSimulationDaemon.SentAttempt attempt, String fingerprint) {
+		Run(CrashSimulationDaemon.SentAttempt attempt, String fingerprint, List<String> promptParts) {
 			this.attempt = attempt;
 			this.fingerprint = fingerprint;
+			this.promptParts = promptParts;
 		}
 
 	}
