Relay: a stream that ends with its connection before any event is broken

Cause: an answer may have neither a length nor chunks and end with its connection. Where a target crashes behind the head of such an answer, its connection closes, and the stream looked complete: the caller got an empty stream, and the end excused the request and the parts of its prompt. Change: a stream without framing, without an event and not resumed is broken, and its target is asked whether it has crashed. One that had events is as before: where it ends between two events nothing tells it from a whole one.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -163,8 +163,7 @@
 	@Override
 	public void onEnd() {
 		if (this.eventForwarder != null) {
-			this.exchange.response().flush();
-			end(this.eventForwarder.outcomeAtEnd());
+			endStream();
 			return;
 		}
 		if (this.expectedOutcome != AttemptOutcome.DECLINED) {
@@ -174,6 +173,28 @@
 		end(this.expectedOutcome);
 	}
 
+	private void endStream() {
+		this.exchange.response().flush();
+		final StreamPosition position = this.exchange.position();
+		final boolean empty = position.deliveredEvents() == 0 && position.lastEventId().isEmpty();
+		if (!this.ended && empty && !isFramed(this.responseHead)) {
+			reportBrokenConnection();
+			end(AttemptOutcome.BROKEN);
+			return;
+		}
+		end(this.eventForwarder.outcomeAtEnd());
+	}
+
+	// Without framing, the end of the connection ends the response, also when the target
+	// has crashed.
+	private static boolean isFramed(AnswerHead head) {
+		return head.header("Content-Length").isPresent() || head.header("Transfer-Encoding").isPresent();
+	}
+
+	private int deliveredEvents() {
+		return this.exchange.position().deliveredEvents() - this.start.resumeFromTokens();
+	}
+
 	@Override
 	public void onFailure(Throwable failure) {
 		// A target that declined has stated that it did not run the request, which holds
@@ -232,16 +253,15 @@
 	}
 
 	private void reportBrokenConnection() {
-		final int deliveredByAttempt = this.exchange.position().deliveredEvents() - this.start.resumeFromTokens();
 		final String fingerprint = this.exchange.info().fingerprint();
 		Events.log(EventId.TARGET_CONNECTION_LOST, "request", this.exchange.request().metadata().requestId(),
 				"fingerprint", fingerprint, "parts", this.exchange.info().sharedPromptParts(), "target",
 				this.start.target().targetId(), "status", (this.responseHead != null) ? this.responseHead.status() : 0,
-				"events", deliveredByAttempt);
+				"events", deliveredEvents());
 		this.exchange.context()
 			.crashProbe()
 			.onConnectionBroken(this.start.target(), this.exchange.info(),
-					deliveredByAttempt > CrashPhase.STARTING_EVENTS);
+					deliveredEvents() > CrashPhase.STARTING_EVENTS);
 	}
 
 }
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -1,5 +1,8 @@
 package org.pistachioline.daemon.relay;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -124,6 +127,30 @@
 		assertThat(this.responses.get(0).head().header("Retry-After")).isEmpty();
 	}
 
+	/**
+	 * Guards against a stream whose target crashes behind the head of its answer and that
+	 * looks complete, since an answer without a length ends with its connection.
+	 */
+	@Test
+	void aStreamThatEndsWithItsConnectionBeforeAnyEventIsBroken() throws IOException {
+		assertThat(outcomeOfEmptyStream(HeaderFields.EMPTY)).isEqualTo("BROKEN");
+		assertThat(outcomeOfEmptyStream(HeaderFields.of("Transfer-Encoding", "chunked"))).isEqualTo("COMPLETE");
+		assertThat(outcomeOfEmptyStream(HeaderFields.of("Content-Length", "0"))).isEqualTo("COMPLETE");
+	}
+
+	private String outcomeOfEmptyStream(HeaderFields headers) throws IOException {
+		try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			final TargetView target = new TargetView("i-1@1", TargetKind.MODEL, "pool/m",
+					"127.0.0.1:" + silent.getLocalPort(), 1, "z", true, 12, 0, 0, 0);
+			final RelayAttempt attempt = new RelayAttempt(exchange(),
+					new TrafficAction.Start(new AttemptId(7, 1), target, 0), new RecordingAttemptListener());
+			attempt.send(1_000);
+			attempt.onHead(new AnswerHead(200, headers));
+			attempt.onEnd();
+			return this.notifications.get(this.notifications.size() - 1);
+		}
+	}
+
 	private RelayExchange exchange() {
 		final RelayContext context = new RelayContext(Runnable::run, new WebClient(this.loop, 1_000, 1_000, 1),
 				this.protocol, new ActiveStreams(), (requestId) -> this.notifications.add("gone " + requestId),
