--- a/pistachioline-core/src/main/java/org/pistachioline/core/reachability/TargetReachability.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/reachability/TargetReachability.java
@@ -9,7 +9,7 @@
 /**
  * Tracks the targets that this daemon cannot connect to although another daemon can.
  * <p>
- * A failed connection does not tell where the fault lies: the target may have crashed, or
+ * A failed connection does not show where the fault lies: the target may have crashed, or
  * this daemon may have been paused or overloaded. A target therefore counts as
  * unreachable only once another daemon has connected to it while the direct connection
  * had failed or was overdue, and until a direct connection succeeds. The daemon as a
