Tunnels: one that carries nothing for two minutes is closed

Cause: found by reading. A daemon that loses power closes nothing, so its tunnels would have stayed open at others until these refuse further ones. Change: an idle time on the end that all bytes pass; both ends are reset. Figures: TunnelPipeTests, red with the idle event ignored, green now.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/tunnel/TunnelPipe.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/tunnel/TunnelPipe.java
@@ -1,11 +1,15 @@
 package org.pistachioline.daemon.tunnel;
 
+import java.util.concurrent.TimeUnit;
+
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
 
 /**
  * Forwards the bytes that one end of a tunnel receives to the other end.
@@ -16,14 +20,29 @@
  */
 final class TunnelPipe extends ChannelInboundHandlerAdapter {
 
+	/** Longer than a target takes for anything; both ends notice a close far earlier. */
+	static final long IDLE_TIMEOUT_MILLIS = 120_000;
+
 	private final Channel other;
 
 	private boolean reset;
 
-	TunnelPipe(Channel other) {
+	private TunnelPipe(Channel other) {
 		this.other = other;
 	}
 
+	/**
+	 * Joins the two ends of a tunnel.
+	 * @param caller the connection of the daemon that asked for the tunnel
+	 * @param target the connection to the target
+	 */
+	static void join(Channel caller, Channel target) {
+		target.pipeline().addLast(new TunnelPipe(caller));
+		// All bytes of both directions pass this end.
+		caller.pipeline()
+			.addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), new TunnelPipe(target));
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		this.other.write(message);
@@ -46,8 +65,20 @@
 		}
 	}
 
+	// A daemon that lost power closes nothing.
+	@Override
+	public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+		if (event instanceof IdleStateEvent) {
+			reset(ctx);
+		}
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+		reset(ctx);
+	}
+
+	private void reset(ChannelHandlerContext ctx) {
 		this.reset = true;
 		if (this.other.isOpen()) {
 			this.other.config().setOption(ChannelOption.SO_LINGER, 0);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/tunnel/TunnelRequestHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/tunnel/TunnelRequestHandler.java
@@ -86,8 +86,8 @@
 		caller.writeAndFlush(TunnelResponse.newBuilder().setResult(TunnelResult.ESTABLISHED).build());
 		this.frames.removeFrom(caller.pipeline());
 		caller.pipeline().remove(this.timeout);
-		target.pipeline().addLast(new TunnelPipe(caller));
-		caller.pipeline().replace(this, null, new TunnelPipe(target));
+		caller.pipeline().remove(this);
+		TunnelPipe.join(caller, target);
 		this.server.onTunnel(caller);
 	}
 
