--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashHistory.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashHistory.java
@@ -17,6 +17,7 @@
 
 	private static final int NOT_CHECKED = -1;
 
+	/** Daemons notice a crash, and report it to each other, within milliseconds. */
 	private static final long MOMENT_NANOS = 30_000_000L;
 
 	private final SuspectKind kind;
