--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/RecentAnswers.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/RecentAnswers.java
@@ -2,7 +2,6 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Remembers when a target last got past the starting phase of an answer, for each part of
@@ -16,7 +15,7 @@
 	 * crash targets would be excused by its last harmless answers; shorter, a popular
 	 * part could be blamed between two of them.
 	 */
-	private static final long EXCUSING_NANOS = TimeUnit.SECONDS.toNanos(1);
+	private static final long EXCUSING_NANOS = 1_000_000_000L;
 
 	/** About 150 bytes each. */
 	static final int MAX_PARTS = 4_096;
