Types and method heads of the parts against hard load

All new fields of frames are optional: an older daemon leaves them out. Conclusion: no change of behaviour.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/peer/PeerStatus.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/peer/PeerStatus.java
@@ -21,11 +21,13 @@
  * @param tunnelAddress the address at which it connects to targets on behalf of other
  * daemons; empty if it does not
  * @param partitioned whether it cannot connect to most targets itself
+ * @param cpuCores the processor cores that it may use; 0 if it does not say
+ * @param loopLagMillis how late the loop that serves its callers ran lately
  */
 public record PeerStatus(String daemonId, String peerAddress, String callerAddress, String adminAddress,
 		String availabilityZone, long incarnation, long sequence, long configVersion, long configOffset,
 		long fleetOffset, boolean ready, boolean leaving, double loadRatio, long logAgeMillis, String tunnelAddress,
-		boolean partitioned) {
+		boolean partitioned, double cpuCores, long loopLagMillis) {
 
 	/**
 	 * Creates the status of a daemon that opens no connections on behalf of others.
@@ -48,7 +50,7 @@
 			String availabilityZone, long incarnation, long sequence, long configVersion, long configOffset,
 			long fleetOffset, boolean ready, boolean leaving, double loadRatio, long logAgeMillis) {
 		this(daemonId, peerAddress, callerAddress, adminAddress, availabilityZone, incarnation, sequence, configVersion,
-				configOffset, fleetOffset, ready, leaving, loadRatio, logAgeMillis, "", false);
+				configOffset, fleetOffset, ready, leaving, loadRatio, logAgeMillis, "", false, 0, 0);
 	}
 
 	/**
@@ -70,14 +72,14 @@
 	 */
 	public PeerUpdate toUpdate() {
 		return new PeerUpdate(this.daemonId, this.incarnation, this.sequence, this.configVersion, this.ready,
-				this.leaving, this.partitioned);
+				this.leaving, this.partitioned, this.loopLagMillis);
 	}
 
 	PeerStatus withUpdate(PeerUpdate update) {
 		return new PeerStatus(this.daemonId, this.peerAddress, this.callerAddress, this.adminAddress,
 				this.availabilityZone, this.incarnation, update.sequence(), update.configVersion(), this.configOffset,
 				this.fleetOffset, update.ready(), update.leaving(), this.loadRatio, this.logAgeMillis,
-				this.tunnelAddress, update.partitioned());
+				this.tunnelAddress, update.partitioned(), this.cpuCores, update.loopLagMillis());
 	}
 
 	boolean hasChangedSince(PeerStatus known) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/PlannerView.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/PlannerView.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 import org.pistachioline.core.route.EngineSpec;
@@ -17,14 +18,33 @@
  * group did
  * @param beforeTraffic whether no request has arrived yet, so that weight loads are not
  * limited
+ * @param demandShareRatios the share of the current work that asks for each model, by the
+ * model's name; empty if it is not known, so that the declared shares apply
  */
 public record PlannerView(long nowNanos, EngineSpec engine, Collection<ServingInstance> instances,
-		Collection<ServingInstance> delisted, Set<String> unresponsiveIds, boolean beforeTraffic) {
+		Collection<ServingInstance> delisted, Set<String> unresponsiveIds, boolean beforeTraffic,
+		Map<String, Double> demandShareRatios) {
 
 	public PlannerView {
 		instances = List.copyOf(instances);
 		delisted = List.copyOf(delisted);
 		unresponsiveIds = Set.copyOf(unresponsiveIds);
+		demandShareRatios = Map.copyOf(demandShareRatios);
+	}
+
+	/**
+	 * Creates the input for a service whose demand is not known.
+	 * @param nowNanos the monotonic time
+	 * @param engine the engine specification of the service
+	 * @param instances the service's instances, including draining ones
+	 * @param delisted instances that were recently delisted, as they were last listed
+	 * @param unresponsiveIds instances that did not answer although other members of
+	 * their group did
+	 * @param beforeTraffic whether no request has arrived yet
+	 */
+	public PlannerView(long nowNanos, EngineSpec engine, Collection<ServingInstance> instances,
+			Collection<ServingInstance> delisted, Set<String> unresponsiveIds, boolean beforeTraffic) {
+		this(nowNanos, engine, instances, delisted, unresponsiveIds, beforeTraffic, Map.of());
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ServingInstance.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ServingInstance.java
@@ -15,21 +15,41 @@
  * @param slots the number of requests that it runs concurrently
  * @param stagedModels the models whose weights are on its host
  * @param membership its group membership; empty if it belongs to none
+ * @param coldRemainingMillis how long it stays cold, as of its entry in the list; 0 if it
+ * is warm
  */
 public record ServingInstance(String id, String service, String address, String availabilityZone, String fabricDomain,
-		boolean draining, int slots, Set<String> stagedModels, Optional<Membership> membership) {
+		boolean draining, int slots, Set<String> stagedModels, Optional<Membership> membership,
+		long coldRemainingMillis) {
 
 	public ServingInstance {
 		stagedModels = Set.copyOf(stagedModels);
 	}
 
+	/**
+	 * Creates a warm instance.
+	 * @param id the id, new with each start
+	 * @param service the service that the instance belongs to
+	 * @param address the address for requests and orders
+	 * @param availabilityZone the availability zone
+	 * @param fabricDomain the fabric domain; empty for a service without groups
+	 * @param draining whether the instance is about to leave
+	 * @param slots the number of requests that it runs concurrently
+	 * @param stagedModels the models whose weights are on its host
+	 * @param membership its group membership; empty if it belongs to none
+	 */
+	public ServingInstance(String id, String service, String address, String availabilityZone, String fabricDomain,
+			boolean draining, int slots, Set<String> stagedModels, Optional<Membership> membership) {
+		this(id, service, address, availabilityZone, fabricDomain, draining, slots, stagedModels, membership, 0);
+	}
+
 	/**
 	 * Returns a copy of this instance that is marked as draining.
 	 * @return the copy
 	 */
 	ServingInstance asDraining() {
 		return new ServingInstance(this.id, this.service, this.address, this.availabilityZone, this.fabricDomain, true,
-				this.slots, this.stagedModels, this.membership);
+				this.slots, this.stagedModels, this.membership, this.coldRemainingMillis);
 	}
 
 	/**
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -294,7 +294,8 @@
 				this.settings.adminAddress(), this.settings.availabilityZone(), this.incarnation,
 				this.heartbeatSequence.incrementAndGet(), configVersion(), 0, 0,
 				this.acceptingTraffic && notReadyReason().isEmpty(), this.leaving, this.traffic.activeRequestCount(), 0,
-				this.tunnels.localAddress(), this.ports.targetConnections().reachability().isPartitioned());
+				this.tunnels.localAddress(), this.ports.targetConnections().reachability().isPartitioned(),
+				this.settings.cpuCores(), 0);
 	}
 
 	/**
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingPorts.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingPorts.java
@@ -1,5 +1,6 @@
 package org.pistachioline.daemon;
 
+import org.pistachioline.daemon.port.EvacuationSource;
 import org.pistachioline.daemon.port.InstanceSource;
 import org.pistachioline.daemon.port.OrderSender;
 import org.pistachioline.daemon.port.PlannerLease;
@@ -16,8 +17,9 @@
  * @param orders the sender of orders to instances
  * @param dialect the mapping of the headers of callers and targets
  * @param targetConnections the connections to targets
+ * @param evacuations the source of the operators' requests to evacuate availability zones
  */
 public record RoutingPorts(RouteSource routes, InstanceSource instances, PlannerLease lease, OrderSender orders,
-		RelayProtocol dialect, TargetConnections targetConnections) {
+		RelayProtocol dialect, TargetConnections targetConnections, EvacuationSource evacuations) {
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingSettings.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingSettings.java
@@ -22,10 +22,14 @@
  * from the platform itself
  * @param retryBudget the limit on attempts after the first
  * @param plannerTimes the timing parameters of the planner
+ * @param cpuCores the processor cores that the daemon may use; 0 if not known
+ * @param fleetDecisions whether daemons decide about load by the demand and the capacity
+ * of the whole fleet, not only by what each one sees
  */
 public record RoutingSettings(String daemonId, String availabilityZone, String callerAddress, String adminAddress,
 		String peerAddress, String tunnelAddress, List<String> peerSeeds, boolean firstStart, long graceMillis,
-		long maxListAgeMillis, RetryBudget retryBudget, PlannerTimes plannerTimes) {
+		long maxListAgeMillis, RetryBudget retryBudget, PlannerTimes plannerTimes, double cpuCores,
+		boolean fleetDecisions) {
 
 	public RoutingSettings {
 		peerSeeds = List.copyOf(peerSeeds);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerCodec.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerCodec.java
@@ -27,6 +27,8 @@
 
 	private static final double MIN_REQUESTS_PER_SECOND = 0.01;
 
+	private static final double MILLICORES_PER_CORE = 1_000;
+
 	private PeerCodec() {
 	}
 
@@ -74,6 +76,8 @@
 			.setLogAgeMillis(status.logAgeMillis())
 			.setTunnelAddress(status.tunnelAddress())
 			.setPartitioned(status.partitioned())
+			.setCpuMillicores((int) Math.round(status.cpuCores() * MILLICORES_PER_CORE))
+			.setLoopLagMillis((int) Math.min(Integer.MAX_VALUE, status.loopLagMillis()))
 			.build();
 	}
 
@@ -82,7 +86,8 @@
 				status.getAdminAddress(), status.getAvailabilityZone(), status.getIncarnation(), status.getSequence(),
 				status.getConfigVersion(), status.getConfigOffset(), status.getFleetOffset(), status.getReady(),
 				status.getLeaving(), status.getLoadRatio(), status.getLogAgeMillis(), status.getTunnelAddress(),
-				status.getPartitioned());
+				status.getPartitioned(), Integer.toUnsignedLong(status.getCpuMillicores()) / MILLICORES_PER_CORE,
+				Integer.toUnsignedLong(status.getLoopLagMillis()));
 	}
 
 	static DaemonNews encode(PeerUpdate news) {
@@ -94,12 +99,14 @@
 			.setReady(news.ready())
 			.setLeaving(news.leaving())
 			.setPartitioned(news.partitioned())
+			.setLoopLagMillis((int) Math.min(Integer.MAX_VALUE, news.loopLagMillis()))
 			.build();
 	}
 
 	static PeerUpdate decode(DaemonNews news) {
 		return new PeerUpdate(news.getDaemonId(), news.getIncarnation(), news.getSequence(), news.getConfigVersion(),
-				news.getReady(), news.getLeaving(), news.getPartitioned());
+				news.getReady(), news.getLeaving(), news.getPartitioned(),
+				Integer.toUnsignedLong(news.getLoopLagMillis()));
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
@@ -27,6 +28,7 @@
 import org.pistachioline.daemon.duty.DutyHandler;
 import org.pistachioline.daemon.duty.Ring;
 import org.pistachioline.daemon.event.Events;
+import org.pistachioline.protocol.peer.Heartbeat;
 import org.pistachioline.protocol.peer.PeerFrame;
 import org.pistachioline.protocol.peer.StallNotice;
 import org.pistachioline.protocol.peer.WorkspaceUse;
@@ -89,6 +91,8 @@
 
 	private final SuspectExchange suspectExchange = new SuspectExchange();
 
+	private final List<HeartbeatExchange> exchanges = new CopyOnWriteArrayList<>();
+
 	private volatile long newestConfigVersion;
 
 	private final AtomicReference<List<PeerStatus>> livePeers = new AtomicReference<>(List.of());
@@ -234,7 +238,7 @@
 		final PeerFrame frame = PeerFrame.newBuilder()
 			.setStallNotice(StallNotice.newBuilder().addTargetIds(targetId))
 			.build();
-		this.livePeers.get().forEach((peer) -> this.transport.send(peer.peerAddress(), frame));
+		broadcast(frame);
 	}
 
 	/**
@@ -272,6 +276,23 @@
 		this.limitReceiver = receiver;
 	}
 
+	/**
+	 * Adds a kind of state that heartbeats carry. Must be called before the start.
+	 * @param exchange the kind of state
+	 */
+	public void addExchange(HeartbeatExchange exchange) {
+		this.exchanges.add(exchange);
+	}
+
+	/**
+	 * Sends a frame to all other live daemons. Frames that a connection cannot accept are
+	 * dropped.
+	 * @param frame the frame
+	 */
+	public void broadcast(PeerFrame frame) {
+		this.livePeers.get().forEach((peer) -> this.transport.send(peer.peerAddress(), frame));
+	}
+
 	/**
 	 * Returns the exchange of requests that are suspected of crashing targets.
 	 * @return the exchange
@@ -287,8 +308,7 @@
 	 * @param requests the suspected requests
 	 */
 	public void broadcastSuspects(List<SuspectedRequest> requests) {
-		final PeerFrame frame = SuspectExchange.toNotice(requests, System.nanoTime());
-		this.livePeers.get().forEach((peer) -> this.transport.send(peer.peerAddress(), frame));
+		broadcast(SuspectExchange.toNotice(requests, System.nanoTime()));
 	}
 
 	private void onFrame(PeerFrame frame) {
@@ -327,14 +347,17 @@
 					frame.getCrashNotice().getPartSuspectsList(), System.nanoTime());
 			return;
 		}
+		final long nowNanos = System.nanoTime();
 		if (!frame.hasHeartbeat()) {
+			this.exchanges.forEach((exchange) -> exchange.onNotice(frame, nowNanos));
 			return;
 		}
-		final long nowNanos = System.nanoTime();
 		final PeerStatus sender = PeerCodec.decode(frame.getHeartbeat().getSender());
 		if (!this.table.isLive(sender, nowNanos)) {
 			this.suspectExchange.sendToNewcomer(nowNanos,
 					(greeting) -> this.transport.send(sender.peerAddress(), greeting));
+			this.exchanges.forEach((exchange) -> exchange.greeting(nowNanos)
+				.ifPresent((greeting) -> this.transport.send(sender.peerAddress(), greeting)));
 		}
 		merge(sender, nowNanos);
 		frame.getHeartbeat().getKnownList().forEach((status) -> merge(PeerCodec.decode(status), nowNanos));
@@ -348,6 +371,7 @@
 		}
 		this.suspectExchange.onPeerSuspects(frame.getHeartbeat().getCrashSuspectsList(),
 				frame.getHeartbeat().getPartSuspectsList(), nowNanos);
+		this.exchanges.forEach((exchange) -> exchange.onHeartbeat(sender, frame.getHeartbeat(), nowNanos));
 		// Updates without a relevant change are published at the next tick.
 		if (this.table.takeChanged()) {
 			updateLivePeers(this.table.live(nowNanos));
@@ -400,7 +424,7 @@
 		final long nowNanos = System.nanoTime();
 		final PeerFrame frame = PeerCodec.heartbeat(status, this.table.sample(nowNanos), this.ownDemand.get(),
 				LimitCodec.encode(this.ownLimits.get(), nowNanos),
-				(heartbeat) -> this.suspectExchange.addSample(heartbeat, nowNanos));
+				(heartbeat) -> addExchangedState(heartbeat, nowNanos));
 		final Set<String> addresses = new TreeSet<>(this.seeds.get());
 		this.livePeers.get().forEach((peer) -> addresses.add(peer.peerAddress()));
 		addresses.remove(status.peerAddress());
@@ -409,4 +433,9 @@
 		recipients.stream().limit(fanOut).forEach((address) -> this.transport.send(address, frame));
 	}
 
+	private void addExchangedState(Heartbeat.Builder heartbeat, long nowNanos) {
+		this.suspectExchange.addSample(heartbeat, nowNanos);
+		this.exchanges.forEach((exchange) -> exchange.addTo(heartbeat, nowNanos));
+	}
+
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -13,6 +13,7 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
+import org.pistachioline.core.demand.ModelDemandSource;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.replica.DelistedInstances;
 import org.pistachioline.core.replica.LeavingInstances;
@@ -101,6 +102,8 @@
 
 	private volatile int servingTargetCount;
 
+	private volatile ModelDemandSource modelDemand = (service) -> Map.of();
+
 	/**
 	 * Creates the duty.
 	 * @param system the process's actor system
@@ -123,6 +126,15 @@
 				(answered) -> this.duty.offer(new ReplicaMessage.GroupProbed(answered)));
 	}
 
+	/**
+	 * Sets the source of the demand for the models of each service. Without it, the
+	 * declared shares apply.
+	 * @param source the source; it must not block
+	 */
+	public void setModelDemandSource(ModelDemandSource source) {
+		this.modelDemand = source;
+	}
+
 	@Override
 	public void start() {
 		this.duty.start();
@@ -288,7 +300,7 @@
 				planner
 					.plan(new PlannerView(nowNanos, service.engine().orElseThrow(),
 							usableInstancesOf(service, unresponsiveIds), this.delisted.instances(), unresponsiveIds,
-							this.beforeTraffic.getAsBoolean()))
+							this.beforeTraffic.getAsBoolean(), this.modelDemand.shareRatios(service.name())))
 					.forEach((order) -> sendOrder(order, term));
 				groupsByName.putAll(planner.groups());
 				if (logSummary) {
