Heartbeats: limits, suspects and the demand of workspaces are exchanges of their own

Change: LimitExchange, SuspectExchange and WorkspaceDemandExchange implement HeartbeatExchange; PeerCodec only begins a heartbeat. Tests and the benchmark use them in place of the setters; what they check is unchanged. Conclusion: a new kind of state is one class and one line of wiring.

--- a/pistachioline-bench/src/main/java/org/pistachioline/bench/FleetLinksBenchmark.java
+++ b/pistachioline-bench/src/main/java/org/pistachioline/bench/FleetLinksBenchmark.java
@@ -25,6 +25,9 @@
 import org.pistachioline.core.state.GroupState;
 import org.pistachioline.daemon.fleet.PresenceTransport;
 import org.pistachioline.daemon.peer.PeerCodec;
+import org.pistachioline.daemon.peer.WorkspaceDemandExchange;
+import org.pistachioline.protocol.peer.Heartbeat;
+import org.pistachioline.protocol.peer.PeerFrame;
 
 /**
  * Measures in virtual time, with the daemon's own decisions and codecs, what gossip and
@@ -37,6 +40,11 @@
 		.boxed()
 		.collect(Collectors.toMap((index) -> "workspace-" + index, (index) -> 3.0));
 
+	private static final WorkspaceDemandExchange DEMAND_EXCHANGE = new WorkspaceDemandExchange(() -> DEMAND,
+			(sender, demand) -> {
+				// Only the encoded size is measured.
+			});
+
 	private static final long MILLI = 1_000_000;
 
 	private static final long BEAT_NANOS = 500 * MILLI;
@@ -114,9 +122,10 @@
 		for (int sender = 0; sender < tables.size(); sender++) {
 			final GossipSample sample = tables.get(sender).sample(nowNanos);
 			final PeerStatus self = status(sender, beat, version);
-			bytes += FAN_OUT * (PeerCodec.heartbeat(self, sample, DEMAND, List.of(), (heartbeat) -> {
-				// No target has crashed.
-			}).getSerializedSize() + LENGTH_BYTES);
+			final Heartbeat.Builder heartbeat = PeerCodec.heartbeat(self, sample);
+			DEMAND_EXCHANGE.addTo(heartbeat, nowNanos);
+			final PeerFrame frame = PeerFrame.newBuilder().setHeartbeat(heartbeat).build();
+			bytes += FAN_OUT * (frame.getSerializedSize() + LENGTH_BYTES);
 			for (int copy = 0; copy < FAN_OUT; copy++) {
 				final PeerTable receiver = tables.get(this.random.nextInt(tables.size()));
 				receiver.merge(self, nowNanos);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -66,6 +66,7 @@
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerTls;
 import org.pistachioline.daemon.peer.PeerTransport;
+import org.pistachioline.daemon.peer.WorkspaceDemandExchange;
 import org.pistachioline.daemon.traffic.ExchangeStarter;
 import org.pistachioline.daemon.traffic.LimitShareUpdater;
 import org.pistachioline.daemon.traffic.LogSuspectReporter;
@@ -171,8 +172,8 @@
 						this.incarnation ^ ((long) selfId.hashCode() << Integer.SIZE))),
 				this.claims, this.limitShares,
 				new LogSuspectReporter(this.appender, settings.text(Setting.LOG_FLEET_STREAM)), this.recorder);
-		this.peers.setDemandExchange(this.limitShares::demand,
-				(peer, demand) -> this.traffic.onPeerDemand(peer.daemonId(), peer.leaving(), demand));
+		this.peers.addExchange(new WorkspaceDemandExchange(this.limitShares::demand,
+				(peer, demand) -> this.traffic.onPeerDemand(peer.daemonId(), peer.leaving(), demand)));
 		final CacheEventDuty caches = new CacheEventDuty(this.system, engines, this.instances::view,
 				this.traffic::onCacheEvents);
 		final CallerLimits limits = new CallerLimits(settings.whole(Setting.CALLERS_MAX_BODY_BYTES),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -30,8 +30,10 @@
 import org.pistachioline.daemon.http.DaemonView;
 import org.pistachioline.daemon.listing.ListingDuty;
 import org.pistachioline.daemon.metrics.Metrics;
+import org.pistachioline.daemon.peer.LimitExchange;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerTransport;
+import org.pistachioline.daemon.peer.SuspectExchange;
 import org.pistachioline.daemon.relay.Relay;
 import org.pistachioline.daemon.replica.ReplicaDuty;
 import org.pistachioline.daemon.traffic.CrashMonitor;
@@ -174,12 +176,13 @@
 			this.replicas.onTargetStalled(targetId);
 			this.peers.broadcastStall(targetId);
 		});
-		this.peers.setLimitExchange(this.traffic::latestLimits, this.traffic::onPeerLimits);
+		this.peers.addExchange(new LimitExchange(this.traffic::latestLimits, this.traffic::onPeerLimits));
 		this.peers.setStallListener(this.replicas::onTargetStalled);
 		final CrashMonitor crashMonitor = this.traffic.crashMonitor();
-		this.peers.suspectExchange()
-			.bind(crashMonitor::gossipSample, crashMonitor::knownSuspects, crashMonitor::onPeerReports);
-		crashMonitor.setBroadcaster(this.peers::broadcastSuspects);
+		this.peers.addExchange(new SuspectExchange(crashMonitor::gossipSample, crashMonitor::knownSuspects,
+				crashMonitor::onPeerReports));
+		crashMonitor
+			.setBroadcaster((suspects) -> this.peers.broadcast(SuspectExchange.toNotice(suspects, System.nanoTime())));
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
 		meters.bind(targets, this.tunnels);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerCodec.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerCodec.java
@@ -1,61 +1,33 @@
 package org.pistachioline.daemon.peer;
 
-import java.util.List;
-import java.util.Map;
-import java.util.function.Consumer;
-
 import org.pistachioline.core.peer.GossipSample;
 import org.pistachioline.core.peer.PeerStatus;
 import org.pistachioline.core.peer.PeerUpdate;
 import org.pistachioline.protocol.peer.DaemonNews;
 import org.pistachioline.protocol.peer.DaemonStatus;
 import org.pistachioline.protocol.peer.Heartbeat;
-import org.pistachioline.protocol.peer.PeerFrame;
-import org.pistachioline.protocol.peer.TargetLimit;
-import org.pistachioline.protocol.peer.WorkspaceUse;
 
 /**
  * Encodes the status of daemons as protobuf messages, and decodes it.
  */
 public final class PeerCodec {
 
-	/**
-	 * Bounds the part of a heartbeat that grows with the number of workspaces with
-	 * demand.
-	 */
-	static final int MAX_WORKSPACES = 64;
-
-	private static final double MIN_REQUESTS_PER_SECOND = 0.01;
-
 	private static final double MILLICORES_PER_CORE = 1_000;
 
 	private PeerCodec() {
 	}
 
 	/**
-	 * Builds a heartbeat.
+	 * Begins a heartbeat, to which the exchanges add their state.
 	 * @param self the sender's own status
 	 * @param sample the gossip about other daemons
-	 * @param demand the sender's demand in requests per second, by workspace
-	 * @param limits the limits that targets state
-	 * @param suspects adds what is suspected of crashing targets
-	 * @return the frame
+	 * @return the heartbeat
 	 */
-	public static PeerFrame heartbeat(PeerStatus self, GossipSample sample, Map<String, Double> demand,
-			List<TargetLimit> limits, Consumer<Heartbeat.Builder> suspects) {
-		final Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setSender(encode(self)).addAllTargetLimits(limits);
-		suspects.accept(heartbeat);
+	public static Heartbeat.Builder heartbeat(PeerStatus self, GossipSample sample) {
+		final Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setSender(encode(self));
 		sample.statuses().forEach((peer) -> heartbeat.addKnown(encode(peer)));
 		sample.updates().forEach((news) -> heartbeat.addNews(encode(news)));
-		// Workspaces without demand are omitted: receivers treat a missing workspace as
-		// no demand.
-		demand.forEach((workspace, requestsPerSecond) -> {
-			if (requestsPerSecond >= MIN_REQUESTS_PER_SECOND && heartbeat.getWorkspaceUseCount() < MAX_WORKSPACES) {
-				heartbeat.addWorkspaceUse(
-						WorkspaceUse.newBuilder().setWorkspace(workspace).setRequestsPerSecond(requestsPerSecond));
-			}
-		});
-		return PeerFrame.newBuilder().setHeartbeat(heartbeat).build();
+		return heartbeat;
 	}
 
 	static DaemonStatus encode(PeerStatus status) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
@@ -4,13 +4,11 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -19,10 +17,8 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 
 import org.pistachioline.core.event.EventId;
-import org.pistachioline.core.limit.AdvertisedLimit;
 import org.pistachioline.core.peer.PeerStatus;
 import org.pistachioline.core.peer.PeerTable;
-import org.pistachioline.core.quarantine.SuspectedRequest;
 import org.pistachioline.daemon.Lifecycle;
 import org.pistachioline.daemon.duty.Duty;
 import org.pistachioline.daemon.duty.DutyHandler;
@@ -31,7 +27,6 @@
 import org.pistachioline.protocol.peer.Heartbeat;
 import org.pistachioline.protocol.peer.PeerFrame;
 import org.pistachioline.protocol.peer.StallNotice;
-import org.pistachioline.protocol.peer.WorkspaceUse;
 
 /**
  * Exchanges heartbeats with peers by gossip: each heartbeat goes to a few random peers
@@ -79,18 +74,6 @@
 	private volatile Consumer<String> stallListener = (targetId) -> {
 	};
 
-	private volatile Supplier<Map<String, Double>> ownDemand = Map::of;
-
-	private volatile BiConsumer<PeerStatus, Map<String, Double>> demandReceiver = (status, reported) -> {
-	};
-
-	private volatile Supplier<List<AdvertisedLimit>> ownLimits = List::of;
-
-	private volatile Consumer<List<AdvertisedLimit>> limitReceiver = (reported) -> {
-	};
-
-	private final SuspectExchange suspectExchange = new SuspectExchange();
-
 	private final List<HeartbeatExchange> exchanges = new CopyOnWriteArrayList<>();
 
 	private volatile long newestConfigVersion;
@@ -255,27 +238,6 @@
 			.ifPresent((peer) -> this.transport.send(peer.peerAddress(), frame));
 	}
 
-	/**
-	 * Sets the source and the receiver of the demand of workspaces that heartbeats carry.
-	 * @param own supplies this daemon's demand, in requests per second by workspace
-	 * @param receiver receives the demand of a peer; it must not block
-	 */
-	public void setDemandExchange(Supplier<Map<String, Double>> own,
-			BiConsumer<PeerStatus, Map<String, Double>> receiver) {
-		this.ownDemand = own;
-		this.demandReceiver = receiver;
-	}
-
-	/**
-	 * Sets the source and the receiver of the limits that heartbeats carry.
-	 * @param own supplies the limits that this daemon knows
-	 * @param receiver receives the limits that a peer knows; it must not block
-	 */
-	public void setLimitExchange(Supplier<List<AdvertisedLimit>> own, Consumer<List<AdvertisedLimit>> receiver) {
-		this.ownLimits = own;
-		this.limitReceiver = receiver;
-	}
-
 	/**
 	 * Adds a kind of state that heartbeats carry. Must be called before the start.
 	 * @param exchange the kind of state
@@ -293,24 +255,6 @@
 		this.livePeers.get().forEach((peer) -> this.transport.send(peer.peerAddress(), frame));
 	}
 
-	/**
-	 * Returns the exchange of requests that are suspected of crashing targets.
-	 * @return the exchange
-	 */
-	public SuspectExchange suspectExchange() {
-		return this.suspectExchange;
-	}
-
-	/**
-	 * Notifies all other live daemons of requests that are suspected of crashing targets,
-	 * so that they recognize the next attempt of such a request. Heartbeats repeat the
-	 * suspicion, which makes up for lost frames.
-	 * @param requests the suspected requests
-	 */
-	public void broadcastSuspects(List<SuspectedRequest> requests) {
-		broadcast(SuspectExchange.toNotice(requests, System.nanoTime()));
-	}
-
 	private void onFrame(PeerFrame frame) {
 		if (frame.hasListingQuestion() || frame.hasListingAnswer()) {
 			this.listingReceiver.accept(frame);
@@ -342,11 +286,6 @@
 			frame.getStallNotice().getTargetIdsList().forEach(this.stallListener);
 			return;
 		}
-		if (frame.hasCrashNotice()) {
-			this.suspectExchange.onPeerSuspects(frame.getCrashNotice().getSuspectsList(),
-					frame.getCrashNotice().getPartSuspectsList(), System.nanoTime());
-			return;
-		}
 		final long nowNanos = System.nanoTime();
 		if (!frame.hasHeartbeat()) {
 			this.exchanges.forEach((exchange) -> exchange.onNotice(frame, nowNanos));
@@ -354,8 +293,6 @@
 		}
 		final PeerStatus sender = PeerCodec.decode(frame.getHeartbeat().getSender());
 		if (!this.table.isLive(sender, nowNanos)) {
-			this.suspectExchange.sendToNewcomer(nowNanos,
-					(greeting) -> this.transport.send(sender.peerAddress(), greeting));
 			this.exchanges.forEach((exchange) -> exchange.greeting(nowNanos)
 				.ifPresent((greeting) -> this.transport.send(sender.peerAddress(), greeting)));
 		}
@@ -366,21 +303,11 @@
 				Events.log(EventId.PEER_DISCOVERED, "daemon", news.getDaemonId());
 			}
 		});
-		if (frame.getHeartbeat().getTargetLimitsCount() > 0) {
-			this.limitReceiver.accept(LimitCodec.decode(frame.getHeartbeat(), nowNanos));
-		}
-		this.suspectExchange.onPeerSuspects(frame.getHeartbeat().getCrashSuspectsList(),
-				frame.getHeartbeat().getPartSuspectsList(), nowNanos);
 		this.exchanges.forEach((exchange) -> exchange.onHeartbeat(sender, frame.getHeartbeat(), nowNanos));
 		// Updates without a relevant change are published at the next tick.
 		if (this.table.takeChanged()) {
 			updateLivePeers(this.table.live(nowNanos));
 		}
-		this.demandReceiver.accept(sender, frame.getHeartbeat()
-			.getWorkspaceUseList()
-			.stream()
-			.limit(PeerCodec.MAX_WORKSPACES)
-			.collect(Collectors.toMap(WorkspaceUse::getWorkspace, WorkspaceUse::getRequestsPerSecond, Math::max)));
 	}
 
 	private void merge(PeerStatus status, long nowNanos) {
@@ -422,9 +349,9 @@
 	private void sendHeartbeat(int fanOut) {
 		final PeerStatus status = this.self.get();
 		final long nowNanos = System.nanoTime();
-		final PeerFrame frame = PeerCodec.heartbeat(status, this.table.sample(nowNanos), this.ownDemand.get(),
-				LimitCodec.encode(this.ownLimits.get(), nowNanos),
-				(heartbeat) -> addExchangedState(heartbeat, nowNanos));
+		final Heartbeat.Builder heartbeat = PeerCodec.heartbeat(status, this.table.sample(nowNanos));
+		this.exchanges.forEach((exchange) -> exchange.addTo(heartbeat, nowNanos));
+		final PeerFrame frame = PeerFrame.newBuilder().setHeartbeat(heartbeat).build();
 		final Set<String> addresses = new TreeSet<>(this.seeds.get());
 		this.livePeers.get().forEach((peer) -> addresses.add(peer.peerAddress()));
 		addresses.remove(status.peerAddress());
@@ -433,9 +360,4 @@
 		recipients.stream().limit(fanOut).forEach((address) -> this.transport.send(address, frame));
 	}
 
-	private void addExchangedState(Heartbeat.Builder heartbeat, long nowNanos) {
-		this.suspectExchange.addSample(heartbeat, nowNanos);
-		this.exchanges.forEach((exchange) -> exchange.addTo(heartbeat, nowNanos));
-	}
-
 }
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/peer/LimitGossipTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/peer/LimitGossipTests.java
@@ -35,13 +35,13 @@
 	void heartbeatsCarryTheLimitsThatAnotherDaemonKnows() throws InterruptedException {
 		final BlockingQueue<List<AdvertisedLimit>> received = new LinkedBlockingQueue<>();
 		final PeerDuty second = this.peers.daemon("second", List.of());
-		second.setLimitExchange(List::of, received::add);
+		second.addExchange(new LimitExchange(List::of, received::add));
 		second.start();
 		final PeerDuty first = this.peers.daemon("first", List.of(second.localAddress()));
-		first.setLimitExchange(
+		first.addExchange(new LimitExchange(
 				() -> List.of(new AdvertisedLimit("i-1", OptionalDouble.of(1.1), 0),
 						new AdvertisedLimit("i-2", OptionalDouble.empty(), 0)),
-				(reported) -> assertThat(reported).as("limits that the second daemon reports").isEmpty());
+				(reported) -> assertThat(reported).as("limits that the second daemon reports").isEmpty()));
 		first.start();
 		final List<AdvertisedLimit> reported = received.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
 		assertThat(reported).extracting(AdvertisedLimit::instanceId).containsExactly("i-1", "i-2");
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/peer/SuspectGossipTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/peer/SuspectGossipTests.java
@@ -46,11 +46,11 @@
 	@Test
 	void aNewDaemonReceivesSuspectsFromTheFirstDaemonItContacts() throws InterruptedException {
 		final PeerDuty first = this.peers.daemon("first", List.of());
-		first.suspectExchange().bind(List::of, () -> KNOWN, (reported) -> {
-		});
+		first.addExchange(new SuspectExchange(List::of, () -> KNOWN, (reported) -> {
+		}));
 		first.start();
 		final PeerDuty second = this.peers.daemon("second", List.of(first.localAddress()));
-		second.suspectExchange().bind(List::of, List::of, this.received::add);
+		second.addExchange(new SuspectExchange(List::of, List::of, this.received::add));
 		second.start();
 		assertReceived();
 	}
@@ -58,11 +58,11 @@
 	@Test
 	void heartbeatsCarrySuspectsWhoseNoticeWasLost() throws InterruptedException {
 		final PeerDuty second = this.peers.daemon("second", List.of());
-		second.suspectExchange().bind(List::of, List::of, this.received::add);
+		second.addExchange(new SuspectExchange(List::of, List::of, this.received::add));
 		second.start();
 		final PeerDuty first = this.peers.daemon("first", List.of(second.localAddress()));
-		first.suspectExchange().bind(() -> KNOWN, List::of, (reported) -> {
-		});
+		first.addExchange(new SuspectExchange(() -> KNOWN, List::of, (reported) -> {
+		}));
 		first.start();
 		assertReceived();
 	}
