Send nothing for callers whose close waits unread

Cause: between the reading of a request and its first byte to a target lie a turn of the relay's loop, the traffic duty, the loop's task queue and perhaps a new connection. A loop that runs late came through them with the close of the caller's connection unread in the socket, and sent the request on. Netty also runs tasks for up to a second before it reads again.

Change: before an attempt starts and again before its bytes leave, the caller's connection is read to its end (WebReply.callerWaits). Requests are handled as tasks after all connections were read, so callers who have left cost no work. Tasks run for 50 ms at most before connections are read again. A tunnel flushes towards a target behind a reset that it has read in the same turn.

DepartedCallerTests asked that a request is handed on and its caller seen to have left; such a request is not handed on at all any more, so the test now asks for that (stricter). StubProtocol moved to its own file, unchanged but for a hook.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -170,13 +170,18 @@
 
 	private void arrive(Arrived arrived) {
 		this.waiting.add(arrived);
-		next();
+		// Everything that has arrived on any connection is read before the first request
+		// is handled, so that nothing is done for callers who have left already.
+		this.ctx.executor().execute(this::next);
 		if (this.waiting.size() > MOST_WAITING) {
 			this.ctx.channel().config().setAutoRead(false);
 		}
 	}
 
 	private void next() {
+		if (!this.ctx.channel().isActive()) {
+			this.waiting.clear();
+		}
 		if (this.current != null || this.waiting.isEmpty()) {
 			return;
 		}
@@ -226,8 +231,10 @@
 		final long mostMillis = (this.head == null) ? now.headMillis() : now.bodyMillis();
 		if (this.begun && nowNanos - this.begunAtNanos > nanos(mostMillis)) {
 			fault(RequestFault.TOO_SLOW);
+			next();
 		}
-		else if (this.current == null && !this.begun && nowNanos - this.idleSinceNanos > nanos(now.idleMillis())) {
+		else if (this.current == null && this.waiting.isEmpty() && !this.begun
+				&& nowNanos - this.idleSinceNanos > nanos(now.idleMillis())) {
 			close();
 		}
 	}
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
@@ -3,9 +3,11 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -147,6 +149,19 @@
 		return this.ctx.channel().isWritable();
 	}
 
+	@Override
+	public boolean callerWaits() {
+		final Channel channel = this.ctx.channel();
+		if (!this.over && channel.isActive() && channel.config().isAutoRead()
+				&& channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+			socket.read();
+		}
+		if (!channel.isActive()) {
+			onGone();
+		}
+		return !this.over;
+	}
+
 	@Override
 	public void listen(CallerListener callerListener) {
 		this.listener = callerListener;
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
@@ -1,6 +1,7 @@
 package org.pistachioline.adapters.web;
 
 import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
@@ -10,12 +11,16 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoEventLoop;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.SingleThreadIoEventLoop;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.RejectedExecutionHandlers;
 
 /**
  * One thread that serves connections.
@@ -42,6 +47,12 @@
 	 */
 	private static final int BACKLOG = 1_024;
 
+	/**
+	 * Time for tasks before connections are read again. A loop that runs late has
+	 * hundreds of them, and callers who leave must not wait for all.
+	 */
+	private static final long TASK_MILLIS = 50;
+
 	/** One caller with a long body must not keep the others waiting. */
 	private static final int MOST_READS = 16;
 
@@ -59,8 +70,7 @@
 	 * @param name the thread's name
 	 */
 	public WebLoop(String name) {
-		this.group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory(name, true),
-				NioIoHandler.newFactory());
+		this.group = new ShortTurns(new DefaultThreadFactory(name, true));
 	}
 
 	@Override
@@ -118,4 +128,21 @@
 		this.group.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * One event loop that reads its connections again after {@link #TASK_MILLIS}.
+	 */
+	private static final class ShortTurns extends MultiThreadIoEventLoopGroup {
+
+		ShortTurns(ThreadFactory threads) {
+			super(1, threads, NioIoHandler.newFactory());
+		}
+
+		@Override
+		protected IoEventLoop newChild(Executor executor, IoHandlerFactory handlers, Object... unused) {
+			return new SingleThreadIoEventLoop(this, executor, handlers, Integer.MAX_VALUE,
+					RejectedExecutionHandlers.reject(), TASK_MILLIS);
+		}
+
+	}
+
 }
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebReply.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebReply.java
@@ -48,6 +48,14 @@
 	 */
 	boolean writable();
 
+	/**
+	 * Returns whether the caller still waits for the answer, as far as this machine can
+	 * know. What has come from it meanwhile is read first, since a loop that runs late
+	 * would find a close only in its next turn.
+	 * @return whether it does
+	 */
+	boolean callerWaits();
+
 	/**
 	 * Sets who hears of the caller; called before the answer begins.
 	 * @param listener hears it
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/DepartedCallerTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/DepartedCallerTests.java
@@ -3,11 +3,12 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.CompletableFuture;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -23,40 +24,35 @@
 	 * nobody.
 	 */
 	@Test
+	@Timeout(60)
 	void theLeavingOfACallerIsSeenBeforeItsRequestGoesOn() throws IOException {
 		try (WebLoop loop = new WebLoop("test")) {
-			final CompletableFuture<Boolean> leftBeforeNextStep = new CompletableFuture<>();
+			final Queue<String> handled = new ConcurrentLinkedQueue<>();
 			final WebServer server = new WebServer(loop, "127.0.0.1:0", (request, reply) -> {
-				final AtomicBoolean left = new AtomicBoolean();
-				reply.listen(new CallerListener() {
-
-					@Override
-					public void onGone() {
-						left.set(true);
-					}
-
-					@Override
-					public void onWritable(boolean writable) {
-						// Nothing is written.
-					}
-
-				});
-				// Whoever decides where the request goes comes back to the loop later.
-				loop.execute(() -> loop.execute(() -> leftBeforeNextStep.complete(left.get())));
+				handled.add(request.path());
+				reply.whole(WebAnswer.text(200, "done"));
 			}, () -> RequestLimits.DEFAULT);
 			server.start();
 			final CountDownLatch busy = new CountDownLatch(1);
 			loop.execute(() -> await(busy));
-			final String[] address = server.localAddress().split(":");
-			try (Socket caller = new Socket(address[0], Integer.parseInt(address[1]))) {
-				caller.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-			}
+			call(server, "/left").close();
 			busy.countDown();
-			assertThat(leftBeforeNextStep.join()).isTrue();
+			try (Socket last = call(server, "/last")) {
+				assertThat(last.getInputStream().read()).isEqualTo('H');
+			}
+			assertThat(handled).containsExactly("/last");
 			server.stop();
 		}
 	}
 
+	private static Socket call(WebServer server, String path) throws IOException {
+		final String[] address = server.localAddress().split(":");
+		final Socket caller = new Socket(address[0], Integer.parseInt(address[1]));
+		caller.getOutputStream()
+			.write(("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+		return caller;
+	}
+
 	private static void await(CountDownLatch latch) {
 		try {
 			latch.await();
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
@@ -57,6 +57,15 @@
 		return this.reply.writable();
 	}
 
+	/**
+	 * Returns whether the caller still waits for the response, after reading what has
+	 * arrived on its connection.
+	 * @return whether it waits
+	 */
+	boolean callerWaits() {
+		return this.reply.callerWaits();
+	}
+
 	/**
 	 * Sends a complete response, unless a stream has started.
 	 * @param complete the response
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -76,6 +76,11 @@
 
 	@Override
 	public boolean onSending() {
+		// The caller may have left while a connection to the target was made.
+		if (!this.exchange.callerWaits()) {
+			end(AttemptOutcome.CANCELLED);
+			return false;
+		}
 		final boolean permitted = this.exchange.context().backoffGate().maySend(this.start.target().targetId());
 		if (!permitted) {
 			end(AttemptOutcome.WITHHELD);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
@@ -93,7 +93,7 @@
 	}
 
 	private void startAttempt(TrafficAction.Start start, AttemptListener listener) {
-		if (this.callerDisconnected) {
+		if (!callerWaits()) {
 			// The caller disconnected while the start command was queued, which takes up
 			// to a second on an overloaded daemon. Sent anyway, the request would make
 			// the target work for a caller who is gone.
@@ -117,6 +117,15 @@
 		this.currentAttempt.send(remainingMillis);
 	}
 
+	/**
+	 * Returns whether the caller is still connected. A close that the loop has not read
+	 * yet is noticed too.
+	 * @return whether a target may work for it
+	 */
+	boolean callerWaits() {
+		return !this.callerDisconnected && this.response.callerWaits();
+	}
+
 	/**
 	 * Stores a target's complete response until the traffic duty has decided about the
 	 * request.
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/tunnel/TunnelPipe.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/tunnel/TunnelPipe.java
@@ -25,10 +25,13 @@
 
 	private final Channel other;
 
+	private final boolean towardsTarget;
+
 	private boolean reset;
 
-	private TunnelPipe(Channel other) {
+	private TunnelPipe(Channel other, boolean towardsTarget) {
 		this.other = other;
+		this.towardsTarget = towardsTarget;
 	}
 
 	/**
@@ -37,10 +40,11 @@
 	 * @param target the connection to the target
 	 */
 	static void join(Channel caller, Channel target) {
-		target.pipeline().addLast(new TunnelPipe(caller));
+		target.pipeline().addLast(new TunnelPipe(caller, false));
 		// All bytes of both directions pass this end.
 		caller.pipeline()
-			.addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), new TunnelPipe(target));
+			.addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS),
+					new TunnelPipe(target, true));
 	}
 
 	@Override
@@ -50,7 +54,20 @@
 
 	@Override
 	public void channelReadComplete(ChannelHandlerContext ctx) {
-		this.other.flush();
+		if (this.towardsTarget) {
+			// A reset behind the bytes is reported after this. Flushed at once, a request
+			// would reach a target although it has been given up.
+			ctx.executor().execute(this::flush);
+		}
+		else {
+			this.other.flush();
+		}
+	}
+
+	private void flush() {
+		if (!this.reset) {
+			this.other.flush();
+		}
 	}
 
 	@Override
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -20,7 +20,6 @@
 import org.pistachioline.adapters.web.WebClient;
 import org.pistachioline.adapters.web.WebLoop;
 import org.pistachioline.adapters.web.WebReply;
-import org.pistachioline.adapters.web.WebRequest;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.replica.LoadReport;
@@ -32,10 +31,8 @@
 import org.pistachioline.core.traffic.TargetView;
 import org.pistachioline.core.traffic.TrafficAction;
 import org.pistachioline.daemon.port.InstanceListener;
-import org.pistachioline.daemon.port.RelayProtocol;
 import org.pistachioline.daemon.port.RelayedRequest;
 import org.pistachioline.daemon.port.RequestMetadata;
-import org.pistachioline.daemon.port.ResponseVerdict;
 import org.pistachioline.daemon.traffic.AttemptListener;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -87,7 +84,7 @@
 		exchange.onGone();
 		exchange.start(new TrafficAction.Start(new AttemptId(7, 2), TARGET, 0), new RecordingAttemptListener());
 		assertThat(this.notifications).containsExactly("gone 7", "CANCELLED");
-		assertThat(this.protocol.requestsBuilt).isZero();
+		assertThat(this.protocol.requestsBuilt()).isZero();
 	}
 
 	/**
@@ -99,7 +96,7 @@
 		this.gate.onBackoff(TARGET.targetId(), OptionalLong.of(60_000));
 		exchange().start(new TrafficAction.Start(new AttemptId(7, 1), TARGET, 0), new RecordingAttemptListener());
 		assertThat(this.notifications).containsExactly("WITHHELD");
-		assertThat(this.protocol.requestsBuilt).isZero();
+		assertThat(this.protocol.requestsBuilt()).isZero();
 	}
 
 	/**
@@ -111,7 +108,7 @@
 		this.gate.onLeaving(TARGET.targetId());
 		exchange().start(new TrafficAction.Start(new AttemptId(7, 1), TARGET, 0), new RecordingAttemptListener());
 		assertThat(this.notifications).containsExactly("WITHHELD");
-		assertThat(this.protocol.requestsBuilt).isZero();
+		assertThat(this.protocol.requestsBuilt()).isZero();
 	}
 
 	/**
@@ -184,49 +181,6 @@
 
 	}
 
-	private static final class StubProtocol implements RelayProtocol {
-
-		private int requestsBuilt;
-
-		@Override
-		public RequestMetadata readRequest(HeaderFields headers) {
-			return request().metadata();
-		}
-
-		@Override
-		public WebRequest toTargetRequest(RelayedRequest request, TargetView target, long remainingMillis,
-				Optional<String> lastEventId) {
-			this.requestsBuilt++;
-			return new WebRequest(request.method(), request.pathAndQuery(), request.headers(), request.body());
-		}
-
-		@Override
-		public ResponseVerdict classify(RelayedRequest request, AnswerHead head) {
-			return ResponseVerdict.VALID;
-		}
-
-		@Override
-		public Optional<LoadReport> load(AnswerHead head, long nowNanos) {
-			return Optional.empty();
-		}
-
-		@Override
-		public OptionalDouble requestLimit(AnswerHead head) {
-			return OptionalDouble.empty();
-		}
-
-		@Override
-		public OptionalLong backoffMillis(AnswerHead head) {
-			return OptionalLong.empty();
-		}
-
-		@Override
-		public boolean isLeaving(AnswerHead head) {
-			return false;
-		}
-
-	}
-
 	private static final class NoOpListener implements TargetReportListener, InstanceListener {
 
 		@Override
@@ -288,6 +242,11 @@
 			return true;
 		}
 
+		@Override
+		public boolean callerWaits() {
+			return true;
+		}
+
 		@Override
 		public void listen(CallerListener listener) {
 			// The tests call the listener directly.
--- /dev/null
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StubProtocol.java
@@ -0,0 +1,82 @@
+package org.pistachioline.daemon.relay;
+
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+
+import org.pistachioline.adapters.web.AnswerHead;
+import org.pistachioline.adapters.web.HeaderFields;
+import org.pistachioline.adapters.web.WebRequest;
+import org.pistachioline.core.replica.LoadReport;
+import org.pistachioline.core.traffic.TargetView;
+import org.pistachioline.daemon.port.RelayProtocol;
+import org.pistachioline.daemon.port.RelayedRequest;
+import org.pistachioline.daemon.port.RequestMetadata;
+import org.pistachioline.daemon.port.ResponseVerdict;
+
+/**
+ * Passes every request and every answer on as it is.
+ */
+final class StubProtocol implements RelayProtocol {
+
+	private static final Runnable NOTHING = () -> {
+	};
+
+	private volatile Runnable nextRequestListener = NOTHING;
+
+	private int requestsBuilt;
+
+	int requestsBuilt() {
+		return this.requestsBuilt;
+	}
+
+	/**
+	 * Sets what runs once, on the loop's thread, when the next request is read.
+	 * @param listener the step
+	 */
+	void onNextRequest(Runnable listener) {
+		this.nextRequestListener = listener;
+	}
+
+	@Override
+	public RequestMetadata readRequest(HeaderFields headers) {
+		final Runnable listener = this.nextRequestListener;
+		this.nextRequestListener = NOTHING;
+		listener.run();
+		return new RequestMetadata("r7", OptionalLong.empty(), Optional.empty(), Optional.empty(), 100, 60,
+				Optional.empty());
+	}
+
+	@Override
+	public WebRequest toTargetRequest(RelayedRequest request, TargetView target, long remainingMillis,
+			Optional<String> lastEventId) {
+		this.requestsBuilt++;
+		return new WebRequest(request.method(), request.pathAndQuery(), request.headers(), request.body());
+	}
+
+	@Override
+	public ResponseVerdict classify(RelayedRequest request, AnswerHead head) {
+		return ResponseVerdict.VALID;
+	}
+
+	@Override
+	public Optional<LoadReport> load(AnswerHead head, long nowNanos) {
+		return Optional.empty();
+	}
+
+	@Override
+	public OptionalDouble requestLimit(AnswerHead head) {
+		return OptionalDouble.empty();
+	}
+
+	@Override
+	public OptionalLong backoffMillis(AnswerHead head) {
+		return OptionalLong.empty();
+	}
+
+	@Override
+	public boolean isLeaving(AnswerHead head) {
+		return false;
+	}
+
+}
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/tunnel/TunnelPipeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/tunnel/TunnelPipeTests.java
@@ -1,5 +1,6 @@
 package org.pistachioline.daemon.tunnel;
 
+import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -38,4 +39,18 @@
 		assertThat(this.caller.isOpen()).isTrue();
 	}
 
+	// Guards against a request that is sent on although the daemon that sent it has given
+	// it up already.
+	@Test
+	void whatIsResetInTheSameTurnDoesNotReachTheTarget() {
+		TunnelPipe.join(this.caller, this.target);
+		// An embedded channel runs its tasks whenever it is to read on.
+		this.caller.config().setAutoRead(false);
+		this.caller.pipeline().fireChannelRead("request").fireChannelReadComplete();
+		this.caller.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+		this.caller.runPendingTasks();
+		assertThat(this.target.outboundMessages()).isEmpty();
+		assertThat(this.target.isOpen()).isFalse();
+	}
+
 }
