Cold targets are paced by all daemons together

Cause: nobody read that a target is cold; each daemon sent it its share of the load at once, above what its service declares for the time after a start. Change: core.cold divides a service's rate into permits among all daemons of the last ten minutes (KnownDaemons), each used once in 1.02 s at most (ColdPace); InstanceLimit treats a cold instance as limited, so placement, the queue and refusals work as for limits that targets name. The list (ColdRemainingMs, ColdListing), any answer (Pistachioline-Cold-Remaining-Ms) and a learnt crash tell of it; ColdNotice, heartbeats and the greeting pass it on. An entry that only counts down stays a mere heartbeat. ListingCodecTests also carries a cold time now. Figures (ColdTargetTests, virtual time): no second above the rate at 1 to 130 daemons, through restarts with joins, and cuts of 15 s. Run: tests of core limit, placement, traffic, cold, of daemon, platform, advice and pages green; core as a whole not run for this commit.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -117,6 +117,10 @@
 	STORE_RESTORED(221, EventLevel.WARN,
 			"The platform's store was restored from a backup; later writes are lost and its offsets start over."),
 
+	/** Logged when an instance writes an entry with such a field. */
+	ENTRY_FIELD_UNUSABLE(223, EventLevel.WARN,
+			"A field of an instance's entry has an unusable value and is treated as missing."),
+
 	/** Logged when the daemon applies another version than before. */
 	CONFIG_IN_FORCE(300, EventLevel.INFO, "A configuration version is in force on this daemon."),
 
@@ -131,6 +135,10 @@
 	CONFIG_NOT_NEWER(303, EventLevel.INFO,
 			"The platform's store holds a configuration that is no newer than the one in force; it is ignored."),
 
+	/** Logged once for each version of the configuration and unusable field. */
+	CONFIG_FIELD_UNUSABLE(305, EventLevel.WARN,
+			"A field of the configuration has an unusable value and is treated as missing."),
+
 	/** Logged by the planner once the log has accepted the formation. */
 	GROUP_FORMED(400, EventLevel.INFO, "A replica group was formed."),
 
@@ -216,6 +224,12 @@
 	/** Logged with the number of targets that are still unreachable. */
 	PARTITION_ENDED(423, EventLevel.INFO, "This daemon is no longer partitioned from most targets."),
 
+	/** Logged when this daemon learns that a target has not warmed up. */
+	TARGET_COLD(430, EventLevel.INFO, "A target is cold; all daemons together pace the requests to it."),
+
+	/** Logged when a target's cold time is over. */
+	TARGET_WARM(431, EventLevel.INFO, "A target has warmed up and is no longer paced."),
+
 	/**
 	 * Logged when the evidence that a request, or a part of prompts, crashes its targets
 	 * suffices, with the kind of suspect.
--- a/pistachioline-core/src/main/java/org/pistachioline/core/limit/InstanceLimit.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/limit/InstanceLimit.java
@@ -4,10 +4,13 @@
 import java.util.Deque;
 import java.util.OptionalDouble;
 
+import org.pistachioline.core.cold.ColdPace;
+import org.pistachioline.core.cold.ColdRegistry;
 import org.pistachioline.core.placement.LiveDaemons;
 
 /**
- * The rate limit of one instance, and the schedule of this daemon's attempts there.
+ * The rate limit of one instance, and the schedule of this daemon's attempts there. While
+ * the instance is cold, its {@link ColdPace} limits them as well.
  * <p>
  * A daemon that holds permits starts attempts at its share of the limit, evenly spaced
  * and almost without a burst allowance, since the saved allowances of all daemons could
@@ -58,6 +61,8 @@
 
 	private final String instanceId;
 
+	private final ColdPace cold;
+
 	private final Deque<Long> recentStartsNanos = new ArrayDeque<>();
 
 	private AdvertisedLimit latest;
@@ -80,7 +85,18 @@
 	 * @param daemons the live daemons
 	 */
 	public InstanceLimit(String instanceId, LiveDaemons daemons) {
+		this(instanceId, daemons, new ColdRegistry().getOrCreate(instanceId));
+	}
+
+	/**
+	 * Creates the state of an instance that has not advertised a limit.
+	 * @param instanceId the instance
+	 * @param daemons the live daemons
+	 * @param cold the schedule of attempts while the instance is cold
+	 */
+	InstanceLimit(String instanceId, LiveDaemons daemons, ColdPace cold) {
 		this.instanceId = instanceId;
+		this.cold = cold;
 		this.daemons = daemons;
 		this.latest = new AdvertisedLimit(instanceId, OptionalDouble.empty(), 0);
 	}
@@ -90,13 +106,26 @@
 	}
 
 	/**
-	 * Returns whether the instance currently advertises a limit.
+	 * Returns whether the instance currently advertises a limit or is cold.
 	 * @return true if a limit is in force
 	 */
 	public boolean isLimited() {
+		return isAdvertised() || this.cold.isActive();
+	}
+
+	boolean isAdvertised() {
 		return this.latest.requestsPerSecond().isPresent();
 	}
 
+	/**
+	 * Returns how long the instance is limited only because it is cold.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return the time in nanoseconds; {@link Long#MAX_VALUE} if it advertises a limit
+	 */
+	public long remainingColdNanos(long nowNanos) {
+		return isAdvertised() ? Long.MAX_VALUE : this.cold.untilNanos() - nowNanos;
+	}
+
 	/**
 	 * Returns whether the latest state is to be gossiped: while a limit is in force, and
 	 * for 30 seconds after it ended.
@@ -104,7 +133,7 @@
 	 * @return true if peers should receive it
 	 */
 	boolean shouldGossip(long nowNanos) {
-		return isLimited() || (this.hasBeenLimited && nowNanos - this.latest.receivedAtNanos() < END_GOSSIP_NANOS);
+		return isAdvertised() || (this.hasBeenLimited && nowNanos - this.latest.receivedAtNanos() < END_GOSSIP_NANOS);
 	}
 
 	/**
@@ -127,6 +156,14 @@
 	 * @return the limit in requests per second; 0 if none is in force
 	 */
 	public double requestsPerSecond() {
+		if (!this.cold.isActive()) {
+			return advertisedPerSecond();
+		}
+		return isAdvertised() ? Math.min(advertisedPerSecond(), this.cold.requestsPerSecond())
+				: this.cold.requestsPerSecond();
+	}
+
+	private double advertisedPerSecond() {
 		return this.latest.requestsPerSecond().orElse(0);
 	}
 
@@ -135,7 +172,11 @@
 	 * @return the share in requests per second; 0 if it holds no permit
 	 */
 	public double ownRequestsPerSecond() {
-		return this.ownRequestsPerSecond;
+		if (!this.cold.isActive()) {
+			return this.ownRequestsPerSecond;
+		}
+		return isAdvertised() ? Math.min(this.ownRequestsPerSecond, this.cold.ownRequestsPerSecond())
+				: this.cold.ownRequestsPerSecond();
 	}
 
 	/**
@@ -171,11 +212,11 @@
 	}
 
 	private void updateShare(long nowNanos) {
-		if (!isLimited()) {
+		if (!isAdvertised()) {
 			return;
 		}
-		final int permits = PermitAllocation.permitCount(requestsPerSecond());
-		final double share = requestsPerSecond() * PermitAllocation.countHeld(this.daemons, this.instanceId, permits)
+		final int permits = PermitAllocation.permitCount(advertisedPerSecond());
+		final double share = advertisedPerSecond() * PermitAllocation.countHeld(this.daemons, this.instanceId, permits)
 				/ permits;
 		if (share == this.ownRequestsPerSecond) {
 			return;
@@ -199,7 +240,7 @@
 	}
 
 	private long probeDelayNanos() {
-		final double probesPerSecond = Math.max(MIN_PROBES_PER_SECOND, requestsPerSecond());
+		final double probesPerSecond = Math.max(MIN_PROBES_PER_SECOND, advertisedPerSecond());
 		final double requests = PROBE_QUIET_REQUESTS + nextDraw() * PROBE_SPREAD_REQUESTS * this.daemons.ids().size();
 		return (long) (requests / probesPerSecond * NANOS_PER_SECOND);
 	}
@@ -218,6 +259,15 @@
 		if (!isLimited()) {
 			return Long.MIN_VALUE;
 		}
+		if (!isAdvertised()) {
+			return this.cold.nextStartNanos();
+		}
+		final long advertisedNanos = nextAdvertisedStartNanos();
+		final boolean coldIsLater = this.cold.isActive() && this.cold.nextStartNanos() - advertisedNanos > 0;
+		return coldIsLater ? this.cold.nextStartNanos() : advertisedNanos;
+	}
+
+	private long nextAdvertisedStartNanos() {
 		// A probe is postponed by any news received since the last start.
 		final long postponedNanos = Math.max(0, this.latest.receivedAtNanos() - this.lastStartNanos);
 		return (this.ownRequestsPerSecond > 0) ? this.scheduledStartNanos : this.scheduledStartNanos + postponedNanos;
@@ -237,7 +287,8 @@
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 */
 	public void onStart(long nowNanos) {
-		if (!isLimited()) {
+		this.cold.onStart(nowNanos);
+		if (!isAdvertised()) {
 			return;
 		}
 		this.lastStartNanos = nowNanos;
@@ -257,7 +308,7 @@
 
 	LimitReport report(long nowNanos) {
 		evictOldStarts(nowNanos);
-		return new LimitReport(this.instanceId, requestsPerSecond(), this.ownRequestsPerSecond,
+		return new LimitReport(this.instanceId, advertisedPerSecond(), this.ownRequestsPerSecond,
 				(nowNanos - this.latest.receivedAtNanos()) / NANOS_PER_MILLI, this.recentStartsNanos.size());
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/limit/LimitRegistry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/limit/LimitRegistry.java
@@ -6,6 +6,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 
+import org.pistachioline.core.cold.ColdRegistry;
 import org.pistachioline.core.placement.LiveDaemons;
 
 /**
@@ -27,15 +28,26 @@
 
 	private final Map<String, InstanceLimit> limits = new HashMap<>();
 
+	private final ColdRegistry cold = new ColdRegistry();
+
 	private LiveDaemons daemons = LiveDaemons.ALONE;
 
+	/**
+	 * Returns the instances that are limited because they are cold.
+	 * @return the cold instances
+	 */
+	public ColdRegistry cold() {
+		return this.cold;
+	}
+
 	/**
 	 * Returns the state of an instance, which may have no limit in force.
 	 * @param instanceId the instance
 	 * @return its limit
 	 */
 	public InstanceLimit getOrCreate(String instanceId) {
-		return this.limits.computeIfAbsent(instanceId, (id) -> new InstanceLimit(id, this.daemons));
+		return this.limits.computeIfAbsent(instanceId,
+				(id) -> new InstanceLimit(id, this.daemons, this.cold.getOrCreate(id)));
 	}
 
 	/**
@@ -88,6 +100,7 @@
 	 * @param live the live daemons
 	 */
 	public void onLiveDaemons(long nowNanos, LiveDaemons live) {
+		this.cold.onLiveDaemons(nowNanos, live);
 		if (!live.equals(this.daemons)) {
 			this.daemons = live;
 			this.limits.values().forEach((limit) -> limit.onLiveDaemons(nowNanos, live));
@@ -101,8 +114,9 @@
 	 */
 	public void retain(long nowNanos, Set<String> instanceIds) {
 		this.limits.entrySet()
-			.removeIf((entry) -> !instanceIds.contains(entry.getKey()) && (!entry.getValue().isLimited()
+			.removeIf((entry) -> !instanceIds.contains(entry.getKey()) && (!entry.getValue().isAdvertised()
 					|| nowNanos - entry.getValue().latest().receivedAtNanos() > RETENTION_NANOS));
+		this.cold.retain(this.limits.keySet());
 	}
 
 	/**
@@ -113,7 +127,7 @@
 	public List<LimitReport> reports(long nowNanos) {
 		return this.limits.values()
 			.stream()
-			.filter(InstanceLimit::isLimited)
+			.filter(InstanceLimit::isAdvertised)
 			.map((limit) -> limit.report(nowNanos))
 			.toList();
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/limit/PermitAllocation.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/limit/PermitAllocation.java
@@ -15,7 +15,7 @@
  * unusable for small limits: one request per second among a hundred daemons would allow
  * each one request in a hundred seconds, which it could not use when it has a caller.
  */
-final class PermitAllocation {
+public final class PermitAllocation {
 
 	/**
 	 * Permits beyond one per request per second, so that in a small fleet each daemon
@@ -41,6 +41,21 @@
 		return (int) Math.min(MAX_PERMITS, EXTRA_PERMITS + Math.floor(requestsPerSecond));
 	}
 
+	/**
+	 * Returns which permits this daemon holds.
+	 * @param daemons the daemons that share the permits
+	 * @param name the name of what the permits are for
+	 * @param permits the number of permits
+	 * @return whether this daemon holds each of them
+	 */
+	public static boolean[] held(LiveDaemons daemons, String name, int permits) {
+		final boolean[] held = new boolean[permits];
+		for (int permit = 0; permit < permits; permit++) {
+			held[permit] = daemons.selfId().equals(holder(daemons, name + '#' + permit));
+		}
+		return held;
+	}
+
 	/**
 	 * Counts the permits that this daemon holds.
 	 * @param daemons the live daemons
@@ -49,11 +64,11 @@
 	 * @return how many of them this daemon holds
 	 */
 	static int countHeld(LiveDaemons daemons, String instanceId, int permits) {
-		int held = 0;
-		for (int permit = 0; permit < permits; permit++) {
-			held += daemons.selfId().equals(holder(daemons, instanceId + '#' + permit)) ? 1 : 0;
+		int count = 0;
+		for (final boolean held : held(daemons, instanceId, permits)) {
+			count += held ? 1 : 0;
 		}
-		return held;
+		return count;
 	}
 
 	private static String holder(LiveDaemons daemons, String permit) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/ThrottledCapacity.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/ThrottledCapacity.java
@@ -16,7 +16,7 @@
  * @param totalStartsPerSecond the rate at which all daemons together may start attempts
  * at targets with a limit
  * @param backoffWaitNanos the time until the first backoff of a target without a limit
- * ends
+ * ends, or until the first cold target without one is warm
  */
 public record ThrottledCapacity(long nextStartWaitNanos, double ownStartsPerSecond, double totalStartsPerSecond,
 		long backoffWaitNanos) {
@@ -52,6 +52,7 @@
 				startWaitNanos = Math.min(startWaitNanos, Math.max(backoffLeftNanos, limitWaitNanos(nowNanos, limit)));
 				ownPerSecond += limit.ownRequestsPerSecond();
 				allPerSecond += limit.requestsPerSecond();
+				endWaitNanos = Math.min(endWaitNanos, Math.max(backoffLeftNanos, limit.remainingColdNanos(nowNanos)));
 			}
 			else {
 				endWaitNanos = Math.min(endWaitNanos, backoffLeftNanos);
--- a/pistachioline-core/src/main/java/org/pistachioline/core/route/RouteTable.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/route/RouteTable.java
@@ -70,6 +70,18 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Returns how the cold instances of each service behave.
+	 * @return the declarations, by the name of the service
+	 */
+	public Map<String, ColdStart> coldStarts() {
+		final Map<String, ColdStart> declared = new HashMap<>();
+		this.services.values()
+			.forEach(
+					(service) -> service.coldStart().ifPresent((coldStart) -> declared.put(service.name(), coldStart)));
+		return declared;
+	}
+
 	/**
 	 * Finds a service by its name.
 	 * @param name the service's name
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetRegistry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetRegistry.java
@@ -48,6 +48,7 @@
 	void update(long nowNanos, List<TargetView> newViews) {
 		this.lastViews = newViews;
 		final List<TargetView> views = newViews.stream().map(this::withLeavingState).toList();
+		this.limits.cold().onTargets(nowNanos, views);
 		final Map<String, TargetLoad> next = new HashMap<>();
 		final Map<String, List<TargetLoad>> byName = new HashMap<>();
 		for (final TargetView view : views) {
@@ -159,7 +160,7 @@
 		return changed;
 	}
 
-	private void refresh(long nowNanos) {
+	void refresh(long nowNanos) {
 		this.setsByName.values().forEach((set) -> set.refresh(nowNanos, this.daemonRank));
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -49,6 +49,8 @@
 
 	private final TargetLimits targetLimits;
 
+	private final TargetColdness targetColdness;
+
 	private final TargetBackoffs targetBackoffs;
 
 	private final TargetCrashes targetCrashes;
@@ -74,6 +76,7 @@
 		this.outcomes = new AttemptOutcomeHandler(policies, this.activeRequests, this.selector, this.suspectTracker,
 				this.dispatcher, this.deadlineAdmission);
 		this.targetLimits = new TargetLimits(this.targets, this.deadlineAdmission);
+		this.targetColdness = new TargetColdness(this.targets, this.deadlineAdmission);
 		this.targetBackoffs = new TargetBackoffs(this.targets, this.deadlineAdmission);
 		this.targetCrashes = new TargetCrashes(policies.quarantine(), this.activeRequests);
 		this.monitor = new RequestMonitor(this.activeRequests, this.targets, this.selector, policies);
@@ -258,6 +261,14 @@
 		return this.targetLimits;
 	}
 
+	/**
+	 * Returns the targets that have not warmed up.
+	 * @return the cold targets
+	 */
+	public TargetColdness targetColdness() {
+		return this.targetColdness;
+	}
+
 	/**
 	 * Returns the instances that asked for a backoff or are shutting down.
 	 * @return the backoffs
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitSimulation.java
@@ -6,7 +6,9 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 
+import org.pistachioline.core.cold.ColdTarget;
 import org.pistachioline.core.traffic.TargetKind;
 import org.pistachioline.core.traffic.TargetView;
 import org.pistachioline.core.world.VirtualTime;
@@ -62,19 +64,29 @@
 
 	final List<String> violations = new ArrayList<>();
 
+	/** Rate of cold targets; 0 if the service declares none. */
+	double coldPerSecond;
+
 	/** Whether daemons exchange limits. */
 	boolean gossipEnabled = true;
 
+	/** The longest time by which a daemon learns of another one. */
+	long maxDiscoveryNanos;
+
 	final Random random;
 
 	private final TargetKind kind;
 
 	private final List<LimitSimulationInstance> instances = new ArrayList<>();
 
+	private final List<LimitSimulationInstance> replacedInstances = new ArrayList<>();
+
 	private final List<LimitSimulationDaemon> daemons = new ArrayList<>();
 
 	private final VirtualTime time = new VirtualTime();
 
+	private long cutAtNanos = -FAILURE_DETECTION_NANOS;
+
 	LimitSimulation(long seed, int daemonCount, int targetCount, TargetKind kind) {
 		this.random = new Random(seed);
 		this.kind = kind;
@@ -87,21 +99,51 @@
 		this.time.every(TICK_INTERVAL_NANOS, () -> this.daemons.forEach(LimitSimulationDaemon::tick));
 		this.time.every(HEARTBEAT_INTERVAL_NANOS, this::gossip);
 		this.time.every(LIVENESS_INTERVAL_NANOS,
-				() -> this.daemons.forEach((daemon) -> daemon.updateLiveDaemons(liveIds())));
+				() -> this.daemons.forEach((daemon) -> daemon.updateLiveDaemons(liveIdsSeenBy(daemon))));
 	}
 
 	private void gossip() {
 		for (final LimitSimulationDaemon daemon : this.daemons) {
 			final List<AdvertisedLimit> limits = (daemon.running() && this.gossipEnabled) ? daemon.latestLimits()
 					: List.of();
-			for (int i = 0; i < FAN_OUT && !limits.isEmpty(); i++) {
+			final List<ColdTarget> cold = daemon.running() ? daemon.coldTargets() : List.of();
+			for (int i = 0; i < FAN_OUT && !(limits.isEmpty() && cold.isEmpty()); i++) {
 				final LimitSimulationDaemon receiver = this.daemons.get(this.random.nextInt(this.daemons.size()));
-				final long delayNanos = MILLI_NANOS + this.random.nextInt(MAX_FRAME_DELAY_MILLIS) * MILLI_NANOS;
-				after(delayNanos, () -> receiver.receive(limits, delayNanos));
+				final long delayNanos = frameDelayNanos();
+				if (daemon.side == receiver.side) {
+					after(delayNanos, () -> receiver.receive(limits, delayNanos));
+					tellCold(receiver, cold, delayNanos);
+				}
 			}
 		}
 	}
 
+	private long frameDelayNanos() {
+		return MILLI_NANOS + this.random.nextInt(MAX_FRAME_DELAY_MILLIS) * MILLI_NANOS;
+	}
+
+	private void tellCold(LimitSimulationDaemon receiver, List<ColdTarget> cold, long delayNanos) {
+		if (!cold.isEmpty()) {
+			after(delayNanos,
+					() -> receiver.receiveCold(cold.stream()
+						.map((target) -> new ColdTarget(target.instanceId(), target.coldUntilNanos() + delayNanos))
+						.toList()));
+		}
+	}
+
+	/**
+	 * Sends what one daemon learned to all others that it reaches.
+	 * @param sender the daemon
+	 * @param cold the targets that it found to be cold
+	 */
+	void broadcastCold(LimitSimulationDaemon sender, List<ColdTarget> cold) {
+		if (!cold.isEmpty()) {
+			this.daemons.stream()
+				.filter((daemon) -> daemon != sender && daemon.side == sender.side)
+				.forEach((daemon) -> tellCold(daemon, cold, frameDelayNanos()));
+		}
+	}
+
 	TargetKind kind() {
 		return this.kind;
 	}
@@ -119,7 +161,10 @@
 	}
 
 	LimitSimulationInstance instance(String instanceId) {
-		return this.instances.stream().filter((instance) -> instance.id.equals(instanceId)).findFirst().orElseThrow();
+		return Stream.concat(this.instances.stream(), this.replacedInstances.stream())
+			.filter((instance) -> instance.id.equals(instanceId))
+			.findFirst()
+			.orElseThrow();
 	}
 
 	LimitSimulationDaemon daemon(int index) {
@@ -130,15 +175,82 @@
 		return this.daemons;
 	}
 
-	private Set<String> liveIds() {
+	// Word of a daemon spreads for a time that differs between any two daemons.
+	private Set<String> liveIdsSeenBy(LimitSimulationDaemon observer) {
 		final Set<String> ids = new TreeSet<>();
-		this.daemons.stream()
-			.filter((daemon) -> daemon.running()
-					|| this.time.nowNanos() - daemon.stoppedAtNanos() < FAILURE_DETECTION_NANOS)
-			.forEach((daemon) -> ids.add(daemon.id()));
+		for (final LimitSimulationDaemon daemon : this.daemons) {
+			final boolean live = daemon.running()
+					|| this.time.nowNanos() - daemon.stoppedAtNanos() < FAILURE_DETECTION_NANOS;
+			final boolean reachable = daemon.side == observer.side
+					|| this.time.nowNanos() - this.cutAtNanos < FAILURE_DETECTION_NANOS;
+			final long heardForNanos = this.time.nowNanos() - Math.max(daemon.joinedAtNanos, observer.startedAtNanos());
+			if (live && reachable && heardForNanos >= discoveryNanos(observer, daemon)) {
+				ids.add(daemon.id());
+			}
+		}
 		return ids;
 	}
 
+	private long discoveryNanos(LimitSimulationDaemon observer, LimitSimulationDaemon daemon) {
+		return (this.maxDiscoveryNanos == 0) ? 0
+				: Math.floorMod((observer.id() + daemon.id()).hashCode() * 31L, this.maxDiscoveryNanos);
+	}
+
+	/**
+	 * Cuts the fleet into two parts that do not hear of each other, or joins them again.
+	 * @param firstPartSize the number of daemons in the first part; 0 to join the parts
+	 */
+	void cut(int firstPartSize) {
+		this.cutAtNanos = this.time.nowNanos();
+		for (int i = 0; i < this.daemons.size(); i++) {
+			this.daemons.get(i).side = (i < firstPartSize) ? 1 : 0;
+		}
+	}
+
+	/**
+	 * Adds a daemon with a new id.
+	 */
+	void join() {
+		final LimitSimulationDaemon daemon = new LimitSimulationDaemon(this, "daemon-" + this.daemons.size());
+		daemon.joinedAtNanos = this.time.nowNanos();
+		this.daemons.add(daemon);
+	}
+
+	/**
+	 * Makes a target cold.
+	 * @param index the index of the target
+	 * @param seconds how long it stays cold
+	 */
+	void setCold(int index, double seconds) {
+		final LimitSimulationInstance instance = instance(index);
+		instance.coldUntilNanos = this.time.nowNanos() + (long) (seconds * SECOND_NANOS);
+		instance.coldKnownAtNanos = this.time.nowNanos() + MAX_FRAME_DELAY_MILLIS * MILLI_NANOS + MILLI_NANOS;
+		instance.coldSentNanos.clear();
+		instance.maxColdPerSecond = 0;
+	}
+
+	/**
+	 * Replaces all targets by new ones, which are cold before any daemon sends them a
+	 * request.
+	 * @param seconds how long they stay cold
+	 */
+	void startAllCold(double seconds) {
+		for (int i = 0; i < this.instances.size(); i++) {
+			final LimitSimulationInstance replaced = instance(i);
+			replaced.groupEpoch = 0;
+			this.instances.set(i, new LimitSimulationInstance(replaced.id + "~"));
+			this.replacedInstances.add(replaced);
+			setCold(i, seconds);
+			instance(i).coldKnownAtNanos = this.time.nowNanos();
+		}
+		for (final LimitSimulationDaemon daemon : this.daemons) {
+			for (int i = 0; i < this.instances.size(); i++) {
+				daemon.learnCold(i, false);
+			}
+			daemon.updateTargets();
+		}
+	}
+
 	long nowNanos() {
 		return this.time.nowNanos();
 	}
@@ -214,6 +326,17 @@
 					this.time.nowNanos() + instance.backoffNanos));
 	}
 
+	private void countCold(LimitSimulationInstance instance, long sentAtNanos) {
+		if (this.time.nowNanos() >= instance.coldUntilNanos || sentAtNanos < instance.coldKnownAtNanos) {
+			return;
+		}
+		instance.coldSentNanos.add(sentAtNanos);
+		final long withinSecond = instance.coldSentNanos.stream()
+			.filter((each) -> each >= this.time.nowNanos() - SECOND_NANOS)
+			.count();
+		instance.maxColdPerSecond = Math.max(instance.maxColdPerSecond, (int) withinSecond);
+	}
+
 	private void checkBackoff(LimitSimulationDaemon sender, LimitSimulationInstance instance) {
 		for (final LimitSimulationInstance.RequestedBackoff backoff : instance.backoffs.getOrDefault(sender.id(),
 				List.of())) {
@@ -235,8 +358,9 @@
 		}
 	}
 
-	void onArrival(LimitSimulationDaemon sender, LimitSimulationInstance instance) {
+	void onArrival(LimitSimulationDaemon sender, LimitSimulationInstance instance, long sentAtNanos) {
 		instance.receivedRequests++;
+		countCold(instance, sentAtNanos);
 		checkBackoff(sender, instance);
 		checkLeaving(sender, instance);
 		final Long receivedAtNanos = sender.limitReceivedAtNanos.get(instance.id);
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitSimulationDaemon.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitSimulationDaemon.java
@@ -6,9 +6,11 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 
+import org.pistachioline.core.cold.ColdTarget;
 import org.pistachioline.core.placement.LiveDaemons;
 import org.pistachioline.core.quarantine.GossipQuarantine;
 import org.pistachioline.core.retry.RetryBudget;
+import org.pistachioline.core.route.ColdStart;
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.AttemptOutcome;
 import org.pistachioline.core.traffic.ClaimRequirement;
@@ -51,6 +53,14 @@
 
 	private final Map<Long, Long> arrivedAtNanos = new HashMap<>();
 
+	/** Daemons on different sides do not hear of each other. */
+	int side;
+
+	/** When the daemon first joined the fleet. */
+	long joinedAtNanos = -LimitSimulation.SECOND_NANOS * 60;
+
+	private long startedAtNanos;
+
 	private TrafficCore core;
 
 	private int incarnation;
@@ -79,6 +89,10 @@
 		return this.stoppedAtNanos;
 	}
 
+	long startedAtNanos() {
+		return this.startedAtNanos;
+	}
+
 	TrafficCore core() {
 		return this.core;
 	}
@@ -94,15 +108,63 @@
 		this.running = true;
 		this.core = new TrafficCore(RoutingPolicies.create("zone", this.simulation.random.nextLong(),
 				new RetryBudget(0.2, 100, 10 * LimitSimulation.SECOND_NANOS), () -> 8, new GossipQuarantine()));
+		this.startedAtNanos = this.simulation.nowNanos();
+		declareColdStart();
 		updateTargets();
 	}
 
+	/**
+	 * Applies the configuration, and what other daemons tell a daemon that starts.
+	 */
+	void declareColdStart() {
+		if (this.simulation.coldPerSecond > 0) {
+			final ColdStart coldStart = new ColdStart(3_000, this.simulation.coldPerSecond);
+			if (this.simulation.daemons().size() > 1) {
+				this.core.targetColdness().expectPeers();
+			}
+			this.core.targetColdness()
+				.configure(this.simulation.nowNanos(), Map.of("pool", coldStart, "pool/m", coldStart));
+			this.simulation.daemons()
+				.stream()
+				.filter((other) -> other != this && other.running && other.side == this.side)
+				.limit(1)
+				.forEach((other) -> receiveCold(other.coldTargets()));
+		}
+	}
+
+	List<ColdTarget> coldTargets() {
+		return this.core.targetColdness().coldTargets(this.simulation.nowNanos());
+	}
+
+	void receiveCold(List<ColdTarget> told) {
+		if (this.running) {
+			this.core.targetColdness().onPeerTargets(this.simulation.nowNanos(), told);
+		}
+	}
+
+	/**
+	 * Learns from the list, an answer or a crash that a target is cold.
+	 * @param index the index of the target
+	 * @param tellOthers whether the daemon tells others of it at once
+	 */
+	void learnCold(int index, boolean tellOthers) {
+		final LimitSimulationInstance instance = this.simulation.instance(index);
+		if (this.running) {
+			final List<ColdTarget> news = this.core.targetColdness()
+				.onFound(this.simulation.nowNanos(), List.of(new ColdTarget(instance.id, instance.coldUntilNanos)));
+			if (tellOthers) {
+				this.simulation.broadcastCold(this, news);
+			}
+		}
+	}
+
 	void updateTargets() {
 		apply(this.core.onTargets(this.simulation.nowNanos(), this.simulation.views()));
 	}
 
 	void tick() {
 		if (this.running) {
+			this.core.targetColdness().onTick(this.simulation.nowNanos());
 			apply(this.core.onTick(this.simulation.nowNanos()));
 		}
 	}
@@ -170,7 +232,7 @@
 	private void send(TrafficAction.Start start) {
 		final long sentAtNanos = this.simulation.nowNanos();
 		final LimitSimulationInstance instance = this.simulation.instance(start.target().instanceId());
-		this.simulation.after(ONE_WAY_NANOS, () -> this.simulation.onArrival(this, instance));
+		this.simulation.after(ONE_WAY_NANOS, () -> this.simulation.onArrival(this, instance, sentAtNanos));
 		if (instance.backoffNanos > 0) {
 			decline(start, instance);
 			return;
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitSimulationInstance.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitSimulationInstance.java
@@ -1,6 +1,7 @@
 package org.pistachioline.core.limit;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -42,6 +43,18 @@
 	/** Number of requests since the limit was last changed. */
 	int receivedRequests;
 
+	/** Until when the instance is cold. */
+	long coldUntilNanos;
+
+	/** When daemons could first know that it is cold. */
+	long coldKnownAtNanos;
+
+	/** When the requests that arrived at the cold instance were sent. */
+	final List<Long> coldSentNanos = new ArrayList<>();
+
+	/** The most requests that were sent and arrived within one second while cold. */
+	int maxColdPerSecond;
+
 	LimitSimulationInstance(String id) {
 		this.id = id;
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -60,6 +60,8 @@
 		this.metrics.gauge("pistachioline.attempts.limited",
 				"Attempts of the last four seconds at targets that name a limit",
 				() -> traffic.limitReports().stream().mapToInt(LimitReport::recentAttempts).sum());
+		this.metrics.gauge("pistachioline.targets.cold", "Targets that have not warmed up",
+				() -> traffic.coldMonitor().reports().size());
 		this.metrics.gauge("pistachioline.targets.backoff", "Targets that want no requests of this daemon",
 				() -> traffic.backoffReports().size());
 		this.metrics.gauge("pistachioline.attempts.backoff",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/InstanceSignalDispatcher.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/InstanceSignalDispatcher.java
@@ -1,11 +1,16 @@
 package org.pistachioline.daemon;
 
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.pistachioline.core.cold.ColdTarget;
 import org.pistachioline.daemon.port.InstanceListener;
 import org.pistachioline.daemon.replica.ReplicaDuty;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 
 /**
- * Passes the backoff and leaving signals of instances to the duties that act on them.
+ * Passes the backoff, leaving and cold signals of instances to the duties that act on
+ * them.
  *
  * @param traffic the duty that sends requests to targets
  * @param replicas the duty that plans groups
@@ -23,4 +28,10 @@
 		this.replicas.onInstanceLeaving(instanceId);
 	}
 
+	@Override
+	public void onCold(String instanceId, long remainingMillis) {
+		final long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(remainingMillis);
+		this.traffic.coldMonitor().onFound(List.of(new ColdTarget(instanceId, untilNanos)), true);
+	}
+
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -11,6 +11,7 @@
 
 import org.pistachioline.adapters.web.Connector;
 import org.pistachioline.adapters.web.WebLoop;
+import org.pistachioline.core.cold.ColdListing;
 import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpPolicy;
 import org.pistachioline.core.event.EventId;
@@ -30,10 +31,12 @@
 import org.pistachioline.daemon.http.DaemonView;
 import org.pistachioline.daemon.listing.ListingDuty;
 import org.pistachioline.daemon.metrics.Metrics;
+import org.pistachioline.daemon.peer.ColdExchange;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerTransport;
 import org.pistachioline.daemon.relay.Relay;
 import org.pistachioline.daemon.replica.ReplicaDuty;
+import org.pistachioline.daemon.traffic.ColdMonitor;
 import org.pistachioline.daemon.traffic.CrashMonitor;
 import org.pistachioline.daemon.traffic.LimitShareUpdater;
 import org.pistachioline.daemon.traffic.NoClaims;
@@ -101,6 +104,8 @@
 
 	private final Metrics metrics = new Metrics();
 
+	private final ColdListing coldListing = new ColdListing();
+
 	private final Components components = new Components();
 
 	private volatile RouteTable routeTable = RouteTable.UNKNOWN;
@@ -129,7 +134,7 @@
 				settings.daemonId(), this::status, settings::peerSeeds, HEARTBEAT_INTERVAL_MILLIS);
 		this.limitShares = new LimitShareUpdater(settings.daemonId(), this.peers::activeDaemonIds,
 				HEARTBEAT_INTERVAL_MILLIS);
-		this.traffic = new TrafficDuty(system, new TrafficCore(policies()), new NoClaims(), this.limitShares,
+		this.traffic = new TrafficDuty(system, trafficCore(), new NoClaims(), this.limitShares,
 				(suspect, nowMillis) -> {
 					// Crash reports are exchanged between daemons by gossip instead.
 				}, new TraceRecorder(false));
@@ -150,6 +155,14 @@
 		registerListeners();
 	}
 
+	private TrafficCore trafficCore() {
+		final TrafficCore core = new TrafficCore(policies());
+		if (this.settings.peerSeeds().stream().anyMatch((seed) -> !seed.equals(this.settings.peerAddress()))) {
+			core.targetColdness().expectPeers();
+		}
+		return core;
+	}
+
 	private TrafficPolicies policies() {
 		final long seed = this.incarnation ^ ((long) this.settings.daemonId().hashCode() << Integer.SIZE);
 		return RoutingPolicies.create(this.settings.availabilityZone(), seed, this.settings.retryBudget(),
@@ -160,6 +173,7 @@
 		this.ports.routes().setRouteListener((routes) -> {
 			this.routeTable = routes;
 			this.replicas.configure(routes);
+			this.traffic.onColdStarts(routes.coldStarts());
 			Events.log(EventId.CONFIG_IN_FORCE, "version", routes.version());
 		});
 		this.ports.routes().setFleetView(() -> this.peers.livePeers().size() + 1, this.peers::newestConfigVersion);
@@ -180,6 +194,10 @@
 		this.peers.suspectExchange()
 			.bind(crashMonitor::gossipSample, crashMonitor::knownSuspects, crashMonitor::onPeerReports);
 		crashMonitor.setBroadcaster(this.peers::broadcastSuspects);
+		final ColdMonitor coldMonitor = this.traffic.coldMonitor();
+		this.peers.addExchange(new ColdExchange(coldMonitor::coldTargets, coldMonitor::onPeerTargets));
+		coldMonitor.setBroadcaster((cold) -> this.peers.broadcast(ColdExchange.notice(cold, System.nanoTime())));
+		coldMonitor.setLeavingDaemons(this.peers::leavingDaemonIds);
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
 		meters.bind(targets, this.tunnels);
@@ -202,6 +220,10 @@
 	private void onInstanceList(List<ServingInstance> instances) {
 		this.instanceListKnown = true;
 		this.ports.targetConnections().updateInstances(instances);
+		// All daemons read the same entries, so one of them tells those that do not.
+		this.traffic.coldMonitor()
+			.onFound(this.coldListing.onInstances(System.nanoTime(), this.routeTable, instances),
+					this.listing.readsForOthers());
 		this.replicas.updateInstances(instances);
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
@@ -37,6 +37,7 @@
 		dump.put("unreachable_targets", this.targets.reachability().unreachable());
 		dump.put("tunnels_for_others", this.tunnels.openTunnels());
 		dump.put("limited_targets", this.traffic.limitReports());
+		dump.put("cold_targets", this.traffic.coldMonitor().reports());
 		dump.put("backoff_targets", this.traffic.backoffReports());
 		dump.put("crash_suspects", this.traffic.crashMonitor().reports());
 		dump.put("planned_groups", this.replicas.plannedGroups());
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/listing/ListingCodec.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/listing/ListingCodec.java
@@ -90,6 +90,7 @@
 			.setFabricDomain(instance.fabricDomain())
 			.setDraining(instance.draining())
 			.setSlots(instance.slots())
+			.setColdRemainingMillis(instance.coldRemainingMillis())
 			.addAllStagedModels(instance.stagedModels());
 		instance.membership()
 			.ifPresent((membership) -> built.setMembership(GroupMembership.newBuilder()
@@ -124,7 +125,8 @@
 				new ServingInstance(entry.getInstanceId(), entry.getService(), entry.getAddress(),
 						entry.getAvailabilityZone(), entry.getFabricDomain(), entry.getDraining(), entry.getSlots(),
 						new HashSet<>(entry.getStagedModelsList()),
-						entry.hasMembership() ? Optional.of(decode(entry.getMembership())) : Optional.empty()));
+						entry.hasMembership() ? Optional.of(decode(entry.getMembership())) : Optional.empty(),
+						Math.max(0, entry.getColdRemainingMillis())));
 	}
 
 	private static Membership decode(GroupMembership membership) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -42,6 +42,10 @@
 			"Attempts of the last four seconds at targets that state a limit.",
 			"over all daemons above four times the limits"),
 
+	/** Gauge of the targets whose requests all daemons together pace. */
+	TARGETS_COLD("pistachioline_targets_cold", "targets", "Targets that have not warmed up.",
+			"most of a service's targets: it accepts less than its slots"),
+
 	/** Gauge of the targets that asked this daemon to back off. */
 	TARGETS_BACKOFF("pistachioline_targets_backoff", "targets", "Targets that asked this daemon to back off.",
 			"most of a service's targets"),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
@@ -172,6 +172,17 @@
 			.collect(Collectors.toCollection(TreeSet::new));
 	}
 
+	/**
+	 * Returns the ids of the live daemons that are leaving, possibly including this one.
+	 * @return the ids
+	 */
+	public Set<String> leavingDaemonIds() {
+		return liveDaemons().stream()
+			.filter(PeerStatus::leaving)
+			.map(PeerStatus::daemonId)
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	/**
 	 * Returns the address on which this daemon listens for peers.
 	 * @return the address, as host and port
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/InstanceListener.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/InstanceListener.java
@@ -1,8 +1,8 @@
 package org.pistachioline.daemon.port;
 
 /**
- * Receives the backoffs and shutdowns that instances state in responses of any kind.
- * Implementations must not block.
+ * Receives the backoffs, shutdowns and cold times that instances state in responses of
+ * any kind. Implementations must not block.
  */
 public interface InstanceListener {
 
@@ -19,4 +19,13 @@
 	 */
 	void onLeaving(String instanceId);
 
+	/**
+	 * Called for each response that states that its instance has not warmed up.
+	 * @param instanceId the instance
+	 * @param remainingMillis how long it stays cold
+	 */
+	default void onCold(String instanceId, long remainingMillis) {
+		// Most listeners do not pace requests.
+	}
+
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/RelayProtocol.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/RelayProtocol.java
@@ -67,6 +67,16 @@
 	 */
 	boolean isLeaving(AnswerHead head);
 
+	/**
+	 * Reads how long a target states in a response that it stays cold.
+	 * @param head the head of the response
+	 * @return the time, in milliseconds; empty if it states none, or if the response may
+	 * be another instance's
+	 */
+	default OptionalLong coldRemainingMillis(AnswerHead head) {
+		return OptionalLong.empty();
+	}
+
 	/**
 	 * Reads the load that a target reports in a response.
 	 * @param head the head of the response
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/BackoffGate.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/BackoffGate.java
@@ -53,6 +53,10 @@
 		}
 	}
 
+	void onCold(String targetId, OptionalLong remainingMillis) {
+		remainingMillis.ifPresent((millis) -> this.listener.onCold(TargetView.instanceId(targetId), millis));
+	}
+
 	boolean maySend(String targetId) {
 		return !this.backoffs.isActive(this.clockNanos.getAsLong(), TargetView.instanceId(targetId));
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -122,6 +122,7 @@
 	private void reportBackoff(RelayProtocol protocol, AnswerHead head) {
 		final String targetId = this.start.target().targetId();
 		this.exchange.context().backoffGate().onBackoff(targetId, protocol.backoffMillis(head));
+		this.exchange.context().backoffGate().onCold(targetId, protocol.coldRemainingMillis(head));
 		if (protocol.isLeaving(head)) {
 			this.exchange.context().backoffGate().onLeaving(targetId);
 		}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetMonitor.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetMonitor.java
@@ -4,11 +4,12 @@
 import java.util.function.Predicate;
 
 import org.pistachioline.core.limit.AdvertisedLimit;
+import org.pistachioline.core.traffic.TargetView;
 import org.pistachioline.core.traffic.TrafficCore;
 
 /**
- * Applies the limits, backoffs, shutdowns and crashes of targets to the traffic core, and
- * exposes the resulting state to other threads.
+ * Applies the limits, backoffs, shutdowns, crashes and cold times of targets to the
+ * traffic core, and exposes the resulting state to other threads.
  */
 final class TargetMonitor {
 
@@ -20,9 +21,12 @@
 
 	private final CrashMonitor crashes;
 
+	private final ColdMonitor cold;
+
 	TargetMonitor(TrafficCore core, Predicate<TrafficMessage> inbox) {
 		this.core = core;
 		this.crashes = new CrashMonitor(inbox);
+		this.cold = new ColdMonitor(inbox);
 	}
 
 	LimitMonitor limits() {
@@ -37,6 +41,10 @@
 		return this.crashes;
 	}
 
+	ColdMonitor cold() {
+		return this.cold;
+	}
+
 	/**
 	 * Applies a message if it concerns a limit, a backoff, a shutdown or a crash of a
 	 * target.
@@ -57,7 +65,17 @@
 		if (message instanceof TrafficMessage.LeavingReceived received) {
 			return onLeaving(nowNanos, received.instanceId());
 		}
+		if (message instanceof TrafficMessage.ColdStartsChanged changed) {
+			return this.cold.apply(nowNanos, changed, this.core);
+		}
+		if (message instanceof TrafficMessage.ColdTargetsFound found) {
+			return this.cold.apply(nowNanos, found, this.core);
+		}
+		if (message instanceof TrafficMessage.PeerColdTargetsReceived received) {
+			return this.cold.apply(nowNanos, received, this.core);
+		}
 		if (message instanceof TrafficMessage.TargetCrashed crashed) {
+			this.cold.applyCrash(nowNanos, TargetView.instanceId(crashed.crash().targetId()), this.core);
 			return this.crashes.applyCrash(nowNanos, crashed.crash(), this.core);
 		}
 		if (message instanceof TrafficMessage.PeerSuspectsReceived reported) {
@@ -105,6 +123,7 @@
 		this.limits.refresh(nowNanos, this.core);
 		this.backoffs.refresh(nowNanos, this.core);
 		this.crashes.refresh(nowNanos, this.core);
+		this.cold.refresh(nowNanos, this.core);
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -17,6 +17,7 @@
 import org.pistachioline.core.limit.LimitReport;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
+import org.pistachioline.core.route.ColdStart;
 import org.pistachioline.core.state.FleetState;
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.AttemptOutcome;
@@ -254,6 +255,22 @@
 		return this.targetMonitor.crashes();
 	}
 
+	/**
+	 * Applies how cold instances behave.
+	 * @param byService the declarations, by the name of the service
+	 */
+	public void onColdStarts(Map<String, ColdStart> byService) {
+		this.duty.put(new TrafficMessage.ColdStartsChanged(byService));
+	}
+
+	/**
+	 * Returns the monitor of targets that have not warmed up.
+	 * @return the monitor, to which any thread may report
+	 */
+	public ColdMonitor coldMonitor() {
+		return this.targetMonitor.cold();
+	}
+
 	/**
 	 * Refuses new requests from now on; active requests run to their end.
 	 */
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
@@ -4,11 +4,13 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 
+import org.pistachioline.core.cold.ColdTarget;
 import org.pistachioline.core.limit.AdvertisedLimit;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.quarantine.SuspectedRequest;
 import org.pistachioline.core.quarantine.TargetCrash;
+import org.pistachioline.core.route.ColdStart;
 import org.pistachioline.core.state.FleetState;
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.AttemptOutcome;
@@ -133,6 +135,31 @@
 	record PeerLimitsReceived(List<AdvertisedLimit> limits) implements TrafficMessage {
 	}
 
+	/**
+	 * The configuration declares how cold instances behave.
+	 *
+	 * @param byService the declarations, by the name of the service
+	 */
+	record ColdStartsChanged(Map<String, ColdStart> byService) implements TrafficMessage {
+	}
+
+	/**
+	 * This daemon found targets that have not warmed up.
+	 *
+	 * @param targets the targets
+	 * @param tellPeers whether other daemons are told at once
+	 */
+	record ColdTargetsFound(List<ColdTarget> targets, boolean tellPeers) implements TrafficMessage {
+	}
+
+	/**
+	 * Another daemon sent the targets that it knows to be cold.
+	 *
+	 * @param targets the targets
+	 */
+	record PeerColdTargetsReceived(List<ColdTarget> targets) implements TrafficMessage {
+	}
+
 	/**
 	 * A target crashed.
 	 *
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/listing/ListingCodecTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/listing/ListingCodecTests.java
@@ -33,7 +33,7 @@
 		final ServingInstance grouped = new ServingInstance("i-1~z", "pool", "10.0.0.1:80", "zone-a", "domain-1", false,
 				12, Set.of("large", "small"), Optional.of(new Membership(new GroupId("large.1z", 5L << 20), 3, state)));
 		final ServingInstance ungrouped = new ServingInstance("i-2", "desk", "10.0.0.2:80", "zone-b", "", true, 6,
-				Set.of(), Optional.empty());
+				Set.of(), Optional.empty(), 2_500);
 		final ListingResponse response = new ListingResponse("daemon-2", 7, 3_000_000, 250_000_000,
 				Optional.of(new ListingDelta(100, 110, 105,
 						List.of(new InstanceRecord.Listed("i-1", 101, 1_700_000_000_000L, grouped),
