--- a/pistachioline-core/src/main/java/org/pistachioline/core/endpoints/EndpointSelector.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/endpoints/EndpointSelector.java
@@ -47,13 +47,30 @@
 	 * @return at most eight daemons, preferred first
 	 */
 	public static List<PeerStatus> select(List<PeerStatus> daemons, String availabilityZone, long lookup) {
+		return select(daemons, availabilityZone, lookup, DaemonRoom.EQUAL);
+	}
+
+	/**
+	 * Selects daemons for one lookup by the room that they have.
+	 * @param daemons the live daemons, including this one
+	 * @param availabilityZone the caller's availability zone; empty if unknown
+	 * @param lookup the number of the lookup, which seeds the order
+	 * @return at most eight daemons, preferred first; a daemon with twice the room of
+	 * another comes first about twice as often
+	 */
+	public static List<PeerStatus> selectByRoom(List<PeerStatus> daemons, String availabilityZone, long lookup) {
+		return select(daemons, availabilityZone, lookup, DaemonRoom.of(daemons));
+	}
+
+	private static List<PeerStatus> select(List<PeerStatus> daemons, String availabilityZone, long lookup,
+			DaemonRoom room) {
 		final List<PeerStatus> sameZone = new ArrayList<>();
 		final List<PeerStatus> otherZones = new ArrayList<>();
 		for (final PeerStatus daemon : preferred(daemons)) {
 			(daemon.availabilityZone().equals(availabilityZone) ? sameZone : otherZones).add(daemon);
 		}
 		final Comparator<PeerStatus> bySample = Comparator
-			.comparingDouble((PeerStatus daemon) -> exponentialSample(daemon, lookup))
+			.comparingDouble((PeerStatus daemon) -> exponentialSample(daemon, lookup) / room.weight(daemon))
 			.thenComparing(PeerStatus::daemonId);
 		sameZone.sort(bySample);
 		otherZones.sort(bySample);
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/overload/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decides what a daemon whose machine is short of processor time still accepts.
+ */
+package org.pistachioline.core.overload;
--- /dev/null
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/overload/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of what a daemon accepts while its event loop runs late.
+ */
+package org.pistachioline.core.overload;
