Refuse on a late loop, and weigh look-ups by room

A loop that was late twice in a row refuses with 503 what would not come through three more turns within its time in the queue (fleetDecisions only), before keys are compared; Retry-After is one to four times the lag. The lag goes out by gossip as loopLagMillis; with fleetDecisions look-ups weigh daemons by cores and lag. The time of a request counts from its reading, as before the handling became a task. RecordingReply moved to its own file. Tests: LateLoopTests (a loop that is a second late, in virtual time).

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -153,7 +153,8 @@
 			arrive(new Arrived(
 					new WebRequest(this.head.method().name(), this.head.uri(), HeaderFields.of(this.head.headers()),
 							Body.of(this.body)),
-					null, HttpUtil.isKeepAlive(this.head), this.head.protocolVersion().equals(HttpVersion.HTTP_1_1)));
+					null, HttpUtil.isKeepAlive(this.head), this.head.protocolVersion().equals(HttpVersion.HTTP_1_1),
+					this.nanoClock.getAsLong()));
 			this.head = null;
 			this.body = Unpooled.EMPTY_BUFFER;
 			this.begun = false;
@@ -165,7 +166,7 @@
 		this.begun = false;
 		this.head = null;
 		this.body = Unpooled.EMPTY_BUFFER;
-		arrive(new Arrived(null, fault, false, true));
+		arrive(new Arrived(null, fault, false, true, this.nanoClock.getAsLong()));
 	}
 
 	private void arrive(Arrived arrived) {
@@ -187,7 +188,8 @@
 		}
 		final Arrived arrived = this.waiting.poll();
 		this.ctx.channel().config().setAutoRead(true);
-		final ServerReply reply = new ServerReply(this.ctx, arrived.keepAlive(), arrived.chunks(), this::answered);
+		final ServerReply reply = new ServerReply(this.ctx, arrived.keepAlive(), arrived.chunks(), arrived.atNanos(),
+				this::answered);
 		this.current = reply;
 		if (arrived.fault() != null) {
 			reply.whole(this.handler.onFault(arrived.fault()));
@@ -276,8 +278,9 @@
 	 * @param fault the fault; null where there is a request
 	 * @param keepAlive whether the caller keeps the connection
 	 * @param chunks whether the caller understands answers in chunks
+	 * @param atNanos when it has arrived
 	 */
-	private record Arrived(WebRequest request, RequestFault fault, boolean keepAlive, boolean chunks) {
+	private record Arrived(WebRequest request, RequestFault fault, boolean keepAlive, boolean chunks, long atNanos) {
 
 	}
 
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
@@ -33,6 +33,8 @@
 
 	private final boolean chunks;
 
+	private final long arrivedAtNanos;
+
 	private final Runnable answered;
 
 	private boolean keepAlive;
@@ -43,10 +45,11 @@
 
 	private CallerListener listener;
 
-	ServerReply(ChannelHandlerContext ctx, boolean keepAlive, boolean chunks, Runnable answered) {
+	ServerReply(ChannelHandlerContext ctx, boolean keepAlive, boolean chunks, long arrivedAtNanos, Runnable answered) {
 		this.ctx = ctx;
 		this.keepAlive = keepAlive;
 		this.chunks = chunks;
+		this.arrivedAtNanos = arrivedAtNanos;
 		this.answered = answered;
 	}
 
@@ -162,6 +165,11 @@
 		return !this.over;
 	}
 
+	@Override
+	public long arrivedAtNanos() {
+		return this.arrivedAtNanos;
+	}
+
 	@Override
 	public void listen(CallerListener callerListener) {
 		this.listener = callerListener;
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebReply.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebReply.java
@@ -56,6 +56,13 @@
 	 */
 	boolean callerWaits();
 
+	/**
+	 * Returns when the request was read whole, since when it may have waited for the
+	 * loop.
+	 * @return the monotonic time, in nanoseconds
+	 */
+	long arrivedAtNanos();
+
 	/**
 	 * Sets who hears of the caller; called before the answer begins.
 	 * @param listener hears it
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -254,6 +254,12 @@
 	/** Logged with the cause: the connection was refused, or not established in time. */
 	TARGET_NOT_CONNECTED(510, EventLevel.INFO, "A target could not be connected to, so nothing was sent to it."),
 
+	/** Logged with the lag and whether requests are refused while it lasts. */
+	LOOP_LATE(520, EventLevel.WARN, "The loop that serves callers runs late: the machine is short of processor time."),
+
+	/** Logged with the number of requests refused meanwhile. */
+	LOOP_ON_TIME(521, EventLevel.INFO, "The loop that serves callers runs on time again."),
+
 	/** Logged when the heartbeats of a live peer have timed out. */
 	PEER_LOST(600, EventLevel.INFO, "A peer daemon is no longer live."),
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -1,8 +1,10 @@
 package org.pistachioline.daemon;
 
 import java.util.Locale;
+import java.util.function.LongSupplier;
 
 import org.pistachioline.core.backoff.BackoffReport;
+import org.pistachioline.core.endpoints.DaemonRoom;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.limit.LimitReport;
 import org.pistachioline.core.state.ConfigState;
@@ -10,9 +12,11 @@
 import org.pistachioline.daemon.agreed.AppendDuty;
 import org.pistachioline.daemon.agreed.StreamDuty;
 import org.pistachioline.daemon.duty.Ring;
+import org.pistachioline.daemon.listing.ListingDuty;
 import org.pistachioline.daemon.metrics.Metrics;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerMeter;
+import org.pistachioline.daemon.relay.LoopMonitor;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 import org.pistachioline.daemon.tunnel.TargetConnections;
 import org.pistachioline.daemon.tunnel.TunnelServer;
@@ -49,6 +53,24 @@
 				"Connections to targets that were opened on behalf of other daemons", tunnels::establishedTunnels);
 	}
 
+	void bind(LoopMonitor loop, PeerDuty peers) {
+		this.metrics.gauge("pistachioline.loop.lag", "Milliseconds that the loop which serves callers ran late lately",
+				loop::lagMillis);
+		this.metrics.gauge("pistachioline.loop.refused", "Requests that were refused because that loop ran late",
+				loop::refusedRequests);
+		this.metrics.gauge("pistachioline.daemons.late", "Live daemons whose loop runs late, this one included",
+				() -> peers.liveDaemons().stream().filter(DaemonRoom::isLate).count());
+	}
+
+	void bind(ListingDuty listing, LongSupplier configVersion) {
+		this.metrics.gauge("pistachioline.config.version", "Version of the configuration in force",
+				configVersion::getAsLong);
+		this.metrics.gauge("pistachioline.listing.age", "Time since the platform was asked for the known list",
+				listing::ageMillis);
+		this.metrics.gauge("pistachioline.listing.reader", "1 where this daemon reads the list for others",
+				() -> listing.readsForOthers() ? 1 : 0);
+	}
+
 	private void bindTraffic(TrafficDuty traffic) {
 		this.metrics.gauge("pistachioline.requests.held", "Requests that have not ended", traffic::activeRequestCount);
 		this.metrics.gauge("pistachioline.requests.queued", "Requests that wait for a target",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -143,6 +143,7 @@
 		this.targetConnector = ports.targetConnections().connector(this.relayLoop);
 		this.relay = new Relay(this.relayLoop, settings.callerAddress(), ports.dialect(), () -> this.routeTable,
 				this.traffic, this.replicas::onLoadReport, signals, () -> this.leaving, this.targetConnector);
+		this.relay.loopMonitor().setRefusing(settings.fleetDecisions());
 		this.tunnels = ports.targetConnections().server(this.relayLoop, settings.tunnelAddress());
 		this.components
 			.add(List.of(this.traffic, this.replicas, this.peers, ports.routes(), this.listing, ports.lease(),
@@ -183,13 +184,9 @@
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
 		meters.bind(targets, this.tunnels);
+		meters.bind(this.relay.loopMonitor(), this.peers);
+		meters.bind(this.listing, this::configVersion);
 		this.components.all().forEach((component) -> component.rings().forEach(meters::bind));
-		this.metrics.gauge("pistachioline.config.version", "Version of the configuration in force",
-				this::configVersion);
-		this.metrics.gauge("pistachioline.listing.age", "Time since the platform was asked for the known list",
-				this.listing::ageMillis);
-		this.metrics.gauge("pistachioline.listing.reader", "1 where this daemon reads the list for others",
-				() -> this.listing.readsForOthers() ? 1 : 0);
 	}
 
 	// A daemon that has just started knows no peers and would always include itself, so
@@ -295,7 +292,7 @@
 				this.heartbeatSequence.incrementAndGet(), configVersion(), 0, 0,
 				this.acceptingTraffic && notReadyReason().isEmpty(), this.leaving, this.traffic.activeRequestCount(), 0,
 				this.tunnels.localAddress(), this.ports.targetConnections().reachability().isPartitioned(),
-				this.settings.cpuCores(), 0);
+				this.settings.cpuCores(), this.relay.loopMonitor().lagMillis());
 	}
 
 	/**
@@ -304,11 +301,11 @@
 	 * @return the daemons' caller addresses, in order of preference
 	 */
 	public List<String> endpoints(String availabilityZone) {
-		final List<String> chosen = EndpointSelector
-			.select(daemons(), availabilityZone, this.lookupCount.getAndIncrement())
-			.stream()
-			.map(PeerStatus::callerAddress)
-			.toList();
+		final long lookup = this.lookupCount.getAndIncrement();
+		final List<PeerStatus> selected = this.settings.fleetDecisions()
+				? EndpointSelector.selectByRoom(daemons(), availabilityZone, lookup)
+				: EndpointSelector.select(daemons(), availabilityZone, lookup);
+		final List<String> chosen = selected.stream().map(PeerStatus::callerAddress).toList();
 		// Without live peers a daemon offers itself even before its warm-up.
 		return (chosen.isEmpty() && notReadyReason().isEmpty()) ? List.of(this.settings.callerAddress()) : chosen;
 	}
@@ -382,7 +379,7 @@
 	@Override
 	public Map<String, Object> dump() {
 		return new RoutingDaemonDump(this.traffic, this.replicas, this.listing, this.ports.targetConnections(),
-				this.tunnels)
+				this.tunnels, this.relay.loopMonitor())
 			.of(status(), notReadyReason(), daemons());
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
@@ -7,6 +7,7 @@
 
 import org.pistachioline.core.peer.PeerStatus;
 import org.pistachioline.daemon.listing.ListingDuty;
+import org.pistachioline.daemon.relay.LoopMonitor;
 import org.pistachioline.daemon.replica.ReplicaDuty;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 import org.pistachioline.daemon.tunnel.TargetConnections;
@@ -20,9 +21,10 @@
  * @param listing the instance list
  * @param targets the connections to targets
  * @param tunnels the connections on behalf of other daemons
+ * @param loopMonitor how late the loop that serves callers runs
  */
 record RoutingDaemonDump(TrafficDuty traffic, ReplicaDuty replicas, ListingDuty listing, TargetConnections targets,
-		TunnelServer tunnels) {
+		TunnelServer tunnels, LoopMonitor loopMonitor) {
 
 	Map<String, Object> of(PeerStatus status, Optional<String> notReadyReason, List<PeerStatus> daemons) {
 		final Map<String, Object> dump = new LinkedHashMap<>();
@@ -33,6 +35,8 @@
 				Map.of("held", this.traffic.activeRequestCount(), "queued", this.traffic.queuedRequestCount()));
 		dump.put("listing",
 				Map.of("age_millis", this.listing.ageMillis(), "reads_for_others", this.listing.readsForOthers()));
+		dump.put("loop",
+				Map.of("lag_millis", this.loopMonitor.lagMillis(), "refused", this.loopMonitor.refusedRequests()));
 		dump.put("serving_targets", this.replicas.servingTargetCount());
 		dump.put("unreachable_targets", this.targets.reachability().unreachable());
 		dump.put("tunnels_for_others", this.tunnels.openTunnels());
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -32,6 +32,8 @@
 
 	private final ActiveStreams streams = new ActiveStreams();
 
+	private final LoopMonitor loopMonitor;
+
 	private final RelayHandler handler;
 
 	private final CallerServer callerServer;
@@ -53,18 +55,20 @@
 			BiConsumer<String, LoadReport> loadReceiver, InstanceListener instances, BooleanSupplier leaving,
 			Connector targetConnector) {
 		this.loop = loop;
+		this.loopMonitor = new LoopMonitor(loop, System::nanoTime);
 		final WebClient client = new WebClient(this.loop, targetConnector, IDLE_CONNECTION_MILLIS, MAX_IDLE_PER_TARGET);
 		final RelayContext context = new RelayContext(this.loop, client, protocol, this.streams,
 				traffic::onCallerDisconnected, new TargetReportDispatcher(loadReceiver, traffic),
 				new BackoffGate(instances, System::nanoTime),
 				new CrashProbe(client::askWhetherRefused, traffic.crashMonitor()::onCrash));
-		this.handler = new RelayHandler(routes, context, traffic, leaving);
+		this.handler = new RelayHandler(routes, context, traffic, leaving, this.loopMonitor);
 		this.callerServer = new CallerServer(this.loop, address, this.handler, routes);
 	}
 
 	@Override
 	public void start() {
 		this.callerServer.start();
+		this.loopMonitor.start();
 		this.loop.every(this.streams::reportProgress, ActiveStreams.PROGRESS_INTERVAL_MILLIS);
 	}
 
@@ -74,6 +78,14 @@
 		this.loop.close();
 	}
 
+	/**
+	 * Returns the monitor of the event loop.
+	 * @return the monitor
+	 */
+	public LoopMonitor loopMonitor() {
+		return this.loopMonitor;
+	}
+
 	/**
 	 * Returns the number of requests received from callers.
 	 * @return the number since the start
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -64,13 +64,17 @@
 
 	private final BooleanSupplier leaving;
 
+	private final LoopMonitor loopMonitor;
+
 	private final AtomicLong nextRequestId = new AtomicLong(1);
 
-	RelayHandler(Supplier<RouteTable> routes, RelayContext context, TrafficDuty traffic, BooleanSupplier leaving) {
+	RelayHandler(Supplier<RouteTable> routes, RelayContext context, TrafficDuty traffic, BooleanSupplier leaving,
+			LoopMonitor loopMonitor) {
 		this.routes = routes;
 		this.context = context;
 		this.traffic = traffic;
 		this.leaving = leaving;
+		this.loopMonitor = loopMonitor;
 	}
 
 	long receivedRequestCount() {
@@ -90,12 +94,14 @@
 	}
 
 	private void route(long id, WebRequest request, WebReply reply, CallerResponse response) {
-		final long arrivedAtNanos = System.nanoTime();
+		final long arrivedAtNanos = reply.arrivedAtNanos();
 		final RouteTable table = this.routes.get();
 		require(table.isKnown(), ErrorKind.NOT_READY);
 		final RequestMetadata metadata = this.context.protocol().readRequest(request.headers());
 		final Route route = table.route(request.headers().first("Host").orElse(""), request.path())
 			.orElseThrow(() -> new PistachiolineException(ErrorKind.NOT_FOUND));
+		require(!this.loopMonitor.refuses(arrivedAtNanos,
+				QueueTimeBudget.maxQueueMillis(route, timeoutMillis(route, metadata))), ErrorKind.OVERLOADED);
 		final Optional<WorkspaceApiKeys> keyHolder = findApiKeyHolder(table, metadata);
 		final boolean anonymous = route.anonymous() || table.workspaceApiKeys().isEmpty();
 		require(anonymous || keyHolder.isPresent(), ErrorKind.UNAUTHENTICATED);
@@ -114,8 +120,7 @@
 		final RequestMetadata metadata = relayed.metadata();
 		final String service = route.selectService(ThreadLocalRandom.current().nextDouble());
 		final boolean grouped = table.service(service).filter((spec) -> spec.grouped()).isPresent();
-		final long timeoutMillis = Math.min(route.timeoutMillis(),
-				metadata.timeoutMillis().orElse(route.timeoutMillis()));
+		final long timeoutMillis = timeoutMillis(route, metadata);
 		final long deadlineNanos = arrivedAtNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
 		final long firstTokenDeadlineNanos = arrivedAtNanos
 				+ TimeUnit.MILLISECONDS.toNanos(QueueTimeBudget.maxQueueMillis(route, timeoutMillis));
@@ -131,6 +136,10 @@
 				metadata.sharedPromptParts());
 	}
 
+	private static long timeoutMillis(Route route, RequestMetadata metadata) {
+		return Math.min(route.timeoutMillis(), metadata.timeoutMillis().orElse(route.timeoutMillis()));
+	}
+
 	// Compares every hash, so that the response time does not reveal how much of a
 	// guessed key is right.
 	private static Optional<WorkspaceApiKeys> findApiKeyHolder(RouteTable table, RequestMetadata metadata) {
@@ -155,10 +164,12 @@
 		if (kind == ErrorKind.INTERNAL) {
 			Events.log(EventId.REQUEST_INTERNAL_ERROR, cause, "request", requestId);
 		}
-		else {
+		else if (kind != ErrorKind.OVERLOADED) {
+			// A late loop would be later still by a line for each request; LoopMonitor
+			// counts them.
 			logRefusal(requestId, kind, request.path());
 		}
-		return RelayErrorResponses.of(requestId, kind, RunState.NOT_RUN, kind.retryable() ? retryAfterMillis() : 0);
+		return RelayErrorResponses.of(requestId, kind, RunState.NOT_RUN, kind.retryable() ? retryAfterMillis(kind) : 0);
 	}
 
 	@Override
@@ -178,7 +189,10 @@
 	}
 
 	// Jittered, so that callers refused at the same time do not retry at the same time.
-	private static long retryAfterMillis() {
+	private long retryAfterMillis(ErrorKind kind) {
+		if (kind == ErrorKind.OVERLOADED) {
+			return this.loopMonitor.retryAfterMillis();
+		}
 		return MIN_RETRY_AFTER_MILLIS + ThreadLocalRandom.current().nextLong(MIN_RETRY_AFTER_MILLIS);
 	}
 
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -14,12 +14,10 @@
 
 import org.pistachioline.adapters.web.AnswerHead;
 import org.pistachioline.adapters.web.Body;
-import org.pistachioline.adapters.web.CallerListener;
 import org.pistachioline.adapters.web.HeaderFields;
 import org.pistachioline.adapters.web.WebAnswer;
 import org.pistachioline.adapters.web.WebClient;
 import org.pistachioline.adapters.web.WebLoop;
-import org.pistachioline.adapters.web.WebReply;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.replica.LoadReport;
@@ -154,7 +152,7 @@
 				new NoOpListener(), this.gate, new CrashProbe((address, receiver) -> receiver.accept(false),
 						(crash) -> this.notifications.add("crash " + crash.targetId())));
 		return new RelayExchange(info(), request(), true, context,
-				new CallerResponse(new RecordingReply(), () -> false));
+				new CallerResponse(new RecordingReply(this.responses, NOW_NANOS), () -> false));
 	}
 
 	private static RequestInfo info() {
@@ -205,53 +203,4 @@
 
 	}
 
-	private final class RecordingReply implements WebReply {
-
-		@Override
-		public void whole(WebAnswer response) {
-			RelayExchangeTests.this.responses.add(response);
-		}
-
-		@Override
-		public void begin(AnswerHead head) {
-			// Streamed output is not part of these tests.
-		}
-
-		@Override
-		public void piece(byte[] bytes, int offset, int length) {
-			// Streamed output is not part of these tests.
-		}
-
-		@Override
-		public void flush() {
-			// Streamed output is not part of these tests.
-		}
-
-		@Override
-		public void end() {
-			// Streamed output is not part of these tests.
-		}
-
-		@Override
-		public void breakOff() {
-			// Streamed output is not part of these tests.
-		}
-
-		@Override
-		public boolean writable() {
-			return true;
-		}
-
-		@Override
-		public boolean callerWaits() {
-			return true;
-		}
-
-		@Override
-		public void listen(CallerListener listener) {
-			// The tests call the listener directly.
-		}
-
-	}
-
 }
