Placement on weighted subsets of the targets, where daemons decide for the fleet

Cause: each of a hundred daemons met all targets, so that its connections had closed before they were used again and its knowledge of their load was old. Change: TargetSubset orders the targets by weighted rendezvous hashing, the own zone first; the daemon's fair share of slots is divided over its head. WeightedSubsetPlacement draws within it by slots, pace, room, health and idle connections, and goes beyond it when it is nearly full, fails or was tried. Chosen by fleetDecisions; otherwise placement is as before. Metrics and dump entry.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/ExpectedWaitPlacement.java
@@ -194,7 +194,8 @@
 	}
 
 	private static double failurePenaltyMillis(long nowNanos, TargetLoad load) {
-		return load.failedRecently(nowNanos) ? FAILURE_PENALTY_MILLIS * load.consecutiveFailures() : 0;
+		final FailureHistory failures = load.failures();
+		return failures.isRecent(nowNanos) ? FAILURE_PENALTY_MILLIS * failures.consecutive() : 0;
 	}
 
 	private static Optional<TargetLoad> firstUntried(TargetSet targets, Set<String> triedTargetIds) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/PlacementPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/PlacementPolicy.java
@@ -30,6 +30,14 @@
 		return false;
 	}
 
+	/**
+	 * Creates the set of the targets of a model or service that this policy chooses from.
+	 * @return an empty set
+	 */
+	default TargetSet newTargetSet() {
+		return new TargetSet(protectsTargets());
+	}
+
 	/**
 	 * Returns whether a newly formed group receives its full share of requests at once.
 	 * <p>
@@ -52,6 +60,14 @@
 		// Stateless policies need no feedback.
 	}
 
+	/**
+	 * Returns how often attempts left the subsets and reused connections.
+	 * @return the counts, for policies with subsets
+	 */
+	default PlacementCounts counts() {
+		return PlacementCounts.NONE;
+	}
+
 	/**
 	 * Handles changes of a target's prefix cache.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/StragglerEjector.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/StragglerEjector.java
@@ -52,23 +52,26 @@
 		this.medianInterTokenNanos = median(members);
 		int ejected = 0;
 		for (final TargetLoad load : members) {
-			ejected += load.isEjected(nowNanos) ? 1 : 0;
+			ejected += load.ejection().isActive(nowNanos) ? 1 : 0;
 		}
 		int remaining = members.size() / MAX_EJECTED_DIVISOR - ejected;
 		for (final TargetLoad load : members) {
-			if (remaining > 0 && load.view().serving() && !load.isEjected(nowNanos) && isOutlier(nowNanos, load)) {
+			if (remaining > 0 && load.view().serving() && !load.ejection().isActive(nowNanos)
+					&& isOutlier(nowNanos, load)) {
 				load.eject(nowNanos, BASE_EJECTION_NANOS, MAX_DOUBLINGS);
 				remaining--;
 			}
 		}
 		if (nowNanos - this.decayedAtNanos >= EJECTION_DECAY_NANOS) {
 			this.decayedAtNanos = nowNanos;
-			members.stream().filter((load) -> !load.isEjected(nowNanos)).forEach(TargetLoad::decayEjections);
+			members.stream()
+				.filter((load) -> !load.ejection().isActive(nowNanos))
+				.forEach((load) -> load.ejection().decay());
 		}
 	}
 
 	private boolean isOutlier(long nowNanos, TargetLoad load) {
-		if (load.consecutiveFailures() >= MAX_CONSECUTIVE_FAILURES) {
+		if (load.failures().consecutive() >= MAX_CONSECUTIVE_FAILURES) {
 			return true;
 		}
 		if (this.medianInterTokenNanos == 0) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -21,12 +21,6 @@
 
 	private static final long REPORT_VALIDITY_NANOS = 3_000_000_000L;
 
-	/**
-	 * The time by which the instance list shows that a group was closed, so that a
-	 * failure no longer says much.
-	 */
-	private static final long FAILURE_VALIDITY_NANOS = 1_500_000_000L;
-
 	/** The time over which the share of a new target rises to its full value. */
 	private static final long SLOW_START_NANOS = 4_000_000_000L;
 
@@ -40,6 +34,12 @@
 
 	private final InterTokenLatency interTokenLatency = new InterTokenLatency();
 
+	private final Ejection ejection = new Ejection();
+
+	private final FailureHistory failures = new FailureHistory();
+
+	private final WarmConnections warmConnections = new WarmConnections();
+
 	private TargetView view;
 
 	private long servingSinceNanos;
@@ -48,16 +48,8 @@
 
 	private long inFlightTokens;
 
-	private int consecutiveFailures;
-
-	private long lastFailureNanos;
-
 	private long progressAtNanos;
 
-	private long ejectedUntilNanos;
-
-	private int ejections;
-
 	private boolean onProbation;
 
 	/**
@@ -129,7 +121,7 @@
 	 * @param first whether the attempt's first token is among them
 	 */
 	public void onTokens(long nowNanos, long sinceNanos, int tokens, boolean first) {
-		this.consecutiveFailures = 0;
+		this.failures.endRun();
 		this.progressAtNanos = nowNanos;
 		if (first || tokens <= 0) {
 			return;
@@ -151,33 +143,31 @@
 		this.inFlight--;
 		this.inFlightTokens -= costTokens;
 		if (how == AttemptOutcome.COMPLETE) {
-			this.consecutiveFailures = 0;
+			this.failures.endRun();
 			this.progressAtNanos = nowNanos;
+			this.warmConnections.add(nowNanos);
 		}
 		else if (how == AttemptOutcome.FAILURE_ANSWERED) {
 			this.progressAtNanos = nowNanos;
+			this.warmConnections.add(nowNanos);
 		}
 		else if (how != AttemptOutcome.CANCELLED && how != AttemptOutcome.WITHHELD) {
-			this.consecutiveFailures++;
-			this.lastFailureNanos = nowNanos;
+			this.failures.add(nowNanos);
 		}
 	}
 
 	/**
 	 * Returns how many attempts this daemon may have in flight at the target.
 	 * @param nowNanos the monotonic time
-	 * @param daemons the daemons that share the target
+	 * @param share this daemon's share of the target's slots
 	 * @return the number of attempts
 	 */
-	int attemptLimit(long nowNanos, DaemonRank daemons) {
+	int attemptLimit(long nowNanos, int share) {
 		final int slots = this.view.slots();
-		final int equalShare = daemons.equalShare(slots, this.view.targetId());
 		final double unused = slots - this.peerInFlight.attempts() - ((this.peerInFlight.attempts() > 0) ? 1 : 0);
 		// An engine with queued requests has no free slot, whatever its figures say.
-		final double available = (this.view.reportedWaiting() > 0) ? equalShare : Math.max(equalShare, unused);
-		final double trustRatio = Math.max(0,
-				1 - (double) (nowNanos - this.view.reportedAtNanos()) / REPORT_VALIDITY_NANOS);
-		final double trustedLimit = equalShare + trustRatio * (available - equalShare);
+		final double available = (this.view.reportedWaiting() > 0) ? share : Math.max(share, unused);
+		final double trustedLimit = share + trustRatio(nowNanos) * (available - share);
 		if (this.onProbation) {
 			return 1;
 		}
@@ -188,15 +178,15 @@
 	/**
 	 * Returns how many attempts this daemon may start at the target now.
 	 * @param nowNanos the monotonic time
-	 * @param daemons the daemons that share the target
+	 * @param share this daemon's share of the target's slots
 	 * @return the number of attempts
 	 */
-	int freeSlots(long nowNanos, DaemonRank daemons) {
-		if (!this.view.serving() || isEjected(nowNanos)) {
+	int freeSlots(long nowNanos, int share) {
+		if (!this.view.serving() || this.ejection.isActive(nowNanos)) {
 			return 0;
 		}
 		// Where a limit applies, a daemon with a permit may have no share of the slots.
-		final int maxAttempts = this.limit.isLimited() ? maxAttemptsUnderLimit() : attemptLimit(nowNanos, daemons);
+		final int maxAttempts = this.limit.isLimited() ? maxAttemptsUnderLimit() : attemptLimit(nowNanos, share);
 		return clampToLimit(nowNanos, maxAttempts - this.inFlight);
 	}
 
@@ -237,31 +227,21 @@
 	 * @return whether one may
 	 */
 	boolean acceptsExcessAttempt(long nowNanos) {
-		final boolean usable = this.view.serving() && !isEjected(nowNanos) && !this.onProbation
+		final boolean usable = this.view.serving() && !this.ejection.isActive(nowNanos) && !this.onProbation
 				&& !isThrottled(nowNanos);
 		final boolean reportedFull = nowNanos - this.view.reportedAtNanos() < REPORT_VALIDITY_NANOS
 				&& this.view.reportedRunning() + this.view.reportedWaiting() >= this.view.slots();
-		return usable && this.inFlight == 0 && !reportedFull && !failedRecently(nowNanos);
-	}
-
-	/**
-	 * Returns whether the last attempts failed so recently that the instance list may not
-	 * show the cause yet.
-	 * @param nowNanos the monotonic time
-	 * @return whether they did
-	 */
-	boolean failedRecently(long nowNanos) {
-		return this.consecutiveFailures > 0 && nowNanos - this.lastFailureNanos < FAILURE_VALIDITY_NANOS;
+		return usable && this.inFlight == 0 && !reportedFull && !this.failures.isRecent(nowNanos);
 	}
 
 	/**
 	 * Returns how many attempts this daemon has in flight at the target beyond its share.
 	 * @param nowNanos the monotonic time
-	 * @param daemons the daemons that share the target
+	 * @param share this daemon's share of the target's slots
 	 * @return the number of attempts
 	 */
-	int excessAttempts(long nowNanos, DaemonRank daemons) {
-		return this.limit.isLimited() ? 0 : Math.max(0, this.inFlight - attemptLimit(nowNanos, daemons));
+	int excessAttempts(long nowNanos, int share) {
+		return this.limit.isLimited() ? 0 : Math.max(0, this.inFlight - attemptLimit(nowNanos, share));
 	}
 
 	/**
@@ -297,38 +277,20 @@
 	 * @param maxDoublings the bound on doublings
 	 */
 	void eject(long nowNanos, long baseNanos, int maxDoublings) {
-		this.ejectedUntilNanos = nowNanos + (baseNanos << Math.min(maxDoublings, this.ejections));
-		this.ejections++;
 		this.interTokenLatency.reset();
-		this.consecutiveFailures = 0;
+		this.failures.endRun();
 		// After the ejection, one attempt at a time is allowed until the target has
 		// proved healthy: each further one would be another caller who waits.
 		this.onProbation = true;
-		this.progressAtNanos = this.ejectedUntilNanos;
+		this.progressAtNanos = this.ejection.start(nowNanos, baseNanos, maxDoublings);
 	}
 
 	/**
-	 * Takes back one ejection, for a target that is not ejected now.
+	 * Returns the target's ejection.
+	 * @return the ejection, active or not
 	 */
-	void decayEjections() {
-		this.ejections = Math.max(0, this.ejections - 1);
-	}
-
-	/**
-	 * Returns whether the target is ejected.
-	 * @param nowNanos the monotonic time
-	 * @return whether it is
-	 */
-	public boolean isEjected(long nowNanos) {
-		return this.ejectedUntilNanos != 0 && nowNanos < this.ejectedUntilNanos;
-	}
-
-	/**
-	 * Returns the number of ejections that have not decayed.
-	 * @return the number of ejections
-	 */
-	public int ejections() {
-		return this.ejections;
+	Ejection ejection() {
+		return this.ejection;
 	}
 
 	/**
@@ -362,6 +324,24 @@
 		return (byReport + byOwn) / 2 / this.view.slots();
 	}
 
+	/**
+	 * Returns the utilization of the target's slots by its reports, which are late.
+	 * @return this daemon's attempts and the estimated ones of others, divided by the
+	 * slots
+	 */
+	double reportedUtilizationRatio() {
+		return (this.inFlight + this.peerInFlight.attempts()) / this.view.slots();
+	}
+
+	/**
+	 * Returns how far the target's last report is trusted.
+	 * @param nowNanos the monotonic time
+	 * @return 1 for a new report, 0 for one that is too old to count
+	 */
+	double trustRatio(long nowNanos) {
+		return Math.max(0, 1 - (double) (nowNanos - this.view.reportedAtNanos()) / REPORT_VALIDITY_NANOS);
+	}
+
 	/**
 	 * Returns the target's bookkeeping in its set, which the set maintains.
 	 * @return the entry
@@ -395,11 +375,19 @@
 	}
 
 	/**
-	 * Returns how many attempts have failed in a row.
-	 * @return the number of failures
+	 * Returns the failed attempts of this daemon at the target.
+	 * @return the history
+	 */
+	FailureHistory failures() {
+		return this.failures;
+	}
+
+	/**
+	 * Returns the idle connections that this daemon presumably has to the target.
+	 * @return the connections
 	 */
-	public int consecutiveFailures() {
-		return this.consecutiveFailures;
+	WarmConnections warmConnections() {
+		return this.warmConnections;
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
@@ -35,6 +35,9 @@
 
 	private final boolean protectsTargets;
 
+	/** Null where this daemon shares all targets equally with all others. */
+	private final TargetSubset subset;
+
 	private final List<TargetLoad> available = new ArrayList<>();
 
 	private final List<TargetLoad> availableView = Collections.unmodifiableList(this.available);
@@ -68,6 +71,17 @@
 	 */
 	public TargetSet(boolean protectsTargets) {
 		this.protectsTargets = protectsTargets;
+		this.subset = null;
+	}
+
+	/**
+	 * Creates an empty set whose slots are shared by subsets: this daemon's share of them
+	 * is divided over the targets of its subset.
+	 * @param subset the subset, which this set keeps up to date
+	 */
+	TargetSet(TargetSubset subset) {
+		this.protectsTargets = true;
+		this.subset = subset;
 	}
 
 	/**
@@ -117,6 +131,9 @@
 	 */
 	public void refresh(long nowNanos, DaemonRank daemons) {
 		this.daemonCount = daemons.count();
+		if (this.subset != null) {
+			this.subset.update(this.members, daemons.count());
+		}
 		this.refreshedAtNanos = nowNanos;
 		this.throttled.clear();
 		int slots = 0;
@@ -127,8 +144,8 @@
 			}
 			slots += load.view().serving() ? load.view().slots() : 0;
 		}
-		this.maxExcessAttempts = this.protectsTargets
-				? (int) Math.max(1, Math.round(slots / (EXCESS_DIVISOR * Math.max(1, daemons.count())))) : 0;
+		this.maxExcessAttempts = this.protectsTargets ? (int) Math.max((this.subset != null) ? 2 : 1,
+				Math.round(slots / (EXCESS_DIVISOR * Math.max(1, daemons.count())))) : 0;
 		collectExcessCandidates(nowNanos);
 	}
 
@@ -156,16 +173,21 @@
 			load.setEntry().reset();
 			return;
 		}
-		final int freeSlots = this.protectsTargets ? load.freeSlots(nowNanos, daemons)
-				: load.unsharedFreeSlots(nowNanos);
+		final int share = shareOf(load, daemons);
+		final int freeSlots = this.protectsTargets ? load.freeSlots(nowNanos, share) : load.unsharedFreeSlots(nowNanos);
 		this.freeSlots += load.setEntry().updateFreeSlots(freeSlots);
 		if (this.protectsTargets) {
-			this.excessAttempts += load.setEntry().updateExcessAttempts(load.excessAttempts(nowNanos, daemons));
+			this.excessAttempts += load.setEntry().updateExcessAttempts(load.excessAttempts(nowNanos, share));
 			this.excessCandidates.removeIf((each) -> each == load && !load.acceptsExcessAttempt(nowNanos));
 		}
 		updateAvailability(load, freeSlots > 0);
 	}
 
+	private int shareOf(TargetLoad load, DaemonRank daemons) {
+		return (this.subset != null) ? this.subset.share(load)
+				: daemons.equalShare(load.view().slots(), load.view().targetId());
+	}
+
 	private void updateAvailability(TargetLoad load, boolean hasFreeSlots) {
 		final TargetSetEntry entry = load.setEntry();
 		if (hasFreeSlots && !entry.isAvailable()) {
@@ -206,6 +228,32 @@
 		return this.available.isEmpty() && this.excessAttempts < this.maxExcessAttempts;
 	}
 
+	/**
+	 * Returns the targets beyond this daemon's shares that an attempt may be sent to
+	 * although there are free slots in its shares, for requests that none of those suits.
+	 * @return a live view; empty unless the slots are shared by subsets
+	 */
+	public List<TargetLoad> beyondShares() {
+		return (this.subset != null && this.excessAttempts < this.maxExcessAttempts) ? this.excessCandidatesView
+				: List.of();
+	}
+
+	/**
+	 * Returns the targets that this daemon prefers.
+	 * @return their ids in order of preference; empty where all are shared equally
+	 */
+	public List<String> subsetTargetIds() {
+		return (this.subset != null) ? this.subset.targetIds() : List.of();
+	}
+
+	/**
+	 * Returns the subset by which the slots are shared.
+	 * @return the subset; null where all targets are shared equally
+	 */
+	TargetSubset subset() {
+		return this.subset;
+	}
+
 	/**
 	 * Returns whether an attempt may be sent to a target.
 	 * @param load the target
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSetEntry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSetEntry.java
@@ -14,6 +14,12 @@
 
 	private int countedExcessAttempts;
 
+	private int subsetRank;
+
+	private boolean inSubset;
+
+	private TargetDraw draw;
+
 	boolean isAvailable() {
 		return this.availableIndex != NOT_AVAILABLE;
 	}
@@ -30,6 +36,36 @@
 		this.availableIndex = NOT_AVAILABLE;
 	}
 
+	/**
+	 * Returns the target's position in the daemon's order of preference.
+	 * @return the position from 0; meaningless without a {@link TargetSubset}
+	 */
+	int subsetRank() {
+		return this.subsetRank;
+	}
+
+	boolean isInSubset() {
+		return this.inSubset;
+	}
+
+	void setSubsetRank(int rank, boolean isInSubset) {
+		this.subsetRank = rank;
+		this.inSubset = isInSubset;
+	}
+
+	/**
+	 * Returns the target's draw, which is computed once.
+	 * @param key the key of the daemon
+	 * @param instanceId the target's instance or group
+	 * @return the draw
+	 */
+	TargetDraw draw(long key, String instanceId) {
+		if (this.draw == null) {
+			this.draw = TargetDraw.of(key, instanceId);
+		}
+		return this.draw;
+	}
+
 	/**
 	 * Updates the number of free slots.
 	 * @param slots the free slots
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RoutingPolicies.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RoutingPolicies.java
@@ -4,6 +4,7 @@
 
 import org.pistachioline.core.admission.AdmitAll;
 import org.pistachioline.core.placement.ExpectedWaitPlacement;
+import org.pistachioline.core.placement.WeightedSubsetPlacement;
 import org.pistachioline.core.quarantine.QuarantinePolicy;
 import org.pistachioline.core.queueing.FairQueue;
 import org.pistachioline.core.queueing.OnTimeFirstOrder;
@@ -34,8 +35,26 @@
 	 */
 	public static TrafficPolicies create(String availabilityZone, long seed, RetryBudget retryBudget,
 			IntSupplier daemonCount, QuarantinePolicy quarantine) {
+		return create(availabilityZone, seed, retryBudget, daemonCount, quarantine, false);
+	}
+
+	/**
+	 * Creates the policies of one daemon.
+	 * @param availabilityZone the availability zone in which the daemon runs
+	 * @param seed the random seed, different on each daemon, so that daemons do not all
+	 * choose the same targets
+	 * @param retryBudget the limit on retries of all daemons together
+	 * @param daemonCount supplies the number of daemons that share the budget
+	 * @param quarantine the policy that identifies requests which crash targets
+	 * @param fleetDecisions whether daemons divide the load of the whole fleet: each one
+	 * prefers a subset of the targets
+	 * @return the policies
+	 */
+	public static TrafficPolicies create(String availabilityZone, long seed, RetryBudget retryBudget,
+			IntSupplier daemonCount, QuarantinePolicy quarantine, boolean fleetDecisions) {
 		return new TrafficPolicies(new AdmitAll(), new FairQueue(MAX_QUEUED_REQUESTS, new OnTimeFirstOrder()),
-				new ExpectedWaitPlacement(availabilityZone, seed, true),
+				fleetDecisions ? new WeightedSubsetPlacement(availabilityZone, seed)
+						: new ExpectedWaitPlacement(availabilityZone, seed, true),
 				new SharedBudgetRetry(retryBudget, daemonCount), quarantine, new FastMigrationPolicy());
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetRegistry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetRegistry.java
@@ -14,6 +14,8 @@
 import org.pistachioline.core.placement.DaemonRank;
 import org.pistachioline.core.placement.LiveDaemons;
 import org.pistachioline.core.placement.PlacementPolicy;
+import org.pistachioline.core.placement.PlacementReport;
+import org.pistachioline.core.placement.SubsetReport;
 import org.pistachioline.core.placement.TargetLoad;
 import org.pistachioline.core.placement.TargetSet;
 
@@ -110,8 +112,7 @@
 			}
 			return gone;
 		});
-		byName.forEach((name, members) -> this.setsByName
-			.computeIfAbsent(name, (key) -> new TargetSet(this.placement.protectsTargets()))
+		byName.forEach((name, members) -> this.setsByName.computeIfAbsent(name, (key) -> this.placement.newTargetSet())
 			.replace(nowNanos, members, this.daemonRank));
 	}
 
@@ -194,6 +195,20 @@
 		return this.notServingSinceNanos.get(targetId);
 	}
 
+	/**
+	 * Returns the placement of this daemon's attempts, for operators.
+	 * @return the report
+	 */
+	PlacementReport placementReport() {
+		final List<SubsetReport> subsets = new ArrayList<>();
+		this.setsByName.forEach((name, set) -> {
+			if (!set.subsetTargetIds().isEmpty()) {
+				subsets.add(new SubsetReport(name, set.subsetTargetIds()));
+			}
+		});
+		return new PlacementReport(this.placement.counts(), subsets);
+	}
+
 	/**
 	 * Returns the targets of a request's model or service.
 	 * @param info the request
@@ -220,6 +235,11 @@
 		return (set != null) ? set.available() : List.of();
 	}
 
+	List<TargetLoad> targetsBeyondShares(RequestInfo info) {
+		final TargetSet set = targetSet(info);
+		return (set != null) ? set.beyondShares() : List.of();
+	}
+
 	List<TargetLoad> allTargets(RequestInfo info) {
 		final TargetSet set = targetSet(info);
 		return (set != null) ? set.members() : List.of();
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetSelector.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetSelector.java
@@ -37,13 +37,17 @@
 	}
 
 	boolean hasCandidate(ActiveRequest request) {
-		return !candidates(request).isEmpty();
+		return !candidates(request).isEmpty() || (!this.isolation.restricts(request.info)
+				&& hasUntried(request, this.targets.targetsBeyondShares(request.info)));
 	}
 
 	boolean hasUntriedTarget(ActiveRequest request) {
-		return this.targets.availableTargets(request.info)
-			.stream()
-			.anyMatch((load) -> !request.triedTargetIds.contains(load.view().targetId()));
+		return hasUntried(request, this.targets.availableTargets(request.info))
+				|| hasUntried(request, this.targets.targetsBeyondShares(request.info));
+	}
+
+	private static boolean hasUntried(ActiveRequest request, List<TargetLoad> loads) {
+		return loads.stream().anyMatch((load) -> !request.triedTargetIds.contains(load.view().targetId()));
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -11,6 +11,7 @@
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.placement.LiveDaemons;
+import org.pistachioline.core.placement.PlacementReport;
 import org.pistachioline.core.quarantine.CrashPhase;
 
 /**
@@ -274,6 +275,14 @@
 		return this.targetCrashes;
 	}
 
+	/**
+	 * Returns which targets this daemon prefers and how often it left them.
+	 * @return the report
+	 */
+	public PlacementReport placementReport() {
+		return this.targets.placementReport();
+	}
+
 	/**
 	 * Handles the end of an attempt. Attempts that ended before are ignored.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -68,12 +68,25 @@
 		this.metrics.gauge("pistachioline.requests.quarantined",
 				"Requests that are sent nowhere, since targets died under them",
 				traffic.crashMonitor()::quarantinedCount);
+		bindPlacement(traffic);
 		for (final ErrorKind kind : ErrorKind.values()) {
 			this.metrics.counter("pistachioline.requests.failed", "Requests that ended with a failure", kind.code(),
 					() -> traffic.failureCounts().total(kind));
 		}
 	}
 
+	private void bindPlacement(TrafficDuty traffic) {
+		this.metrics.gauge("pistachioline.placement.targets", "Targets in this daemon's subsets",
+				() -> traffic.placementReport().subsetTargets());
+		final String description = "Attempts of a daemon with subsets of the targets";
+		this.metrics.counter("pistachioline.placement.attempts", description, "all",
+				() -> traffic.placementReport().counts().attempts());
+		this.metrics.counter("pistachioline.placement.attempts", description, "beyond_subset",
+				() -> traffic.placementReport().counts().beyondSubset());
+		this.metrics.counter("pistachioline.placement.attempts", description, "new_connection",
+				() -> traffic.placementReport().counts().newConnections());
+	}
+
 	private void bindLog(AppendDuty appender, StreamDuty<ConfigState> config, StreamDuty<FleetState> fleet) {
 		this.metrics.gauge("pistachioline.log.appends", "Appends sent to the log", appender.counts()::appends);
 		this.metrics.gauge("pistachioline.log.appends.refused", "Appends that the log refused",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -153,7 +153,7 @@
 	private TrafficPolicies policies() {
 		final long seed = this.incarnation ^ ((long) this.settings.daemonId().hashCode() << Integer.SIZE);
 		return RoutingPolicies.create(this.settings.availabilityZone(), seed, this.settings.retryBudget(),
-				this::daemonCount, new GossipQuarantine());
+				this::daemonCount, new GossipQuarantine(), this.settings.fleetDecisions());
 	}
 
 	private void registerListeners() {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
@@ -38,6 +38,7 @@
 		dump.put("tunnels_for_others", this.tunnels.openTunnels());
 		dump.put("limited_targets", this.traffic.limitReports());
 		dump.put("backoff_targets", this.traffic.backoffReports());
+		dump.put("subsets", this.traffic.placementReport().subsets());
 		dump.put("crash_suspects", this.traffic.crashMonitor().reports());
 		dump.put("planned_groups", this.replicas.plannedGroups());
 		dump.put("peers", daemons);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -50,6 +50,16 @@
 	ATTEMPTS_BACKOFF("pistachioline_attempts_backoff", "attempts",
 			"Attempts that were started at targets during their backoff.", "above 0"),
 
+	/** Gauge over all models and services. */
+	PLACEMENT_TARGETS("pistachioline_placement_targets", "targets",
+			"Targets that this daemon prefers, where each daemon prefers a subset.",
+			"0 while targets serve and daemons decide for the whole fleet"),
+
+	/** Counter of attempts, where each daemon prefers a subset of the targets. */
+	PLACEMENT_ATTEMPTS("pistachioline_placement_attempts_total", "attempts by kind",
+			"Attempts: all, those beyond this daemon's subset, and those without an idle connection.",
+			"beyond_subset above a tenth of all: subsets are full or fail; new_connection above a quarter"),
+
 	/** Gauge of the targets that this daemon reaches through other daemons. */
 	TARGETS_UNREACHABLE("pistachioline_targets_unreachable", "targets",
 			"Targets that this daemon cannot connect to although another one can.",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -7,6 +7,7 @@
 import org.pistachioline.adapters.web.Connector;
 import org.pistachioline.adapters.web.WebClient;
 import org.pistachioline.adapters.web.WebLoop;
+import org.pistachioline.core.placement.WarmConnections;
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.core.route.RouteTable;
 import org.pistachioline.daemon.Lifecycle;
@@ -20,14 +21,6 @@
  */
 public final class Relay implements Lifecycle {
 
-	/**
-	 * Shorter than the few seconds for which targets keep idle connections open, so that
-	 * a request is not sent on a connection that the target is closing.
-	 */
-	private static final long IDLE_CONNECTION_MILLIS = 1_500;
-
-	private static final int MAX_IDLE_PER_TARGET = 6;
-
 	private final WebLoop loop;
 
 	private final ActiveStreams streams = new ActiveStreams();
@@ -53,7 +46,8 @@
 			BiConsumer<String, LoadReport> loadReceiver, InstanceListener instances, BooleanSupplier leaving,
 			Connector targetConnector) {
 		this.loop = loop;
-		final WebClient client = new WebClient(this.loop, targetConnector, IDLE_CONNECTION_MILLIS, MAX_IDLE_PER_TARGET);
+		final WebClient client = new WebClient(this.loop, targetConnector, WarmConnections.KEEP_MILLIS,
+				WarmConnections.MAX_PER_TARGET);
 		final RelayContext context = new RelayContext(this.loop, client, protocol, this.streams,
 				traffic::onCallerDisconnected, new TargetReportDispatcher(loadReceiver, traffic),
 				new BackoffGate(instances, System::nanoTime),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetMonitor.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetMonitor.java
@@ -4,6 +4,7 @@
 import java.util.function.Predicate;
 
 import org.pistachioline.core.limit.AdvertisedLimit;
+import org.pistachioline.core.placement.PlacementReport;
 import org.pistachioline.core.traffic.TrafficCore;
 
 /**
@@ -20,6 +21,8 @@
 
 	private final CrashMonitor crashes;
 
+	private volatile PlacementReport placement = PlacementReport.NONE;
+
 	TargetMonitor(TrafficCore core, Predicate<TrafficMessage> inbox) {
 		this.core = core;
 		this.crashes = new CrashMonitor(inbox);
@@ -37,6 +40,10 @@
 		return this.crashes;
 	}
 
+	PlacementReport placement() {
+		return this.placement;
+	}
+
 	/**
 	 * Applies a message if it concerns a limit, a backoff, a shutdown or a crash of a
 	 * target.
@@ -105,6 +112,7 @@
 		this.limits.refresh(nowNanos, this.core);
 		this.backoffs.refresh(nowNanos, this.core);
 		this.crashes.refresh(nowNanos, this.core);
+		this.placement = this.core.placementReport();
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -17,6 +17,7 @@
 import org.pistachioline.core.limit.LimitReport;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
+import org.pistachioline.core.placement.PlacementReport;
 import org.pistachioline.core.state.FleetState;
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.AttemptOutcome;
@@ -245,6 +246,14 @@
 		return this.targetMonitor.limits().reports();
 	}
 
+	/**
+	 * Returns which targets this daemon prefers and how often it left them.
+	 * @return the report
+	 */
+	public PlacementReport placementReport() {
+		return this.targetMonitor.placement();
+	}
+
 	/**
 	 * Returns the monitor of crashed targets and of the requests suspected of crashing
 	 * them.
