--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/WeightedSubsetPlacement.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/WeightedSubsetPlacement.java
@@ -61,7 +61,16 @@
 	private static final double NORMAL_PAUSE_NANOS = 150e6;
 
 	/** The time without progress beyond a normal pause that divides the weight by e. */
-	private static final double STALL_SCALE_NANOS = 20e6;
+	private static final double PAUSE_SCALE_NANOS = 20e6;
+
+	/** The time without progress from which a target counts as unhealthy. */
+	private static final double SILENCE_NANOS = 500e6;
+
+	/** The time beyond that which divides the health by e. */
+	private static final double SILENCE_SCALE_NANOS = 100e6;
+
+	/** The factor of the weight of a target in another availability zone. */
+	private static final double OTHER_ZONE_FACTOR = 0.25;
 
 	/** The utilization to assume where no target has reported its load recently. */
 	private static final double UNKNOWN_UTILIZATION_RATIO = 0.5;
@@ -248,9 +257,10 @@
 
 		private double weight(TargetLoad load) {
 			final double room = Math.max(MIN_ROOM_RATIO, 1 - utilization(load));
-			final double warm = (this.info.idempotent() && load.warmConnections().isAny(this.nowNanos)) ? WARM_FACTOR
-					: 1;
-			return load.view().slots() * room * room * paceRatio(load) * warm * healthRatio(load);
+			final boolean warm = this.info.idempotent() && load.warmConnections().isAny(this.nowNanos);
+			return load.view().slots() * room * room * paceRatio(load) * (warm ? WARM_FACTOR : 1)
+					* (this.targets.subset().isNear(load) ? 1 : OTHER_ZONE_FACTOR) * healthRatio(load)
+					* decay(silentNanos(load) - NORMAL_PAUSE_NANOS, PAUSE_SCALE_NANOS);
 		}
 
 		private double paceRatio(TargetLoad load) {
@@ -260,11 +270,17 @@
 		}
 
 		private double healthRatio(TargetLoad load) {
-			final double silent = (load.inFlight() > 0) ? this.nowNanos - load.progressAtNanos() : 0;
-			final double stalled = Math.max(0, silent - NORMAL_PAUSE_NANOS);
 			final double justFailed = load.failures().isRecent(this.nowNanos) ? JUST_FAILED_FACTOR : 1;
 			return Math.pow(FAILURE_FACTOR, load.failures().weightedCount(this.nowNanos)) * justFailed
-					* Math.exp(-stalled / STALL_SCALE_NANOS);
+					* decay(silentNanos(load) - SILENCE_NANOS, SILENCE_SCALE_NANOS);
+		}
+
+		private double silentNanos(TargetLoad load) {
+			return (load.inFlight() > 0) ? this.nowNanos - load.progressAtNanos() : 0;
+		}
+
+		private static double decay(double nanos, double scaleNanos) {
+			return Math.exp(-Math.max(0, nanos) / scaleNanos);
 		}
 
 	}
