--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetMonitor.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetMonitor.java
@@ -4,6 +4,7 @@
 import java.util.function.Predicate;
 
 import org.pistachioline.core.limit.AdvertisedLimit;
+import org.pistachioline.core.placement.PlacementReport;
 import org.pistachioline.core.traffic.TargetView;
 import org.pistachioline.core.traffic.TrafficCore;
 
@@ -23,6 +24,8 @@
 
 	private final ColdMonitor cold;
 
+	private volatile PlacementReport placement = PlacementReport.NONE;
+
 	TargetMonitor(TrafficCore core, Predicate<TrafficMessage> inbox) {
 		this.core = core;
 		this.crashes = new CrashMonitor(inbox);
@@ -45,6 +48,10 @@
 		return this.cold;
 	}
 
+	PlacementReport placement() {
+		return this.placement;
+	}
+
 	/**
 	 * Applies a message if it concerns a limit, a backoff, a shutdown or a crash of a
 	 * target.
@@ -124,6 +131,7 @@
 		this.backoffs.refresh(nowNanos, this.core);
 		this.crashes.refresh(nowNanos, this.core);
 		this.cold.refresh(nowNanos, this.core);
+		this.placement = this.core.placementReport();
 	}
 
 }
