Bound the memory held for callers, and show it

What is held for callers (requests without an answer, responses kept until complete, answers not taken) is counted per connection and in all. A caller who reads slowly has 32 KB in memory before its target is not read on (64 KB before); from a third of the heap on new requests are refused with 503 before their bodies are read. Gauge callers.held; rows of the four new metrics.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/RequestFault.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/RequestFault.java
@@ -5,6 +5,9 @@
  */
 public enum RequestFault {
 
+	/** The server holds as many bytes for its callers as it may. */
+	NO_ROOM(503),
+
 	/** It is no HTTP request. */
 	MALFORMED(400),
 
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -10,6 +10,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -45,6 +46,8 @@
 
 	private final Deque<Arrived> waiting = new ArrayDeque<>();
 
+	private final HeldBytes held;
+
 	private ChannelHandlerContext ctx;
 
 	private HttpRequest head;
@@ -55,6 +58,10 @@
 
 	private boolean ignoresInput;
 
+	private long currentBytes;
+
+	private long heldBytes;
+
 	private long begunAtNanos;
 
 	private boolean begun;
@@ -70,11 +77,13 @@
 	 * @param handler answers its requests
 	 * @param limits gives what its caller may send now
 	 * @param nanoClock the monotonic time, in nanoseconds
+	 * @param held counts what is held for this caller, with all others
 	 */
-	ServerConnection(WebHandler handler, Supplier<RequestLimits> limits, LongSupplier nanoClock) {
+	ServerConnection(WebHandler handler, Supplier<RequestLimits> limits, LongSupplier nanoClock, HeldBytes held) {
 		this.handler = handler;
 		this.limits = limits;
 		this.nanoClock = nanoClock;
+		this.held = held;
 		this.idleSinceNanos = nanoClock.getAsLong();
 	}
 
@@ -132,6 +141,9 @@
 		if (HttpUtil.getContentLength(request, 0L) > this.limits.get().bodyBytes()) {
 			fault(RequestFault.BODY_TOO_LARGE);
 		}
+		else if (this.held.full()) {
+			fault(RequestFault.NO_ROOM);
+		}
 		else if (HttpUtil.is100ContinueExpected(request)) {
 			this.ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
 					Unpooled.EMPTY_BUFFER));
@@ -144,11 +156,16 @@
 			fault(RequestFault.BODY_TOO_LARGE);
 			return;
 		}
+		if (piece.isReadable() && this.held.full()) {
+			fault(RequestFault.NO_ROOM);
+			return;
+		}
 		if (piece.isReadable()) {
 			// Most bodies come in one piece.
 			this.body = this.body.isReadable() ? Unpooled.wrappedBuffer(this.body, Unpooled.copiedBuffer(piece))
 					: Unpooled.copiedBuffer(piece);
 		}
+		count();
 		if (content instanceof LastHttpContent) {
 			arrive(new Arrived(
 					new WebRequest(this.head.method().name(), this.head.uri(), HeaderFields.of(this.head.headers()),
@@ -166,6 +183,7 @@
 		this.begun = false;
 		this.head = null;
 		this.body = Unpooled.EMPTY_BUFFER;
+		count();
 		arrive(new Arrived(null, fault, false, true, this.nanoClock.getAsLong()));
 	}
 
@@ -188,8 +206,9 @@
 		}
 		final Arrived arrived = this.waiting.poll();
 		this.ctx.channel().config().setAutoRead(true);
+		this.currentBytes = arrived.bytes();
 		final ServerReply reply = new ServerReply(this.ctx, arrived.keepAlive(), arrived.chunks(), arrived.atNanos(),
-				this::answered);
+				this);
 		this.current = reply;
 		if (arrived.fault() != null) {
 			reply.whole(this.handler.onFault(arrived.fault()));
@@ -199,12 +218,31 @@
 		}
 	}
 
-	private void answered() {
+	void answered() {
 		this.current = null;
+		this.currentBytes = 0;
+		count();
 		this.idleSinceNanos = this.nanoClock.getAsLong();
 		next();
 	}
 
+	void hold(int bytes) {
+		this.currentBytes += bytes;
+		count();
+	}
+
+	// What a caller has not taken shrinks without a notice; sweeps see that.
+	private void count() {
+		long now = this.body.readableBytes() + this.currentBytes;
+		for (final Arrived arrived : this.waiting) {
+			now += arrived.bytes();
+		}
+		final ChannelOutboundBuffer untaken = this.ctx.channel().unsafe().outboundBuffer();
+		now += (untaken != null) ? untaken.totalPendingWriteBytes() : 0;
+		this.held.add(now - this.heldBytes);
+		this.heldBytes = now;
+	}
+
 	private void beginTime() {
 		if (!this.begun) {
 			this.begun = true;
@@ -229,6 +267,7 @@
 	 * @param nowNanos the monotonic time
 	 */
 	void sweep(long nowNanos) {
+		count();
 		final RequestLimits now = this.limits.get();
 		final long mostMillis = (this.head == null) ? now.headMillis() : now.bodyMillis();
 		if (this.begun && nowNanos - this.begunAtNanos > nanos(mostMillis)) {
@@ -251,6 +290,7 @@
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		count();
 		if (this.current != null) {
 			this.current.onWritable(context.channel().isWritable());
 		}
@@ -260,6 +300,9 @@
 	public void channelInactive(ChannelHandlerContext context) {
 		this.ignoresInput = true;
 		this.waiting.clear();
+		this.currentBytes = 0;
+		this.body = Unpooled.EMPTY_BUFFER;
+		count();
 		if (this.current != null) {
 			this.current.onGone();
 		}
@@ -282,6 +325,10 @@
 	 */
 	private record Arrived(WebRequest request, RequestFault fault, boolean keepAlive, boolean chunks, long atNanos) {
 
+		int bytes() {
+			return (this.request != null) ? this.request.body().sizeBytes() : 0;
+		}
+
 	}
 
 	/**
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
@@ -35,7 +35,7 @@
 
 	private final long arrivedAtNanos;
 
-	private final Runnable answered;
+	private final ServerConnection connection;
 
 	private boolean keepAlive;
 
@@ -45,12 +45,13 @@
 
 	private CallerListener listener;
 
-	ServerReply(ChannelHandlerContext ctx, boolean keepAlive, boolean chunks, long arrivedAtNanos, Runnable answered) {
+	ServerReply(ChannelHandlerContext ctx, boolean keepAlive, boolean chunks, long arrivedAtNanos,
+			ServerConnection connection) {
 		this.ctx = ctx;
 		this.keepAlive = keepAlive;
 		this.chunks = chunks;
 		this.arrivedAtNanos = arrivedAtNanos;
-		this.answered = answered;
+		this.connection = connection;
 	}
 
 	@Override
@@ -128,7 +129,7 @@
 	private void finish(ChannelFuture written) {
 		this.over = true;
 		if (this.keepAlive) {
-			this.answered.run();
+			this.connection.answered();
 		}
 		else {
 			written.addListener((done) -> closeGently());
@@ -170,6 +171,13 @@
 		return this.arrivedAtNanos;
 	}
 
+	@Override
+	public void hold(int bytes) {
+		if (!this.over) {
+			this.connection.hold(bytes);
+		}
+	}
+
 	@Override
 	public void listen(CallerListener callerListener) {
 		this.listener = callerListener;
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
@@ -16,6 +16,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SingleThreadIoEventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -56,6 +57,12 @@
 	/** One caller with a long body must not keep the others waiting. */
 	private static final int MOST_READS = 16;
 
+	/**
+	 * What waits in memory for one caller who reads slowly, before its target is not read
+	 * on; some hundred events.
+	 */
+	private static final WriteBufferWaterMark CALLER_BUFFER = new WriteBufferWaterMark(16_384, 32_768);
+
 	// Reads on until nothing is left, as the end of a connection comes last. By default a
 	// request that fits into the buffer is handed on before the next read finds that its
 	// caller has left, and a loop that runs late would send it to a target all the same.
@@ -120,6 +127,7 @@
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.childOption(ChannelOption.ALLOCATOR, ALLOCATOR)
 			.childOption(ChannelOption.RECVBUF_ALLOCATOR, READS_TO_THE_END)
+			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, CALLER_BUFFER)
 			.childOption(ChannelOption.TCP_NODELAY, true);
 	}
 
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebReply.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebReply.java
@@ -63,6 +63,12 @@
 	 */
 	long arrivedAtNanos();
 
+	/**
+	 * Counts bytes that are kept for the answer before it is given.
+	 * @param bytes the number of further bytes
+	 */
+	void hold(int bytes);
+
 	/**
 	 * Sets who hears of the caller; called before the answer begins.
 	 * @param listener hears it
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
@@ -24,6 +24,8 @@
 
 	private final Supplier<RequestLimits> limits;
 
+	private final HeldBytes held;
+
 	private final Set<ServerConnection> connections = new HashSet<>();
 
 	private volatile Channel listener;
@@ -36,10 +38,24 @@
 	 * @param limits gives what callers may send now
 	 */
 	public WebServer(WebLoop loop, String address, WebHandler handler, Supplier<RequestLimits> limits) {
+		this(loop, address, handler, limits, HeldBytes.unbounded());
+	}
+
+	/**
+	 * Creates a server that bounds its memory.
+	 * @param loop the thread on which its connections are served
+	 * @param address where to listen, as host and port
+	 * @param handler answers each request
+	 * @param limits gives what callers may send now
+	 * @param held counts what is held for all callers; while it is full, requests are
+	 * refused with {@link RequestFault#NO_ROOM}
+	 */
+	public WebServer(WebLoop loop, String address, WebHandler handler, Supplier<RequestLimits> limits, HeldBytes held) {
 		this.loop = loop;
 		this.address = address;
 		this.handler = handler;
 		this.limits = limits;
+		this.held = held;
 	}
 
 	/**
@@ -63,7 +79,8 @@
 	}
 
 	private void accept(Channel channel) {
-		final ServerConnection connection = new ServerConnection(this.handler, this.limits, System::nanoTime);
+		final ServerConnection connection = new ServerConnection(this.handler, this.limits, System::nanoTime,
+				this.held);
 		connection.addTo(channel.pipeline());
 		this.connections.add(connection);
 		channel.closeFuture().addListener((closed) -> this.connections.remove(connection));
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -17,6 +17,7 @@
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerMeter;
 import org.pistachioline.daemon.relay.LoopMonitor;
+import org.pistachioline.daemon.relay.Relay;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 import org.pistachioline.daemon.tunnel.TargetConnections;
 import org.pistachioline.daemon.tunnel.TunnelServer;
@@ -53,7 +54,10 @@
 				"Connections to targets that were opened on behalf of other daemons", tunnels::establishedTunnels);
 	}
 
-	void bind(LoopMonitor loop, PeerDuty peers) {
+	void bind(Relay relay, PeerDuty peers) {
+		final LoopMonitor loop = relay.loopMonitor();
+		this.metrics.gauge("pistachioline.callers.held",
+				"Bytes of requests without an answer, and of answers that callers have not taken", relay::heldBytes);
 		this.metrics.gauge("pistachioline.loop.lag", "Milliseconds that the loop which serves callers ran late lately",
 				loop::lagMillis);
 		this.metrics.gauge("pistachioline.loop.refused", "Requests that were refused because that loop ran late",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -184,7 +184,7 @@
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
 		meters.bind(targets, this.tunnels);
-		meters.bind(this.relay.loopMonitor(), this.peers);
+		meters.bind(this.relay, this.peers);
 		meters.bind(this.listing, this::configVersion);
 		this.components.all().forEach((component) -> component.rings().forEach(meters::bind));
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -64,6 +64,23 @@
 			"Connections to targets that were established on behalf of other daemons.",
 			"rising: another daemon is partitioned from targets"),
 
+	/** Gauge of the lag of the relay's event loop, the largest of the last seconds. */
+	LOOP_LAG("pistachioline_loop_lag", "ms", "How late the loop that serves callers ran in the last seconds.",
+			"above 500: this machine is short of processor time"),
+
+	/** Gauge of the refusals since the start. */
+	LOOP_REFUSED("pistachioline_loop_refused", "requests", "Requests refused because that loop ran late.",
+			"rising on most daemons: add daemons or cores"),
+
+	/** Gauge over the statuses that this daemon knows by gossip. */
+	DAEMONS_LATE("pistachioline_daemons_late", "daemons", "Live daemons whose loop runs late, this one included.",
+			"above a quarter of the daemons"),
+
+	/** Gauge of the memory that callers take up. */
+	CALLERS_HELD("pistachioline_callers_held", "bytes",
+			"Requests without an answer, responses kept until complete, and answers that callers have not taken.",
+			"near a third of the heap: new requests are refused"),
+
 	/** Gauge of the manifest's or route table's version. */
 	CONFIG_VERSION("pistachioline_config_version", "version", "Version of the configuration in force.",
 			"differs from other daemons for 10 s"),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
@@ -53,6 +53,14 @@
 		this.reply.flush();
 	}
 
+	/**
+	 * Counts the bytes of a response that is kept until it is complete.
+	 * @param bytes the number of further bytes
+	 */
+	void hold(int bytes) {
+		this.reply.hold(bytes);
+	}
+
 	boolean isWritable() {
 		return this.reply.writable();
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerServer.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerServer.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Supplier;
 
+import org.pistachioline.adapters.web.HeldBytes;
 import org.pistachioline.adapters.web.RequestLimits;
 import org.pistachioline.adapters.web.WebLoop;
 import org.pistachioline.adapters.web.WebServer;
@@ -14,6 +15,11 @@
  */
 public final class CallerServer implements Lifecycle {
 
+	/** The rest is for targets' responses, configuration and the heap's own needs. */
+	private static final int HEAP_PART = 3;
+
+	private final HeldBytes held = new HeldBytes(Runtime.getRuntime().maxMemory() / HEAP_PART);
+
 	private final WebServer server;
 
 	/**
@@ -25,7 +31,7 @@
 	 * callers
 	 */
 	public CallerServer(WebLoop loop, String address, RelayHandler handler, Supplier<RouteTable> routes) {
-		this.server = new WebServer(loop, address, handler, () -> limits(routes.get().callerBounds()));
+		this.server = new WebServer(loop, address, handler, () -> limits(routes.get().callerBounds()), this.held);
 	}
 
 	private static RequestLimits limits(CallerBounds bounds) {
@@ -43,6 +49,14 @@
 		this.server.stop();
 	}
 
+	/**
+	 * Returns what is held in memory for callers.
+	 * @return the number of bytes
+	 */
+	public long heldBytes() {
+		return this.held.total();
+	}
+
 	/**
 	 * Returns the listen address.
 	 * @return the address, as host and port; empty until the server listens
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -78,6 +78,14 @@
 		this.loop.close();
 	}
 
+	/**
+	 * Returns what is held in memory for callers.
+	 * @return the number of bytes
+	 */
+	public long heldBytes() {
+		return this.callerServer.heldBytes();
+	}
+
 	/**
 	 * Returns the monitor of the event loop.
 	 * @return the monitor
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -155,6 +155,7 @@
 		}
 		else {
 			this.responseBody.writeBytes(bytes);
+			this.exchange.response().hold(bytes.length);
 		}
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -176,11 +176,13 @@
 	public WebAnswer onFault(RequestFault fault) {
 		final ErrorKind kind = switch (fault) {
 			case MALFORMED -> ErrorKind.MALFORMED_REQUEST;
+			case NO_ROOM -> ErrorKind.OVERLOADED;
 			case TOO_SLOW -> ErrorKind.REQUEST_TIMEOUT;
 			case BODY_TOO_LARGE, HEAD_TOO_LARGE -> ErrorKind.REQUEST_TOO_LARGE;
 		};
 		logRefusal(UNKNOWN_REQUEST_ID, kind, "");
-		return RelayErrorResponses.of(UNKNOWN_REQUEST_ID, kind, RunState.NOT_RUN, 0);
+		return RelayErrorResponses.of(UNKNOWN_REQUEST_ID, kind, RunState.NOT_RUN,
+				(kind == ErrorKind.OVERLOADED) ? retryAfterMillis(kind) : 0);
 	}
 
 	private void logRefusal(String requestId, ErrorKind kind, String path) {
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RecordingReply.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RecordingReply.java
@@ -55,6 +55,11 @@
 		return true;
 	}
 
+	@Override
+	public void hold(int bytes) {
+		// Not recorded.
+	}
+
 	@Override
 	public void listen(CallerListener listener) {
 		// The tests call the listener directly.
