--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/evacuation/EvacuationReading.java
@@ -0,0 +1,19 @@
+package org.pistachioline.core.evacuation;
+
+import java.util.List;
+
+/**
+ * What the platform's store shows of all evacuations.
+ *
+ * @param fromPosition the first position that the reading covers
+ * @param toPosition the position after the last one that it covers
+ * @param words the last word on each zone that is in force, and withdrawals that were
+ * read
+ */
+public record EvacuationReading(long fromPosition, long toPosition, List<ZoneEvacuation> words) {
+
+	public EvacuationReading {
+		words = List.copyOf(words);
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -230,6 +230,25 @@
 	/** Logged when a target's cold time is over. */
 	TARGET_WARM(431, EventLevel.INFO, "A target has warmed up and is no longer paced."),
 
+	/** Logged once for each request of the operators. */
+	ZONE_EVACUATED(432, EventLevel.WARN,
+			"Operators evacuate an availability zone; nothing new is sent to its targets."),
+
+	/** Logged when the operators' request is withdrawn. */
+	ZONE_TAKEN_BACK(433, EventLevel.INFO,
+			"The evacuation of an availability zone is over; its targets are used again."),
+
+	/** Logged with the beginning of such an evacuation. */
+	EVACUATED_ZONE_UNKNOWN(434, EventLevel.WARN, "No listed instance is in the availability zone to be evacuated."),
+
+	/** Logged once for each name. */
+	EVACUATION_REFUSED(435, EventLevel.ERROR,
+			"A request to evacuate is ignored: its zone's name is unusable, or there are too many zones."),
+
+	/** Logged once for each record. */
+	EVACUATION_UNREADABLE(436, EventLevel.WARN,
+			"The value of a request to evacuate cannot be read; the zone that its key names is evacuated."),
+
 	/**
 	 * Logged when the evidence that a request, or a part of prompts, crashes its targets
 	 * suffices, with the kind of suspect.
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/DeadlineAdmission.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/DeadlineAdmission.java
@@ -11,7 +11,7 @@
 
 /**
  * Refuses requests that cannot start before their deadline because all of their targets
- * are rate-limited or in backoff.
+ * are rate-limited, in backoff or in evacuated zones.
  * <p>
  * The queue estimates waiting times from the requests that are running. When targets
  * state rate limits or ask for backoff, free slots do not mean that a request can start,
@@ -27,9 +27,16 @@
 
 	private final ActiveRequests activeRequests;
 
+	private final TargetEvacuation evacuation;
+
 	DeadlineAdmission(TargetRegistry targets, ActiveRequests activeRequests) {
 		this.targets = targets;
 		this.activeRequests = activeRequests;
+		this.evacuation = new TargetEvacuation(targets, activeRequests);
+	}
+
+	TargetEvacuation evacuation() {
+		return this.evacuation;
 	}
 
 	/**
@@ -42,7 +49,7 @@
 	Optional<Refusal> check(long nowNanos, RequestInfo info) {
 		final Optional<ThrottledCapacity> supply = pacedSupply(nowNanos, info);
 		if (supply.isEmpty()) {
-			return Optional.empty();
+			return this.evacuation.check(info);
 		}
 		final int queued = queuedByName().getOrDefault(nameKey(info), 0);
 		return check(nowNanos, info, supply.get(), queued, queued);
@@ -78,6 +85,7 @@
 	 * @param nowNanos the monotonic time
 	 */
 	void onTick(long nowNanos) {
+		this.evacuation.onTick(nowNanos);
 		if (this.targets.hasPacedTargets(nowNanos)) {
 			recheckQueued(nowNanos);
 		}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -261,6 +261,14 @@
 		return this.targetLimits;
 	}
 
+	/**
+	 * Returns the availability zones that operators evacuate.
+	 * @return the evacuation
+	 */
+	public TargetEvacuation targetEvacuation() {
+		return this.deadlineAdmission.evacuation();
+	}
+
 	/**
 	 * Returns the targets that have not warmed up.
 	 * @return the cold targets
--- a/pistachioline-ctl/src/main/java/org/pistachioline/ctl/StatusCommand.java
+++ b/pistachioline-ctl/src/main/java/org/pistachioline/ctl/StatusCommand.java
@@ -65,6 +65,10 @@
 		if (!dump.path("not_ready_reason").asText().isEmpty()) {
 			System.out.println("not ready: " + dump.path("not_ready_reason").asText());
 		}
+		final JsonNode evacuated = dump.path("evacuation").path("availability_zones");
+		if (!evacuated.isEmpty()) {
+			System.out.println("operators evacuate: " + evacuated);
+		}
 		System.out.println();
 		System.out.printf("%-16s %-12s %8s %10s %8s  %s%n", "DAEMON", "ZONE", "CONFIG", "LOG AGE MS", "STATE",
 				"CALLERS");
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -3,9 +3,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Collectors;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
@@ -14,6 +16,7 @@
 import org.pistachioline.core.cold.ColdListing;
 import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpPolicy;
+import org.pistachioline.core.evacuation.EvacuationState;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.peer.PeerStatus;
@@ -25,6 +28,7 @@
 import org.pistachioline.core.traffic.TargetView;
 import org.pistachioline.core.traffic.TrafficCore;
 import org.pistachioline.core.traffic.TrafficPolicies;
+import org.pistachioline.daemon.evacuation.EvacuationMonitor;
 import org.pistachioline.daemon.event.Events;
 import org.pistachioline.daemon.http.AdminHandler;
 import org.pistachioline.daemon.http.AdminServer;
@@ -32,6 +36,7 @@
 import org.pistachioline.daemon.listing.ListingDuty;
 import org.pistachioline.daemon.metrics.Metrics;
 import org.pistachioline.daemon.peer.ColdExchange;
+import org.pistachioline.daemon.peer.EvacuationExchange;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerTransport;
 import org.pistachioline.daemon.relay.Relay;
@@ -104,6 +109,8 @@
 
 	private final Metrics metrics = new Metrics();
 
+	private final EvacuationMonitor evacuation;
+
 	private final ColdListing coldListing = new ColdListing();
 
 	private final Components components = new Components();
@@ -112,6 +119,8 @@
 
 	private volatile boolean instanceListKnown;
 
+	private volatile Set<String> listedZones = Set.of();
+
 	private volatile boolean leaving;
 
 	private volatile boolean acceptingTraffic = true;
@@ -152,9 +161,20 @@
 		this.components
 			.add(List.of(this.traffic, this.replicas, this.peers, ports.routes(), this.listing, ports.lease(),
 					new AdminServer(settings.adminAddress(), new AdminHandler(this)), this.relay, this.tunnels));
+		this.evacuation = new EvacuationMonitor(this::onEvacuation, this::tellEvacuation, () -> this.listedZones);
+		ports.evacuations().setEvacuationListener(this.evacuation::onReading);
 		registerListeners();
 	}
 
+	private void onEvacuation(EvacuationState state) {
+		this.replicas.onEvacuation(state.availabilityZones());
+		this.traffic.onEvacuation(state.availabilityZones());
+	}
+
+	private void tellEvacuation() {
+		this.peers.broadcast(EvacuationExchange.notice(this.evacuation.words()));
+	}
+
 	private TrafficCore trafficCore() {
 		final TrafficCore core = new TrafficCore(policies());
 		if (this.settings.peerSeeds().stream().anyMatch((seed) -> !seed.equals(this.settings.peerAddress()))) {
@@ -197,6 +217,10 @@
 		final ColdMonitor coldMonitor = this.traffic.coldMonitor();
 		this.peers.addExchange(new ColdExchange(coldMonitor::coldTargets, coldMonitor::onPeerTargets));
 		coldMonitor.setBroadcaster((cold) -> this.peers.broadcast(ColdExchange.notice(cold, System.nanoTime())));
+		this.peers.addExchange(new EvacuationExchange(this.evacuation::words, this.evacuation::onPeerWords));
+		this.relay.setEvacuatedTargets(this.replicas::isEvacuated);
+		this.metrics.gauge("pistachioline.zones.evacuated", "Availability zones that operators evacuate",
+				() -> this.evacuation.state().availabilityZones().size());
 		coldMonitor.setLeavingDaemons(this.peers::leavingDaemonIds);
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
@@ -219,6 +243,9 @@
 
 	private void onInstanceList(List<ServingInstance> instances) {
 		this.instanceListKnown = true;
+		this.listedZones = instances.stream()
+			.map(ServingInstance::availabilityZone)
+			.collect(Collectors.toUnmodifiableSet());
 		this.ports.targetConnections().updateInstances(instances);
 		// All daemons read the same entries, so one of them tells those that do not.
 		this.traffic.coldMonitor()
@@ -404,7 +431,7 @@
 	@Override
 	public Map<String, Object> dump() {
 		return new RoutingDaemonDump(this.traffic, this.replicas, this.listing, this.ports.targetConnections(),
-				this.tunnels)
+				this.tunnels, this.evacuation)
 			.of(status(), notReadyReason(), daemons());
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import org.pistachioline.core.peer.PeerStatus;
+import org.pistachioline.daemon.evacuation.EvacuationMonitor;
 import org.pistachioline.daemon.listing.ListingDuty;
 import org.pistachioline.daemon.replica.ReplicaDuty;
 import org.pistachioline.daemon.traffic.TrafficDuty;
@@ -20,9 +21,10 @@
  * @param listing the instance list
  * @param targets the connections to targets
  * @param tunnels the connections on behalf of other daemons
+ * @param evacuation the availability zones that operators evacuate
  */
 record RoutingDaemonDump(TrafficDuty traffic, ReplicaDuty replicas, ListingDuty listing, TargetConnections targets,
-		TunnelServer tunnels) {
+		TunnelServer tunnels, EvacuationMonitor evacuation) {
 
 	Map<String, Object> of(PeerStatus status, Optional<String> notReadyReason, List<PeerStatus> daemons) {
 		final Map<String, Object> dump = new LinkedHashMap<>();
@@ -31,6 +33,7 @@
 		dump.put("config", Map.of("version", status.configVersion()));
 		dump.put("requests",
 				Map.of("held", this.traffic.activeRequestCount(), "queued", this.traffic.queuedRequestCount()));
+		dump.put("evacuation", this.evacuation.state());
 		dump.put("listing",
 				Map.of("age_millis", this.listing.ageMillis(), "reads_for_others", this.listing.readsForOthers()));
 		dump.put("serving_targets", this.replicas.servingTargetCount());
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/evacuation/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Applies the operators' requests to evacuate availability zones.
+ */
+package org.pistachioline.daemon.evacuation;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -46,6 +46,10 @@
 	TARGETS_COLD("pistachioline_targets_cold", "targets", "Targets that have not warmed up.",
 			"most of a service's targets: it accepts less than its slots"),
 
+	/** Gauge of the availability zones that operators evacuate. */
+	ZONES_EVACUATED("pistachioline_zones_evacuated", "zones", "Availability zones that operators evacuate.",
+			"not equal on all daemons for 5 s: compare their dumps"),
+
 	/** Gauge of the targets that asked this daemon to back off. */
 	TARGETS_BACKOFF("pistachioline_targets_backoff", "targets", "Targets that asked this daemon to back off.",
 			"most of a service's targets"),
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/EvacuationExchange.java
@@ -0,0 +1,107 @@
+package org.pistachioline.daemon.peer;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+import org.pistachioline.core.evacuation.EvacuationRegistry;
+import org.pistachioline.core.evacuation.ZoneEvacuation;
+import org.pistachioline.core.peer.PeerStatus;
+import org.pistachioline.protocol.peer.EvacuationState;
+import org.pistachioline.protocol.peer.Heartbeat;
+import org.pistachioline.protocol.peer.PeerFrame;
+
+/**
+ * Exchanges the operators' last word on each availability zone, so that a daemon that the
+ * platform's store turns away learns of evacuations and of their end.
+ */
+public final class EvacuationExchange implements HeartbeatExchange {
+
+	private final Supplier<List<ZoneEvacuation>> known;
+
+	private final Consumer<List<ZoneEvacuation>> receiver;
+
+	/**
+	 * Creates the exchange.
+	 * @param known supplies the last word on each zone
+	 * @param receiver receives the words that a peer knows; it must not block
+	 */
+	public EvacuationExchange(Supplier<List<ZoneEvacuation>> known, Consumer<List<ZoneEvacuation>> receiver) {
+		this.known = known;
+		this.receiver = receiver;
+	}
+
+	@Override
+	public void addTo(Heartbeat.Builder heartbeat, long nowNanos) {
+		final List<ZoneEvacuation> words = this.known.get();
+		if (!words.isEmpty()) {
+			heartbeat.setEvacuation(encode(words));
+		}
+	}
+
+	@Override
+	public void onHeartbeat(PeerStatus sender, Heartbeat heartbeat, long nowNanos) {
+		if (heartbeat.hasEvacuation()) {
+			this.receiver.accept(decode(heartbeat.getEvacuation()));
+		}
+	}
+
+	@Override
+	public void onNotice(PeerFrame frame, long nowNanos) {
+		if (frame.hasEvacuationNotice()) {
+			this.receiver.accept(decode(frame.getEvacuationNotice()));
+		}
+	}
+
+	@Override
+	public Optional<PeerFrame> greeting(long nowNanos) {
+		final List<ZoneEvacuation> words = this.known.get();
+		return words.isEmpty() ? Optional.empty() : Optional.of(notice(words));
+	}
+
+	/**
+	 * Builds the frame that tells all daemons of evacuations.
+	 * @param words the last word on each zone
+	 * @return the frame
+	 */
+	public static PeerFrame notice(List<ZoneEvacuation> words) {
+		return PeerFrame.newBuilder().setEvacuationNotice(encode(words)).build();
+	}
+
+	private static EvacuationState encode(List<ZoneEvacuation> words) {
+		final EvacuationState.Builder encoded = EvacuationState.newBuilder();
+		for (final ZoneEvacuation word : words) {
+			encoded.setPosition(Math.max(encoded.getPosition(), word.position()));
+			if (word.inForce()) {
+				encoded.addAvailabilityZones(word.availabilityZone());
+			}
+			encoded.addWordsBuilder()
+				.setAvailabilityZone(word.availabilityZone())
+				.setPosition(word.position())
+				.setInForce(word.inForce());
+		}
+		return encoded.build();
+	}
+
+	// A peer that sends no words of single zones names those in force.
+	private static List<ZoneEvacuation> decode(EvacuationState state) {
+		final List<ZoneEvacuation> words = new ArrayList<>();
+		state.getWordsList()
+			.stream()
+			.limit(EvacuationRegistry.MAX_ZONES)
+			.map((word) -> new ZoneEvacuation(word.getAvailabilityZone(), word.getPosition(), word.getInForce()))
+			.forEach(words::add);
+		final Set<String> named = words.stream().map(ZoneEvacuation::availabilityZone).collect(Collectors.toSet());
+		state.getAvailabilityZonesList()
+			.stream()
+			.limit(EvacuationRegistry.MAX_ZONES)
+			.filter((zone) -> !named.contains(zone))
+			.forEach((zone) -> words.add(new ZoneEvacuation(zone, state.getPosition(), true)));
+		return words;
+	}
+
+}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/EvacuationSource.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/EvacuationSource.java
@@ -2,7 +2,7 @@
 
 import java.util.function.Consumer;
 
-import org.pistachioline.core.evacuation.EvacuationState;
+import org.pistachioline.core.evacuation.EvacuationReading;
 
 /**
  * Follows the operators' requests to evacuate availability zones.
@@ -15,9 +15,9 @@
 	};
 
 	/**
-	 * Sets the receiver of each newer state. Must be called before the start.
-	 * @param receiver receives the state; must not block
+	 * Sets the receiver of all that is read. Must be called before the start.
+	 * @param receiver receives each reading; must not block
 	 */
-	void setEvacuationListener(Consumer<EvacuationState> receiver);
+	void setEvacuationListener(Consumer<EvacuationReading> receiver);
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/BackoffGate.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/BackoffGate.java
@@ -4,13 +4,15 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 import org.pistachioline.core.backoff.BackoffRegistry;
 import org.pistachioline.core.traffic.TargetView;
 import org.pistachioline.daemon.port.InstanceListener;
 
 /**
- * Withholds attempts whose target requested backoff after the attempt was scheduled.
+ * Withholds attempts whose target requested backoff or was evacuated after the attempt
+ * was scheduled.
  * <p>
  * Between scheduling and the first byte an attempt waits in a ring, on the event loop and
  * for a connection. On an overloaded daemon this takes up to a second, during which
@@ -25,6 +27,8 @@
 
 	private final LongSupplier clockNanos;
 
+	private volatile Predicate<String> evacuatedTargets = (targetId) -> false;
+
 	/**
 	 * Creates a gate that withholds nothing.
 	 * @param listener receives the backoff requests and announced departures of instances
@@ -57,8 +61,18 @@
 		remainingMillis.ifPresent((millis) -> this.listener.onCold(TargetView.instanceId(targetId), millis));
 	}
 
+	/**
+	 * Sets which targets are evacuated; attempts that were scheduled at them are
+	 * withheld.
+	 * @param evacuated decides by the target's id
+	 */
+	void setEvacuatedTargets(Predicate<String> evacuated) {
+		this.evacuatedTargets = evacuated;
+	}
+
 	boolean maySend(String targetId) {
-		return !this.backoffs.isActive(this.clockNanos.getAsLong(), TargetView.instanceId(targetId));
+		return !this.evacuatedTargets.test(targetId)
+				&& !this.backoffs.isActive(this.clockNanos.getAsLong(), TargetView.instanceId(targetId));
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -2,6 +2,7 @@
 
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.pistachioline.adapters.web.Connector;
@@ -32,6 +33,8 @@
 
 	private final ActiveStreams streams = new ActiveStreams();
 
+	private final BackoffGate backoffGate;
+
 	private final RelayHandler handler;
 
 	private final CallerServer callerServer;
@@ -54,14 +57,23 @@
 			Connector targetConnector) {
 		this.loop = loop;
 		final WebClient client = new WebClient(this.loop, targetConnector, IDLE_CONNECTION_MILLIS, MAX_IDLE_PER_TARGET);
+		this.backoffGate = new BackoffGate(instances, System::nanoTime);
 		final RelayContext context = new RelayContext(this.loop, client, protocol, this.streams,
-				traffic::onCallerDisconnected, new TargetReportDispatcher(loadReceiver, traffic),
-				new BackoffGate(instances, System::nanoTime),
+				traffic::onCallerDisconnected, new TargetReportDispatcher(loadReceiver, traffic), this.backoffGate,
 				new CrashProbe(client::askWhetherRefused, traffic.crashMonitor()::onCrash));
 		this.handler = new RelayHandler(routes, context, traffic, leaving);
 		this.callerServer = new CallerServer(this.loop, address, this.handler, routes);
 	}
 
+	/**
+	 * Sets which targets are evacuated; attempts that were scheduled at them are
+	 * withheld. Must be called before the start.
+	 * @param evacuated decides by the target's id; must not block
+	 */
+	public void setEvacuatedTargets(Predicate<String> evacuated) {
+		this.backoffGate.setEvacuatedTargets(evacuated);
+	}
+
 	@Override
 	public void start() {
 		this.callerServer.start();
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -16,6 +16,7 @@
 import org.pistachioline.core.demand.ModelDemandSource;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.replica.DelistedInstances;
+import org.pistachioline.core.replica.EvacuatedInstances;
 import org.pistachioline.core.replica.LeavingInstances;
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.core.replica.OrderOutcome;
@@ -82,8 +83,14 @@
 
 	private final LeavingInstances leavingInstances = new LeavingInstances();
 
+	private EvacuatedInstances evacuated = new EvacuatedInstances(Set.of());
+
+	private List<ServingInstance> listed = List.of();
+
 	private List<ServingInstance> instances = List.of();
 
+	private volatile Set<String> evacuatedReceiverIds = Set.of();
+
 	private RouteTable routeTable = RouteTable.UNKNOWN;
 
 	private boolean loadReportsChanged;
@@ -183,6 +190,23 @@
 		this.duty.put(new ReplicaMessage.InstanceLeaving(instanceId));
 	}
 
+	/**
+	 * Replaces the availability zones that operators evacuate.
+	 * @param availabilityZones the zones
+	 */
+	public void onEvacuation(Set<String> availabilityZones) {
+		this.duty.put(new ReplicaMessage.ZonesEvacuated(availabilityZones));
+	}
+
+	/**
+	 * Returns whether a target is evacuated; any thread may ask.
+	 * @param targetId the target
+	 * @return whether it, or a member of its group, is in an evacuated zone
+	 */
+	public boolean isEvacuated(String targetId) {
+		return this.evacuatedReceiverIds.contains(TargetView.instanceId(targetId));
+	}
+
 	/**
 	 * Reports a target that makes no progress. If the ring is full the report is dropped,
 	 * as the next stalled request repeats it.
@@ -212,11 +236,20 @@
 	@Override
 	public void onMessage(ReplicaMessage message) {
 		if (message instanceof ReplicaMessage.InstancesUpdated updated) {
-			this.instances = this.leavingInstances.markDraining(updated.instances());
+			this.listed = updated.instances();
+			markDraining();
 			final Set<String> ids = this.instances.stream().map(ServingInstance::id).collect(Collectors.toSet());
 			this.loadReports.keySet().retainAll(ids);
 			this.delisted.update(System.nanoTime(), this.instances);
 			publishTargets(System.nanoTime());
+			this.evacuatedReceiverIds = this.evacuated.receiverIds(this.listed);
+		}
+		else if (message instanceof ReplicaMessage.ZonesEvacuated changed) {
+			this.evacuated = new EvacuatedInstances(changed.availabilityZones());
+			markDraining();
+			publishTargets(System.nanoTime());
+			// A withheld attempt must find its target out of use.
+			this.evacuatedReceiverIds = this.evacuated.receiverIds(this.listed);
 		}
 		else if (message instanceof ReplicaMessage.ConfigurationUpdated configured) {
 			this.routeTable = configured.table();
@@ -245,11 +278,15 @@
 
 	private void handleLeaving(String instanceId) {
 		if (this.leavingInstances.add(instanceId)) {
-			this.instances = this.leavingInstances.markDraining(this.instances);
+			markDraining();
 			publishTargets(System.nanoTime());
 		}
 	}
 
+	private void markDraining() {
+		this.instances = this.evacuated.markDraining(this.leavingInstances.markDraining(this.listed));
+	}
+
 	private void onOrderCompleted(ReplicaOrder order, OrderOutcome outcome) {
 		if (outcome == OrderOutcome.FENCED && !(order instanceof ReplicaOrder.Join)) {
 			// Another daemon has become the planner, so the remaining orders of this term
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.core.replica.OrderOutcome;
@@ -42,6 +43,15 @@
 
 	}
 
+	/**
+	 * Replaces the availability zones that operators evacuate.
+	 *
+	 * @param availabilityZones the zones
+	 */
+	record ZonesEvacuated(Set<String> availabilityZones) implements ReplicaMessage {
+
+	}
+
 	/**
 	 * Reports that an instance has announced that it is leaving.
 	 *
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetMonitor.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TargetMonitor.java
@@ -68,6 +68,10 @@
 		if (message instanceof TrafficMessage.ColdStartsChanged changed) {
 			return this.cold.apply(nowNanos, changed, this.core);
 		}
+		if (message instanceof TrafficMessage.ZonesEvacuated evacuated) {
+			this.core.targetEvacuation().onZones(evacuated.availabilityZones());
+			return true;
+		}
 		if (message instanceof TrafficMessage.ColdTargetsFound found) {
 			return this.cold.apply(nowNanos, found, this.core);
 		}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -263,6 +264,14 @@
 		this.duty.put(new TrafficMessage.ColdStartsChanged(byService));
 	}
 
+	/**
+	 * Applies the availability zones that operators evacuate.
+	 * @param availabilityZones the zones
+	 */
+	public void onEvacuation(Set<String> availabilityZones) {
+		this.duty.put(new TrafficMessage.ZonesEvacuated(availabilityZones));
+	}
+
 	/**
 	 * Returns the monitor of targets that have not warmed up.
 	 * @return the monitor, to which any thread may report
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 
 import org.pistachioline.core.cold.ColdTarget;
 import org.pistachioline.core.limit.AdvertisedLimit;
@@ -143,6 +144,14 @@
 	record ColdStartsChanged(Map<String, ColdStart> byService) implements TrafficMessage {
 	}
 
+	/**
+	 * Operators evacuate availability zones.
+	 *
+	 * @param availabilityZones the zones, none where it is over
+	 */
+	record ZonesEvacuated(Set<String> availabilityZones) implements TrafficMessage {
+	}
+
 	/**
 	 * This daemon found targets that have not warmed up.
 	 *
