--- a/pistachioline-core/src/main/java/org/pistachioline/core/cold/ColdListing.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/cold/ColdListing.java
@@ -1,6 +1,5 @@
 package org.pistachioline.core.cold;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -22,7 +21,7 @@
 public final class ColdListing {
 
 	/** How long an address is remembered after its instance was last listed. */
-	private static final long ADDRESS_RETENTION_NANOS = Duration.ofMinutes(1).toNanos();
+	private static final long ADDRESS_RETENTION_NANOS = 60_000_000_000L;
 
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/cold/ColdPace.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/cold/ColdPace.java
@@ -1,7 +1,6 @@
 package org.pistachioline.core.cold;
 
 import java.util.Arrays;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
 import org.pistachioline.core.limit.PermitAllocation;
@@ -33,6 +32,8 @@
 
 	private static final double NANOS_PER_SECOND = 1e9;
 
+	private static final long NANOS_PER_MILLI = 1_000_000L;
+
 	private final String instanceId;
 
 	private boolean active;
@@ -224,7 +225,7 @@
 
 	ColdReport report(long nowNanos) {
 		return new ColdReport(this.instanceId, this.requestsPerSecond, ownRequestsPerSecond(),
-				TimeUnit.NANOSECONDS.toMillis(this.untilNanos - nowNanos), this.startCount);
+				(this.untilNanos - nowNanos) / NANOS_PER_MILLI, this.startCount);
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/cold/ColdRegistry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/cold/ColdRegistry.java
@@ -1,6 +1,5 @@
 package org.pistachioline.core.cold;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -28,15 +27,17 @@
 	 * Error bound of times received from peers; without it, a time that daemons pass
 	 * around would grow by the delay of each frame.
 	 */
-	private static final long PEER_TIME_ERROR_NANOS = Duration.ofMillis(500).toNanos();
+	private static final long PEER_TIME_ERROR_NANOS = 500_000_000L;
 
 	/**
 	 * Time for which the end of a cold time is retained, so that late word is ignored.
 	 */
-	private static final long RETENTION_NANOS = Duration.ofSeconds(10).toNanos();
+	private static final long RETENTION_NANOS = 10_000_000_000L;
 
 	/** The longest time for which an instance counts as cold without new word. */
-	private static final long MAX_COLD_NANOS = Duration.ofMinutes(10).toNanos();
+	private static final long MAX_COLD_NANOS = 600_000_000_000L;
+
+	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	/** Bounds the instances of which only peers have told. */
 	private static final int MAX_INSTANCES = 4_096;
@@ -178,7 +179,7 @@
 		final ColdStart coldStart = this.coldStartById.get(instanceId);
 		return (coldStart != null)
 				? onFound(nowNanos, List
-					.of(new ColdTarget(instanceId, nowNanos + Duration.ofMillis(coldStart.durationMillis()).toNanos())))
+					.of(new ColdTarget(instanceId, nowNanos + coldStart.durationMillis() * NANOS_PER_MILLI)))
 				: List.of();
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/cold/KnownDaemons.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/cold/KnownDaemons.java
@@ -1,6 +1,5 @@
 package org.pistachioline.core.cold;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -19,24 +18,24 @@
  */
 final class KnownDaemons {
 
-	private static final long SILENT_RETENTION_NANOS = Duration.ofMinutes(10).toNanos();
+	private static final long SILENT_RETENTION_NANOS = 600_000_000_000L;
 
 	/**
 	 * How long the permits of a leaving daemon stay unused; exceeds the time by which one
 	 * daemon learns of its departure before another one.
 	 */
-	private static final long LEAVING_RETENTION_NANOS = Duration.ofSeconds(3).toNanos();
+	private static final long LEAVING_RETENTION_NANOS = 3_000_000_000L;
 
 	/**
 	 * Time after the start in which all others learn of this daemon and the interval of
 	 * their last start passes.
 	 */
-	private static final long START_DELAY_NANOS = Duration.ofSeconds(4).toNanos();
+	private static final long START_DELAY_NANOS = 4_000_000_000L;
 
 	/**
 	 * Time without a newly discovered daemon after which most daemons are known.
 	 */
-	private static final long DISCOVERY_QUIET_NANOS = Duration.ofSeconds(3).toNanos();
+	private static final long DISCOVERY_QUIET_NANOS = 3_000_000_000L;
 
 	private final Map<String, Long> lastSeenNanos = new HashMap<>();
 
