--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -48,6 +48,8 @@
 
 	private final HeldBytes held;
 
+	private final RequestQueue requests;
+
 	private ChannelHandlerContext ctx;
 
 	private HttpRequest head;
@@ -78,12 +80,15 @@
 	 * @param limits gives what its caller may send now
 	 * @param nanoClock the monotonic time, in nanoseconds
 	 * @param held counts what is held for this caller, with all others
+	 * @param requests the requests of all connections that wait to be handled
 	 */
-	ServerConnection(WebHandler handler, Supplier<RequestLimits> limits, LongSupplier nanoClock, HeldBytes held) {
+	ServerConnection(WebHandler handler, Supplier<RequestLimits> limits, LongSupplier nanoClock, HeldBytes held,
+			RequestQueue requests) {
 		this.handler = handler;
 		this.limits = limits;
 		this.nanoClock = nanoClock;
 		this.held = held;
+		this.requests = requests;
 		this.idleSinceNanos = nanoClock.getAsLong();
 	}
 
@@ -191,7 +196,7 @@
 		this.waiting.add(arrived);
 		// Everything that has arrived on any connection is read before the first request
 		// is handled, so that nothing is done for callers who have left already.
-		this.ctx.executor().execute(this::next);
+		this.requests.add(this.ctx.executor(), this::next);
 		if (this.waiting.size() > MOST_WAITING) {
 			this.ctx.channel().config().setAutoRead(false);
 		}
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
@@ -26,6 +26,8 @@
 
 	private final HeldBytes held;
 
+	private final RequestQueue requests = new RequestQueue(System::nanoTime);
+
 	private final Set<ServerConnection> connections = new HashSet<>();
 
 	private volatile Channel listener;
@@ -79,8 +81,8 @@
 	}
 
 	private void accept(Channel channel) {
-		final ServerConnection connection = new ServerConnection(this.handler, this.limits, System::nanoTime,
-				this.held);
+		final ServerConnection connection = new ServerConnection(this.handler, this.limits, System::nanoTime, this.held,
+				this.requests);
 		connection.addTo(channel.pipeline());
 		this.connections.add(connection);
 		channel.closeFuture().addListener((closed) -> this.connections.remove(connection));
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ServerConnectionTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ServerConnectionTests.java
@@ -28,7 +28,7 @@
 	private final RecordingHandler handler = new RecordingHandler();
 
 	private final ServerConnection connection = new ServerConnection(this.handler, () -> LIMITS, () -> START_NANOS,
-			HeldBytes.unbounded());
+			HeldBytes.unbounded(), new RequestQueue(() -> START_NANOS));
 
 	private final EmbeddedChannel channel = channelOf(this.connection);
 
@@ -53,8 +53,8 @@
 	@Property(seed = "7")
 	void cutsChangeNothing(@ForAll @IntRange(min = 1, max = 200) int cut) {
 		final RecordingHandler recorder = new RecordingHandler();
-		final EmbeddedChannel cutChannel = channelOf(
-				new ServerConnection(recorder, () -> LIMITS, () -> START_NANOS, HeldBytes.unbounded()));
+		final EmbeddedChannel cutChannel = channelOf(new ServerConnection(recorder, () -> LIMITS, () -> START_NANOS,
+				HeldBytes.unbounded(), new RequestQueue(() -> START_NANOS)));
 		final String both = POST + CHUNKED;
 		for (int start = 0; start < both.length(); start += cut) {
 			cutChannel.writeInbound(buffer(both.substring(start, Math.min(both.length(), start + cut))));
@@ -168,7 +168,7 @@
 		sweep(LIMITS.headMillis() + 500);
 		assertThat(sent()).startsWith("HTTP/1.1 408 ");
 		final ServerConnection slow = new ServerConnection(this.handler, () -> LIMITS, () -> START_NANOS,
-				HeldBytes.unbounded());
+				HeldBytes.unbounded(), new RequestQueue(() -> START_NANOS));
 		final EmbeddedChannel other = channelOf(slow);
 		other.writeInbound(buffer("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab"));
 		slow.sweep(START_NANOS + TimeUnit.MILLISECONDS.toNanos(LIMITS.headMillis() + 500));
@@ -187,7 +187,7 @@
 	void aConnectionWhoseRequestIsAnsweredAtOnceIsIdle() {
 		final ServerConnection quick = new ServerConnection(
 				(request, reply) -> reply.whole(WebAnswer.text(404, "none")), () -> LIMITS, () -> START_NANOS,
-				HeldBytes.unbounded());
+				HeldBytes.unbounded(), new RequestQueue(() -> START_NANOS));
 		final EmbeddedChannel other = channelOf(quick);
 		other.writeInbound(buffer(POST));
 		assertThat(text(other)).startsWith("HTTP/1.1 404 ");
@@ -210,8 +210,8 @@
 
 	private void assertRefused(String request, int status) {
 		final RecordingHandler recorder = new RecordingHandler();
-		final EmbeddedChannel refused = channelOf(
-				new ServerConnection(recorder, () -> LIMITS, () -> START_NANOS, HeldBytes.unbounded()));
+		final EmbeddedChannel refused = channelOf(new ServerConnection(recorder, () -> LIMITS, () -> START_NANOS,
+				HeldBytes.unbounded(), new RequestQueue(() -> START_NANOS)));
 		refused.writeInbound(buffer(request));
 		assertThat(text(refused)).startsWith("HTTP/1.1 " + status + ' ');
 		assertThat(refused.isOpen()).isFalse();
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/SlowReaderTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/SlowReaderTests.java
@@ -81,9 +81,10 @@
 			final List<Socket> callers = new ArrayList<>();
 			String refusal = "";
 			while (refusal.isEmpty()) {
+				final long before = this.held.total();
 				final Socket caller = call(server, BODY_BYTES);
 				callers.add(caller);
-				refusal = refusalOf(loop, caller);
+				refusal = refusalOf(loop, caller, before);
 				assertThat(this.held.total()).isLessThan(MOST_BYTES + BODY_BYTES);
 			}
 			assertThat(refusal).startsWith("HTTP/1.1 503");
@@ -125,8 +126,7 @@
 	}
 
 	// Waits until the request has been read whole, or refused.
-	private String refusalOf(WebLoop loop, Socket caller) throws Exception {
-		final long before = this.held.total();
+	private String refusalOf(WebLoop loop, Socket caller, long before) throws Exception {
 		while (this.held.total() < before + BODY_BYTES && caller.getInputStream().available() == 0) {
 			turn(loop);
 		}
