--- a/pistachioline-core/src/main/java/org/pistachioline/core/cold/ColdRegistry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/cold/ColdRegistry.java
@@ -178,8 +178,8 @@
 	public List<ColdTarget> onCrash(long nowNanos, String instanceId) {
 		final ColdStart coldStart = this.coldStartById.get(instanceId);
 		return (coldStart != null)
-				? onFound(nowNanos, List
-					.of(new ColdTarget(instanceId, nowNanos + coldStart.durationMillis() * NANOS_PER_MILLI)))
+				? onFound(nowNanos,
+						List.of(new ColdTarget(instanceId, nowNanos + coldStart.durationMillis() * NANOS_PER_MILLI)))
 				: List.of();
 	}
 
