--- a/pistachioline-core/src/main/java/org/pistachioline/core/admission/AdmissionPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/admission/AdmissionPolicy.java
@@ -26,6 +26,48 @@
 	 */
 	Optional<Refusal> admit(long nowNanos, RequestInfo info);
 
+	/**
+	 * Sets how the slots of targets are counted. Called once, before any request.
+	 * @param slots counts the slots
+	 */
+	default void bind(SlotCounts slots) {
+		// Only policies that compare demand with capacity use the slots.
+	}
+
+	/**
+	 * Counts a request that arrives, whether it is admitted or not.
+	 * @param nowNanos the monotonic time
+	 * @param info the request
+	 * @return the request with what is known of its caller: one that has waited before
+	 * has an earlier soft deadline
+	 */
+	default RequestInfo onArrival(long nowNanos, RequestInfo info) {
+		return info;
+	}
+
+	/**
+	 * Records that a request was answered by its first attempt.
+	 * @param nowNanos the monotonic time
+	 * @param info the request
+	 * @param slotNanos how long it held a slot
+	 * @param waitNanos how long it waited for the slot
+	 */
+	default void onServed(long nowNanos, RequestInfo info, long slotNanos, long waitNanos) {
+		// Only policies that compare demand with capacity use the times.
+	}
+
+	/**
+	 * Returns after which delay the caller of a request that was admitted, but did not
+	 * get a slot, may retry.
+	 * @param nowNanos the monotonic time
+	 * @param info the request
+	 * @param defaultMillis the delay that applies without a better estimate
+	 * @return the delay, in milliseconds
+	 */
+	default long retryAfterMillis(long nowNanos, RequestInfo info, long defaultMillis) {
+		return defaultMillis;
+	}
+
 	/**
 	 * Sets this daemon's shares of the limits.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-core/src/main/java/org/pistachioline/core/demand/DemandEstimate.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/demand/DemandEstimate.java
@@ -1,5 +1,6 @@
 package org.pistachioline.core.demand;
 
+import java.util.HashMap;
 import java.util.Map;
 
 /**
@@ -20,4 +21,17 @@
 		workspaceCosts = Map.copyOf(workspaceCosts);
 	}
 
+	/**
+	 * Multiplies all rates, as with the number of daemons.
+	 * @param factor the factor
+	 * @return the product
+	 */
+	public DemandEstimate times(double factor) {
+		final Map<DemandKey, DemandRates> scaledRates = new HashMap<>();
+		this.rates.forEach((key, value) -> scaledRates.put(key, value.times(factor)));
+		final Map<WorkspaceKey, Double> scaledCosts = new HashMap<>();
+		this.workspaceCosts.forEach((key, value) -> scaledCosts.put(key, value * factor));
+		return new DemandEstimate(scaledRates, scaledCosts);
+	}
+
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -254,6 +254,16 @@
 	/** Logged with the cause: the connection was refused, or not established in time. */
 	TARGET_NOT_CONNECTED(510, EventLevel.INFO, "A target could not be connected to, so nothing was sent to it."),
 
+	/**
+	 * Logged when more is asked of a model or service than its targets can serve, at most
+	 * every two seconds.
+	 */
+	ADMISSION_RESTRICTED(511, EventLevel.WARN,
+			"More requests arrive at all daemons than the targets can serve; the less urgent ones are refused."),
+
+	/** Logged when all requests are admitted again, at most every two seconds. */
+	ADMISSION_UNRESTRICTED(512, EventLevel.INFO, "The targets can serve all requests again."),
+
 	/** Logged when the heartbeats of a live peer have timed out. */
 	PEER_LOST(600, EventLevel.INFO, "A peer daemon is no longer live."),
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -274,6 +274,12 @@
 		return this.view.serving() ? clampToLimit(nowNanos, this.view.slots() - this.inFlight) : 0;
 	}
 
+	int reportedUnusedSlots(long nowNanos) {
+		final boolean recent = nowNanos - this.view.reportedAtNanos() < REPORT_VALIDITY_NANOS;
+		return (this.view.serving() && recent)
+				? Math.max(0, this.view.slots() - this.view.reportedRunning() - this.view.reportedWaiting()) : 0;
+	}
+
 	/**
 	 * Returns the limit of the target's instance.
 	 * @return the limit, which is unlimited until the instance states one
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
@@ -57,6 +57,10 @@
 
 	private int maxExcessAttempts;
 
+	private int servingSlots;
+
+	private int unusedSlots;
+
 	private int daemonCount = 1;
 
 	private long refreshedAtNanos;
@@ -120,13 +124,17 @@
 		this.refreshedAtNanos = nowNanos;
 		this.throttled.clear();
 		int slots = 0;
+		int unused = 0;
 		for (final TargetLoad load : this.members) {
 			refresh(nowNanos, daemons, load);
 			if (load.isThrottled(nowNanos)) {
 				this.throttled.add(load);
 			}
 			slots += load.view().serving() ? load.view().slots() : 0;
+			unused += load.reportedUnusedSlots(nowNanos);
 		}
+		this.servingSlots = slots;
+		this.unusedSlots = unused;
 		this.maxExcessAttempts = this.protectsTargets
 				? (int) Math.max(1, Math.round(slots / (EXCESS_DIVISOR * Math.max(1, daemons.count())))) : 0;
 		collectExcessCandidates(nowNanos);
@@ -192,6 +200,23 @@
 				: Math.max(0, Math.min(this.excessCandidates.size(), this.maxExcessAttempts - this.excessAttempts));
 	}
 
+	/**
+	 * Returns how many requests the serving targets run at once, for all daemons
+	 * together.
+	 * @return the number of slots, used or not
+	 */
+	public int servingSlots() {
+		return this.servingSlots;
+	}
+
+	/**
+	 * Returns how many slots of the serving targets are unused by their last reports.
+	 * @return the number of slots
+	 */
+	public int unusedSlots() {
+		return this.unusedSlots;
+	}
+
 	/**
 	 * Returns the targets that an attempt may be sent to, in no order: those with free
 	 * slots in this daemon's share or, where there are none, those that accept an attempt
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/FairQueue.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/FairQueue.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 
 import org.pistachioline.core.admission.Refusal;
@@ -45,6 +46,8 @@
 
 	private final QueueOrder order;
 
+	private final RankOrder rankOrder;
+
 	private final OutputLengthEstimator outputLengths = new OutputLengthEstimator();
 
 	private final Map<String, StartTimeFairQueue> queues = new LinkedHashMap<>();
@@ -73,8 +76,26 @@
 	 * @param order the order of requests within a workspace
 	 */
 	public FairQueue(int maxRequests, QueueOrder order) {
+		this(maxRequests, order, null);
+	}
+
+	/**
+	 * Creates an empty queue in which requests on time, and among these the more urgent
+	 * ones, go first across workspaces; workspaces of equal rank are served by weight.
+	 * @param maxRequests the bound on queued requests of all workspaces
+	 * @param order the order of requests within a workspace
+	 * @param hasRoomForLate returns whether the targets of a request have room for
+	 * requests that are late
+	 * @return the queue
+	 */
+	public static FairQueue byRank(int maxRequests, QueueOrder order, Predicate<RequestInfo> hasRoomForLate) {
+		return new FairQueue(maxRequests, order, new RankOrder(order, hasRoomForLate));
+	}
+
+	private FairQueue(int maxRequests, QueueOrder order, RankOrder rankOrder) {
 		this.maxRequests = maxRequests;
 		this.order = order;
+		this.rankOrder = rankOrder;
 	}
 
 	@Override
@@ -91,11 +112,12 @@
 	@Override
 	public Optional<Refusal> offer(long nowNanos, RequestInfo info) {
 		final StartTimeFairQueue queue = this.queues.computeIfAbsent(queueName(info),
-				(name) -> new StartTimeFairQueue());
+				(name) -> new StartTimeFairQueue(this.rankOrder));
 		if (this.chargedCosts.remove(info.requestId()) != null) {
 			queue.onFinished(nowNanos, info.workspace());
 		}
-		final double waitNanos = queue.expectedWaitNanos(info.workspace(), weight(info.workspace()));
+		final double waitNanos = (this.rankOrder != null) ? queue.expectedWaitNanos(info.priority())
+				: queue.expectedWaitNanos(info.workspace(), weight(info.workspace()));
 		final WorkspaceSpec workspace = this.workspaces.get(info.workspace());
 		final int maxQueued = (workspace != null) ? Math.min(workspace.queuedRequests(), this.maxRequests)
 				: this.maxRequests;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/StartTimeFairQueue.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/StartTimeFairQueue.java
@@ -1,6 +1,7 @@
 package org.pistachioline.core.queueing;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -40,6 +41,9 @@
 
 	private final SlotReserve reserve = new SlotReserve();
 
+	/** The order that also applies across workspaces; null if workspaces go first. */
+	private final RankOrder rankOrder;
+
 	private double virtualTime;
 
 	private double backloggedWeight;
@@ -56,6 +60,14 @@
 
 	private double firstTokenDeviationNanos;
 
+	/**
+	 * Creates an empty queue.
+	 * @param rankOrder the order across workspaces; null if workspaces go first
+	 */
+	StartTimeFairQueue(RankOrder rankOrder) {
+		this.rankOrder = rankOrder;
+	}
+
 	private boolean hasLongService(Flow flow) {
 		final double nanos = (flow.meanServiceNanos() > 0 || this.servedCost == 0) ? flow.meanServiceNanos()
 				: flow.lastQueuedCost * this.servedNanos / this.servedCost;
@@ -102,7 +114,7 @@
 		if (freeSlots <= 0) {
 			return null;
 		}
-		for (final Flow flow : this.backlogged) {
+		for (final Flow flow : flowsInOrder(nowNanos)) {
 			if (freeSlots > this.reserve.reservedSlots(nowNanos, flow, hasLongService(flow), freeSlots + this.running,
 					this.flows.values(), weights)) {
 				return dispatch(nowNanos, flow, order, weights.applyAsDouble(flow.workspace));
@@ -111,6 +123,11 @@
 		return null;
 	}
 
+	private Collection<Flow> flowsInOrder(long nowNanos) {
+		return (this.rankOrder == null || this.backlogged.size() < 2) ? this.backlogged
+				: this.rankOrder.sort(nowNanos, (long) this.firstTokenMeanNanos, this.backlogged);
+	}
+
 	private QueuedRequest dispatch(long nowNanos, Flow flow, QueueOrder order, double weight) {
 		this.backlogged.remove(flow);
 		flow.updateDemand(nowNanos);
@@ -220,17 +237,41 @@
 		return Math.min(this.backloggedCost, ownCost * weights / weight) / costPerNano;
 	}
 
+	/**
+	 * Returns how long a new request is expected to wait where the more urgent ones go
+	 * first.
+	 * @param priority the request's priority
+	 * @return the time, in nanoseconds; 0 where no request waits or the service rate is
+	 * not known
+	 */
+	double expectedWaitNanos(int priority) {
+		if (this.backlogged.isEmpty() || this.servedCost == 0 || this.running == 0) {
+			return 0;
+		}
+		double costAhead = 0;
+		for (final QueuedRequest queued : this.byDeadline) {
+			costAhead += (queued.info().priority() >= priority) ? queued.cost() : 0;
+		}
+		return costAhead * this.servedNanos / (this.running * this.servedCost);
+	}
+
 	double expectedFirstTokenNanos(long budgetNanos) {
 		return Math.min(MAX_FIRST_TOKEN_RATIO * budgetNanos,
 				this.firstTokenMeanNanos + DEVIATION_FACTOR * this.firstTokenDeviationNanos);
 	}
 
 	double allowedWaitNanos(long nowNanos, String workspace, long budgetNanos) {
+		if (this.rankOrder != null) {
+			return RankOrder.MAX_WAIT_RATIO * budgetNanos + expectedFirstTokenNanos(budgetNanos);
+		}
 		final Flow flow = this.flows.get(workspace);
 		return (flow != null) ? flow.allowedWaitNanos(nowNanos, budgetNanos) : budgetNanos;
 	}
 
 	List<QueuedRequest> expired(long nowNanos) {
+		if (this.rankOrder != null) {
+			return this.rankOrder.expired(nowNanos, (long) this.firstTokenMeanNanos, this.byDeadline);
+		}
 		final List<QueuedRequest> expired = new ArrayList<>();
 		for (final QueuedRequest request : this.byDeadline) {
 			final long deadlineNanos = request.info().firstTokenDeadlineNanos();
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ActiveRequests.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ActiveRequests.java
@@ -150,6 +150,11 @@
 		this.policies.queue()
 			.onEnded(nowNanos, request.info, request.completed, request.tokensDelivered,
 					nowNanos - request.attemptStartedAtNanos);
+		if (request.completed && request.startedAttempts == 1) {
+			this.policies.admission()
+				.onServed(nowNanos, request.info, nowNanos - request.attemptStartedAtNanos,
+						request.attemptStartedAtNanos - request.arrivedAtNanos);
+		}
 		this.redispatchQueue.remove(request);
 		if (request.claimPending) {
 			this.abandonedClaims.put(request.info.requestId(), request.info);
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Dispatcher.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Dispatcher.java
@@ -44,7 +44,8 @@
 			final ActiveRequest request = this.activeRequests.get(expired.requestId());
 			if (request != null) {
 				request.queued = false;
-				this.activeRequests.fail(nowNanos, request, ErrorKind.DEADLINE_UNREACHABLE, RETRY_AFTER_MILLIS);
+				this.activeRequests.fail(nowNanos, request, ErrorKind.DEADLINE_UNREACHABLE,
+						this.policies.admission().retryAfterMillis(nowNanos, expired, RETRY_AFTER_MILLIS));
 			}
 		}
 		this.redispatchQueue.poll(nowNanos, this.selector::hasCandidate, (request) -> dispatch(nowNanos, request));
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RequestInfo.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RequestInfo.java
@@ -107,6 +107,18 @@
 		return new RequestInfo(0, workspace, TargetKind.SERVICE, "", 0, 0, 0, 0, 0, false, claim, "", List.of());
 	}
 
+	/**
+	 * Returns a copy of this request with another soft deadline.
+	 * @param newSoftDeadlineNanos until when its first token counts as on time
+	 * @return the copy
+	 */
+	public RequestInfo withSoftDeadlineNanos(long newSoftDeadlineNanos) {
+		return new RequestInfo(this.requestId, this.workspace, this.targetKind, this.name, this.promptTokens,
+				this.maxOutputTokens, this.priority, this.firstTokenDeadlineNanos, this.totalDeadlineNanos,
+				this.idempotent, this.claim, this.fingerprint, this.prefixHashes, this.maxAttempts,
+				newSoftDeadlineNanos, this.sharedPromptParts);
+	}
+
 	/**
 	 * Returns the number of tokens that the request counts for while it is in flight.
 	 * @return the prompt tokens and the maximum output tokens together
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RoutingPolicies.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RoutingPolicies.java
@@ -3,6 +3,7 @@
 import java.util.function.IntSupplier;
 
 import org.pistachioline.core.admission.AdmitAll;
+import org.pistachioline.core.admission.FleetAdmission;
 import org.pistachioline.core.placement.ExpectedWaitPlacement;
 import org.pistachioline.core.quarantine.QuarantinePolicy;
 import org.pistachioline.core.queueing.FairQueue;
@@ -39,4 +40,23 @@
 				new SharedBudgetRetry(retryBudget, daemonCount), quarantine, new FastMigrationPolicy());
 	}
 
+	/**
+	 * Creates the policies of one of many daemons that share their targets and decide
+	 * about load by the demand of the whole fleet.
+	 * @param availabilityZone the availability zone in which the daemon runs
+	 * @param seed the random seed, different on each daemon
+	 * @param retryBudget the limit on retries of all daemons together
+	 * @param daemonCount supplies the number of daemons that share budget and targets
+	 * @param quarantine the policy that identifies requests which crash targets
+	 * @param admission decides which requests are admitted
+	 * @return the policies
+	 */
+	public static TrafficPolicies createForFleet(String availabilityZone, long seed, RetryBudget retryBudget,
+			IntSupplier daemonCount, QuarantinePolicy quarantine, FleetAdmission admission) {
+		return new TrafficPolicies(admission,
+				FairQueue.byRank(MAX_QUEUED_REQUESTS, new OnTimeFirstOrder(), admission::hasRoomForLate),
+				new ExpectedWaitPlacement(availabilityZone, seed, true),
+				new SharedBudgetRetry(retryBudget, daemonCount), quarantine, new FastMigrationPolicy());
+	}
+
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetRegistry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetRegistry.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.pistachioline.core.admission.SlotCounts;
 import org.pistachioline.core.backoff.BackoffRegistry;
 import org.pistachioline.core.limit.AdvertisedLimit;
 import org.pistachioline.core.limit.LimitRegistry;
@@ -21,7 +22,7 @@
  * Holds all targets that this daemon knows, grouped by model or service, with the load
  * that this daemon places on each.
  */
-final class TargetRegistry {
+final class TargetRegistry implements SlotCounts {
 
 	private static final String SERVICE_PREFIX = "service:";
 
@@ -215,6 +216,18 @@
 		return (set != null) ? set.freeSlots() : 0;
 	}
 
+	@Override
+	public int servingSlots(RequestInfo info) {
+		final TargetSet set = targetSet(info);
+		return (set != null) ? set.servingSlots() : 0;
+	}
+
+	@Override
+	public int unusedSlots(RequestInfo info) {
+		final TargetSet set = targetSet(info);
+		return (set != null) ? set.unusedSlots() : 0;
+	}
+
 	List<TargetLoad> availableTargets(RequestInfo info) {
 		final TargetSet set = targetSet(info);
 		return (set != null) ? set.available() : List.of();
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -76,6 +76,7 @@
 		this.targetLimits = new TargetLimits(this.targets, this.deadlineAdmission);
 		this.targetBackoffs = new TargetBackoffs(this.targets, this.deadlineAdmission);
 		this.targetCrashes = new TargetCrashes(policies.quarantine(), this.activeRequests);
+		policies.admission().bind(this.targets);
 		this.monitor = new RequestMonitor(this.activeRequests, this.targets, this.selector, policies);
 	}
 
@@ -149,10 +150,11 @@
 	/**
 	 * Admits and queues a new request, or refuses it.
 	 * @param nowNanos the monotonic time
-	 * @param info the request
+	 * @param arrived the request
 	 * @return the actions to carry out
 	 */
-	public List<TrafficAction> onRequest(long nowNanos, RequestInfo info) {
+	public List<TrafficAction> onRequest(long nowNanos, RequestInfo arrived) {
+		final RequestInfo info = this.policies.admission().onArrival(nowNanos, arrived);
 		final ActiveRequest request = new ActiveRequest(info, nowNanos);
 		final Optional<Refusal> refusal = checkAdmission(nowNanos, info);
 		if (refusal.isPresent()) {
@@ -165,7 +167,7 @@
 		final Optional<Refusal> queueRefusal = this.policies.queue().offer(nowNanos, info);
 		if (queueRefusal.isPresent()) {
 			this.activeRequests.fail(nowNanos, request, queueRefusal.get().kind(),
-					queueRefusal.get().retryAfterMillis());
+					this.policies.admission().retryAfterMillis(nowNanos, info, queueRefusal.get().retryAfterMillis()));
 			return dispatchReady(nowNanos);
 		}
 		request.queued = true;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 
+import org.pistachioline.core.admission.AdmissionReport;
 import org.pistachioline.core.backoff.BackoffReport;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.limit.LimitReport;
@@ -13,6 +14,7 @@
 import org.pistachioline.daemon.metrics.Metrics;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerMeter;
+import org.pistachioline.daemon.traffic.FleetDemandExchange;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 import org.pistachioline.daemon.tunnel.TargetConnections;
 import org.pistachioline.daemon.tunnel.TunnelServer;
@@ -49,6 +51,20 @@
 				"Connections to targets that were opened on behalf of other daemons", tunnels::establishedTunnels);
 	}
 
+	void bind(FleetDemandExchange demand) {
+		this.metrics.gauge("pistachioline.admission.restricted",
+				"Models and services whose less urgent requests are refused",
+				() -> demand.reports().stream().filter(AdmissionReport::restricted).count());
+		this.metrics.gauge("pistachioline.admission.refused.rate",
+				"Refused requests per second of all daemons, as estimated",
+				() -> demand.reports().stream().mapToDouble(AdmissionReport::refusedPerSecond).sum());
+		this.metrics.gauge("pistachioline.demand.wanted.slots",
+				"Slots that the requests of all daemons need, as estimated",
+				() -> demand.reports().stream().mapToDouble(AdmissionReport::wantedSlots).sum());
+		this.metrics.gauge("pistachioline.demand.estimates.rejected",
+				"Estimates of demand from peers that were impossible and not used", demand::rejectedEstimateCount);
+	}
+
 	private void bindTraffic(TrafficDuty traffic) {
 		this.metrics.gauge("pistachioline.requests.held", "Requests that have not ended", traffic::activeRequestCount);
 		this.metrics.gauge("pistachioline.requests.queued", "Requests that wait for a target",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -11,6 +11,8 @@
 
 import org.pistachioline.adapters.web.Connector;
 import org.pistachioline.adapters.web.WebLoop;
+import org.pistachioline.core.admission.FleetAdmission;
+import org.pistachioline.core.demand.ModelDemandShares;
 import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpPolicy;
 import org.pistachioline.core.event.EventId;
@@ -35,6 +37,7 @@
 import org.pistachioline.daemon.relay.Relay;
 import org.pistachioline.daemon.replica.ReplicaDuty;
 import org.pistachioline.daemon.traffic.CrashMonitor;
+import org.pistachioline.daemon.traffic.FleetDemandExchange;
 import org.pistachioline.daemon.traffic.LimitShareUpdater;
 import org.pistachioline.daemon.traffic.NoClaims;
 import org.pistachioline.daemon.traffic.TraceRecorder;
@@ -87,6 +90,8 @@
 
 	private final TrafficDuty traffic;
 
+	private final Optional<FleetDemandExchange> demand;
+
 	private final ReplicaDuty replicas;
 
 	private final ListingDuty listing;
@@ -129,8 +134,11 @@
 				settings.daemonId(), this::status, settings::peerSeeds, HEARTBEAT_INTERVAL_MILLIS);
 		this.limitShares = new LimitShareUpdater(settings.daemonId(), this.peers::activeDaemonIds,
 				HEARTBEAT_INTERVAL_MILLIS);
-		this.traffic = new TrafficDuty(system, new TrafficCore(policies()), new NoClaims(), this.limitShares,
-				(suspect, nowMillis) -> {
+		final long seed = this.incarnation ^ ((long) settings.daemonId().hashCode() << Integer.SIZE);
+		final Optional<FleetAdmission> admission = settings.fleetDecisions()
+				? Optional.of(new FleetAdmission(seed, this::daemonCount)) : Optional.empty();
+		this.traffic = new TrafficDuty(system, new TrafficCore(policies(seed, admission)), new NoClaims(),
+				this.limitShares, (suspect, nowMillis) -> {
 					// Crash reports are exchanged between daemons by gossip instead.
 				}, new TraceRecorder(false));
 		this.replicas = new ReplicaDuty(system, ports.lease(), ports.orders(), settings.plannerTimes(),
@@ -148,12 +156,22 @@
 			.add(List.of(this.traffic, this.replicas, this.peers, ports.routes(), this.listing, ports.lease(),
 					new AdminServer(settings.adminAddress(), new AdminHandler(this)), this.relay, this.tunnels));
 		registerListeners();
+		this.demand = admission.map((policy) -> new FleetDemandExchange(policy, this.traffic));
+		this.demand.ifPresent(this::registerDemandExchange);
+	}
+
+	private TrafficPolicies policies(long seed, Optional<FleetAdmission> admission) {
+		return admission.isPresent()
+				? RoutingPolicies.createForFleet(this.settings.availabilityZone(), seed, this.settings.retryBudget(),
+						this::daemonCount, new GossipQuarantine(), admission.get())
+				: RoutingPolicies.create(this.settings.availabilityZone(), seed, this.settings.retryBudget(),
+						this::daemonCount, new GossipQuarantine());
 	}
 
-	private TrafficPolicies policies() {
-		final long seed = this.incarnation ^ ((long) this.settings.daemonId().hashCode() << Integer.SIZE);
-		return RoutingPolicies.create(this.settings.availabilityZone(), seed, this.settings.retryBudget(),
-				this::daemonCount, new GossipQuarantine());
+	private void registerDemandExchange(FleetDemandExchange exchange) {
+		this.peers.addExchange(exchange);
+		this.replicas.setModelDemandSource(new ModelDemandShares(exchange::fleetDemand));
+		new DaemonMeters(this.metrics).bind(exchange);
 	}
 
 	private void registerListeners() {
@@ -382,7 +400,7 @@
 	@Override
 	public Map<String, Object> dump() {
 		return new RoutingDaemonDump(this.traffic, this.replicas, this.listing, this.ports.targetConnections(),
-				this.tunnels)
+				this.tunnels, this.demand)
 			.of(status(), notReadyReason(), daemons());
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
@@ -8,6 +8,7 @@
 import org.pistachioline.core.peer.PeerStatus;
 import org.pistachioline.daemon.listing.ListingDuty;
 import org.pistachioline.daemon.replica.ReplicaDuty;
+import org.pistachioline.daemon.traffic.FleetDemandExchange;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 import org.pistachioline.daemon.tunnel.TargetConnections;
 import org.pistachioline.daemon.tunnel.TunnelServer;
@@ -20,9 +21,10 @@
  * @param listing the instance list
  * @param targets the connections to targets
  * @param tunnels the connections on behalf of other daemons
+ * @param demand the demand of the fleet; empty if this daemon decides by what it sees
  */
 record RoutingDaemonDump(TrafficDuty traffic, ReplicaDuty replicas, ListingDuty listing, TargetConnections targets,
-		TunnelServer tunnels) {
+		TunnelServer tunnels, Optional<FleetDemandExchange> demand) {
 
 	Map<String, Object> of(PeerStatus status, Optional<String> notReadyReason, List<PeerStatus> daemons) {
 		final Map<String, Object> dump = new LinkedHashMap<>();
@@ -38,6 +40,7 @@
 		dump.put("tunnels_for_others", this.tunnels.openTunnels());
 		dump.put("limited_targets", this.traffic.limitReports());
 		dump.put("backoff_targets", this.traffic.backoffReports());
+		dump.put("admission", this.demand.map(FleetDemandExchange::reports).orElse(List.of()));
 		dump.put("crash_suspects", this.traffic.crashMonitor().reports());
 		dump.put("planned_groups", this.replicas.plannedGroups());
 		dump.put("peers", daemons);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -6,6 +6,7 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
@@ -62,6 +63,9 @@
 
 	private final TargetMonitor targetMonitor;
 
+	private LongConsumer tickListener = (nowNanos) -> {
+	};
+
 	private volatile int activeRequestCount;
 
 	private volatile int queuedRequestCount;
@@ -95,6 +99,22 @@
 		this.runner.setStallListener(receiver);
 	}
 
+	/**
+	 * Sets the listener for ticks. Must be called before the start.
+	 * @param listener receives the monotonic time on the duty's thread; must not block
+	 */
+	void setTickListener(LongConsumer listener) {
+		this.tickListener = listener;
+	}
+
+	/**
+	 * Runs a task on the duty's thread. It is dropped if the ring is full.
+	 * @param task receives the monotonic time; must not block
+	 */
+	void offerTask(LongConsumer task) {
+		this.duty.offer(new TrafficMessage.TaskSubmitted(task));
+	}
+
 	private boolean offer(TrafficMessage message) {
 		return this.duty.offer(message);
 	}
@@ -303,6 +323,7 @@
 		execute(this.core.onTick(nowNanos));
 		execute(this.limitShares.update(nowNanos, this.core));
 		this.targetMonitor.refresh(nowNanos);
+		this.tickListener.accept(nowNanos);
 		// Quarantines expire by the wall clock without a new record, so they are
 		// evaluated again periodically.
 		if (nowNanos - this.quarantinesRefreshedAtNanos >= QUARANTINE_REFRESH_NANOS) {
@@ -359,6 +380,9 @@
 		else if (message instanceof TrafficMessage.CacheChanged cached) {
 			this.core.onCacheEvents(nowNanos, cached.events());
 		}
+		else if (message instanceof TrafficMessage.TaskSubmitted submitted) {
+			submitted.task().accept(nowNanos);
+		}
 		else if (message instanceof TrafficMessage.StopAdmission) {
 			this.core.stopAdmission();
 		}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.function.LongConsumer;
 
 import org.pistachioline.core.limit.AdvertisedLimit;
 import org.pistachioline.core.manifest.Manifest;
@@ -149,6 +150,14 @@
 	record PeerSuspectsReceived(List<SuspectedRequest> requests) implements TrafficMessage {
 	}
 
+	/**
+	 * Another part of the daemon runs a task on the traffic duty's thread.
+	 *
+	 * @param task receives the monotonic time; must not block
+	 */
+	record TaskSubmitted(LongConsumer task) implements TrafficMessage {
+	}
+
 	/**
 	 * The daemon is shutting down and refuses new requests from now on.
 	 */
