Admission of a fleet: unused slots go to the refused, steadier estimates

Cause: estimates lag behind falling demand, so returning callers were refused beside unused slots; with 130 daemons single estimates were far off.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/admission/TargetAdmission.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/admission/TargetAdmission.java
@@ -42,9 +42,6 @@
 	/** The part of the slots that is left to requests which are being sent. */
 	private static final double UNUSED_RESERVE_RATIO = 0.1;
 
-	/** The time in which the reports of targets show what was sent to them. */
-	private static final double REPORT_SECONDS = 1;
-
 	private final String name;
 
 	private double usableRatio = USABLE_RATIO;
@@ -108,14 +105,19 @@
 
 	// Estimates lag behind demand that falls. What the reports show as unused is
 	// therefore
-	// given to those who would be refused, spread over the time until the next reports.
+	// given to those who would be refused, as far as they fill it by Little's law.
 	private double spareRatio(List<Load> loads, int unusedSlots) {
-		final double refusedPerSecond = loads.stream().mapToDouble((load) -> load.rates.refusedPerSecond()).sum();
 		final double spareSlots = unusedSlots - UNUSED_RESERVE_RATIO * this.slots;
 		if (spareSlots <= 0) {
 			return 0;
 		}
-		return Math.min(1, spareSlots / (REPORT_SECONDS * Math.max(1, refusedPerSecond)));
+		double refusedSlots = 0;
+		for (final Load load : loads) {
+			final double wantedSlots = load.onTime + load.late;
+			refusedSlots += (wantedSlots > 0)
+					? wantedSlots * load.rates.refusedPerSecond() / load.rates.requestsPerSecond() : 0;
+		}
+		return (refusedSlots <= spareSlots) ? 1 : spareSlots / refusedSlots;
 	}
 
 	private List<Load> loads(Map<DemandKey, DemandRates> rates, int daemons, SlotTimes slotTimes) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/demand/FleetDemand.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/demand/FleetDemand.java
@@ -30,11 +30,13 @@
 	 * moves towards them. The estimate must not follow an own request before others have
 	 * been heard, since with a hundred daemons one request seems to be a hundred.
 	 */
-	private static final double WINDOW_SECONDS = 1;
+	private static final double OWN_WINDOW_SECONDS = 0.7;
+
+	private static final double MEAN_WINDOW_SECONDS = 1.4;
 
 	private static final long MIN_STEP_NANOS = 50_000_000L;
 
-	private static final double HEARD_WEIGHT = 0.8;
+	private static final double HEARD_WEIGHT = 0.7;
 
 	private static final double COST_SAMPLE_WEIGHT = 0.05;
 
@@ -84,8 +86,8 @@
 	public void onArrival(long nowNanos, DemandKey key, String workspace, double cost, boolean late) {
 		advance(nowNanos);
 		final double meanCost = meanCost(key, cost);
-		this.ownKinds.add(key, new DemandRates(1, 0, late ? 1 : 0, meanCost).times(1 / WINDOW_SECONDS));
-		this.ownWorkspaces.add(new WorkspaceKey(workspace, key.name()), meanCost / WINDOW_SECONDS);
+		this.ownKinds.add(key, new DemandRates(1, 0, late ? 1 : 0, meanCost).times(1 / OWN_WINDOW_SECONDS));
+		this.ownWorkspaces.add(new WorkspaceKey(workspace, key.name()), meanCost / OWN_WINDOW_SECONDS);
 	}
 
 	// The sizes of single requests would be most of the noise in the cost of a kind.
@@ -103,7 +105,7 @@
 	 */
 	public void onRefused(long nowNanos, DemandKey key) {
 		advance(nowNanos);
-		this.ownKinds.add(key, new DemandRates(0, 1, 0, 0).times(1 / WINDOW_SECONDS));
+		this.ownKinds.add(key, new DemandRates(0, 1, 0, 0).times(1 / OWN_WINDOW_SECONDS));
 	}
 
 	/**
@@ -122,7 +124,8 @@
 			return false;
 		}
 		advance(nowNanos);
-		final boolean starting = !this.heardAny && nowNanos - this.startedAtNanos < WINDOW_SECONDS * NANOS_PER_SECOND;
+		final boolean starting = !this.heardAny
+				&& nowNanos - this.startedAtNanos < MEAN_WINDOW_SECONDS * NANOS_PER_SECOND;
 		this.heardAny = true;
 		final double weight = starting ? 1 : HEARD_WEIGHT;
 		this.meanKinds.combine(1 - weight, heard.rates(), weight);
@@ -151,12 +154,13 @@
 			return;
 		}
 		this.steppedAtNanos = nowNanos;
-		final double windows = elapsedNanos / (WINDOW_SECONDS * NANOS_PER_SECOND);
-		final double kept = Math.exp(-windows);
+		final double kept = Math.exp(-elapsedNanos / (OWN_WINDOW_SECONDS * NANOS_PER_SECOND));
+		final double meanKept = Math.exp(-elapsedNanos / (MEAN_WINDOW_SECONDS * NANOS_PER_SECOND));
 		// The exact result of following own rates that decay meanwhile, since steps may
 		// be long where few requests arrive.
-		this.meanKinds.combine(kept, this.ownKinds.view(), windows * kept);
-		this.meanWorkspaces.combine(kept, this.ownWorkspaces.view(), windows * kept);
+		final double gained = (meanKept - kept) * OWN_WINDOW_SECONDS / (MEAN_WINDOW_SECONDS - OWN_WINDOW_SECONDS);
+		this.meanKinds.combine(meanKept, this.ownKinds.view(), gained);
+		this.meanWorkspaces.combine(meanKept, this.ownWorkspaces.view(), gained);
 		this.ownKinds.scale(kept);
 		this.ownWorkspaces.scale(kept);
 	}
