--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RoutingPolicies.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RoutingPolicies.java
@@ -3,6 +3,7 @@
 import java.util.function.IntSupplier;
 
 import org.pistachioline.core.admission.AdmitAll;
+import org.pistachioline.core.admission.FleetAdmission;
 import org.pistachioline.core.placement.ExpectedWaitPlacement;
 import org.pistachioline.core.placement.WeightedSubsetPlacement;
 import org.pistachioline.core.quarantine.QuarantinePolicy;
@@ -35,27 +36,28 @@
 	 */
 	public static TrafficPolicies create(String availabilityZone, long seed, RetryBudget retryBudget,
 			IntSupplier daemonCount, QuarantinePolicy quarantine) {
-		return create(availabilityZone, seed, retryBudget, daemonCount, quarantine, false);
+		return new TrafficPolicies(new AdmitAll(), new FairQueue(MAX_QUEUED_REQUESTS, new OnTimeFirstOrder()),
+				new ExpectedWaitPlacement(availabilityZone, seed, true),
+				new SharedBudgetRetry(retryBudget, daemonCount), quarantine, new FastMigrationPolicy());
 	}
 
 	/**
-	 * Creates the policies of one daemon.
+	 * Creates the policies of one of many daemons that share their targets and decide
+	 * about load by the demand of the whole fleet.
 	 * @param availabilityZone the availability zone in which the daemon runs
-	 * @param seed the random seed, different on each daemon, so that daemons do not all
-	 * choose the same targets
+	 * @param seed the random seed, different on each daemon
 	 * @param retryBudget the limit on retries of all daemons together
-	 * @param daemonCount supplies the number of daemons that share the budget
+	 * @param daemonCount supplies the number of daemons that share budget and targets
 	 * @param quarantine the policy that identifies requests which crash targets
-	 * @param fleetDecisions whether daemons divide the load of the whole fleet: each one
-	 * prefers a subset of the targets
+	 * @param admission decides which requests are admitted
 	 * @return the policies
 	 */
-	public static TrafficPolicies create(String availabilityZone, long seed, RetryBudget retryBudget,
-			IntSupplier daemonCount, QuarantinePolicy quarantine, boolean fleetDecisions) {
-		return new TrafficPolicies(new AdmitAll(), new FairQueue(MAX_QUEUED_REQUESTS, new OnTimeFirstOrder()),
-				fleetDecisions ? new WeightedSubsetPlacement(availabilityZone, seed)
-						: new ExpectedWaitPlacement(availabilityZone, seed, true),
-				new SharedBudgetRetry(retryBudget, daemonCount), quarantine, new FastMigrationPolicy());
+	public static TrafficPolicies createForFleet(String availabilityZone, long seed, RetryBudget retryBudget,
+			IntSupplier daemonCount, QuarantinePolicy quarantine, FleetAdmission admission) {
+		return new TrafficPolicies(admission,
+				FairQueue.byRank(MAX_QUEUED_REQUESTS, new OnTimeFirstOrder(), admission::hasRoomForLate),
+				new WeightedSubsetPlacement(availabilityZone, seed), new SharedBudgetRetry(retryBudget, daemonCount),
+				quarantine, new FastMigrationPolicy());
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 import java.util.function.LongSupplier;
 
+import org.pistachioline.core.admission.AdmissionReport;
 import org.pistachioline.core.backoff.BackoffReport;
 import org.pistachioline.core.endpoints.DaemonRoom;
 import org.pistachioline.core.error.ErrorKind;
@@ -18,6 +19,7 @@
 import org.pistachioline.daemon.peer.PeerMeter;
 import org.pistachioline.daemon.relay.LoopMonitor;
 import org.pistachioline.daemon.relay.Relay;
+import org.pistachioline.daemon.traffic.FleetDemandExchange;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 import org.pistachioline.daemon.tunnel.TargetConnections;
 import org.pistachioline.daemon.tunnel.TunnelServer;
@@ -75,6 +77,20 @@
 				() -> listing.readsForOthers() ? 1 : 0);
 	}
 
+	void bind(FleetDemandExchange demand) {
+		this.metrics.gauge("pistachioline.admission.restricted",
+				"Models and services whose less urgent requests are refused",
+				() -> demand.reports().stream().filter(AdmissionReport::restricted).count());
+		this.metrics.gauge("pistachioline.admission.refused.rate",
+				"Refused requests per second of all daemons, as estimated",
+				() -> demand.reports().stream().mapToDouble(AdmissionReport::refusedPerSecond).sum());
+		this.metrics.gauge("pistachioline.demand.wanted.slots",
+				"Slots that the requests of all daemons need, as estimated",
+				() -> demand.reports().stream().mapToDouble(AdmissionReport::wantedSlots).sum());
+		this.metrics.gauge("pistachioline.demand.estimates.rejected",
+				"Estimates of demand from peers that were impossible and not used", demand::rejectedEstimateCount);
+	}
+
 	private void bindTraffic(TrafficDuty traffic) {
 		this.metrics.gauge("pistachioline.requests.held", "Requests that have not ended", traffic::activeRequestCount);
 		this.metrics.gauge("pistachioline.requests.queued", "Requests that wait for a target",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -13,7 +13,9 @@
 
 import org.pistachioline.adapters.web.Connector;
 import org.pistachioline.adapters.web.WebLoop;
+import org.pistachioline.core.admission.FleetAdmission;
 import org.pistachioline.core.cold.ColdListing;
+import org.pistachioline.core.demand.ModelDemandShares;
 import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpPolicy;
 import org.pistachioline.core.evacuation.EvacuationState;
@@ -45,6 +47,7 @@
 import org.pistachioline.daemon.replica.ReplicaDuty;
 import org.pistachioline.daemon.traffic.ColdMonitor;
 import org.pistachioline.daemon.traffic.CrashMonitor;
+import org.pistachioline.daemon.traffic.FleetDemandExchange;
 import org.pistachioline.daemon.traffic.LimitShareUpdater;
 import org.pistachioline.daemon.traffic.NoClaims;
 import org.pistachioline.daemon.traffic.TraceRecorder;
@@ -97,6 +100,8 @@
 
 	private final TrafficDuty traffic;
 
+	private final Optional<FleetDemandExchange> demand;
+
 	private final ReplicaDuty replicas;
 
 	private final ListingDuty listing;
@@ -145,7 +150,10 @@
 				settings.daemonId(), this::status, settings::peerSeeds, HEARTBEAT_INTERVAL_MILLIS);
 		this.limitShares = new LimitShareUpdater(settings.daemonId(), this.peers::activeDaemonIds,
 				HEARTBEAT_INTERVAL_MILLIS);
-		this.traffic = new TrafficDuty(system, trafficCore(), new NoClaims(), this.limitShares,
+		final long seed = this.incarnation ^ ((long) settings.daemonId().hashCode() << Integer.SIZE);
+		final Optional<FleetAdmission> admission = settings.fleetDecisions()
+				? Optional.of(new FleetAdmission(seed, this::daemonCount)) : Optional.empty();
+		this.traffic = new TrafficDuty(system, trafficCore(policies(seed, admission)), new NoClaims(), this.limitShares,
 				(suspect, nowMillis) -> {
 					// Crash reports are exchanged between daemons by gossip instead.
 				}, new TraceRecorder(false));
@@ -167,6 +175,8 @@
 		this.evacuation = new EvacuationMonitor(this::onEvacuation, this::tellEvacuation, () -> this.listedZones);
 		ports.evacuations().setEvacuationListener(this.evacuation::onReading);
 		registerListeners();
+		this.demand = admission.map((policy) -> new FleetDemandExchange(policy, this.traffic));
+		this.demand.ifPresent(this::registerDemandExchange);
 	}
 
 	private void onEvacuation(EvacuationState state) {
@@ -178,18 +188,26 @@
 		this.peers.broadcast(EvacuationExchange.notice(this.evacuation.words()));
 	}
 
-	private TrafficCore trafficCore() {
-		final TrafficCore core = new TrafficCore(policies());
+	private TrafficCore trafficCore(TrafficPolicies policies) {
+		final TrafficCore core = new TrafficCore(policies);
 		if (this.settings.peerSeeds().stream().anyMatch((seed) -> !seed.equals(this.settings.peerAddress()))) {
 			core.targetColdness().expectPeers();
 		}
 		return core;
 	}
 
-	private TrafficPolicies policies() {
-		final long seed = this.incarnation ^ ((long) this.settings.daemonId().hashCode() << Integer.SIZE);
-		return RoutingPolicies.create(this.settings.availabilityZone(), seed, this.settings.retryBudget(),
-				this::daemonCount, new GossipQuarantine(), this.settings.fleetDecisions());
+	private TrafficPolicies policies(long seed, Optional<FleetAdmission> admission) {
+		return admission.isPresent()
+				? RoutingPolicies.createForFleet(this.settings.availabilityZone(), seed, this.settings.retryBudget(),
+						this::daemonCount, new GossipQuarantine(), admission.get())
+				: RoutingPolicies.create(this.settings.availabilityZone(), seed, this.settings.retryBudget(),
+						this::daemonCount, new GossipQuarantine());
+	}
+
+	private void registerDemandExchange(FleetDemandExchange exchange) {
+		this.peers.addExchange(exchange);
+		this.replicas.setModelDemandSource(new ModelDemandShares(exchange::fleetDemand));
+		new DaemonMeters(this.metrics).bind(exchange);
 	}
 
 	private void registerListeners() {
@@ -431,7 +449,7 @@
 	@Override
 	public Map<String, Object> dump() {
 		return new RoutingDaemonDump(this.traffic, this.replicas, this.listing, this.ports.targetConnections(),
-				this.tunnels, this.relay.loopMonitor(), this.evacuation)
+				this.tunnels, this.relay.loopMonitor(), this.evacuation, this.demand)
 			.of(status(), notReadyReason(), daemons());
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
@@ -10,6 +10,7 @@
 import org.pistachioline.daemon.listing.ListingDuty;
 import org.pistachioline.daemon.relay.LoopMonitor;
 import org.pistachioline.daemon.replica.ReplicaDuty;
+import org.pistachioline.daemon.traffic.FleetDemandExchange;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 import org.pistachioline.daemon.tunnel.TargetConnections;
 import org.pistachioline.daemon.tunnel.TunnelServer;
@@ -24,9 +25,11 @@
  * @param tunnels the connections on behalf of other daemons
  * @param loopMonitor how late the loop that serves callers runs
  * @param evacuation the availability zones that operators evacuate
+ * @param demand the demand of the fleet; empty if this daemon decides by what it sees
  */
 record RoutingDaemonDump(TrafficDuty traffic, ReplicaDuty replicas, ListingDuty listing, TargetConnections targets,
-		TunnelServer tunnels, LoopMonitor loopMonitor, EvacuationMonitor evacuation) {
+		TunnelServer tunnels, LoopMonitor loopMonitor, EvacuationMonitor evacuation,
+		Optional<FleetDemandExchange> demand) {
 
 	Map<String, Object> of(PeerStatus status, Optional<String> notReadyReason, List<PeerStatus> daemons) {
 		final Map<String, Object> dump = new LinkedHashMap<>();
@@ -47,6 +50,7 @@
 		dump.put("cold_targets", this.traffic.coldMonitor().reports());
 		dump.put("backoff_targets", this.traffic.backoffReports());
 		dump.put("subsets", this.traffic.placementReport().subsets());
+		dump.put("admission", this.demand.map(FleetDemandExchange::reports).orElse(List.of()));
 		dump.put("crash_suspects", this.traffic.crashMonitor().reports());
 		dump.put("planned_groups", this.replicas.plannedGroups());
 		dump.put("peers", daemons);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessage.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.LongConsumer;
 
 import org.pistachioline.core.cold.ColdTarget;
 import org.pistachioline.core.limit.AdvertisedLimit;
@@ -185,6 +186,14 @@
 	record PeerSuspectsReceived(List<SuspectedRequest> requests) implements TrafficMessage {
 	}
 
+	/**
+	 * Another part of the daemon runs a task on the traffic duty's thread.
+	 *
+	 * @param task receives the monotonic time; must not block
+	 */
+	record TaskSubmitted(LongConsumer task) implements TrafficMessage {
+	}
+
 	/**
 	 * The daemon is shutting down and refuses new requests from now on.
 	 */
