Evacuation of an availability zone on the operators' request

Cause: nobody read the records evacuate/ZONE; requests went on to the zone. EvacuatedInstances marks the zone's instances as draining before targets are derived and the planner sees them; BackoffGate withholds attempts that were decided and not yet sent; TargetEvacuation refuses at once where nothing is left. PeerExchanges was taken out of RoutingDaemon. No test was eased.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetEvacuation.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetEvacuation.java
@@ -43,9 +43,10 @@
 			return Optional.empty();
 		}
 		final TargetSet set = this.targets.targetSet(info);
-		final boolean evacuated = set != null && set.members()
-			.stream()
-			.allMatch((load) -> !load.view().serving() && this.zones.contains(load.view().availabilityZone()));
+		final boolean evacuated = set != null && !set.members().isEmpty()
+				&& set.members()
+					.stream()
+					.allMatch((load) -> !load.view().serving() && this.zones.contains(load.view().availabilityZone()));
 		return evacuated ? Optional
 			.of(Refusal.withJitter(ErrorKind.NO_CAPACITY, info.requestId(), RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS))
 				: Optional.empty();
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitSimulation.java
@@ -70,6 +70,8 @@
 	/** Whether daemons exchange limits. */
 	boolean gossipEnabled = true;
 
+	private Set<String> evacuatedZones = Set.of();
+
 	/** The longest time by which a daemon learns of another one. */
 	long maxDiscoveryNanos;
 
@@ -152,7 +154,8 @@
 		return this.instances.stream()
 			.filter((instance) -> instance.groupEpoch > 0)
 			.map((instance) -> new TargetView(instance.id + '@' + instance.groupEpoch, this.kind, "pool/m", instance.id,
-					instance.groupEpoch, "zone", true, SLOTS, 0, 0, 0))
+					instance.groupEpoch, instance.availabilityZone,
+					!this.evacuatedZones.contains(instance.availabilityZone), SLOTS, 0, 0, 0))
 			.toList();
 	}
 
@@ -326,6 +329,19 @@
 					this.time.nowNanos() + instance.backoffNanos));
 	}
 
+	/**
+	 * Evacuates availability zones, of which each daemon learns within a second.
+	 * @param availabilityZones the zones; none to take all back
+	 */
+	void evacuate(Set<String> availabilityZones) {
+		this.evacuatedZones = availabilityZones;
+		this.daemons.forEach((daemon) -> after(this.random.nextInt(1_000) * MILLI_NANOS, daemon::updateTargets));
+	}
+
+	Set<String> evacuatedZones() {
+		return this.evacuatedZones;
+	}
+
 	private void countCold(LimitSimulationInstance instance, long sentAtNanos) {
 		if (this.time.nowNanos() >= instance.coldUntilNanos || sentAtNanos < instance.coldKnownAtNanos) {
 			return;
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitSimulationDaemon.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitSimulationDaemon.java
@@ -159,6 +159,7 @@
 	}
 
 	void updateTargets() {
+		this.core.targetEvacuation().onZones(this.simulation.evacuatedZones());
 		apply(this.core.onTargets(this.simulation.nowNanos(), this.simulation.views()));
 	}
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitSimulationInstance.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/limit/LimitSimulationInstance.java
@@ -43,6 +43,8 @@
 	/** Number of requests since the limit was last changed. */
 	int receivedRequests;
 
+	String availabilityZone = "zone";
+
 	/** Until when the instance is cold. */
 	long coldUntilNanos;
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
@@ -67,6 +67,9 @@
 	 */
 	private final Map<String, String> restartedAs = new HashMap<>();
 
+	/** The availability zones to be evacuated. */
+	Set<String> evacuatedZones = Set.of();
+
 	/** Whether unreachable instances stay unreachable for longer than any timeout. */
 	boolean longPartitions;
 
@@ -216,8 +219,9 @@
 		final ReplicaPlanner planner = this.planners[this.leaseHolder];
 		final long fencingToken = this.term;
 		planner
-			.plan(new PlannerView(this.nowMillis * 1_000_000, ENGINE_SPEC, listed.values(), this.delisted.instances(),
-					Set.of(), this.nowMillis < 15_000))
+			.plan(new PlannerView(this.nowMillis * 1_000_000, ENGINE_SPEC,
+					new EvacuatedInstances(this.evacuatedZones).markDraining(List.copyOf(listed.values())),
+					this.delisted.instances(), Set.of(), this.nowMillis < 15_000))
 			.forEach((order) -> send(planner, order, fencingToken));
 	}
 
@@ -293,6 +297,9 @@
 			return OrderOutcome.FENCED;
 		}
 		checkNotTakenFromServingGroup(instance, join);
+		if (this.evacuatedZones.contains(instance.availabilityZone)) {
+			this.violations.add(this.nowMillis + ": " + instance.id + " is evacuated and joins " + join.group());
+		}
 		instance.epoch = join.group().epoch();
 		instance.group = join.group();
 		instance.members = join.memberIds();
@@ -364,6 +371,32 @@
 		return count;
 	}
 
+	/**
+	 * Divides each domain between two availability zones.
+	 * @param first the zone of each second instance
+	 * @param second the zone of the others
+	 */
+	void divideDomains(String first, String second) {
+		int index = 0;
+		for (final SimulatedInstance instance : this.instances.values()) {
+			instance.availabilityZone = (index++ % 2 == 0) ? first : second;
+		}
+	}
+
+	/**
+	 * Counts the open groups with a member in a zone.
+	 * @param availabilityZone the zone
+	 * @return the number of groups
+	 */
+	int countOpenGroupsWithMemberIn(String availabilityZone) {
+		return (int) this.instances.values()
+			.stream()
+			.filter((instance) -> instance.alive && instance.state == MemberState.OPEN)
+			.filter((instance) -> instance.members.stream()
+				.anyMatch((id) -> this.instances.get(id).availabilityZone.equals(availabilityZone)))
+			.count();
+	}
+
 	/**
 	 * Counts a model's open groups that have all their members.
 	 * @param model the model
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/SimulatedInstance.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/SimulatedInstance.java
@@ -16,6 +16,8 @@
 
 	String address;
 
+	String availabilityZone = "zone";
+
 	final Set<GroupId> everReady = new HashSet<>();
 
 	boolean alive = true;
@@ -78,8 +80,8 @@
 	ServingInstance report() {
 		final Optional<Membership> membership = Optional.ofNullable(this.group)
 			.map((current) -> new Membership(current, this.members.indexOf(this.id), this.state));
-		return new ServingInstance(this.id, "pool", this.address, "zone", this.domain, false, 12, this.stagedModels,
-				membership);
+		return new ServingInstance(this.id, "pool", this.address, this.availabilityZone, this.domain, false, 12,
+				this.stagedModels, membership);
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -3,20 +3,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
-import java.util.stream.Collectors;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
 import org.pistachioline.adapters.web.Connector;
 import org.pistachioline.adapters.web.WebLoop;
-import org.pistachioline.core.cold.ColdListing;
 import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpPolicy;
-import org.pistachioline.core.evacuation.EvacuationState;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.peer.PeerStatus;
@@ -35,14 +31,10 @@
 import org.pistachioline.daemon.http.DaemonView;
 import org.pistachioline.daemon.listing.ListingDuty;
 import org.pistachioline.daemon.metrics.Metrics;
-import org.pistachioline.daemon.peer.ColdExchange;
-import org.pistachioline.daemon.peer.EvacuationExchange;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerTransport;
 import org.pistachioline.daemon.relay.Relay;
 import org.pistachioline.daemon.replica.ReplicaDuty;
-import org.pistachioline.daemon.traffic.ColdMonitor;
-import org.pistachioline.daemon.traffic.CrashMonitor;
 import org.pistachioline.daemon.traffic.LimitShareUpdater;
 import org.pistachioline.daemon.traffic.NoClaims;
 import org.pistachioline.daemon.traffic.TraceRecorder;
@@ -109,9 +101,7 @@
 
 	private final Metrics metrics = new Metrics();
 
-	private final EvacuationMonitor evacuation;
-
-	private final ColdListing coldListing = new ColdListing();
+	private final EvacuationMonitor evacuation = new EvacuationMonitor();
 
 	private final Components components = new Components();
 
@@ -119,8 +109,6 @@
 
 	private volatile boolean instanceListKnown;
 
-	private volatile Set<String> listedZones = Set.of();
-
 	private volatile boolean leaving;
 
 	private volatile boolean acceptingTraffic = true;
@@ -143,7 +131,7 @@
 				settings.daemonId(), this::status, settings::peerSeeds, HEARTBEAT_INTERVAL_MILLIS);
 		this.limitShares = new LimitShareUpdater(settings.daemonId(), this.peers::activeDaemonIds,
 				HEARTBEAT_INTERVAL_MILLIS);
-		this.traffic = new TrafficDuty(system, trafficCore(), new NoClaims(), this.limitShares,
+		this.traffic = new TrafficDuty(system, new TrafficCore(policies()), new NoClaims(), this.limitShares,
 				(suspect, nowMillis) -> {
 					// Crash reports are exchanged between daemons by gossip instead.
 				}, new TraceRecorder(false));
@@ -161,28 +149,9 @@
 		this.components
 			.add(List.of(this.traffic, this.replicas, this.peers, ports.routes(), this.listing, ports.lease(),
 					new AdminServer(settings.adminAddress(), new AdminHandler(this)), this.relay, this.tunnels));
-		this.evacuation = new EvacuationMonitor(this::onEvacuation, this::tellEvacuation, () -> this.listedZones);
-		ports.evacuations().setEvacuationListener(this.evacuation::onReading);
 		registerListeners();
 	}
 
-	private void onEvacuation(EvacuationState state) {
-		this.replicas.onEvacuation(state.availabilityZones());
-		this.traffic.onEvacuation(state.availabilityZones());
-	}
-
-	private void tellEvacuation() {
-		this.peers.broadcast(EvacuationExchange.notice(this.evacuation.words()));
-	}
-
-	private TrafficCore trafficCore() {
-		final TrafficCore core = new TrafficCore(policies());
-		if (this.settings.peerSeeds().stream().anyMatch((seed) -> !seed.equals(this.settings.peerAddress()))) {
-			core.targetColdness().expectPeers();
-		}
-		return core;
-	}
-
 	private TrafficPolicies policies() {
 		final long seed = this.incarnation ^ ((long) this.settings.daemonId().hashCode() << Integer.SIZE);
 		return RoutingPolicies.create(this.settings.availabilityZone(), seed, this.settings.retryBudget(),
@@ -208,20 +177,9 @@
 			this.replicas.onTargetStalled(targetId);
 			this.peers.broadcastStall(targetId);
 		});
-		this.peers.setLimitExchange(this.traffic::latestLimits, this.traffic::onPeerLimits);
-		this.peers.setStallListener(this.replicas::onTargetStalled);
-		final CrashMonitor crashMonitor = this.traffic.crashMonitor();
-		this.peers.suspectExchange()
-			.bind(crashMonitor::gossipSample, crashMonitor::knownSuspects, crashMonitor::onPeerReports);
-		crashMonitor.setBroadcaster(this.peers::broadcastSuspects);
-		final ColdMonitor coldMonitor = this.traffic.coldMonitor();
-		this.peers.addExchange(new ColdExchange(coldMonitor::coldTargets, coldMonitor::onPeerTargets));
-		coldMonitor.setBroadcaster((cold) -> this.peers.broadcast(ColdExchange.notice(cold, System.nanoTime())));
-		this.peers.addExchange(new EvacuationExchange(this.evacuation::words, this.evacuation::onPeerWords));
-		this.relay.setEvacuatedTargets(this.replicas::isEvacuated);
-		this.metrics.gauge("pistachioline.zones.evacuated", "Availability zones that operators evacuate",
-				() -> this.evacuation.state().availabilityZones().size());
-		coldMonitor.setLeavingDaemons(this.peers::leavingDaemonIds);
+		this.ports.evacuations().setEvacuationListener(this.evacuation::onReading);
+		new PeerExchanges(this.peers, this.traffic, this.replicas).bind(this.settings.namesOtherDaemons(),
+				this.evacuation, this.relay, this.metrics);
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
 		meters.bind(targets, this.tunnels);
@@ -243,14 +201,10 @@
 
 	private void onInstanceList(List<ServingInstance> instances) {
 		this.instanceListKnown = true;
-		this.listedZones = instances.stream()
-			.map(ServingInstance::availabilityZone)
-			.collect(Collectors.toUnmodifiableSet());
+		this.evacuation.onInstances(instances);
 		this.ports.targetConnections().updateInstances(instances);
 		// All daemons read the same entries, so one of them tells those that do not.
-		this.traffic.coldMonitor()
-			.onFound(this.coldListing.onInstances(System.nanoTime(), this.routeTable, instances),
-					this.listing.readsForOthers());
+		this.traffic.coldMonitor().onInstances(this.routeTable, instances, this.listing.readsForOthers());
 		this.replicas.updateInstances(instances);
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingSettings.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingSettings.java
@@ -35,4 +35,12 @@
 		peerSeeds = List.copyOf(peerSeeds);
 	}
 
+	/**
+	 * Returns whether the settings name a daemon other than this one.
+	 * @return whether the fleet has other daemons
+	 */
+	boolean namesOtherDaemons() {
+		return this.peerSeeds.stream().anyMatch((seed) -> !seed.equals(this.peerAddress));
+	}
+
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/evacuation/EvacuationMonitor.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/evacuation/EvacuationMonitor.java
@@ -6,13 +6,14 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import org.pistachioline.core.evacuation.EvacuationReading;
 import org.pistachioline.core.evacuation.EvacuationRegistry;
 import org.pistachioline.core.evacuation.EvacuationState;
 import org.pistachioline.core.evacuation.ZoneEvacuation;
 import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.replica.ServingInstance;
 import org.pistachioline.daemon.event.Events;
 
 /**
@@ -24,28 +25,43 @@
 
 	private final EvacuationRegistry registry = new EvacuationRegistry();
 
-	private final Consumer<EvacuationState> listener;
+	private volatile Consumer<EvacuationState> listener = (changed) -> {
+	};
 
-	private final Runnable broadcaster;
+	private volatile Consumer<List<ZoneEvacuation>> broadcaster = (known) -> {
+	};
 
-	private final Supplier<Set<String>> listedZones;
+	private volatile Set<String> listedZones = Set.of();
 
 	private volatile EvacuationState state = EvacuationState.NONE;
 
 	private volatile List<ZoneEvacuation> words = List.of();
 
 	/**
-	 * Creates a monitor that knows of no evacuation.
-	 * @param listener receives the zones to evacuate after each change
-	 * @param broadcaster tells other daemons at once what the store says
-	 * @param listedZones supplies the zones of all listed instances; empty if the list is
-	 * not known
+	 * Sets the receiver of changes. Must be called before the start.
+	 * @param receiver receives the zones to evacuate after each change
 	 */
-	public EvacuationMonitor(Consumer<EvacuationState> listener, Runnable broadcaster,
-			Supplier<Set<String>> listedZones) {
-		this.listener = listener;
-		this.broadcaster = broadcaster;
-		this.listedZones = listedZones;
+	public void setListener(Consumer<EvacuationState> receiver) {
+		this.listener = receiver;
+	}
+
+	/**
+	 * Sets the receiver of what other daemons are to be told at once. Must be called
+	 * before the start.
+	 * @param receiver receives the last word on each zone
+	 */
+	public void setBroadcaster(Consumer<List<ZoneEvacuation>> receiver) {
+		this.broadcaster = receiver;
+	}
+
+	/**
+	 * Applies the instance list, from which zones are known.
+	 * @param instances all listed instances
+	 */
+	public void onInstances(List<ServingInstance> instances) {
+		this.listedZones = instances.stream()
+			.map(ServingInstance::availabilityZone)
+			.collect(Collectors.toUnmodifiableSet());
 	}
 
 	/**
@@ -54,7 +70,7 @@
 	 */
 	public synchronized void onReading(EvacuationReading reading) {
 		if (publish(this.registry.onReading(reading), false)) {
-			this.broadcaster.run();
+			this.broadcaster.accept(this.words);
 		}
 	}
 
@@ -82,7 +98,7 @@
 	}
 
 	private void logChange(Set<String> before, Set<String> now, boolean toldByPeer) {
-		final Set<String> listed = this.listedZones.get();
+		final Set<String> listed = this.listedZones;
 		without(now, before).forEach((zone) -> {
 			Events.log(EventId.ZONE_EVACUATED, "zone", zone, "told_by_peer", toldByPeer);
 			if (!listed.isEmpty() && !listed.contains(zone)) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ColdMonitor.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ColdMonitor.java
@@ -7,9 +7,12 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
+import org.pistachioline.core.cold.ColdListing;
 import org.pistachioline.core.cold.ColdReport;
 import org.pistachioline.core.cold.ColdTarget;
 import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.replica.ServingInstance;
+import org.pistachioline.core.route.RouteTable;
 import org.pistachioline.core.traffic.TrafficCore;
 import org.pistachioline.daemon.event.Events;
 
@@ -26,6 +29,10 @@
 
 	private volatile Supplier<Set<String>> leavingDaemons = Set::of;
 
+	private final ColdListing listing = new ColdListing();
+
+	private volatile boolean expectsPeers;
+
 	private volatile List<ColdTarget> coldTargets = List.of();
 
 	private volatile List<ColdReport> reports = List.of();
@@ -57,6 +64,24 @@
 		this.leavingDaemons = source;
 	}
 
+	/**
+	 * Declares that the fleet has other daemons, so that this one sends cold targets
+	 * nothing until it has met some of them. Must be called before the start.
+	 */
+	public void expectPeers() {
+		this.expectsPeers = true;
+	}
+
+	/**
+	 * Applies the instance list. All calls must come from one thread.
+	 * @param table the configuration in force
+	 * @param instances all listed instances
+	 * @param tellPeers whether other daemons are told at once of those that are cold
+	 */
+	public void onInstances(RouteTable table, List<ServingInstance> instances, boolean tellPeers) {
+		onFound(this.listing.onInstances(System.nanoTime(), table, instances), tellPeers);
+	}
+
 	/**
 	 * Reports targets that are cold. The report is dropped if the traffic duty's ring is
 	 * full; a peer's heartbeat then tells of them.
@@ -134,6 +159,9 @@
 	}
 
 	void refresh(long nowNanos, TrafficCore core) {
+		if (this.expectsPeers) {
+			core.targetColdness().expectPeers();
+		}
 		core.targetColdness().onLeavingDaemons(nowNanos, this.leavingDaemons.get());
 		core.targetColdness()
 			.onTick(nowNanos)
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -114,6 +114,18 @@
 		assertThat(this.protocol.requestsBuilt).isZero();
 	}
 
+	/**
+	 * Guards against an attempt that was scheduled before its target was evacuated and is
+	 * sent afterwards.
+	 */
+	@Test
+	void noAttemptIsSentToATargetThatWasEvacuatedMeanwhile() {
+		this.gate.setEvacuatedTargets(TARGET.targetId()::equals);
+		exchange().start(new TrafficAction.Start(new AttemptId(7, 1), TARGET, 0), new RecordingAttemptListener());
+		assertThat(this.notifications).containsExactly("WITHHELD");
+		assertThat(this.protocol.requestsBuilt).isZero();
+	}
+
 	/**
 	 * Guards against a status that promises that a request has not run when it may have:
 	 * the caller would retry a request that is not idempotent.
