--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -3,22 +3,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
-import java.util.stream.Collectors;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 
 import org.pistachioline.adapters.web.Connector;
 import org.pistachioline.adapters.web.WebLoop;
 import org.pistachioline.core.admission.FleetAdmission;
-import org.pistachioline.core.cold.ColdListing;
 import org.pistachioline.core.demand.ModelDemandShares;
 import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpPolicy;
-import org.pistachioline.core.evacuation.EvacuationState;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.peer.PeerStatus;
@@ -37,16 +33,10 @@
 import org.pistachioline.daemon.http.DaemonView;
 import org.pistachioline.daemon.listing.ListingDuty;
 import org.pistachioline.daemon.metrics.Metrics;
-import org.pistachioline.daemon.peer.ColdExchange;
-import org.pistachioline.daemon.peer.EvacuationExchange;
-import org.pistachioline.daemon.peer.LimitExchange;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerTransport;
-import org.pistachioline.daemon.peer.SuspectExchange;
 import org.pistachioline.daemon.relay.Relay;
 import org.pistachioline.daemon.replica.ReplicaDuty;
-import org.pistachioline.daemon.traffic.ColdMonitor;
-import org.pistachioline.daemon.traffic.CrashMonitor;
 import org.pistachioline.daemon.traffic.FleetDemandExchange;
 import org.pistachioline.daemon.traffic.LimitShareUpdater;
 import org.pistachioline.daemon.traffic.NoClaims;
@@ -116,9 +106,7 @@
 
 	private final Metrics metrics = new Metrics();
 
-	private final EvacuationMonitor evacuation;
-
-	private final ColdListing coldListing = new ColdListing();
+	private final EvacuationMonitor evacuation = new EvacuationMonitor();
 
 	private final Components components = new Components();
 
@@ -126,8 +114,6 @@
 
 	private volatile boolean instanceListKnown;
 
-	private volatile Set<String> listedZones = Set.of();
-
 	private volatile boolean leaving;
 
 	private volatile boolean acceptingTraffic = true;
@@ -152,8 +138,8 @@
 				HEARTBEAT_INTERVAL_MILLIS);
 		final long seed = this.incarnation ^ ((long) settings.daemonId().hashCode() << Integer.SIZE);
 		final Optional<FleetAdmission> admission = settings.fleetDecisions()
-				? Optional.of(new FleetAdmission(seed, this::daemonCount)) : Optional.empty();
-		this.traffic = new TrafficDuty(system, trafficCore(policies(seed, admission)), new NoClaims(), this.limitShares,
+				? Optional.of(new FleetAdmission(seed, this::liveDaemonCount)) : Optional.empty();
+		this.traffic = new TrafficDuty(system, new TrafficCore(policies(seed, admission)), new NoClaims(), this.limitShares,
 				(suspect, nowMillis) -> {
 					// Crash reports are exchanged between daemons by gossip instead.
 				}, new TraceRecorder(false));
@@ -172,30 +158,11 @@
 		this.components
 			.add(List.of(this.traffic, this.replicas, this.peers, ports.routes(), this.listing, ports.lease(),
 					new AdminServer(settings.adminAddress(), new AdminHandler(this)), this.relay, this.tunnels));
-		this.evacuation = new EvacuationMonitor(this::onEvacuation, this::tellEvacuation, () -> this.listedZones);
-		ports.evacuations().setEvacuationListener(this.evacuation::onReading);
 		registerListeners();
 		this.demand = admission.map((policy) -> new FleetDemandExchange(policy, this.traffic));
 		this.demand.ifPresent(this::registerDemandExchange);
 	}
 
-	private void onEvacuation(EvacuationState state) {
-		this.replicas.onEvacuation(state.availabilityZones());
-		this.traffic.onEvacuation(state.availabilityZones());
-	}
-
-	private void tellEvacuation() {
-		this.peers.broadcast(EvacuationExchange.notice(this.evacuation.words()));
-	}
-
-	private TrafficCore trafficCore(TrafficPolicies policies) {
-		final TrafficCore core = new TrafficCore(policies);
-		if (this.settings.peerSeeds().stream().anyMatch((seed) -> !seed.equals(this.settings.peerAddress()))) {
-			core.targetColdness().expectPeers();
-		}
-		return core;
-	}
-
 	private TrafficPolicies policies(long seed, Optional<FleetAdmission> admission) {
 		return admission.isPresent()
 				? RoutingPolicies.createForFleet(this.settings.availabilityZone(), seed, this.settings.retryBudget(),
@@ -217,7 +184,7 @@
 			this.traffic.onColdStarts(routes.coldStarts());
 			Events.log(EventId.CONFIG_IN_FORCE, "version", routes.version());
 		});
-		this.ports.routes().setFleetView(() -> this.peers.livePeers().size() + 1, this.peers::newestConfigVersion);
+		this.ports.routes().setFleetView(this::liveDaemonCount, this.peers::newestConfigVersion);
 		this.ports.lease().setCandidacy(this::isPlannerCandidate);
 		this.peers.setListingReceiver(this.listing::onFrame);
 		final TargetConnections targets = this.ports.targetConnections();
@@ -229,21 +196,9 @@
 			this.replicas.onTargetStalled(targetId);
 			this.peers.broadcastStall(targetId);
 		});
-		this.peers.addExchange(new LimitExchange(this.traffic::latestLimits, this.traffic::onPeerLimits));
-		this.peers.setStallListener(this.replicas::onTargetStalled);
-		final CrashMonitor crashMonitor = this.traffic.crashMonitor();
-		this.peers.addExchange(new SuspectExchange(crashMonitor::gossipSample, crashMonitor::knownSuspects,
-				crashMonitor::onPeerReports));
-		crashMonitor
-			.setBroadcaster((suspects) -> this.peers.broadcast(SuspectExchange.toNotice(suspects, System.nanoTime())));
-		final ColdMonitor coldMonitor = this.traffic.coldMonitor();
-		this.peers.addExchange(new ColdExchange(coldMonitor::coldTargets, coldMonitor::onPeerTargets));
-		coldMonitor.setBroadcaster((cold) -> this.peers.broadcast(ColdExchange.notice(cold, System.nanoTime())));
-		this.peers.addExchange(new EvacuationExchange(this.evacuation::words, this.evacuation::onPeerWords));
-		this.relay.setEvacuatedTargets(this.replicas::isEvacuated);
-		this.metrics.gauge("pistachioline.zones.evacuated", "Availability zones that operators evacuate",
-				() -> this.evacuation.state().availabilityZones().size());
-		coldMonitor.setLeavingDaemons(this.peers::leavingDaemonIds);
+		this.ports.evacuations().setEvacuationListener(this.evacuation::onReading);
+		new PeerExchanges(this.peers, this.traffic, this.replicas).bind(this.settings.namesOtherDaemons(),
+				this.evacuation, this.relay, this.metrics);
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
 		meters.bind(this.traffic, this.peers);
 		meters.bind(targets, this.tunnels);
@@ -261,24 +216,24 @@
 
 	private void onInstanceList(List<ServingInstance> instances) {
 		this.instanceListKnown = true;
-		this.listedZones = instances.stream()
-			.map(ServingInstance::availabilityZone)
-			.collect(Collectors.toUnmodifiableSet());
+		this.evacuation.onInstances(instances);
 		this.ports.targetConnections().updateInstances(instances);
 		// All daemons read the same entries, so one of them tells those that do not.
-		this.traffic.coldMonitor()
-			.onFound(this.coldListing.onInstances(System.nanoTime(), this.routeTable, instances),
-					this.listing.readsForOthers());
+		this.traffic.coldMonitor().onInstances(this.routeTable, instances, this.listing.readsForOthers());
 		this.replicas.updateInstances(instances);
 	}
 
 	// Daemons share one retry budget. A daemon that has just started knows few peers, so
 	// the largest number it has seen is a better estimate of how many share it.
 	private int daemonCount() {
-		this.maxDaemonCount = Math.max(this.maxDaemonCount, this.peers.livePeers().size() + 1);
+		this.maxDaemonCount = Math.max(this.maxDaemonCount, liveDaemonCount());
 		return this.maxDaemonCount;
 	}
 
+	private int liveDaemonCount() {
+		return this.peers.livePeers().size() + 1;
+	}
+
 	private boolean isBeforeFirstTraffic() {
 		return this.settings.firstStart() && this.relay.receivedRequestCount() == 0
 				&& System.nanoTime() - this.startedAtNanos < MAX_FIRST_START_NANOS;
