--- /dev/null
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/SimulatedWeightStore.java
@@ -0,0 +1,49 @@
+package org.pistachioline.core.replica;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The weight store of a {@link ReplicaSimulation}: loads beyond the number that it serves
+ * at full speed take proportionally longer, and loads before the first request take a
+ * tenth of the time and do not count.
+ */
+final class SimulatedWeightStore {
+
+	private static final int BEFORE_TRAFFIC_DIVISOR = 10;
+
+	private final int fullSpeedLoads;
+
+	private final List<Long> endsAtMillis = new ArrayList<>();
+
+	/** Largest number of concurrent loads since the first request. */
+	int maxConcurrentLoads;
+
+	/** Start times of the loads since the first request. */
+	final List<Long> startedAtMillis = new ArrayList<>();
+
+	SimulatedWeightStore(int fullSpeedLoads) {
+		this.fullSpeedLoads = fullSpeedLoads;
+	}
+
+	/**
+	 * Starts a load.
+	 * @param nowMillis the virtual time
+	 * @param loadMillis the load's duration at full speed
+	 * @param beforeTraffic whether no request has arrived yet
+	 * @return the time at which it ends
+	 */
+	long start(long nowMillis, long loadMillis, boolean beforeTraffic) {
+		if (beforeTraffic) {
+			return nowMillis + loadMillis / BEFORE_TRAFFIC_DIVISOR;
+		}
+		this.endsAtMillis.removeIf((endMillis) -> endMillis <= nowMillis);
+		final int concurrent = this.endsAtMillis.size() + 1;
+		final long endMillis = nowMillis + loadMillis * Math.max(concurrent, this.fullSpeedLoads) / this.fullSpeedLoads;
+		this.endsAtMillis.add(endMillis);
+		this.startedAtMillis.add(nowMillis);
+		this.maxConcurrentLoads = Math.max(this.maxConcurrentLoads, concurrent);
+		return endMillis;
+	}
+
+}
