--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -293,7 +293,7 @@
 		for (final ServiceSpec service : this.routeTable.services()) {
 			if (service.grouped()) {
 				final ReplicaPlanner planner = this.planners.computeIfAbsent(service.name(),
-						(name) -> new ReplicaPlanner(this.times));
+						(name) -> new ReplicaPlanner(this.times, this.fleetDecisions));
 				if (termBegins) {
 					planner.beginTerm(nowNanos, term, heldContinuously);
 				}
