--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/DomainHolders.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/DomainHolders.java
@@ -34,6 +34,10 @@
 		return this.weights.holds(instance, model.name());
 	}
 
+	boolean isLastGroupModel(ServingInstance instance, EngineModel model) {
+		return this.weights.isLastGroupModel(instance, model.name());
+	}
+
 	boolean holdsOrLoads(ServingInstance instance, EngineModel model) {
 		return holds(instance, model) || this.loads.loadingModel(instance).filter(model.name()::equals).isPresent();
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetAllocator.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetAllocator.java
@@ -13,7 +13,8 @@
  * <p>
  * A group that can serve is formed at once: the model whose callers gain the most for each
  * member comes first, and members that hold no other weights come before those that could
- * serve several models.
+ * serve several models. Of these, the ones whose last group served the model come first,
+ * as joining does not cost them the weights of another one.
  */
 final class FleetAllocator {
 
@@ -52,7 +53,9 @@
 	private Optional<GroupAllocator.Proposal> propose(EngineModel model, List<ServingInstance> free) {
 		final List<ServingInstance> members = free.stream()
 			.filter((instance) -> this.holders.holds(instance, model))
-			.sorted(Comparator.comparingInt(this.holders::countModels).thenComparing(ServingInstance::id))
+			.sorted(Comparator.comparingInt(this.holders::countModels)
+				.thenComparing((instance) -> !this.holders.isLastGroupModel(instance, model))
+				.thenComparing(ServingInstance::id))
 			.limit(Math.max(0, model.members()))
 			.toList();
 		return (model.members() > 0 && members.size() == model.members())
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetGroupPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetGroupPolicy.java
@@ -41,6 +41,11 @@
 		return this.demandShares.inForce();
 	}
 
+	@Override
+	public boolean limitsLoadsBeforeTraffic() {
+		return false;
+	}
+
 	@Override
 	public void startPass(PlanningPass pass) {
 		this.demandShares.update(pass.view().engine(), pass.view().demandShareRatios());
@@ -64,8 +69,8 @@
 		return this.staging.nextLoad(pass, counts, targets(pass, counts));
 	}
 
-	private ModelTargets targets(PlanningPass pass, ModelInstanceCounts counts) {
-		return new ModelTargets(counts, this.holders.countWarm(pass.view().instances()));
+	private static ModelTargets targets(PlanningPass pass, ModelInstanceCounts counts) {
+		return new ModelTargets(counts, pass.view().engine());
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupPolicy.java
@@ -18,6 +18,13 @@
 	 */
 	Map<String, Double> shareRatios(PlannerView view);
 
+	/**
+	 * Returns whether loads before the first request are limited in number, although the
+	 * weight store does not count them.
+	 * @return whether they are limited
+	 */
+	boolean limitsLoadsBeforeTraffic();
+
 	/**
 	 * Starts a pass.
 	 * @param pass the pass
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/LocalGroupPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/LocalGroupPolicy.java
@@ -30,6 +30,11 @@
 		return shares;
 	}
 
+	@Override
+	public boolean limitsLoadsBeforeTraffic() {
+		return true;
+	}
+
 	@Override
 	public void startPass(PlanningPass pass) {
 		this.allocator.updateIdleTimes(pass.view().nowNanos(), pass.free());
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ModelTargets.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ModelTargets.java
@@ -1,11 +1,12 @@
 package org.pistachioline.core.replica;
 
 import org.pistachioline.core.route.EngineModel;
+import org.pistachioline.core.route.EngineSpec;
 
 /**
  * Values instances in groups by whether their model's callers need them.
  * <p>
- * A model is entitled to its share of the warm instances, and to one group at least. An
+ * A model is entitled to its share of the instances in groups, and to one group at least. An
  * instance up to that number counts whole; beyond it callers of the model gain less from
  * it than those of another model would.
  */
@@ -15,11 +16,11 @@
 
 	private final ModelInstanceCounts counts;
 
-	private final long warmInstances;
+	private final long groupedInstances;
 
-	ModelTargets(ModelInstanceCounts counts, long warmInstances) {
+	ModelTargets(ModelInstanceCounts counts, EngineSpec engine) {
 		this.counts = counts;
-		this.warmInstances = warmInstances;
+		this.groupedInstances = engine.models().stream().mapToInt(counts::count).sum();
 	}
 
 	/**
@@ -36,7 +37,7 @@
 
 	private double value(EngineModel model, int instances) {
 		final double entitledInstances = Math.max(model.members(),
-				this.warmInstances * this.counts.normalizedShareRatio(model));
+				this.groupedInstances * this.counts.normalizedShareRatio(model));
 		return Math.min(instances, entitledInstances)
 				+ EXCESS_VALUE_RATIO * Math.max(0, instances - entitledInstances);
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -13,6 +13,7 @@
 import java.util.stream.Collectors;
 
 import org.pistachioline.core.route.EngineModel;
+import org.pistachioline.core.route.EngineSpec;
 
 /**
  * Plans the groups of one service's instances.
@@ -39,6 +40,8 @@
 
 	private final GroupPolicy policy;
 
+	private final IdleInstances idleInstances;
+
 	private final WeightLoadLimiter loadLimiter;
 
 	private final Map<GroupId, TrackedGroup> trackedGroups = new HashMap<>();
@@ -64,6 +67,7 @@
 	 */
 	public ReplicaPlanner(PlannerTimes times, boolean fleetDecisions) {
 		this.weights = new WeightInventory(fleetDecisions);
+		this.idleInstances = new IdleInstances(this.weights, this.stagedLoads);
 		this.policy = fleetDecisions ? new FleetGroupPolicy(this.weights, this.stagedLoads)
 				: new LocalGroupPolicy(this.weights, this.stagedLoads);
 		this.reconciler = new GroupReconciler(times, Collections.unmodifiableSet(this.trackedGroups.keySet()));
@@ -263,6 +267,9 @@
 	}
 
 	private boolean tryStartLoads(PlannerView view, int loads, Map<String, ServingInstance> byId) {
+		if (view.beforeTraffic() && !this.policy.limitsLoadsBeforeTraffic()) {
+			return true;
+		}
 		if (countLoadsInProgress(byId) >= Math.max(1, view.engine().concurrentLoads())) {
 			return false;
 		}
@@ -336,9 +343,10 @@
 	/**
 	 * Summarizes the state of the instances for operators.
 	 * @param instances the listed instances
+	 * @param engine the engine specification of the service
 	 * @return the summary, as of the last planning pass
 	 */
-	public PoolSummary summary(Collection<ServingInstance> instances) {
+	public PoolSummary summary(Collection<ServingInstance> instances, EngineSpec engine) {
 		final Map<String, ServingInstance> byId = new HashMap<>();
 		instances.forEach((instance) -> byId.put(instance.id(), instance));
 		final Map<String, Integer> serving = new HashMap<>();
@@ -359,12 +367,17 @@
 			}
 			groupedIds.addAll(tracked.memberIds);
 		}
-		final List<ServingInstance> free = instances.stream()
-			.filter((instance) -> !instance.draining() && !groupedIds.contains(instance.id()))
+		final List<ServingInstance> ungrouped = instances.stream()
+			.filter((instance) -> !groupedIds.contains(instance.id()))
 			.toList();
+		final List<ServingInstance> free = ungrouped.stream().filter((instance) -> !instance.draining()).toList();
+		final Map<IdleReason, Integer> idle = this.idleInstances.count(ungrouped, this.freeIds, engine.models());
+		if (waiting > 0) {
+			idle.put(IdleReason.GROUP_ENDING, waiting);
+		}
 		final int freeWarm = (int) free.stream().filter(this.weights::holdsAny).count();
 		return new PoolSummary(byId.size(), (int) instances.stream().filter(ServingInstance::draining).count(), serving,
-				forming, waiting, freeWarm, free.size() - freeWarm, countLoadsInProgress(byId));
+				forming, waiting, freeWarm, free.size() - freeWarm, countLoadsInProgress(byId), idle);
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/WeightInventory.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/WeightInventory.java
@@ -48,6 +48,12 @@
 		return instance.stagedModels().contains(model) || model.equals(this.lastGroupModels.get(instance.id()));
 	}
 
+	// Returns whether the weights are still in the accelerator, so that joining takes a
+	// moment and does not replace the weights of another model there.
+	boolean isLastGroupModel(ServingInstance instance, String model) {
+		return model.equals(this.lastGroupModels.get(instance.id()));
+	}
+
 	boolean holdsAny(ServingInstance instance) {
 		return !instance.stagedModels().isEmpty() || this.lastGroupModels.containsKey(instance.id());
 	}
