--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/DomainHolders.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/DomainHolders.java
@@ -24,9 +24,8 @@
 
 	static Map<String, List<ServingInstance>> byDomain(Collection<ServingInstance> instances) {
 		final Map<String, List<ServingInstance>> byDomain = new TreeMap<>();
-		instances
-			.forEach((instance) -> byDomain.computeIfAbsent(instance.fabricDomain(), (name) -> new ArrayList<>())
-				.add(instance));
+		instances.forEach((instance) -> byDomain.computeIfAbsent(instance.fabricDomain(), (name) -> new ArrayList<>())
+			.add(instance));
 		return byDomain;
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetAllocator.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetAllocator.java
@@ -11,10 +11,10 @@
 /**
  * Selects which free instances form the next group without any load.
  * <p>
- * A group that can serve is formed at once: the model whose callers gain the most for each
- * member comes first, and members that hold no other weights come before those that could
- * serve several models. Of these, the ones whose last group served the model come first,
- * as joining does not cost them the weights of another one.
+ * A group that can serve is formed at once: the model whose callers gain the most for
+ * each member comes first, and members that hold no other weights come before those that
+ * could serve several models. Of these, the ones whose last group served the model come
+ * first, as joining does not cost them the weights of another one.
  */
 final class FleetAllocator {
 
@@ -42,8 +42,8 @@
 				.comparingDouble((GroupAllocator.Proposal proposal) -> -gainPerMember(targets, proposal.model()))
 				.thenComparingDouble((proposal) -> counts.nextFillRatio(proposal.model()))
 				.thenComparingInt((proposal) -> -counts.inDomain(proposal.model().name(), proposal.fabricDomain()))
-				.thenComparingInt((proposal) -> counts.inAvailabilityZone(proposal.model().name(),
-						proposal.availabilityZone())));
+				.thenComparingInt(
+						(proposal) -> counts.inAvailabilityZone(proposal.model().name(), proposal.availabilityZone())));
 	}
 
 	private static double gainPerMember(ModelTargets targets, EngineModel model) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetStaging.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetStaging.java
@@ -40,7 +40,8 @@
 		return (selected.isPresent() || losesInstances(pass)) ? selected : loadForFlexibility(pass, counts);
 	}
 
-	// While instances are being lost, the store is kept for the empty hosts that are about
+	// While instances are being lost, the store is kept for the empty hosts that are
+	// about
 	// to replace them.
 	private static boolean losesInstances(PlanningPass pass) {
 		return !pass.view().beforeTraffic() && !(pass.recovering().isEmpty() && pass.view().delisted().isEmpty());
@@ -56,9 +57,9 @@
 		planned.forEach((model, plannedInstances) -> {
 			final double gain = targets.gain(model, plannedInstances, model.members());
 			final int concurrentLoads = Math.max(1, pass.view().engine().concurrentLoads());
-			freeByDomain.forEach((domain, free) -> completion(model, free, availableByDomain.get(domain), gain,
-					concurrentLoads)
-				.ifPresent(completions::add));
+			freeByDomain
+				.forEach((domain, free) -> completion(model, free, availableByDomain.get(domain), gain, concurrentLoads)
+					.ifPresent(completions::add));
 		});
 		return completions.stream()
 			.max(Comparator.comparing(Completion::hostsSuffice)
@@ -77,11 +78,10 @@
 			.models()
 			.stream()
 			.filter((model) -> model.members() > 0)
-			.forEach((model) -> planned.put(model,
-					availableByDomain.stream()
-						.mapToInt((instances) -> this.holders.countHolders(instances, model) / model.members()
-								* model.members())
-						.sum()));
+			.forEach((model) -> planned.put(model, availableByDomain.stream()
+				.mapToInt(
+						(instances) -> this.holders.countHolders(instances, model) / model.members() * model.members())
+				.sum()));
 		return planned;
 	}
 
@@ -104,11 +104,8 @@
 	}
 
 	private Optional<ReplicaOrder.Stage> loadForFlexibility(PlanningPass pass, ModelInstanceCounts counts) {
-		final Map<String, List<ServingInstance>> byDomain = DomainHolders.byDomain(pass.view()
-			.instances()
-			.stream()
-			.filter((instance) -> !instance.draining())
-			.toList());
+		final Map<String, List<ServingInstance>> byDomain = DomainHolders
+			.byDomain(pass.view().instances().stream().filter((instance) -> !instance.draining()).toList());
 		return byDomain.entrySet()
 			.stream()
 			.flatMap((entry) -> pass.view()
@@ -133,7 +130,8 @@
 				.ifPresent((membership) -> holdersByGroup.merge(membership.group(), 1, Integer::sum)));
 		return instances.stream()
 			.filter((instance) -> this.holders.mayLoad(instance, model))
-			// Prefers empty hosts, and then members of the same group, so that closing that
+			// Prefers empty hosts, and then members of the same group, so that closing
+			// that
 			// group frees them together.
 			.min(Comparator.comparingInt(this.holders::countModels)
 				.thenComparingInt((ServingInstance instance) -> -instance.membership()
@@ -149,9 +147,10 @@
 	 * @param model the model
 	 * @param host the host that loads next
 	 * @param hostsSuffice whether the domain has enough hosts for all the missing loads
-	 * @param gainPerLoadAndMilli what the group is worth, in instances, for each load and for
-	 * each millisecond until it serves
-	 * @param partners the warm instances of the domain that can help when the group breaks
+	 * @param gainPerLoadAndMilli what the group is worth, in instances, for each load and
+	 * for each millisecond until it serves
+	 * @param partners the warm instances of the domain that can help when the group
+	 * breaks
 	 */
 	private record Completion(EngineModel model, ServingInstance host, boolean hostsSuffice, double gainPerLoadAndMilli,
 			int partners) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
@@ -18,14 +18,14 @@
  * <p>
  * Service that exists is not given up for service that may come. All members of the new
  * group must hold its weights and be free now or in one of the closed groups, and what it
- * is worth must exceed by far what the closed ones are. The last group of a model is never
- * closed, and a domain has one exchange at a time.
+ * is worth must exceed by far what the closed ones are. The last group of a model is
+ * never closed, and a domain has one exchange at a time.
  */
 final class GroupExchange {
 
 	/**
-	 * Covers the seconds in which the members of neither group serve, and keeps groups from
-	 * being exchanged back and forth.
+	 * Covers the seconds in which the members of neither group serve, and keeps groups
+	 * from being exchanged back and forth.
 	 */
 	private static final double MIN_GAIN_RATIO = 1.5;
 
@@ -68,9 +68,8 @@
 			.orElse(List.of());
 	}
 
-	private Exchange exchange(PlanningPass pass, ModelTargets targets, List<TrackedGroup> donors,
-			EngineModel recipient, Map<String, List<ServingInstance>> freeByDomain,
-			Map<String, List<ServingInstance>> recoveringByDomain) {
+	private Exchange exchange(PlanningPass pass, ModelTargets targets, List<TrackedGroup> donors, EngineModel recipient,
+			Map<String, List<ServingInstance>> freeByDomain, Map<String, List<ServingInstance>> recoveringByDomain) {
 		final Optional<EngineModel> donor = pass.view().engine().model(donors.get(0).id.model());
 		final String domain = pass.byId().get(donors.get(0).headId()).fabricDomain();
 		if (donor.isEmpty() || donor.get() == recipient || recipient.members() <= 0) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/IdleReason.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/IdleReason.java
@@ -12,7 +12,8 @@
 	GROUP_ENDING,
 
 	/**
-	 * It restarted, and an order to its predecessor at the same address may still reach it.
+	 * An unanswered order to it, or to its predecessor at the same address, may still
+	 * arrive.
 	 */
 	LATE_ORDER,
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/LocalGroupPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/LocalGroupPolicy.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 
-
 /**
  * Decides by the declared shares and for each fabric domain by itself.
  */
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ModelTargets.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ModelTargets.java
@@ -6,9 +6,9 @@
 /**
  * Values instances in groups by whether their model's callers need them.
  * <p>
- * A model is entitled to its share of the instances in groups, and to one group at least. An
- * instance up to that number counts whole; beyond it callers of the model gain less from
- * it than those of another model would.
+ * A model is entitled to its share of the instances in groups, and to one group at least.
+ * An instance up to that number counts whole; beyond it callers of the model gain less
+ * from it than those of another model would.
  */
 final class ModelTargets {
 
@@ -38,8 +38,7 @@
 	private double value(EngineModel model, int instances) {
 		final double entitledInstances = Math.max(model.members(),
 				this.groupedInstances * this.counts.normalizedShareRatio(model));
-		return Math.min(instances, entitledInstances)
-				+ EXCESS_VALUE_RATIO * Math.max(0, instances - entitledInstances);
+		return Math.min(instances, entitledInstances) + EXCESS_VALUE_RATIO * Math.max(0, instances - entitledInstances);
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -48,7 +48,7 @@
 
 	private final EndedGroups endedGroups = new EndedGroups();
 
-	private final UnansweredJoins unansweredJoins = new UnansweredJoins();
+	private final UnansweredJoins unansweredJoins;
 
 	/** The instances that the last pass left unassigned. */
 	private Set<String> freeIds = Set.of();
@@ -66,6 +66,7 @@
 	 * fabric domains together, instead of by the declared shares and for each domain
 	 */
 	public ReplicaPlanner(PlannerTimes times, boolean fleetDecisions) {
+		this.unansweredJoins = new UnansweredJoins(fleetDecisions);
 		this.weights = new WeightInventory(fleetDecisions);
 		this.idleInstances = new IdleInstances(this.weights, this.stagedLoads);
 		this.policy = fleetDecisions ? new FleetGroupPolicy(this.weights, this.stagedLoads)
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/WeightInventory.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/WeightInventory.java
@@ -21,8 +21,8 @@
 	/**
 	 * Creates an inventory.
 	 * @param joiningReplacesWeights whether an instance that begins to join a group of
-	 * another model is assumed to give up the weights in its accelerator at once; otherwise
-	 * only when it has joined
+	 * another model is assumed to give up the weights in its accelerator at once;
+	 * otherwise only when it has joined
 	 */
 	WeightInventory(boolean joiningReplacesWeights) {
 		this.joiningReplacesWeights = joiningReplacesWeights;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -119,8 +119,8 @@
 	 * @param targetsListener receives the targets after each change
 	 * @param beforeTraffic returns whether no request has arrived since the system
 	 * started
-	 * @param fleetDecisions whether groups are planned by demand and for all fabric domains
-	 * together
+	 * @param fleetDecisions whether groups are planned by demand and for all fabric
+	 * domains together
 	 */
 	public ReplicaDuty(ActorSystem<?> system, PlannerLease lease, OrderSender orderSender, PlannerTimes times,
 			Consumer<List<TargetView>> targetsListener, BooleanSupplier beforeTraffic, boolean fleetDecisions) {
@@ -212,8 +212,8 @@
 
 	/**
 	 * Returns why instances are idle, for operators.
-	 * @return the number of instances by reason, by the name of the service; empty while this
-	 * daemon is not the planner
+	 * @return the number of instances by reason, by the name of the service; empty while
+	 * this daemon is not the planner
 	 */
 	public Map<String, Map<IdleReason, Integer>> idleInstances() {
 		return this.idleInstances;
