--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -8,6 +8,7 @@
 import org.pistachioline.core.endpoints.DaemonRoom;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.limit.LimitReport;
+import org.pistachioline.core.replica.IdleReason;
 import org.pistachioline.core.state.ConfigState;
 import org.pistachioline.core.state.FleetState;
 import org.pistachioline.daemon.agreed.AppendDuty;
@@ -19,6 +20,7 @@
 import org.pistachioline.daemon.peer.PeerMeter;
 import org.pistachioline.daemon.relay.LoopMonitor;
 import org.pistachioline.daemon.relay.Relay;
+import org.pistachioline.daemon.replica.ReplicaDuty;
 import org.pistachioline.daemon.traffic.FleetDemandExchange;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 import org.pistachioline.daemon.tunnel.TargetConnections;
@@ -91,6 +93,14 @@
 				"Estimates of demand from peers that were impossible and not used", demand::rejectedEstimateCount);
 	}
 
+	void bind(ReplicaDuty replicas) {
+		for (final IdleReason reason : IdleReason.values()) {
+			this.metrics.gauge("pistachioline.instances.idle",
+					"Instances that neither serve nor form a group, as the planner sees them",
+					reason.name().toLowerCase(Locale.ROOT), () -> replicas.idleInstanceCount(reason));
+		}
+	}
+
 	private void bindTraffic(TrafficDuty traffic) {
 		this.metrics.gauge("pistachioline.requests.held", "Requests that have not ended", traffic::activeRequestCount);
 		this.metrics.gauge("pistachioline.requests.queued", "Requests that wait for a target",
