Listing: one daemon reads the list for a large fleet and its planner

Change: ListReadPolicy says how many daemons read and whether the planner does. Where fleetDecisions is set one daemon reads each 200 ms, and the planner polls it and reads for itself when its list is over 0.7 s old. Elsewhere as before.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/listing/DistributionTree.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/listing/DistributionTree.java
@@ -12,21 +12,15 @@
  * The tree along which the platform's instance list is distributed among the daemons.
  * <p>
  * Every daemon computes the same tree without exchanging messages, by sorting the live
- * daemons by a hash of their names. The first {@value #READER_COUNT} read from the
- * platform; every other daemon polls a parent that precedes it in the order, and no
- * daemon has more than {@value #MAX_CHILDREN} children. So the load on the platform does
- * not depend on the size of the fleet, and in a fleet of 300 a change is relayed at most
- * three times. Daemons may disagree for some seconds about which of them are live; then
- * an additional daemon reads, or one has more children than usual.
+ * daemons by a hash of their names. The first one or two read from the platform; every
+ * other daemon polls a parent that precedes it in the order, and no daemon has more than
+ * {@value #MAX_CHILDREN} children. So the load on the platform does not depend on the
+ * size of the fleet, and in a fleet of 300 a change is relayed at most three times.
+ * Daemons may disagree for some seconds about which of them are live; then an additional
+ * daemon reads, or one has more children than usual.
  */
 final class DistributionTree {
 
-	/**
-	 * Two, because it takes seconds until all daemons have detected that a reader failed;
-	 * the other one serves meanwhile.
-	 */
-	static final int READER_COUNT = 2;
-
 	/**
 	 * The most daemons that poll one parent. Serving eight takes a few percent of the
 	 * processor of the smallest machine.
@@ -37,24 +31,28 @@
 
 	private final int position;
 
-	private DistributionTree(List<String> ids, int position) {
+	private final int readers;
+
+	private DistributionTree(List<String> ids, int position, int readers) {
 		this.ids = ids;
 		this.position = position;
+		this.readers = readers;
 	}
 
 	/**
 	 * Builds the tree of the live daemons.
 	 * @param selfId this daemon's name
 	 * @param liveIds the names of the live daemons; this daemon's own name may be absent
+	 * @param readers the number of daemons that read from the platform
 	 * @return the tree, seen from this daemon
 	 */
-	static DistributionTree of(String selfId, Collection<String> liveIds) {
+	static DistributionTree of(String selfId, Collection<String> liveIds, int readers) {
 		final List<Node> nodes = new ArrayList<>();
 		liveIds.stream().filter((id) -> !id.equals(selfId)).forEach((id) -> nodes.add(Node.of(id)));
 		nodes.add(Node.of(selfId));
 		nodes.sort(Node.ORDER);
 		final List<String> ids = nodes.stream().map(Node::daemonId).toList();
-		return new DistributionTree(ids, ids.indexOf(selfId));
+		return new DistributionTree(ids, ids.indexOf(selfId), readers);
 	}
 
 	int size() {
@@ -66,7 +64,7 @@
 	 * @return whether it does
 	 */
 	boolean isReader() {
-		return this.position < READER_COUNT;
+		return this.position < this.readers;
 	}
 
 	/**
@@ -75,7 +73,7 @@
 	 * @return the daemon's name
 	 */
 	String parent() {
-		return this.ids.get((this.position - READER_COUNT) / MAX_CHILDREN);
+		return this.ids.get((this.position - this.readers) / MAX_CHILDREN);
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/listing/ListingSynchronizer.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/listing/ListingSynchronizer.java
@@ -41,15 +41,16 @@
 	public static final long UNKNOWN_AGE_NANOS = Long.MAX_VALUE;
 
 	/**
-	 * The interval between the reads of a reader. A change is read after half this time
-	 * on average and relayed at once.
+	 * The planner reads more often, so that broken groups recover sooner.
 	 */
-	private static final long READ_INTERVAL_NANOS = 250 * NANOS_PER_MILLI;
+	private static final long PLANNER_READ_INTERVAL_NANOS = 200 * NANOS_PER_MILLI;
 
 	/**
-	 * The planner reads more often, so that broken groups recover sooner.
+	 * The age from which on a planner that relies on another daemon's list reads for
+	 * itself. In calm, a list is up to half a second old: a read interval and the time
+	 * for which a request is held.
 	 */
-	private static final long PLANNER_READ_INTERVAL_NANOS = 200 * NANOS_PER_MILLI;
+	private static final long PLANNER_MAX_AGE_NANOS = 700 * NANOS_PER_MILLI;
 
 	/** A reader retries a failed read after one to two times this time. */
 	private static final long MIN_RETRY_NANOS = 200 * NANOS_PER_MILLI;
@@ -108,6 +109,8 @@
 
 	private final long maxAgeNanos;
 
+	private final ListReadPolicy policy;
+
 	private final UniformRandomProvider random;
 
 	private final InstanceListing listing = new InstanceListing();
@@ -149,12 +152,14 @@
 	 * itself
 	 * @param nowNanos the monotonic time
 	 * @param seed the seed of random choices; it must differ between daemons
+	 * @param policy which daemons read the platform's list; the same on all daemons
 	 */
-	public ListingSynchronizer(String selfId, long maxAgeNanos, long nowNanos, long seed) {
+	public ListingSynchronizer(String selfId, long maxAgeNanos, long nowNanos, long seed, ListReadPolicy policy) {
 		this.selfId = selfId;
 		this.maxAgeNanos = maxAgeNanos;
+		this.policy = policy;
 		this.random = RandomSource.SPLIT_MIX_64.create(seed);
-		this.tree = DistributionTree.of(selfId, List.of());
+		this.tree = DistributionTree.of(selfId, List.of(), policy.readers());
 		this.treeBuiltAtNanos = nowNanos - TREE_REFRESH_NANOS;
 		this.nextReadAtNanos = nowNanos;
 		this.nextRequestAtNanos = nowNanos;
@@ -190,13 +195,14 @@
 	private void rebuildTree(long nowNanos) {
 		this.excludedSinceNanos.values().removeIf((excludedAtNanos) -> nowNanos - excludedAtNanos > EXCLUSION_NANOS);
 		this.tree = DistributionTree.of(this.selfId,
-				this.liveIds.stream().filter((id) -> !this.excludedSinceNanos.containsKey(id)).toList());
+				this.liveIds.stream().filter((id) -> !this.excludedSinceNanos.containsKey(id)).toList(),
+				this.policy.readers());
 	}
 
 	private void readWhenDue(long nowNanos, boolean isPlanner) {
 		final boolean due = nowNanos - this.nextReadAtNanos >= 0;
-		if (this.readInProgress || !due
-				|| !(isPlanner || this.tree.isReader() || this.snapshotNeeded || isStale(nowNanos))) {
+		if (this.readInProgress || !due || !(this.tree.isReader() || this.snapshotNeeded || isStale(nowNanos)
+				|| plannerReads(nowNanos, isPlanner))) {
 			return;
 		}
 		this.readInProgress = true;
@@ -206,11 +212,15 @@
 				: new ListingAction.ReadDelta(this.listing.nextOffset()));
 	}
 
+	private boolean plannerReads(long nowNanos, boolean isPlanner) {
+		return isPlanner && (this.policy.plannerReads() || this.listing.ageNanos(nowNanos) > PLANNER_MAX_AGE_NANOS);
+	}
+
 	private long readIntervalNanos(boolean isPlanner) {
 		if (isPlanner) {
 			return PLANNER_READ_INTERVAL_NANOS;
 		}
-		return this.tree.isReader() ? READ_INTERVAL_NANOS : jitter(fallbackReadIntervalNanos());
+		return this.tree.isReader() ? this.policy.readIntervalNanos() : jitter(fallbackReadIntervalNanos());
 	}
 
 	private long fallbackReadIntervalNanos() {
--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingSimulation.java
@@ -40,6 +40,8 @@
 	/** The time within which every daemon has had an answer from the restored store. */
 	private static final int MAX_RESTORE_NOTICE_MILLIS = 1_600;
 
+	private final ListReadPolicy policy;
+
 	private final Random random;
 
 	private final PriorityQueue<SimulationEvent> events = new PriorityQueue<>();
@@ -70,14 +72,23 @@
 
 	private long frameDelayMillis = 2;
 
+	/** The index of the daemon that plans; -1 if none does. */
+	int planner = -1;
+
 	ListingSimulation(int daemonCount, int instanceCount, long seed) {
+		this(daemonCount, instanceCount, seed, ListReadPolicy.REDUNDANT);
+	}
+
+	ListingSimulation(int daemonCount, int instanceCount, long seed, ListReadPolicy policy) {
+		this.policy = policy;
 		this.random = new Random(seed);
 		this.store = new ListingStore(this.random, () -> this.nowMillis, this::schedule);
 		for (int i = 0; i < instanceCount; i++) {
 			this.store.write(i, 0);
 		}
 		for (int i = 0; i < daemonCount; i++) {
-			this.daemons.add(new ListingDaemon(i, new ListingSynchronizer("daemon-" + i, MAX_AGE_NANOS, 0, seed + i)));
+			this.daemons
+				.add(new ListingDaemon(i, new ListingSynchronizer("daemon-" + i, MAX_AGE_NANOS, 0, seed + i, policy)));
 			final int index = i;
 			schedule(this.random.nextInt((int) TICK_MILLIS), () -> tick(index));
 		}
@@ -201,7 +212,7 @@
 		daemon.incarnation++;
 		daemon.startedAtMillis = this.nowMillis;
 		daemon.synchronizer = new ListingSynchronizer("daemon-" + index, MAX_AGE_NANOS, this.nowMillis * MILLI,
-				this.random.nextLong());
+				this.random.nextLong(), this.policy);
 		daemon.published = null;
 		daemon.newestVersions.clear();
 	}
@@ -227,8 +238,8 @@
 	private void tick(int index) {
 		final ListingDaemon daemon = this.daemons.get(index);
 		schedule(TICK_MILLIS, () -> tick(index));
-		deliver(index, () -> daemon.synchronizer.onTick(this.nowMillis * MILLI, () -> liveIds(index), false,
-				expiryUnreliable()));
+		deliver(index, () -> daemon.synchronizer.onTick(this.nowMillis * MILLI, () -> liveIds(index),
+				index == this.planner, expiryUnreliable()));
 	}
 
 	private Set<String> liveIds(int selfIndex) {
--- a/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingSynchronizerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/listing/ListingSynchronizerTests.java
@@ -315,7 +315,7 @@
 	@Test
 	void aPendingRequestIsAnsweredAsSoonAsARemovalIsResolved() {
 		final ListingSynchronizer synchronizer = new ListingSynchronizer("daemon-0", ListingSimulation.MAX_AGE_NANOS, 0,
-				1);
+				1, ListReadPolicy.REDUNDANT);
 		final InstanceRecord listedRecord = new InstanceRecord.Listed("i-1", 110, 0,
 				new ServingInstance("i-1", "pool", "10.0.0.1:80", "zone-a", "", false, 4, Set.of(), Optional.empty()));
 		synchronizer.onRead(0, ListingRead.snapshot(new ListingDelta(120, 120, List.of(listedRecord))), false);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -14,6 +14,7 @@
 import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpPolicy;
 import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.listing.ListReadPolicy;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.peer.PeerStatus;
 import org.pistachioline.core.quarantine.GossipQuarantine;
@@ -137,7 +138,8 @@
 				}, new TraceRecorder(false));
 		this.replicas = new ReplicaDuty(system, ports.lease(), ports.orders(), settings.plannerTimes(),
 				this.traffic::onTargets, this::isBeforeFirstTraffic);
-		this.listing = new ListingDuty(system, settings.daemonId(), settings.maxListAgeMillis(), ports.instances(),
+		this.listing = new ListingDuty(system, settings.daemonId(), settings.maxListAgeMillis(),
+				settings.fleetDecisions() ? ListReadPolicy.ECONOMICAL : ListReadPolicy.REDUNDANT, ports.instances(),
 				() -> ports.lease().term(System.nanoTime()).isPresent(), this.peers::activeDaemonIds, this.peers::send,
 				this::onInstanceList);
 		final InstanceSignalDispatcher signals = new InstanceSignalDispatcher(this.traffic, this.replicas);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/listing/ListingDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/listing/ListingDuty.java
@@ -12,6 +12,7 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 
 import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.listing.ListReadPolicy;
 import org.pistachioline.core.listing.ListingAction;
 import org.pistachioline.core.listing.ListingRead;
 import org.pistachioline.core.listing.ListingSynchronizer;
@@ -63,15 +64,16 @@
 	 * @param selfId this daemon's name
 	 * @param maxAgeMillis the age from which on the list is stale and this daemon reads
 	 * it itself
+	 * @param policy which daemons read the platform's list
 	 * @param source the platform's instance list
 	 * @param isPlanner returns whether this daemon is the planner
 	 * @param liveIds returns the names of the live daemons that are not leaving
 	 * @param sender sends a frame to the daemon of the given name
 	 * @param listener receives all instances after each change; it must not block
 	 */
-	public ListingDuty(ActorSystem<?> system, String selfId, long maxAgeMillis, InstanceSource source,
-			BooleanSupplier isPlanner, Supplier<Set<String>> liveIds, BiConsumer<String, PeerFrame> sender,
-			Consumer<List<ServingInstance>> listener) {
+	public ListingDuty(ActorSystem<?> system, String selfId, long maxAgeMillis, ListReadPolicy policy,
+			InstanceSource source, BooleanSupplier isPlanner, Supplier<Set<String>> liveIds,
+			BiConsumer<String, PeerFrame> sender, Consumer<List<ServingInstance>> listener) {
 		this.source = source;
 		this.isPlanner = isPlanner;
 		this.liveIds = liveIds;
@@ -79,7 +81,8 @@
 		this.listener = listener;
 		this.maxAgeNanos = TimeUnit.MILLISECONDS.toNanos(maxAgeMillis);
 		final long nowNanos = System.nanoTime();
-		this.synchronizer = new ListingSynchronizer(selfId, this.maxAgeNanos, nowNanos, nowNanos ^ selfId.hashCode());
+		this.synchronizer = new ListingSynchronizer(selfId, this.maxAgeNanos, nowNanos, nowNanos ^ selfId.hashCode(),
+				policy);
 		this.duty = new Duty<>(system, "listing", RING_CAPACITY, TICK_INTERVAL, this);
 	}
 
