--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -131,6 +131,11 @@
 	STORE_CALLS("pistachioline_store_calls_total", "calls by kind",
 			"Calls to the platform's store: all, and those that failed.", "failed rising: the store is unavailable"),
 
+	/** Counter of the calls to the platform's store, by purpose. */
+	STORE_CALL_PURPOSES("pistachioline_store_calls_purposes_total", "calls by purpose",
+			"Calls to the platform's store by what they are for: the list of instances, operators' requests, the lease.",
+			"one of them rising with the number of daemons: daemons do not share what they read"),
+
 	/** Gauge of the era that the store names, which rises with each restore. */
 	STORE_ERA("pistachioline_store_era", "number",
 			"Number of times that the platform's store was restored from a backup.",
