--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -16,6 +16,7 @@
 import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpPolicy;
 import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.listing.ListReadPolicy;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.peer.PeerStatus;
 import org.pistachioline.core.quarantine.GossipQuarantine;
@@ -139,13 +140,14 @@
 		final long seed = this.incarnation ^ ((long) settings.daemonId().hashCode() << Integer.SIZE);
 		final Optional<FleetAdmission> admission = settings.fleetDecisions()
 				? Optional.of(new FleetAdmission(seed, this::liveDaemonCount)) : Optional.empty();
-		this.traffic = new TrafficDuty(system, new TrafficCore(policies(seed, admission)), new NoClaims(), this.limitShares,
-				(suspect, nowMillis) -> {
+		this.traffic = new TrafficDuty(system, new TrafficCore(policies(seed, admission)), new NoClaims(),
+				this.limitShares, (suspect, nowMillis) -> {
 					// Crash reports are exchanged between daemons by gossip instead.
 				}, new TraceRecorder(false));
 		this.replicas = new ReplicaDuty(system, ports.lease(), ports.orders(), settings.plannerTimes(),
 				this.traffic::onTargets, this::isBeforeFirstTraffic, settings.fleetDecisions());
-		this.listing = new ListingDuty(system, settings.daemonId(), settings.maxListAgeMillis(), ports.instances(),
+		this.listing = new ListingDuty(system, settings.daemonId(), settings.maxListAgeMillis(),
+				settings.fleetDecisions() ? ListReadPolicy.ECONOMICAL : ListReadPolicy.REDUNDANT, ports.instances(),
 				() -> ports.lease().term(System.nanoTime()).isPresent(), this.peers::activeDaemonIds, this.peers::send,
 				this::onInstanceList);
 		final InstanceSignalDispatcher signals = new InstanceSignalDispatcher(this.traffic, this.replicas);
