--- a/pistachioline-core/src/main/java/org/pistachioline/core/demand/DemandEstimate.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/demand/DemandEstimate.java
@@ -21,6 +21,14 @@
 		workspaceCosts = Map.copyOf(workspaceCosts);
 	}
 
+	/**
+	 * Returns a copy without the demand of single workspaces.
+	 * @return the copy
+	 */
+	public DemandEstimate withoutWorkspaces() {
+		return new DemandEstimate(this.rates, Map.of());
+	}
+
 	/**
 	 * Multiplies all rates, as with the number of daemons.
 	 * @param factor the factor
--- a/pistachioline-core/src/test/java/org/pistachioline/core/admission/FleetSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/admission/FleetSimulation.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.function.BiFunction;
 
+import org.pistachioline.core.demand.DemandEstimate;
 import org.pistachioline.core.queueing.FairQueue;
 import org.pistachioline.core.queueing.OnTimeFirstOrder;
 import org.pistachioline.core.traffic.ClaimRequirement;
@@ -55,6 +56,8 @@
 
 	private static final int FAN_OUT = 2;
 
+	private static final int HEARTBEATS_PER_WORKSPACES = 3;
+
 	private static final double LOST_HEARTBEAT_RATIO = 0.1;
 
 	private static final double IMPATIENT_RATIO = 0.2;
@@ -244,10 +247,13 @@
 	}
 
 	private void heartbeat(long nowNanos, Daemon sender) {
+		final boolean withWorkspaces = this.random.nextInt(HEARTBEATS_PER_WORKSPACES) == 0;
+		final DemandEstimate mean = sender.admission.meanDemand(nowNanos);
+		final DemandEstimate sent = withWorkspaces ? mean : mean.withoutWorkspaces();
 		for (int count = 0; count < FAN_OUT; count++) {
 			final Daemon receiver = this.daemons.get(this.random.nextInt(this.daemons.size()));
 			if (receiver != sender && this.random.nextDouble() >= LOST_HEARTBEAT_RATIO) {
-				receiver.admission.onHeard(nowNanos, sender.admission.meanDemand(nowNanos));
+				receiver.admission.onHeard(nowNanos, sent);
 			}
 		}
 		schedule(nowNanos + HEARTBEAT_NANOS, (now) -> heartbeat(now, sender));
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/FleetDemandExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/FleetDemandExchange.java
@@ -26,12 +26,17 @@
 
 	private static final long LOG_NANOS = Duration.ofSeconds(2).toNanos();
 
+	/** Workspaces are most of an estimate, and their shares change slowly. */
+	private static final int HEARTBEATS_PER_WORKSPACES = 3;
+
 	private final FleetAdmission admission;
 
 	private final TrafficDuty traffic;
 
 	private Set<String> loggedRestrictions = Set.of();
 
+	private int heartbeatCount;
+
 	private long publishedAtNanos;
 
 	private long loggedAtNanos;
@@ -57,7 +62,9 @@
 
 	@Override
 	public void addTo(Heartbeat.Builder heartbeat, long nowNanos) {
-		final DemandEstimate estimate = this.meanDemand;
+		this.heartbeatCount++;
+		final boolean withWorkspaces = this.heartbeatCount % HEARTBEATS_PER_WORKSPACES == 0;
+		final DemandEstimate estimate = withWorkspaces ? this.meanDemand : this.meanDemand.withoutWorkspaces();
 		if (!estimate.rates().isEmpty()) {
 			heartbeat.setDemandEstimate(DemandCodec.encode(estimate));
 		}
