--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/EvacuatedInstancesTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/EvacuatedInstancesTests.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.pistachioline.core.route.CallerBounds;
 import org.pistachioline.core.route.RouteTable;
@@ -59,13 +61,14 @@
 	 * that keep serving there. Load: none; an instance fails every 1.5 s, and both zones
 	 * share each domain.
 	 */
-	@Test
-	void groupsFormElsewhereAndNoneAcrossTheEdgeWhileInstancesFail() {
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void groupsFormElsewhereAndNoneAcrossTheEdgeWhileInstancesFail(boolean fleetDecisions) {
 		int before = 0;
 		int during = 0;
 		int after = 0;
 		for (long seed = 1; seed <= 4; seed++) {
-			final ReplicaSimulation simulation = new ReplicaSimulation(seed, 6, 0, 0);
+			final ReplicaSimulation simulation = new ReplicaSimulation(seed, 6, 0, 0, fleetDecisions);
 			simulation.divideDomains("z1", "z2");
 			simulation.run(20_000, false);
 			before += simulation.countOpenGroupsWithMemberIn("z2");
