--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -229,8 +229,7 @@
 	boolean acceptsExcessAttempt(long nowNanos) {
 		final boolean usable = this.view.serving() && !this.ejection.isActive(nowNanos) && !this.onProbation
 				&& !isThrottled(nowNanos);
-		final boolean reportedFull = nowNanos - this.view.reportedAtNanos() < REPORT_VALIDITY_NANOS
-				&& this.view.reportedRunning() + this.view.reportedWaiting() >= this.view.slots();
+		final boolean reportedFull = trustRatio(nowNanos) > 0 && !hasReportedRoom(nowNanos);
 		return usable && this.inFlight == 0 && !reportedFull && !this.failures.isRecent(nowNanos);
 	}
 
@@ -244,6 +243,15 @@
 		return this.limit.isLimited() ? 0 : Math.max(0, this.inFlight - attemptLimit(nowNanos, share));
 	}
 
+	/**
+	 * Returns whether the target has recently reported free slots.
+	 * @param nowNanos the monotonic time
+	 */
+	boolean hasReportedRoom(long nowNanos) {
+		return trustRatio(nowNanos) > 0
+				&& this.view.reportedRunning() + this.view.reportedWaiting() < this.view.slots();
+	}
+
 	/**
 	 * Returns how many attempts this daemon may start at the target now if no other
 	 * daemon uses it.
@@ -326,8 +334,7 @@
 
 	/**
 	 * Returns the utilization of the target's slots by its reports, which are late.
-	 * @return this daemon's attempts and the estimated ones of others, divided by the
-	 * slots
+	 * @return the attempts of this and of other daemons, divided by the slots
 	 */
 	double reportedUtilizationRatio() {
 		return (this.inFlight + this.peerInFlight.attempts()) / this.view.slots();
@@ -359,7 +366,7 @@
 	}
 
 	/**
-	 * Returns how many attempts this daemon has in flight at the target.
+	 * Returns this daemon's attempts in flight at the target.
 	 * @return the number of attempts
 	 */
 	public int inFlight() {
@@ -375,7 +382,7 @@
 	}
 
 	/**
-	 * Returns the failed attempts of this daemon at the target.
+	 * Returns the history of this daemon's failed attempts.
 	 * @return the history
 	 */
 	FailureHistory failures() {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSet.java
@@ -132,7 +132,7 @@
 	public void refresh(long nowNanos, DaemonRank daemons) {
 		this.daemonCount = daemons.count();
 		if (this.subset != null) {
-			this.subset.update(this.members, daemons.count());
+			this.subset.update(this.members, daemons);
 		}
 		this.refreshedAtNanos = nowNanos;
 		this.throttled.clear();
@@ -144,8 +144,11 @@
 			}
 			slots += load.view().serving() ? load.view().slots() : 0;
 		}
-		this.maxExcessAttempts = this.protectsTargets ? (int) Math.max((this.subset != null) ? 2 : 1,
-				Math.round(slots / (EXCESS_DIVISOR * Math.max(1, daemons.count())))) : 0;
+		this.maxExcessAttempts = this.protectsTargets
+				? (int) Math.max(1, Math.round(slots / (EXCESS_DIVISOR * Math.max(1, daemons.count())))) : 0;
+		if (this.subset != null && this.subset.isReportedFull(nowNanos)) {
+			this.maxExcessAttempts += this.subset.size();
+		}
 		collectExcessCandidates(nowNanos);
 	}
 
@@ -177,7 +180,11 @@
 		final int freeSlots = this.protectsTargets ? load.freeSlots(nowNanos, share) : load.unsharedFreeSlots(nowNanos);
 		this.freeSlots += load.setEntry().updateFreeSlots(freeSlots);
 		if (this.protectsTargets) {
-			this.excessAttempts += load.setEntry().updateExcessAttempts(load.excessAttempts(nowNanos, share));
+			// Attempts that were within the limit of a target of the subset when they
+			// started must not keep later ones from leaving the subset.
+			final boolean counts = this.subset == null || (share == 0 && !load.hasReportedRoom(nowNanos));
+			this.excessAttempts += load.setEntry()
+				.updateExcessAttempts(counts ? load.excessAttempts(nowNanos, share) : 0);
 			this.excessCandidates.removeIf((each) -> each == load && !load.acceptsExcessAttempt(nowNanos));
 		}
 		updateAvailability(load, freeSlots > 0);
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSetEntry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSetEntry.java
@@ -18,7 +18,7 @@
 
 	private boolean inSubset;
 
-	private TargetDraw draw;
+	private double subsetScore;
 
 	boolean isAvailable() {
 		return this.availableIndex != NOT_AVAILABLE;
@@ -44,6 +44,14 @@
 		return this.subsetRank;
 	}
 
+	double subsetScore() {
+		return this.subsetScore;
+	}
+
+	void setSubsetScore(double score) {
+		this.subsetScore = score;
+	}
+
 	boolean isInSubset() {
 		return this.inSubset;
 	}
@@ -53,19 +61,6 @@
 		this.inSubset = isInSubset;
 	}
 
-	/**
-	 * Returns the target's draw, which is computed once.
-	 * @param key the key of the daemon
-	 * @param instanceId the target's instance or group
-	 * @return the draw
-	 */
-	TargetDraw draw(long key, String instanceId) {
-		if (this.draw == null) {
-			this.draw = TargetDraw.of(key, instanceId);
-		}
-		return this.draw;
-	}
-
 	/**
 	 * Updates the number of free slots.
 	 * @param slots the free slots
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSubset.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetSubset.java
@@ -1,9 +1,13 @@
 package org.pistachioline.core.placement;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 
+import org.apache.commons.codec.digest.MurmurHash3;
+
 /**
  * The few targets of a model or service that one of many daemons normally uses, so that
  * its connections are used again and its knowledge of their load is recent.
@@ -32,6 +36,11 @@
 	 */
 	private static final double SHRINK_MARGIN = 0.5;
 
+	/** Maps the upper 53 bits of a hash to a number from 0 to 1. */
+	private static final double HASH_UNIT = 1.0 / (1L << 53);
+
+	private static final int HASH_SHIFT = Long.SIZE - 53;
+
 	private final String availabilityZone;
 
 	private final long key;
@@ -44,7 +53,7 @@
 
 	private int nearCount;
 
-	private double shareRatio;
+	private int slots;
 
 	/**
 	 * Creates an empty subset.
@@ -55,34 +64,35 @@
 		this.availabilityZone = availabilityZone;
 		this.key = key;
 		this.order = Comparator.comparing((TargetLoad load) -> !isNear(load))
-			.thenComparingDouble(this::score)
+			.thenComparingDouble((load) -> load.setEntry().subsetScore())
 			.thenComparing((load) -> load.view().targetId());
 	}
 
 	/**
 	 * Recomputes the subset.
 	 * @param members all targets, serving or not
-	 * @param daemonCount the number of daemons that share them
+	 * @param daemons the daemons that share them
 	 */
-	void update(List<TargetLoad> members, int daemonCount) {
+	void update(List<TargetLoad> members, DaemonRank daemons) {
 		final List<TargetLoad> serving = new ArrayList<>(members.size());
-		double slots = 0;
+		int totalSlots = 0;
 		for (final TargetLoad load : members) {
 			load.setEntry().setSubsetRank(Integer.MAX_VALUE, false);
 			if (load.view().serving()) {
+				load.setEntry().setSubsetScore(score(load));
 				serving.add(load);
-				slots += load.view().slots();
+				totalSlots += load.view().slots();
 			}
 		}
 		serving.sort(this.order);
 		this.ranked = serving;
-		resize(Math.max(1, daemonCount));
+		resize(daemons.count());
 		this.nearCount = 0;
 		for (int rank = 0; rank < serving.size(); rank++) {
 			serving.get(rank).setEntry().setSubsetRank(rank, rank < size());
 			this.nearCount += isNear(serving.get(rank)) ? 1 : 0;
 		}
-		this.shareRatio = slots / Math.max(1, daemonCount) / Math.max(1, size());
+		this.slots = daemons.equalShare(totalSlots, "");
 	}
 
 	private void resize(int daemonCount) {
@@ -92,8 +102,13 @@
 		}
 	}
 
+	// Divided by the weights, the smallest of exponentially distributed numbers select a
+	// weighted sample.
 	private double score(TargetLoad load) {
-		return load.setEntry().draw(this.key, load.view().instanceId()).exponential() / load.view().slots();
+		final byte[] name = load.view().instanceId().getBytes(StandardCharsets.UTF_8);
+		final byte[] bytes = ByteBuffer.allocate(Long.BYTES + name.length).putLong(this.key).put(name).array();
+		final double uniform = (MurmurHash3.hash128x64(bytes, 0, bytes.length, 0)[0] >>> HASH_SHIFT) * HASH_UNIT;
+		return -Math.log(1 - uniform) / load.view().slots();
 	}
 
 	/**
@@ -111,8 +126,22 @@
 	 * @return the number of slots; 0 beyond the subset
 	 */
 	int share(TargetLoad load) {
-		return load.setEntry().isInSubset()
-				? (int) (this.shareRatio + load.setEntry().draw(this.key, load.view().instanceId()).uniform()) : 0;
+		if (!load.setEntry().isInSubset()) {
+			return 0;
+		}
+		return this.slots / size() + ((load.setEntry().subsetRank() < this.slots % size()) ? 1 : 0);
+	}
+
+	/**
+	 * Returns whether all targets of the subset in this daemon's availability zone have
+	 * recently reported that they are full, so that requests must leave it.
+	 * @param nowNanos the monotonic time
+	 * @return whether they have; false where there are none
+	 */
+	boolean isReportedFull(long nowNanos) {
+		return nearSize() > 0 && this.ranked.subList(0, nearSize())
+			.stream()
+			.allMatch((load) -> load.trustRatio(nowNanos) > 0 && !load.hasReportedRoom(nowNanos));
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/WeightedSubsetPlacement.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/WeightedSubsetPlacement.java
@@ -32,13 +32,16 @@
 	 */
 	private static final double NEARLY_FULL_RATIO = 0.8;
 
+	/** The utilization from which a further request would probably wait in the target. */
+	private static final double FULL_RATIO = 0.95;
+
 	/**
 	 * By how much another target must be emptier to be used instead of a preferred one.
 	 */
 	private static final double SPILL_MARGIN_RATIO = 0.1;
 
 	/** The factor of a target's weight for an idle connection to it. */
-	private static final double WARM_FACTOR = 10;
+	private static final double WARM_FACTOR = 20;
 
 	/** The factor of a target's weight for each recent failure. */
 	private static final double FAILURE_FACTOR = 0.25;
@@ -118,7 +121,7 @@
 		if (other != null && choice.isTrusted(other) && (!trusted || choice.isBetter(other, near))) {
 			return Optional.of(other);
 		}
-		return trusted ? Optional.of(near)
+		return (trusted && choice.utilization(near) < FULL_RATIO) ? Optional.of(near)
 				: Optional.ofNullable(choice.healthiest(choice.firstBeyondShares(), near, other));
 	}
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/placement/TargetSubsetTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/placement/TargetSubsetTests.java
@@ -53,9 +53,11 @@
 	@Test
 	void aGroupKeepsItsPlaceWithANewEpoch() {
 		final TargetSubset subset = new TargetSubset(ZONE, 1);
-		subset.update(List.of(target("a@1", ZONE, 10), target("b@1", ZONE, 10), target("c@1", ZONE, 10)), 1);
+		subset.update(List.of(target("a@1", ZONE, 10), target("b@1", ZONE, 10), target("c@1", ZONE, 10)),
+				DaemonRank.ALONE);
 		final List<String> before = instances(subset);
-		subset.update(List.of(target("a@2", ZONE, 10), target("b@1", ZONE, 10), target("c@3", ZONE, 10)), 1);
+		subset.update(List.of(target("a@2", ZONE, 10), target("b@1", ZONE, 10), target("c@3", ZONE, 10)),
+				DaemonRank.ALONE);
 		assertThat(instances(subset)).isEqualTo(before);
 	}
 
@@ -92,7 +94,7 @@
 	void targetsOfTheOwnZoneComeFirst() {
 		final TargetSubset subset = new TargetSubset(ZONE, 1);
 		subset.update(List.of(target("far-1", "other", 100), target("near-1", ZONE, 1), target("far-2", "other", 100),
-				target("near-2", ZONE, 1)), DAEMONS);
+				target("near-2", ZONE, 1)), new DaemonRank(0, DAEMONS));
 		assertThat(instances(subset)).hasSize(4);
 		assertThat(subset.nearSize()).isEqualTo(2);
 		assertThat(subset.ranked().subList(0, 2)).allMatch(subset::isNear);
@@ -107,15 +109,15 @@
 		for (int daemon = 0; daemon < DAEMONS; daemon++) {
 			final TargetSubset subset = new TargetSubset(ZONE, daemon);
 			final List<TargetLoad> targets = targets(18, "");
-			subset.update(targets, DAEMONS);
+			subset.update(targets, new DaemonRank(daemon, DAEMONS));
 			shares += targets.stream().mapToInt(subset::share).sum();
 		}
-		assertThat(shares).isBetween(18 * 34 * 9 / 10, 18 * 34 * 11 / 10);
+		assertThat(shares).isEqualTo(18 * 34);
 	}
 
 	private static Set<String> subset(long key, List<TargetLoad> targets, int daemons) {
 		final TargetSubset subset = new TargetSubset(ZONE, key);
-		subset.update(targets, daemons);
+		subset.update(targets, new DaemonRank(0, daemons));
 		return new HashSet<>(instances(subset).subList(0, subset.size()));
 	}
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/placement/WeightedSubsetPlacementTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/placement/WeightedSubsetPlacementTests.java
@@ -36,6 +36,22 @@
 		assertThat(fleet.crossZoneRatio()).isZero();
 	}
 
+	/**
+	 * Load: five requests per second and daemon, most of them for the model with small
+	 * groups.
+	 */
+	@Test
+	void twoModelsShareTheRequestsOfADaemon() {
+		final UnevenFleet large = settled(130, 6, 34, 0.8);
+		final UnevenFleet small = settled(130, 27, 34, 4.2);
+		large.time.run(30);
+		small.time.run(30);
+		assertThat(large.busiestToMean("")).isLessThanOrEqualTo(MAX_BUSIEST_TO_MEAN);
+		assertThat(small.busiestToMean("")).isLessThanOrEqualTo(MAX_BUSIEST_TO_MEAN);
+		assertThat((double) (large.newConnections + small.newConnections) / (large.requests + small.requests))
+			.isLessThanOrEqualTo(MAX_NEW_CONNECTIONS);
+	}
+
 	/**
 	 * Load: each zone's demand swings from half to twice the mean, the others' opposite.
 	 */
@@ -165,6 +181,40 @@
 		assertThat(fleet.longestWaitNanos).isLessThan(250_000_000L);
 	}
 
+	/**
+	 * Guards against daemons without a share of few slots, whose callers wait beside idle
+	 * targets.
+	 */
+	@Test
+	void everyDaemonReachesAnIdleService() {
+		final UnevenFleet fleet = new UnevenFleet(7);
+		fleet.addTargets(3, 30, 1);
+		fleet.addDaemons(130, true);
+		fleet.daemons.subList(0, 80).forEach((daemon) -> daemon.submit(50_000_000L));
+		fleet.time.run(1);
+		assertThat(fleet.longestWaitNanos).isZero();
+		assertThat(fleet.targets).allMatch((target) -> target.started > 0);
+	}
+
+	/**
+	 * Load: all daemons get more requests at once than there are slots. Guards against
+	 * engines that queue what the daemons should, since fair queueing applies only there.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "9, 34", "20, 10", "60, 10" })
+	void anOverloadedFleetExceedsTheSlotsByAnEighthAtMost(int targets, int slots) {
+		final UnevenFleet fleet = new UnevenFleet(7);
+		fleet.addTargets(targets, slots, 1);
+		fleet.addDaemons(95, true);
+		for (int i = 0; i < 20; i++) {
+			fleet.daemons.forEach((daemon) -> daemon.submit(500_000_000L));
+		}
+		fleet.time.run(0.01);
+		final int sent = fleet.targets.stream().mapToInt((target) -> target.started + target.waiting()).sum();
+		assertThat(sent).isBetween(targets * slots * 9 / 10,
+				targets * slots + Math.max(95, targets * slots / 8 + 95 / 2));
+	}
+
 	/**
 	 * Guards against requests that go to a target of low pace until it is full, since it
 	 * seems close.
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficInvariantTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficInvariantTests.java
@@ -2,14 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 
+import org.pistachioline.core.placement.LiveDaemons;
 import org.pistachioline.core.quarantine.CrashEvidence;
 import org.pistachioline.core.quarantine.CrashPhase;
 import org.pistachioline.core.quarantine.GossipQuarantine;
@@ -62,9 +65,29 @@
 	 */
 	@Property(seed = "7202", tries = 400, shrinking = ShrinkingMode.OFF)
 	void eachRelayedRequestEndsOnceWithACorrectRunState(@ForAll long seed) {
+		relayRequests(seed, false, 2);
+	}
+
+	/**
+	 * Guards against the same faults where a daemon of many prefers a subset of the
+	 * targets and has a share of few slots.
+	 */
+	@Property(seed = "7203", tries = 200, shrinking = ShrinkingMode.OFF)
+	void eachRequestOfADaemonWithSubsetsEndsOnceWithACorrectRunState(@ForAll long seed) {
+		relayRequests(seed, true, 40);
+	}
+
+	private void relayRequests(long seed, boolean fleetDecisions, int daemonCount) {
 		final Random random = new Random(seed);
 		final TrafficSimulation simulation = new TrafficSimulation(RoutingPolicies.create("a", seed,
-				new RetryBudget(0.2, 100, 10_000_000_000L), () -> 2, new GossipQuarantine()));
+				new RetryBudget(0.2, 100, 10_000_000_000L), () -> daemonCount, new GossipQuarantine(), fleetDecisions));
+		if (fleetDecisions) {
+			final Set<String> daemonIds = IntStream.range(0, daemonCount)
+				.mapToObj((index) -> "daemon-" + index)
+				.collect(Collectors.toSet());
+			simulation
+				.apply(simulation.core.onShares(simulation.nowNanos, LiveDaemons.of("daemon-7", daemonIds), Map.of()));
+		}
 		changeTargets(simulation, random);
 		for (int step = 0; step < STEPS; step++) {
 			relayedStep(simulation, random);
