--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -246,6 +246,7 @@
 	/**
 	 * Returns whether the target has recently reported free slots.
 	 * @param nowNanos the monotonic time
+	 * @return whether its last report still counts and shows some
 	 */
 	boolean hasReportedRoom(long nowNanos) {
 		return trustRatio(nowNanos) > 0
