Metrics of the admission of a fleet in the list of metrics

Cause: the gauges were registered but missing from the page that tests hold against code. Conclusion: operators find them.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -46,6 +46,23 @@
 	TARGETS_BACKOFF("pistachioline_targets_backoff", "targets", "Targets that asked this daemon to back off.",
 			"most of a service's targets"),
 
+	/** Gauge of the models and services for which demand exceeds the room. */
+	ADMISSION_RESTRICTED("pistachioline_admission_restricted", "names",
+			"Models and services whose less urgent requests are refused.", "above 0 for a minute"),
+
+	/** Gauge of refusals by all daemons. */
+	ADMISSION_REFUSED_RATE("pistachioline_admission_refused_rate", "requests a second",
+			"Refused requests per second of all daemons, as this daemon estimates them.", "above 0 for a minute"),
+
+	/** Gauge of the work that callers ask for. */
+	DEMAND_WANTED_SLOTS("pistachioline_demand_wanted_slots", "slots",
+			"Slots that the requests of all daemons need, as this daemon estimates them.",
+			"above the slots of the serving targets"),
+
+	/** Count of impossible estimates since the start. */
+	DEMAND_ESTIMATES_REJECTED("pistachioline_demand_estimates_rejected", "estimates",
+			"Estimates of demand from peers that were impossible and not used.", "rising"),
+
 	/** Gauge that shows whether backoffs are respected. */
 	ATTEMPTS_BACKOFF("pistachioline_attempts_backoff", "attempts",
 			"Attempts that were started at targets during their backoff.", "above 0"),
