--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficInvariantTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficInvariantTests.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 
+import org.pistachioline.core.admission.FleetAdmission;
 import org.pistachioline.core.placement.LiveDaemons;
 import org.pistachioline.core.quarantine.CrashEvidence;
 import org.pistachioline.core.quarantine.CrashPhase;
@@ -70,7 +71,7 @@
 
 	/**
 	 * Guards against the same faults where a daemon of many prefers a subset of the
-	 * targets and has a share of few slots.
+	 * targets, has a share of few slots and admits by the demand of the fleet.
 	 */
 	@Property(seed = "7203", tries = 200, shrinking = ShrinkingMode.OFF)
 	void eachRequestOfADaemonWithSubsetsEndsOnceWithACorrectRunState(@ForAll long seed) {
@@ -79,8 +80,11 @@
 
 	private void relayRequests(long seed, boolean fleetDecisions, int daemonCount) {
 		final Random random = new Random(seed);
-		final TrafficSimulation simulation = new TrafficSimulation(RoutingPolicies.create("a", seed,
-				new RetryBudget(0.2, 100, 10_000_000_000L), () -> daemonCount, new GossipQuarantine(), fleetDecisions));
+		final RetryBudget budget = new RetryBudget(0.2, 100, 10_000_000_000L);
+		final TrafficSimulation simulation = new TrafficSimulation(fleetDecisions
+				? RoutingPolicies.createForFleet("a", seed, budget, () -> daemonCount, new GossipQuarantine(),
+						new FleetAdmission(seed, () -> daemonCount))
+				: RoutingPolicies.create("a", seed, budget, () -> daemonCount, new GossipQuarantine()));
 		if (fleetDecisions) {
 			final Set<String> daemonIds = IntStream.range(0, daemonCount)
 				.mapToObj((index) -> "daemon-" + index)
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -118,7 +118,7 @@
 		this.gate.setEvacuatedTargets(TARGET.targetId()::equals);
 		exchange().start(new TrafficAction.Start(new AttemptId(7, 1), TARGET, 0), new RecordingAttemptListener());
 		assertThat(this.notifications).containsExactly("WITHHELD");
-		assertThat(this.protocol.requestsBuilt).isZero();
+		assertThat(this.protocol.requestsBuilt()).isZero();
 	}
 
 	/**
