--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -144,10 +144,8 @@
 		this.inFlightTokens -= costTokens;
 		if (how == AttemptOutcome.COMPLETE) {
 			this.failures.endRun();
-			this.progressAtNanos = nowNanos;
-			this.warmConnections.add(nowNanos);
 		}
-		else if (how == AttemptOutcome.FAILURE_ANSWERED) {
+		if (how == AttemptOutcome.COMPLETE || how == AttemptOutcome.FAILURE_ANSWERED) {
 			this.progressAtNanos = nowNanos;
 			this.warmConnections.add(nowNanos);
 		}
