Planner: room under churn is decided for the whole fleet, by demand

Change: GroupPolicy with LocalGroupPolicy (as before) and, where fleetDecisions is set, FleetGroupPolicy: forms what is warm at once, exchanges groups only for larger ones whose members are known, loads where one load gains most, second models before traffic, shares by demand. An instance that left a join unanswered waits 12.5 s (fleet policy only). ReplicaSimulation: a head's stall time runs from its first loss. It ran from the last one, which the platform doesn't do, and no planner can know of a loss in the last seconds.

--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
@@ -0,0 +1,119 @@
+package org.pistachioline.core.replica;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.pistachioline.core.route.EngineModel;
+
+/**
+ * Selects serving groups whose members, together with free instances of their fabric
+ * domain, form a group of another model that is worth more.
+ * <p>
+ * Service that exists is not given up for service that may come. All members of the new
+ * group must hold its weights and be free now or in one of the closed groups, and what it
+ * is worth must exceed by far what the closed ones are. The last group of a model is
+ * never closed, and a domain has one exchange at a time.
+ */
+final class GroupExchange {
+
+	/**
+	 * Covers the seconds in which the members of neither group serve, and keeps groups
+	 * from being exchanged back and forth.
+	 */
+	private static final double MIN_GAIN_RATIO = 1.5;
+
+	private final DomainHolders holders;
+
+	GroupExchange(DomainHolders holders) {
+		this.holders = holders;
+	}
+
+	/**
+	 * Selects the groups to close.
+	 * @param pass the pass
+	 * @param targets what additions to the models are worth
+	 * @param serving the groups that are open and complete
+	 * @return the groups; empty if no exchange is worth it
+	 */
+	List<TrackedGroup> groupsToClose(PlanningPass pass, ModelTargets targets, List<TrackedGroup> serving) {
+		final Map<String, Integer> groupsByModel = new HashMap<>();
+		final Map<String, List<TrackedGroup>> byDonor = new TreeMap<>();
+		serving.forEach((tracked) -> {
+			groupsByModel.merge(tracked.id.model(), 1, Integer::sum);
+			byDonor
+				.computeIfAbsent(tracked.id.model() + '\n' + pass.byId().get(tracked.headId()).fabricDomain(),
+						(name) -> new ArrayList<>())
+				.add(tracked);
+		});
+		final Map<String, List<ServingInstance>> freeByDomain = DomainHolders.byDomain(pass.free());
+		final Map<String, List<ServingInstance>> recoveringByDomain = DomainHolders.byDomain(pass.recovering());
+		return byDonor.values()
+			.stream()
+			.flatMap((donors) -> pass.view()
+				.engine()
+				.models()
+				.stream()
+				.map((recipient) -> exchange(pass, targets, donors, recipient, freeByDomain, recoveringByDomain)))
+			.filter(Objects::nonNull)
+			.filter((candidate) -> groupsByModel.get(candidate.closed().get(0).id.model()) > candidate.closed().size())
+			.max(Comparator.comparingDouble(Exchange::gain))
+			.map(Exchange::closed)
+			.orElse(List.of());
+	}
+
+	private Exchange exchange(PlanningPass pass, ModelTargets targets, List<TrackedGroup> donors, EngineModel recipient,
+			Map<String, List<ServingInstance>> freeByDomain, Map<String, List<ServingInstance>> recoveringByDomain) {
+		final Optional<EngineModel> donor = pass.view().engine().model(donors.get(0).id.model());
+		final String domain = pass.byId().get(donors.get(0).headId()).fabricDomain();
+		if (donor.isEmpty() || donor.get() == recipient || recipient.members() <= 0) {
+			return null;
+		}
+		final int free = countHolders(freeByDomain.getOrDefault(domain, List.of()), recipient);
+		final int recovering = countHolders(recoveringByDomain.getOrDefault(domain, List.of()), recipient);
+		if (free + recovering >= recipient.members()) {
+			return null;
+		}
+		final List<TrackedGroup> closed = new ArrayList<>();
+		int members = free;
+		for (final TrackedGroup tracked : donors.stream()
+			.sorted(Comparator.comparingInt((TrackedGroup tracked) -> -countHolders(members(pass, tracked), recipient))
+				.thenComparingLong((tracked) -> tracked.id.epoch()))
+			.toList()) {
+			if (members < recipient.members()) {
+				closed.add(tracked);
+				members += countHolders(members(pass, tracked), recipient);
+			}
+		}
+		final int givenUp = closed.size() * donor.get().members();
+		final double gain = targets.gain(recipient, 0, recipient.members());
+		final double loss = -targets.gain(donor.get(), 0, -givenUp);
+		return (members >= recipient.members() && gain >= MIN_GAIN_RATIO * loss) ? new Exchange(closed, gain - loss)
+				: null;
+	}
+
+	private static List<ServingInstance> members(PlanningPass pass, TrackedGroup tracked) {
+		return tracked.memberIds.stream().map(pass.byId()::get).toList();
+	}
+
+	private int countHolders(Collection<ServingInstance> instances, EngineModel model) {
+		return (int) instances.stream().filter((instance) -> this.holders.holds(instance, model)).count();
+	}
+
+	/**
+	 * An exchange of groups.
+	 *
+	 * @param closed the groups that are closed
+	 * @param gain what the new group is worth beyond them, in instances
+	 */
+	private record Exchange(List<TrackedGroup> closed, double gain) {
+
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ModelInstanceCounts.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ModelInstanceCounts.java
@@ -19,12 +19,23 @@
 
 	private final Map<String, Integer> counts = new HashMap<>();
 
+	private final Map<String, Double> shareRatios;
+
 	private final double totalShareRatio;
 
 	private final long usableInstances;
 
-	ModelInstanceCounts(PlannerView view, Collection<TrackedGroup> trackedGroups, Map<String, ServingInstance> byId) {
-		this.totalShareRatio = view.engine().models().stream().mapToDouble(ModelInstanceCounts::shareRatio).sum();
+	/**
+	 * Counts the instances.
+	 * @param view what the planner sees
+	 * @param shareRatios the models' shares of the instances, by the model's name
+	 * @param trackedGroups the groups
+	 * @param byId all listed instances, by id
+	 */
+	ModelInstanceCounts(PlannerView view, Map<String, Double> shareRatios, Collection<TrackedGroup> trackedGroups,
+			Map<String, ServingInstance> byId) {
+		this.shareRatios = Map.copyOf(shareRatios);
+		this.totalShareRatio = view.engine().models().stream().mapToDouble(this::shareRatio).sum();
 		this.usableInstances = view.instances().stream().filter((instance) -> !instance.draining()).count();
 		for (final TrackedGroup tracked : trackedGroups) {
 			if (!tracked.dissolving && new GroupStatus(tracked, byId).allListed()) {
@@ -47,8 +58,21 @@
 		return model + "\nzone " + availabilityZone;
 	}
 
-	private static double shareRatio(EngineModel model) {
-		return Math.max(model.initialShareRatio(), MIN_SHARE_RATIO);
+	private double shareRatio(EngineModel model) {
+		return Math.max(this.shareRatios.getOrDefault(model.name(), 0.0), MIN_SHARE_RATIO);
+	}
+
+	/**
+	 * Returns a model's part of all shares.
+	 * @param model the model
+	 * @return the part, more than 0 and at most 1
+	 */
+	double normalizedShareRatio(EngineModel model) {
+		return shareRatio(model) / this.totalShareRatio;
+	}
+
+	int count(EngineModel model) {
+		return this.counts.getOrDefault(model.name(), 0);
 	}
 
 	int inDomain(String model, String domain) {
@@ -63,7 +87,7 @@
 	// size, the model with the lower value is the one that stays closer to its share
 	// after its next group.
 	double nextFillRatio(EngineModel model) {
-		return (this.counts.getOrDefault(model.name(), 0) + model.members() / 2.0) / shareRatio(model);
+		return (count(model) + model.members() / 2.0) / shareRatio(model);
 	}
 
 	double fillRatio(EngineModel model) {
@@ -73,7 +97,7 @@
 	// Returns the ratio of the model's instances, plus or minus a number of them, to its
 	// share.
 	double fillRatio(EngineModel model, int additionalInstances) {
-		return (this.counts.getOrDefault(model.name(), 0) + additionalInstances) / shareRatio(model);
+		return (count(model) + additionalInstances) / shareRatio(model);
 	}
 
 	/**
@@ -84,7 +108,7 @@
 	 */
 	boolean isUnderprovisioned(EngineModel model) {
 		final double entitledInstances = this.usableInstances * shareRatio(model) / this.totalShareRatio;
-		return entitledInstances - this.counts.getOrDefault(model.name(), 0) >= model.members();
+		return entitledInstances - count(model) >= model.members();
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/PoolSummary.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/PoolSummary.java
@@ -15,12 +15,15 @@
  * @param freeWarm the number of instances in no group that hold a model's weights
  * @param freeEmpty the number of instances in no group that hold no weights
  * @param loading the number of weight loads in progress, by staging or by joining a group
+ * @param idle the number of instances that neither serve nor form a group, by the reason
+ * that keeps them idle; without reasons that none has
  */
 public record PoolSummary(int listed, int draining, Map<String, Integer> serving, int forming, int waiting,
-		int freeWarm, int freeEmpty, int loading) {
+		int freeWarm, int freeEmpty, int loading, Map<IdleReason, Integer> idle) {
 
 	public PoolSummary {
 		serving = Map.copyOf(serving);
+		idle = Map.copyOf(idle);
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -10,8 +10,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.pistachioline.core.route.EngineModel;
+import org.pistachioline.core.route.EngineSpec;
 
 /**
  * Plans the groups of one service's instances.
@@ -32,13 +34,13 @@
 
 	private final GroupReconciler reconciler;
 
-	private final WeightInventory weights = new WeightInventory();
+	private final WeightInventory weights;
 
-	private final GroupAllocator allocator = new GroupAllocator(this.weights);
+	private final StagedLoads stagedLoads = new StagedLoads();
 
-	private final GroupRebalancer rebalancer = new GroupRebalancer(this.weights);
+	private final GroupPolicy policy;
 
-	private final WeightStaging staging = new WeightStaging(this.weights);
+	private final IdleInstances idleInstances;
 
 	private final WeightLoadLimiter loadLimiter;
 
@@ -46,7 +48,10 @@
 
 	private final EndedGroups endedGroups = new EndedGroups();
 
-	private final UnansweredJoins unansweredJoins = new UnansweredJoins();
+	private final UnansweredJoins unansweredJoins;
+
+	/** The instances that the last pass left unassigned. */
+	private Set<String> freeIds = Set.of();
 
 	private long nowNanos;
 
@@ -57,8 +62,15 @@
 	/**
 	 * Creates a planner without any known groups.
 	 * @param times the planner's timeouts
+	 * @param fleetDecisions whether it decides by the demand for the models and for all
+	 * fabric domains together, instead of by the declared shares and for each domain
 	 */
-	public ReplicaPlanner(PlannerTimes times) {
+	public ReplicaPlanner(PlannerTimes times, boolean fleetDecisions) {
+		this.unansweredJoins = new UnansweredJoins(fleetDecisions);
+		this.weights = new WeightInventory(fleetDecisions);
+		this.idleInstances = new IdleInstances(this.weights, this.stagedLoads);
+		this.policy = fleetDecisions ? new FleetGroupPolicy(this.weights, this.stagedLoads)
+				: new LocalGroupPolicy(this.weights, this.stagedLoads);
 		this.reconciler = new GroupReconciler(times, Collections.unmodifiableSet(this.trackedGroups.keySet()));
 		this.loadLimiter = new WeightLoadLimiter(times.loadWindowNanos());
 	}
@@ -180,33 +192,45 @@
 			.filter((instance) -> !instance.draining() && !this.reconciler.isReserved(instance))
 			.filter((instance) -> !this.unansweredJoins.mayReach(view.nowNanos(), instance, view.delisted()))
 			.toList());
-		this.allocator.updateIdleTimes(view.nowNanos(), free);
-		this.staging.removeFinishedLoads(view.nowNanos(), byId);
-		final boolean loadPending = formGroups(view, free, byId);
-		final ModelInstanceCounts counts = countInstances(view, byId);
+		final PlanningPass pass = new PlanningPass(view, byId, free, recovering(byId));
+		this.policy.startPass(pass);
+		this.stagedLoads.removeFinished(view.nowNanos(), byId);
+		final boolean loadPending = formGroups(pass);
+		final ModelInstanceCounts counts = countInstances(pass);
 		if (!view.beforeTraffic()) {
-			this.rebalancer.selectGroupsToClose(view.engine(), free, servingGroups(byId), byId, counts)
+			this.policy.groupsToClose(pass, counts, servingGroups(byId))
 				.forEach((tracked) -> tracked.dissolving = true);
 		}
-		return (loadPending || this.staging.hasUnsupported()) ? List.of() : stageWeights(view, free, counts, byId);
+		this.freeIds = free.stream().map(ServingInstance::id).collect(Collectors.toSet());
+		return (loadPending || this.stagedLoads.hasUnsupported()) ? List.of() : stageWeights(pass, counts);
+	}
+
+	private List<ServingInstance> recovering(Map<String, ServingInstance> byId) {
+		return this.trackedGroups.values()
+			.stream()
+			.filter((tracked) -> tracked.dissolving || !new GroupStatus(tracked, byId).allListed())
+			.flatMap((tracked) -> tracked.memberIds.stream())
+			.filter((id) -> id != null && byId.containsKey(id) && !byId.get(id).draining())
+			.map(byId::get)
+			.toList();
 	}
 
 	// Forms groups until none is possible. Returns whether the next group is held back
 	// only by the limits on weight loads.
-	private boolean formGroups(PlannerView view, List<ServingInstance> free, Map<String, ServingInstance> byId) {
-		final boolean loadsAllowed = view.beforeTraffic() || this.staging.hasUnsupported();
-		Optional<GroupAllocator.Proposal> next = this.allocator.nextProposal(view, free, countInstances(view, byId),
-				loadsAllowed);
-		while (next.isPresent() && tryStartLoadsOf(view, next.get(), byId)) {
-			startGroup(view.nowNanos(), next.get());
-			free.removeAll(next.get().members());
-			next = this.allocator.nextProposal(view, free, countInstances(view, byId), loadsAllowed);
+	private boolean formGroups(PlanningPass pass) {
+		final boolean loadsAllowed = pass.view().beforeTraffic() || this.stagedLoads.hasUnsupported();
+		Optional<GroupAllocator.Proposal> next = this.policy.nextGroup(pass, countInstances(pass), loadsAllowed);
+		while (next.isPresent() && tryStartLoadsOf(pass.view(), next.get(), pass.byId())) {
+			startGroup(pass.view().nowNanos(), next.get());
+			pass.free().removeAll(next.get().members());
+			next = this.policy.nextGroup(pass, countInstances(pass), loadsAllowed);
 		}
 		return next.isPresent();
 	}
 
-	private ModelInstanceCounts countInstances(PlannerView view, Map<String, ServingInstance> byId) {
-		return new ModelInstanceCounts(view, this.trackedGroups.values(), byId);
+	private ModelInstanceCounts countInstances(PlanningPass pass) {
+		return new ModelInstanceCounts(pass.view(), this.policy.shareRatios(pass.view()), this.trackedGroups.values(),
+				pass.byId());
 	}
 
 	private List<TrackedGroup> servingGroups(Map<String, ServingInstance> byId) {
@@ -222,24 +246,31 @@
 				&& status.headState().filter((state) -> state == MemberState.OPEN).isPresent();
 	}
 
-	private List<ReplicaOrder> stageWeights(PlannerView view, List<ServingInstance> free, ModelInstanceCounts counts,
-			Map<String, ServingInstance> byId) {
+	private List<ReplicaOrder> stageWeights(PlanningPass pass, ModelInstanceCounts counts) {
 		final List<ReplicaOrder> orders = new ArrayList<>();
-		Optional<ReplicaOrder.Stage> next = tryStartLoads(view, 1, byId) ? this.staging.nextOrder(view, counts, free)
-				: Optional.empty();
+		Optional<ReplicaOrder.Stage> next = nextLoad(pass, counts);
 		while (next.isPresent()) {
 			orders.add(next.get());
-			next = tryStartLoads(view, 1, byId) ? this.staging.nextOrder(view, counts, free) : Optional.empty();
+			next = nextLoad(pass, counts);
 		}
 		return orders;
 	}
 
+	private Optional<ReplicaOrder.Stage> nextLoad(PlanningPass pass, ModelInstanceCounts counts) {
+		return tryStartLoads(pass.view(), 1, pass.byId())
+				? this.policy.nextLoad(pass, counts).map((order) -> this.stagedLoads.record(pass.view(), order))
+				: Optional.empty();
+	}
+
 	private boolean tryStartLoadsOf(PlannerView view, GroupAllocator.Proposal proposal,
 			Map<String, ServingInstance> byId) {
 		return proposal.weightLoads() == 0 || tryStartLoads(view, proposal.weightLoads(), byId);
 	}
 
 	private boolean tryStartLoads(PlannerView view, int loads, Map<String, ServingInstance> byId) {
+		if (view.beforeTraffic() && !this.policy.limitsLoadsBeforeTraffic()) {
+			return true;
+		}
 		if (countLoadsInProgress(byId) >= Math.max(1, view.engine().concurrentLoads())) {
 			return false;
 		}
@@ -249,7 +280,7 @@
 	// The loads of a group count until its members are ready; they no longer count if a
 	// member is lost after that.
 	private int countLoadsInProgress(Map<String, ServingInstance> byId) {
-		return this.staging.countLoadsInProgress() + this.trackedGroups.values()
+		return this.stagedLoads.count() + this.trackedGroups.values()
 			.stream()
 			.filter((tracked) -> tracked.weightLoads > 0 && new GroupStatus(tracked, byId).anyJoining())
 			.mapToInt((tracked) -> tracked.weightLoads)
@@ -283,7 +314,7 @@
 			onGroupOutcome(groupOrder, outcome);
 		}
 		else if (outcome == OrderOutcome.INVALID) {
-			this.staging.markUnsupported(order.instance().id());
+			this.stagedLoads.markUnsupported(order.instance().id());
 		}
 	}
 
@@ -313,9 +344,10 @@
 	/**
 	 * Summarizes the state of the instances for operators.
 	 * @param instances the listed instances
+	 * @param engine the engine specification of the service
 	 * @return the summary, as of the last planning pass
 	 */
-	public PoolSummary summary(Collection<ServingInstance> instances) {
+	public PoolSummary summary(Collection<ServingInstance> instances, EngineSpec engine) {
 		final Map<String, ServingInstance> byId = new HashMap<>();
 		instances.forEach((instance) -> byId.put(instance.id(), instance));
 		final Map<String, Integer> serving = new HashMap<>();
@@ -336,12 +368,17 @@
 			}
 			groupedIds.addAll(tracked.memberIds);
 		}
-		final List<ServingInstance> free = instances.stream()
-			.filter((instance) -> !instance.draining() && !groupedIds.contains(instance.id()))
+		final List<ServingInstance> ungrouped = instances.stream()
+			.filter((instance) -> !groupedIds.contains(instance.id()))
 			.toList();
+		final List<ServingInstance> free = ungrouped.stream().filter((instance) -> !instance.draining()).toList();
+		final Map<IdleReason, Integer> idle = this.idleInstances.count(ungrouped, this.freeIds, engine.models());
+		if (waiting > 0) {
+			idle.put(IdleReason.GROUP_ENDING, waiting);
+		}
 		final int freeWarm = (int) free.stream().filter(this.weights::holdsAny).count();
 		return new PoolSummary(byId.size(), (int) instances.stream().filter(ServingInstance::draining).count(), serving,
-				forming, waiting, freeWarm, free.size() - freeWarm, countLoadsInProgress(byId));
+				forming, waiting, freeWarm, free.size() - freeWarm, countLoadsInProgress(byId), idle);
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/UnansweredJoins.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/UnansweredJoins.java
@@ -21,12 +21,24 @@
 	/** Longer than the longest observed delay of an order. */
 	private static final long MAX_ORDER_DELAY_NANOS = 12_500_000_000L;
 
+	private final boolean holdsSameInstance;
+
 	private final Map<String, UnansweredJoin> byAddress = new HashMap<>();
 
 	private long tookOverAtNanos;
 
 	private boolean tookOver;
 
+	/**
+	 * Creates a memory of unanswered orders.
+	 * @param holdsSameInstance whether the instance that left an order unanswered is not
+	 * assigned either until the order can no longer arrive, as is necessary where
+	 * survivors are assigned as soon as they are free
+	 */
+	UnansweredJoins(boolean holdsSameInstance) {
+		this.holdsSameInstance = holdsSameInstance;
+	}
+
 	void takeOver(long nowNanos) {
 		this.tookOverAtNanos = nowNanos;
 		this.tookOver = true;
@@ -50,7 +62,7 @@
 	 */
 	boolean mayReach(long nowNanos, ServingInstance instance, Collection<ServingInstance> delisted) {
 		final UnansweredJoin join = this.byAddress.get(instance.address());
-		if (join != null && !join.instanceId().equals(instance.id())) {
+		if (join != null && (this.holdsSameInstance || !join.instanceId().equals(instance.id()))) {
 			return true;
 		}
 		return this.tookOver && nowNanos - this.tookOverAtNanos < MAX_ORDER_DELAY_NANOS && delisted.stream()
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/WeightStaging.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/WeightStaging.java
@@ -3,11 +3,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 
 import org.pistachioline.core.route.EngineModel;
@@ -28,53 +26,13 @@
 
 	private static final int SPARE_INSTANCES = 2;
 
-	/**
-	 * Multiple of a load's expected duration after which the load is assumed never to
-	 * have started.
-	 */
-	private static final double LOAD_TIMEOUT_RATIO = 1.4;
-
-	private static final long NANOS_PER_MILLI = 1_000_000;
-
 	private final WeightInventory weights;
 
-	private final Map<String, Long> loadDeadlineNanos = new HashMap<>();
-
-	private final Map<String, String> loadingModels = new HashMap<>();
-
-	private final Set<String> unsupportedIds = new HashSet<>();
+	private final StagedLoads loads;
 
-	WeightStaging(WeightInventory weights) {
+	WeightStaging(WeightInventory weights, StagedLoads loads) {
 		this.weights = weights;
-	}
-
-	void removeFinishedLoads(long nowNanos, Map<String, ServingInstance> byId) {
-		this.loadDeadlineNanos.keySet()
-			.removeIf((id) -> !byId.containsKey(id) || nowNanos - this.loadDeadlineNanos.get(id) >= 0
-					|| byId.get(id).stagedModels().contains(this.loadingModels.get(id)));
-		this.loadingModels.keySet().retainAll(this.loadDeadlineNanos.keySet());
-		this.unsupportedIds.retainAll(byId.keySet());
-	}
-
-	int countLoadsInProgress() {
-		return this.loadDeadlineNanos.size();
-	}
-
-	/**
-	 * Records that an instance does not support staging.
-	 * @param instanceId the instance
-	 */
-	void markUnsupported(String instanceId) {
-		this.loadDeadlineNanos.remove(instanceId);
-		this.unsupportedIds.add(instanceId);
-	}
-
-	/**
-	 * Returns whether any listed instance does not support staging.
-	 * @return whether weights have to be loaded by joining a group instead
-	 */
-	boolean hasUnsupported() {
-		return !this.unsupportedIds.isEmpty();
+		this.loads = loads;
 	}
 
 	/**
@@ -89,7 +47,7 @@
 		// about to be listed.
 		final Optional<ReplicaOrder.Stage> selected = view.beforeTraffic() ? Optional.empty()
 				: orderForFreeInstances(view, counts, free);
-		return selected.or(() -> orderForSpare(view, counts, free)).map((order) -> recordLoad(view, order));
+		return selected.or(() -> orderForSpare(view, counts, free));
 	}
 
 	// Selects the free instances of a domain that complete a group with the fewest loads
@@ -116,7 +74,7 @@
 	private Optional<Completion> completionFor(EngineModel model, List<ServingInstance> domainInstances) {
 		final long missingHolders = countMissingHolders(model, domainInstances);
 		final List<ServingInstance> hosts = domainInstances.stream()
-			.filter((instance) -> !holdsOrLoads(instance, model) && mayLoad(instance))
+			.filter((instance) -> !holdsOrLoads(instance, model) && this.loads.mayLoad(instance))
 			.toList();
 		if (missingHolders <= 0 || hosts.size() < missingHolders) {
 			return Optional.empty();
@@ -129,7 +87,7 @@
 	private Optional<ReplicaOrder.Stage> orderForEmptyHost(PlannerView view, ModelInstanceCounts counts,
 			List<ServingInstance> free) {
 		return free.stream()
-			.filter((instance) -> !this.weights.holdsAny(instance) && mayLoad(instance))
+			.filter((instance) -> !this.weights.holdsAny(instance) && this.loads.mayLoad(instance))
 			.min(Comparator.comparing(ServingInstance::id))
 			.flatMap((instance) -> modelForEmptyHost(view, counts, instance, free)
 				.map((model) -> new ReplicaOrder.Stage(instance, model.name())));
@@ -156,7 +114,8 @@
 	}
 
 	private boolean holdsOrLoads(ServingInstance instance, EngineModel model) {
-		return this.weights.holds(instance, model.name()) || model.name().equals(this.loadingModels.get(instance.id()));
+		return this.weights.holds(instance, model.name())
+				|| this.loads.loadingModel(instance).filter(model.name()::equals).isPresent();
 	}
 
 	private Optional<ReplicaOrder.Stage> orderForSpare(PlannerView view, ModelInstanceCounts counts,
@@ -181,14 +140,6 @@
 			.findFirst();
 	}
 
-	private ReplicaOrder.Stage recordLoad(PlannerView view, ReplicaOrder.Stage order) {
-		final long loadMillis = view.engine().model(order.model()).orElseThrow().loadMillis();
-		this.loadingModels.put(order.instance().id(), order.model());
-		this.loadDeadlineNanos.put(order.instance().id(),
-				view.nowNanos() + (long) (LOAD_TIMEOUT_RATIO * loadMillis * NANOS_PER_MILLI));
-		return order;
-	}
-
 	private boolean needsHolders(EngineModel model, List<ServingInstance> domainInstances, int groupedInstances) {
 		final long holders = domainInstances.stream().filter((instance) -> holdsOrLoads(instance, model)).count();
 		if (groupedInstances == 0) {
@@ -207,7 +158,7 @@
 			.forEach((instance) -> instance.membership()
 				.ifPresent((membership) -> holders.merge(membership.group(), 1L, Long::sum)));
 		return domainInstances.stream()
-			.filter((instance) -> !this.weights.holds(instance, model.name()) && mayLoad(instance))
+			.filter((instance) -> !this.weights.holds(instance, model.name()) && this.loads.mayLoad(instance))
 			.min(Comparator.comparing((ServingInstance instance) -> !free.contains(instance))
 				// Prefers members of the same group, so that closing that group frees
 				// them together.
@@ -217,14 +168,6 @@
 				.thenComparing(ServingInstance::id));
 	}
 
-	private boolean mayLoad(ServingInstance instance) {
-		final boolean joining = instance.membership()
-			.filter((membership) -> membership.state() == MemberState.JOINING)
-			.isPresent();
-		return !joining && !this.loadDeadlineNanos.containsKey(instance.id())
-				&& !this.unsupportedIds.contains(instance.id());
-	}
-
 	/**
 	 * A group that free instances of one domain can form after some of them have loaded.
 	 *
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/SimulatedInstance.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/SimulatedInstance.java
@@ -46,6 +46,9 @@
 
 	MemberState state;
 
+	/** When the instance, as an open head, first lacked a member; -1 while it has all. */
+	long stalledSinceMillis = -1;
+
 	long readyAtMillis;
 
 	Set<String> stagedModels = Set.of();
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -5,6 +5,7 @@
 import org.pistachioline.core.backoff.BackoffReport;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.limit.LimitReport;
+import org.pistachioline.core.replica.IdleReason;
 import org.pistachioline.core.state.ConfigState;
 import org.pistachioline.core.state.FleetState;
 import org.pistachioline.daemon.agreed.AppendDuty;
@@ -13,6 +14,7 @@
 import org.pistachioline.daemon.metrics.Metrics;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerMeter;
+import org.pistachioline.daemon.replica.ReplicaDuty;
 import org.pistachioline.daemon.traffic.TrafficDuty;
 import org.pistachioline.daemon.tunnel.TargetConnections;
 import org.pistachioline.daemon.tunnel.TunnelServer;
@@ -49,6 +51,14 @@
 				"Connections to targets that were opened on behalf of other daemons", tunnels::establishedTunnels);
 	}
 
+	void bind(ReplicaDuty replicas) {
+		for (final IdleReason reason : IdleReason.values()) {
+			this.metrics.gauge("pistachioline.instances.idle",
+					"Instances that neither serve nor form a group, as the planner sees them",
+					reason.name().toLowerCase(Locale.ROOT), () -> replicas.idleInstanceCount(reason));
+		}
+	}
+
 	private void bindTraffic(TrafficDuty traffic) {
 		this.metrics.gauge("pistachioline.requests.held", "Requests that have not ended", traffic::activeRequestCount);
 		this.metrics.gauge("pistachioline.requests.queued", "Requests that wait for a target",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -134,7 +134,7 @@
 					// Crash reports are exchanged between daemons by gossip instead.
 				}, new TraceRecorder(false));
 		this.replicas = new ReplicaDuty(system, ports.lease(), ports.orders(), settings.plannerTimes(),
-				this.traffic::onTargets, this::isBeforeFirstTraffic);
+				this.traffic::onTargets, this::isBeforeFirstTraffic, settings.fleetDecisions());
 		this.listing = new ListingDuty(system, settings.daemonId(), settings.maxListAgeMillis(), ports.instances(),
 				() -> ports.lease().term(System.nanoTime()).isPresent(), this.peers::activeDaemonIds, this.peers::send,
 				this::onInstanceList);
@@ -181,6 +181,7 @@
 			.bind(crashMonitor::gossipSample, crashMonitor::knownSuspects, crashMonitor::onPeerReports);
 		crashMonitor.setBroadcaster(this.peers::broadcastSuspects);
 		final DaemonMeters meters = new DaemonMeters(this.metrics);
+		meters.bind(this.replicas);
 		meters.bind(this.traffic, this.peers);
 		meters.bind(targets, this.tunnels);
 		this.components.all().forEach((component) -> component.rings().forEach(meters::bind));
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
@@ -40,6 +40,7 @@
 		dump.put("backoff_targets", this.traffic.backoffReports());
 		dump.put("crash_suspects", this.traffic.crashMonitor().reports());
 		dump.put("planned_groups", this.replicas.plannedGroups());
+		dump.put("idle_instances", this.replicas.idleInstances());
 		dump.put("peers", daemons);
 		return dump;
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -16,6 +17,7 @@
 import org.pistachioline.core.demand.ModelDemandSource;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.replica.DelistedInstances;
+import org.pistachioline.core.replica.IdleReason;
 import org.pistachioline.core.replica.LeavingInstances;
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.core.replica.OrderOutcome;
@@ -70,6 +72,8 @@
 
 	private final BooleanSupplier beforeTraffic;
 
+	private final boolean fleetDecisions;
+
 	private final Duty<ReplicaMessage> duty;
 
 	private final Map<String, ReplicaPlanner> planners = new HashMap<>();
@@ -100,6 +104,8 @@
 
 	private volatile Map<String, List<String>> plannedGroups = Map.of();
 
+	private volatile Map<String, Map<IdleReason, Integer>> idleInstances = Map.of();
+
 	private volatile int servingTargetCount;
 
 	private volatile ModelDemandSource modelDemand = (service) -> Map.of();
@@ -113,14 +119,17 @@
 	 * @param targetsListener receives the targets after each change
 	 * @param beforeTraffic returns whether no request has arrived since the system
 	 * started
+	 * @param fleetDecisions whether groups are planned by demand and for all fabric
+	 * domains together
 	 */
 	public ReplicaDuty(ActorSystem<?> system, PlannerLease lease, OrderSender orderSender, PlannerTimes times,
-			Consumer<List<TargetView>> targetsListener, BooleanSupplier beforeTraffic) {
+			Consumer<List<TargetView>> targetsListener, BooleanSupplier beforeTraffic, boolean fleetDecisions) {
 		this.lease = lease;
 		this.orderSender = orderSender;
 		this.times = times;
 		this.targetsListener = targetsListener;
 		this.beforeTraffic = beforeTraffic;
+		this.fleetDecisions = fleetDecisions;
 		this.duty = new Duty<>(system, "replicas", RING_CAPACITY, TICK_INTERVAL, this);
 		this.unresponsive = new UnresponsiveInstances(orderSender,
 				(answered) -> this.duty.offer(new ReplicaMessage.GroupProbed(answered)));
@@ -201,6 +210,24 @@
 		return this.plannedGroups;
 	}
 
+	/**
+	 * Returns why instances are idle, for operators.
+	 * @return the number of instances by reason, by the name of the service; empty while
+	 * this daemon is not the planner
+	 */
+	public Map<String, Map<IdleReason, Integer>> idleInstances() {
+		return this.idleInstances;
+	}
+
+	/**
+	 * Returns the number of idle instances of all services, for metrics.
+	 * @param reason the reason that keeps them idle
+	 * @return the number of instances; 0 while this daemon is not the planner
+	 */
+	public int idleInstanceCount(IdleReason reason) {
+		return this.idleInstances.values().stream().mapToInt((counts) -> counts.getOrDefault(reason, 0)).sum();
+	}
+
 	/**
 	 * Returns the number of targets that accept requests.
 	 * @return the number of targets
@@ -272,6 +299,7 @@
 		if (term.isEmpty()) {
 			this.heldTerm = 0;
 			this.plannedGroups = Map.of();
+			this.idleInstances = Map.of();
 			return;
 		}
 		plan(nowNanos, term.get());
@@ -285,6 +313,7 @@
 			return;
 		}
 		final Map<String, List<String>> groupsByName = new HashMap<>();
+		final Map<String, Map<IdleReason, Integer>> idle = new HashMap<>();
 		final Set<String> unresponsiveIds = this.unresponsive.ids(nowNanos);
 		final boolean logSummary = nowNanos - this.summaryLoggedAtNanos >= SUMMARY_INTERVAL_NANOS;
 		if (logSummary) {
@@ -293,7 +322,7 @@
 		for (final ServiceSpec service : this.routeTable.services()) {
 			if (service.grouped()) {
 				final ReplicaPlanner planner = this.planners.computeIfAbsent(service.name(),
-						(name) -> new ReplicaPlanner(this.times));
+						(name) -> new ReplicaPlanner(this.times, this.fleetDecisions));
 				if (termBegins) {
 					planner.beginTerm(nowNanos, term, heldContinuously);
 				}
@@ -304,18 +333,24 @@
 					.forEach((order) -> sendOrder(order, term));
 				groupsByName.putAll(planner.groups());
 				if (logSummary) {
-					logSummary(service, planner.summary(usableInstancesOf(service, unresponsiveIds)));
+					final PoolSummary summary = planner.summary(usableInstancesOf(service, unresponsiveIds),
+							service.engine().orElseThrow());
+					idle.put(service.name(), summary.idle());
+					logSummary(service, summary);
 				}
 			}
 		}
 		this.plannedGroups = groupsByName;
+		if (logSummary) {
+			this.idleInstances = Map.copyOf(idle);
+		}
 	}
 
 	private static void logSummary(ServiceSpec service, PoolSummary summary) {
 		Events.log(EventId.POOL_SUMMARY, "service", service.name(), "listed", summary.listed(), "draining",
 				summary.draining(), "serving", summary.serving(), "forming", summary.forming(), "waiting",
 				summary.waiting(), "free_warm", summary.freeWarm(), "free_empty", summary.freeEmpty(), "loading",
-				summary.loading());
+				summary.loading(), "idle", new TreeMap<>(summary.idle()));
 	}
 
 	private List<ServingInstance> usableInstancesOf(ServiceSpec service, Set<String> unresponsiveIds) {
