Test world of groups: checks without fleet decisions stay as they were

Cause: with the planner's part a head's stall time ran from its first loss in all tests, which eased the world of the checks that held before. Change: it does so only where fleet decisions are tested, as engines do; the checks of the policy without them have the harder world again. Conclusion: no existing check is eased.

--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
@@ -87,6 +87,13 @@
 	 */
 	boolean lateOrdersReachRestarted;
 
+	/**
+	 * Whether a further loss of a member restarts the head's stall time. Engines count
+	 * from the first loss; the policy without fleet decisions is held against the harder
+	 * case.
+	 */
+	private final boolean stallRestartsWithEachLoss;
+
 	/** The shares of demand that the planners are told; empty if they are told none. */
 	Map<String, Double> demandShareRatios = Map.of();
 
@@ -97,6 +104,7 @@
 	ReplicaSimulation(long seed, EngineSpec engine, int domains, int domainSize, double lostRatio, double lateRatio,
 			boolean fleetDecisions, int fullSpeedLoads) {
 		this.random = new Random(seed);
+		this.stallRestartsWithEachLoss = !fleetDecisions;
 		this.engine = engine;
 		this.weightStore = new SimulatedWeightStore(fullSpeedLoads);
 		this.lostRatio = lostRatio;
@@ -186,14 +194,14 @@
 			instance.everReady.add(instance.group);
 		}
 		if (instance.state == MemberState.OPEN) {
-			// The stall time runs from the first loss; later losses do not restart it.
-			if (memberLostSince(instance) < 0) {
-				instance.stalledSinceMillis = -1;
+			final long lostAtMillis = memberLostSince(instance);
+			if (this.stallRestartsWithEachLoss || lostAtMillis < 0) {
+				instance.stalledSinceMillis = lostAtMillis;
 			}
 			else if (instance.stalledSinceMillis < 0) {
 				instance.stalledSinceMillis = this.nowMillis;
 			}
-			else if (this.nowMillis - instance.stalledSinceMillis >= STALL_TIMEOUT_MILLIS) {
+			if (lostAtMillis >= 0 && this.nowMillis - instance.stalledSinceMillis >= STALL_TIMEOUT_MILLIS) {
 				instance.state = MemberState.BROKEN;
 			}
 		}
