Core: policies of late loops and of list reads use no class of java.time

Cause: CorePurityTests was red on the joined parts (two classes). Change: plain constants in nanoseconds. Conclusion: CorePurityTests green.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/listing/ListReadPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/listing/ListReadPolicy.java
@@ -1,7 +1,5 @@
 package org.pistachioline.core.listing;
 
-import java.time.Duration;
-
 /**
  * How many daemons read the platform's instance list, and how often.
  *
@@ -12,16 +10,18 @@
  */
 public record ListReadPolicy(int readers, long readIntervalNanos, boolean plannerReads) {
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	/**
 	 * Two readers and the planner, so that the loss of a reader delays no change. It
 	 * costs about thirteen calls a second.
 	 */
-	public static final ListReadPolicy REDUNDANT = new ListReadPolicy(2, Duration.ofMillis(250).toNanos(), true);
+	public static final ListReadPolicy REDUNDANT = new ListReadPolicy(2, 250 * NANOS_PER_MILLI, true);
 
 	/**
 	 * One reader for all, which costs five calls a second. If it is lost, changes are
 	 * delayed by the time that a response is waited for.
 	 */
-	public static final ListReadPolicy ECONOMICAL = new ListReadPolicy(1, Duration.ofMillis(200).toNanos(), false);
+	public static final ListReadPolicy ECONOMICAL = new ListReadPolicy(1, 200 * NANOS_PER_MILLI, false);
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/overload/LateLoopPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/overload/LateLoopPolicy.java
@@ -1,7 +1,5 @@
 package org.pistachioline.core.overload;
 
-import java.util.concurrent.TimeUnit;
-
 /**
  * Decides which requests a daemon refuses at once while its event loop runs late.
  * <p>
@@ -10,8 +8,10 @@
  */
 public final class LateLoopPolicy {
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	/** A loop that is less late than this is on time: such a delay spoils no request. */
-	public static final long ON_TIME_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+	public static final long ON_TIME_NANOS = 100 * NANOS_PER_MILLI;
 
 	/**
 	 * Turns of the loop between the acceptance of a request and its answer: to send it,
@@ -44,7 +44,7 @@
 	 * @return the delay, in milliseconds
 	 */
 	public static long retryAfterMillis(long lagNanos, double draw) {
-		final long lagMillis = TimeUnit.NANOSECONDS.toMillis(Math.max(ON_TIME_NANOS, lagNanos));
+		final long lagMillis = Math.max(ON_TIME_NANOS, lagNanos) / NANOS_PER_MILLI;
 		return lagMillis + (long) (draw * REMAINING_TURNS * lagMillis);
 	}
 
