Planner: demand counts by the instances that it needs, not by tokens

Cause: all groups of a service have the same slots. By tokens a model with small groups asks for four fifths of the instances where it needs two fifths, and the model with large groups would keep hardly a group. Change: InstanceDemand weighs each model's tokens by its members and its pace.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/PlannerView.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/PlannerView.java
@@ -18,8 +18,9 @@
  * group did
  * @param beforeTraffic whether no request has arrived yet, so that weight loads are not
  * limited
- * @param demandShareRatios the share of the current work that asks for each model, by the
- * model's name; empty if it is not known, so that the declared shares apply
+ * @param demandShareRatios the share of the instances that each model needs for the
+ * current demand, by the model's name; empty if it is not known, so that the declared
+ * shares apply
  */
 public record PlannerView(long nowNanos, EngineSpec engine, Collection<ServingInstance> instances,
 		Collection<ServingInstance> delisted, Set<String> unresponsiveIds, boolean beforeTraffic,
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -19,6 +19,7 @@
 import org.pistachioline.core.replica.DelistedInstances;
 import org.pistachioline.core.replica.EvacuatedInstances;
 import org.pistachioline.core.replica.IdleReason;
+import org.pistachioline.core.replica.InstanceDemand;
 import org.pistachioline.core.replica.LeavingInstances;
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.core.replica.OrderOutcome;
@@ -366,7 +367,9 @@
 				planner
 					.plan(new PlannerView(nowNanos, service.engine().orElseThrow(),
 							usableInstancesOf(service, unresponsiveIds), this.delisted.instances(), unresponsiveIds,
-							this.beforeTraffic.getAsBoolean(), this.modelDemand.shareRatios(service.name())))
+							this.beforeTraffic.getAsBoolean(),
+							InstanceDemand.shareRatios(service.engine().orElseThrow(),
+									this.modelDemand.shareRatios(service.name()))))
 					.forEach((order) -> sendOrder(order, term));
 				groupsByName.putAll(planner.groups());
 				if (logSummary) {
