--- a/pistachioline-core/src/main/java/org/pistachioline/core/admission/FleetAdmission.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/admission/FleetAdmission.java
@@ -38,6 +38,7 @@
 	/** Callers respect a retry time up to this part of the time that they have left. */
 	private static final double RESPECTED_RATIO = 1.0 / 3;
 
+	/** The earliest retry, as a part of the time that callers respect. */
 	private static final double EARLIEST_RETRY_RATIO = 0.4;
 
 	private static final long MAX_RETRY_AFTER_MILLIS = 60_000;
@@ -186,10 +187,13 @@
 	}
 
 	/**
-	 * Returns the admission to each model and service, for operators.
+	 * Returns the admission to each model and service that has had requests lately, for
+	 * operators.
+	 * @param nowNanos the monotonic time
 	 * @return the reports, by name
 	 */
-	public List<AdmissionReport> reports() {
+	public List<AdmissionReport> reports(long nowNanos) {
+		this.targets.values().removeIf((target) -> target.isOutdated(nowNanos));
 		return this.targets.values()
 			.stream()
 			.map(TargetAdmission::report)
--- a/pistachioline-core/src/main/java/org/pistachioline/core/admission/SlotTimes.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/admission/SlotTimes.java
@@ -1,9 +1,9 @@
 package org.pistachioline.core.admission;
 
-import java.util.HashMap;
 import java.util.Map;
 
 import org.pistachioline.core.demand.DemandKey;
+import org.pistachioline.core.demand.RecentEntries;
 
 /**
  * Learns for how long requests hold a slot for each unit of their cost.
@@ -15,12 +15,12 @@
 
 	private static final int MAX_KINDS = 64;
 
-	private final Map<DemandKey, Sums> byKind = new HashMap<>();
+	private final Map<DemandKey, Sums> byKind = new RecentEntries<>(MAX_KINDS);
 
-	private final Map<String, Sums> byName = new HashMap<>();
+	private final Map<String, Sums> byName = new RecentEntries<>(MAX_KINDS);
 
 	void onServed(DemandKey key, double cost, double slotNanos) {
-		if (cost <= 0 || slotNanos <= 0 || (this.byKind.size() >= MAX_KINDS && !this.byKind.containsKey(key))) {
+		if (cost <= 0 || slotNanos <= 0) {
 			return;
 		}
 		this.byKind.computeIfAbsent(key, (added) -> new Sums()).add(cost, slotNanos);
--- a/pistachioline-core/src/main/java/org/pistachioline/core/admission/TargetAdmission.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/admission/TargetAdmission.java
@@ -22,6 +22,9 @@
 
 	private static final long UPDATE_NANOS = 200_000_000L;
 
+	/** The time without a request after which the demand counts as over. */
+	private static final long OUTDATED_NANOS = 10_000_000_000L;
+
 	/** The time in which lost slots stop counting; they may be replaced soon. */
 	private static final double LOST_SLOTS_NANOS = 1e9;
 
@@ -68,6 +71,10 @@
 		return !this.updated || nowNanos - this.updatedAtNanos >= UPDATE_NANOS;
 	}
 
+	boolean isOutdated(long nowNanos) {
+		return this.updated && nowNanos - this.updatedAtNanos >= OUTDATED_NANOS;
+	}
+
 	/**
 	 * Determines the admitted parts anew.
 	 * @param nowNanos the monotonic time
@@ -103,9 +110,9 @@
 		this.kinds = loads.stream().map(Load::report).toList();
 	}
 
-	// Estimates lag behind demand that falls. What the reports show as unused is
-	// therefore
-	// given to those who would be refused, as far as they fill it by Little's law.
+	// Estimates lag behind demand that falls. Slots that the reports show as unused are
+	// therefore given to requests that would be refused, as far as these fill them by
+	// Little's law.
 	private double spareRatio(List<Load> loads, int unusedSlots) {
 		final double spareSlots = unusedSlots - UNUSED_RESERVE_RATIO * this.slots;
 		if (spareSlots <= 0) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/cold/ColdListing.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/cold/ColdListing.java
@@ -58,9 +58,7 @@
 	}
 
 	private long coldMillis(ServingInstance instance, ColdStart coldStart) {
-		// An entry that says the same again may be about another cold time, so entries
-		// are
-		// told apart by identity.
+		// Compared by identity: an equal entry may announce another cold time.
 		if (this.lastEntries.get(instance.id()) == instance) {
 			return 0;
 		}
@@ -68,7 +66,10 @@
 			return instance.coldRemainingMillis();
 		}
 		final Occupant previous = this.occupants.get(instance.address());
-		final boolean replaces = previous != null && !previous.instanceId().equals(instance.id());
+		// Both lives may be listed for a while, so one that was listed before replaces
+		// none.
+		final boolean replaces = previous != null && !previous.instanceId().equals(instance.id())
+				&& !this.lastEntries.containsKey(instance.id());
 		return replaces ? coldStart.durationMillis() : 0;
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/cold/ColdPace.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/cold/ColdPace.java
@@ -64,7 +64,7 @@
 
 	/**
 	 * Records until when the instance is cold, if that is later than what was known.
-	 * @param coldUntilNanos until when
+	 * @param coldUntilNanos the monotonic time, in nanoseconds, at which it has warmed up
 	 * @return by how much the time is extended, in nanoseconds; 0 if it is not;
 	 * {@link Long#MAX_VALUE} if the instance was not known to be cold
 	 */
@@ -136,6 +136,13 @@
 			.toArray();
 	}
 
+	/**
+	 * Ends the pacing, as the service declares no cold start any more.
+	 */
+	void deactivate() {
+		this.active = false;
+	}
+
 	/**
 	 * Ends the pacing if the instance has warmed up.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-core/src/main/java/org/pistachioline/core/cold/ColdRegistry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/cold/ColdRegistry.java
@@ -119,7 +119,7 @@
 			pace.allocate(this.daemons.daemons(), this.mayUsePermits);
 		}
 		else if (coldStart == null && pace.isActive()) {
-			pace.endIfWarm(pace.untilNanos());
+			pace.deactivate();
 		}
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/demand/FleetDemand.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/demand/FleetDemand.java
@@ -25,17 +25,18 @@
 
 	private static final double NANOS_PER_SECOND = 1e9;
 
-	/**
-	 * The time constant of this daemon's own rates, and that with which the estimate
-	 * moves towards them. The estimate must not follow an own request before others have
-	 * been heard, since with a hundred daemons one request seems to be a hundred.
-	 */
+	/** The time constant of this daemon's own rates. */
 	private static final double OWN_WINDOW_SECONDS = 0.7;
 
+	/**
+	 * The time constant with which the estimate follows the own rates. It is longer,
+	 * because with a hundred daemons one request would otherwise seem to be a hundred.
+	 */
 	private static final double MEAN_WINDOW_SECONDS = 1.4;
 
 	private static final long MIN_STEP_NANOS = 50_000_000L;
 
+	/** The part of the way that a peer's estimate moves this one. */
 	private static final double HEARD_WEIGHT = 0.7;
 
 	private static final double COST_SAMPLE_WEIGHT = 0.05;
@@ -56,7 +57,7 @@
 
 	private long rejectedCount;
 
-	private final Map<DemandKey, Double> meanCosts = new HashMap<>();
+	private final Map<DemandKey, Double> meanCosts = new RecentEntries<>(MAX_KINDS);
 
 	/**
 	 * Creates the demand of a daemon that knows nothing.
@@ -92,9 +93,6 @@
 
 	// The sizes of single requests would be most of the noise in the cost of a kind.
 	private double meanCost(DemandKey key, double cost) {
-		if (this.meanCosts.size() >= MAX_KINDS && !this.meanCosts.containsKey(key)) {
-			return cost;
-		}
 		return this.meanCosts.merge(key, cost, (mean, sample) -> mean + COST_SAMPLE_WEIGHT * (sample - mean));
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/demand/UsualTimeouts.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/demand/UsualTimeouts.java
@@ -1,6 +1,5 @@
 package org.pistachioline.core.demand;
 
-import java.util.HashMap;
 import java.util.Map;
 
 import org.pistachioline.core.traffic.RequestInfo;
@@ -10,9 +9,10 @@
  * <p>
  * A caller that was refused comes back with the rest of its time. Its objective counts
  * from its first attempt, so that a place for it is worth less than a place for a request
- * that can still be on time. Where the callers of a kind mostly start with the same
- * timeout, a shorter one tells how long a caller has waited; where their timeouts differ,
- * nothing is concluded.
+ * that can still be on time. Where at least a fifth of the requests of a kind start with
+ * the same timeout, a shorter one is taken for that of a caller who has waited; callers
+ * who choose a shorter timeout themselves are then taken for late. Where timeouts differ
+ * more, nothing is concluded.
  */
 public final class UsualTimeouts {
 
@@ -28,7 +28,7 @@
 
 	private static final double INITIAL_USUAL_RATIO = 0.5;
 
-	private final Map<DemandKey, Timeouts> byKind = new HashMap<>();
+	private final Map<DemandKey, Timeouts> byKind = new RecentEntries<>(MAX_KINDS);
 
 	/**
 	 * Determines until when the first token of a new request counts as on time.
@@ -39,9 +39,6 @@
 	 */
 	public long softDeadlineNanos(long nowNanos, RequestInfo info) {
 		final DemandKey key = new DemandKey(info.name(), info.priority());
-		if (this.byKind.size() >= MAX_KINDS && !this.byKind.containsKey(key)) {
-			return info.softDeadlineNanos();
-		}
 		final long leftNanos = info.totalDeadlineNanos() - nowNanos;
 		final long objectiveNanos = info.softDeadlineNanos() - nowNanos;
 		final long waitedNanos = this.byKind.computeIfAbsent(key, (added) -> new Timeouts())
--- a/pistachioline-core/src/main/java/org/pistachioline/core/endpoints/DaemonRoom.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/endpoints/DaemonRoom.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.pistachioline.core.overload.LateLoopPolicy;
 import org.pistachioline.core.peer.PeerStatus;
 
 /**
@@ -18,7 +19,7 @@
 	static final DaemonRoom EQUAL = new DaemonRoom(0);
 
 	/** A loop that is less late than this has room. */
-	public static final long ON_TIME_MILLIS = 100;
+	public static final long ON_TIME_MILLIS = LateLoopPolicy.ON_TIME_MILLIS;
 
 	private static final double MIN_LAG_WEIGHT = 0.1;
 
@@ -45,10 +46,10 @@
 	/**
 	 * Returns whether a daemon's event loop runs late.
 	 * @param daemon the daemon
-	 * @return whether it is later than {@value #ON_TIME_MILLIS} ms
+	 * @return whether its lag is at least {@value #ON_TIME_MILLIS} ms
 	 */
 	public static boolean isLate(PeerStatus daemon) {
-		return daemon.loopLagMillis() > ON_TIME_MILLIS;
+		return daemon.loopLagMillis() >= ON_TIME_MILLIS;
 	}
 
 	double weight(PeerStatus daemon) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/listing/ListingSynchronizer.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/listing/ListingSynchronizer.java
@@ -47,8 +47,8 @@
 
 	/**
 	 * The age from which on a planner that relies on another daemon's list reads for
-	 * itself. In calm, a list is up to half a second old: a read interval and the time
-	 * for which a request is held.
+	 * itself. Without changes, a list is up to half a second old: a read interval and the
+	 * time for which a request is held.
 	 */
 	private static final long PLANNER_MAX_AGE_NANOS = 700 * NANOS_PER_MILLI;
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/overload/LateLoopPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/overload/LateLoopPolicy.java
@@ -11,7 +11,10 @@
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
 	/** A loop that is less late than this is on time: such a delay spoils no request. */
-	public static final long ON_TIME_NANOS = 100 * NANOS_PER_MILLI;
+	public static final long ON_TIME_MILLIS = 100;
+
+	/** The same time, in nanoseconds. */
+	public static final long ON_TIME_NANOS = ON_TIME_MILLIS * NANOS_PER_MILLI;
 
 	/**
 	 * Turns of the loop between the acceptance of a request and its answer: to send it,
@@ -24,9 +27,10 @@
 
 	/**
 	 * Returns whether a request is to be refused, since it could not be served in time.
-	 * @param waitedNanos how long it has waited on its connection, as far as is known
-	 * @param lagNanos how late the loop runs
-	 * @param budgetNanos how long it may wait in this daemon in all
+	 * @param waitedNanos how long it has waited on its connection, as far as is known, in
+	 * nanoseconds
+	 * @param lagNanos how late the loop runs, in nanoseconds
+	 * @param budgetNanos how long it may wait in this daemon in all, in nanoseconds
 	 * @return whether it is to be refused
 	 */
 	public static boolean refuses(long waitedNanos, long lagNanos, long budgetNanos) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/overload/LoopLag.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/overload/LoopLag.java
@@ -24,7 +24,8 @@
 
 	/**
 	 * Creates a measurement without any lag.
-	 * @param intervalNanos the interval between the end of a tick and the next one
+	 * @param intervalNanos the interval between the end of a tick and the next one, in
+	 * nanoseconds
 	 * @param nowNanos the monotonic time
 	 */
 	public LoopLag(long intervalNanos, long nowNanos) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/queueing/RankOrder.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/queueing/RankOrder.java
@@ -21,8 +21,8 @@
 final class RankOrder {
 
 	/**
-	 * The part of its deadline that a request may wait. How many more urgent ones are
-	 * still to come is not known.
+	 * The part of its deadline that a request may wait; the rest is left to the caller
+	 * for a retry.
 	 */
 	static final double MAX_WAIT_RATIO = 0.5;
 
@@ -52,7 +52,7 @@
 	}
 
 	/**
-	 * Finds the requests that wait in vain.
+	 * Finds the requests that can no longer be served in time.
 	 * @param nowNanos the monotonic time
 	 * @param firstTokenNanos the time from the start of a request to its first token
 	 * @param queue the queued requests
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetStaging.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetStaging.java
@@ -40,9 +40,8 @@
 		return (selected.isPresent() || losesInstances(pass)) ? selected : loadForFlexibility(pass, counts);
 	}
 
-	// While instances are being lost, the store is kept for the empty hosts that are
-	// about
-	// to replace them.
+	// While instances are being lost, the store is kept for the empty hosts that replace
+	// them.
 	private static boolean losesInstances(PlanningPass pass) {
 		return !pass.view().beforeTraffic() && !(pass.recovering().isEmpty() && pass.view().delisted().isEmpty());
 	}
@@ -130,9 +129,8 @@
 				.ifPresent((membership) -> holdersByGroup.merge(membership.group(), 1, Integer::sum)));
 		return instances.stream()
 			.filter((instance) -> this.holders.mayLoad(instance, model))
-			// Prefers empty hosts, and then members of the same group, so that closing
-			// that
-			// group frees them together.
+			// Prefers empty hosts, then members of the same group: closing it frees them
+			// together.
 			.min(Comparator.comparingInt(this.holders::countModels)
 				.thenComparingInt((ServingInstance instance) -> -instance.membership()
 					.map((membership) -> holdersByGroup.getOrDefault(membership.group(), 0))
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/RoomUnderChurnTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/RoomUnderChurnTests.java
@@ -17,7 +17,7 @@
 /**
  * Load pattern: two or three members of groups fail every three seconds for a minute,
  * empty instances replace them six seconds later, and the weight store runs four loads at
- * full speed.
+ * full speed. The system property {@code churn.seeds} sets the number of seeds.
  */
 class RoomUnderChurnTests {
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -62,8 +62,8 @@
 		final LoopMonitor loop = relay.loopMonitor();
 		this.metrics.gauge("pistachioline.callers.held",
 				"Bytes of requests without an answer, and of answers that callers have not taken", relay::heldBytes);
-		this.metrics.gauge("pistachioline.loop.lag", "Milliseconds that the loop which serves callers ran late lately",
-				loop::lagMillis);
+		this.metrics.gauge("pistachioline.loop.lag",
+				"Largest lag of the loop that serves callers in the last seconds, in milliseconds", loop::lagMillis);
 		this.metrics.gauge("pistachioline.loop.refused", "Requests that were refused because that loop ran late",
 				loop::refusedRequests);
 		this.metrics.gauge("pistachioline.daemons.late", "Live daemons whose loop runs late, this one included",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/LoopMonitor.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/LoopMonitor.java
@@ -19,7 +19,7 @@
 
 	private static final long TICK_MILLIS = 100;
 
-	/** Above it for some seconds, callers notice. */
+	/** The lag from which the loop is reported as late. */
 	private static final long LATE_MILLIS = 500;
 
 	private final WebLoop loop;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -182,7 +182,7 @@
 		};
 		logRefusal(UNKNOWN_REQUEST_ID, kind, "");
 		return RelayErrorResponses.of(UNKNOWN_REQUEST_ID, kind, RunState.NOT_RUN,
-				(kind == ErrorKind.OVERLOADED) ? retryAfterMillis(kind) : 0);
+				(fault == RequestFault.NO_ROOM) ? jitteredRetryMillis() : 0);
 	}
 
 	private void logRefusal(String requestId, ErrorKind kind, String path) {
@@ -190,11 +190,12 @@
 				this.routes.get().version(), "path", path);
 	}
 
-	// Jittered, so that callers refused at the same time do not retry at the same time.
 	private long retryAfterMillis(ErrorKind kind) {
-		if (kind == ErrorKind.OVERLOADED) {
-			return this.loopMonitor.retryAfterMillis();
-		}
+		return (kind == ErrorKind.OVERLOADED) ? this.loopMonitor.retryAfterMillis() : jitteredRetryMillis();
+	}
+
+	// Jittered, so that callers refused at the same time do not retry at the same time.
+	private static long jitteredRetryMillis() {
 		return MIN_RETRY_AFTER_MILLIS + ThreadLocalRandom.current().nextLong(MIN_RETRY_AFTER_MILLIS);
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/FleetDemandExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/FleetDemandExchange.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.pistachioline.core.admission.AdmissionReport;
 import org.pistachioline.core.admission.FleetAdmission;
@@ -37,9 +38,9 @@
 
 	private int heartbeatCount;
 
-	private long publishedAtNanos;
+	private long publishedAtNanos = System.nanoTime() - PUBLISH_NANOS;
 
-	private long loggedAtNanos;
+	private long loggedAtNanos = System.nanoTime() - LOG_NANOS;
 
 	private volatile DemandEstimate meanDemand = DemandEstimate.NONE;
 
@@ -86,7 +87,7 @@
 		this.publishedAtNanos = nowNanos;
 		this.meanDemand = this.admission.meanDemand(nowNanos);
 		this.fleetDemand = this.admission.fleetDemand(nowNanos);
-		this.reports = this.admission.reports();
+		this.reports = this.admission.reports(nowNanos);
 		this.rejectedEstimateCount = this.admission.rejectedEstimateCount();
 		if (nowNanos - this.loggedAtNanos >= LOG_NANOS) {
 			this.loggedAtNanos = nowNanos;
@@ -110,6 +111,10 @@
 						"wanted_slots", report.wantedSlots());
 			}
 		}
+		final Set<String> reported = this.reports.stream().map(AdmissionReport::name).collect(Collectors.toSet());
+		this.loggedRestrictions.stream()
+			.filter((name) -> !reported.contains(name))
+			.forEach((name) -> Events.log(EventId.ADMISSION_UNRESTRICTED, "name", name, "slots", 0, "wanted_slots", 0));
 		this.loggedRestrictions = restricted;
 	}
 
