Evacuation and demand: records and estimates by their usual names

Cause: 'word', 'heard' and 'taken back' stood for record, received and ended. Change: names and comments only.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/admission/FleetAdmission.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/admission/FleetAdmission.java
@@ -154,8 +154,8 @@
 	 * @param heard the estimate
 	 * @return whether it is used; false for one that is empty or impossible
 	 */
-	public boolean onHeard(long nowNanos, DemandEstimate heard) {
-		return demandAt(nowNanos).onHeard(nowNanos, heard);
+	public boolean onPeerEstimate(long nowNanos, DemandEstimate heard) {
+		return demandAt(nowNanos).onPeerEstimate(nowNanos, heard);
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/demand/FleetDemand.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/demand/FleetDemand.java
@@ -113,7 +113,7 @@
 	 * @return whether the estimate is used; false if it has too many entries or a rate
 	 * that is impossible, and for an empty one
 	 */
-	public boolean onHeard(long nowNanos, DemandEstimate heard) {
+	public boolean onPeerEstimate(long nowNanos, DemandEstimate heard) {
 		if (!isValid(heard)) {
 			this.rejectedCount++;
 			return false;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/evacuation/EvacuationReading.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/evacuation/EvacuationReading.java
@@ -7,13 +7,13 @@
  *
  * @param fromPosition the first position that the reading covers
  * @param toPosition the position after the last one that it covers
- * @param words the last word on each zone that is in force, and withdrawals that were
- * read
+ * @param records the latest record on each zone that is in force, and withdrawals that
+ * were read
  */
-public record EvacuationReading(long fromPosition, long toPosition, List<ZoneEvacuation> words) {
+public record EvacuationReading(long fromPosition, long toPosition, List<ZoneEvacuation> records) {
 
 	public EvacuationReading {
-		words = List.copyOf(words);
+		records = List.copyOf(records);
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/evacuation/EvacuationRegistry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/evacuation/EvacuationRegistry.java
@@ -11,14 +11,14 @@
 import java.util.stream.Collectors;
 
 /**
- * The operators' last word on each availability zone, merged from the platform's store
- * and from other daemons.
+ * The operators' latest record on each availability zone, merged from the platform's
+ * store and from other daemons.
  * <p>
- * For each zone the word at the highest position counts, so daemons that know the same
- * words agree in whatever order they learned them. A withdrawal is remembered as well:
+ * For each zone the record at the highest position counts, so daemons that know the same
+ * records agree in whatever order they learned them. A withdrawal is remembered as well:
  * otherwise a daemon that missed it would bring the evacuation back. A zone that a
  * reading of the store lacks was withdrawn only if the reading covers the position of the
- * last word; a store that lost records does not.
+ * latest record; a store that lost records does not.
  */
 public final class EvacuationRegistry {
 
@@ -30,7 +30,7 @@
 
 	private static final int MAX_REFUSED_ZONES = 256;
 
-	private final Map<String, ZoneEvacuation> words = new HashMap<>();
+	private final Map<String, ZoneEvacuation> records = new HashMap<>();
 
 	private EvacuationReading lastReading = new EvacuationReading(0, 0, List.of());
 
@@ -48,21 +48,21 @@
 		if (reading.toPosition() > this.lastReading.toPosition()) {
 			this.lastReading = reading;
 		}
-		reading.words().forEach(this::merge);
-		List.copyOf(this.words.values()).forEach(this::withdrawIfMissing);
+		reading.records().forEach(this::merge);
+		List.copyOf(this.records.values()).forEach(this::withdrawIfMissing);
 		return !before.equals(zones());
 	}
 
 	/**
 	 * Applies what another daemon knows.
-	 * @param known its words
+	 * @param known its records
 	 * @return whether the zones to evacuate changed
 	 */
-	public boolean onPeerWords(Collection<ZoneEvacuation> known) {
+	public boolean onPeerRecords(Collection<ZoneEvacuation> known) {
 		final Set<String> before = zones();
-		known.stream().limit(MAX_ZONES).forEach((word) -> {
-			merge(word);
-			final ZoneEvacuation merged = this.words.get(word.availabilityZone());
+		known.stream().limit(MAX_ZONES).forEach((zoneRecord) -> {
+			merge(zoneRecord);
+			final ZoneEvacuation merged = this.records.get(zoneRecord.availabilityZone());
 			if (merged != null) {
 				withdrawIfMissing(merged);
 			}
@@ -70,31 +70,32 @@
 		return !before.equals(zones());
 	}
 
-	private void withdrawIfMissing(ZoneEvacuation word) {
+	private void withdrawIfMissing(ZoneEvacuation zoneRecord) {
 		final EvacuationReading reading = this.lastReading;
-		final boolean covered = word.position() >= reading.fromPosition() && word.position() < reading.toPosition();
-		if (word.inForce() && covered
-				&& reading.words().stream().noneMatch((read) -> isWordOn(read, word.availabilityZone()))) {
-			this.words.put(word.availabilityZone(),
-					new ZoneEvacuation(word.availabilityZone(), reading.toPosition() - 1, false));
+		final boolean covered = zoneRecord.position() >= reading.fromPosition()
+				&& zoneRecord.position() < reading.toPosition();
+		if (zoneRecord.inForce() && covered
+				&& reading.records().stream().noneMatch((read) -> coversZone(read, zoneRecord.availabilityZone()))) {
+			this.records.put(zoneRecord.availabilityZone(),
+					new ZoneEvacuation(zoneRecord.availabilityZone(), reading.toPosition() - 1, false));
 		}
 	}
 
-	private static boolean isWordOn(ZoneEvacuation read, String availabilityZone) {
+	private static boolean coversZone(ZoneEvacuation read, String availabilityZone) {
 		return read.inForce() && read.availabilityZone().equals(availabilityZone);
 	}
 
-	private void merge(ZoneEvacuation word) {
-		final ZoneEvacuation known = this.words.get(word.availabilityZone());
-		if (known != null && (word.position() < known.position()
-				|| (word.position() == known.position() && (word.inForce() || !known.inForce())))) {
+	private void merge(ZoneEvacuation zoneRecord) {
+		final ZoneEvacuation known = this.records.get(zoneRecord.availabilityZone());
+		if (known != null && (zoneRecord.position() < known.position()
+				|| (zoneRecord.position() == known.position() && (zoneRecord.inForce() || !known.inForce())))) {
 			return;
 		}
-		if (!isValid(word) || (known == null && !hasRoom())) {
-			recordRefusal(word.availabilityZone());
+		if (!isValid(zoneRecord) || (known == null && !makeRoom())) {
+			recordRefusal(zoneRecord.availabilityZone());
 			return;
 		}
-		this.words.put(word.availabilityZone(), word);
+		this.records.put(zoneRecord.availabilityZone(), zoneRecord);
 	}
 
 	private void recordRefusal(String availabilityZone) {
@@ -104,30 +105,30 @@
 	}
 
 	/**
-	 * Returns whether a word can be used.
-	 * @param word the word
+	 * Returns whether a record can be used.
+	 * @param zoneRecord the record
 	 * @return whether its zone has a name of a usable length and its position is valid
 	 */
-	public static boolean isValid(ZoneEvacuation word) {
-		return !word.availabilityZone().isBlank() && word.availabilityZone().length() <= MAX_NAME_LENGTH
-				&& word.position() >= 0;
+	public static boolean isValid(ZoneEvacuation zoneRecord) {
+		return !zoneRecord.availabilityZone().isBlank() && zoneRecord.availabilityZone().length() <= MAX_NAME_LENGTH
+				&& zoneRecord.position() >= 0;
 	}
 
 	// Withdrawals give way, the oldest first; a request in force never does.
-	private boolean hasRoom() {
-		if (this.words.size() < MAX_ZONES) {
+	private boolean makeRoom() {
+		if (this.records.size() < MAX_ZONES) {
 			return true;
 		}
-		return this.words.values()
+		return this.records.values()
 			.stream()
-			.filter((word) -> !word.inForce())
+			.filter((zoneRecord) -> !zoneRecord.inForce())
 			.min(Comparator.comparingLong(ZoneEvacuation::position))
-			.map((oldest) -> this.words.remove(oldest.availabilityZone()))
+			.map((oldest) -> this.records.remove(oldest.availabilityZone()))
 			.isPresent();
 	}
 
 	private Set<String> zones() {
-		return this.words.values()
+		return this.records.values()
 			.stream()
 			.filter(ZoneEvacuation::inForce)
 			.map(ZoneEvacuation::availabilityZone)
@@ -136,19 +137,19 @@
 
 	/**
 	 * Returns the zones to evacuate.
-	 * @return the zones, and the position of the newest word
+	 * @return the zones, and the position of the newest record
 	 */
 	public EvacuationState state() {
-		return new EvacuationState(this.words.values().stream().mapToLong(ZoneEvacuation::position).max().orElse(0),
+		return new EvacuationState(this.records.values().stream().mapToLong(ZoneEvacuation::position).max().orElse(0),
 				zones());
 	}
 
 	/**
-	 * Returns the last word on each zone, for other daemons.
-	 * @return the words, withdrawals included
+	 * Returns the latest record on each zone, for other daemons.
+	 * @return the records, withdrawals included
 	 */
-	public List<ZoneEvacuation> words() {
-		return List.copyOf(this.words.values());
+	public List<ZoneEvacuation> records() {
+		return List.copyOf(this.records.values());
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/evacuation/ZoneEvacuation.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/evacuation/ZoneEvacuation.java
@@ -1,10 +1,10 @@
 package org.pistachioline.core.evacuation;
 
 /**
- * The operators' last word on one availability zone, as far as is known.
+ * The operators' latest record on one availability zone, as far as is known.
  *
  * @param availabilityZone the zone
- * @param position the position of that word in the platform's store; words at higher
+ * @param position the position of that record in the platform's store; records at higher
  * positions are newer
  * @param inForce whether the zone is to be evacuated; false if that was withdrawn
  */
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -235,7 +235,7 @@
 			"Operators evacuate an availability zone; nothing new is sent to its targets."),
 
 	/** Logged when the operators' request is withdrawn. */
-	ZONE_TAKEN_BACK(433, EventLevel.INFO,
+	ZONE_EVACUATION_ENDED(433, EventLevel.INFO,
 			"The evacuation of an availability zone is over; its targets are used again."),
 
 	/** Logged with the beginning of such an evacuation. */
--- a/pistachioline-core/src/test/java/org/pistachioline/core/admission/FleetSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/admission/FleetSimulation.java
@@ -253,7 +253,7 @@
 		for (int count = 0; count < FAN_OUT; count++) {
 			final Daemon receiver = this.daemons.get(this.random.nextInt(this.daemons.size()));
 			if (receiver != sender && this.random.nextDouble() >= LOST_HEARTBEAT_RATIO) {
-				receiver.admission.onHeard(nowNanos, sent);
+				receiver.admission.onPeerEstimate(nowNanos, sent);
 			}
 		}
 		schedule(nowNanos + HEARTBEAT_NANOS, (now) -> heartbeat(now, sender));
--- a/pistachioline-core/src/test/java/org/pistachioline/core/demand/FleetDemandTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/demand/FleetDemandTests.java
@@ -78,7 +78,7 @@
 			final int receiver = this.random.nextInt(DAEMONS);
 			if (receiver != sender && (receiver < cutDaemons) == (sender < cutDaemons)
 					&& this.random.nextDouble() >= LOST_RATIO) {
-				this.daemons.get(receiver).onHeard(nowNanos, estimate);
+				this.daemons.get(receiver).onPeerEstimate(nowNanos, estimate);
 			}
 		}
 	}
@@ -125,7 +125,7 @@
 		start(1);
 		run(10, REQUESTS_PER_SECOND, 0);
 		final FleetDemand restarted = new FleetDemand(this.step * STEP_NANOS);
-		restarted.onHeard(this.step * STEP_NANOS,
+		restarted.onPeerEstimate(this.step * STEP_NANOS,
 				this.daemons.get(0).estimate(this.step * STEP_NANOS, (name) -> false));
 		assertThat(requestsPerSecond(restarted)).isEqualTo(requestsPerSecond(this.daemons.get(0)));
 	}
@@ -135,11 +135,11 @@
 	@ValueSource(doubles = { Double.NaN, Double.POSITIVE_INFINITY, -1, 1e300 })
 	void anImpossibleRateIsIgnored(double rate) {
 		final FleetDemand demand = new FleetDemand(0);
-		demand.onHeard(0, new DemandEstimate(Map.of(KEY, new DemandRates(3, 0, 0, 3)), Map.of()));
+		demand.onPeerEstimate(0, new DemandEstimate(Map.of(KEY, new DemandRates(3, 0, 0, 3)), Map.of()));
 		final DemandEstimate before = demand.estimate(0, (name) -> true);
 		final Map<DemandKey, DemandRates> heard = Map.of(KEY, new DemandRates(1, 0, 0, rate));
-		assertThat(demand.onHeard(0, new DemandEstimate(heard, Map.of()))).isFalse();
-		assertThat(demand.onHeard(0, new DemandEstimate(Map.of(KEY, DemandRates.NONE),
+		assertThat(demand.onPeerEstimate(0, new DemandEstimate(heard, Map.of()))).isFalse();
+		assertThat(demand.onPeerEstimate(0, new DemandEstimate(Map.of(KEY, DemandRates.NONE),
 				Map.of(new WorkspaceKey("workspace", KEY.name()), rate))))
 			.isFalse();
 		assertThat(demand.estimate(0, (name) -> true)).isEqualTo(before);
@@ -155,7 +155,7 @@
 			heard.put(new DemandKey("model", priority), new DemandRates(1, 0, 0, 1));
 			demand.onArrival(0, new DemandKey("model", priority), "workspace-" + priority, 1, false);
 		}
-		assertThat(demand.onHeard(0, new DemandEstimate(heard, Map.of()))).isFalse();
+		assertThat(demand.onPeerEstimate(0, new DemandEstimate(heard, Map.of()))).isFalse();
 		assertThat(demand.estimate(1_000_000_000L, (name) -> true).rates()).hasSize(FleetDemand.MAX_KINDS);
 	}
 
@@ -163,8 +163,8 @@
 	@Test
 	void aMissingEstimateChangesNothing() {
 		final FleetDemand demand = new FleetDemand(0);
-		demand.onHeard(0, new DemandEstimate(Map.of(KEY, new DemandRates(3, 0, 0, 3)), Map.of()));
-		demand.onHeard(0, DemandEstimate.NONE);
+		demand.onPeerEstimate(0, new DemandEstimate(Map.of(KEY, new DemandRates(3, 0, 0, 3)), Map.of()));
+		demand.onPeerEstimate(0, DemandEstimate.NONE);
 		assertThat(demand.estimate(0, (name) -> true).rates().get(KEY).requestsPerSecond()).isEqualTo(3);
 	}
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/evacuation/EvacuationRegistryTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/evacuation/EvacuationRegistryTests.java
@@ -24,12 +24,12 @@
 
 	@Test
 	void theWordAtTheHighestPositionCountsInWhateverOrderWordsArrive() {
-		final List<ZoneEvacuation> words = new ArrayList<>(List.of(inForce("a", 1), withdrawn("a", 2), inForce("a", 3),
-				inForce("b", 4), withdrawn("b", 5), inForce("c", 6)));
+		final List<ZoneEvacuation> records = new ArrayList<>(List.of(inForce("a", 1), withdrawn("a", 2),
+				inForce("a", 3), inForce("b", 4), withdrawn("b", 5), inForce("c", 6)));
 		for (int seed = 1; seed <= 20; seed++) {
-			Collections.shuffle(words, new Random(seed));
+			Collections.shuffle(records, new Random(seed));
 			final EvacuationRegistry shuffled = new EvacuationRegistry();
-			words.forEach((word) -> shuffled.onPeerWords(List.of(word)));
+			records.forEach((zoneRecord) -> shuffled.onPeerRecords(List.of(zoneRecord)));
 			assertThat(shuffled.state().availabilityZones()).as("seed " + seed).containsExactlyInAnyOrder("a", "c");
 			assertThat(shuffled.state().position()).isEqualTo(6);
 		}
@@ -41,15 +41,15 @@
 	@Test
 	void whatAPeerMissedDoesNotComeBackThroughIt() {
 		this.registry.onReading(new EvacuationReading(0, 30, List.of()));
-		assertThat(this.registry.onPeerWords(List.of(inForce("a", 10)))).isFalse();
+		assertThat(this.registry.onPeerRecords(List.of(inForce("a", 10)))).isFalse();
 		assertThat(this.registry.state().availabilityZones()).isEmpty();
-		assertThat(this.registry.words()).containsExactly(withdrawn("a", 29));
+		assertThat(this.registry.records()).containsExactly(withdrawn("a", 29));
 	}
 
 	@Test
 	void aPeerThatReadFurtherIsBelieved() {
 		this.registry.onReading(new EvacuationReading(0, 30, List.of(inForce("b", 7))));
-		assertThat(this.registry.onPeerWords(List.of(inForce("a", 30), withdrawn("b", 31)))).isTrue();
+		assertThat(this.registry.onPeerRecords(List.of(inForce("a", 30), withdrawn("b", 31)))).isTrue();
 		assertThat(this.registry.state().availabilityZones()).containsExactly("a");
 		assertThat(this.registry.onReading(new EvacuationReading(0, 30, List.of(inForce("b", 7))))).isFalse();
 		this.registry.onReading(new EvacuationReading(0, 40, List.of(inForce("a", 30))));
@@ -61,20 +61,20 @@
 	 */
 	@Test
 	void zonesBeyondTheBoundAreRefusedOnceAndWithdrawalsGiveWay() {
-		this.registry.onPeerWords(List.of(withdrawn("old", 1)));
+		this.registry.onPeerRecords(List.of(withdrawn("old", 1)));
 		IntStream.range(0, EvacuationRegistry.MAX_ZONES + 2)
-			.forEach((i) -> this.registry.onPeerWords(List.of(inForce("z" + i, 10 + i))));
+			.forEach((i) -> this.registry.onPeerRecords(List.of(inForce("z" + i, 10 + i))));
 		assertThat(this.registry.state().availabilityZones()).hasSize(EvacuationRegistry.MAX_ZONES).contains("z0");
 		assertThat(this.registry.drainRefusedZones()).hasSize(2);
-		this.registry.onPeerWords(List.of(inForce("z" + EvacuationRegistry.MAX_ZONES, 999)));
+		this.registry.onPeerRecords(List.of(inForce("z" + EvacuationRegistry.MAX_ZONES, 999)));
 		assertThat(this.registry.drainRefusedZones()).isEmpty();
 	}
 
 	@Test
 	void wordsWithUnusableNamesOrPositionsAreRefused() {
-		assertThat(this.registry.onPeerWords(List.of(inForce(" ", 1), inForce("a", -1), inForce("b".repeat(129), 1))))
+		assertThat(this.registry.onPeerRecords(List.of(inForce(" ", 1), inForce("a", -1), inForce("b".repeat(129), 1))))
 			.isFalse();
-		assertThat(this.registry.words()).isEmpty();
+		assertThat(this.registry.records()).isEmpty();
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/PeerExchanges.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/PeerExchanges.java
@@ -47,8 +47,8 @@
 
 	private void bindEvacuation(EvacuationMonitor evacuation, Relay relay, Metrics metrics) {
 		evacuation.setListener(this::onEvacuation);
-		evacuation.setBroadcaster((words) -> this.peers.broadcast(EvacuationExchange.notice(words)));
-		this.peers.addExchange(new EvacuationExchange(evacuation::words, evacuation::onPeerWords));
+		evacuation.setBroadcaster((records) -> this.peers.broadcast(EvacuationExchange.notice(records)));
+		this.peers.addExchange(new EvacuationExchange(evacuation::records, evacuation::onPeerRecords));
 		relay.setEvacuatedTargets(this.replicas::isEvacuated);
 		metrics.gauge("pistachioline.zones.evacuated", "Availability zones that operators evacuate",
 				() -> evacuation.state().availabilityZones().size());
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/evacuation/EvacuationMonitor.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/evacuation/EvacuationMonitor.java
@@ -35,7 +35,7 @@
 
 	private volatile EvacuationState state = EvacuationState.NONE;
 
-	private volatile List<ZoneEvacuation> words = List.of();
+	private volatile List<ZoneEvacuation> records = List.of();
 
 	/**
 	 * Sets the receiver of changes. Must be called before the start.
@@ -48,7 +48,7 @@
 	/**
 	 * Sets the receiver of what other daemons are to be told at once. Must be called
 	 * before the start.
-	 * @param receiver receives the last word on each zone
+	 * @param receiver receives the latest record on each zone
 	 */
 	public void setBroadcaster(Consumer<List<ZoneEvacuation>> receiver) {
 		this.broadcaster = receiver;
@@ -70,23 +70,23 @@
 	 */
 	public synchronized void onReading(EvacuationReading reading) {
 		if (publish(this.registry.onReading(reading), false)) {
-			this.broadcaster.accept(this.words);
+			this.broadcaster.accept(this.records);
 		}
 	}
 
 	/**
 	 * Applies what another daemon knows.
-	 * @param known its words
+	 * @param known its records
 	 */
-	public synchronized void onPeerWords(Collection<ZoneEvacuation> known) {
-		publish(this.registry.onPeerWords(known), true);
+	public synchronized void onPeerRecords(Collection<ZoneEvacuation> known) {
+		publish(this.registry.onPeerRecords(known), true);
 	}
 
 	private boolean publish(boolean changed, boolean toldByPeer) {
 		this.registry.drainRefusedZones()
 			.forEach((zone) -> Events.log(EventId.EVACUATION_REFUSED, "zone",
 					zone.substring(0, Math.min(EvacuationRegistry.MAX_NAME_LENGTH, zone.length()))));
-		this.words = this.registry.words();
+		this.records = this.registry.records();
 		if (!changed) {
 			return false;
 		}
@@ -106,7 +106,7 @@
 			}
 		});
 		without(before, now)
-			.forEach((zone) -> Events.log(EventId.ZONE_TAKEN_BACK, "zone", zone, "told_by_peer", toldByPeer));
+			.forEach((zone) -> Events.log(EventId.ZONE_EVACUATION_ENDED, "zone", zone, "told_by_peer", toldByPeer));
 	}
 
 	private static Set<String> without(Set<String> zones, Set<String> others) {
@@ -124,11 +124,11 @@
 	}
 
 	/**
-	 * Returns the last word on each zone, for other daemons.
-	 * @return the words, withdrawals included
+	 * Returns the latest record on each zone, for other daemons.
+	 * @return the records, withdrawals included
 	 */
-	public List<ZoneEvacuation> words() {
-		return this.words;
+	public List<ZoneEvacuation> records() {
+		return this.records;
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/EvacuationExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/EvacuationExchange.java
@@ -16,8 +16,8 @@
 import org.pistachioline.protocol.peer.PeerFrame;
 
 /**
- * Exchanges the operators' last word on each availability zone, so that a daemon that the
- * platform's store turns away learns of evacuations and of their end.
+ * Exchanges the operators' latest record on each availability zone, so that a daemon that
+ * the platform's store turns away learns of evacuations and of their end.
  */
 public final class EvacuationExchange implements HeartbeatExchange {
 
@@ -27,8 +27,8 @@
 
 	/**
 	 * Creates the exchange.
-	 * @param known supplies the last word on each zone
-	 * @param receiver receives the words that a peer knows; it must not block
+	 * @param known supplies the latest record on each zone
+	 * @param receiver receives the records that a peer knows; it must not block
 	 */
 	public EvacuationExchange(Supplier<List<ZoneEvacuation>> known, Consumer<List<ZoneEvacuation>> receiver) {
 		this.known = known;
@@ -37,9 +37,9 @@
 
 	@Override
 	public void addTo(Heartbeat.Builder heartbeat, long nowNanos) {
-		final List<ZoneEvacuation> words = this.known.get();
-		if (!words.isEmpty()) {
-			heartbeat.setEvacuation(encode(words));
+		final List<ZoneEvacuation> records = this.known.get();
+		if (!records.isEmpty()) {
+			heartbeat.setEvacuation(encode(records));
 		}
 	}
 
@@ -59,49 +59,50 @@
 
 	@Override
 	public Optional<PeerFrame> greeting(long nowNanos) {
-		final List<ZoneEvacuation> words = this.known.get();
-		return words.isEmpty() ? Optional.empty() : Optional.of(notice(words));
+		final List<ZoneEvacuation> records = this.known.get();
+		return records.isEmpty() ? Optional.empty() : Optional.of(notice(records));
 	}
 
 	/**
 	 * Builds the frame that tells all daemons of evacuations.
-	 * @param words the last word on each zone
+	 * @param records the latest record on each zone
 	 * @return the frame
 	 */
-	public static PeerFrame notice(List<ZoneEvacuation> words) {
-		return PeerFrame.newBuilder().setEvacuationNotice(encode(words)).build();
+	public static PeerFrame notice(List<ZoneEvacuation> records) {
+		return PeerFrame.newBuilder().setEvacuationNotice(encode(records)).build();
 	}
 
-	private static EvacuationState encode(List<ZoneEvacuation> words) {
+	private static EvacuationState encode(List<ZoneEvacuation> records) {
 		final EvacuationState.Builder encoded = EvacuationState.newBuilder();
-		for (final ZoneEvacuation word : words) {
-			encoded.setPosition(Math.max(encoded.getPosition(), word.position()));
-			if (word.inForce()) {
-				encoded.addAvailabilityZones(word.availabilityZone());
+		for (final ZoneEvacuation zoneRecord : records) {
+			encoded.setPosition(Math.max(encoded.getPosition(), zoneRecord.position()));
+			if (zoneRecord.inForce()) {
+				encoded.addAvailabilityZones(zoneRecord.availabilityZone());
 			}
 			encoded.addWordsBuilder()
-				.setAvailabilityZone(word.availabilityZone())
-				.setPosition(word.position())
-				.setInForce(word.inForce());
+				.setAvailabilityZone(zoneRecord.availabilityZone())
+				.setPosition(zoneRecord.position())
+				.setInForce(zoneRecord.inForce());
 		}
 		return encoded.build();
 	}
 
-	// A peer that sends no words of single zones names those in force.
+	// A peer that sends no records of single zones names those in force.
 	private static List<ZoneEvacuation> decode(EvacuationState state) {
-		final List<ZoneEvacuation> words = new ArrayList<>();
+		final List<ZoneEvacuation> records = new ArrayList<>();
 		state.getWordsList()
 			.stream()
 			.limit(EvacuationRegistry.MAX_ZONES)
-			.map((word) -> new ZoneEvacuation(word.getAvailabilityZone(), word.getPosition(), word.getInForce()))
-			.forEach(words::add);
-		final Set<String> named = words.stream().map(ZoneEvacuation::availabilityZone).collect(Collectors.toSet());
+			.map((zoneRecord) -> new ZoneEvacuation(zoneRecord.getAvailabilityZone(), zoneRecord.getPosition(),
+					zoneRecord.getInForce()))
+			.forEach(records::add);
+		final Set<String> named = records.stream().map(ZoneEvacuation::availabilityZone).collect(Collectors.toSet());
 		state.getAvailabilityZonesList()
 			.stream()
 			.limit(EvacuationRegistry.MAX_ZONES)
 			.filter((zone) -> !named.contains(zone))
-			.forEach((zone) -> words.add(new ZoneEvacuation(zone, state.getPosition(), true)));
-		return words;
+			.forEach((zone) -> records.add(new ZoneEvacuation(zone, state.getPosition(), true)));
+		return records;
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/FleetDemandExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/FleetDemandExchange.java
@@ -76,7 +76,7 @@
 		if (heartbeat.hasDemandEstimate()) {
 			final DemandEstimate heard = DemandCodec.decode(heartbeat.getDemandEstimate());
 			// Dropped if the ring is full; the next heartbeat carries a newer estimate.
-			this.traffic.offerTask((atNanos) -> this.admission.onHeard(atNanos, heard));
+			this.traffic.offerTask((atNanos) -> this.admission.onPeerEstimate(atNanos, heard));
 		}
 	}
 
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/traffic/DemandCodecTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/traffic/DemandCodecTests.java
@@ -54,7 +54,7 @@
 		final DemandEstimate decoded = DemandCodec.decode(org.pistachioline.protocol.peer.DemandEstimate.newBuilder()
 			.addRates(DemandRate.newBuilder().setName("assistant/model-0").setRequestsPerSecond(Float.NaN))
 			.build());
-		assertThat(new FleetDemand(0).onHeard(0, decoded)).isFalse();
+		assertThat(new FleetDemand(0).onPeerEstimate(0, decoded)).isFalse();
 	}
 
 }
