Planner for a fleet: each model gets its share while instances are still being listed

Change: before traffic a model that is short of its share goes first; instances that have waited four seconds for partners may serve any. Shares in force follow demand from a difference of a tenth on.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/DemandShares.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/DemandShares.java
@@ -17,7 +17,7 @@
 final class DemandShares {
 
 	/** Difference of a share up to which the shares in force are kept. */
-	private static final double TOLERANCE_RATIO = 0.05;
+	private static final double TOLERANCE_RATIO = 0.1;
 
 	private Map<String, Double> inForce = Map.of();
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetGroupPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetGroupPolicy.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.pistachioline.core.route.EngineModel;
+
 /**
  * Decides by the demand for the models and for all fabric domains together.
  * <p>
@@ -55,10 +57,24 @@
 	@Override
 	public Optional<GroupAllocator.Proposal> nextGroup(PlanningPass pass, ModelInstanceCounts counts,
 			boolean loadsAllowed) {
-		return loadsAllowed ? this.coldAllocator.nextProposal(pass.view(), pass.free(), counts, true)
+		return loadsAllowed ? nextColdGroup(pass, counts)
 				: this.allocator.nextGroup(pass, counts, targets(pass, counts));
 	}
 
+	// Instances are listed one after the other when a fleet starts. If each were used at
+	// once, the model with the smallest groups would get all of them.
+	private Optional<GroupAllocator.Proposal> nextColdGroup(PlanningPass pass, ModelInstanceCounts counts) {
+		final PlannerView view = pass.view();
+		final List<EngineModel> models = view.engine().models();
+		final List<EngineModel> shortModels = models.stream()
+			.filter((model) -> model.members() > 0 && counts.isUnderprovisioned(model))
+			.toList();
+		final List<ServingInstance> waited = this.coldAllocator.waitedForPartners(view.nowNanos(), pass.free());
+		return this.coldAllocator
+			.nextProposal(view, shortModels.isEmpty() ? models : shortModels, pass.free(), counts, true)
+			.or(() -> this.coldAllocator.nextProposal(view, models, waited, counts, true));
+	}
+
 	@Override
 	public List<TrackedGroup> groupsToClose(PlanningPass pass, ModelInstanceCounts counts, List<TrackedGroup> serving) {
 		return this.exchange.groupsToClose(pass, targets(pass, counts), serving);
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupAllocator.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupAllocator.java
@@ -47,6 +47,19 @@
 		free.forEach((instance) -> this.idleSinceNanos.putIfAbsent(instance.id(), nowNanos));
 	}
 
+	/**
+	 * Returns the instances that have waited for partners as long as they should.
+	 * @param nowNanos the monotonic time
+	 * @param free the instances that may be assigned
+	 * @return those that have been idle for the partner wait
+	 */
+	List<ServingInstance> waitedForPartners(long nowNanos, List<ServingInstance> free) {
+		return free.stream()
+			.filter((instance) -> nowNanos
+					- this.idleSinceNanos.getOrDefault(instance.id(), nowNanos) >= PARTNER_WAIT_NANOS)
+			.toList();
+	}
+
 	/**
 	 * Selects the next group.
 	 * @param view what the planner sees
@@ -57,11 +70,25 @@
 	 */
 	Optional<Proposal> nextProposal(PlannerView view, List<ServingInstance> free, ModelInstanceCounts counts,
 			boolean loadsAllowed) {
+		return nextProposal(view, view.engine().models(), free, counts, loadsAllowed);
+	}
+
+	/**
+	 * Selects the next group of one of some models.
+	 * @param view what the planner sees
+	 * @param models the models that may get a group
+	 * @param free the instances that may be assigned
+	 * @param counts how many instances serve or will serve each model
+	 * @param loadsAllowed whether members may load the weights as they join
+	 * @return the model and its members; empty if no group can be formed now
+	 */
+	Optional<Proposal> nextProposal(PlannerView view, List<EngineModel> models, List<ServingInstance> free,
+			ModelInstanceCounts counts, boolean loadsAllowed) {
 		final Map<String, List<ServingInstance>> byDomain = new TreeMap<>();
 		free.forEach((instance) -> byDomain.computeIfAbsent(instance.fabricDomain(), (name) -> new ArrayList<>())
 			.add(instance));
 		final List<Proposal> proposals = new ArrayList<>();
-		for (final EngineModel model : view.engine().models()) {
+		for (final EngineModel model : models) {
 			for (final List<ServingInstance> domainInstances : byDomain.values()) {
 				propose(view, model, domainInstances, counts).ifPresent(proposals::add);
 			}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -32,6 +32,21 @@
 		assertThat(simulation.violations).isEmpty();
 	}
 
+	/**
+	 * Guards against a start in which instances are listed one after the other and the
+	 * model with the smallest groups gets all of them.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void eachModelHasItsShareWhenInstancesAreListedOneByOne(boolean fleetDecisions) {
+		final ReplicaSimulation simulation = new ReplicaSimulation(1, 6, 0, 0, fleetDecisions);
+		simulation.listingIntervalMillis = 100;
+		simulation.run(16_000, false);
+		assertThat(simulation.countServingGroups("large")).isGreaterThanOrEqualTo(6);
+		assertThat(simulation.countServingGroups("small")).isGreaterThanOrEqualTo(12);
+		assertThat(simulation.violations).isEmpty();
+	}
+
 	/**
 	 * An instance fails every 1.5 s, some lose their connection to the instance list
 	 * while they serve, and the planner changes every few seconds. Guards against taking
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
@@ -94,6 +94,9 @@
 	 */
 	private final boolean stallRestartsWithEachLoss;
 
+	/** The time between two instances that are listed when the fleet starts. */
+	long listingIntervalMillis;
+
 	/** The shares of demand that the planners are told; empty if they are told none. */
 	Map<String, Double> demandShareRatios = Map.of();
 
@@ -226,7 +229,9 @@
 		for (final SimulatedInstance instance : this.instances.values()) {
 			final long unreachableMillis = instance.alive ? this.nowMillis - instance.partitionedSince(this.nowMillis)
 					: this.nowMillis - instance.failedAtMillis;
-			if (unreachableMillis >= 3 * HEARTBEAT_MILLIS || instance.restarted) {
+			final int index = Integer.parseInt(instance.id.substring("i-".length()));
+			if (unreachableMillis >= 3 * HEARTBEAT_MILLIS || instance.restarted
+					|| this.nowMillis < index * this.listingIntervalMillis) {
 				instance.lastListed = null;
 			}
 			else if (instance.alive && unreachableMillis == 0) {
