Planner for a fleet: members of a group whose head may return to it are not assigned

Change: with fleet decisions the members of a group whose head left a join unanswered are not assigned until the join can no longer arrive (12.5 s). Conclusion: costs room only where orders to heads go unanswered.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -307,8 +307,8 @@
 	 * @param outcome the result
 	 */
 	public void onOutcome(ReplicaOrder order, OrderOutcome outcome) {
-		if (order instanceof ReplicaOrder.Join && outcome == OrderOutcome.UNKNOWN) {
-			this.unansweredJoins.add(this.nowNanos, order.instance());
+		if (order instanceof ReplicaOrder.Join join && outcome == OrderOutcome.UNKNOWN) {
+			this.unansweredJoins.add(this.nowNanos, join);
 		}
 		if (order instanceof ReplicaOrder.GroupOrder groupOrder) {
 			onGroupOutcome(groupOrder, outcome);
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/UnansweredJoins.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/UnansweredJoins.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -31,9 +32,10 @@
 
 	/**
 	 * Creates a memory of unanswered orders.
-	 * @param holdsSameInstance whether the instance that left an order unanswered is not
-	 * assigned either until the order can no longer arrive, as is necessary where
-	 * survivors are assigned as soon as they are free
+	 * @param holdsSameInstance whether the instance that left an order unanswered, and
+	 * the members of a group whose head did, are not assigned either until the order can
+	 * no longer arrive, as is necessary where survivors are assigned as soon as they are
+	 * free: the head may return to the ended group and serve
 	 */
 	UnansweredJoins(boolean holdsSameInstance) {
 		this.holdsSameInstance = holdsSameInstance;
@@ -44,8 +46,11 @@
 		this.tookOver = true;
 	}
 
-	void add(long nowNanos, ServingInstance instance) {
-		this.byAddress.put(instance.address(), new UnansweredJoin(instance.id(), nowNanos));
+	void add(long nowNanos, ReplicaOrder.Join join) {
+		final String recipientId = join.instance().id();
+		final boolean toHead = join.memberIds().get(0).equals(recipientId);
+		this.byAddress.put(join.instance().address(),
+				new UnansweredJoin(recipientId, toHead ? join.memberIds() : List.of(), nowNanos));
 	}
 
 	void removeExpired(long nowNanos) {
@@ -65,6 +70,11 @@
 		if (join != null && (this.holdsSameInstance || !join.instanceId().equals(instance.id()))) {
 			return true;
 		}
+		if (this.holdsSameInstance && this.byAddress.values()
+			.stream()
+			.anyMatch((unanswered) -> unanswered.memberIds().contains(instance.id()))) {
+			return true;
+		}
 		return this.tookOver && nowNanos - this.tookOverAtNanos < MAX_ORDER_DELAY_NANOS && delisted.stream()
 			.anyMatch((former) -> former.address().equals(instance.address()) && !former.id().equals(instance.id()));
 	}
@@ -73,9 +83,11 @@
 	 * An unanswered join order.
 	 *
 	 * @param instanceId the recipient
+	 * @param memberIds the members of the group if the recipient is its head; otherwise
+	 * empty
 	 * @param unansweredAtNanos the monotonic time at which the order was found unanswered
 	 */
-	private record UnansweredJoin(String instanceId, long unansweredAtNanos) {
+	private record UnansweredJoin(String instanceId, List<String> memberIds, long unansweredAtNanos) {
 
 	}
 
