Traffic core: a failed request names the decision that failed it

Change: Fail carries a FailureReason, and an exchange gets it. No decision changes. StreamMigrationTests asserts the reason as well, which is stricter than before.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ActiveRequests.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ActiveRequests.java
@@ -107,6 +107,10 @@
 	}
 
 	void fail(long nowNanos, ActiveRequest request, ErrorKind kind, long retryAfterMillis) {
+		fail(nowNanos, request, kind, retryAfterMillis, FailureReason.of(kind));
+	}
+
+	void fail(long nowNanos, ActiveRequest request, ErrorKind kind, long retryAfterMillis, FailureReason reason) {
 		if (request.liveAttempt != null) {
 			this.actions.add(new TrafficAction.Cancel(request.liveAttempt));
 			detachFromTarget(nowNanos, request, AttemptOutcome.CANCELLED);
@@ -117,8 +121,8 @@
 		remove(nowNanos, request);
 		final long delayMillis = kind.retryable() ? Math.max(retryAfterMillis, MIN_RETRY_AFTER_MILLIS)
 				: retryAfterMillis;
-		this.actions
-			.add(new TrafficAction.Fail(request.info.requestId(), kind, runStateOf(kind, request), delayMillis));
+		this.actions.add(
+				new TrafficAction.Fail(request.info.requestId(), kind, runStateOf(kind, request), delayMillis, reason));
 	}
 
 	/**
@@ -130,7 +134,7 @@
 	void failInLimbo(long nowNanos, ActiveRequest request) {
 		remove(nowNanos, request);
 		this.actions.add(new TrafficAction.Fail(request.info.requestId(), ErrorKind.CLAIM_UNAVAILABLE, RunState.UNKNOWN,
-				LIMBO_RETRY_AFTER_MILLIS));
+				LIMBO_RETRY_AFTER_MILLIS, FailureReason.CLAIM));
 	}
 
 	// An error kind that implies "not run" must not be combined with bytes that may have
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomeHandler.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomeHandler.java
@@ -1,5 +1,7 @@
 package org.pistachioline.core.traffic;
 
+import java.util.Optional;
+
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.retry.RetryDecision;
 
@@ -92,7 +94,7 @@
 			this.dispatcher.startOrEnqueue(nowNanos, request);
 		}
 		else {
-			failWithOutcome(nowNanos, request, AttemptOutcome.WITHHELD);
+			failWithOutcome(nowNanos, request, AttemptOutcome.WITHHELD, FailureReason.NO_TARGET);
 		}
 	}
 
@@ -106,20 +108,32 @@
 		if (this.dispatcher.failIfQuarantined(nowNanos, request)) {
 			return;
 		}
-		final boolean retryable = request.info.idempotent() || !request.mayHaveSentBytes();
-		final RetryDecision decision = (retryable && request.usedAttempts() < request.info.maxAttempts())
-				? this.policies.retry().afterFailure(nowNanos, request.info, request.usedAttempts(), outcome)
-				: RetryDecision.GIVE_UP;
-		if (decision == RetryDecision.RETRY && this.selector.canBePlaced(request)) {
+		final Optional<FailureReason> obstacle = obstacleToRetry(nowNanos, request, outcome);
+		if (obstacle.isEmpty()) {
 			this.dispatcher.startOrEnqueue(nowNanos, request);
-			return;
 		}
-		failWithOutcome(nowNanos, request, outcome);
+		else {
+			failWithOutcome(nowNanos, request, outcome, obstacle.get());
+		}
+	}
+
+	private Optional<FailureReason> obstacleToRetry(long nowNanos, ActiveRequest request, AttemptOutcome outcome) {
+		if (!request.info.idempotent() && request.mayHaveSentBytes()) {
+			return Optional.of(FailureReason.NOT_REPEATABLE);
+		}
+		if (request.usedAttempts() >= request.info.maxAttempts()) {
+			return Optional.of(FailureReason.ATTEMPTS_USED);
+		}
+		if (this.policies.retry()
+			.afterFailure(nowNanos, request.info, request.usedAttempts(), outcome) == RetryDecision.GIVE_UP) {
+			return Optional.of(FailureReason.RETRY_BUDGET_USED);
+		}
+		return this.selector.canBePlaced(request) ? Optional.empty() : Optional.of(FailureReason.NO_TARGET);
 	}
 
-	private void failWithOutcome(long nowNanos, ActiveRequest request, AttemptOutcome outcome) {
+	private void failWithOutcome(long nowNanos, ActiveRequest request, AttemptOutcome outcome, FailureReason reason) {
 		this.activeRequests.fail(nowNanos, request, errorKindOf(request, outcome),
-				this.deadlineAdmission.retryAfterMillis(nowNanos, request.info, RETRY_AFTER_MILLIS));
+				this.deadlineAdmission.retryAfterMillis(nowNanos, request.info, RETRY_AFTER_MILLIS), reason);
 	}
 
 	// If every target declined, the request has not run anywhere, which the error kind
@@ -141,7 +155,8 @@
 		for (final ActiveRequest request : this.activeRequests.all()) {
 			if (request.awaitingRedispatch && request.startedAttempts > 0 && !this.selector.canBePlaced(request)) {
 				failWithOutcome(nowNanos, request,
-						request.mayHaveSentBytes() ? AttemptOutcome.BROKEN : AttemptOutcome.DECLINED);
+						request.mayHaveSentBytes() ? AttemptOutcome.BROKEN : AttemptOutcome.DECLINED,
+						FailureReason.NO_TARGET);
 			}
 		}
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficAction.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficAction.java
@@ -69,8 +69,10 @@
 	 * @param kind the error kind
 	 * @param runState whether the request may have run
 	 * @param retryAfterMillis after which delay the caller may retry; 0 if none is stated
+	 * @param reason the decision that failed it
 	 */
-	record Fail(long requestId, ErrorKind kind, RunState runState, long retryAfterMillis) implements TrafficAction {
+	record Fail(long requestId, ErrorKind kind, RunState runState, long retryAfterMillis,
+			FailureReason reason) implements TrafficAction {
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -163,7 +163,7 @@
 		final Optional<Refusal> refusal = checkAdmission(nowNanos, info);
 		if (refusal.isPresent()) {
 			this.activeRequests.addAction(new TrafficAction.Fail(info.requestId(), refusal.get().kind(),
-					RunState.NOT_RUN, refusal.get().retryAfterMillis()));
+					RunState.NOT_RUN, refusal.get().retryAfterMillis(), FailureReason.NOT_ADMITTED));
 			return this.activeRequests.drainActions();
 		}
 		this.activeRequests.add(request);
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/StreamMigrationTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/StreamMigrationTests.java
@@ -78,8 +78,8 @@
 	void aStreamThatNoGroupCanResumeFailsAtOnce() {
 		final TrafficSimulation.Attempt old = startStream(TrafficSimulation.model("g0@1", true));
 		this.simulation.end(old.id, AttemptOutcome.BROKEN);
-		assertThat(old.request.finalAction)
-			.isEqualTo(new TrafficAction.Fail(1, ErrorKind.TARGET_FAILED, RunState.RAN, 1_000));
+		assertThat(old.request.finalAction).isEqualTo(
+				new TrafficAction.Fail(1, ErrorKind.TARGET_FAILED, RunState.RAN, 1_000, FailureReason.NO_TARGET));
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ActionRunner.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ActionRunner.java
@@ -127,7 +127,7 @@
 			this.failures.add(exchange.info().workspace(), fail.kind());
 			this.requestClaims.settleUnknown(exchange, fail);
 			removeRequest(fail.requestId());
-			exchange.fail(fail.kind(), fail.runState(), fail.retryAfterMillis());
+			exchange.fail(fail);
 		}
 		else if (action instanceof TrafficAction.Claim claim) {
 			this.claims.claim(claim.info())
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/Exchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/Exchange.java
@@ -45,6 +45,14 @@
 	 */
 	void fail(ErrorKind kind, RunState runState, long retryAfterMillis);
 
+	/**
+	 * Completes the response with the failure that the traffic core decided.
+	 * @param failure the failure and its reason
+	 */
+	default void fail(TrafficAction.Fail failure) {
+		fail(failure.kind(), failure.runState(), failure.retryAfterMillis());
+	}
+
 	/**
 	 * Responds with the stored outcome of an earlier request with the same idempotency
 	 * key.
