--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficSimulation.java
@@ -80,7 +80,7 @@
 				fingerprint, List.of(), 3, this.nowNanos + 1_000_000_000L));
 	}
 
-	private Request arrive(RequestInfo info) {
+	Request arrive(RequestInfo info) {
 		final Request request = new Request(info);
 		this.requests.put(info.requestId(), request);
 		apply(this.core.onRequest(this.nowNanos, info));
