Traffic core: a pause of the daemon is not taken for silent targets

What callers saw: after a daemon stood still for longer than 0.6 s, its streams left all their targets at once. Change: a tick that comes 300 ms too late shows a pause (PauseDetector), after which silence is measured anew. Test: SilentTargetTests.aPauseOfTheDaemonIsNotTakenForSilentTargets; there was no such notice before, so that the stream left at the first tick.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -139,6 +139,14 @@
 		}
 	}
 
+	/**
+	 * Measures the time without progress from now on.
+	 * @param nowNanos the monotonic time
+	 */
+	public void restartStallTimer(long nowNanos) {
+		this.progressAtNanos = nowNanos;
+	}
+
 	/**
 	 * Counts an attempt that ends.
 	 * @param nowNanos the monotonic time
--- /dev/null
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/PauseDetector.java
@@ -0,0 +1,40 @@
+package org.pistachioline.core.traffic;
+
+/**
+ * Detects from late ticks that this daemon itself was paused, as on a frozen host or a
+ * machine without processor time. What targets sent meanwhile has not been read yet, so
+ * their silence during the pause proves nothing.
+ */
+public final class PauseDetector {
+
+	/** Several times the delay of a tick on a busy machine. */
+	private static final long MIN_PAUSE_NANOS = 300_000_000L;
+
+	private final long tickIntervalNanos;
+
+	private long lastTickAtNanos;
+
+	private boolean started;
+
+	/**
+	 * Creates a detector.
+	 * @param tickIntervalNanos the interval of the ticks
+	 */
+	public PauseDetector(long tickIntervalNanos) {
+		this.tickIntervalNanos = tickIntervalNanos;
+	}
+
+	/**
+	 * Records a tick.
+	 * @param nowNanos the monotonic time
+	 * @return whether the daemon was paused since the last tick
+	 */
+	public boolean onTick(long nowNanos) {
+		final boolean paused = this.started
+				&& nowNanos - this.lastTickAtNanos - this.tickIntervalNanos >= MIN_PAUSE_NANOS;
+		this.lastTickAtNanos = nowNanos;
+		this.started = true;
+		return paused;
+	}
+
+}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RequestMonitor.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RequestMonitor.java
@@ -42,6 +42,19 @@
 		}
 	}
 
+	/**
+	 * Restarts the measurement of silence for all running attempts.
+	 * @param nowNanos the monotonic time
+	 */
+	void onResume(long nowNanos) {
+		for (final ActiveRequest request : this.activeRequests.all()) {
+			if (request.liveAttempt != null) {
+				request.progressAtNanos = nowNanos;
+				request.load.restartStallTimer(nowNanos);
+			}
+		}
+	}
+
 	private void migrateIfDue(long nowNanos, ActiveRequest request) {
 		final boolean resumable = request.info.targetKind() == TargetKind.MODEL && request.info.idempotent();
 		if (!resumable || request.liveAttempt == null || request.migrating) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -335,6 +335,15 @@
 		return dispatchReady(nowNanos);
 	}
 
+	/**
+	 * Ignores the silence of targets until now, since this daemon was paused and has not
+	 * read what they sent meanwhile.
+	 * @param nowNanos the monotonic time
+	 */
+	public void onResume(long nowNanos) {
+		this.monitor.onResume(nowNanos);
+	}
+
 	/**
 	 * Applies the passage of time to deadlines, queues, limits, backoffs and stalled
 	 * streams.
--- /dev/null
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/PauseDetectorTests.java
@@ -0,0 +1,26 @@
+package org.pistachioline.core.traffic;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PauseDetectorTests {
+
+	private static final long NANOS_PER_MILLI = 1_000_000L;
+
+	private final PauseDetector detector = new PauseDetector(50 * NANOS_PER_MILLI);
+
+	@Test
+	void onlyTicksThatAreMuchTooLateShowAPause() {
+		assertThat(tickAt(-5_000)).isFalse();
+		assertThat(tickAt(-4_950)).isFalse();
+		assertThat(tickAt(-4_700)).isFalse();
+		assertThat(tickAt(-4_350)).isTrue();
+		assertThat(tickAt(-4_300)).isFalse();
+	}
+
+	private boolean tickAt(long millis) {
+		return this.detector.onTick(millis * NANOS_PER_MILLI);
+	}
+
+}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/SilentTargetTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/SilentTargetTests.java
@@ -105,6 +105,19 @@
 		assertThat(request.liveAttempt).isNotNull();
 	}
 
+	// Guards against streams that leave their sound targets because the daemon itself was
+	// paused and has not read their output.
+	@Test
+	void aPauseOfTheDaemonIsNotTakenForSilentTargets() {
+		final TrafficSimulation.Attempt running = startStream("t1", "t2");
+		this.simulation.nowNanos += 2_000_000_000L;
+		this.simulation.core.onResume(this.simulation.nowNanos);
+		tick(SILENCE_MILLIS - TICK_MILLIS);
+		assertThat(running.cancelled).isFalse();
+		tick(TICK_MILLIS);
+		assertThat(running.cancelled).isTrue();
+	}
+
 	// Guards against a stream that is sent to more targets than its route allows.
 	@Test
 	void aStreamThatLeftItsTargetIsSentToNoMoreTargetsThanItsRouteAllows() {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -24,6 +24,7 @@
 import org.pistachioline.core.state.FleetState;
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.AttemptOutcome;
+import org.pistachioline.core.traffic.PauseDetector;
 import org.pistachioline.core.traffic.TargetView;
 import org.pistachioline.core.traffic.TrafficAction;
 import org.pistachioline.core.traffic.TrafficCore;
@@ -60,6 +61,8 @@
 
 	private final Duty<TrafficMessage> duty;
 
+	private final PauseDetector pauses = new PauseDetector(TICK_INTERVAL.toNanos());
+
 	private FleetState fleetState = FleetState.EMPTY;
 
 	private long quarantinesRefreshedAtNanos;
@@ -355,6 +358,9 @@
 	@Override
 	public void onTick() {
 		final long nowNanos = System.nanoTime();
+		if (this.pauses.onTick(nowNanos)) {
+			this.core.onResume(nowNanos);
+		}
 		execute(this.core.onTick(nowNanos));
 		execute(this.limitShares.update(nowNanos, this.core));
 		this.targetMonitor.refresh(nowNanos);
