--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TriedTargets.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TriedTargets.java
@@ -26,13 +26,15 @@
 
 	private int returnableTrials;
 
+	private boolean reachedByLastStart;
+
 	/**
 	 * Records that the request is sent to a target.
 	 * @param targetId the target
 	 */
 	void onStart(String targetId) {
 		this.trials.put(targetId, FINAL);
-		this.reachedIds.add(targetId);
+		this.reachedByLastStart = this.reachedIds.add(targetId);
 	}
 
 	/**
@@ -41,7 +43,7 @@
 	 */
 	void onWithheld(String targetId) {
 		this.trials.remove(targetId);
-		this.reachedIds.remove(targetId);
+		forgetLastStart(targetId);
 	}
 
 	/**
@@ -52,7 +54,7 @@
 	 */
 	void onEnd(long nowNanos, String targetId, AttemptOutcome outcome) {
 		if (outcome == AttemptOutcome.NOT_CONNECTED) {
-			this.reachedIds.remove(targetId);
+			forgetLastStart(targetId);
 		}
 		if (outcome == AttemptOutcome.NOT_CONNECTED || outcome == AttemptOutcome.DECLINED
 				|| outcome == AttemptOutcome.CANCELLED) {
@@ -62,6 +64,13 @@
 		}
 	}
 
+	// A target that an earlier attempt has reached stays reached.
+	private void forgetLastStart(String targetId) {
+		if (this.reachedByLastStart) {
+			this.reachedIds.remove(targetId);
+		}
+	}
+
 	/**
 	 * Returns the targets that the request was sent to.
 	 * @return a live view of their ids
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/SilentTargetTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/SilentTargetTests.java
@@ -135,6 +135,27 @@
 		assertThat(targetIds).hasSize(MAX_ATTEMPTS);
 	}
 
+	// Guards against a route's limit that is exceeded because a target that was reached
+	// no
+	// longer counts once a return there finds no connection.
+	@Test
+	void aReturnWithoutAConnectionFreesNoFurtherTarget() {
+		final TrafficSimulation.Attempt old = startStream("t1", "t2", "t3", "t4");
+		tick(SILENCE_MILLIS);
+		this.simulation.end(old.id, AttemptOutcome.CANCELLED);
+		final Set<String> reachedIds = new HashSet<>(Set.of(old.targetId));
+		while (!old.request.ended) {
+			if (old.request.liveAttempt != null) {
+				final boolean first = reachedIds
+					.add(this.simulation.liveAttempts.get(old.request.liveAttempt).targetId);
+				this.simulation.end(old.request.liveAttempt,
+						first ? AttemptOutcome.DECLINED : AttemptOutcome.NOT_CONNECTED);
+			}
+			tick(TICK_MILLIS);
+		}
+		assertThat(reachedIds).hasSize(MAX_ATTEMPTS);
+	}
+
 	// Guards against a caller who is held until the deadline although none of its targets
 	// serves any more.
 	@Test
