--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/FailureHistory.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/FailureHistory.java
@@ -16,6 +16,8 @@
 
 	private int consecutive;
 
+	private int consecutiveStalls;
+
 	private long lastNanos;
 
 	private double weighted;
@@ -26,8 +28,26 @@
 		this.lastNanos = nowNanos;
 	}
 
+	/**
+	 * Adds a silence of the target, which is no proof that it failed.
+	 * @param nowNanos the monotonic time
+	 */
+	void addStall(long nowNanos) {
+		add(nowNanos);
+		this.consecutiveStalls++;
+	}
+
 	void endRun() {
 		this.consecutive = 0;
+		this.consecutiveStalls = 0;
+	}
+
+	/**
+	 * Returns how many attempts in a row failed otherwise than by silence.
+	 * @return the number of attempts
+	 */
+	int consecutiveErrors() {
+		return this.consecutive - this.consecutiveStalls;
 	}
 
 	int consecutive() {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/StragglerEjector.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/StragglerEjector.java
@@ -71,7 +71,7 @@
 	}
 
 	private boolean isOutlier(long nowNanos, TargetLoad load) {
-		if (load.failures().consecutive() >= MAX_CONSECUTIVE_FAILURES) {
+		if (load.failures().consecutiveErrors() >= MAX_CONSECUTIVE_FAILURES) {
 			return true;
 		}
 		if (this.medianInterTokenNanos == 0) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -140,11 +140,24 @@
 	}
 
 	/**
-	 * Measures the time without progress from now on.
+	 * Records that a stream was taken off the target because it was silent. Fewer
+	 * requests are sent there for a while, but the target is not ejected, as a sound one
+	 * may go on a moment later.
 	 * @param nowNanos the monotonic time
 	 */
-	public void restartStallTimer(long nowNanos) {
-		this.progressAtNanos = nowNanos;
+	public void onStall(long nowNanos) {
+		this.failures.addStall(nowNanos);
+	}
+
+	/**
+	 * Leaves a pause of this daemon out of the time without progress.
+	 * @param nowNanos the monotonic time at its end
+	 * @param pauseNanos its length
+	 */
+	public void skipPause(long nowNanos, long pauseNanos) {
+		if (this.progressAtNanos < nowNanos) {
+			this.progressAtNanos = Math.min(nowNanos, this.progressAtNanos + pauseNanos);
+		}
 	}
 
 	/**
@@ -159,9 +172,11 @@
 		if (how == AttemptOutcome.COMPLETE) {
 			this.failures.endRun();
 		}
+		if (how == AttemptOutcome.COMPLETE) {
+			this.outputAtNanos = nowNanos;
+		}
 		if (how == AttemptOutcome.COMPLETE || how == AttemptOutcome.FAILURE_ANSWERED) {
 			this.progressAtNanos = nowNanos;
-			this.outputAtNanos = nowNanos;
 			this.warmConnections.add(nowNanos);
 		}
 		else if (how != AttemptOutcome.CANCELLED && how != AttemptOutcome.WITHHELD) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/retry/BudgetedRetry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/retry/BudgetedRetry.java
@@ -13,8 +13,9 @@
  * retries, about as many as one daemon has streams on one large group, so that all of
  * these can be resumed when the group crashes; with a maximum of 10, two thirds of them
  * were given up. The limit of attempts bounds how much of the budget a single request may
- * consume. Callers are given a retry delay, so that their own retries do not multiply
- * those of the daemon.
+ * consume; a stream that its caller has begun to receive may consume more, as it waits
+ * longer before each further attempt. Callers are given a retry delay, so that their own
+ * retries do not multiply those of the daemon.
  */
 public final class BudgetedRetry implements RetryPolicy {
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/retry/SharedBudgetRetry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/retry/SharedBudgetRetry.java
@@ -20,6 +20,12 @@
  */
 public final class SharedBudgetRetry implements RetryPolicy {
 
+	/**
+	 * One attempt in this many of the burst is left to requests that have just failed.
+	 * Streams that wait to be continued would otherwise take each attempt that is earned.
+	 */
+	private static final double RESERVE_DIVISOR = 4;
+
 	/** The fraction of its share that a daemon may use. */
 	private static final double SPENDABLE_RATIO = 0.75;
 
@@ -54,7 +60,7 @@
 
 	@Override
 	public boolean tryAcquireToContinue(long nowNanos, RequestInfo info) {
-		return budgetOf(nowNanos, info).tryAcquire();
+		return budgetOf(nowNanos, info).tryAcquireBeyondReserve();
 	}
 
 	@Override
@@ -93,22 +99,30 @@
 
 		private long refilledAtNanos;
 
+		private double maxAttempts;
+
 		ServiceBudget(double availableAttempts, long nowNanos) {
 			this.availableAttempts = availableAttempts;
+			this.maxAttempts = availableAttempts;
 			this.refilledAtNanos = nowNanos;
 		}
 
-		void refill(long nowNanos, double maxAttempts) {
+		void refill(long nowNanos, double newMaxAttempts) {
 			final double windows = (double) (nowNanos - this.refilledAtNanos)
 					/ SharedBudgetRetry.this.fleetBudget.windowNanos();
 			this.refilledAtNanos = nowNanos;
-			this.availableAttempts = Math.min(maxAttempts, this.availableAttempts + windows * maxAttempts / 4);
+			this.maxAttempts = newMaxAttempts;
+			this.availableAttempts = Math.min(newMaxAttempts, this.availableAttempts + windows * newMaxAttempts / 4);
 		}
 
 		void add(double attempts) {
 			this.availableAttempts += attempts;
 		}
 
+		boolean tryAcquireBeyondReserve() {
+			return this.availableAttempts >= 1 + this.maxAttempts / RESERVE_DIVISOR && tryAcquire();
+		}
+
 		boolean tryAcquire() {
 			if (this.availableAttempts < 1) {
 				return false;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ActiveRequest.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ActiveRequest.java
@@ -39,6 +39,9 @@
 
 	boolean migrating;
 
+	/** How often the stream was taken off its target. */
+	int migrations;
+
 	boolean targetStalled;
 
 	boolean stallReported;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomeHandler.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomeHandler.java
@@ -60,7 +60,10 @@
 		if (outcome != AttemptOutcome.DECLINED || declined) {
 			request.triedTargets.onEnd(nowNanos, request.target.targetId(), outcome);
 		}
-		this.activeRequests.detachFromTarget(nowNanos, request, migrated ? outcomeOfMigration(request) : outcome);
+		if (migrated && request.targetStalled) {
+			request.load.onStall(nowNanos);
+		}
+		this.activeRequests.detachFromTarget(nowNanos, request, migrated ? AttemptOutcome.CANCELLED : outcome);
 		if (outcome == AttemptOutcome.COMPLETE) {
 			request.hasRun = true;
 			request.completed = true;
@@ -101,12 +104,6 @@
 		}
 	}
 
-	// A target that stalled is recorded as failed, so that fewer requests are sent to it.
-	// A target that is only draining is not at fault.
-	private static AttemptOutcome outcomeOfMigration(ActiveRequest request) {
-		return request.targetStalled ? AttemptOutcome.BROKEN : AttemptOutcome.CANCELLED;
-	}
-
 	private void afterFailure(long nowNanos, ActiveRequest request, AttemptOutcome outcome) {
 		if (this.dispatcher.failIfQuarantined(nowNanos, request)) {
 			return;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Dispatcher.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Dispatcher.java
@@ -99,8 +99,10 @@
 			return;
 		}
 		final boolean mayStart = nowNanos - request.earliestStartNanos >= 0;
-		final Optional<TargetLoad> selected = mayStart ? this.selector.select(nowNanos, request) : Optional.empty();
-		if (selected.isPresent() && acquireRetryBudget(nowNanos, request)) {
+		final boolean startable = mayStart && (!request.awaitingRetryBudget
+				|| (this.selector.hasCandidate(nowNanos, request) && acquireRetryBudget(nowNanos, request)));
+		final Optional<TargetLoad> selected = startable ? this.selector.select(nowNanos, request) : Optional.empty();
+		if (selected.isPresent()) {
 			start(nowNanos, request, selected.get());
 		}
 		else {
@@ -109,9 +111,7 @@
 	}
 
 	private boolean acquireRetryBudget(long nowNanos, ActiveRequest request) {
-		if (request.awaitingRetryBudget && this.policies.retry().tryAcquireToContinue(nowNanos, request.info)) {
-			request.awaitingRetryBudget = false;
-		}
+		request.awaitingRetryBudget = !this.policies.retry().tryAcquireToContinue(nowNanos, request.info);
 		return !request.awaitingRetryBudget;
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/PauseDetector.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/PauseDetector.java
@@ -27,14 +27,13 @@
 	/**
 	 * Records a tick.
 	 * @param nowNanos the monotonic time
-	 * @return whether the daemon was paused since the last tick
+	 * @return for how long the daemon was paused since the last tick, in nanoseconds
 	 */
-	public boolean onTick(long nowNanos) {
-		final boolean paused = this.started
-				&& nowNanos - this.lastTickAtNanos - this.tickIntervalNanos >= MIN_PAUSE_NANOS;
+	public long onTick(long nowNanos) {
+		final long lateNanos = this.started ? nowNanos - this.lastTickAtNanos - this.tickIntervalNanos : 0;
 		this.lastTickAtNanos = nowNanos;
 		this.started = true;
-		return paused;
+		return (lateNanos >= MIN_PAUSE_NANOS) ? lateNanos : 0;
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RequestMonitor.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RequestMonitor.java
@@ -1,6 +1,11 @@
 package org.pistachioline.core.traffic;
 
+import java.util.Collections;
+import java.util.IdentityHashMap;
+import java.util.Set;
+
 import org.pistachioline.core.error.ErrorKind;
+import org.pistachioline.core.placement.TargetLoad;
 
 /**
  * Fails requests whose deadline has passed and migrates streams away from targets that
@@ -43,16 +48,22 @@
 	}
 
 	/**
-	 * Restarts the measurement of silence for all running attempts.
-	 * @param nowNanos the monotonic time
+	 * Leaves a pause of this daemon out of the silence of all running attempts.
+	 * @param nowNanos the monotonic time at its end
+	 * @param pauseNanos its length
 	 */
-	void onResume(long nowNanos) {
+	void onPause(long nowNanos, long pauseNanos) {
+		if (pauseNanos == 0) {
+			return;
+		}
+		final Set<TargetLoad> loads = Collections.newSetFromMap(new IdentityHashMap<>());
 		for (final ActiveRequest request : this.activeRequests.all()) {
 			if (request.liveAttempt != null) {
-				request.progressAtNanos = nowNanos;
-				request.load.restartStallTimer(nowNanos);
+				request.progressAtNanos = Math.min(nowNanos, request.progressAtNanos + pauseNanos);
+				loads.add(request.load);
 			}
 		}
+		loads.forEach((load) -> load.skipPause(nowNanos, pauseNanos));
 	}
 
 	private void migrateIfDue(long nowNanos, ActiveRequest request) {
@@ -77,6 +88,7 @@
 			// exact number of tokens that the caller received. So no two attempts run at
 			// once, and no token is lost or repeated.
 			request.migrating = true;
+			request.migrations++;
 			request.targetStalled = notServingSinceNanos == null;
 			this.activeRequests.addAction(new TrafficAction.Cancel(request.liveAttempt));
 		}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetSelector.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetSelector.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -40,14 +41,14 @@
 
 	boolean hasCandidate(long nowNanos, ActiveRequest request) {
 		return !candidates(nowNanos, request).isEmpty() || (!this.isolation.restricts(request.info)
-				&& !without(excludedTargetIds(nowNanos, request), this.targets.targetsBeyondShares(request.info))
-					.isEmpty());
+				&& this.targets.targetsBeyondShares(request.info).stream().anyMatch(acceptance(nowNanos, request)));
 	}
 
 	/**
 	 * Returns whether another target can take a stream whose target is silent or
-	 * draining. One that the stream left before must have recovered; otherwise the stream
-	 * would move to and fro between silent targets.
+	 * draining. One that the stream left before must have recovered, and a begun stream
+	 * moves only as often as its route allows attempts: each move costs a prefill, and
+	 * between two slow targets it might never get on.
 	 * @param nowNanos the monotonic time
 	 * @param request the request
 	 * @return whether to take it off its target
@@ -56,7 +57,7 @@
 		if (!request.isBegunStream()) {
 			return request.usedAttempts() < request.info.maxAttempts() && hasUntriedTarget(request);
 		}
-		return Stream
+		return request.migrations < request.info.maxAttempts() && Stream
 			.concat(this.targets.availableTargets(request.info).stream(),
 					this.targets.targetsBeyondShares(request.info).stream())
 			.filter((load) -> isAllowed(request, load))
@@ -70,7 +71,7 @@
 	}
 
 	private static boolean hasUntried(ActiveRequest request, List<TargetLoad> loads) {
-		return !without(request.triedTargets.ids(), loads).isEmpty();
+		return loads.stream().anyMatch((load) -> !request.triedTargets.ids().contains(load.view().targetId()));
 	}
 
 	/**
@@ -95,27 +96,32 @@
 	}
 
 	private List<TargetLoad> candidates(long nowNanos, ActiveRequest request) {
-		return without(excludedTargetIds(nowNanos, request),
-				this.isolation.filterAllowed(request.info, this.targets.availableTargets(request.info)));
-	}
-
-	private static List<TargetLoad> without(Set<String> excludedIds, List<TargetLoad> loads) {
-		return loads.stream().filter((load) -> !excludedIds.contains(load.view().targetId())).toList();
+		return this.isolation.filterAllowed(request.info, this.targets.availableTargets(request.info))
+			.stream()
+			.filter(acceptance(nowNanos, request))
+			.toList();
 	}
 
-	private Set<String> excludedTargetIds(long nowNanos, ActiveRequest request) {
+	private Predicate<TargetLoad> acceptance(long nowNanos, ActiveRequest request) {
 		if (request.isBegunStream()) {
-			return this.targets.allTargets(request.info)
-				.stream()
-				.filter((load) -> !isAllowed(request, load)
-						|| !request.triedTargets.isDue(nowNanos, load.view().targetId(), load.outputAtNanos()))
-				.map((load) -> load.view().targetId())
-				.collect(Collectors.toSet());
+			return (load) -> isAllowed(request, load)
+					&& request.triedTargets.isDue(nowNanos, load.view().targetId(), load.outputAtNanos());
 		}
 		// A request with a claim is only retried after a failure to connect, so it may
 		// return to the same instance if there is no other.
 		final boolean mayReturn = request.claimOffset >= 0 && !hasUntriedTarget(request);
-		return mayReturn ? Set.of() : request.triedTargets.ids();
+		return (load) -> mayReturn || !request.triedTargets.ids().contains(load.view().targetId());
+	}
+
+	private Set<String> excludedTargetIds(long nowNanos, ActiveRequest request) {
+		if (request.triedTargets.ids().isEmpty()) {
+			return Set.of();
+		}
+		return this.targets.allTargets(request.info)
+			.stream()
+			.filter(acceptance(nowNanos, request).negate())
+			.map((load) -> load.view().targetId())
+			.collect(Collectors.toSet());
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -336,12 +336,13 @@
 	}
 
 	/**
-	 * Ignores the silence of targets until now, since this daemon was paused and has not
-	 * read what they sent meanwhile.
-	 * @param nowNanos the monotonic time
+	 * Ignores the silence of targets during a pause of this daemon, which has not read
+	 * what they sent meanwhile.
+	 * @param nowNanos the monotonic time at its end
+	 * @param pauseNanos its length
 	 */
-	public void onResume(long nowNanos) {
-		this.monitor.onResume(nowNanos);
+	public void onPause(long nowNanos, long pauseNanos) {
+		this.monitor.onPause(nowNanos, pauseNanos);
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TriedTargets.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TriedTargets.java
@@ -22,19 +22,21 @@
 
 	private final Map<String, Trial> trials = new HashMap<>();
 
-	private final Set<String> reachedIds = new HashSet<>();
+	private final Set<String> ranIds = new HashSet<>();
 
 	private int returnableTrials;
 
-	private boolean reachedByLastStart;
+	private Trial trialBeforeStart;
+
+	private boolean ranBeforeStart;
 
 	/**
 	 * Records that the request is sent to a target.
 	 * @param targetId the target
 	 */
 	void onStart(String targetId) {
-		this.trials.put(targetId, FINAL);
-		this.reachedByLastStart = this.reachedIds.add(targetId);
+		this.trialBeforeStart = this.trials.put(targetId, FINAL);
+		this.ranBeforeStart = !this.ranIds.add(targetId);
 	}
 
 	/**
@@ -42,8 +44,13 @@
 	 * @param targetId the target
 	 */
 	void onWithheld(String targetId) {
-		this.trials.remove(targetId);
-		forgetLastStart(targetId);
+		forgetRun(targetId);
+		if (this.trialBeforeStart != null) {
+			this.trials.put(targetId, this.trialBeforeStart);
+		}
+		else {
+			this.trials.remove(targetId);
+		}
 	}
 
 	/**
@@ -53,21 +60,21 @@
 	 * @param outcome how the attempt ended
 	 */
 	void onEnd(long nowNanos, String targetId, AttemptOutcome outcome) {
-		if (outcome == AttemptOutcome.NOT_CONNECTED) {
-			forgetLastStart(targetId);
+		final boolean nothingRan = outcome == AttemptOutcome.NOT_CONNECTED || outcome == AttemptOutcome.DECLINED;
+		if (nothingRan) {
+			forgetRun(targetId);
 		}
-		if (outcome == AttemptOutcome.NOT_CONNECTED || outcome == AttemptOutcome.DECLINED
-				|| outcome == AttemptOutcome.CANCELLED) {
+		if (nothingRan || outcome == AttemptOutcome.CANCELLED) {
 			final long delayNanos = MIN_RETURN_DELAY_NANOS << Math.min(this.returnableTrials, MAX_DOUBLINGS);
 			this.returnableTrials++;
 			this.trials.put(targetId, new Trial(nowNanos, true, nowNanos + delayNanos));
 		}
 	}
 
-	// A target that an earlier attempt has reached stays reached.
-	private void forgetLastStart(String targetId) {
-		if (this.reachedByLastStart) {
-			this.reachedIds.remove(targetId);
+	// What an earlier attempt ran at the target still counts.
+	private void forgetRun(String targetId) {
+		if (!this.ranBeforeStart) {
+			this.ranIds.remove(targetId);
 		}
 	}
 
@@ -82,12 +89,12 @@
 	/**
 	 * Returns whether the request may be sent to a target at some time.
 	 * @param targetId the target
-	 * @param maxTargets how many targets may receive it
+	 * @param maxTargets how many targets may run it
 	 * @return false if it failed there, or if that would be one target too many
 	 */
 	boolean allows(String targetId, int maxTargets) {
 		final Trial trial = this.trials.get(targetId);
-		final boolean withinLimit = this.reachedIds.contains(targetId) || this.reachedIds.size() < maxTargets;
+		final boolean withinLimit = this.ranIds.contains(targetId) || this.ranIds.size() < maxTargets;
 		return withinLimit && (trial == null || trial.returnable());
 	}
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/SilentTargetInvariantTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/SilentTargetInvariantTests.java
@@ -26,6 +26,22 @@
 			step(world, random, step);
 			assertThat(world.requests.values()).noneMatch((request) -> isBrokenOff(world, request));
 		}
+		assertThatBegunStreamsGoOnOnceTargetsAreFree(world);
+	}
+
+	private static void assertThatBegunStreamsGoOnOnceTargetsAreFree(TrafficSimulation world) {
+		world.targets(IntStream.range(0, 9)
+			.mapToObj((index) -> TrafficSimulation.model("t" + index, true))
+			.toArray(TargetView[]::new));
+		List.copyOf(world.liveAttempts.keySet()).forEach((attempt) -> {
+			if (world.liveAttempts.containsKey(attempt)) {
+				world.end(attempt,
+						world.liveAttempts.get(attempt).cancelled ? AttemptOutcome.CANCELLED : AttemptOutcome.COMPLETE);
+			}
+		});
+		SilentTargetTests.tick(world, 2_500);
+		assertThat(world.requests.values()).filteredOn((request) -> request.deliveredTokens > 0)
+			.allMatch((request) -> request.ended || request.liveAttempt != null);
 	}
 
 	private static boolean isBrokenOff(TrafficSimulation world, TrafficSimulation.Request request) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -358,9 +358,7 @@
 	@Override
 	public void onTick() {
 		final long nowNanos = System.nanoTime();
-		if (this.pauses.onTick(nowNanos)) {
-			this.core.onResume(nowNanos);
-		}
+		this.core.onPause(nowNanos, this.pauses.onTick(nowNanos));
 		execute(this.core.onTick(nowNanos));
 		execute(this.limitShares.update(nowNanos, this.core));
 		this.targetMonitor.refresh(nowNanos);
