Replica planner: a silent second of a member no longer closes its group

Cause: after a report of 0.6 s without progress, each member of the group was probed once, for 500 ms. A member that missed this one probe while another answered counted as failed for 6 s. The planner then saw its group without it and ordered the head to close with abort, or, where the head was the silent one, to close and leave and a follower to leave. A sound instance may be silent for a second or so and go on, so a silence of 1.1 s was enough.

What callers saw: all streams of the group end at the same moment, without being complete.

Change: the groups of members that missed a probe are probed again from the duty's tick, at most once in 500 ms. An instance counts as failed after four missed probes in a row over at least two seconds, counted from the start of the first, each in a round that another member of its group answered. An answer in any round, of any group, ends silence and failure. A round that nobody answers starts the count again. A miss does not count if it began before the last result, less than 500 ms after another (two groups may probe one instance), and starts the count again if it comes 1.5 s after the one before. Four probes, since one alone may look as long as this daemon itself was late.

The six seconds stay and now bound two things: an instance whose group has ended is probed by nobody, so no answer could clear it; and an instance that never answers but stays listed gets probes for about eight seconds after a report, then none until the next report. An instance that is delisted gets none from then on.

Weighed: what it costs. A dead member is known 2.0 s after its first missed probe instead of 0.5 s in the tests' virtual time, up to 0.4 s later by reckoning where each round waits for a tick. Requests leave such a group after 0.6 s anyway, and the list drops it after about 3.6 s, so the planner gains about a second over the list instead of two and a half. A process that is gone (connection refused) or another one at the address also takes the two seconds, since a probe tells only whether it was answered; telling these apart would bring that time back and is not done here. More probes: one round each 500 ms while there is a silent member, instead of one a second while reports come.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -140,7 +140,7 @@
 		this.fleetDecisions = fleetDecisions;
 		this.duty = new Duty<>(system, "replicas", RING_CAPACITY, TICK_INTERVAL, this);
 		this.unresponsive = new UnresponsiveInstances(orderSender,
-				(answered) -> this.duty.offer(new ReplicaMessage.GroupProbed(answered)));
+				(round) -> this.duty.offer(new ReplicaMessage.GroupProbed(round)));
 	}
 
 	/**
@@ -297,7 +297,7 @@
 			}
 		}
 		else if (message instanceof ReplicaMessage.GroupProbed probed) {
-			this.unresponsive.onProbeResults(System.nanoTime(), probed.answeredById());
+			this.unresponsive.onProbeResults(System.nanoTime(), probed.round());
 		}
 		else if (message instanceof ReplicaMessage.OrderCompleted ordered) {
 			onOrderCompleted(ordered.order(), ordered.outcome());
@@ -352,6 +352,7 @@
 		}
 		final Map<String, List<String>> groupsByName = new HashMap<>();
 		final Map<String, Map<IdleReason, Integer>> idle = new HashMap<>();
+		this.unresponsive.probeSilent(nowNanos, this.instances);
 		final Set<String> unresponsiveIds = this.unresponsive.ids(nowNanos);
 		final boolean logSummary = nowNanos - this.summaryLoggedAtNanos >= SUMMARY_INTERVAL_NANOS;
 		if (logSummary) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaMessage.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaMessage.java
@@ -1,7 +1,6 @@
 package org.pistachioline.daemon.replica;
 
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 
 import org.pistachioline.core.replica.LoadReport;
@@ -73,9 +72,9 @@
 	/**
 	 * Reports the results of probing all members of a stalled group.
 	 *
-	 * @param answeredById whether each member answered, by its id
+	 * @param round the results
 	 */
-	record GroupProbed(Map<String, Boolean> answeredById) implements ReplicaMessage {
+	record GroupProbed(ProbeRound round) implements ReplicaMessage {
 
 	}
 
