Replica planner: a refused probe shows at once that a member has ended

Change: a probe tells answered, gone or silent; gone counts at once while another member answers, as before. Tests: UnresponsiveInstancesTests.aMemberWhoseAddressRefusesConnectionsCountsAsFailedAtOnce and refusedConnectionsProveNothingWhileNoMemberAnswers; SeveralDaemonsTests, PlatformDaemonTests, ReplicaDuty* green.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/OrderSender.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/OrderSender.java
@@ -29,8 +29,8 @@
 	/**
 	 * Probes whether an instance is alive.
 	 * @param instance the instance
-	 * @return whether the instance responded; the future never completes exceptionally
+	 * @return what the probe has shown; the future never completes exceptionally
 	 */
-	CompletableFuture<Boolean> probe(ServingInstance instance);
+	CompletableFuture<ProbeResult> probe(ServingInstance instance);
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/UnresponsiveInstances.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/UnresponsiveInstances.java
@@ -18,6 +18,7 @@
 import org.pistachioline.core.replica.ServingInstance;
 import org.pistachioline.daemon.event.Events;
 import org.pistachioline.daemon.port.OrderSender;
+import org.pistachioline.daemon.port.ProbeResult;
 
 /**
  * Detects the failed member of a stalled group before it is delisted.
@@ -29,8 +30,9 @@
  * and treating it as failed would close its group and cut all its streams. All members
  * are therefore probed, and as long as some do not answer while others of the group do,
  * they are probed again. Those that miss all probes for longer than a sound instance is
- * silent are treated as failed, until they answer. If none answers, this daemon's own
- * network link may have failed, and no conclusion is drawn.
+ * silent, or whose address refuses connections, are treated as failed, until they answer.
+ * If none answers, this daemon's own network link may have failed, and no conclusion is
+ * drawn.
  */
 final class UnresponsiveInstances {
 
@@ -105,14 +107,14 @@
 		if (this.probedAtNanos.putIfAbsent(group, nowNanos) != null) {
 			return;
 		}
-		final Map<String, CompletableFuture<Boolean>> probes = new HashMap<>();
+		final Map<String, CompletableFuture<ProbeResult>> probes = new HashMap<>();
 		instances.stream()
 			.filter((instance) -> instance.isMemberOf(group))
 			.forEach((member) -> probes.put(member.id(), this.orderSender.probe(member)));
 		CompletableFuture.allOf(probes.values().toArray(new CompletableFuture<?>[0])).thenRun(() -> {
-			final Map<String, Boolean> answeredById = new HashMap<>();
-			probes.forEach((id, answer) -> answeredById.put(id, answer.join()));
-			this.resultsListener.accept(new ProbeRound(nowNanos, answeredById));
+			final Map<String, ProbeResult> resultsById = new HashMap<>();
+			probes.forEach((id, answer) -> resultsById.put(id, answer.join()));
+			this.resultsListener.accept(new ProbeRound(nowNanos, resultsById));
 		});
 	}
 
@@ -122,11 +124,11 @@
 	 * @param round the results
 	 */
 	void onProbeResults(long nowNanos, ProbeRound round) {
-		round.answeredById().forEach((id, answered) -> {
-			if (answered) {
+		round.resultsById().forEach((id, result) -> {
+			if (result == ProbeResult.ANSWERED) {
 				this.unresponsiveUntilNanos.remove(id);
 			}
-			if (answered || !round.isAnswered()) {
+			if (result == ProbeResult.ANSWERED || !round.isAnswered()) {
 				this.histories.put(id, historyBefore(id, round).withoutMissed(round.startedNanos()));
 			}
 			else {
@@ -144,9 +146,10 @@
 		final ProbeHistory history = historyBefore(instanceId, round).withMissed(round.startedNanos(),
 				MIN_PROBE_INTERVAL_NANOS);
 		this.histories.put(instanceId, history);
-		if (history.isFailed(nowNanos) && !this.unresponsiveUntilNanos.containsKey(instanceId)) {
-			Events.log(EventId.INSTANCE_UNRESPONSIVE, "instance", instanceId, "asked", round.answeredById().size(),
-					"missed", history.missedProbes(), "silent_millis",
+		final boolean gone = round.resultsById().get(instanceId) == ProbeResult.GONE;
+		if ((gone || history.isFailed(nowNanos)) && !this.unresponsiveUntilNanos.containsKey(instanceId)) {
+			Events.log(EventId.INSTANCE_UNRESPONSIVE, "instance", instanceId, "asked", round.resultsById().size(),
+					"missed", history.missedProbes(), "gone", gone, "silent_millis",
 					TimeUnit.NANOSECONDS.toMillis(nowNanos - history.silentSinceNanos()));
 			this.unresponsiveUntilNanos.put(instanceId, nowNanos + UNRESPONSIVE_NANOS);
 		}
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/replica/ProbedInstances.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/replica/ProbedInstances.java
@@ -18,6 +18,7 @@
 import org.pistachioline.core.replica.ServingInstance;
 import org.pistachioline.daemon.port.InstanceListener;
 import org.pistachioline.daemon.port.OrderSender;
+import org.pistachioline.daemon.port.ProbeResult;
 
 /**
  * Instances in virtual time that are silent for given spans, and the planner that probes
@@ -43,6 +44,8 @@
 
 	private final Map<String, List<Silence>> silences = new HashMap<>();
 
+	private final Set<String> goneIds = new TreeSet<>();
+
 	private final List<Probe> pending = new ArrayList<>();
 
 	private final List<Runnable> results = new ArrayList<>();
@@ -72,6 +75,14 @@
 		this.instances.remove(instanceId);
 	}
 
+	/**
+	 * Ends an instance whose entry stays listed, so that its address refuses connections.
+	 * @param instanceId the instance
+	 */
+	void end(String instanceId) {
+		this.goneIds.add(instanceId);
+	}
+
 	/**
 	 * Makes an instance silent for a while, after which it answers open probes too.
 	 * @param instanceId the instance
@@ -136,13 +147,17 @@
 
 	private void completeProbes() {
 		for (final Probe probe : List.copyOf(this.pending)) {
-			if (!isSilent(probe.instanceId())) {
+			if (this.goneIds.contains(probe.instanceId())) {
+				this.pending.remove(probe);
+				probe.answer().complete(ProbeResult.GONE);
+			}
+			else if (!isSilent(probe.instanceId())) {
 				this.pending.remove(probe);
-				probe.answer().complete(true);
+				probe.answer().complete(ProbeResult.ANSWERED);
 			}
 			else if (this.nowMillis - probe.startedMillis() >= PROBE_TIMEOUT_MILLIS) {
 				this.pending.remove(probe);
-				probe.answer().complete(false);
+				probe.answer().complete(ProbeResult.SILENT);
 			}
 		}
 		if (!this.resultsHeld) {
@@ -167,7 +182,7 @@
 	}
 
 	@Override
-	public CompletableFuture<Boolean> probe(ServingInstance instance) {
+	public CompletableFuture<ProbeResult> probe(ServingInstance instance) {
 		final Probe probe = new Probe(instance.id(), this.nowMillis, new CompletableFuture<>());
 		this.pending.add(probe);
 		this.probeTimesMillis.add(this.nowMillis);
@@ -188,7 +203,7 @@
 
 	}
 
-	private record Probe(String instanceId, long startedMillis, CompletableFuture<Boolean> answer) {
+	private record Probe(String instanceId, long startedMillis, CompletableFuture<ProbeResult> answer) {
 
 	}
 
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/replica/UnresponsiveInstancesTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/replica/UnresponsiveInstancesTests.java
@@ -66,6 +66,29 @@
 	}
 
 	// The survivors of a dead head would wait until the list drops it.
+	// Guards against a dead member whose group keeps requests for two seconds although
+	// its
+	// address shows at once that it has ended.
+	@Test
+	void aMemberWhoseAddressRefusesConnectionsCountsAsFailedAtOnce() {
+		this.world.end("follower");
+		this.world.runUntil(600);
+		this.world.reportStall("head");
+		this.world.runUntil(700);
+		assertThat(this.world.unresponsiveIds()).containsExactly("follower");
+	}
+
+	@Test
+	void refusedConnectionsProveNothingWhileNoMemberAnswers() {
+		this.world.end("head");
+		this.world.end("follower");
+		this.world.end("other");
+		this.world.runUntil(600);
+		this.world.reportStall("head");
+		this.world.runUntil(5_000);
+		assertThat(this.world.everUnresponsiveIds()).isEmpty();
+	}
+
 	@Test
 	void aHeadThatStaysSilentCountsAsFailed() {
 		this.world.silence("head", 0, ProbedInstances.NEVER_MILLIS);
