An answer that ends incomplete is logged with the decision that ended it

What callers saw: a stream that broke off, or a connection that closed, without anyone being able to say why.

Not for callers who left; whether a caller has left is read from its connection before its stream is broken off. Fields: request, reason, last target, events, attempts with their outcomes, silence, time left, version of the configuration and how long it has been in force.

The configuration's age counts from when the relay first sees a version, at most 50 ms after it came into force: the platforms' sources of the configuration have no common place that keeps it.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/CallerListener.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/CallerListener.java
@@ -10,6 +10,15 @@
 	 */
 	void onGone();
 
+	/**
+	 * Called before this process closes the connection without the answer's end;
+	 * {@link #onGone()} follows.
+	 * @param cause why it closes it
+	 */
+	default void onClosing(CloseCause cause) {
+		// Whoever only sends needs no notice before the end.
+	}
+
 	/**
 	 * Called when the caller has begun or ceased to take more.
 	 * @param writable whether it takes more now
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ConnectionFaults.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ConnectionFaults.java
@@ -16,8 +16,12 @@
 	private ConnectionFaults() {
 	}
 
+	static boolean isReset(Throwable cause) {
+		return cause instanceof IOException;
+	}
+
 	static void log(Throwable cause) {
-		if (!(cause instanceof IOException)) {
+		if (!isReset(cause)) {
 			LOGGER.error("A message could not be handled; its connection is closed", cause);
 		}
 	}
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -316,9 +316,36 @@
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		ConnectionFaults.log(cause);
+		if (!ConnectionFaults.isReset(cause)) {
+			reportUnanswered(CloseCause.CONNECTION_FAILED);
+		}
 		context.close();
 	}
 
+	/**
+	 * Closes the connection because the server stops.
+	 */
+	void stop() {
+		reportUnanswered(CloseCause.SERVER_STOPPED);
+		close();
+	}
+
+	private void reportUnanswered(CloseCause cause) {
+		if (!this.ctx.channel().isActive()) {
+			return;
+		}
+		// Behind an answer that announced the connection's end, no answer is due.
+		if (this.current == null || !this.current.isOver()) {
+			this.waiting.stream()
+				.filter((arrived) -> arrived.request() != null)
+				.forEach((arrived) -> this.handler.onUnhandled(arrived.request(), cause));
+		}
+		this.waiting.clear();
+		if (this.current != null) {
+			this.current.onClosing(cause);
+		}
+	}
+
 	/**
 	 * A request that has arrived, or why none could be read.
 	 *
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
@@ -186,6 +186,16 @@
 		}
 	}
 
+	void onClosing(CloseCause cause) {
+		if (!this.over && this.listener != null) {
+			this.listener.onClosing(cause);
+		}
+	}
+
+	boolean isOver() {
+		return this.over;
+	}
+
 	void onGone() {
 		if (!this.over) {
 			this.over = true;
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebHandler.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebHandler.java
@@ -22,4 +22,14 @@
 		return WebAnswer.empty(fault.status());
 	}
 
+	/**
+	 * Called for a request that was read but not handled before this process closes its
+	 * connection.
+	 * @param request the request
+	 * @param cause why it closes the connection
+	 */
+	default void onUnhandled(WebRequest request, CloseCause cause) {
+		// Servers for operators and other daemons keep no record of it.
+	}
+
 }
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
@@ -101,7 +101,7 @@
 			return;
 		}
 		this.listener.close().syncUninterruptibly();
-		this.loop.execute(() -> Set.copyOf(this.connections).forEach(ServerConnection::close));
+		this.loop.execute(() -> Set.copyOf(this.connections).forEach(ServerConnection::stop));
 	}
 
 	/**
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/RecordingHandler.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/RecordingHandler.java
@@ -12,6 +12,10 @@
 
 	private final List<WebReply> replies = new ArrayList<>();
 
+	private final List<CloseCause> closings = new ArrayList<>();
+
+	private final List<String> unhandled = new ArrayList<>();
+
 	private int gone;
 
 	@Override
@@ -21,6 +25,16 @@
 		reply.listen(this);
 	}
 
+	@Override
+	public void onUnhandled(WebRequest request, CloseCause cause) {
+		this.unhandled.add(request.path() + ' ' + cause.code());
+	}
+
+	@Override
+	public void onClosing(CloseCause cause) {
+		this.closings.add(cause);
+	}
+
 	@Override
 	public void onGone() {
 		this.gone++;
@@ -39,6 +53,14 @@
 		return this.replies.get(number);
 	}
 
+	List<CloseCause> closings() {
+		return this.closings;
+	}
+
+	List<String> unhandled() {
+		return this.unhandled;
+	}
+
 	int gone() {
 		return this.gone;
 	}
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ServerConnectionTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ServerConnectionTests.java
@@ -1,5 +1,6 @@
 package org.pistachioline.adapters.web;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 
@@ -100,6 +101,52 @@
 		assertThat(this.handler.gone()).isZero();
 	}
 
+	// Guards against an answer that this process cuts off and that is taken for one whose
+	// caller left.
+	@Test
+	void anAnswerThatIsCutOffByAFailureOnItsConnectionIsReported() {
+		send(POST);
+		this.channel.pipeline().fireExceptionCaught(new IllegalStateException("failure of the test"));
+		this.channel.runPendingTasks();
+		assertThat(this.handler.closings()).containsExactly(CloseCause.CONNECTION_FAILED);
+		assertThat(this.handler.gone()).isOne();
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
+	// Guards against callers' resets that are reported as failures of this process.
+	@Test
+	void aConnectionThatItsCallerResetsIsNotReported() {
+		send(POST);
+		this.channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+		this.channel.runPendingTasks();
+		assertThat(this.handler.closings()).isEmpty();
+		assertThat(this.handler.gone()).isOne();
+	}
+
+	// Guards against a stop that drops requests without a trace.
+	@Test
+	void aStopReportsTheRequestInProgressAndTheOneBehindIt() {
+		send(POST);
+		send(CHUNKED);
+		this.connection.stop();
+		this.channel.runPendingTasks();
+		assertThat(this.handler.closings()).containsExactly(CloseCause.SERVER_STOPPED);
+		assertThat(this.handler.unhandled()).containsExactly("/copy/2 server_stopped");
+		assertThat(this.handler.requests()).hasSize(1);
+	}
+
+	@Test
+	void aStopReportsNothingForAnswersThatHaveEnded() {
+		send(POST);
+		this.handler.reply(0).whole(WebAnswer.text(200, "done"));
+		send(POST);
+		stream("id: 1\n\n");
+		this.handler.reply(1).breakOff();
+		this.connection.stop();
+		assertThat(this.handler.closings()).isEmpty();
+		assertThat(this.handler.unhandled()).isEmpty();
+	}
+
 	/**
 	 * A stream has begun, then its group stands still. The caller closes its connection.
 	 * Nothing is written that could fail, so the stream would be resumed at another
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -297,6 +297,12 @@
 	/** Logged when all requests are admitted again, at most every two seconds. */
 	ADMISSION_UNRESTRICTED(512, EventLevel.INFO, "The targets can serve all requests again."),
 
+	/**
+	 * Logged once for each response that the daemon itself cut off, with the reason; not
+	 * for callers who disconnected.
+	 */
+	RESPONSE_INCOMPLETE(513, EventLevel.WARN, "The response to a caller ended without being complete."),
+
 	/** Logged with the lag and whether requests are refused while it lasts. */
 	LOOP_LATE(520, EventLevel.WARN, "The loop that serves callers runs late: the machine is short of processor time."),
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -18,6 +18,7 @@
 import org.pistachioline.daemon.metrics.Metrics;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerMeter;
+import org.pistachioline.daemon.relay.IncompleteResponses;
 import org.pistachioline.daemon.relay.LoopMonitor;
 import org.pistachioline.daemon.relay.Relay;
 import org.pistachioline.daemon.replica.ReplicaDuty;
@@ -59,6 +60,10 @@
 	}
 
 	void bind(Relay relay, PeerDuty peers) {
+		for (final String reason : IncompleteResponses.REASONS) {
+			this.metrics.counter("pistachioline.responses.incomplete", "Responses that the daemon ended incomplete",
+					reason, () -> relay.incompleteResponseCount(reason));
+		}
 		final LoopMonitor loop = relay.loopMonitor();
 		this.metrics.gauge("pistachioline.callers.held",
 				"Bytes of requests without an answer, and of answers that callers have not taken", relay::heldBytes);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -18,6 +18,10 @@
 	REQUESTS_FAILED("pistachioline_requests_failed_total", "requests by kind", "Requests that ended with a failure.",
 			"queue_full, no_capacity or target_failed rising"),
 
+	/** Counter by the reason that {@code PL-0513} names. */
+	RESPONSES_INCOMPLETE("pistachioline_responses_incomplete_total", "responses by reason",
+			"Responses to callers that the daemon ended without their being complete.", "rising while no target fails"),
+
 	/** Gauge of the requests that are known to crash targets. */
 	REQUESTS_QUARANTINED("pistachioline_requests_quarantined", "requests",
 			"Requests that are not sent to any target, since targets crashed under them.", "above 0"),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -30,6 +30,10 @@
 
 	private final BackoffGate backoffGate;
 
+	private final ConfigurationAge configuration;
+
+	private final IncompleteResponses incompleteResponses;
+
 	private final RelayHandler handler;
 
 	private final CallerServer callerServer;
@@ -55,11 +59,13 @@
 		final WebClient client = new WebClient(this.loop, targetConnector, WarmConnections.KEEP_MILLIS,
 				WarmConnections.MAX_PER_TARGET);
 		this.backoffGate = new BackoffGate(instances, System::nanoTime);
+		this.configuration = new ConfigurationAge(routes, System::nanoTime);
+		this.incompleteResponses = new IncompleteResponses(this.configuration);
 		final RelayContext context = new RelayContext(this.loop, client, protocol, this.streams,
 				traffic::onCallerDisconnected, new TargetReportDispatcher(loadReceiver, traffic), this.backoffGate,
-				new CrashProbe(client::askWhetherRefused, traffic.crashMonitor()::onCrash));
-		this.handler = new RelayHandler(routes, context, traffic, leaving, this.loopMonitor);
-		this.callerServer = new CallerServer(this.loop, address, this.handler, routes);
+				new CrashProbe(client::askWhetherRefused, traffic.crashMonitor()::onCrash), this.incompleteResponses);
+		this.handler = new RelayHandler(this.configuration, context, traffic, leaving, this.loopMonitor);
+		this.callerServer = new CallerServer(this.loop, address, this.handler, this.configuration);
 	}
 
 	/**
@@ -76,6 +82,7 @@
 		this.callerServer.start();
 		this.loopMonitor.start();
 		this.loop.every(this.streams::reportProgress, ActiveStreams.PROGRESS_INTERVAL_MILLIS);
+		this.loop.every(this.configuration::get, ConfigurationAge.OBSERVATION_INTERVAL_MILLIS);
 	}
 
 	@Override
@@ -108,6 +115,15 @@
 		return this.handler.receivedRequestCount();
 	}
 
+	/**
+	 * Returns how many responses the daemon ended before they were complete.
+	 * @param reason the code of the reason, one of {@link IncompleteResponses#REASONS}
+	 * @return the number since the start
+	 */
+	public long incompleteResponseCount(String reason) {
+		return this.incompleteResponses.count(reason);
+	}
+
 	/**
 	 * Returns the listen address for callers.
 	 * @return the address, as host and port; empty until the relay listens
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -59,6 +59,10 @@
 		this.listener = listener;
 	}
 
+	boolean hasEnded() {
+		return this.ended;
+	}
+
 	AttemptId id() {
 		return this.start.attempt();
 	}
@@ -92,6 +96,7 @@
 	public void onHead(AnswerHead head) {
 		final RelayProtocol protocol = this.exchange.context().protocol();
 		this.responseHead = head;
+		this.exchange.history().onBytes(System.nanoTime());
 		protocol.load(head, System.nanoTime())
 			.ifPresent((load) -> this.exchange.context().targetReports().onLoad(this.start.target().targetId(), load));
 		final ResponseVerdict verdict = protocol.classify(this.exchange.request(), head);
@@ -146,6 +151,7 @@
 
 	@Override
 	public void onBytes(byte[] bytes) {
+		this.exchange.history().onBytes(System.nanoTime());
 		if (this.eventForwarder != null) {
 			if (!this.eventForwarder.forward(bytes, this.exchange.response())) {
 				abort(AttemptOutcome.MISMATCHED);
@@ -253,6 +259,7 @@
 			return;
 		}
 		this.ended = true;
+		this.exchange.history().onEnd(this.start.target().targetId(), outcome);
 		if (this.eventForwarder != null) {
 			this.exchange.context().streams().remove(this.eventForwarder);
 		}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayContext.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayContext.java
@@ -17,9 +17,10 @@
  * @param targetReports receives the load and limits that targets report
  * @param backoffGate withholds attempts at targets that requested backoff or are leaving
  * @param crashProbe determines which targets have crashed
+ * @param incompleteResponses logs the responses that the daemon ends incomplete
  */
 record RelayContext(Executor loop, WebClient client, RelayProtocol protocol, ActiveStreams streams,
 		LongConsumer disconnectListener, TargetReportListener targetReports, BackoffGate backoffGate,
-		CrashProbe crashProbe) {
+		CrashProbe crashProbe, IncompleteResponses incompleteResponses) {
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
@@ -1,8 +1,10 @@
 package org.pistachioline.daemon.relay;
 
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.pistachioline.adapters.web.CallerListener;
+import org.pistachioline.adapters.web.CloseCause;
 import org.pistachioline.adapters.web.WebAnswer;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
@@ -10,6 +12,7 @@
 import org.pistachioline.core.record.KeyOutcome;
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.AttemptOutcome;
+import org.pistachioline.core.traffic.FailureReason;
 import org.pistachioline.core.traffic.RequestInfo;
 import org.pistachioline.core.traffic.TrafficAction;
 import org.pistachioline.daemon.event.Events;
@@ -40,6 +43,8 @@
 
 	private final long arrivedAtNanos = System.nanoTime();
 
+	private final AttemptHistory history = new AttemptHistory(this.arrivedAtNanos);
+
 	private RelayAttempt currentAttempt;
 
 	private TargetResponse completeResponse;
@@ -52,6 +57,8 @@
 
 	private boolean callerDisconnected;
 
+	private boolean incompleteLogged;
+
 	RelayExchange(RequestInfo info, RelayedRequest request, boolean streaming, RelayContext context,
 			CallerResponse response) {
 		this.info = info;
@@ -79,6 +86,10 @@
 		return this.response;
 	}
 
+	AttemptHistory history() {
+		return this.history;
+	}
+
 	StreamPosition position() {
 		return this.position;
 	}
@@ -101,6 +112,7 @@
 			return;
 		}
 		if (!this.context.backoffGate().maySend(start.target().targetId())) {
+			this.history.onEnd(start.target().targetId(), AttemptOutcome.WITHHELD);
 			listener.onEnd(start.attempt(), AttemptOutcome.WITHHELD, this.position.deliveredEvents());
 			return;
 		}
@@ -164,28 +176,53 @@
 
 	@Override
 	public void fail(ErrorKind kind, RunState runState, long retryAfterMillis) {
-		this.context.loop().execute(() -> sendFailure(kind, runState, retryAfterMillis));
+		fail(new TrafficAction.Fail(this.info.requestId(), kind, runState, retryAfterMillis, FailureReason.INTERNAL));
 	}
 
-	private void sendFailure(ErrorKind kind, RunState runState, long retryAfterMillis) {
+	@Override
+	public void fail(TrafficAction.Fail failure) {
+		this.context.loop()
+			.execute(() -> sendFailure(failure.kind(), failure.runState(), failure.retryAfterMillis(),
+					failure.reason()));
+	}
+
+	private void sendFailure(ErrorKind kind, RunState runState, long retryAfterMillis, FailureReason reason) {
 		// A target's own error response is more informative than the daemon's, unless
 		// its status would promise that the request has not run.
 		final boolean useTargetResponse = kind == ErrorKind.TARGET_FAILED && this.failureResponse != null
 				&& !this.failureResponse.promisesNotRun();
 		final WebAnswer failure = useTargetResponse ? this.failureResponse.response() : RelayErrorResponses
 			.of(this.request.metadata().requestId(), kindConsistentWith(kind, runState), runState, retryAfterMillis);
+		final boolean callerWaited = callerWaits();
 		final boolean responseSent = this.response.fail(failure);
+		if (!responseSent && callerWaited && kind != ErrorKind.CALLER_GONE) {
+			logIncomplete(reason.code());
+		}
 		if (kind != ErrorKind.CALLER_GONE) {
 			Events.log(EventId.REQUEST_FAILED, "request", this.request.metadata().requestId(), "kind", kind.code(),
-					"run", runState.headerValue(), "status", responseSent ? failure.status() : 0, "name",
-					this.info.name(), "workspace", this.info.workspace(), "fingerprint", this.info.fingerprint(),
-					"attempts", this.attemptCount, "last_target", this.lastTargetId, "events",
-					this.position.deliveredEvents(), "held_millis",
+					"reason", reason.code(), "run", runState.headerValue(), "status",
+					responseSent ? failure.status() : 0, "name", this.info.name(), "workspace", this.info.workspace(),
+					"fingerprint", this.info.fingerprint(), "attempts", this.attemptCount, "last_target",
+					this.lastTargetId, "events", this.position.deliveredEvents(), "held_millis",
 					TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.arrivedAtNanos), "retry_after_millis",
 					retryAfterMillis);
 		}
 	}
 
+	private void logIncomplete(String reason) {
+		if (this.incompleteLogged) {
+			return;
+		}
+		this.incompleteLogged = true;
+		final long nowNanos = System.nanoTime();
+		final boolean running = this.currentAttempt != null && !this.currentAttempt.hasEnded();
+		this.context.incompleteResponses()
+			.log(new IncompleteResponse(this.request.metadata().requestId(), reason, this.lastTargetId,
+					this.position.deliveredEvents(), this.history.summary(running ? this.lastTargetId : ""),
+					OptionalLong.of(this.history.silentMillis(nowNanos)),
+					OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(this.info.totalDeadlineNanos() - nowNanos))));
+	}
+
 	// Callers retry on a status that promises that the request has not run, so the
 	// daemon sends it only if that is certain.
 	private static ErrorKind kindConsistentWith(ErrorKind kind, RunState runState) {
@@ -197,6 +234,11 @@
 		fail(ErrorKind.INTERNAL, RunState.UNKNOWN, 0);
 	}
 
+	@Override
+	public void onClosing(CloseCause cause) {
+		logIncomplete(cause.code());
+	}
+
 	@Override
 	public void onGone() {
 		this.callerDisconnected = true;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -13,6 +13,7 @@
 
 import org.apache.commons.codec.digest.DigestUtils;
 
+import org.pistachioline.adapters.web.CloseCause;
 import org.pistachioline.adapters.web.RequestFault;
 import org.pistachioline.adapters.web.WebAnswer;
 import org.pistachioline.adapters.web.WebHandler;
@@ -185,6 +186,11 @@
 				(fault == RequestFault.NO_ROOM) ? jitteredRetryMillis() : 0);
 	}
 
+	@Override
+	public void onUnhandled(WebRequest request, CloseCause cause) {
+		this.context.incompleteResponses().log(IncompleteResponse.unhandled(requestIdOf(request), cause.code()));
+	}
+
 	private void logRefusal(String requestId, ErrorKind kind, String path) {
 		Events.log(EventId.REQUEST_REFUSED, "request", requestId, "kind", kind.code(), "config_version",
 				this.routes.get().version(), "path", path);
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -21,6 +21,7 @@
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.replica.LoadReport;
+import org.pistachioline.core.route.RouteTable;
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.AttemptOutcome;
 import org.pistachioline.core.traffic.ClaimRequirement;
@@ -161,8 +162,10 @@
 	private RelayExchange exchange() {
 		final RelayContext context = new RelayContext(Runnable::run, new WebClient(this.loop, 1_000, 1_000, 1),
 				this.protocol, new ActiveStreams(), (requestId) -> this.notifications.add("gone " + requestId),
-				new NoOpListener(), this.gate, new CrashProbe((address, receiver) -> receiver.accept(false),
-						(crash) -> this.notifications.add("crash " + crash.targetId())));
+				new NoOpListener(), this.gate,
+				new CrashProbe((address, receiver) -> receiver.accept(false),
+						(crash) -> this.notifications.add("crash " + crash.targetId())),
+				new IncompleteResponses(new ConfigurationAge(() -> RouteTable.UNKNOWN, () -> NOW_NANOS)));
 		return new RelayExchange(info(), request(), true, context,
 				new CallerResponse(new RecordingReply(this.responses, NOW_NANOS), () -> false));
 	}
