A request that finishes without a response is answered with an internal error

Cause: the exchange ended a stream on success without asking whether one had begun, and the end of a stream that has not begun does nothing. By reading, no path of today leads there; nothing guarded it.

What callers would see: neither an answer nor a refusal until they give up, and no line in the log.

Test: IncompleteResponsesTests.aRequestThatFinishesWithoutAResponseIsAnsweredWithAnInternalError; without the change it failed with no response where 500 is expected.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
@@ -85,10 +85,15 @@
 
 	/**
 	 * Ends a streamed response successfully.
+	 * @return false if no stream has started, so that the caller received nothing
 	 */
-	void finishStream() {
+	boolean finishStream() {
+		if (!this.streamStarted) {
+			return false;
+		}
 		this.ended = true;
 		this.reply.end();
+		return true;
 	}
 
 	/**
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
@@ -168,8 +168,8 @@
 			if (this.completeResponse != null) {
 				this.response.sendComplete(this.completeResponse.response());
 			}
-			else {
-				this.response.finishStream();
+			else if (!this.response.finishStream() && !this.callerDisconnected) {
+				sendFailure(ErrorKind.INTERNAL, RunState.UNKNOWN, 0, FailureReason.INTERNAL);
 			}
 		});
 	}
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/IncompleteResponsesTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/IncompleteResponsesTests.java
@@ -141,6 +141,19 @@
 		assertThat(this.responses).extracting(WebAnswer::status).containsExactly(502);
 	}
 
+	// Guards against a caller who waits forever for a request that ended without an
+	// answer.
+	@Test
+	void aRequestThatFinishesWithoutAResponseIsAnsweredWithAnInternalError() {
+		this.exchange.finish();
+		assertThat(this.responses).extracting(WebAnswer::status).containsExactly(500);
+		assertThat(this.events.events(EventId.REQUEST_FAILED)).singleElement()
+			.satisfies((failed) -> assertThat(failed).containsEntry("kind", "internal")
+				.containsEntry("reason", "internal")
+				.containsEntry("run", "unknown"));
+		assertThat(logged()).isEmpty();
+	}
+
 	// Guards against requests that were read behind another one and vanish with their
 	// connection.
 	@Test
