A stream whose next target answers with a client error is broken off

Cause: a stream that has begun may be moved to a target that answers it with a 4xx of its own. That is a valid whole response, so the request finishes with it, but a whole response cannot be sent into a begun stream: ServerReply.whole does nothing then, and the stream was neither ended nor broken off. The connection stayed open with nothing to come.

What callers saw: a stream that stands still until they give up, and no line in the log.

Not changed: whether such an answer should count as a failed attempt, so that another target may go on with the stream.

Test: IncompleteResponsesTests.aStreamWhoseNextTargetSendsAnErrorResponseIsBrokenOff; without the change the response went to the reply behind the stream's head.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
@@ -77,10 +77,15 @@
 	/**
 	 * Sends a complete response, unless a stream has started.
 	 * @param complete the response
+	 * @return false if a stream has started, so that the response was not sent
 	 */
-	void sendComplete(WebAnswer complete) {
+	boolean sendComplete(WebAnswer complete) {
+		if (this.streamStarted) {
+			return false;
+		}
 		this.ended = true;
 		this.reply.whole(new WebAnswer(closeConnectionIfLeaving(complete.head()), complete.body()));
+		return true;
 	}
 
 	/**
@@ -108,8 +113,7 @@
 			this.reply.breakOff();
 			return false;
 		}
-		sendComplete(failure);
-		return true;
+		return sendComplete(failure);
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
@@ -165,10 +165,10 @@
 	@Override
 	public void finish() {
 		this.context.loop().execute(() -> {
-			if (this.completeResponse != null) {
-				this.response.sendComplete(this.completeResponse.response());
-			}
-			else if (!this.response.finishStream() && !this.callerDisconnected) {
+			// A stream may have gone to a target that answered it with a client error.
+			final boolean sent = (this.completeResponse != null)
+					? this.response.sendComplete(this.completeResponse.response()) : this.response.finishStream();
+			if (!sent && !this.callerDisconnected) {
 				sendFailure(ErrorKind.INTERNAL, RunState.UNKNOWN, 0, FailureReason.INTERNAL);
 			}
 		});
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/IncompleteResponsesTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/IncompleteResponsesTests.java
@@ -154,6 +154,19 @@
 		assertThat(logged()).isEmpty();
 	}
 
+	// Guards against a stream that is left open after its second target answered with an
+	// error.
+	@Test
+	void aStreamWhoseNextTargetSendsAnErrorResponseIsBrokenOff() {
+		startStreamWithOneEvent();
+		this.exchange.cancel(ATTEMPT);
+		this.exchange.storeResponse(TargetResponse.of(new AnswerHead(404, HeaderFields.EMPTY), new byte[0]),
+				AttemptOutcome.COMPLETE);
+		this.exchange.finish();
+		assertThat(this.responses).isEmpty();
+		assertThat(logged()).containsExactly(fields("internal", "i-1@1 cancelled"));
+	}
+
 	// Guards against requests that were read behind another one and vanish with their
 	// connection.
 	@Test
