Order outcomes and probe answers that a full ring drops are logged

Cause: ReplicaDuty offers them to its ring and ignored the refusal, as for load reports, but nothing repeats these. The planner then waits for an order's time or knows nothing of a probe, and only a counter of refusals of all kinds told of it.

What is dropped stays dropped. Drops of the same second as a line are told by the next line, if there is one.

Tests: ReplicaDutyTests (without the line: no event where one is expected) and DroppedMessagesTests, with a clock of its own.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -318,7 +318,10 @@
 	/** Logged for frames that are malformed, too large or too frequent. */
 	PEER_FRAME_REFUSED(602, EventLevel.WARN, "A frame on the peer port was refused and its connection closed."),
 
-	/** Reserved for full rings, which the metrics count; not logged at present. */
+	/**
+	 * Logged at most once a second for each ring, with the number of messages that were
+	 * dropped and that nothing repeats; the metrics count all refusals.
+	 */
 	RING_FULL(700, EventLevel.WARN, "A ring between duties was full."),
 
 	/** Logged when a duty's handler throws. */
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -34,6 +34,7 @@
 import org.pistachioline.core.route.ServiceSpec;
 import org.pistachioline.core.traffic.TargetView;
 import org.pistachioline.daemon.Lifecycle;
+import org.pistachioline.daemon.duty.DroppedMessages;
 import org.pistachioline.daemon.duty.Duty;
 import org.pistachioline.daemon.duty.DutyHandler;
 import org.pistachioline.daemon.duty.Ring;
@@ -47,6 +48,8 @@
  */
 public final class ReplicaDuty implements Lifecycle, DutyHandler<ReplicaMessage> {
 
+	private static final String RING_NAME = "replicas";
+
 	/** A dropped load report is superseded by the next one. */
 	private static final int RING_CAPACITY = 4_096;
 
@@ -82,6 +85,8 @@
 
 	private final Map<String, LoadReport> loadReports = new HashMap<>();
 
+	private final DroppedMessages dropped = new DroppedMessages(RING_NAME, System::nanoTime);
+
 	private final UnresponsiveInstances unresponsive;
 
 	private final DelistedInstances delisted = new DelistedInstances();
@@ -138,9 +143,9 @@
 		this.targetsListener = targetsListener;
 		this.beforeTraffic = beforeTraffic;
 		this.fleetDecisions = fleetDecisions;
-		this.duty = new Duty<>(system, "replicas", RING_CAPACITY, TICK_INTERVAL, this);
+		this.duty = new Duty<>(system, RING_NAME, RING_CAPACITY, TICK_INTERVAL, this);
 		this.unresponsive = new UnresponsiveInstances(orderSender,
-				(answered) -> this.duty.offer(new ReplicaMessage.GroupProbed(answered)));
+				(answered) -> offerOrLog(new ReplicaMessage.GroupProbed(answered), "probe results"));
 	}
 
 	/**
@@ -404,10 +409,17 @@
 			Events.log(EventId.ORDER_COMPLETED, "order", order.verb(), "instance", order.instance().id(), "subject",
 					order.subject(), "term", term, "outcome", outcome, "listed_in",
 					reportedMembership(order.instance()));
-			this.duty.offer(new ReplicaMessage.OrderCompleted(order, outcome));
+			offerOrLog(new ReplicaMessage.OrderCompleted(order, outcome), "order outcome");
 		});
 	}
 
+	// Nothing repeats these messages, unlike load reports and stalls.
+	private void offerOrLog(ReplicaMessage message, String description) {
+		if (!this.duty.offer(message)) {
+			this.dropped.onDropped(description);
+		}
+	}
+
 	private static String reportedMembership(ServingInstance instance) {
 		return instance.membership()
 			.map((membership) -> membership.group().name() + ' ' + membership.state().name().toLowerCase(Locale.ROOT))
