--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -297,6 +297,12 @@
 	/** Logged when all requests are admitted again, at most every two seconds. */
 	ADMISSION_UNRESTRICTED(512, EventLevel.INFO, "The targets can serve all requests again."),
 
+	/**
+	 * Logged once for each response that the daemon itself cut off, with the reason; not
+	 * for callers who disconnected.
+	 */
+	RESPONSE_INCOMPLETE(513, EventLevel.WARN, "The response to a caller ended without being complete."),
+
 	/** Logged with the lag and whether requests are refused while it lasts. */
 	LOOP_LATE(520, EventLevel.WARN, "The loop that serves callers runs late: the machine is short of processor time."),
 
@@ -312,7 +318,10 @@
 	/** Logged for frames that are malformed, too large or too frequent. */
 	PEER_FRAME_REFUSED(602, EventLevel.WARN, "A frame on the peer port was refused and its connection closed."),
 
-	/** Reserved for full rings, which the metrics count; not logged at present. */
+	/**
+	 * Logged at most once a second for each ring, with the number of messages that were
+	 * dropped and that nothing repeats; the metrics count all refusals.
+	 */
 	RING_FULL(700, EventLevel.WARN, "A ring between duties was full."),
 
 	/** Logged when a duty's handler throws. */
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
@@ -77,18 +77,28 @@
 	/**
 	 * Sends a complete response, unless a stream has started.
 	 * @param complete the response
+	 * @return false if a stream has started, so that the response was not sent
 	 */
-	void sendComplete(WebAnswer complete) {
+	boolean sendComplete(WebAnswer complete) {
+		if (this.streamStarted) {
+			return false;
+		}
 		this.ended = true;
 		this.reply.whole(new WebAnswer(closeConnectionIfLeaving(complete.head()), complete.body()));
+		return true;
 	}
 
 	/**
 	 * Ends a streamed response successfully.
+	 * @return false if no stream has started, so that the caller received nothing
 	 */
-	void finishStream() {
+	boolean finishStream() {
+		if (!this.streamStarted) {
+			return false;
+		}
 		this.ended = true;
 		this.reply.end();
+		return true;
 	}
 
 	/**
@@ -103,8 +113,7 @@
 			this.reply.breakOff();
 			return false;
 		}
-		sendComplete(failure);
-		return true;
+		return sendComplete(failure);
 	}
 
 }
