--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
@@ -3,6 +3,8 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import io.netty.channel.Channel;
@@ -16,6 +18,9 @@
 	/** How often connections that are idle or too slow are looked for. */
 	private static final long SWEEP_MILLIS = 500;
 
+	/** A loop that is stuck must not keep the process from stopping. */
+	private static final long STOP_MILLIS = 500;
+
 	private final WebLoop loop;
 
 	private final String address;
@@ -101,7 +106,11 @@
 			return;
 		}
 		this.listener.close().syncUninterruptibly();
-		this.loop.execute(() -> Set.copyOf(this.connections).forEach(ServerConnection::stop));
+		// Waited for, as a loop that is closed next closes the connections by itself,
+		// without a report of the requests on them.
+		CompletableFuture.runAsync(() -> Set.copyOf(this.connections).forEach(ServerConnection::stop), this.loop)
+			.completeOnTimeout(null, STOP_MILLIS, TimeUnit.MILLISECONDS)
+			.join();
 	}
 
 	/**
