Relay: a stream's head is sent with its first event

Cause: RelayAttempt sent the caller the head as soon as a target's head arrived, before anything was delivered. When that target then failed before its first event and the others declined, the head was out and the only end left was to break the connection off.

What callers saw: status 200 and a cut stream without an event, where a 502 with a body was possible, which says whether the request has run. Also the headers and the signature of a target that delivered nothing, before the events of another one.

Change: CallerResponse keeps the head and sends it with the first forwarded bytes, or with the end of a complete empty stream. A later attempt's head replaces it until then, and is ignored afterwards. A failure before the first bytes is a whole error answer. Callers get the head later than before: with the first event, not before it.

Conclusion: an error is an error answer as long as nothing was delivered.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
@@ -15,6 +15,8 @@
 
 	private final BooleanSupplier leaving;
 
+	private AnswerHead streamHead;
+
 	private boolean streamStarted;
 
 	private boolean ended;
@@ -25,15 +27,21 @@
 	}
 
 	/**
-	 * Starts a streamed response with the head of the first attempt's response; the heads
-	 * of later attempts are ignored.
+	 * Sets the head of a streamed response, which is sent with the first bytes or with
+	 * the end. Until then the request can still be answered with an error, and a later
+	 * attempt's head replaces it; after that the heads of later attempts are ignored.
 	 * @param head the head of the target's response
 	 */
-	void startStream(AnswerHead head) {
-		if (!this.streamStarted && !this.ended) {
+	void setStreamHead(AnswerHead head) {
+		if (!this.streamStarted) {
+			this.streamHead = head;
+		}
+	}
+
+	private void startStream() {
+		if (!this.streamStarted && this.streamHead != null) {
 			this.streamStarted = true;
-			this.reply.begin(closeConnectionIfLeaving(TargetResponse.withoutHopByHopHeaders(head)));
-			this.reply.flush();
+			this.reply.begin(closeConnectionIfLeaving(TargetResponse.withoutHopByHopHeaders(this.streamHead)));
 		}
 	}
 
@@ -45,6 +53,7 @@
 
 	void write(byte[] bytes, int offset, int length) {
 		if (!this.ended) {
+			startStream();
 			this.reply.piece(bytes, offset, length);
 		}
 	}
@@ -87,6 +96,9 @@
 	 * Ends a streamed response successfully.
 	 */
 	void finishStream() {
+		if (!this.ended) {
+			startStream();
+		}
 		this.ended = true;
 		this.reply.end();
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -106,7 +106,7 @@
 			case VALID -> {
 				expectOutcome(AttemptOutcome.COMPLETE);
 				if (this.exchange.streaming() && head.status() == OK) {
-					startStream();
+					forwardEvents();
 				}
 			}
 		}
@@ -137,10 +137,10 @@
 		this.expectedOutcome = outcome;
 	}
 
-	private void startStream() {
+	private void forwardEvents() {
 		this.eventForwarder = new SseEventForwarder(id(), this.exchange.position(), this.listener);
 		this.exchange.context().streams().add(this.eventForwarder);
-		this.exchange.response().startStream(this.responseHead);
+		this.exchange.response().setStreamHead(this.responseHead);
 		onCallerWritable(this.exchange.response().isWritable());
 	}
 
--- /dev/null
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StreamOverTargetsTests.java
@@ -0,0 +1,212 @@
+package org.pistachioline.daemon.relay;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import org.pistachioline.adapters.http.ActorSystems;
+import org.pistachioline.adapters.web.AnswerHead;
+import org.pistachioline.adapters.web.DirectConnector;
+import org.pistachioline.adapters.web.HeaderFields;
+import org.pistachioline.adapters.web.RequestLimits;
+import org.pistachioline.adapters.web.WebAnswer;
+import org.pistachioline.adapters.web.WebLoop;
+import org.pistachioline.adapters.web.WebReply;
+import org.pistachioline.adapters.web.WebServer;
+import org.pistachioline.core.quarantine.GossipQuarantine;
+import org.pistachioline.core.retry.RetryBudget;
+import org.pistachioline.core.route.CallerBounds;
+import org.pistachioline.core.route.Route;
+import org.pistachioline.core.route.RouteKind;
+import org.pistachioline.core.route.RouteTable;
+import org.pistachioline.core.route.ServiceSpec;
+import org.pistachioline.core.route.WeightedService;
+import org.pistachioline.core.traffic.RoutingPolicies;
+import org.pistachioline.core.traffic.TargetKind;
+import org.pistachioline.core.traffic.TargetView;
+import org.pistachioline.core.traffic.TrafficCore;
+import org.pistachioline.daemon.port.InstanceListener;
+import org.pistachioline.daemon.traffic.LimitShareUpdater;
+import org.pistachioline.daemon.traffic.NoClaims;
+import org.pistachioline.daemon.traffic.TraceRecorder;
+import org.pistachioline.daemon.traffic.TrafficDuty;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Load: a stream whose targets fail one after the other, over real connections.
+ */
+@Timeout(60)
+class StreamOverTargetsTests {
+
+	private static final String ANY_PORT = "127.0.0.1:0";
+
+	private static final String SERVICE = "copy";
+
+	private static final String TARGET_HEADER = "Answered-By";
+
+	private static final int TARGETS = 3;
+
+	private static final int READ_TIMEOUT_MILLIS = 20_000;
+
+	private final ActorSystem<Void> system = ActorSystems.create("stream-test");
+
+	private final WebLoop targetLoop = new WebLoop("target");
+
+	private final WebLoop loop = new WebLoop("relay");
+
+	private final AtomicInteger attempts = new AtomicInteger();
+
+	private final TrafficDuty traffic = new TrafficDuty(this.system,
+			new TrafficCore(RoutingPolicies.create("", 1, new RetryBudget(1, 100, Duration.ofSeconds(1).toNanos()),
+					() -> 1, new GossipQuarantine())),
+			new NoClaims(), new LimitShareUpdater("d", () -> Set.of("d"), 1_000), (suspect, nowMillis) -> {
+				// No target crashes.
+			}, new TraceRecorder(false));
+
+	/** What the targets do with the attempts, in order, whichever target gets them. */
+	private volatile List<Consumer<WebReply>> script = List.of();
+
+	private final List<WebServer> targets = IntStream.range(0, TARGETS)
+		.mapToObj((i) -> new WebServer(this.targetLoop, ANY_PORT,
+				(request, reply) -> this.script.get(this.attempts.getAndIncrement()).accept(reply),
+				() -> RequestLimits.DEFAULT))
+		.toList();
+
+	private Relay relay;
+
+	@BeforeEach
+	void start() {
+		this.targets.forEach(WebServer::start);
+		this.traffic.start();
+		this.traffic.onTargets(IntStream.range(0, TARGETS)
+			.mapToObj((i) -> new TargetView("t" + i + "@0", TargetKind.SERVICE, SERVICE,
+					this.targets.get(i).localAddress(), 0, "", true, 100, 0, 0, 0))
+			.toList());
+		final RouteTable table = new RouteTable(1,
+				List.of(new Route("copy", "h", "/", RouteKind.STREAM, 60_000, 60_000, 500, TARGETS, 1, true, true,
+						List.of(new WeightedService(SERVICE, 1)))),
+				List.of(new ServiceSpec(SERVICE, 100, Optional.empty())), List.of(), CallerBounds.DEFAULT);
+		this.relay = new Relay(this.loop, ANY_PORT, new StubProtocol(), () -> table, this.traffic, (targetId, load) -> {
+			// Loads are not part of these tests.
+		}, new NoSignals(), () -> false, new DirectConnector(this.loop, 1_000));
+		this.relay.start();
+	}
+
+	@AfterEach
+	void stop() {
+		this.relay.stop();
+		this.traffic.stop();
+		this.targets.forEach(WebServer::stop);
+		this.targetLoop.close();
+		this.system.terminate();
+	}
+
+	// Guards against a stream that is cut without an event where no event was delivered
+	// and the caller could still be told of an error.
+	@Test
+	void aStreamThatFailsBeforeItsFirstEventIsAnsweredWithAWholeError() throws IOException {
+		this.script = List.of(breaking("first"), StreamOverTargetsTests::decline, StreamOverTargetsTests::decline);
+		final String answer = call();
+		assertThat(answer).startsWith("HTTP/1.1 502 ").doesNotContainIgnoringCase("transfer-encoding");
+		final int bodyBytes = Integer.parseInt(answer.replaceAll("(?is).*content-length: (\\d+).*", "$1"));
+		assertThat(bodyBytes).isPositive();
+		assertThat(answer.substring(answer.indexOf("\r\n\r\n") + 4)).hasSize(bodyBytes);
+	}
+
+	// Guards against the head and signature of a target that delivered nothing before the
+	// events of another one.
+	@Test
+	void theHeadIsThatOfTheTargetWhichDeliversTheFirstEvent() throws IOException {
+		this.script = List.of(breaking("first"), ending("second", "id: 1\n\n"));
+		assertThat(call()).startsWith("HTTP/1.1 200 ")
+			.containsIgnoringCase(TARGET_HEADER + ": second")
+			.doesNotContainIgnoringCase(TARGET_HEADER + ": first")
+			.endsWith("7\r\nid: 1\n\n\r\n0\r\n\r\n");
+	}
+
+	// Guards against a second head in the middle of a stream that another target resumes.
+	@Test
+	void theHeadOfTheFirstDelivererStaysWhenAnotherTargetResumes() throws IOException {
+		this.script = List.of(breaking("first", "id: 1\n\n"), ending("second", "id: 2\n\n"));
+		assertThat(call()).startsWith("HTTP/1.1 200 ")
+			.containsIgnoringCase(TARGET_HEADER + ": first")
+			.doesNotContainIgnoringCase(TARGET_HEADER + ": second")
+			.endsWith("7\r\nid: 1\n\n\r\n7\r\nid: 2\n\n\r\n0\r\n\r\n");
+	}
+
+	// Guards against a complete stream without events that gets neither head nor end.
+	@Test
+	void aCompleteStreamWithoutEventsHasItsHeadAndItsEnd() throws IOException {
+		this.script = List.of(ending("first"));
+		assertThat(call()).startsWith("HTTP/1.1 200 ")
+			.containsIgnoringCase(TARGET_HEADER + ": first")
+			.endsWith("\r\n\r\n0\r\n\r\n");
+	}
+
+	private static Consumer<WebReply> breaking(String name, String... events) {
+		return (reply) -> {
+			begin(reply, name, events);
+			reply.breakOff();
+		};
+	}
+
+	private static Consumer<WebReply> ending(String name, String... events) {
+		return (reply) -> {
+			begin(reply, name, events);
+			reply.end();
+		};
+	}
+
+	private static void begin(WebReply reply, String name, String... events) {
+		reply.begin(new AnswerHead(200, HeaderFields.of(TARGET_HEADER, name)));
+		for (final String event : events) {
+			reply.piece(event.getBytes(StandardCharsets.US_ASCII), 0, event.length());
+		}
+		reply.flush();
+	}
+
+	private static void decline(WebReply reply) {
+		reply.whole(WebAnswer.empty(503).with(StubProtocol.DECLINED_HEADER, "1"));
+	}
+
+	// The connection ends with the answer, so all that is sent is read.
+	private String call() throws IOException {
+		final String[] address = this.relay.callerAddress().split(":");
+		try (Socket caller = new Socket(address[0], Integer.parseInt(address[1]))) {
+			caller.setSoTimeout(READ_TIMEOUT_MILLIS);
+			caller.getOutputStream()
+				.write("GET /copy HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+					.getBytes(StandardCharsets.US_ASCII));
+			return new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+		}
+	}
+
+	private static final class NoSignals implements InstanceListener {
+
+		@Override
+		public void onBackoff(String instanceId, long backoffMillis) {
+			// The targets request no backoff.
+		}
+
+		@Override
+		public void onLeaving(String instanceId) {
+			// The targets do not leave.
+		}
+
+	}
+
+}
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StubProtocol.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StubProtocol.java
@@ -15,10 +15,14 @@
 import org.pistachioline.daemon.port.ResponseVerdict;
 
 /**
- * Passes every request and every answer on as it is.
+ * Passes every request on as it is, and every answer except those by which a target
+ * declines.
  */
 final class StubProtocol implements RelayProtocol {
 
+	/** The header by which a target declines a request. */
+	static final String DECLINED_HEADER = "Declined";
+
 	private static final Runnable NOTHING = () -> {
 	};
 
@@ -56,7 +60,7 @@
 
 	@Override
 	public ResponseVerdict classify(RelayedRequest request, AnswerHead head) {
-		return ResponseVerdict.VALID;
+		return head.header(DECLINED_HEADER).isPresent() ? ResponseVerdict.DECLINED : ResponseVerdict.VALID;
 	}
 
 	@Override
