Relay: an answer without events does not end a resumed stream

Cause: RelayAttempt took every valid answer with a status other than 200 for the request's answer, also when the caller already had a part of a stream from another target. Such an answer (for example 204) was kept and handed to ServerReply.whole, which does nothing once a response has begun.

What callers saw: a stream that stood still for ever, without an end and with its connection open.

Before the first event it is still the request's answer.

Conclusion: an answer that cannot be sent ends the attempt, not the caller's patience.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
@@ -38,6 +38,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether the caller has received a part of a streamed response.
+	 * @return whether it has
+	 */
+	boolean isStreamStarted() {
+		return this.streamStarted;
+	}
+
 	private void startStream() {
 		if (!this.streamStarted && this.streamHead != null) {
 			this.streamStarted = true;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -103,12 +103,21 @@
 			case DECLINED -> expectOutcome(AttemptOutcome.DECLINED);
 			case FAILURE -> expectOutcome(AttemptOutcome.FAILURE_ANSWERED);
 			case MISMATCHED -> abort(AttemptOutcome.MISMATCHED);
-			case VALID -> {
-				expectOutcome(AttemptOutcome.COMPLETE);
-				if (this.exchange.streaming() && head.status() == OK) {
-					forwardEvents();
-				}
-			}
+			case VALID -> onValidHead();
+		}
+	}
+
+	private void onValidHead() {
+		if (this.exchange.streaming() && this.responseHead.status() == OK) {
+			expectOutcome(AttemptOutcome.COMPLETE);
+			forwardEvents();
+		}
+		else if (this.exchange.response().isStreamStarted()) {
+			// An answer without events cannot continue the stream that the caller has.
+			abort(AttemptOutcome.MISMATCHED);
+		}
+		else {
+			expectOutcome(AttemptOutcome.COMPLETE);
 		}
 	}
 
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StreamOverTargetsTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StreamOverTargetsTests.java
@@ -157,6 +157,39 @@
 			.endsWith("\r\n\r\n0\r\n\r\n");
 	}
 
+	// Guards against a caller that waits for ever because the answer of the next target
+	// has no events and cannot follow those that were sent.
+	@Test
+	void aResumedStreamWithoutAnyTargetThatContinuesItIsBrokenOff() throws IOException {
+		this.script = List.of(breaking("first", "id: 1\n\n"), StreamOverTargetsTests::answerWithoutEvents,
+				StreamOverTargetsTests::answerWithoutEvents);
+		assertThat(call()).startsWith("HTTP/1.1 200 ").endsWith("7\r\nid: 1\n\n\r\n");
+		assertThat(this.attempts).hasValue(3);
+	}
+
+	// Guards against a stream that ends with a target's answer without events although
+	// another target can continue it.
+	@Test
+	void aResumedStreamGoesOnAtTheNextTargetAfterAnAnswerWithoutEvents() throws IOException {
+		this.script = List.of(breaking("first", "id: 1\n\n"), StreamOverTargetsTests::answerWithoutEvents,
+				ending("third", "id: 2\n\n"));
+		assertThat(call()).startsWith("HTTP/1.1 200 ")
+			.containsIgnoringCase(TARGET_HEADER + ": first")
+			.endsWith("7\r\nid: 1\n\n\r\n7\r\nid: 2\n\n\r\n0\r\n\r\n");
+	}
+
+	// Guards against a valid answer without events that is dropped before the stream has
+	// begun, where it is the request's answer.
+	@Test
+	void anAnswerWithoutEventsIsTheAnswerWhileNothingWasDelivered() throws IOException {
+		this.script = List.of(breaking("first"), StreamOverTargetsTests::answerWithoutEvents);
+		assertThat(call()).startsWith("HTTP/1.1 204 ");
+	}
+
+	private static void answerWithoutEvents(WebReply reply) {
+		reply.whole(WebAnswer.empty(204));
+	}
+
 	private static Consumer<WebReply> breaking(String name, String... events) {
 		return (reply) -> {
 			begin(reply, name, events);
