Caller connections: a shorter time holds from the next request on

A change that shortens them held at once for connections whose idle time, or whose request, had begun under the longer ones.

What callers saw: beside a change of the configuration a kept connection was closed although its idle time had not passed, and a request that was on its way met the close and got neither an answer nor a refusal; a request that was being read was refused with 408 early.

Change: a connection keeps at least the times that were in force when it was made, when its last answer was sent, or when the request that is being read began. Longer times hold at once, as before.

Tests (ShortenedTimesTests, virtual time): without the change aKeptConnectionIsIdleAsLongAsWhenItsLastAnswerWasSent and aNewConnectionIsIdleAsLongAsWhenItWasMade found the connection closed, and aRequestThatIsBeingReadHasTheTimeInForceWhenItBegan was answered with 408; the two that guard what is kept passed before and after.

Conclusion: this ends answers on a change of the configuration itself. A request that reaches the machine after an idle connection was closed in its time still meets the close, as with any HTTP server.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -74,6 +74,8 @@
 
 	private long idleSinceNanos;
 
+	private RequestLimits limitsAtStart;
+
 	/**
 	 * Creates a connection.
 	 * @param handler answers its requests
@@ -90,6 +92,7 @@
 		this.held = held;
 		this.requests = requests;
 		this.idleSinceNanos = nanoClock.getAsLong();
+		this.limitsAtStart = limits.get();
 	}
 
 	/**
@@ -97,7 +100,7 @@
 	 * @param pipeline the channel's pipeline
 	 */
 	void addTo(ChannelPipeline pipeline) {
-		final int headBytes = this.limits.get().headBytes();
+		final int headBytes = this.limitsAtStart.headBytes();
 		pipeline.addLast(new ReadObserver(), new HttpServerCodec(
 				new HttpDecoderConfig().setMaxInitialLineLength(headBytes).setMaxHeaderSize(headBytes)), this);
 	}
@@ -228,6 +231,7 @@
 		this.currentBytes = 0;
 		count();
 		this.idleSinceNanos = this.nanoClock.getAsLong();
+		this.limitsAtStart = this.limits.get();
 		next();
 	}
 
@@ -252,6 +256,7 @@
 		if (!this.begun) {
 			this.begun = true;
 			this.begunAtNanos = this.nanoClock.getAsLong();
+			this.limitsAtStart = this.limits.get();
 		}
 	}
 
@@ -274,17 +279,31 @@
 	void sweep(long nowNanos) {
 		count();
 		final RequestLimits now = this.limits.get();
-		final long mostMillis = (this.head == null) ? now.headMillis() : now.bodyMillis();
-		if (this.begun && nowNanos - this.begunAtNanos > nanos(mostMillis)) {
+		if (this.begun && nowNanos - this.begunAtNanos > nanos(mostMillisToRead(now))) {
 			fault(RequestFault.TOO_SLOW);
 			next();
 		}
-		else if (this.current == null && this.waiting.isEmpty() && !this.begun
-				&& nowNanos - this.idleSinceNanos > nanos(now.idleMillis())) {
+		else if (isIdle() && nowNanos - this.idleSinceNanos > nanos(mostIdleMillis(now))) {
 			close();
 		}
 	}
 
+	private boolean isIdle() {
+		return this.current == null && this.waiting.isEmpty() && !this.begun;
+	}
+
+	// Callers keep to the times in force when the request or the idle time began; a
+	// change
+	// that shortens them must not end what they could rely on.
+	private long mostMillisToRead(RequestLimits now) {
+		return (this.head == null) ? Math.max(now.headMillis(), this.limitsAtStart.headMillis())
+				: Math.max(now.bodyMillis(), this.limitsAtStart.bodyMillis());
+	}
+
+	private long mostIdleMillis(RequestLimits now) {
+		return Math.max(now.idleMillis(), this.limitsAtStart.idleMillis());
+	}
+
 	private static long nanos(long millis) {
 		return TimeUnit.MILLISECONDS.toNanos(millis);
 	}
