Caller connections: what has arrived is read before an idle one is closed

On a loop that runs late a whole request may lie in the socket, unread.

What callers saw: a connection that closed with a whole request on it, with neither an answer nor a refusal and without a log line.

Change: before an idle connection is closed, what has arrived on it is read, in the way in which ServerReply.callerWaits reads; a request, or the begin of one, keeps it open. Both use ServerConnection.readArrived.

Conclusion: what has arrived when an idle connection is closed gets an answer. The time between that read and the close remains, in which a request can still arrive.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -8,10 +8,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -284,7 +286,7 @@
 			next();
 		}
 		else if (isIdle() && nowNanos - this.idleSinceNanos > nanos(mostIdleMillis(now))) {
-			close();
+			closeUnlessRequestArrived();
 		}
 	}
 
@@ -304,6 +306,25 @@
 		return Math.max(now.idleMillis(), this.limitsAtStart.idleMillis());
 	}
 
+	// On a loop that runs late a request may have arrived that was not read yet.
+	private void closeUnlessRequestArrived() {
+		readArrived();
+		if (isIdle()) {
+			close();
+		}
+	}
+
+	/**
+	 * Reads what has arrived on the connection, rather than in the loop's next turn.
+	 */
+	void readArrived() {
+		final Channel channel = this.ctx.channel();
+		if (channel.isActive() && channel.config().isAutoRead()
+				&& channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+			socket.read();
+		}
+	}
+
 	private static long nanos(long millis) {
 		return TimeUnit.MILLISECONDS.toNanos(millis);
 	}
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -156,9 +155,8 @@
 	@Override
 	public boolean callerWaits() {
 		final Channel channel = this.ctx.channel();
-		if (!this.over && channel.isActive() && channel.config().isAutoRead()
-				&& channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
-			socket.read();
+		if (!this.over) {
+			this.connection.readArrived();
 		}
 		if (!channel.isActive()) {
 			onGone();
