Caller connections: too many requests in one piece are refused, not dropped

Cause: Netty's codec lets 128 requests wait for their answers. When one more came in a piece, it failed, and the connection was closed at once with all requests that had been read from it. After that failure the codec also closes the connection behind the next answer by itself, so its own bound cannot be turned into a refusal.

What callers saw: of 600 short requests in one piece, a few answers and then the end of the connection, without a notice; also on a loop that runs late, where what was sent one by one lies in the socket as one piece.

Change: the bound is the connection's own. The requests before it are answered, and the one over it is refused as NO_ROOM (503, not run), with the close announced. Reading now stays stopped while more than one request waits; before, each answer let another piece in.

ServerConnectionTests.nothingIsReadWhileMoreThanOneRequestWaits is new and was run only with the change. All tests of adapters.web passed.

Ruled out on the way: a larger bound of the codec. With 20,000 requests in one write that are answered at once the connection then stopped answering without a log line, until answers no longer nested; the bound of 128 stays, and with it the depth.

Conclusion: each request that was read has an answer, unless the answer before it announced the close. A stream that is broken off still takes the requests behind it along.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -40,6 +40,14 @@
 	/** Requests that may wait behind the one that is answered before reading stops. */
 	private static final int MOST_WAITING = 1;
 
+	/** Requests that may come in one piece; the next one is refused. */
+	private static final int MOST_IN_ONE_PIECE = 128;
+
+	/**
+	 * The codec's own bound would close the connection on the requests that it has read.
+	 */
+	private static final int MOST_IN_CODEC = Integer.MAX_VALUE;
+
 	private final WebHandler handler;
 
 	private final Supplier<RequestLimits> limits;
@@ -103,8 +111,11 @@
 	 */
 	void addTo(ChannelPipeline pipeline) {
 		final int headBytes = this.limitsAtStart.headBytes();
-		pipeline.addLast(new ReadObserver(), new HttpServerCodec(
-				new HttpDecoderConfig().setMaxInitialLineLength(headBytes).setMaxHeaderSize(headBytes)), this);
+		pipeline.addLast(new ReadObserver(),
+				new HttpServerCodec(
+						new HttpDecoderConfig().setMaxInitialLineLength(headBytes).setMaxHeaderSize(headBytes),
+						MOST_IN_CODEC),
+				this);
 	}
 
 	@Override
@@ -151,7 +162,7 @@
 		if (HttpUtil.getContentLength(request, 0L) > this.limits.get().bodyBytes()) {
 			fault(RequestFault.BODY_TOO_LARGE);
 		}
-		else if (this.held.full()) {
+		else if (this.held.full() || this.waiting.size() >= MOST_IN_ONE_PIECE) {
 			fault(RequestFault.NO_ROOM);
 		}
 		else if (HttpUtil.is100ContinueExpected(request)) {
@@ -215,7 +226,7 @@
 			return;
 		}
 		final Arrived arrived = this.waiting.poll();
-		this.ctx.channel().config().setAutoRead(true);
+		this.ctx.channel().config().setAutoRead(this.waiting.size() <= MOST_WAITING);
 		this.currentBytes = arrived.bytes();
 		final ServerReply reply = new ServerReply(this.ctx, arrived.keepAlive(), arrived.chunks(), arrived.atNanos(),
 				this);
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ServerConnectionTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ServerConnectionTests.java
@@ -129,6 +129,18 @@
 		assertThat(this.handler.requests()).hasSize(1);
 	}
 
+	// Guards against requests that pile up behind the one that is answered, since each
+	// answer lets another piece in.
+	@Test
+	void nothingIsReadWhileMoreThanOneRequestWaits() {
+		send(POST + POST + POST + POST);
+		assertThat(this.channel.config().isAutoRead()).isFalse();
+		this.handler.reply(0).whole(WebAnswer.text(200, "one"));
+		assertThat(this.channel.config().isAutoRead()).isFalse();
+		this.handler.reply(1).whole(WebAnswer.text(200, "two"));
+		assertThat(this.channel.config().isAutoRead()).isTrue();
+	}
+
 	@Test
 	void theCallersWishToCloseIsKept() {
 		send(POST.replace("Host", "Connection: close\r\nHost"));
