--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -8,10 +8,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -38,6 +40,14 @@
 	/** Requests that may wait behind the one that is answered before reading stops. */
 	private static final int MOST_WAITING = 1;
 
+	/** Requests that may come in one piece; the next one is refused. */
+	private static final int MOST_IN_ONE_PIECE = 128;
+
+	/**
+	 * The codec's own bound would close the connection on the requests that it has read.
+	 */
+	private static final int MOST_IN_CODEC = Integer.MAX_VALUE;
+
 	private final WebHandler handler;
 
 	private final Supplier<RequestLimits> limits;
@@ -74,6 +84,8 @@
 
 	private long idleSinceNanos;
 
+	private RequestLimits limitsAtStart;
+
 	/**
 	 * Creates a connection.
 	 * @param handler answers its requests
@@ -90,6 +102,7 @@
 		this.held = held;
 		this.requests = requests;
 		this.idleSinceNanos = nanoClock.getAsLong();
+		this.limitsAtStart = limits.get();
 	}
 
 	/**
@@ -97,9 +110,12 @@
 	 * @param pipeline the channel's pipeline
 	 */
 	void addTo(ChannelPipeline pipeline) {
-		final int headBytes = this.limits.get().headBytes();
-		pipeline.addLast(new ReadObserver(), new HttpServerCodec(
-				new HttpDecoderConfig().setMaxInitialLineLength(headBytes).setMaxHeaderSize(headBytes)), this);
+		final int headBytes = this.limitsAtStart.headBytes();
+		pipeline.addLast(new ReadObserver(),
+				new HttpServerCodec(
+						new HttpDecoderConfig().setMaxInitialLineLength(headBytes).setMaxHeaderSize(headBytes),
+						MOST_IN_CODEC),
+				this);
 	}
 
 	@Override
@@ -146,7 +162,7 @@
 		if (HttpUtil.getContentLength(request, 0L) > this.limits.get().bodyBytes()) {
 			fault(RequestFault.BODY_TOO_LARGE);
 		}
-		else if (this.held.full()) {
+		else if (this.held.full() || this.waiting.size() >= MOST_IN_ONE_PIECE) {
 			fault(RequestFault.NO_ROOM);
 		}
 		else if (HttpUtil.is100ContinueExpected(request)) {
@@ -210,7 +226,7 @@
 			return;
 		}
 		final Arrived arrived = this.waiting.poll();
-		this.ctx.channel().config().setAutoRead(true);
+		this.ctx.channel().config().setAutoRead(this.waiting.size() <= MOST_WAITING);
 		this.currentBytes = arrived.bytes();
 		final ServerReply reply = new ServerReply(this.ctx, arrived.keepAlive(), arrived.chunks(), arrived.atNanos(),
 				this);
@@ -228,6 +244,7 @@
 		this.currentBytes = 0;
 		count();
 		this.idleSinceNanos = this.nanoClock.getAsLong();
+		this.limitsAtStart = this.limits.get();
 		next();
 	}
 
@@ -252,6 +269,7 @@
 		if (!this.begun) {
 			this.begun = true;
 			this.begunAtNanos = this.nanoClock.getAsLong();
+			this.limitsAtStart = this.limits.get();
 		}
 	}
 
@@ -274,17 +292,50 @@
 	void sweep(long nowNanos) {
 		count();
 		final RequestLimits now = this.limits.get();
-		final long mostMillis = (this.head == null) ? now.headMillis() : now.bodyMillis();
-		if (this.begun && nowNanos - this.begunAtNanos > nanos(mostMillis)) {
+		if (this.begun && nowNanos - this.begunAtNanos > nanos(mostMillisToRead(now))) {
 			fault(RequestFault.TOO_SLOW);
 			next();
 		}
-		else if (this.current == null && this.waiting.isEmpty() && !this.begun
-				&& nowNanos - this.idleSinceNanos > nanos(now.idleMillis())) {
+		else if (isIdle() && nowNanos - this.idleSinceNanos > nanos(mostIdleMillis(now))) {
+			closeUnlessRequestArrived();
+		}
+	}
+
+	private boolean isIdle() {
+		return this.current == null && this.waiting.isEmpty() && !this.begun;
+	}
+
+	// Callers keep to the times in force when the request or the idle time began; a
+	// change
+	// that shortens them must not end what they could rely on.
+	private long mostMillisToRead(RequestLimits now) {
+		return (this.head == null) ? Math.max(now.headMillis(), this.limitsAtStart.headMillis())
+				: Math.max(now.bodyMillis(), this.limitsAtStart.bodyMillis());
+	}
+
+	private long mostIdleMillis(RequestLimits now) {
+		return Math.max(now.idleMillis(), this.limitsAtStart.idleMillis());
+	}
+
+	// On a loop that runs late a request may have arrived that was not read yet.
+	private void closeUnlessRequestArrived() {
+		readArrived();
+		if (isIdle()) {
 			close();
 		}
 	}
 
+	/**
+	 * Reads what has arrived on the connection, rather than in the loop's next turn.
+	 */
+	void readArrived() {
+		final Channel channel = this.ctx.channel();
+		if (channel.isActive() && channel.config().isAutoRead()
+				&& channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+			socket.read();
+		}
+	}
+
 	private static long nanos(long millis) {
 		return TimeUnit.MILLISECONDS.toNanos(millis);
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -108,12 +108,21 @@
 			case DECLINED -> expectOutcome(AttemptOutcome.DECLINED);
 			case FAILURE -> expectOutcome(AttemptOutcome.FAILURE_ANSWERED);
 			case MISMATCHED -> abort(AttemptOutcome.MISMATCHED);
-			case VALID -> {
-				expectOutcome(AttemptOutcome.COMPLETE);
-				if (this.exchange.streaming() && head.status() == OK) {
-					startStream();
-				}
-			}
+			case VALID -> onValidHead();
+		}
+	}
+
+	private void onValidHead() {
+		if (this.exchange.streaming() && this.responseHead.status() == OK) {
+			expectOutcome(AttemptOutcome.COMPLETE);
+			forwardEvents();
+		}
+		else if (this.exchange.response().isStreamStarted()) {
+			// An answer without events cannot continue the stream that the caller has.
+			abort(AttemptOutcome.MISMATCHED);
+		}
+		else {
+			expectOutcome(AttemptOutcome.COMPLETE);
 		}
 	}
 
@@ -142,10 +151,10 @@
 		this.expectedOutcome = outcome;
 	}
 
-	private void startStream() {
+	private void forwardEvents() {
 		this.eventForwarder = new SseEventForwarder(id(), this.exchange.position(), this.listener);
 		this.exchange.context().streams().add(this.eventForwarder);
-		this.exchange.response().startStream(this.responseHead);
+		this.exchange.response().setStreamHead(this.responseHead);
 		onCallerWritable(this.exchange.response().isWritable());
 	}
 
