--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/CallerListener.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/CallerListener.java
@@ -16,7 +16,7 @@
 	 * @param cause why it closes it
 	 */
 	default void onClosing(CloseCause cause) {
-		// Whoever only sends needs no notice before the end.
+		// By default only the close itself matters.
 	}
 
 	/**
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -31,21 +31,20 @@
 /**
  * One caller's connection: reads requests whole and answers them one after the other.
  * <p>
- * While a request is answered the connection is read on. Otherwise a caller who left
- * would be noticed only when something is written, and nothing is written before the
- * answer's head or while a stream stands still: its target would work on for nobody.
+ * While a request is answered the connection is read on, unless more than one request
+ * waits behind it. Otherwise a caller who left would be noticed only when something is
+ * written, and nothing is written before the answer's head or while a stream stands
+ * still: its target would work on for nobody.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
 
 	/** Requests that may wait behind the one that is answered before reading stops. */
 	private static final int MOST_WAITING = 1;
 
-	/** Requests that may come in one piece; the next one is refused. */
+	/** Requests that may wait in all, as one read can bring many; the next is refused. */
 	private static final int MOST_IN_ONE_PIECE = 128;
 
-	/**
-	 * The codec's own bound would close the connection on the requests that it has read.
-	 */
+	/** Disables the codec's bound, which closes the connection without answers. */
 	private static final int MOST_IN_CODEC = Integer.MAX_VALUE;
 
 	private final WebHandler handler;
@@ -244,7 +243,9 @@
 		this.currentBytes = 0;
 		count();
 		this.idleSinceNanos = this.nanoClock.getAsLong();
-		this.limitsAtStart = this.limits.get();
+		if (!this.begun) {
+			this.limitsAtStart = this.limits.get();
+		}
 		next();
 	}
 
@@ -305,9 +306,7 @@
 		return this.current == null && this.waiting.isEmpty() && !this.begun;
 	}
 
-	// Callers keep to the times in force when the request or the idle time began; a
-	// change
-	// that shortens them must not end what they could rely on.
+	// Callers rely on the times in force when the request or the idle time began.
 	private long mostMillisToRead(RequestLimits now) {
 		return (this.head == null) ? Math.max(now.headMillis(), this.limitsAtStart.headMillis())
 				: Math.max(now.bodyMillis(), this.limitsAtStart.bodyMillis());
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
@@ -108,11 +108,22 @@
 		this.listener.close().syncUninterruptibly();
 		// Waited for, as a loop that is closed next closes the connections by itself,
 		// without a report of the requests on them.
-		CompletableFuture.runAsync(() -> Set.copyOf(this.connections).forEach(ServerConnection::stop), this.loop)
+		CompletableFuture.runAsync(() -> Set.copyOf(this.connections).forEach(WebServer::stop), this.loop)
 			.completeOnTimeout(null, STOP_MILLIS, TimeUnit.MILLISECONDS)
 			.join();
 	}
 
+	// The other connections are stopped also if a report fails.
+	private static void stop(ServerConnection connection) {
+		try {
+			connection.stop();
+		}
+		catch (RuntimeException ex) {
+			ConnectionFaults.log(ex);
+			connection.close();
+		}
+	}
+
 	/**
 	 * Returns where it listens.
 	 * @return the address, as host and port; empty until it listens, since a port that
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ServerConnectionTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ServerConnectionTests.java
@@ -135,6 +135,7 @@
 		assertThat(this.handler.requests()).hasSize(1);
 	}
 
+	// Guards against reports of answers that have ended.
 	@Test
 	void aStopReportsNothingForAnswersThatHaveEnded() {
 		send(POST);
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ShortenedTimesTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ShortenedTimesTests.java
@@ -79,6 +79,23 @@
 		assertThatOnlyTheTimeAtItsBeginCounts(HALF_BODY, LONG.bodyMillis());
 	}
 
+	// Guards against a request that is read behind the answer to another one and loses
+	// the
+	// time under which it began.
+	@Test
+	void aRequestBehindAnAnswerKeepsTheTimeInForceWhenItBegan() {
+		this.limits = LONG;
+		send(GET);
+		send(HALF_HEAD);
+		this.limits = SHORT;
+		this.handler.reply(0).whole(WebAnswer.text(200, "one"));
+		text(this.channel);
+		sweepAfter(LONG.headMillis() - 500);
+		assertThat(text(this.channel)).isEmpty();
+		sweepAfter(1_000);
+		assertThat(text(this.channel)).startsWith("HTTP/1.1 408 ");
+	}
+
 	private void assertThatOnlyTheTimeAtItsBeginCounts(String begin, long mostMillis) {
 		this.limits = LONG;
 		final ServerConnection slow = new ServerConnection(this.handler, () -> this.limits, this::nowNanos,
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -183,11 +183,12 @@
 	TARGET_STOPPED(412, EventLevel.INFO, "A target accepts no more requests: it left, closed or lost a member."),
 
 	/**
-	 * Logged when a member of a stalled group has missed all probes for two seconds while
-	 * other members answered. The planner treats it as lost.
+	 * Logged when a member of a stalled group refuses connections, or has missed all
+	 * probes for two seconds, while other members answered. The planner treats it as
+	 * lost.
 	 */
 	INSTANCE_UNRESPONSIVE(413, EventLevel.WARN,
-			"A member of a stalled group has not responded to probes for two seconds and is treated as lost."),
+			"A stalled group's member refuses connections, or misses all probes for two seconds, and counts as lost."),
 
 	/**
 	 * Logged by the planner with the number of instances in each state, for each service
--- a/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/placement/TargetLoad.java
@@ -171,8 +171,6 @@
 		this.inFlightTokens -= costTokens;
 		if (how == AttemptOutcome.COMPLETE) {
 			this.failures.endRun();
-		}
-		if (how == AttemptOutcome.COMPLETE) {
 			this.outputAtNanos = nowNanos;
 		}
 		if (how == AttemptOutcome.COMPLETE || how == AttemptOutcome.FAILURE_ANSWERED) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomeHandler.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomeHandler.java
@@ -151,7 +151,7 @@
 
 	/**
 	 * Fails the requests that wait for another target but can get none before their
-	 * deadline: no serving target is left that they have not tried, or all of those
+	 * deadline: no serving target is left that they may be sent to, or all of those
 	 * refuse new requests until then.
 	 * @param nowNanos the monotonic time
 	 */
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetSelector.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetSelector.java
@@ -61,7 +61,7 @@
 			.concat(this.targets.availableTargets(request.info).stream(),
 					this.targets.targetsBeyondShares(request.info).stream())
 			.filter((load) -> isAllowed(request, load))
-			.anyMatch((load) -> !request.triedTargets.ids().contains(load.view().targetId())
+			.anyMatch((load) -> isUntried(request, load)
 					|| request.triedTargets.hasRecovered(load.view().targetId(), load.outputAtNanos()));
 	}
 
@@ -71,7 +71,7 @@
 	}
 
 	private static boolean hasUntried(ActiveRequest request, List<TargetLoad> loads) {
-		return loads.stream().anyMatch((load) -> !request.triedTargets.ids().contains(load.view().targetId()));
+		return loads.stream().anyMatch((load) -> isUntried(request, load));
 	}
 
 	/**
@@ -88,6 +88,10 @@
 					&& (request.claimOffset >= 0 || isAllowed(request, load)));
 	}
 
+	private static boolean isUntried(ActiveRequest request, TargetLoad load) {
+		return !request.triedTargets.ids().contains(load.view().targetId());
+	}
+
 	// A begun stream may also return to targets that did not fail it.
 	private static boolean isAllowed(ActiveRequest request, TargetLoad load) {
 		final String targetId = load.view().targetId();
@@ -110,7 +114,7 @@
 		// A request with a claim is only retried after a failure to connect, so it may
 		// return to the same instance if there is no other.
 		final boolean mayReturn = request.claimOffset >= 0 && !hasUntriedTarget(request);
-		return (load) -> mayReturn || !request.triedTargets.ids().contains(load.view().targetId());
+		return (load) -> mayReturn || isUntried(request, load);
 	}
 
 	private Set<String> excludedTargetIds(long nowNanos, ActiveRequest request) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TriedTargets.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TriedTargets.java
@@ -10,7 +10,8 @@
  * <p>
  * A target that failed the request never does. One that ran nothing, or was left because
  * it was silent or draining, is no worse than before and may, after a delay that keeps a
- * full target from being asked over and over.
+ * full target from being asked over and over. Only a stream that its caller has begun to
+ * receive returns to a target.
  */
 final class TriedTargets {
 
@@ -18,7 +19,7 @@
 
 	private static final int MAX_DOUBLINGS = 3;
 
-	private static final Trial FINAL = new Trial(0, false, 0);
+	private static final Trial NOT_RETURNABLE = new Trial(0, false, 0);
 
 	private final Map<String, Trial> trials = new HashMap<>();
 
@@ -35,7 +36,7 @@
 	 * @param targetId the target
 	 */
 	void onStart(String targetId) {
-		this.trialBeforeStart = this.trials.put(targetId, FINAL);
+		this.trialBeforeStart = this.trials.put(targetId, NOT_RETURNABLE);
 		this.ranBeforeStart = !this.ranIds.add(targetId);
 	}
 
@@ -54,7 +55,7 @@
 	}
 
 	/**
-	 * Records the end of an attempt that was not completed.
+	 * Records the end of an attempt.
 	 * @param nowNanos the monotonic time
 	 * @param targetId the target
 	 * @param outcome how the attempt ended
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/PauseDetectorTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/PauseDetectorTests.java
@@ -10,6 +10,7 @@
 
 	private final PauseDetector detector = new PauseDetector(50 * NANOS_PER_MILLI);
 
+	// Guards against ticks on a busy machine that hide the silence of targets.
 	@Test
 	void onlyTicksThatAreMuchTooLateShowAPause() {
 		assertThat(tickAt(-5_000)).isZero();
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/SilentTargetTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/SilentTargetTests.java
@@ -75,8 +75,7 @@
 		assertThatItGoesOn(old.request);
 	}
 
-	// Guards against a stream that is broken off because its next target crashes,
-	// although
+	// Guards against a stream that is broken off because its next target crashes, though
 	// the silent target that it left goes on.
 	@Test
 	void aStreamGoesOnAtTheTargetThatItLeftAfterItsNextTargetCrashes() {
@@ -86,9 +85,8 @@
 		assertThatItGoesOn(request);
 	}
 
-	// Guards against a stream that is broken off because the retry budget is used up
-	// after
-	// it has left its target.
+	// Guards against a stream that is broken off because no retry budget is left once it
+	// has left its target.
 	@Test
 	void aStreamThatLeftItsTargetWaitsForTheRetryBudget() {
 		final TrafficSimulation scarce = simulation(false, 4);
@@ -138,9 +136,8 @@
 		assertThat(targetIds).hasSize(MAX_ATTEMPTS);
 	}
 
-	// Guards against a route's limit that is exceeded because a target that ran the
-	// stream
-	// no longer counts once a return there finds no connection.
+	// Guards against a target that ran the stream and no longer counts towards the
+	// route's limit once a return there finds no connection.
 	@Test
 	void aReturnWithoutAConnectionFreesNoFurtherTarget() {
 		final TrafficSimulation.Attempt old = startStream("t1", "t2", "t3", "t4");
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
@@ -39,7 +39,8 @@
 	}
 
 	/**
-	 * Returns whether the caller has received a part of a streamed response.
+	 * Returns whether the head of a streamed response was written, so that no other
+	 * response can be sent.
 	 * @return whether it has
 	 */
 	boolean isStreamStarted() {
@@ -106,8 +107,8 @@
 	}
 
 	/**
-	 * Ends a streamed response successfully.
-	 * @return false if no stream has started, so that the caller received nothing
+	 * Ends a streamed response successfully; its head is sent first if no event was.
+	 * @return false if no head was set, so that nothing was sent
 	 */
 	boolean finishStream() {
 		startStream();
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -22,6 +22,9 @@
  */
 public final class Relay implements Lifecycle {
 
+	/** Bounds the error of the configuration's age on a daemon without requests. */
+	private static final long CONFIGURATION_CHECK_MILLIS = 1_000;
+
 	private final WebLoop loop;
 
 	private final ActiveStreams streams = new ActiveStreams();
@@ -82,6 +85,7 @@
 		this.callerServer.start();
 		this.loopMonitor.start();
 		this.loop.every(this.streams::reportProgress, ActiveStreams.PROGRESS_INTERVAL_MILLIS);
+		this.loop.every(this.configuration::get, CONFIGURATION_CHECK_MILLIS);
 	}
 
 	@Override
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
@@ -165,7 +165,7 @@
 	@Override
 	public void finish() {
 		this.context.loop().execute(() -> {
-			// A stream may have gone to a target that answered it with a client error.
+			// Not expected: no whole response follows a stream's events.
 			final boolean sent = (this.completeResponse != null)
 					? this.response.sendComplete(this.completeResponse.response()) : this.response.finishStream();
 			if (!sent && !this.callerDisconnected) {
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/CutRelayTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/CutRelayTests.java
@@ -123,8 +123,7 @@
 	}
 
 	// Guards against a stream that stays open with nothing to come, since its second
-	// target
-	// answered it with an error and a whole response cannot follow a stream's head.
+	// target answered it with an error and no whole response can follow its events.
 	@Test
 	void aStreamWhoseNextTargetAnswersWithAnErrorDoesNotStayOpen() throws IOException {
 		try (Socket caller = call("/crash")) {
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/IncompleteResponsesTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/IncompleteResponsesTests.java
@@ -116,6 +116,7 @@
 		assertThat(this.incomplete.count("no_target")).isZero();
 	}
 
+	// Guards against callers' disconnects that are counted as responses cut off.
 	@Test
 	void aCallerWhoDisconnectedIsNotLogged() {
 		startStreamWithOneEvent();
@@ -134,6 +135,7 @@
 		assertThat(logged()).isEmpty();
 	}
 
+	// Guards against error responses that are counted as incomplete.
 	@Test
 	void anErrorResponseIsAnAnswer() {
 		this.exchange.fail(NO_TARGET_LEFT);
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/replica/UnresponsiveInstancesTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/replica/UnresponsiveInstancesTests.java
@@ -65,10 +65,8 @@
 		assertThat(this.world.unresponsiveIds()).containsExactly("follower");
 	}
 
-	// The survivors of a dead head would wait until the list drops it.
-	// Guards against a dead member whose group keeps requests for two seconds although
-	// its
-	// address shows at once that it has ended.
+	// Guards against a dead member whose group keeps its requests for two seconds, though
+	// a refused connection shows its end at once.
 	@Test
 	void aMemberWhoseAddressRefusesConnectionsCountsAsFailedAtOnce() {
 		this.world.end("follower");
@@ -78,6 +76,7 @@
 		assertThat(this.world.unresponsiveIds()).containsExactly("follower");
 	}
 
+	// Guards against closing groups when this daemon's own link refuses connections.
 	@Test
 	void refusedConnectionsProveNothingWhileNoMemberAnswers() {
 		this.world.end("head");
@@ -89,6 +88,7 @@
 		assertThat(this.world.everUnresponsiveIds()).isEmpty();
 	}
 
+	// The survivors of a dead head would wait until the list drops it.
 	@Test
 	void aHeadThatStaysSilentCountsAsFailed() {
 		this.world.silence("head", 0, ProbedInstances.NEVER_MILLIS);
