--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -250,6 +250,9 @@
 	EVACUATION_UNREADABLE(436, EventLevel.WARN,
 			"The value of a request to evacuate cannot be read; the zone that its key names is evacuated."),
 
+	/** Logged with the cause and with the time from the loss until they were free. */
+	GROUP_RELEASED(437, EventLevel.INFO, "The members of a group that no longer serves are free again."),
+
 	/**
 	 * Logged when the evidence that a request, or a part of prompts, crashes its targets
 	 * suffices, with the kind of suspect.
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetGroupPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetGroupPolicy.java
@@ -1,5 +1,6 @@
 package org.pistachioline.core.replica;
 
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,6 +31,8 @@
 
 	private final DomainHolders holders;
 
+	private final Map<PlanDecision.Kind, PlanDecision> lastDecisions = new EnumMap<>(PlanDecision.Kind.class);
+
 	FleetGroupPolicy(WeightInventory weights, StagedLoads loads) {
 		this.holders = new DomainHolders(weights, loads);
 		this.coldAllocator = new GroupAllocator(weights);
@@ -57,8 +60,18 @@
 	@Override
 	public Optional<GroupAllocator.Proposal> nextGroup(PlanningPass pass, ModelInstanceCounts counts,
 			boolean loadsAllowed) {
-		return loadsAllowed ? nextColdGroup(pass, counts)
-				: this.allocator.nextGroup(pass, counts, targets(pass, counts));
+		if (loadsAllowed) {
+			return nextColdGroup(pass, counts);
+		}
+		final ModelTargets targets = targets(pass, counts);
+		final Optional<GroupAllocator.Proposal> next = this.allocator.nextGroup(pass, counts, targets);
+		next.ifPresent((proposal) -> record(PlanDecision.Kind.GROUP, proposal.model(), proposal.fabricDomain(),
+				targets.gain(proposal.model(), 0, proposal.model().members())));
+		return next;
+	}
+
+	private void record(PlanDecision.Kind kind, EngineModel model, String domain, double gainInstances) {
+		this.lastDecisions.put(kind, new PlanDecision(kind, model.name(), domain, gainInstances));
 	}
 
 	// Instances are listed one after the other when a fleet starts. If each were used at
@@ -77,12 +90,27 @@
 
 	@Override
 	public List<TrackedGroup> groupsToClose(PlanningPass pass, ModelInstanceCounts counts, List<TrackedGroup> serving) {
-		return this.exchange.groupsToClose(pass, targets(pass, counts), serving);
+		final Optional<GroupExchange.Exchange> selected = this.exchange.select(pass, targets(pass, counts), serving);
+		selected.ifPresent((exchange) -> record(PlanDecision.Kind.EXCHANGE, exchange.recipient(), exchange.domain(),
+				exchange.gain()));
+		return selected.map(GroupExchange.Exchange::closed).orElse(List.of());
 	}
 
 	@Override
 	public Optional<ReplicaOrder.Stage> nextLoad(PlanningPass pass, ModelInstanceCounts counts) {
-		return this.staging.nextLoad(pass, counts, targets(pass, counts));
+		final ModelTargets targets = targets(pass, counts);
+		final Optional<ReplicaOrder.Stage> next = this.staging.nextLoad(pass, counts, targets);
+		next.ifPresent((order) -> pass.view()
+			.engine()
+			.model(order.model())
+			.ifPresent((model) -> record(PlanDecision.Kind.LOAD, model, order.instance().fabricDomain(),
+					targets.gain(model, 0, model.members()) / model.members())));
+		return next;
+	}
+
+	@Override
+	public List<PlanDecision> lastDecisions() {
+		return List.copyOf(this.lastDecisions.values());
 	}
 
 	private static ModelTargets targets(PlanningPass pass, ModelInstanceCounts counts) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
@@ -36,13 +36,13 @@
 	}
 
 	/**
-	 * Selects the groups to close.
+	 * Selects the groups to close for a group of another model.
 	 * @param pass the pass
 	 * @param targets what additions to the models are worth
 	 * @param serving the groups that are open and complete
-	 * @return the groups; empty if no exchange is worth it
+	 * @return the exchange; empty if none is worth it
 	 */
-	List<TrackedGroup> groupsToClose(PlanningPass pass, ModelTargets targets, List<TrackedGroup> serving) {
+	Optional<Exchange> select(PlanningPass pass, ModelTargets targets, List<TrackedGroup> serving) {
 		final Map<String, Integer> groupsByModel = new HashMap<>();
 		final Map<String, List<TrackedGroup>> byDonor = new TreeMap<>();
 		serving.forEach((tracked) -> {
@@ -63,9 +63,7 @@
 				.map((recipient) -> exchange(pass, targets, donors, recipient, freeByDomain, recoveringByDomain)))
 			.filter(Objects::nonNull)
 			.filter((candidate) -> groupsByModel.get(candidate.closed().get(0).id.model()) > candidate.closed().size())
-			.max(Comparator.comparingDouble(Exchange::gain))
-			.map(Exchange::closed)
-			.orElse(List.of());
+			.max(Comparator.comparingDouble(Exchange::gain));
 	}
 
 	private Exchange exchange(PlanningPass pass, ModelTargets targets, List<TrackedGroup> donors, EngineModel recipient,
@@ -94,8 +92,8 @@
 		final int givenUp = closed.size() * donor.get().members();
 		final double gain = targets.gain(recipient, 0, recipient.members());
 		final double loss = -targets.gain(donor.get(), 0, -givenUp);
-		return (members >= recipient.members() && gain >= MIN_GAIN_RATIO * loss) ? new Exchange(closed, gain - loss)
-				: null;
+		return (members >= recipient.members() && gain >= MIN_GAIN_RATIO * loss)
+				? new Exchange(recipient, domain, closed, gain - loss) : null;
 	}
 
 	private static List<ServingInstance> members(PlanningPass pass, TrackedGroup tracked) {
@@ -109,10 +107,12 @@
 	/**
 	 * An exchange of groups.
 	 *
+	 * @param recipient the model of the new group
+	 * @param domain the fabric domain
 	 * @param closed the groups that are closed
 	 * @param gain what the new group is worth beyond them, in instances
 	 */
-	private record Exchange(List<TrackedGroup> closed, double gain) {
+	record Exchange(EngineModel recipient, String domain, List<TrackedGroup> closed, double gain) {
 
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupPolicy.java
@@ -57,4 +57,12 @@
 	 */
 	Optional<ReplicaOrder.Stage> nextLoad(PlanningPass pass, ModelInstanceCounts counts);
 
+	/**
+	 * Returns the policy's last decisions, for operators.
+	 * @return the latest of each kind; empty if the policy does not value its decisions
+	 */
+	default List<PlanDecision> lastDecisions() {
+		return List.of();
+	}
+
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupStatus.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupStatus.java
@@ -70,6 +70,12 @@
 						.isPresent());
 	}
 
+	// Returns whether the group is open and complete.
+	boolean serves() {
+		return allListed() && allReady() && !anyDraining()
+				&& headState().filter((state) -> state == MemberState.OPEN).isPresent();
+	}
+
 	// Returns whether every member is ready in this group and none has noticed a loss.
 	boolean allReady() {
 		return allJoined() && this.tracked.memberIds.stream().allMatch((id) -> {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ModelInstanceCounts.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ModelInstanceCounts.java
@@ -107,8 +107,16 @@
 	 * @return whether it is underprovisioned
 	 */
 	boolean isUnderprovisioned(EngineModel model) {
-		final double entitledInstances = this.usableInstances * shareRatio(model) / this.totalShareRatio;
-		return entitledInstances - count(model) >= model.members();
+		return entitledInstances(model) - count(model) >= model.members();
+	}
+
+	/**
+	 * Returns a model's share of the usable instances.
+	 * @param model the model
+	 * @return the number of instances
+	 */
+	double entitledInstances(EngineModel model) {
+		return this.usableInstances * normalizedShareRatio(model);
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/PoolSummary.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/PoolSummary.java
@@ -1,5 +1,6 @@
 package org.pistachioline.core.replica;
 
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -17,13 +18,18 @@
  * @param loading the number of weight loads in progress, by staging or by joining a group
  * @param idle the number of instances that neither serve nor form a group, by the reason
  * that keeps them idle; without reasons that none has
+ * @param models the state of each model, by its name
+ * @param decisions the last decisions of each kind
  */
 public record PoolSummary(int listed, int draining, Map<String, Integer> serving, int forming, int waiting,
-		int freeWarm, int freeEmpty, int loading, Map<IdleReason, Integer> idle) {
+		int freeWarm, int freeEmpty, int loading, Map<IdleReason, Integer> idle, Map<String, ModelSummary> models,
+		List<PlanDecision> decisions) {
 
 	public PoolSummary {
 		serving = Map.copyOf(serving);
 		idle = Map.copyOf(idle);
+		models = Map.copyOf(models);
+		decisions = List.copyOf(decisions);
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -5,11 +5,9 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.stream.Collectors;
 
 import org.pistachioline.core.route.EngineModel;
@@ -40,7 +38,9 @@
 
 	private final GroupPolicy policy;
 
-	private final IdleInstances idleInstances;
+	private final PoolSummarizer summarizer;
+
+	private final GroupLosses groupLosses = new GroupLosses();
 
 	private final WeightLoadLimiter loadLimiter;
 
@@ -50,8 +50,7 @@
 
 	private final UnansweredJoins unansweredJoins;
 
-	/** The instances that the last pass left unassigned. */
-	private Set<String> freeIds = Set.of();
+	private PassResult lastPass = PassResult.NONE;
 
 	private long nowNanos;
 
@@ -68,7 +67,7 @@
 	public ReplicaPlanner(PlannerTimes times, boolean fleetDecisions) {
 		this.unansweredJoins = new UnansweredJoins(fleetDecisions);
 		this.weights = new WeightInventory(fleetDecisions);
-		this.idleInstances = new IdleInstances(this.weights, this.stagedLoads);
+		this.summarizer = new PoolSummarizer(this.weights, this.stagedLoads);
 		this.policy = fleetDecisions ? new FleetGroupPolicy(this.weights, this.stagedLoads)
 				: new LocalGroupPolicy(this.weights, this.stagedLoads);
 		this.reconciler = new GroupReconciler(times, Collections.unmodifiableSet(this.trackedGroups.keySet()));
@@ -87,6 +86,7 @@
 		if (!heldContinuously) {
 			this.trackedGroups.clear();
 			this.endedGroups.clear();
+			this.groupLosses.clear();
 			this.loadLimiter.takeOver(nowNanos);
 			this.unansweredJoins.takeOver(nowNanos);
 		}
@@ -120,6 +120,7 @@
 					&& view.unresponsiveIds().contains(tracked.headId()));
 		this.trackedGroups.values().removeIf((tracked) -> {
 			final boolean ended = this.reconciler.reconcile(view.nowNanos(), tracked, byId);
+			this.groupLosses.observe(view, tracked, new GroupStatus(tracked, byId), ended);
 			if (ended) {
 				this.endedGroups.add(view.nowNanos(), tracked);
 			}
@@ -201,7 +202,8 @@
 			this.policy.groupsToClose(pass, counts, servingGroups(byId))
 				.forEach((tracked) -> tracked.dissolving = true);
 		}
-		this.freeIds = free.stream().map(ServingInstance::id).collect(Collectors.toSet());
+		this.lastPass = new PassResult(free.stream().map(ServingInstance::id).collect(Collectors.toSet()),
+				countInstances(pass), countLoadsInProgress(byId), this.policy.lastDecisions());
 		return (loadPending || this.stagedLoads.hasUnsupported()) ? List.of() : stageWeights(pass, counts);
 	}
 
@@ -237,15 +239,10 @@
 		return this.trackedGroups.values()
 			.stream()
 			.filter((tracked) -> !tracked.dissolving)
-			.filter((tracked) -> isServing(new GroupStatus(tracked, byId)))
+			.filter((tracked) -> new GroupStatus(tracked, byId).serves())
 			.toList();
 	}
 
-	private static boolean isServing(GroupStatus status) {
-		return status.allListed() && status.allReady() && !status.anyDraining()
-				&& status.headState().filter((state) -> state == MemberState.OPEN).isPresent();
-	}
-
 	private List<ReplicaOrder> stageWeights(PlanningPass pass, ModelInstanceCounts counts) {
 		final List<ReplicaOrder> orders = new ArrayList<>();
 		Optional<ReplicaOrder.Stage> next = nextLoad(pass, counts);
@@ -348,37 +345,16 @@
 	 * @return the summary, as of the last planning pass
 	 */
 	public PoolSummary summary(Collection<ServingInstance> instances, EngineSpec engine) {
-		final Map<String, ServingInstance> byId = new HashMap<>();
-		instances.forEach((instance) -> byId.put(instance.id(), instance));
-		final Map<String, Integer> serving = new HashMap<>();
-		final Set<String> groupedIds = new HashSet<>();
-		int forming = 0;
-		int waiting = 0;
-		for (final TrackedGroup tracked : this.trackedGroups.values()) {
-			final GroupStatus status = new GroupStatus(tracked, byId);
-			final int members = (int) tracked.memberIds.stream().filter(byId::containsKey).count();
-			if (isServing(status)) {
-				serving.merge(tracked.id.model(), 1, Integer::sum);
-			}
-			else if (status.allListed() && !tracked.openOrdered) {
-				forming += members;
-			}
-			else {
-				waiting += members;
-			}
-			groupedIds.addAll(tracked.memberIds);
-		}
-		final List<ServingInstance> ungrouped = instances.stream()
-			.filter((instance) -> !groupedIds.contains(instance.id()))
-			.toList();
-		final List<ServingInstance> free = ungrouped.stream().filter((instance) -> !instance.draining()).toList();
-		final Map<IdleReason, Integer> idle = this.idleInstances.count(ungrouped, this.freeIds, engine.models());
-		if (waiting > 0) {
-			idle.put(IdleReason.GROUP_ENDING, waiting);
-		}
-		final int freeWarm = (int) free.stream().filter(this.weights::holdsAny).count();
-		return new PoolSummary(byId.size(), (int) instances.stream().filter(ServingInstance::draining).count(), serving,
-				forming, waiting, freeWarm, free.size() - freeWarm, countLoadsInProgress(byId), idle);
+		return this.summarizer.summarize(instances, engine, this.trackedGroups.values(), this.lastPass);
+	}
+
+	/**
+	 * Returns the groups that lost their service and have since released their members,
+	 * and forgets them.
+	 * @return the losses since the last call
+	 */
+	public List<GroupLoss> takeGroupLosses() {
+		return this.groupLosses.take();
 	}
 
 	/**
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
@@ -402,6 +402,15 @@
 		return OrderOutcome.HOLDS;
 	}
 
+	PoolSummary summary() {
+		final List<ServingInstance> listed = List.copyOf(this.listHistory.get(this.listHistory.size() - 1).values());
+		return this.planners[this.leaseHolder].summary(listed, this.engine);
+	}
+
+	List<GroupLoss> takeGroupLosses() {
+		return this.planners[this.leaseHolder].takeGroupLosses();
+	}
+
 	/**
 	 * Counts the instances in open groups that have all their members.
 	 * @return the number of instances
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
@@ -53,7 +53,7 @@
 		dump.put("admission", this.demand.map(FleetDemandExchange::reports).orElse(List.of()));
 		dump.put("crash_suspects", this.traffic.crashMonitor().reports());
 		dump.put("planned_groups", this.replicas.plannedGroups());
-		dump.put("idle_instances", this.replicas.idleInstances());
+		dump.put("pools", this.replicas.poolSummaries());
 		dump.put("peers", daemons);
 		return dump;
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -18,6 +18,7 @@
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.replica.DelistedInstances;
 import org.pistachioline.core.replica.EvacuatedInstances;
+import org.pistachioline.core.replica.GroupLoss;
 import org.pistachioline.core.replica.IdleReason;
 import org.pistachioline.core.replica.InstanceDemand;
 import org.pistachioline.core.replica.LeavingInstances;
@@ -67,6 +68,8 @@
 	/** Short enough to follow a loss of capacity, long enough not to flood the log. */
 	private static final long SUMMARY_INTERVAL_NANOS = Duration.ofSeconds(2).toNanos();
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	private final PlannerLease lease;
 
 	private final OrderSender orderSender;
@@ -117,7 +120,7 @@
 
 	private volatile Map<String, List<String>> plannedGroups = Map.of();
 
-	private volatile Map<String, Map<IdleReason, Integer>> idleInstances = Map.of();
+	private volatile Map<String, PoolSummary> poolSummaries = Map.of();
 
 	private volatile int servingTargetCount;
 
@@ -241,12 +244,12 @@
 	}
 
 	/**
-	 * Returns why instances are idle, for operators.
-	 * @return the number of instances by reason, by the name of the service; empty while
-	 * this daemon is not the planner
+	 * Returns how the instances are used, for operators.
+	 * @return the summary of each service, by its name; empty while this daemon is not
+	 * the planner
 	 */
-	public Map<String, Map<IdleReason, Integer>> idleInstances() {
-		return this.idleInstances;
+	public Map<String, PoolSummary> poolSummaries() {
+		return this.poolSummaries;
 	}
 
 	/**
@@ -255,7 +258,7 @@
 	 * @return the number of instances; 0 while this daemon is not the planner
 	 */
 	public int idleInstanceCount(IdleReason reason) {
-		return this.idleInstances.values().stream().mapToInt((counts) -> counts.getOrDefault(reason, 0)).sum();
+		return this.poolSummaries.values().stream().mapToInt((summary) -> summary.idle().getOrDefault(reason, 0)).sum();
 	}
 
 	/**
@@ -342,7 +345,7 @@
 		if (term.isEmpty()) {
 			this.heldTerm = 0;
 			this.plannedGroups = Map.of();
-			this.idleInstances = Map.of();
+			this.poolSummaries = Map.of();
 			return;
 		}
 		plan(nowNanos, term.get());
@@ -356,7 +359,7 @@
 			return;
 		}
 		final Map<String, List<String>> groupsByName = new HashMap<>();
-		final Map<String, Map<IdleReason, Integer>> idle = new HashMap<>();
+		final Map<String, PoolSummary> summaries = new HashMap<>();
 		this.unresponsive.probeSilent(nowNanos, this.instances);
 		final Set<String> unresponsiveIds = this.unresponsive.ids(nowNanos);
 		final boolean logSummary = nowNanos - this.summaryLoggedAtNanos >= SUMMARY_INTERVAL_NANOS;
@@ -378,25 +381,32 @@
 									this.modelDemand.shareRatios(service.name()))))
 					.forEach((order) -> sendOrder(order, term));
 				groupsByName.putAll(planner.groups());
+				planner.takeGroupLosses().forEach(ReplicaDuty::logLoss);
 				if (logSummary) {
 					final PoolSummary summary = planner.summary(usableInstancesOf(service, unresponsiveIds),
 							service.engine().orElseThrow());
-					idle.put(service.name(), summary.idle());
+					summaries.put(service.name(), summary);
 					logSummary(service, summary);
 				}
 			}
 		}
 		this.plannedGroups = groupsByName;
 		if (logSummary) {
-			this.idleInstances = Map.copyOf(idle);
+			this.poolSummaries = Map.copyOf(summaries);
 		}
 	}
 
+	private static void logLoss(GroupLoss loss) {
+		Events.log(EventId.GROUP_RELEASED, "group", loss.group().name(), "cause", loss.cause(), "standstill_millis",
+				loss.standstillNanos() / NANOS_PER_MILLI);
+	}
+
 	private static void logSummary(ServiceSpec service, PoolSummary summary) {
 		Events.log(EventId.POOL_SUMMARY, "service", service.name(), "listed", summary.listed(), "draining",
 				summary.draining(), "serving", summary.serving(), "forming", summary.forming(), "waiting",
 				summary.waiting(), "free_warm", summary.freeWarm(), "free_empty", summary.freeEmpty(), "loading",
-				summary.loading(), "idle", new TreeMap<>(summary.idle()));
+				summary.loading(), "idle", new TreeMap<>(summary.idle()), "models", new TreeMap<>(summary.models()),
+				"decisions", summary.decisions());
 	}
 
 	private List<ServingInstance> usableInstancesOf(ServiceSpec service, Set<String> unresponsiveIds) {
