Planner: shares follow the demand over several seconds

Cause: the estimate of the demand rests on a second or two of requests; with a few dozen of the larger model its share moved between 0.31 and 0.75, and each step of 0.1 came into force at once. Change: the shares start from the declared ones and follow the demand with a time constant of 4 s; what differs by 0.05 comes into force.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/DemandShares.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/DemandShares.java
@@ -10,34 +10,56 @@
  * Derives the models' shares of the instances from the demand.
  * <p>
  * A model that the demand does not name has none, and a value that is negative or not
- * finite counts as none. Without any demand the declared shares apply. Shares in force
- * are kept while the demand differs only slightly, so that groups are not moved back and
- * forth between the models.
+ * finite counts as none. Without any demand the declared shares apply. The shares follow
+ * the demand over several seconds, as the requests of one second are too few to give up
+ * serving groups for, and those in force are kept while they differ only slightly, so
+ * that groups are not moved back and forth between the models.
  */
 final class DemandShares {
 
 	/** Difference of a share up to which the shares in force are kept. */
-	private static final double TOLERANCE_RATIO = 0.1;
+	private static final double TOLERANCE_RATIO = 0.05;
+
+	/** Time constant with which the shares follow the demand. */
+	private static final double FOLLOWING_SECONDS = 4;
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	private Map<String, Double> followed = Map.of();
+
+	private long followedAtNanos;
 
 	private Map<String, Double> inForce = Map.of();
 
 	/**
 	 * Updates the shares.
+	 * @param nowNanos the monotonic time
 	 * @param engine the engine specification, with the declared shares
 	 * @param demandShareRatios the demand by the model's name; empty if it is not known
 	 */
-	void update(EngineSpec engine, Map<String, Double> demandShareRatios) {
-		Map<String, Double> requested = normalize(engine, demandShareRatios);
-		if (requested.isEmpty()) {
-			final Map<String, Double> declared = new HashMap<>();
-			engine.models().forEach((model) -> declared.put(model.name(), model.initialShareRatio()));
-			requested = normalize(engine, declared);
+	void update(long nowNanos, EngineSpec engine, Map<String, Double> demandShareRatios) {
+		final Map<String, Double> declared = new HashMap<>();
+		engine.models().forEach((model) -> declared.put(model.name(), model.initialShareRatio()));
+		final Map<String, Double> initial = normalize(engine, declared);
+		final Map<String, Double> demanded = normalize(engine, demandShareRatios);
+		if (!this.followed.keySet().equals(initial.keySet())) {
+			this.followed = initial;
+			this.followedAtNanos = nowNanos;
 		}
-		if (!requested.keySet().equals(this.inForce.keySet()) || differ(requested)) {
-			this.inForce = Map.copyOf(requested);
+		follow(nowNanos, demanded.isEmpty() ? initial : demanded);
+		if (!this.followed.keySet().equals(this.inForce.keySet()) || differ(this.followed)) {
+			this.inForce = Map.copyOf(this.followed);
 		}
 	}
 
+	private void follow(long nowNanos, Map<String, Double> demanded) {
+		final double kept = Math.exp(-(nowNanos - this.followedAtNanos) / (FOLLOWING_SECONDS * NANOS_PER_SECOND));
+		final Map<String, Double> next = new HashMap<>();
+		demanded.forEach((model, ratio) -> next.put(model, ratio + kept * (this.followed.get(model) - ratio)));
+		this.followed = next;
+		this.followedAtNanos = nowNanos;
+	}
+
 	private boolean differ(Map<String, Double> requested) {
 		return requested.entrySet()
 			.stream()
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetGroupPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetGroupPolicy.java
@@ -53,7 +53,7 @@
 
 	@Override
 	public void startPass(PlanningPass pass) {
-		this.demandShares.update(pass.view().engine(), pass.view().demandShareRatios());
+		this.demandShares.update(pass.view().nowNanos(), pass.view().engine(), pass.view().demandShareRatios());
 		this.coldAllocator.updateIdleTimes(pass.view().nowNanos(), pass.free());
 	}
 
