Planner: a model that is short of groups is worth more the less it has

What callers saw: the callers of the model with the larger groups were refused for 18 and 23 s in a row, also long after the last instance had failed, while each load went to the smaller model. Cause: an instance of a model above its share was worth half of one below it, whatever the distance, and the share was one of what is grouped now; a group of four that lacks all its loads was therefore worth less for each load than a pair that lacks one, for ever. And the survivors of a larger group joined pairs in the pass in which they became free, before an exchange was considered, and so lost its weights.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetAllocator.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetAllocator.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.pistachioline.core.route.EngineModel;
 
@@ -29,10 +30,13 @@
 	 * @param pass the pass
 	 * @param counts how many instances serve or will serve each model
 	 * @param targets what additions to the models are worth
+	 * @param reserved free instances that wait for partners
 	 * @return the model and its members; empty if the free instances complete no group
 	 */
-	Optional<GroupAllocator.Proposal> nextGroup(PlanningPass pass, ModelInstanceCounts counts, ModelTargets targets) {
-		final Map<String, List<ServingInstance>> byDomain = DomainHolders.byDomain(pass.free());
+	Optional<GroupAllocator.Proposal> nextGroup(PlanningPass pass, ModelInstanceCounts counts, ModelTargets targets,
+			Set<ServingInstance> reserved) {
+		final Map<String, List<ServingInstance>> byDomain = DomainHolders
+			.byDomain(pass.free().stream().filter((instance) -> !reserved.contains(instance)).toList());
 		final List<GroupAllocator.Proposal> proposals = new ArrayList<>();
 		for (final EngineModel model : pass.view().engine().models()) {
 			byDomain.values().forEach((free) -> propose(model, free).ifPresent(proposals::add));
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetGroupPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetGroupPolicy.java
@@ -1,9 +1,11 @@
 package org.pistachioline.core.replica;
 
 import java.util.EnumMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.pistachioline.core.route.EngineModel;
 
@@ -31,13 +33,21 @@
 
 	private final DomainHolders holders;
 
+	private final FreeReservations reservations;
+
+	private Optional<GroupExchange.Exchange> nextExchange = Optional.empty();
+
+	/** Free instances that join no group yet. */
+	private Set<ServingInstance> reserved = new HashSet<>();
+
 	private final Map<PlanDecision.Kind, PlanDecision> lastDecisions = new EnumMap<>(PlanDecision.Kind.class);
 
 	FleetGroupPolicy(WeightInventory weights, StagedLoads loads) {
 		this.holders = new DomainHolders(weights, loads);
 		this.coldAllocator = new GroupAllocator(weights);
 		this.allocator = new FleetAllocator(this.holders);
-		this.exchange = new GroupExchange(this.holders);
+		this.reservations = new FreeReservations(this.holders);
+		this.exchange = new GroupExchange(this.holders, this.reservations);
 		this.staging = new FleetStaging(this.holders);
 	}
 
@@ -57,14 +67,30 @@
 		this.coldAllocator.updateIdleTimes(pass.view().nowNanos(), pass.free());
 	}
 
+	@Override
+	public void reserve(PlanningPass pass, ModelInstanceCounts counts) {
+		this.reserved = new HashSet<>();
+		this.nextExchange = Optional.empty();
+		if (pass.view().beforeTraffic()) {
+			return;
+		}
+		final ModelTargets targets = targets(counts);
+		this.reserved = new HashSet<>(this.reservations.select(pass, targets));
+		this.nextExchange = this.exchange.select(pass, targets);
+		this.nextExchange.ifPresent((selected) -> {
+			record(PlanDecision.Kind.EXCHANGE, selected.recipient(), selected.domain(), selected.gain());
+			this.reserved.addAll(selected.waiting());
+		});
+	}
+
 	@Override
 	public Optional<GroupAllocator.Proposal> nextGroup(PlanningPass pass, ModelInstanceCounts counts,
 			boolean loadsAllowed) {
 		if (loadsAllowed) {
 			return nextColdGroup(pass, counts);
 		}
-		final ModelTargets targets = targets(pass, counts);
-		final Optional<GroupAllocator.Proposal> next = this.allocator.nextGroup(pass, counts, targets);
+		final ModelTargets targets = targets(counts);
+		final Optional<GroupAllocator.Proposal> next = this.allocator.nextGroup(pass, counts, targets, this.reserved);
 		next.ifPresent((proposal) -> record(PlanDecision.Kind.GROUP, proposal.model(), proposal.fabricDomain(),
 				targets.gain(proposal.model(), 0, proposal.model().members())));
 		return next;
@@ -82,23 +108,23 @@
 		final List<EngineModel> shortModels = models.stream()
 			.filter((model) -> model.members() > 0 && counts.isUnderprovisioned(model))
 			.toList();
-		final List<ServingInstance> waited = this.coldAllocator.waitedForPartners(view.nowNanos(), pass.free());
-		return this.coldAllocator
-			.nextProposal(view, shortModels.isEmpty() ? models : shortModels, pass.free(), counts, true)
+		final List<ServingInstance> free = pass.free()
+			.stream()
+			.filter((instance) -> !this.reserved.contains(instance))
+			.toList();
+		final List<ServingInstance> waited = this.coldAllocator.waitedForPartners(view.nowNanos(), free);
+		return this.coldAllocator.nextProposal(view, shortModels.isEmpty() ? models : shortModels, free, counts, true)
 			.or(() -> this.coldAllocator.nextProposal(view, models, waited, counts, true));
 	}
 
 	@Override
-	public List<TrackedGroup> groupsToClose(PlanningPass pass, ModelInstanceCounts counts, List<TrackedGroup> serving) {
-		final Optional<GroupExchange.Exchange> selected = this.exchange.select(pass, targets(pass, counts), serving);
-		selected.ifPresent((exchange) -> record(PlanDecision.Kind.EXCHANGE, exchange.recipient(), exchange.domain(),
-				exchange.gain()));
-		return selected.map(GroupExchange.Exchange::closed).orElse(List.of());
+	public List<TrackedGroup> groupsToClose(PlanningPass pass, ModelInstanceCounts counts) {
+		return this.nextExchange.map(GroupExchange.Exchange::closed).orElse(List.of());
 	}
 
 	@Override
 	public Optional<ReplicaOrder.Stage> nextLoad(PlanningPass pass, ModelInstanceCounts counts) {
-		final ModelTargets targets = targets(pass, counts);
+		final ModelTargets targets = targets(counts);
 		final Optional<ReplicaOrder.Stage> next = this.staging.nextLoad(pass, counts, targets);
 		next.ifPresent((order) -> pass.view()
 			.engine()
@@ -113,8 +139,8 @@
 		return List.copyOf(this.lastDecisions.values());
 	}
 
-	private static ModelTargets targets(PlanningPass pass, ModelInstanceCounts counts) {
-		return new ModelTargets(counts, pass.view().engine());
+	private static ModelTargets targets(ModelInstanceCounts counts) {
+		return new ModelTargets(counts);
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
@@ -27,25 +27,27 @@
 	 * Covers the seconds in which the members of neither group serve, and keeps groups
 	 * from being exchanged back and forth.
 	 */
-	private static final double MIN_GAIN_RATIO = 1.5;
+	static final double MIN_GAIN_RATIO = 1.5;
 
 	private final DomainHolders holders;
 
-	GroupExchange(DomainHolders holders) {
+	private final FreeReservations reservations;
+
+	GroupExchange(DomainHolders holders, FreeReservations reservations) {
 		this.holders = holders;
+		this.reservations = reservations;
 	}
 
 	/**
 	 * Selects the groups to close for a group of another model.
 	 * @param pass the pass
 	 * @param targets what additions to the models are worth
-	 * @param serving the groups that are open and complete
 	 * @return the exchange; empty if none is worth it
 	 */
-	Optional<Exchange> select(PlanningPass pass, ModelTargets targets, List<TrackedGroup> serving) {
+	Optional<Exchange> select(PlanningPass pass, ModelTargets targets) {
 		final Map<String, Integer> groupsByModel = new HashMap<>();
 		final Map<String, List<TrackedGroup>> byDonor = new TreeMap<>();
-		serving.forEach((tracked) -> {
+		pass.serving().forEach((tracked) -> {
 			groupsByModel.merge(tracked.id.model(), 1, Integer::sum);
 			byDonor
 				.computeIfAbsent(tracked.id.model() + '\n' + pass.byId().get(tracked.headId()).fabricDomain(),
@@ -73,13 +75,16 @@
 		if (donor.isEmpty() || donor.get() == recipient || recipient.members() <= 0) {
 			return null;
 		}
-		final int free = countHolders(freeByDomain.getOrDefault(domain, List.of()), recipient);
+		final List<ServingInstance> freeInstances = freeByDomain.getOrDefault(domain, List.of());
+		final List<ServingInstance> waiting = freeInstances.stream()
+			.filter((instance) -> this.holders.holds(instance, recipient))
+			.toList();
 		final int recovering = countHolders(recoveringByDomain.getOrDefault(domain, List.of()), recipient);
-		if (free + recovering >= recipient.members()) {
+		if (waiting.size() + recovering >= recipient.members()) {
 			return null;
 		}
 		final List<TrackedGroup> closed = new ArrayList<>();
-		int members = free;
+		int members = waiting.size();
 		for (final TrackedGroup tracked : donors.stream()
 			.sorted(Comparator.comparingInt((TrackedGroup tracked) -> -countHolders(members(pass, tracked), recipient))
 				.thenComparingLong((tracked) -> tracked.id.epoch()))
@@ -91,9 +96,10 @@
 		}
 		final int givenUp = closed.size() * donor.get().members();
 		final double gain = targets.gain(recipient, 0, recipient.members());
-		final double loss = -targets.gain(donor.get(), 0, -givenUp);
+		final double loss = -targets.gain(donor.get(), 0, -givenUp)
+				+ this.reservations.foregoneGain(pass.view().engine().models(), targets, freeInstances, recipient);
 		return (members >= recipient.members() && gain >= MIN_GAIN_RATIO * loss)
-				? new Exchange(recipient, domain, closed, gain - loss) : null;
+				? new Exchange(recipient, domain, closed, waiting, gain - loss) : null;
 	}
 
 	private static List<ServingInstance> members(PlanningPass pass, TrackedGroup tracked) {
@@ -110,9 +116,11 @@
 	 * @param recipient the model of the new group
 	 * @param domain the fabric domain
 	 * @param closed the groups that are closed
+	 * @param waiting the free instances that wait for the members of the closed groups
 	 * @param gain what the new group is worth beyond them, in instances
 	 */
-	record Exchange(EngineModel recipient, String domain, List<TrackedGroup> closed, double gain) {
+	record Exchange(EngineModel recipient, String domain, List<TrackedGroup> closed, List<ServingInstance> waiting,
+			double gain) {
 
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupPolicy.java
@@ -31,6 +31,16 @@
 	 */
 	void startPass(PlanningPass pass);
 
+	/**
+	 * Selects the free instances that wait for other members, before any group of the
+	 * pass is formed.
+	 * @param pass the pass
+	 * @param counts how many instances serve or will serve each model
+	 */
+	default void reserve(PlanningPass pass, ModelInstanceCounts counts) {
+		// By default, none waits.
+	}
+
 	/**
 	 * Selects the next group.
 	 * @param pass the pass
@@ -44,10 +54,9 @@
 	 * Selects the serving groups to close, so that their members can serve another model.
 	 * @param pass the pass
 	 * @param counts how many instances serve each model
-	 * @param serving the groups that are open and complete
 	 * @return the groups to close; empty if none should be
 	 */
-	List<TrackedGroup> groupsToClose(PlanningPass pass, ModelInstanceCounts counts, List<TrackedGroup> serving);
+	List<TrackedGroup> groupsToClose(PlanningPass pass, ModelInstanceCounts counts);
 
 	/**
 	 * Selects the next host to load weights.
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/LocalGroupPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/LocalGroupPolicy.java
@@ -46,8 +46,9 @@
 	}
 
 	@Override
-	public List<TrackedGroup> groupsToClose(PlanningPass pass, ModelInstanceCounts counts, List<TrackedGroup> serving) {
-		return this.rebalancer.selectGroupsToClose(pass.view().engine(), pass.free(), serving, pass.byId(), counts);
+	public List<TrackedGroup> groupsToClose(PlanningPass pass, ModelInstanceCounts counts) {
+		return this.rebalancer.selectGroupsToClose(pass.view().engine(), pass.free(), pass.serving(), pass.byId(),
+				counts);
 	}
 
 	@Override
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ModelTargets.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ModelTargets.java
@@ -1,26 +1,28 @@
 package org.pistachioline.core.replica;
 
 import org.pistachioline.core.route.EngineModel;
-import org.pistachioline.core.route.EngineSpec;
 
 /**
  * Values instances in groups by whether their model's callers need them.
  * <p>
- * A model is entitled to its share of the instances in groups, and to one group at least.
- * An instance up to that number counts whole; beyond it callers of the model gain less
- * from it than those of another model would.
+ * A model is entitled to its share of the usable instances. What an instance is worth
+ * falls with the cube of the part of these that the model has already: it is close to 1
+ * when the model has what it is entitled to, an eighth of that at twice as many, and many
+ * times more when it has next to none. So a model whose groups are large, break often and
+ * need many loads still gets its first ones back.
  */
 final class ModelTargets {
 
-	private static final double EXCESS_VALUE_RATIO = 0.5;
+	/**
+	 * Part of its entitlement that each model is assumed to have, so that the first
+	 * instances of a model have a finite value.
+	 */
+	private static final double MIN_FILL_RATIO = 0.1;
 
 	private final ModelInstanceCounts counts;
 
-	private final long groupedInstances;
-
-	ModelTargets(ModelInstanceCounts counts, EngineSpec engine) {
+	ModelTargets(ModelInstanceCounts counts) {
 		this.counts = counts;
-		this.groupedInstances = engine.models().stream().mapToInt(counts::count).sum();
 	}
 
 	/**
@@ -36,9 +38,9 @@
 	}
 
 	private double value(EngineModel model, int instances) {
-		final double entitledInstances = Math.max(model.members(),
-				this.groupedInstances * this.counts.normalizedShareRatio(model));
-		return Math.min(instances, entitledInstances) + EXCESS_VALUE_RATIO * Math.max(0, instances - entitledInstances);
+		final double entitledInstances = Math.max(model.members(), this.counts.entitledInstances(model));
+		final double fillRatio = Math.max(0, instances) / entitledInstances + MIN_FILL_RATIO;
+		return -entitledInstances / (2 * fillRatio * fillRatio);
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/PlanningPass.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/PlanningPass.java
@@ -12,8 +12,9 @@
  * that it assigns
  * @param recovering the listed instances that become free soon, as their group lost a
  * member or is being closed
+ * @param serving the groups that are open and complete
  */
 record PlanningPass(PlannerView view, Map<String, ServingInstance> byId, List<ServingInstance> free,
-		List<ServingInstance> recovering) {
+		List<ServingInstance> recovering, List<TrackedGroup> serving) {
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -193,14 +193,14 @@
 			.filter((instance) -> !instance.draining() && !this.reconciler.isReserved(instance))
 			.filter((instance) -> !this.unansweredJoins.mayReach(view.nowNanos(), instance, view.delisted()))
 			.toList());
-		final PlanningPass pass = new PlanningPass(view, byId, free, recovering(byId));
+		final PlanningPass pass = new PlanningPass(view, byId, free, recovering(byId), servingGroups(byId));
 		this.policy.startPass(pass);
+		this.policy.reserve(pass, countInstances(pass));
 		this.stagedLoads.removeFinished(view.nowNanos(), byId);
 		final boolean loadPending = formGroups(pass);
 		final ModelInstanceCounts counts = countInstances(pass);
 		if (!view.beforeTraffic()) {
-			this.policy.groupsToClose(pass, counts, servingGroups(byId))
-				.forEach((tracked) -> tracked.dissolving = true);
+			this.policy.groupsToClose(pass, counts).forEach((tracked) -> tracked.dissolving = true);
 		}
 		this.lastPass = new PassResult(free.stream().map(ServingInstance::id).collect(Collectors.toSet()),
 				countInstances(pass), countLoadsInProgress(byId), this.policy.lastDecisions());
