Planner: groups are exchanged before the first request, too

What callers saw: in the first seconds of traffic the larger model had half of its share, and up to six pairs were closed at once for its next groups. Cause: instances are listed one after the other over some five seconds at the start, pairs are complete sooner, and exchanges waited for the first request although they cost nobody anything before it. Change: the policy with fleet decisions exchanges groups at any time; the one with declared shares as before only under traffic. Conclusion: the fleet starts with its shares.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetGroupPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/FleetGroupPolicy.java
@@ -69,11 +69,6 @@
 
 	@Override
 	public void reserve(PlanningPass pass, ModelInstanceCounts counts) {
-		this.reserved = new HashSet<>();
-		this.nextExchange = Optional.empty();
-		if (pass.view().beforeTraffic()) {
-			return;
-		}
 		final ModelTargets targets = targets(counts);
 		this.reserved = new HashSet<>(this.reservations.select(pass, targets));
 		this.nextExchange = this.exchange.select(pass, targets);
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/LocalGroupPolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/LocalGroupPolicy.java
@@ -47,8 +47,8 @@
 
 	@Override
 	public List<TrackedGroup> groupsToClose(PlanningPass pass, ModelInstanceCounts counts) {
-		return this.rebalancer.selectGroupsToClose(pass.view().engine(), pass.free(), pass.serving(), pass.byId(),
-				counts);
+		return pass.view().beforeTraffic() ? List.of() : this.rebalancer.selectGroupsToClose(pass.view().engine(),
+				pass.free(), pass.serving(), pass.byId(), counts);
 	}
 
 	@Override
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -199,9 +199,7 @@
 		this.stagedLoads.removeFinished(view.nowNanos(), byId);
 		final boolean loadPending = formGroups(pass);
 		final ModelInstanceCounts counts = countInstances(pass);
-		if (!view.beforeTraffic()) {
-			this.policy.groupsToClose(pass, counts).forEach((tracked) -> tracked.dissolving = true);
-		}
+		this.policy.groupsToClose(pass, counts).forEach((tracked) -> tracked.dissolving = true);
 		this.lastPass = new PassResult(free.stream().map(ServingInstance::id).collect(Collectors.toSet()),
 				countInstances(pass), countLoadsInProgress(byId), this.policy.lastDecisions());
 		return (loadPending || this.stagedLoads.hasUnsupported()) ? List.of() : stageWeights(pass, counts);
