Client connections: bytes without end before a head, or of a whole answer, close them

Cause: the codec limits each head, but skips any number of line breaks in front of one and takes any number of interim answers, so the request stayed on its connection until its deadline; an answer to an order or from the store that was larger than 32 MiB failed its caller, but its connection was not closed and the bytes went on arriving. Change: at most 64 KiB before an answer's head (BytesBeforeHead); an answer that is too large aborts its call. Both fail as ExcessiveBytesException. Conclusion: every part of an answer that this side reads has a bound in bytes.

--- /dev/null
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/BytesBeforeHead.java
@@ -0,0 +1,46 @@
+package org.pistachioline.adapters.web;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+
+/**
+ * Counts the bytes that arrive before the head of an answer.
+ * <p>
+ * The codec limits each head, but it skips line breaks in front of one, and takes any
+ * number of interim answers. Without a limit on their sum a server could send either for
+ * ever and keep the request on its connection.
+ */
+final class BytesBeforeHead extends ChannelInboundHandlerAdapter {
+
+	/** Several heads of the largest size that the codec takes. */
+	static final int MAX_BYTES = 64 * 1024;
+
+	private boolean awaited = true;
+
+	private long receivedBytes;
+
+	void startAwaiting() {
+		this.awaited = true;
+		this.receivedBytes = 0;
+	}
+
+	void stopAwaiting() {
+		this.awaited = false;
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext ctx, Object message) {
+		// The answer's head, if it is complete, is seen before the bytes are counted.
+		final int bytes = (message instanceof ByteBuf buffer) ? buffer.readableBytes() : 0;
+		ctx.fireChannelRead(message);
+		if (this.awaited) {
+			this.receivedBytes += bytes;
+			if (this.receivedBytes > MAX_BYTES && ctx.channel().isOpen()) {
+				this.awaited = false;
+				ctx.fireExceptionCaught(new ExcessiveBytesException("an answer's head", MAX_BYTES));
+			}
+		}
+	}
+
+}
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -40,6 +40,8 @@
 
 	private final Consumer<ClientConnection> idle;
 
+	private final BytesBeforeHead bytesBeforeHead = new BytesBeforeHead();
+
 	private ClientCall call;
 
 	private CompletableFuture<OpenedConnection> opening = CompletableFuture.completedFuture(null);
@@ -85,6 +87,7 @@
 	 */
 	void begin(ClientCall next) {
 		this.call = next;
+		this.bytesBeforeHead.startAwaiting();
 		this.ended = false;
 		this.written = false;
 		if (this.channel != null && this.channel.isActive()) {
@@ -138,6 +141,7 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext ctx) {
 		this.channel = ctx.channel();
+		ctx.pipeline().addFirst(this.bytesBeforeHead);
 	}
 
 	@Override
@@ -217,6 +221,7 @@
 		if (object instanceof HttpResponse response) {
 			this.informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 			if (!this.informational) {
+				this.bytesBeforeHead.stopAwaiting();
 				this.reusable = isReusable(response);
 				this.call.head(new AnswerHead(response.status().code(), HeaderFields.of(response.headers())));
 			}
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
@@ -91,6 +91,12 @@
 		final CompletableFuture<WebAnswer> answer = new CompletableFuture<>();
 		this.loop.execute(() -> {
 			final WebCall call = send(address, request, freshConnection, new WholeAnswer(answer));
+			// An answer that is too large ends its call, or it would go on arriving.
+			answer.whenComplete((whole, failure) -> {
+				if (failure instanceof ExcessiveBytesException) {
+					call.abort();
+				}
+			});
 			this.loop.after(() -> {
 				if (!answer.isDone()) {
 					call.abort();
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WholeAnswer.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WholeAnswer.java
@@ -1,7 +1,6 @@
 package org.pistachioline.adapters.web;
 
 import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -32,7 +31,7 @@
 	@Override
 	public void onBytes(byte[] bytes) {
 		if (this.body.size() + bytes.length > MOST_BYTES) {
-			this.answer.completeExceptionally(new IOException("The answer is larger than " + MOST_BYTES + " bytes"));
+			this.answer.completeExceptionally(new ExcessiveBytesException("an answer", MOST_BYTES));
 			return;
 		}
 		this.body.writeBytes(bytes);
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/WebClientTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/WebClientTests.java
@@ -1,6 +1,7 @@
 package org.pistachioline.adapters.web;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -18,6 +19,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * The client before a real socket, whose other side each test plays by hand.
@@ -29,6 +31,10 @@
 	/** Only a test that fails waits for so long. */
 	private static final long MOST_MILLIS = 20_000;
 
+	private static final int MOST_ANSWER_BYTES = 32 * 1024 * 1024;
+
+	private static final byte[] PIECE = new byte[64 * 1024];
+
 	private final WebLoop loop = new WebLoop("test");
 
 	private final WebClient client = new WebClient(this.loop, 1_000, 5_000, 2);
@@ -160,4 +166,24 @@
 		}
 	}
 
+	/**
+	 * Guards against an answer without end to an order or to a call of the store, which
+	 * goes on arriving after its caller has given it up.
+	 */
+	@Test
+	void aWholeAnswerThatIsTooLargeClosesItsConnection() throws IOException {
+		final CompletableFuture<WebAnswer> answer = this.client.call("127.0.0.1:" + this.target.getLocalPort(),
+				new WebRequest("GET", "/", HeaderFields.of("Host", "store"), Body.of("")), true, MOST_MILLIS);
+		try (Socket server = this.target.accept()) {
+			final OutputStream out = server.getOutputStream();
+			out.write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			assertThatThrownBy(() -> {
+				for (int sent = 0; sent < 4 * MOST_ANSWER_BYTES; sent += PIECE.length) {
+					out.write(PIECE);
+				}
+			}).isInstanceOf(IOException.class);
+		}
+		assertThatThrownBy(answer::join).hasCauseInstanceOf(ExcessiveBytesException.class);
+	}
+
 }
