Relay: a refusal without end is given up at once; oversized responses are logged and counted

What callers saw: nothing yet, as before. Cause: a target that declines says so in its head, yet the request waited for the end of the refusal's body, up to 16 MiB of which was kept though nobody reads it. Responses and events above their bounds were closed without a line. What a stream sends without an event that the caller lacks had no bound. Figures: StreamOverTargetsTests.aRefusalWithoutEndIsGivenUpAndTheNextTargetServes red without the bound (the caller had nothing after 20 s), green now; the event without an end held before and is now counted. The bound on streams without new events has no test. Conclusion: the request goes on elsewhere by the usual rules.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -307,6 +307,10 @@
 	 */
 	RESPONSE_INCOMPLETE(513, EventLevel.WARN, "The response to a caller ended without being complete."),
 
+	/** Logged once for each connection, with the target. */
+	RESPONSE_OVERSIZED(514, EventLevel.WARN,
+			"A target sent more bytes than a response may have; its connection is closed."),
+
 	/** Logged with the lag and whether requests are refused while it lasts. */
 	LOOP_LATE(520, EventLevel.WARN, "The loop that serves callers runs late: the machine is short of processor time."),
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -64,6 +64,8 @@
 			this.metrics.counter("pistachioline.responses.incomplete", "Responses that the daemon ended incomplete",
 					reason, () -> relay.incompleteResponseCount(reason));
 		}
+		this.metrics.gauge("pistachioline.responses.oversized",
+				"Connections that were closed since a target sent too many bytes", relay::oversizedResponseCount);
 		final LoopMonitor loop = relay.loopMonitor();
 		this.metrics.gauge("pistachioline.callers.held",
 				"Bytes of requests without an answer, and of answers that callers have not taken", relay::heldBytes);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -22,6 +22,10 @@
 	RESPONSES_INCOMPLETE("pistachioline_responses_incomplete_total", "responses by reason",
 			"Responses to callers that the daemon ended without their being complete.", "rising while no target fails"),
 
+	/** Gauge of connections since the start. */
+	RESPONSES_OVERSIZED("pistachioline_responses_oversized", "connections",
+			"Connections that were closed since a target sent more bytes than a response may have.", "rising"),
+
 	/** Gauge of the requests that are known to crash targets. */
 	REQUESTS_QUARANTINED("pistachioline_requests_quarantined", "requests",
 			"Requests that are not sent to any target, since targets crashed under them.", "above 0"),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/IncompleteResponses.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/IncompleteResponses.java
@@ -28,6 +28,8 @@
 	private final Map<String, AtomicLong> countsByReason = Collections
 		.unmodifiableMap(REASONS.stream().collect(Collectors.toMap(Function.identity(), (reason) -> new AtomicLong())));
 
+	private final AtomicLong oversizedCount = new AtomicLong();
+
 	private final ConfigurationAge configuration;
 
 	/**
@@ -44,6 +46,19 @@
 				incomplete.fields(this.configuration.get().version(), this.configuration.ageMillis()));
 	}
 
+	void logOversized(String requestId, String targetId, String part) {
+		this.oversizedCount.incrementAndGet();
+		Events.log(EventId.RESPONSE_OVERSIZED, "request", requestId, "target", targetId, "part", part);
+	}
+
+	/**
+	 * Returns the number of responses of targets that were too large; any thread may ask.
+	 * @return the number since the start
+	 */
+	long oversizedCount() {
+		return this.oversizedCount.get();
+	}
+
 	/**
 	 * Returns the number of incomplete responses; any thread may ask.
 	 * @param reason the code of the reason
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -127,6 +127,14 @@
 		return this.incompleteResponses.count(reason);
 	}
 
+	/**
+	 * Returns how many connections were closed since a target sent too many bytes.
+	 * @return the number since the start
+	 */
+	public long oversizedResponseCount() {
+		return this.incompleteResponses.oversizedCount();
+	}
+
 	/**
 	 * Returns the listen address for callers.
 	 * @return the address, as host and port; empty until the relay listens
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -6,6 +6,7 @@
 import org.pistachioline.adapters.http.NotConnectedException;
 import org.pistachioline.adapters.web.AnswerHead;
 import org.pistachioline.adapters.web.AnswerReceiver;
+import org.pistachioline.adapters.web.ExcessiveBytesException;
 import org.pistachioline.adapters.web.WebCall;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.quarantine.CrashPhase;
@@ -33,12 +34,20 @@
 	 */
 	private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
+	/**
+	 * Bounds a response that is not passed on; a target says in its head that it
+	 * declines.
+	 */
+	private static final int MAX_DECLINED_BYTES = 64 * 1024;
+
 	private final RelayExchange exchange;
 
 	private final TrafficAction.Start start;
 
 	private final AttemptListener listener;
 
+	private int declinedBytes;
+
 	private final ByteArrayOutputStream responseBody = new ByteArrayOutputStream();
 
 	private WebCall targetCall;
@@ -163,11 +172,17 @@
 		this.exchange.history().onBytes(System.nanoTime());
 		if (this.eventForwarder != null) {
 			if (!this.eventForwarder.forward(bytes, this.exchange.response())) {
-				abort(AttemptOutcome.MISMATCHED);
+				abortOversized("an event", AttemptOutcome.MISMATCHED);
+			}
+		}
+		else if (this.expectedOutcome == AttemptOutcome.DECLINED) {
+			this.declinedBytes += bytes.length;
+			if (this.declinedBytes > MAX_DECLINED_BYTES) {
+				abortOversized("a declining response", AttemptOutcome.DECLINED);
 			}
 		}
 		else if (this.responseBody.size() + bytes.length > MAX_RESPONSE_BYTES) {
-			abort(AttemptOutcome.BROKEN);
+			abortOversized("a response", AttemptOutcome.BROKEN);
 		}
 		else {
 			this.responseBody.writeBytes(bytes);
@@ -175,6 +190,17 @@
 		}
 	}
 
+	private void abortOversized(String part, AttemptOutcome outcome) {
+		logOversized(part);
+		abort(outcome);
+	}
+
+	private void logOversized(String part) {
+		this.exchange.context()
+			.incompleteResponses()
+			.logOversized(this.exchange.request().metadata().requestId(), this.start.target().targetId(), part);
+	}
+
 	@Override
 	public void onBatchEnd() {
 		if (this.eventForwarder != null) {
@@ -219,6 +245,9 @@
 
 	@Override
 	public void onFailure(Throwable failure) {
+		if (failure instanceof ExcessiveBytesException) {
+			logOversized("a head");
+		}
 		// A target that declined has stated that it did not run the request, which holds
 		// even if the rest of its response is lost.
 		if (this.expectedOutcome == AttemptOutcome.DECLINED) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/SseEventForwarder.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/SseEventForwarder.java
@@ -21,6 +21,12 @@
 	/** Bounds the memory of one stream; the events of engines are far smaller. */
 	private static final int MAX_EVENT_BYTES = 256 * 1024;
 
+	/**
+	 * Bounds what arrives without an event that the caller does not have yet: comments,
+	 * blank lines, and events that a target repeats.
+	 */
+	private static final int MAX_BYTES_WITHOUT_EVENT = 16 * 1024 * 1024;
+
 	private static final byte[] NO_BYTES = new byte[0];
 
 	private final AttemptId attempt;
@@ -31,6 +37,8 @@
 
 	private byte[] partialEvent = NO_BYTES;
 
+	private long bytesWithoutEvent;
+
 	private boolean firstEventReported;
 
 	private boolean callerBlocked;
@@ -48,8 +56,8 @@
 	 * Forwards the events that the received bytes complete and keeps the rest.
 	 * @param bytes the received bytes
 	 * @param response receives the events that the caller does not have yet
-	 * @return false if an incomplete event exceeds the maximum size, so that the attempt
-	 * must be aborted
+	 * @return false if an incomplete event, or what is not forwarded, exceeds the maximum
+	 * size, so that the attempt must be aborted
 	 */
 	boolean forward(byte[] bytes, CallerResponse response) {
 		final byte[] available = (this.partialEvent.length == 0) ? bytes : concatenate(this.partialEvent, bytes);
@@ -61,7 +69,9 @@
 		if (!this.firstEventReported && this.position.deliveredEvents() > deliveredBefore) {
 			notifyListener();
 		}
-		return this.partialEvent.length <= MAX_EVENT_BYTES;
+		this.bytesWithoutEvent = (this.position.deliveredEvents() > deliveredBefore) ? 0
+				: this.bytesWithoutEvent + bytes.length;
+		return this.partialEvent.length <= MAX_EVENT_BYTES && this.bytesWithoutEvent <= MAX_BYTES_WITHOUT_EVENT;
 	}
 
 	private static byte[] concatenate(byte[] first, byte[] second) {
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StreamOverTargetsTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StreamOverTargetsTests.java
@@ -62,6 +62,10 @@
 
 	private static final int READ_TIMEOUT_MILLIS = 20_000;
 
+	private static final int LARGE_PIECE_BYTES = 64 * 1024;
+
+	private static final int WITHOUT_END_BYTES = 1024 * 1024;
+
 	private final ActorSystem<Void> system = ActorSystems.create("stream-test");
 
 	private final WebLoop targetLoop = new WebLoop("target");
@@ -127,6 +131,25 @@
 		assertThat(answer.substring(answer.indexOf("\r\n\r\n") + 4)).hasSize(bodyBytes);
 	}
 
+	// Guards against a request that waits until its deadline for the end of a refusal.
+	@Test
+	void aRefusalWithoutEndIsGivenUpAndTheNextTargetServes() throws IOException {
+		this.script = List.of(
+				withoutEnd(new AnswerHead(503, HeaderFields.of(StubProtocol.DECLINED_HEADER, "1")), "refused "),
+				ending("second", "id: 1\n\n"));
+		assertThat(call()).startsWith("HTTP/1.1 200 ").contains("id: 1");
+		assertThat(this.relay.oversizedResponseCount()).isEqualTo(1);
+	}
+
+	// Guards against an event that has no end and takes the daemon's memory.
+	@Test
+	void anEventWithoutEndIsGivenUpAndTheNextTargetServes() throws IOException {
+		this.script = List.of(withoutEnd(new AnswerHead(200, HeaderFields.of(TARGET_HEADER, "first")), "data: x "),
+				ending("second", "id: 1\n\n"));
+		assertThat(call()).startsWith("HTTP/1.1 200 ").contains("id: 1").doesNotContain("data: x");
+		assertThat(this.relay.oversizedResponseCount()).isEqualTo(1);
+	}
+
 	// Guards against the head and signature of a target that delivered nothing before the
 	// events of another one.
 	@Test
@@ -204,6 +227,18 @@
 		};
 	}
 
+	// Sends a piece again and again until it is far above every limit, and does not end.
+	private static Consumer<WebReply> withoutEnd(AnswerHead head, String piece) {
+		return (reply) -> {
+			reply.begin(head);
+			final String large = piece.repeat(LARGE_PIECE_BYTES / piece.length());
+			for (int sent = 0; sent < WITHOUT_END_BYTES; sent += large.length()) {
+				reply.piece(large.getBytes(StandardCharsets.US_ASCII), 0, large.length());
+			}
+			reply.flush();
+		};
+	}
+
 	private static void begin(WebReply reply, String name, String... events) {
 		reply.begin(new AnswerHead(200, HeaderFields.of(TARGET_HEADER, name)));
 		for (final String event : events) {
