Planner: one place finds the holders of weights; models without declared shares

Cause: a reading of the change: FreeReservations and GroupExchange each filtered holders, GroupExchange.exchange had grown to forty lines, and DemandShares failed with a null value when no model declares a share and demand becomes known. Change: DomainHolders.holding, GroupExchange.groupsThatHold, shares that start from the demand if none are declared. Figures: DemandSharesTests' new case fails on the class before (by reading: a null value), the others as before; green.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/DemandShares.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/DemandShares.java
@@ -42,20 +42,21 @@
 		engine.models().forEach((model) -> declared.put(model.name(), model.initialShareRatio()));
 		final Map<String, Double> initial = normalize(engine, declared);
 		final Map<String, Double> demanded = normalize(engine, demandShareRatios);
-		if (!this.followed.keySet().equals(initial.keySet())) {
-			this.followed = initial;
+		final Map<String, Double> target = demanded.isEmpty() ? initial : demanded;
+		if (!this.followed.keySet().equals(target.keySet())) {
+			this.followed = initial.isEmpty() ? target : initial;
 			this.followedAtNanos = nowNanos;
 		}
-		follow(nowNanos, demanded.isEmpty() ? initial : demanded);
+		follow(nowNanos, target);
 		if (!this.followed.keySet().equals(this.inForce.keySet()) || differ(this.followed)) {
 			this.inForce = Map.copyOf(this.followed);
 		}
 	}
 
-	private void follow(long nowNanos, Map<String, Double> demanded) {
+	private void follow(long nowNanos, Map<String, Double> target) {
 		final double kept = Math.exp(-(nowNanos - this.followedAtNanos) / (FOLLOWING_SECONDS * NANOS_PER_SECOND));
 		final Map<String, Double> next = new HashMap<>();
-		demanded.forEach((model, ratio) -> next.put(model, ratio + kept * (this.followed.get(model) - ratio)));
+		target.forEach((model, ratio) -> next.put(model, ratio + kept * (this.followed.get(model) - ratio)));
 		this.followed = next;
 		this.followedAtNanos = nowNanos;
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/DomainHolders.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/DomainHolders.java
@@ -33,6 +33,10 @@
 		return this.weights.holds(instance, model.name());
 	}
 
+	List<ServingInstance> holding(Collection<ServingInstance> instances, EngineModel model) {
+		return instances.stream().filter((instance) -> holds(instance, model)).toList();
+	}
+
 	boolean isLastGroupModel(ServingInstance instance, EngineModel model) {
 		return this.weights.isLastGroupModel(instance, model.name());
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/FreeReservations.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/FreeReservations.java
@@ -43,15 +43,21 @@
 			List<ServingInstance> recovering) {
 		final List<EngineModel> models = pass.view().engine().models();
 		return models.stream()
-			.filter((model) -> model.members() > 0 && countHolders(free, model) < model.members()
-					&& countHolders(free, model) + countHolders(recovering, model) >= model.members())
+			.filter((model) -> lacksOnlyRecovering(model, free, recovering))
 			.filter((model) -> targets.gain(model, 0, model.members()) >= GroupExchange.MIN_GAIN_RATIO
 					* foregoneGain(models, targets, free, model))
 			.findFirst()
-			.map((model) -> free.stream().filter((instance) -> this.holders.holds(instance, model)).toList())
+			.map((model) -> this.holders.holding(free, model))
 			.orElse(List.of());
 	}
 
+	private boolean lacksOnlyRecovering(EngineModel model, List<ServingInstance> free,
+			List<ServingInstance> recovering) {
+		final int ready = this.holders.holding(free, model).size();
+		return model.members() > 0 && ready < model.members()
+				&& ready + this.holders.holding(recovering, model).size() >= model.members();
+	}
+
 	/**
 	 * Returns what other models lose if the holders of a model's weights do not join
 	 * their groups now.
@@ -64,16 +70,11 @@
 	double foregoneGain(List<EngineModel> models, ModelTargets targets, List<ServingInstance> free,
 			EngineModel reservedFor) {
 		return models.stream().filter((model) -> model != reservedFor && model.members() > 0).mapToDouble((model) -> {
-			final int all = countHolders(free, model) / model.members();
-			final int others = (int) free.stream()
-				.filter((instance) -> this.holders.holds(instance, model) && !this.holders.holds(instance, reservedFor))
-				.count() / model.members();
+			final List<ServingInstance> holding = this.holders.holding(free, model);
+			final int all = holding.size() / model.members();
+			final int others = (holding.size() - this.holders.holding(holding, reservedFor).size()) / model.members();
 			return targets.gain(model, others * model.members(), (all - others) * model.members());
 		}).max().orElse(0);
 	}
 
-	private int countHolders(List<ServingInstance> instances, EngineModel model) {
-		return (int) instances.stream().filter((instance) -> this.holders.holds(instance, model)).count();
-	}
-
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupExchange.java
@@ -1,7 +1,6 @@
 package org.pistachioline.core.replica;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -76,38 +75,42 @@
 			return null;
 		}
 		final List<ServingInstance> freeInstances = freeByDomain.getOrDefault(domain, List.of());
-		final List<ServingInstance> waiting = freeInstances.stream()
-			.filter((instance) -> this.holders.holds(instance, recipient))
-			.toList();
-		final int recovering = countHolders(recoveringByDomain.getOrDefault(domain, List.of()), recipient);
-		if (waiting.size() + recovering >= recipient.members()) {
+		final List<ServingInstance> waiting = this.holders.holding(freeInstances, recipient);
+		final int recovering = this.holders.holding(recoveringByDomain.getOrDefault(domain, List.of()), recipient)
+			.size();
+		final int missing = recipient.members() - waiting.size();
+		if (missing <= recovering) {
 			return null;
 		}
-		final List<TrackedGroup> closed = new ArrayList<>();
-		int members = waiting.size();
-		for (final TrackedGroup tracked : donors.stream()
-			.sorted(Comparator.comparingInt((TrackedGroup tracked) -> -countHolders(members(pass, tracked), recipient))
-				.thenComparingLong((tracked) -> tracked.id.epoch()))
-			.toList()) {
-			if (members < recipient.members()) {
-				closed.add(tracked);
-				members += countHolders(members(pass, tracked), recipient);
-			}
-		}
+		final List<TrackedGroup> closed = groupsThatHold(pass, donors, recipient, missing);
 		final int givenUp = closed.size() * donor.get().members();
 		final double gain = targets.gain(recipient, 0, recipient.members());
 		final double loss = -targets.gain(donor.get(), 0, -givenUp)
 				+ this.reservations.foregoneGain(pass.view().engine().models(), targets, freeInstances, recipient);
-		return (members >= recipient.members() && gain >= MIN_GAIN_RATIO * loss)
+		return (!closed.isEmpty() && gain >= MIN_GAIN_RATIO * loss)
 				? new Exchange(recipient, domain, closed, waiting, gain - loss) : null;
 	}
 
-	private static List<ServingInstance> members(PlanningPass pass, TrackedGroup tracked) {
-		return tracked.memberIds.stream().map(pass.byId()::get).toList();
+	// Returns the fewest of the groups whose members together hold the model's weights
+	// often enough; none if all of them do not.
+	private List<TrackedGroup> groupsThatHold(PlanningPass pass, List<TrackedGroup> groups, EngineModel model,
+			int missing) {
+		final List<TrackedGroup> selected = new ArrayList<>();
+		int holders = 0;
+		for (final TrackedGroup tracked : groups.stream()
+			.sorted(Comparator.comparingInt((TrackedGroup tracked) -> -countHolders(pass, tracked, model))
+				.thenComparingLong((tracked) -> tracked.id.epoch()))
+			.toList()) {
+			if (holders < missing) {
+				selected.add(tracked);
+				holders += countHolders(pass, tracked, model);
+			}
+		}
+		return (holders >= missing) ? selected : List.of();
 	}
 
-	private int countHolders(Collection<ServingInstance> instances, EngineModel model) {
-		return (int) instances.stream().filter((instance) -> this.holders.holds(instance, model)).count();
+	private int countHolders(PlanningPass pass, TrackedGroup tracked, EngineModel model) {
+		return this.holders.holding(tracked.memberIds.stream().map(pass.byId()::get).toList(), model).size();
 	}
 
 	/**
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/DemandSharesTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/DemandSharesTests.java
@@ -56,6 +56,16 @@
 		assertThat(this.shares.inForce()).isEqualTo(Map.of("large", 0.5, "small", 0.5));
 	}
 
+	@Test
+	void modelsWithoutDeclaredSharesFollowTheDemandFromTheStart() {
+		final EngineSpec undeclared = new EngineSpec(12, List.of(new EngineModel("large", 4, 0, 1, 16_000, 1_600),
+				new EngineModel("small", 2, 0, 0.6, 12_000, 1_100)), 5, 4, 300);
+		this.shares.update(0, undeclared, Map.of());
+		assertThat(this.shares.inForce()).isEmpty();
+		this.shares.update(SECOND_NANOS, undeclared, Map.of("large", 0.8, "small", 0.2));
+		assertThat(this.shares.inForce()).isEqualTo(Map.of("large", 0.8, "small", 0.2));
+	}
+
 	private void update(int second, double large) {
 		this.shares.update(second * SECOND_NANOS, ENGINE, Map.of("large", large, "small", 1 - large));
 	}
