--- a/pistachioline-core/src/main/java/org/pistachioline/core/demand/ModelDemandSource.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/demand/ModelDemandSource.java
@@ -9,7 +9,7 @@
 public interface ModelDemandSource {
 
 	/**
-	 * Returns the share of the requested slots that asks for each model of a service.
+	 * Returns the share of the requested tokens that asks for each model of a service.
 	 * @param service the service's name
 	 * @return the share ratios, by the model's name, which add up to 1; empty if too
 	 * little is known
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/InstanceDemand.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/InstanceDemand.java
@@ -10,7 +10,8 @@
  * Converts the demand for models into the part of the instances that each model needs.
  * <p>
  * All groups of a service have the same number of slots. A model therefore needs more
- * instances for the same slots the more members its groups have.
+ * instances for the same tokens the more members its groups have and the longer it takes
+ * for a token.
  */
 public final class InstanceDemand {
 
@@ -18,18 +19,18 @@
 	}
 
 	/**
-	 * Converts shares of the requested slots into shares of the instances.
+	 * Converts shares of the requested tokens into shares of the instances.
 	 * @param engine the engine specification
-	 * @param slotShareRatios the share of the slots that asks for each model, by the
+	 * @param tokenShareRatios the share of the tokens that asks for each model, by the
 	 * model's name; empty if it is not known
 	 * @return the shares, by the model's name, which add up to 1; empty if no model of
 	 * the engine is asked for
 	 */
-	public static Map<String, Double> shareRatios(EngineSpec engine, Map<String, Double> slotShareRatios) {
+	public static Map<String, Double> shareRatios(EngineSpec engine, Map<String, Double> tokenShareRatios) {
 		final Map<String, Double> instances = new HashMap<>();
 		for (final EngineModel model : engine.models()) {
-			final double slots = slotShareRatios.getOrDefault(model.name(), 0.0);
-			instances.put(model.name(), slots * Math.max(1, model.members()));
+			final double tokens = tokenShareRatios.getOrDefault(model.name(), 0.0);
+			instances.put(model.name(), tokens * Math.max(1, model.members()) * model.latencyRatio());
 		}
 		final double sum = instances.values().stream().mapToDouble(Double::doubleValue).sum();
 		if (!(sum > 0) || !Double.isFinite(sum)) {
--- a/pistachioline-core/src/test/java/org/pistachioline/core/demand/FleetDemandTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/demand/FleetDemandTests.java
@@ -168,4 +168,14 @@
 		assertThat(demand.estimate(0, (name) -> true).rates().get(KEY).requestsPerSecond()).isEqualTo(3);
 	}
 
+	@Test
+	void theSharesOfModelsFollowTheirCost() {
+		final ModelDemandShares shares = new ModelDemandShares(
+				() -> new DemandEstimate(Map.of(new DemandKey("assistant/small", 9), new DemandRates(5, 0, 0, 300),
+						new DemandKey("assistant/large", 9), new DemandRates(5, 0, 0, 100), new DemandKey("other", 0),
+						new DemandRates(9, 0, 0, 900)), Map.of()));
+		assertThat(shares.shareRatios("assistant")).isEqualTo(Map.of("small", 0.75, "large", 0.25));
+		assertThat(shares.shareRatios("unknown")).isEmpty();
+	}
+
 }
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/InstanceDemandTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/InstanceDemandTests.java
@@ -22,13 +22,13 @@
 			5, 4, 300);
 
 	/**
-	 * Guards against instances that are assigned by slots alone: the large model, which
-	 * needs four times as many for the same slots, would keep hardly a group.
+	 * Guards against instances that are assigned by tokens: the large model, which needs
+	 * four times as many for the same slots, would keep hardly a group.
 	 */
 	@Test
-	void aModelWithLargeGroupsNeedsMoreInstancesForItsSlots() {
+	void aModelWithLargeGroupsNeedsMoreInstancesForItsTokens() {
 		final Map<String, Double> shares = InstanceDemand.shareRatios(ENGINE, Map.of("large", 0.2, "small", 0.8));
-		assertThat(shares.get("large")).isCloseTo(0.2 * 8 / (0.2 * 8 + 0.8 * 2), within(1e-9));
+		assertThat(shares.get("large")).isCloseTo(0.2 * 8 / (0.2 * 8 + 0.8 * 2 * 0.6), within(1e-9));
 		assertThat(shares.get("large") + shares.get("small")).isCloseTo(1, within(1e-9));
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -12,7 +12,7 @@
 import org.pistachioline.adapters.web.Connector;
 import org.pistachioline.adapters.web.WebLoop;
 import org.pistachioline.core.admission.FleetAdmission;
-import org.pistachioline.core.admission.ModelSlotShares;
+import org.pistachioline.core.demand.ModelDemandShares;
 import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpPolicy;
 import org.pistachioline.core.event.EventId;
@@ -175,7 +175,7 @@
 
 	private void registerDemandExchange(FleetDemandExchange exchange) {
 		this.peers.addExchange(exchange);
-		this.replicas.setModelDemandSource(new ModelSlotShares(exchange::reports));
+		this.replicas.setModelDemandSource(new ModelDemandShares(exchange::fleetDemand));
 		new DaemonMeters(this.metrics).bind(exchange);
 	}
 
