--- a/review/standins/Site.java
+++ b/review/standins/Site.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
 /** A small deployment on loopback: the store, replicas, daemons, and the record of what happened. */
 final class Site implements AutoCloseable {
@@ -114,8 +115,14 @@
 	}
 
 	@Override
-	public void close() {
+	public void close() throws IOException {
 		endDaemons();
+		try (Stream<Path> files = Files.list(this.folder)) {
+			for (final Path file : files.toList()) {
+				Files.delete(file);
+			}
+		}
+		Files.delete(this.folder);
 	}
 
 }
