--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/JsonLinesConfiguration.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/JsonLinesConfiguration.java
@@ -36,7 +36,6 @@
 	@Override
 	protected void doConfigure() {
 		final OutputAppender output = new OutputAppender(OUTPUT_APPENDER, new JsonLinesLayout());
-		output.start();
 		addAppender(output);
 		addBuffer();
 		final LoggerConfig events = new LoggerConfig(Events.LOGGER_NAME, Level.INFO, true);
@@ -44,6 +43,10 @@
 		getRootLogger().setLevel(Level.WARN);
 	}
 
+	// The appenders are started with the configuration. Started here too, the buffer
+	// would
+	// have two threads, and stopping would wait for the one that is not told to end.
+	//
 	// The process that reads standard output may stop reading. A duty must not block on
 	// logging then: a full buffer drops events and reports it on standard error.
 	private void addBuffer() {
@@ -55,7 +58,6 @@
 			.setShutdownTimeout(FLUSH_TIMEOUT_MILLIS)
 			.setConfiguration(this)
 			.build();
-		buffer.start();
 		addAppender(buffer);
 		getRootLogger().addAppender(buffer, null, null);
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/OutputAppender.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/OutputAppender.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
+import java.util.concurrent.TimeUnit;
 
 import org.apache.logging.log4j.core.Layout;
 import org.apache.logging.log4j.core.LogEvent;
@@ -20,10 +21,15 @@
  */
 final class OutputAppender extends AbstractAppender {
 
-	private final OutputStream output = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out));
+	private final OutputStream output;
 
 	OutputAppender(String name, Layout<?> layout) {
+		this(name, layout, new FileOutputStream(FileDescriptor.out));
+	}
+
+	OutputAppender(String name, Layout<?> layout, OutputStream output) {
 		super(name, null, layout, true, Property.EMPTY_ARRAY);
+		this.output = new BufferedOutputStream(output);
 	}
 
 	@Override
@@ -41,7 +47,7 @@
 	}
 
 	@Override
-	public synchronized void stop() {
+	public synchronized boolean stop(long timeout, TimeUnit timeUnit) {
 		try {
 			this.output.flush();
 		}
@@ -49,7 +55,7 @@
 			// The reader has closed standard output; this reports to standard error.
 			getHandler().error("Could not flush the last events to standard output", ex);
 		}
-		super.stop();
+		return super.stop(timeout, timeUnit);
 	}
 
 }
