--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -45,6 +45,12 @@
 	/** Requests that may wait in all, as one read can bring many; the next is refused. */
 	private static final int MOST_IN_ONE_PIECE = 128;
 
+	/**
+	 * Pieces of a body that are read before all other connections are. Small pieces take
+	 * far more time than their bytes.
+	 */
+	static final int MAX_PIECES_IN_TURN = 2_048;
+
 	/** Disables the codec's bound, which closes the connection without answers. */
 	private static final int MOST_IN_CODEC = Integer.MAX_VALUE;
 
@@ -74,6 +80,10 @@
 
 	private boolean finishing;
 
+	private int piecesInTurn;
+
+	private boolean awaitsTurn;
+
 	private long currentBytes;
 
 	private long heldBytes;
@@ -188,11 +198,8 @@
 			return;
 		}
 		if (piece.isReadable()) {
-			// Most bodies come in one piece.
-			this.body = this.body.isReadable() ? Unpooled.wrappedBuffer(this.body, Unpooled.copiedBuffer(piece))
-					: Unpooled.copiedBuffer(piece);
+			collect(piece);
 		}
-		count();
 		if (content instanceof LastHttpContent) {
 			arrive(new Arrived(
 					new WebRequest(this.head.method().name(), this.head.uri(), HeaderFields.of(this.head.headers()),
@@ -203,6 +210,36 @@
 			this.body = Unpooled.EMPTY_BUFFER;
 			this.begun = false;
 		}
+		count();
+	}
+
+	// The pieces are copied into one buffer that grows by doubling: time and memory
+	// depend
+	// on the size of the body and not on the number of its pieces.
+	private void collect(ByteBuf piece) {
+		if (!this.body.isReadable()) {
+			this.body = Unpooled.buffer(piece.readableBytes());
+		}
+		this.body.writeBytes(piece);
+		this.piecesInTurn++;
+		if (this.piecesInTurn >= MAX_PIECES_IN_TURN && !this.awaitsTurn) {
+			awaitNextTurn();
+		}
+	}
+
+	private void awaitNextTurn() {
+		this.awaitsTurn = true;
+		updateReading();
+		// A scheduled task waits for the loop's next turn, unlike one that is executed.
+		this.ctx.executor().schedule(() -> {
+			this.awaitsTurn = false;
+			this.piecesInTurn = 0;
+			updateReading();
+		}, 0, TimeUnit.NANOSECONDS);
+	}
+
+	private void updateReading() {
+		this.ctx.channel().config().setAutoRead(!this.awaitsTurn && this.waiting.size() <= MOST_WAITING);
 	}
 
 	private void fault(RequestFault fault) {
@@ -219,9 +256,7 @@
 		// Everything that has arrived on any connection is read before the first request
 		// is handled, so that nothing is done for callers who have left already.
 		this.requests.add(this.ctx.executor(), this::next);
-		if (this.waiting.size() > MOST_WAITING) {
-			this.ctx.channel().config().setAutoRead(false);
-		}
+		updateReading();
 	}
 
 	private void next() {
@@ -232,7 +267,7 @@
 			return;
 		}
 		final Arrived arrived = this.waiting.poll();
-		this.ctx.channel().config().setAutoRead(this.waiting.size() <= MOST_WAITING);
+		updateReading();
 		this.currentBytes = arrived.bytes();
 		final ServerReply reply = new ServerReply(this.ctx, arrived.keepAlive(), arrived.chunks(), arrived.atNanos(),
 				this);
@@ -285,7 +320,7 @@
 
 	// What a caller has not taken shrinks without a notice; sweeps see that.
 	private void count() {
-		long now = this.body.readableBytes() + this.currentBytes;
+		long now = this.body.capacity() + this.currentBytes;
 		for (final Arrived arrived : this.waiting) {
 			now += arrived.bytes();
 		}
@@ -311,6 +346,9 @@
 		}
 		this.bytesRead = false;
 		this.messageRead = false;
+		if (!this.awaitsTurn) {
+			this.piecesInTurn = 0;
+		}
 	}
 
 	/**
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
@@ -57,6 +57,14 @@
 	/** One caller with a long body must not keep the others waiting. */
 	private static final int MOST_READS = 16;
 
+	/** The size of the first read from a connection, which most requests fit into. */
+	private static final int FIRST_READ_BYTES = 2_048;
+
+	private static final int LEAST_READ_BYTES = 64;
+
+	/** Bounds the number of messages that one read can bring. */
+	private static final int MOST_READ_BYTES = 16_384;
+
 	/**
 	 * What waits in memory for one caller who reads slowly, before its target is not read
 	 * on; some hundred events.
@@ -66,7 +74,8 @@
 	// Reads on until nothing is left, as the end of a connection comes last. By default a
 	// request that fits into the buffer is handed on before the next read finds that its
 	// caller has left, and a loop that runs late would send it to a target all the same.
-	private static final RecvByteBufAllocator READS_TO_THE_END = new AdaptiveRecvByteBufAllocator()
+	private static final RecvByteBufAllocator READS_TO_THE_END = new AdaptiveRecvByteBufAllocator(LEAST_READ_BYTES,
+			FIRST_READ_BYTES, MOST_READ_BYTES)
 		.respectMaybeMoreData(false)
 		.maxMessagesPerRead(MOST_READS);
 
