--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
@@ -192,7 +192,8 @@
 	 * @return whether callers can connect
 	 */
 	public boolean listening() {
-		return this.listener != null;
+		final Channel bound = this.listener;
+		return bound != null && bound.isOpen();
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/CompletionTimes.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/CompletionTimes.java
@@ -8,8 +8,8 @@
 /**
  * Estimates how long requests take at most, from those that completed lately.
  * <p>
- * Requests are told apart by model or service and by the order of magnitude of their
- * output. Where too few of a size have completed, larger ones give the estimate.
+ * Requests are told apart by model or service and by the size of their output. Where too
+ * few of a size have completed, larger ones give the estimate.
  */
 final class CompletionTimes {
 
@@ -18,9 +18,11 @@
 	private static final int MIN_SAMPLES = 20;
 
 	/** Requests seldom take longer than this multiple of the longest of many. */
-	private static final double SAFETY_FACTOR = 1.25;
+	private static final double SAFETY_FACTOR = 1.1;
 
-	private static final int MAX_SIZE_CLASS = Integer.SIZE;
+	private static final int CLASSES_PER_DOUBLING = 3;
+
+	private static final int MAX_SIZE_CLASS = Integer.SIZE * CLASSES_PER_DOUBLING;
 
 	private final Map<SizeClass, LongestTimes> longestBySize = new HashMap<>();
 
@@ -47,7 +49,7 @@
 	 */
 	OptionalLong maxNanos(long nowNanos, RequestInfo info) {
 		rotate(nowNanos);
-		for (SizeClass size = sizeClass(info); size.magnitude() <= MAX_SIZE_CLASS; size = size.next()) {
+		for (SizeClass size = sizeClass(info); size.number() <= MAX_SIZE_CLASS; size = size.next()) {
 			final LongestTimes times = this.longestBySize.get(size);
 			if (times != null && times.samples() >= MIN_SAMPLES) {
 				return OptionalLong.of((long) (times.longestNanos() * SAFETY_FACTOR));
@@ -58,7 +60,7 @@
 
 	private static SizeClass sizeClass(RequestInfo info) {
 		return new SizeClass(info.targetKind(), info.name(),
-				Integer.SIZE - Integer.numberOfLeadingZeros(info.maxOutputTokens()));
+				(int) Math.ceil(CLASSES_PER_DOUBLING * Math.log1p(info.maxOutputTokens()) / Math.log(2)));
 	}
 
 	// The previous window is kept, so that an estimate always covers a whole one.
@@ -76,12 +78,12 @@
 	 *
 	 * @param kind whether they are for a model or for a plain service
 	 * @param name the model's or the service's name
-	 * @param magnitude the number of binary digits of their maximum output, in tokens
+	 * @param number the number of the class, in ascending order of the maximum output
 	 */
-	private record SizeClass(TargetKind kind, String name, int magnitude) {
+	private record SizeClass(TargetKind kind, String name, int number) {
 
 		SizeClass next() {
-			return new SizeClass(this.kind, this.name, this.magnitude + 1);
+			return new SizeClass(this.kind, this.name, this.number + 1);
 		}
 
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/GracefulShutdown.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/GracefulShutdown.java
@@ -101,8 +101,7 @@
 		final long lingerUntilNanos = startedAtNanos + TimeUnit.MILLISECONDS.toNanos(LINGER_MILLIS);
 		boolean othersServe = successors.serve(this.livePeers.get());
 		this.traffic.drain(new Drain(endsAtNanos, retryAfterMillis(othersServe)));
-		while (System.nanoTime() < endsAtNanos
-				&& (System.nanoTime() < lingerUntilNanos || !othersServe || hasActiveRequests())) {
+		while (System.nanoTime() < endsAtNanos && (System.nanoTime() < lingerUntilNanos || !othersServe)) {
 			LockSupport.parkNanos(CHECK_INTERVAL_NANOS);
 			final boolean othersServeNow = successors.serve(this.livePeers.get());
 			if (othersServe != othersServeNow) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -265,6 +265,14 @@
 		this.system.terminate();
 	}
 
+	/**
+	 * Returns whether no other daemon is offered to callers.
+	 * @return whether all others are leaving, not ready or gone
+	 */
+	public boolean isOnlyChoice() {
+		return this.peers.livePeers().stream().noneMatch((peer) -> peer.ready() && !peer.leaving());
+	}
+
 	/**
 	 * Returns whether other daemons can serve this one's callers during its warm-up.
 	 * @return whether traffic can be deferred
@@ -312,8 +320,9 @@
 				? EndpointSelector.selectByRoom(daemons(), availabilityZone, lookup)
 				: EndpointSelector.select(daemons(), availabilityZone, lookup);
 		final List<String> chosen = selected.stream().map(PeerStatus::callerAddress).toList();
-		// Without live peers a daemon offers itself even before its warm-up.
-		return (chosen.isEmpty() && notReadyReason().isEmpty()) ? List.of(this.settings.callerAddress()) : chosen;
+		// Without others a daemon offers itself, also before its warm-up or while it
+		// leaves.
+		return (chosen.isEmpty() && cannotServeReason().isEmpty()) ? List.of(this.settings.callerAddress()) : chosen;
 	}
 
 	/**
@@ -360,6 +369,10 @@
 
 	@Override
 	public Optional<String> notReadyReason() {
+		return cannotServeReason().or(() -> this.leaving ? Optional.of("the daemon is leaving") : Optional.empty());
+	}
+
+	private Optional<String> cannotServeReason() {
 		if (!this.relay.listening()) {
 			return Optional.of("callers are not served yet");
 		}
@@ -369,7 +382,7 @@
 		if (!this.instanceListKnown) {
 			return Optional.of("the instance list has not been read");
 		}
-		return this.leaving ? Optional.of("the daemon is leaving") : Optional.empty();
+		return Optional.empty();
 	}
 
 	@Override
