--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/RequestFault.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/RequestFault.java
@@ -5,6 +5,9 @@
  */
 public enum RequestFault {
 
+	/** The server failed while it read the request. */
+	INTERNAL(500),
+
 	/** The server holds as many bytes for its callers as it may. */
 	NO_ROOM(503),
 
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -243,12 +243,13 @@
 	}
 
 	private void fault(RequestFault fault) {
+		final HeaderFields headers = (this.head != null) ? HeaderFields.of(this.head.headers()) : HeaderFields.EMPTY;
 		this.ignoresInput = true;
 		this.begun = false;
 		this.head = null;
 		this.body = Unpooled.EMPTY_BUFFER;
 		count();
-		arrive(new Arrived(null, fault, false, true, this.nanoClock.getAsLong()));
+		arrive(new Arrived(null, new UnreadRequest(fault, headers), false, true, this.nanoClock.getAsLong()));
 	}
 
 	private void arrive(Arrived arrived) {
@@ -272,11 +273,23 @@
 		final ServerReply reply = new ServerReply(this.ctx, arrived.keepAlive(), arrived.chunks(), arrived.atNanos(),
 				this);
 		this.current = reply;
-		if (arrived.fault() != null) {
-			reply.whole(this.handler.onFault(arrived.fault()));
+		if (arrived.unread() != null) {
+			reply.whole(this.handler.onFault(arrived.unread().fault(), arrived.unread().headers()));
 		}
 		else {
-			this.handler.handle(arrived.request(), reply);
+			handle(arrived.request(), reply);
+		}
+	}
+
+	private void handle(WebRequest request, ServerReply reply) {
+		try {
+			this.handler.handle(request, reply);
+		}
+		catch (RuntimeException ex) {
+			ConnectionFaults.log(ex);
+			reply.whole(this.handler.onFault(RequestFault.INTERNAL, request.headers()));
+			// Where the answer had begun, nothing else tells its caller.
+			reply.breakOff();
 		}
 	}
 
@@ -433,6 +446,10 @@
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		ConnectionFaults.log(cause);
+		if (!ConnectionFaults.isReset(cause) && this.head != null) {
+			fault(RequestFault.INTERNAL);
+			return;
+		}
 		if (!ConnectionFaults.isReset(cause)) {
 			reportUnanswered(CloseCause.CONNECTION_FAILED);
 		}
@@ -467,12 +484,12 @@
 	 * A request that has arrived, or why none could be read.
 	 *
 	 * @param request the request; null where there is a fault
-	 * @param fault the fault; null where there is a request
+	 * @param unread what could not be read; null where there is a request
 	 * @param keepAlive whether the caller keeps the connection
 	 * @param chunks whether the caller understands answers in chunks
 	 * @param atNanos when it has arrived
 	 */
-	private record Arrived(WebRequest request, RequestFault fault, boolean keepAlive, boolean chunks, long atNanos) {
+	private record Arrived(WebRequest request, UnreadRequest unread, boolean keepAlive, boolean chunks, long atNanos) {
 
 		int bytes() {
 			return (this.request != null) ? this.request.body().sizeBytes() : 0;
@@ -480,6 +497,16 @@
 
 	}
 
+	/**
+	 * A request that could not be read.
+	 *
+	 * @param fault why not
+	 * @param headers its header fields; empty if its head was not read
+	 */
+	private record UnreadRequest(RequestFault fault, HeaderFields headers) {
+
+	}
+
 	/**
 	 * Notes that something has arrived, whatever the codec makes of it.
 	 */
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebHandler.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebHandler.java
@@ -16,9 +16,10 @@
 	/**
 	 * Answers what was no request, or one over a limit; the connection closes afterwards.
 	 * @param fault what was wrong
+	 * @param headers the header fields; empty if the head was not read
 	 * @return the answer
 	 */
-	default WebAnswer onFault(RequestFault fault) {
+	default WebAnswer onFault(RequestFault fault, HeaderFields headers) {
 		return WebAnswer.empty(fault.status());
 	}
 
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/PipelinedRequestsTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/PipelinedRequestsTests.java
@@ -207,7 +207,7 @@
 		}
 
 		@Override
-		public WebAnswer onFault(RequestFault fault) {
+		public WebAnswer onFault(RequestFault fault, HeaderFields headers) {
 			PipelinedRequestsTests.this.faults.incrementAndGet();
 			return WebAnswer.text(fault.status(), "fault");
 		}
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ServerConnectionTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/ServerConnectionTests.java
@@ -113,6 +113,27 @@
 		assertThat(this.channel.isOpen()).isFalse();
 	}
 
+	// Guards against a request whose connection is closed without an answer since this
+	// process failed while it read the body.
+	@Test
+	void aRequestThatCannotBeReadForAFailureOfThisProcessIsAnswered() {
+		send(POST.substring(0, POST.length() - 2));
+		this.channel.pipeline().fireExceptionCaught(new IllegalStateException("failure of the test"));
+		this.channel.runPendingTasks();
+		assertThat(sent()).startsWith("HTTP/1.1 500 ").containsIgnoringCase("connection: close");
+		assertThat(this.handler.requests()).isEmpty();
+	}
+
+	// Guards against callers who wait for an answer from a handler that has failed.
+	@Test
+	void aRequestThatItsHandlerFailsOnIsAnswered() {
+		final EmbeddedChannel other = channelOf(new ServerConnection((request, reply) -> {
+			throw new IllegalStateException("failure of the test");
+		}, () -> LIMITS, () -> START_NANOS, HeldBytes.unbounded(), new RequestQueue(() -> START_NANOS), () -> false));
+		other.writeInbound(buffer(POST));
+		assertThat(text(other)).startsWith("HTTP/1.1 500 ");
+	}
+
 	// Guards against callers' resets that are reported as failures of this process.
 	@Test
 	void aConnectionThatItsCallerResetsIsNotReported() {
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/SlowReaderTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/SlowReaderTests.java
@@ -106,7 +106,7 @@
 			}
 
 			@Override
-			public WebAnswer onFault(RequestFault fault) {
+			public WebAnswer onFault(RequestFault fault, HeaderFields headers) {
 				assertThat(fault).isEqualTo(RequestFault.NO_ROOM);
 				return WebAnswer.text(503, "later");
 			}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -13,6 +13,7 @@
 import org.apache.commons.codec.digest.DigestUtils;
 
 import org.pistachioline.adapters.web.CloseCause;
+import org.pistachioline.adapters.web.HeaderFields;
 import org.pistachioline.adapters.web.RequestFault;
 import org.pistachioline.adapters.web.WebAnswer;
 import org.pistachioline.adapters.web.WebHandler;
@@ -156,7 +157,7 @@
 
 	private WebAnswer refusalOf(WebRequest request, RuntimeException cause) {
 		final ErrorKind kind = (cause instanceof PistachiolineException known) ? known.kind() : ErrorKind.INTERNAL;
-		final String requestId = requestIdOf(request);
+		final String requestId = requestIdOf(request.headers());
 		if (kind == ErrorKind.INTERNAL) {
 			Events.log(EventId.REQUEST_INTERNAL_ERROR, cause, "request", requestId);
 		}
@@ -169,21 +170,24 @@
 	}
 
 	@Override
-	public WebAnswer onFault(RequestFault fault) {
+	public WebAnswer onFault(RequestFault fault, HeaderFields headers) {
 		final ErrorKind kind = switch (fault) {
 			case MALFORMED -> ErrorKind.MALFORMED_REQUEST;
+			case INTERNAL -> ErrorKind.INTERNAL;
 			case NO_ROOM -> ErrorKind.OVERLOADED;
 			case TOO_SLOW -> ErrorKind.REQUEST_TIMEOUT;
 			case BODY_TOO_LARGE, HEAD_TOO_LARGE -> ErrorKind.REQUEST_TOO_LARGE;
 		};
-		logRefusal(UNKNOWN_REQUEST_ID, kind, "");
-		return RelayErrorResponses.of(UNKNOWN_REQUEST_ID, kind, RunState.NOT_RUN,
+		final String requestId = requestIdOf(headers);
+		logRefusal(requestId, kind, "");
+		return RelayErrorResponses.of(requestId, kind, RunState.NOT_RUN,
 				(fault == RequestFault.NO_ROOM) ? jitteredRetryMillis() : 0);
 	}
 
 	@Override
 	public void onUnhandled(WebRequest request, CloseCause cause) {
-		this.context.incompleteResponses().log(IncompleteResponse.unhandled(requestIdOf(request), cause.code()));
+		this.context.incompleteResponses()
+			.log(IncompleteResponse.unhandled(requestIdOf(request.headers()), cause.code()));
 	}
 
 	private void logRefusal(String requestId, ErrorKind kind, String path) {
@@ -200,9 +204,9 @@
 		return MIN_RETRY_AFTER_MILLIS + ThreadLocalRandom.current().nextLong(MIN_RETRY_AFTER_MILLIS);
 	}
 
-	private String requestIdOf(WebRequest request) {
+	private String requestIdOf(HeaderFields headers) {
 		try {
-			return this.context.protocol().readRequest(request.headers()).requestId();
+			return this.context.protocol().readRequest(headers).requestId();
 		}
 		catch (PistachiolineException ex) {
 			// Already reported: the refusal being built is about the unreadable headers.
