--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/SseEventForwarder.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/SseEventForwarder.java
@@ -1,8 +1,5 @@
 package org.pistachioline.daemon.relay;
 
-import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
-
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.AttemptOutcome;
 import org.pistachioline.daemon.traffic.AttemptListener;
@@ -27,15 +24,13 @@
 	 */
 	private static final int MAX_BYTES_WITHOUT_EVENT = 16 * 1024 * 1024;
 
-	private static final byte[] NO_BYTES = new byte[0];
-
 	private final AttemptId attempt;
 
 	private final StreamPosition position;
 
 	private final AttemptListener listener;
 
-	private byte[] partialEvent = NO_BYTES;
+	private final PartialEvent partialEvent = new PartialEvent();
 
 	private long bytesWithoutEvent;
 
@@ -60,24 +55,24 @@
 	 * size, so that the attempt must be aborted
 	 */
 	boolean forward(byte[] bytes, CallerResponse response) {
-		final byte[] available = (this.partialEvent.length == 0) ? bytes : concatenate(this.partialEvent, bytes);
 		final int deliveredBefore = this.position.deliveredEvents();
-		this.position.forwardNewEvents(available, response::write);
-		final int consumed = this.position.consumedBytes();
-		this.partialEvent = (consumed == available.length) ? NO_BYTES
-				: Arrays.copyOfRange(available, consumed, available.length);
+		if (this.partialEvent.sizeBytes() == 0) {
+			forwardComplete(bytes, response);
+		}
+		else if (this.partialEvent.add(bytes)) {
+			forwardComplete(this.partialEvent.bytes(), response);
+		}
 		if (!this.firstEventReported && this.position.deliveredEvents() > deliveredBefore) {
 			notifyListener();
 		}
 		this.bytesWithoutEvent = (this.position.deliveredEvents() > deliveredBefore) ? 0
 				: this.bytesWithoutEvent + bytes.length;
-		return this.partialEvent.length <= MAX_EVENT_BYTES && this.bytesWithoutEvent <= MAX_BYTES_WITHOUT_EVENT;
+		return this.partialEvent.sizeBytes() <= MAX_EVENT_BYTES && this.bytesWithoutEvent <= MAX_BYTES_WITHOUT_EVENT;
 	}
 
-	private static byte[] concatenate(byte[] first, byte[] second) {
-		final byte[] joined = Arrays.copyOf(first, first.length + second.length);
-		System.arraycopy(second, 0, joined, first.length, second.length);
-		return joined;
+	private void forwardComplete(byte[] available, CallerResponse response) {
+		this.position.forwardNewEvents(available, response::write);
+		this.partialEvent.set(available, this.position.consumedBytes());
 	}
 
 	/**
@@ -110,8 +105,7 @@
 	 * content length can be cut off at any point and still appear to end normally
 	 */
 	AttemptOutcome outcomeAtEnd() {
-		return new String(this.partialEvent, StandardCharsets.UTF_8).isBlank() ? AttemptOutcome.COMPLETE
-				: AttemptOutcome.BROKEN;
+		return this.partialEvent.isBlank() ? AttemptOutcome.COMPLETE : AttemptOutcome.BROKEN;
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/StreamPosition.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/StreamPosition.java
@@ -11,6 +11,9 @@
 
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+	/** The bytes of the longest ending of an event: LF, CR, LF. */
+	static final int MAX_EVENT_END_BYTES = 3;
+
 	/** Longer ids may not fit into a long; engines do not assign any. */
 	private static final int MAX_ID_DIGITS = 18;
 
@@ -49,14 +52,14 @@
 	 */
 	void forwardNewEvents(byte[] bytes, SliceReceiver receiver) {
 		int start = 0;
-		int end = eventEnd(bytes, start);
+		int end = eventEnd(bytes, start, bytes.length);
 		while (end >= 0) {
 			if (isNew(bytes, start, end)) {
 				receiver.accept(bytes, start, end - start);
 				this.deliveredEvents++;
 			}
 			start = end;
-			end = eventEnd(bytes, start);
+			end = eventEnd(bytes, start, bytes.length);
 		}
 		this.consumedBytes = start;
 	}
@@ -107,13 +110,20 @@
 		return true;
 	}
 
-	// An event ends with an empty line; both LF and CRLF line endings are accepted.
-	private static int eventEnd(byte[] bytes, int start) {
-		for (int i = start; i + 1 < bytes.length; i++) {
+	/**
+	 * Finds the end of an event. It ends with an empty line; both LF and CRLF line
+	 * endings are accepted.
+	 * @param bytes the array to search
+	 * @param start where the search starts
+	 * @param limit where it stops
+	 * @return the offset behind the event; -1 if it does not end there
+	 */
+	static int eventEnd(byte[] bytes, int start, int limit) {
+		for (int i = start; i + 1 < limit; i++) {
 			if (bytes[i] == '\n' && bytes[i + 1] == '\n') {
 				return i + 2;
 			}
-			if (bytes[i] == '\n' && bytes[i + 1] == '\r' && i + 2 < bytes.length && bytes[i + 2] == '\n') {
+			if (bytes[i] == '\n' && bytes[i + 1] == '\r' && i + 2 < limit && bytes[i + 2] == '\n') {
 				return i + 3;
 			}
 		}
