--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/GracefulShutdown.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/GracefulShutdown.java
@@ -120,6 +120,7 @@
 	// refused rather than lost.
 	private CompletableFuture<Void> stopAdmission() {
 		this.traffic.drain(new Drain(System.nanoTime(), retryAfterMillis(this.othersServed)));
+		this.tunnels.stopAccepting();
 		return this.relay.finish();
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/tunnel/TunnelRequestHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/tunnel/TunnelRequestHandler.java
@@ -54,7 +54,7 @@
 		if (!this.server.isTarget(targetAddress)) {
 			reject(ctx.channel(), TunnelResult.UNKNOWN_TARGET);
 		}
-		else if (this.server.isFull()) {
+		else if (!this.server.acceptsTunnels()) {
 			reject(ctx.channel(), TunnelResult.OVERLOADED);
 		}
 		else if (!this.server.reaches(targetAddress)) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/tunnel/TunnelServer.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/tunnel/TunnelServer.java
@@ -43,6 +43,8 @@
 
 	private final AtomicLong establishedTunnels = new AtomicLong();
 
+	private volatile boolean accepting = true;
+
 	private volatile Channel listener;
 
 	/**
@@ -117,8 +119,15 @@
 		return this.establishedTunnels.get();
 	}
 
-	boolean isFull() {
-		return this.openTunnels.get() >= MAX_TUNNELS;
+	/**
+	 * Refuses new tunnels from now on, because the daemon is leaving; open ones stay.
+	 */
+	public void stopAccepting() {
+		this.accepting = false;
+	}
+
+	boolean acceptsTunnels() {
+		return this.accepting && this.openTunnels.get() < MAX_TUNNELS;
 	}
 
 	boolean isTarget(String targetAddress) {
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/tunnel/TunnelTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/tunnel/TunnelTests.java
@@ -180,6 +180,21 @@
 		assertThat(resultOf(open())).isEqualTo(TunnelResult.UNREACHABLE);
 	}
 
+	// Guards against requests of other daemons that are cut off because this one ends,
+	// and
+	// against the end of those that are under way.
+	@Test
+	void aDaemonThatIsLeavingOpensNoFurtherTunnels() throws IOException {
+		final CompletableFuture<WebAnswer> answer = call();
+		try (Socket connection = this.target.accept()) {
+			readRequest(connection);
+			this.server.stopAccepting();
+			assertThat(resultOf(open())).isEqualTo(TunnelResult.OVERLOADED);
+			write(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+			assertThat(answer.join().body().text()).isEqualTo("ok");
+		}
+	}
+
 	@Test
 	void aDaemonThatIsNotThereGivesNoResult() {
 		final String address = this.server.localAddress();
