--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -214,8 +214,7 @@
 	}
 
 	// The pieces are copied into one buffer that grows by doubling: time and memory
-	// depend
-	// on the size of the body and not on the number of its pieces.
+	// depend on the size of the body and not on the number of its pieces.
 	private void collect(ByteBuf piece) {
 		if (!this.body.isReadable()) {
 			this.body = Unpooled.buffer(piece.readableBytes());
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/JsonLinesConfiguration.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/JsonLinesConfiguration.java
@@ -44,8 +44,7 @@
 	}
 
 	// The appenders are started with the configuration. Started here too, the buffer
-	// would
-	// have two threads, and stopping would wait for the one that is not told to end.
+	// would have two threads, and a stop would wait for the one that is not told to end.
 	//
 	// The process that reads standard output may stop reading. A duty must not block on
 	// logging then: a full buffer drops events and reports it on standard error.
