--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/GracefulShutdown.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/GracefulShutdown.java
@@ -91,8 +91,8 @@
 		final int interrupted = this.traffic.activeRequestCount();
 		this.traffic.interruptAll();
 		awaitClosed(closed, endsAtNanos);
-		Events.log(EventId.STOPPED, "held", this.traffic.activeRequestCount(), "lingered_millis", lingeredMillis,
-				"interrupted", interrupted, "waited_millis", millisSince(startedAtNanos));
+		Events.log(EventId.STOPPED, "interrupted", interrupted, "lingered_millis", lingeredMillis, "waited_millis",
+				millisSince(startedAtNanos));
 	}
 
 	// Without another daemon, callers would find nobody until this one is back.
