--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/CompletionTimes.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/CompletionTimes.java
@@ -59,8 +59,10 @@
 	}
 
 	private static SizeClass sizeClass(RequestInfo info) {
+		// Callers state the size, and nothing keeps them from stating a negative one.
+		final int tokens = Math.max(0, info.maxOutputTokens());
 		return new SizeClass(info.targetKind(), info.name(),
-				(int) Math.ceil(CLASSES_PER_DOUBLING * Math.log1p(info.maxOutputTokens()) / Math.log(2)));
+				(int) Math.ceil(CLASSES_PER_DOUBLING * Math.log1p(tokens) / Math.log(2)));
 	}
 
 	// The previous window is kept, so that an estimate always covers a whole one.
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/DrainTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/DrainTests.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
@@ -75,6 +76,17 @@
 		assertThat(offer(DEADLINE_MILLIS, 60)).singleElement().isInstanceOf(TrafficAction.Fail.class);
 	}
 
+	// Guards against a daemon that hangs on a size that no request can have.
+	@Test
+	@Timeout(10)
+	void aSizeBelowZeroIsTakenForZero() {
+		startTarget();
+		completeRequests(SAMPLES, -1, 500);
+		drain(2_000, 700);
+		assertThat(offer(DEADLINE_MILLIS, -1)).singleElement().isInstanceOf(TrafficAction.Start.class);
+		assertThat(offer(DEADLINE_MILLIS, Integer.MIN_VALUE)).singleElement().isInstanceOf(TrafficAction.Start.class);
+	}
+
 	// Guards against requests that keep their connections open until the process is gone.
 	@Test
 	void whatIsLeftAtTheEndOfTheDrainGetsAnAnswerThatIsTrue() {
