--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/CompletionTimes.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/CompletionTimes.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Estimates how long requests take at most, from those that completed lately.
@@ -13,7 +12,7 @@
  */
 final class CompletionTimes {
 
-	private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(30);
+	private static final long WINDOW_NANOS = 30_000_000_000L;
 
 	private static final int MIN_SAMPLES = 20;
 
