--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebServer.java
@@ -9,6 +9,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.nio.AbstractNioChannel;
 
 /**
  * Listens on one address and hands each request to a handler.
@@ -21,6 +22,11 @@
 	/** A loop that is stuck must not keep the process from stopping. */
 	private static final long STOP_MILLIS = 500;
 
+	/**
+	 * Time for the first request on a connection that was made just before the finish.
+	 */
+	private static final long NEW_CONNECTION_MILLIS = 100;
+
 	private final WebLoop loop;
 
 	private final String address;
@@ -128,17 +134,31 @@
 	 */
 	public CompletableFuture<Void> finish() {
 		leave();
-		if (this.listener != null) {
-			this.listener.close();
-		}
 		this.loop.execute(() -> {
-			this.finishing = true;
-			Set.copyOf(this.connections).forEach(ServerConnection::finish);
-			completeIfFinished();
+			stopListening();
+			this.loop.after(this::finishConnections, NEW_CONNECTION_MILLIS);
 		});
 		return this.finished;
 	}
 
+	// The system has made connections that were not accepted yet. Closed now, they would
+	// be reset, with the requests that their callers have sent.
+	private void stopListening() {
+		if (this.listener == null) {
+			return;
+		}
+		if (this.listener.isOpen() && this.listener.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+			socket.read();
+		}
+		this.listener.close();
+	}
+
+	private void finishConnections() {
+		this.finishing = true;
+		Set.copyOf(this.connections).forEach(ServerConnection::finish);
+		completeIfFinished();
+	}
+
 	private void completeIfFinished() {
 		if (this.finishing && this.connections.isEmpty()) {
 			this.finished.complete(null);
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/FinishingServerTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/FinishingServerTests.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 
 import org.junit.jupiter.api.AfterEach;
@@ -82,6 +83,36 @@
 		finished.join();
 	}
 
+	// Guards against a request that is reset because its connection waits to be accepted
+	// when the listener closes.
+	@Test
+	void aConnectionThatWasMadeBeforeTheServerFinishesIsServed() throws Exception {
+		final CountDownLatch busy = new CountDownLatch(1);
+		this.loop.execute(() -> await(busy));
+		final CompletableFuture<Void> finished;
+		try (Socket caller = call(GET)) {
+			finished = this.server.finish();
+			busy.countDown();
+			answer(this.replies.take());
+			assertThat(readToEnd(caller)).contains("HTTP/1.1 200", CLOSE);
+		}
+		finished.join();
+	}
+
+	// Guards against a request that is on its way on a connection that was just made.
+	@Test
+	void aNewConnectionHasAMomentForItsFirstRequest() throws Exception {
+		final CompletableFuture<Void> finished;
+		try (Socket caller = call("")) {
+			finished = this.server.finish();
+			CompletableFuture.runAsync(this.replies::size, this.loop).join();
+			send(caller, GET);
+			answer(this.replies.take());
+			assertThat(readToEnd(caller)).contains("HTTP/1.1 200", CLOSE);
+		}
+		finished.join();
+	}
+
 	// Guards against callers who connect to a server that will not answer them.
 	@Test
 	void nobodyCanConnectOnceTheServerFinishes() throws Exception {
@@ -108,6 +139,15 @@
 		finished.join();
 	}
 
+	private static void await(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 	private void answer(WebReply reply) {
 		this.loop.execute(() -> reply.whole(WebAnswer.text(200, "done")));
 	}
