--- /dev/null
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/LateOrderTests.java
@@ -0,0 +1,31 @@
+package org.pistachioline.core.replica;
+
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LateOrderTests {
+
+	private static final long DAY_MILLIS = 60_000;
+
+	/**
+	 * Guards against an instance that is taken from a serving group which late orders of
+	 * the same planner have joined and opened again after its end.
+	 */
+	@ParameterizedTest
+	@Tag("known-red")
+	@CsvSource({ "348, 0, 0.5, false, false", "363, 0, 0.5, false, false", "690, 0, 0.5, true, false",
+			"259, 0.1, 0.5, false, true", "18, 0.3, 0.3, true, true" })
+	void anEndedGroupIsNotRevivedByLateOrders(long seed, double lostRatio, double lateRatio, boolean restarts,
+			boolean longPartitions) {
+		final ReplicaSimulation simulation = new ReplicaSimulation(seed, 6, lostRatio, lateRatio, true);
+		simulation.restartAtSameAddress = restarts;
+		simulation.lateOrdersReachRestarted = restarts;
+		simulation.longPartitions = longPartitions;
+		simulation.run(DAY_MILLIS, true);
+		assertThat(simulation.violations).isEmpty();
+	}
+
+}
