--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -256,6 +256,15 @@
 	/** Logged with the cause and with the time from the loss until they were free. */
 	GROUP_RELEASED(437, EventLevel.INFO, "The members of a group that no longer serves are free again."),
 
+	/** Logged with the evidence that the group's head no longer serves. */
+	GROUP_ENDED(438, EventLevel.INFO, "A group has ended for its planner, which may assign its members again."),
+
+	/**
+	 * Logged when the head of an ended group reports it again. Orders that were late have
+	 * then been executed after newer ones.
+	 */
+	GROUP_REVIVED(439, EventLevel.WARN, "The head of an ended group reports the group again; it is closed once more."),
+
 	/**
 	 * Logged when the evidence that a request, or a part of prompts, crashes its targets
 	 * suffices, with the kind of suspect.
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/EndedGroups.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/EndedGroups.java
@@ -1,5 +1,6 @@
 package org.pistachioline.core.replica;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,10 +19,32 @@
 	/** Time after which the instance list reflects the end of a group. */
 	private static final long END_VISIBLE_NANOS = 1_000_000_000L;
 
+	/** Bounds the ends and revivals that nobody takes. */
+	private static final int MAX_RECORDED = 1_000;
+
 	private final Map<GroupId, EndedGroup> endedGroups = new HashMap<>();
 
-	void add(long nowNanos, TrackedGroup tracked) {
+	private final List<GroupEnd> ends = new ArrayList<>();
+
+	private final List<GroupId> revivals = new ArrayList<>();
+
+	void add(long nowNanos, TrackedGroup tracked, GroupStatus status) {
 		this.endedGroups.put(tracked.id, new EndedGroup(nowNanos, tracked.headLeft));
+		if (this.ends.size() < MAX_RECORDED) {
+			this.ends.add(GroupEnd.of(tracked, status));
+		}
+	}
+
+	List<GroupEnd> takeEnds() {
+		final List<GroupEnd> taken = List.copyOf(this.ends);
+		this.ends.clear();
+		return taken;
+	}
+
+	List<GroupId> takeRevivals() {
+		final List<GroupId> taken = List.copyOf(this.revivals);
+		this.revivals.clear();
+		return taken;
 	}
 
 	void clear() {
@@ -36,8 +59,15 @@
 	 */
 	void removeEnded(long nowNanos, Map<GroupId, List<ServingInstance>> reported) {
 		this.endedGroups.keySet().retainAll(reported.keySet());
-		this.endedGroups.entrySet()
-			.removeIf((entry) -> entry.getValue().isRevived(nowNanos, reported.get(entry.getKey())));
+		final List<GroupId> revived = this.endedGroups.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().isRevived(nowNanos, reported.get(entry.getKey())))
+			.map(Map.Entry::getKey)
+			.toList();
+		revived.forEach(this.endedGroups::remove);
+		if (this.revivals.size() < MAX_RECORDED) {
+			this.revivals.addAll(revived);
+		}
 		reported.keySet().removeAll(this.endedGroups.keySet());
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -120,9 +120,10 @@
 					&& view.unresponsiveIds().contains(tracked.headId()));
 		this.trackedGroups.values().removeIf((tracked) -> {
 			final boolean ended = this.reconciler.reconcile(view.nowNanos(), tracked, byId);
-			this.groupLosses.observe(view, tracked, new GroupStatus(tracked, byId), ended);
+			final GroupStatus status = new GroupStatus(tracked, byId);
+			this.groupLosses.observe(view, tracked, status, ended);
 			if (ended) {
-				this.endedGroups.add(view.nowNanos(), tracked);
+				this.endedGroups.add(view.nowNanos(), tracked, status);
 			}
 			return ended;
 		});
@@ -355,6 +356,23 @@
 		return this.groupLosses.take();
 	}
 
+	/**
+	 * Returns the groups that have ended, and forgets them.
+	 * @return the ends since the last call
+	 */
+	public List<GroupEnd> takeGroupEnds() {
+		return this.endedGroups.takeEnds();
+	}
+
+	/**
+	 * Returns the groups that were reported again after their end, because a head has
+	 * executed late orders, and forgets them.
+	 * @return the groups since the last call
+	 */
+	public List<GroupId> takeRevivedGroups() {
+		return this.endedGroups.takeRevivals();
+	}
+
 	/**
 	 * Returns the groups that the planner tracks, for operators.
 	 * @return the ids of the members, by the name of the group
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -382,6 +382,11 @@
 					.forEach((order) -> sendOrder(order, term));
 				groupsByName.putAll(planner.groups());
 				planner.takeGroupLosses().forEach(ReplicaDuty::logLoss);
+				planner.takeGroupEnds()
+					.forEach((end) -> Events.log(EventId.GROUP_ENDED, "group", end.group().name(), "evidence",
+							end.evidence()));
+				planner.takeRevivedGroups()
+					.forEach((group) -> Events.log(EventId.GROUP_REVIVED, "group", group.name()));
 				if (logSummary) {
 					final PoolSummary summary = planner.summary(usableInstancesOf(service, unresponsiveIds),
 							service.engine().orElseThrow());
