Planner: a lease that is reacquired in its term keeps what was known

Cause: after a lapse of the lease the planner forgot its groups, the ended ones among them, and started from the list alone, also where the lease came back in the same term, in which nobody else can have planned. A group whose members had not reported yet was formed a second time.

Change: a term that is already known begins nothing anew. aLeaseThatIsReacquiredInTheSameTermKeepsTheGroupsOfThatTerm failed before.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -76,13 +76,17 @@
 
 	/**
 	 * Begins a term: this daemon has become the planner, or its lease was renewed with a
-	 * higher term.
+	 * higher term, or was reacquired in the same one. No other daemon has planned in a
+	 * term that is reacquired, so everything known of it remains valid.
 	 * @param nowNanos the monotonic time
 	 * @param newTerm the term of the lease, which increases with every change of its
 	 * holder
 	 * @param heldContinuously whether this daemon held the lease without interruption
 	 */
 	public void beginTerm(long nowNanos, long newTerm, boolean heldContinuously) {
+		if (newTerm == this.term) {
+			return;
+		}
 		if (!heldContinuously) {
 			this.trackedGroups.clear();
 			this.endedGroups.clear();
@@ -90,12 +94,7 @@
 			this.loadLimiter.takeOver(nowNanos);
 			this.unansweredJoins.takeOver(nowNanos);
 		}
-		// A lease that expired while the store was unavailable may be reacquired with the
-		// same term. The epochs then continue, as groups formed earlier in that term
-		// still serve.
-		if (newTerm != this.term) {
-			this.groupsFormedInTerm = 0;
-		}
+		this.groupsFormedInTerm = 0;
 		this.term = newTerm;
 	}
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -249,6 +249,21 @@
 			.allMatch((order) -> order instanceof ReplicaOrder.Join join && join.group().epoch() > first.epoch());
 	}
 
+	/**
+	 * Guards against a planner that forgets its own groups and orders when it reacquires
+	 * its lease in the same term, and assigns their members once more.
+	 */
+	@Test
+	void aLeaseThatIsReacquiredInTheSameTermKeepsTheGroupsOfThatTerm() {
+		final ServingInstance[] instances = { free("a", "small"), free("b", "small") };
+		this.planner.beginTerm(0, 5, false);
+		final GroupId group = ((ReplicaOrder.Join) this.planner.plan(view(10 * SECOND_NANOS, instances)).get(0))
+			.group();
+		this.planner.beginTerm(14 * SECOND_NANOS, 5, false);
+		assertThat(this.planner.plan(view(15 * SECOND_NANOS, instances))).hasSize(2)
+			.allMatch((order) -> order instanceof ReplicaOrder.Join join && join.group().equals(group));
+	}
+
 	@ParameterizedTest
 	@ValueSource(booleans = { false, true })
 	void allSurvivorsServeAgainAfterTheFailuresStop(boolean fleetDecisions) {
