Planner: a head that cannot close is ordered to leave before it counts as gone

Cause: 409 to an order to close was taken for a head outside the group. A head that still joins, brought back by a late join, answers the same, and a late open then made it serve while its members were reassigned.

Change: such a head is ordered to leave; only one that can neither close nor leave is outside. aHeadThatCannotCloseIsOrderedToLeave... failed before. In the planner's world a joining head refuses to close.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -179,6 +179,7 @@
 		if (previous != null) {
 			reconstructed.incompleteSinceNanos = previous.incompleteSinceNanos;
 			reconstructed.headClosed = previous.headClosed;
+			reconstructed.headUnfitToClose = previous.headUnfitToClose;
 			reconstructed.headLeft = previous.headLeft;
 			reconstructed.headUnresponsive = previous.headUnresponsive;
 			reconstructed.followerLeft = previous.followerLeft;
@@ -315,25 +316,41 @@
 
 	private void onGroupOutcome(ReplicaOrder.GroupOrder order, OrderOutcome outcome) {
 		final TrackedGroup tracked = this.trackedGroups.get(order.group());
-		if (tracked != null && order instanceof ReplicaOrder.Close) {
-			tracked.headClosed |= outcome == OrderOutcome.STARTED || outcome == OrderOutcome.HOLDS;
-			tracked.headUnresponsive |= outcome == OrderOutcome.UNKNOWN;
-			// An instance outside the group, or another process at the address, holds
-			// none of its requests.
-			tracked.headLeft |= outcome == OrderOutcome.UNFIT || outcome == OrderOutcome.OTHER_INSTANCE;
+		if (tracked == null) {
+			return;
+		}
+		if (order instanceof ReplicaOrder.Close) {
+			onCloseOutcome(tracked, outcome);
+		}
+		else if (order instanceof ReplicaOrder.Leave) {
+			onLeaveOutcome(tracked, order.instance().id(), outcome);
+		}
+		else if (order instanceof ReplicaOrder.Join) {
+			tracked.joinRefused |= outcome == OrderOutcome.FENCED || outcome == OrderOutcome.OTHER_INSTANCE
+					|| outcome == OrderOutcome.INVALID;
 		}
-		if (tracked != null && order instanceof ReplicaOrder.Leave) {
-			final boolean toHead = order.instance().id().equals(tracked.headId());
-			final boolean settled = outcome != OrderOutcome.UNKNOWN && outcome != OrderOutcome.FENCED
-					&& outcome != OrderOutcome.SUPERSEDED;
-			tracked.headLeft |= toHead && settled && outcome != OrderOutcome.UNFIT;
-			tracked.headUnresponsive |= toHead && outcome == OrderOutcome.UNKNOWN;
-			tracked.followerLeft |= !toHead && settled;
+	}
+
+	private static void onCloseOutcome(TrackedGroup tracked, OrderOutcome outcome) {
+		tracked.headUnfitToClose |= outcome == OrderOutcome.UNFIT;
+		tracked.headClosed |= outcome == OrderOutcome.STARTED || outcome == OrderOutcome.HOLDS
+				|| outcome == OrderOutcome.UNFIT;
+		tracked.headUnresponsive |= outcome == OrderOutcome.UNKNOWN;
+		// Another process at the address holds none of the group's requests.
+		tracked.headLeft |= outcome == OrderOutcome.OTHER_INSTANCE;
+	}
+
+	private static void onLeaveOutcome(TrackedGroup tracked, String instanceId, OrderOutcome outcome) {
+		final boolean settled = outcome != OrderOutcome.UNKNOWN && outcome != OrderOutcome.FENCED
+				&& outcome != OrderOutcome.SUPERSEDED;
+		if (instanceId.equals(tracked.headId())) {
+			// A head that can neither close nor leave is outside the group. One that can
+			// only not close may still be joining.
+			tracked.headLeft |= settled && (outcome != OrderOutcome.UNFIT || tracked.headUnfitToClose);
+			tracked.headUnresponsive |= outcome == OrderOutcome.UNKNOWN;
 		}
-		final boolean refused = outcome == OrderOutcome.FENCED || outcome == OrderOutcome.OTHER_INSTANCE
-				|| outcome == OrderOutcome.INVALID;
-		if (tracked != null && refused && order instanceof ReplicaOrder.Join) {
-			tracked.joinRefused = true;
+		else {
+			tracked.followerLeft |= settled;
 		}
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/TrackedGroup.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/TrackedGroup.java
@@ -33,9 +33,12 @@
 	/** The head as it was last listed; null if it never was. */
 	ServingInstance lastListedHead;
 
-	/** Whether the head has acknowledged a close order since the last open order. */
+	/** Whether the head has answered a close order since the last open order. */
 	boolean headClosed;
 
+	/** Whether the head has answered that its state does not allow to close. */
+	boolean headUnfitToClose;
+
 	/** Whether the head has left the group, so that no late order can open it again. */
 	boolean headLeft;
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -297,6 +297,28 @@
 			.containsExactlyInAnyOrder("b", "c");
 	}
 
+	/**
+	 * Guards against taking a head that cannot close because it still joins for one that
+	 * has left: a late order to open would make it serve without its members.
+	 */
+	@Test
+	void aHeadThatCannotCloseIsOrderedToLeaveBeforeItsMembersAreReassigned() {
+		final GroupId group = GroupId.of("small", 5);
+		final ServingInstance head = member("a", group, 0, MemberState.JOINING);
+		final ServingInstance follower = member("b", group, 1, MemberState.READY);
+		this.planner.beginTerm(0, 1, false);
+		final ServingInstance draining = head.asDraining();
+		assertThat(this.planner.plan(view(SECOND_NANOS, draining, follower))).isEmpty();
+		planAndAnswer(2 * SECOND_NANOS, new ReplicaOrder.Close(draining, group, true), OrderOutcome.UNFIT, draining,
+				follower);
+		planAndAnswer(2 * SECOND_NANOS + TICK_NANOS, new ReplicaOrder.Leave(draining, group), OrderOutcome.UNFIT,
+				draining, follower);
+		assertThat(this.planner.plan(view(2 * SECOND_NANOS + 2 * TICK_NANOS, draining, follower, free("c", "small"))))
+			.allMatch((order) -> order instanceof ReplicaOrder.Join)
+			.extracting((order) -> order.instance().id())
+			.containsExactlyInAnyOrder("b", "c");
+	}
+
 	/**
 	 * A planner closes a group to reassign its members and fails; one of its orders is
 	 * executed seconds later. Guards against the next planner reopening the group, as
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
@@ -435,7 +435,7 @@
 			head.state = MemberState.READY;
 			return OrderOutcome.STARTED;
 		}
-		return OrderOutcome.HOLDS;
+		return (head.state == MemberState.JOINING) ? OrderOutcome.UNFIT : OrderOutcome.HOLDS;
 	}
 
 	PoolSummary summary() {
