Planner: an unanswered join is remembered beside a later one to the same address

Cause: one order was kept for each address, so a later unanswered join of another group hid that the head of the first might still come back to it, and that group's members were assigned.

Change: all that may still arrive are kept. aLaterJoinOfAnotherGroupDoesNotHideAnEarlierOne failed before.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/UnansweredJoins.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/UnansweredJoins.java
@@ -1,5 +1,6 @@
 package org.pistachioline.core.replica;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -24,7 +25,7 @@
 
 	private final boolean holdsSameInstance;
 
-	private final Map<String, UnansweredJoin> byAddress = new HashMap<>();
+	private final Map<String, List<UnansweredJoin>> byAddress = new HashMap<>();
 
 	private long tookOverAtNanos;
 
@@ -49,12 +50,16 @@
 	void add(long nowNanos, ReplicaOrder.Join join) {
 		final String recipientId = join.instance().id();
 		final boolean toHead = join.memberIds().get(0).equals(recipientId);
-		this.byAddress.put(join.instance().address(),
-				new UnansweredJoin(recipientId, toHead ? join.memberIds() : List.of(), nowNanos));
+		final List<UnansweredJoin> joins = this.byAddress.computeIfAbsent(join.instance().address(),
+				(address) -> new ArrayList<>());
+		joins.removeIf((earlier) -> earlier.group().equals(join.group()) && earlier.instanceId().equals(recipientId));
+		joins.add(new UnansweredJoin(recipientId, join.group(), toHead ? join.memberIds() : List.of(), nowNanos));
 	}
 
 	void removeExpired(long nowNanos) {
-		this.byAddress.values().removeIf((join) -> nowNanos - join.unansweredAtNanos() >= MAX_ORDER_DELAY_NANOS);
+		this.byAddress.values()
+			.forEach((joins) -> joins.removeIf((join) -> nowNanos - join.unansweredAtNanos() >= MAX_ORDER_DELAY_NANOS));
+		this.byAddress.values().removeIf(List::isEmpty);
 	}
 
 	/**
@@ -66,13 +71,15 @@
 	 * @return whether an order may still arrive
 	 */
 	boolean mayReach(long nowNanos, ServingInstance instance, Collection<ServingInstance> delisted) {
-		final UnansweredJoin join = this.byAddress.get(instance.address());
-		if (join != null && (this.holdsSameInstance || !join.instanceId().equals(instance.id()))) {
+		if (this.byAddress.getOrDefault(instance.address(), List.of())
+			.stream()
+			.anyMatch((join) -> this.holdsSameInstance || !join.instanceId().equals(instance.id()))) {
 			return true;
 		}
 		if (this.holdsSameInstance && this.byAddress.values()
 			.stream()
-			.anyMatch((unanswered) -> unanswered.memberIds().contains(instance.id()))) {
+			.flatMap(List::stream)
+			.anyMatch((join) -> join.memberIds().contains(instance.id()))) {
 			return true;
 		}
 		return this.tookOver && nowNanos - this.tookOverAtNanos < MAX_ORDER_DELAY_NANOS && delisted.stream()
@@ -83,11 +90,12 @@
 	 * An unanswered join order.
 	 *
 	 * @param instanceId the recipient
+	 * @param group the group
 	 * @param memberIds the members of the group if the recipient is its head; otherwise
 	 * empty
 	 * @param unansweredAtNanos the monotonic time at which the order was found unanswered
 	 */
-	private record UnansweredJoin(String instanceId, List<String> memberIds, long unansweredAtNanos) {
+	private record UnansweredJoin(String instanceId, GroupId group, List<String> memberIds, long unansweredAtNanos) {
 
 	}
 
