Planner: a group whose head has left by order is over, whoever is listed again

Cause: that the head had left stayed noted, but did not count as a loss. A group whose missing member was listed again in that moment was joined and opened anew under its epoch. When its open head was merely delisted later, it counted as gone at once, and its members were reassigned while it served.

Change: such a group is lost. aGroupWhoseHeadHasLeftIsNotJoinedAgain failed before.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReconciler.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReconciler.java
@@ -95,7 +95,7 @@
 		if (headState == MemberState.BROKEN) {
 			return true;
 		}
-		final boolean lost = !status.allListed() || status.anyInLaterGroup() || tracked.joinRefused
+		final boolean lost = !status.allListed() || status.anyInLaterGroup() || tracked.joinRefused || tracked.headLeft
 				|| tracked.followerLeft;
 		if (headState == MemberState.OPEN) {
 			if (lost || status.anyDraining() || tracked.dissolving) {
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -297,6 +297,31 @@
 			.containsExactlyInAnyOrder("b", "c");
 	}
 
+	/**
+	 * Guards against a group that goes on under its epoch after its head has left by
+	 * order: a head that is delisted later would count as gone while it serves.
+	 */
+	@Test
+	void aGroupWhoseHeadHasLeftIsNotJoinedAgain() {
+		this.planner.beginTerm(0, 1, false);
+		final ReplicaOrder.Join join = (ReplicaOrder.Join) this.planner
+			.plan(view(10 * SECOND_NANOS, free("a", "small"), free("b", "small")))
+			.get(0);
+		final GroupId group = join.group();
+		final String headId = join.memberIds().get(0);
+		final String followerId = join.memberIds().get(1);
+		final ServingInstance head = member(headId, group, 0, MemberState.READY);
+		final ServingInstance openHead = member(headId, group, 0, MemberState.OPEN);
+		final ServingInstance follower = member(followerId, group, 1, MemberState.READY);
+		planAndAnswer(12 * SECOND_NANOS, new ReplicaOrder.Open(head, group), OrderOutcome.STARTED, head, follower);
+		planAndAnswer(13 * SECOND_NANOS, new ReplicaOrder.Close(openHead, group, true), OrderOutcome.STARTED, openHead);
+		planAndAnswer(13 * SECOND_NANOS + 5 * TICK_NANOS, new ReplicaOrder.Leave(head, group), OrderOutcome.STARTED,
+				head);
+		assertThat(this.planner.plan(view(13 * SECOND_NANOS + 6 * TICK_NANOS, free(headId, "small"), follower)))
+			.allMatch((order) -> order instanceof ReplicaOrder.Join next && next.group().epoch() > group.epoch())
+			.hasSize(2);
+	}
+
 	/**
 	 * Guards against taking a head that cannot close because it still joins for one that
 	 * has left: a late order to open would make it serve without its members.
