Planner's world: instances, faults, list and late orders are classes of their own

Cause: ReplicaSimulation had 529 lines and four duties.

Change: the execution of orders, the faults, the instance list and the queue of late orders stand in small classes. Random draws keep their order. No behaviour is changed.

--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -30,10 +29,6 @@
 
 	static final long TRAFFIC_STARTS_AT_MILLIS = 15_000;
 
-	private static final long PARTITION_MILLIS = 10_000;
-
-	private static final long LONG_PARTITION_MILLIS = 40_000;
-
 	static final long LIST_LAG_MILLIS = 400;
 
 	final EngineSpec engine;
@@ -46,10 +41,13 @@
 
 	final Map<String, SimulatedInstance> instances = new TreeMap<>();
 
-	private final PriorityQueue<LateOrder> lateOrders = new PriorityQueue<>(
-			(first, second) -> Long.compare(first.atMillis(), second.atMillis()));
+	private final LateOrderQueue lateOrders = new LateOrderQueue();
+
+	private final SimulatedInstanceList instanceList = new SimulatedInstanceList(this);
 
-	private final List<Map<String, ServingInstance>> listHistory = new ArrayList<>();
+	private final SimulatedFaults faults = new SimulatedFaults(this);
+
+	private final SimulatedExecution execution;
 
 	private final DelistedInstances delisted = new DelistedInstances();
 
@@ -73,7 +71,7 @@
 	 * Maps a terminated instance to the one that restarted at its address and receives
 	 * its orders.
 	 */
-	private final Map<String, String> restartedAs = new HashMap<>();
+	final Map<String, String> restartedAs = new HashMap<>();
 
 	/** The availability zones to be evacuated. */
 	Set<String> evacuatedZones = Set.of();
@@ -89,13 +87,6 @@
 	 */
 	boolean lateOrdersReachRestarted;
 
-	/**
-	 * Whether a further loss of a member restarts the head's stall time. Engines count
-	 * from the first loss; the policy without fleet decisions is held against the harder
-	 * case.
-	 */
-	private final boolean stallRestartsWithEachLoss;
-
 	/** Whether instances reject orders with a lower fencing token than an earlier one. */
 	boolean fencingEnforced = true;
 
@@ -107,10 +98,6 @@
 	/** Whether the store is unavailable at times, so that the list stands still. */
 	boolean storeOutages;
 
-	private long lapsedUntilMillis;
-
-	private long storeUnavailableUntilMillis;
-
 	/** The time between two instances that are listed when the fleet starts. */
 	long listingIntervalMillis;
 
@@ -124,7 +111,7 @@
 	ReplicaSimulation(long seed, EngineSpec engine, int domains, int domainSize, double lostRatio, double lateRatio,
 			boolean fleetDecisions, int fullSpeedLoads) {
 		this.random = new Random(seed);
-		this.stallRestartsWithEachLoss = !fleetDecisions;
+		this.execution = new SimulatedExecution(this, !fleetDecisions);
 		this.engine = engine;
 		this.weightStore = new SimulatedWeightStore(fullSpeedLoads);
 		this.lostRatio = lostRatio;
@@ -149,94 +136,15 @@
 		while (this.nowMillis < endMillis) {
 			this.nowMillis += STEP_MILLIS;
 			if (withFaults) {
-				injectFaults();
+				this.faults.inject();
 			}
 			deliverLateOrders();
-			this.instances.values().forEach(this::advance);
-			updateList();
+			this.instances.values().forEach(this.execution::advance);
+			this.instanceList.update(this.faults.storeUnavailable());
 			plan();
 		}
 	}
 
-	private void injectFaults() {
-		if (this.random.nextInt(15) == 0) {
-			final List<SimulatedInstance> alive = this.instances.values()
-				.stream()
-				.filter((instance) -> instance.alive)
-				.toList();
-			final SimulatedInstance failed = alive.get(this.random.nextInt(alive.size()));
-			failed.alive = false;
-			failed.failedAtMillis = this.nowMillis;
-			replace(failed);
-		}
-		if (this.random.nextInt(40) == 0) {
-			final List<SimulatedInstance> all = List.copyOf(this.instances.values());
-			final SimulatedInstance partitioned = all.get(this.random.nextInt(all.size()));
-			partitioned.unreachable = this.random.nextInt(3) == 0;
-			partitioned.partitionedUntilMillis = this.nowMillis
-					+ ((partitioned.unreachable && this.longPartitions) ? LONG_PARTITION_MILLIS : PARTITION_MILLIS);
-		}
-		if (this.random.nextInt(60) == 0) {
-			this.leaseHolder = 1 - this.leaseHolder;
-			this.term++;
-			this.planners[this.leaseHolder].beginTerm(this.nowMillis * 1_000_000, this.term, false);
-		}
-		if (this.leaseLapses && this.random.nextInt(100) == 0) {
-			this.lapsedUntilMillis = this.nowMillis + 500 + this.random.nextInt(5_000);
-		}
-		else if (this.lapsedUntilMillis > 0 && this.nowMillis >= this.lapsedUntilMillis) {
-			this.lapsedUntilMillis = 0;
-			this.planners[this.leaseHolder].beginTerm(this.nowMillis * 1_000_000, this.term, false);
-		}
-		if (this.storeOutages && this.random.nextInt(120) == 0) {
-			this.storeUnavailableUntilMillis = this.nowMillis + 1_000 + this.random.nextInt(14_000);
-		}
-	}
-
-	private void replace(SimulatedInstance failed) {
-		final SimulatedInstance successor = addInstance(failed.domain);
-		if (this.restartAtSameAddress) {
-			successor.address = failed.address;
-			this.restartedAs.put(failed.id, successor.id);
-			// The list has one entry for the address, and shows the restarted instance.
-			failed.restarted = true;
-		}
-	}
-
-	private SimulatedInstance currentInstance(ReplicaOrder order) {
-		String id = order.instance().id();
-		while (this.restartedAs.containsKey(id)) {
-			id = this.restartedAs.get(id);
-		}
-		return this.instances.get(id);
-	}
-
-	private void advance(SimulatedInstance instance) {
-		if (instance.alive && !instance.stagingModel.isEmpty() && this.nowMillis >= instance.stagedAtMillis) {
-			instance.stagedModels = Set.of(instance.stagingModel);
-			instance.stagingModel = "";
-		}
-		if (!instance.alive || instance.group == null) {
-			return;
-		}
-		if (instance.state == MemberState.JOINING && this.nowMillis >= instance.readyAtMillis) {
-			instance.state = MemberState.READY;
-			instance.everReady.add(instance.group);
-		}
-		if (instance.state == MemberState.OPEN) {
-			final long lostAtMillis = memberLostSince(instance);
-			if (this.stallRestartsWithEachLoss || lostAtMillis < 0) {
-				instance.stalledSinceMillis = lostAtMillis;
-			}
-			else if (instance.stalledSinceMillis < 0) {
-				instance.stalledSinceMillis = this.nowMillis;
-			}
-			if (lostAtMillis >= 0 && this.nowMillis - instance.stalledSinceMillis >= STALL_TIMEOUT_MILLIS) {
-				instance.state = MemberState.BROKEN;
-			}
-		}
-	}
-
 	long memberLostSince(SimulatedInstance head) {
 		long sinceMillis = -1;
 		for (final String id : head.members) {
@@ -251,38 +159,14 @@
 		return sinceMillis;
 	}
 
-	private void updateList() {
-		if (this.nowMillis < this.storeUnavailableUntilMillis && !this.listHistory.isEmpty()) {
-			this.listHistory.add(this.listHistory.get(this.listHistory.size() - 1));
-			return;
-		}
-		final Map<String, ServingInstance> listed = new HashMap<>();
-		for (final SimulatedInstance instance : this.instances.values()) {
-			final long unreachableMillis = instance.alive ? this.nowMillis - instance.partitionedSince(this.nowMillis)
-					: this.nowMillis - instance.failedAtMillis;
-			final int index = Integer.parseInt(instance.id.substring("i-".length()));
-			if (unreachableMillis >= 3 * HEARTBEAT_MILLIS || instance.restarted
-					|| this.nowMillis < index * this.listingIntervalMillis) {
-				instance.lastListed = null;
-			}
-			else if (instance.alive && unreachableMillis == 0) {
-				instance.lastListed = instance.report();
-			}
-			if (instance.lastListed != null) {
-				listed.put(instance.id, instance.lastListed);
-			}
-		}
-		this.listHistory.add(listed);
-	}
-
 	private void plan() {
 		final int lagSteps = (int) (LIST_LAG_MILLIS / STEP_MILLIS);
-		if (this.listHistory.size() <= lagSteps) {
+		if (!this.instanceList.isKnown(lagSteps)) {
 			return;
 		}
-		final Map<String, ServingInstance> listed = this.listHistory.get(this.listHistory.size() - 1 - lagSteps);
+		final Map<String, ServingInstance> listed = this.instanceList.seenAfter(lagSteps);
 		this.delisted.update(this.nowMillis * 1_000_000, listed.values());
-		if (this.nowMillis < this.lapsedUntilMillis) {
+		if (this.faults.leaseLapsed()) {
 			return;
 		}
 		final ReplicaPlanner planner = this.planners[this.leaseHolder];
@@ -303,143 +187,39 @@
 		}
 		else if (draw < this.lostRatio + this.lateRatio) {
 			planner.onOutcome(order, OrderOutcome.UNKNOWN);
-			this.lateOrders
-				.add(new LateOrder(this.nowMillis + 2_000 + this.random.nextInt(10_000), order, fencingToken));
+			this.lateOrders.add(this.nowMillis + 2_000 + this.random.nextInt(10_000), order, fencingToken);
 		}
 		else {
-			planner.onOutcome(order, tokens.interpret(address, fencingToken, execute(order, fencingToken)));
+			planner.onOutcome(order,
+					tokens.interpret(address, fencingToken, this.execution.execute(order, fencingToken)));
 		}
 	}
 
 	private void deliverLateOrders() {
-		while (!this.lateOrders.isEmpty() && this.lateOrders.peek().atMillis() <= this.nowMillis) {
-			final LateOrder lateOrder = this.lateOrders.poll();
+		for (final LateOrderQueue.LateOrder lateOrder : this.lateOrders.takeDue(this.nowMillis)) {
 			final boolean restarted = this.restartedAs.containsKey(lateOrder.order().instance().id());
-			if (restarted && !this.lateOrdersReachRestarted) {
-				continue;
+			if (!restarted || this.lateOrdersReachRestarted) {
+				this.execution.execute(lateOrder.order(), lateOrder.fencingToken());
 			}
-			execute(lateOrder.order(), lateOrder.fencingToken());
 		}
 	}
 
-	private OrderOutcome execute(ReplicaOrder order, long fencingToken) {
-		final SimulatedInstance instance = currentInstance(order);
-		if (!instance.alive || (instance.unreachable && this.nowMillis < instance.partitionedUntilMillis)) {
-			return OrderOutcome.UNKNOWN;
-		}
-		if (this.fencingEnforced && fencingToken < instance.highestFencingToken) {
-			return OrderOutcome.FENCED;
-		}
-		instance.highestFencingToken = Math.max(instance.highestFencingToken, fencingToken);
-		if (order instanceof ReplicaOrder.Stage stage) {
-			return stage(instance, stage.model());
-		}
-		final GroupId group = ((ReplicaOrder.GroupOrder) order).group();
-		if (order instanceof ReplicaOrder.Join join) {
-			return join(instance, join);
-		}
-		if (!group.equals(instance.group)) {
-			return OrderOutcome.UNFIT;
-		}
-		if (order instanceof ReplicaOrder.Leave) {
-			instance.group = null;
-			instance.state = null;
-			instance.groupChangedAtMillis = this.nowMillis;
-			return OrderOutcome.STARTED;
-		}
-		return (order instanceof ReplicaOrder.Open) ? open(instance) : close(instance);
+	void changePlanner() {
+		this.leaseHolder = 1 - this.leaseHolder;
+		this.term++;
+		reacquireLease();
 	}
 
-	private OrderOutcome stage(SimulatedInstance instance, String model) {
-		if (instance.stagedModels.contains(model) || instance.stagingModel.equals(model)) {
-			return OrderOutcome.HOLDS;
-		}
-		instance.stagingModel = model;
-		instance.stagedAtMillis = startLoad(instance, model);
-		return OrderOutcome.STARTED;
-	}
-
-	private long startLoad(SimulatedInstance instance, String model) {
-		return this.weightStore.start(this.nowMillis, instance, this.engine.model(model).orElseThrow().loadMillis(),
-				isBeforeTraffic());
+	void reacquireLease() {
+		this.planners[this.leaseHolder].beginTerm(this.nowMillis * 1_000_000, this.term, false);
 	}
 
-	private boolean isBeforeTraffic() {
+	boolean isBeforeTraffic() {
 		return this.nowMillis < TRAFFIC_STARTS_AT_MILLIS;
 	}
 
-	private OrderOutcome join(SimulatedInstance instance, ReplicaOrder.Join join) {
-		if (join.group().equals(instance.group)) {
-			return instance.members.equals(join.memberIds()) ? OrderOutcome.HOLDS : OrderOutcome.FENCED;
-		}
-		if (join.group().epoch() < instance.epoch) {
-			return OrderOutcome.FENCED;
-		}
-		checkNotTakenFromServingGroup(instance, join);
-		if (this.evacuatedZones.contains(instance.availabilityZone)) {
-			this.violations.add(this.nowMillis + ": " + instance.id + " is evacuated and joins " + join.group());
-		}
-		instance.epoch = join.group().epoch();
-		instance.group = join.group();
-		instance.members = join.memberIds();
-		instance.groupChangedAtMillis = this.nowMillis;
-		instance.stalledSinceMillis = -1;
-		instance.state = MemberState.JOINING;
-		final String model = join.group().model();
-		if (model.equals(instance.lastModel)) {
-			instance.readyAtMillis = this.nowMillis + 200;
-		}
-		else if (instance.stagedModels.contains(model)) {
-			instance.readyAtMillis = this.nowMillis + 1_200;
-		}
-		else {
-			instance.stagedModels = Set.of(model);
-			instance.readyAtMillis = isBeforeTraffic() ? this.nowMillis + 1_600
-					: this.weightStore.start(this.nowMillis, instance, 14_000, false);
-		}
-		instance.lastModel = model;
-		return OrderOutcome.STARTED;
-	}
-
-	private void checkNotTakenFromServingGroup(SimulatedInstance instance, ReplicaOrder.Join join) {
-		if (instance.group == null) {
-			return;
-		}
-		final SimulatedInstance head = this.instances.get(instance.members.get(0));
-		if (head.alive && instance.group.equals(head.group)
-				&& (head.state == MemberState.OPEN || head.state == MemberState.CLOSING)) {
-			this.violations.add(this.nowMillis + ": " + instance.id + " reassigned to " + join.group() + " while head "
-					+ head.id + " serves " + instance.group + "; listed group when it was ordered: "
-					+ join.instance().membership().map((membership) -> membership.group().name()).orElse("none"));
-		}
-	}
-
-	private OrderOutcome open(SimulatedInstance head) {
-		if (head.state == MemberState.OPEN) {
-			return OrderOutcome.HOLDS;
-		}
-		if (head.state != MemberState.READY || !head.members.get(0).equals(head.id)) {
-			return OrderOutcome.UNFIT;
-		}
-		for (final String id : head.members) {
-			if (!this.instances.get(id).everReady.contains(head.group)) {
-				this.violations.add(this.nowMillis + ": " + head.group + " opened though " + id + " was never ready");
-			}
-		}
-		head.state = MemberState.OPEN;
-		return OrderOutcome.STARTED;
-	}
-
-	private OrderOutcome close(SimulatedInstance head) {
-		if (head.state == MemberState.OPEN) {
-			head.state = MemberState.READY;
-			return OrderOutcome.STARTED;
-		}
-		return (head.state == MemberState.JOINING) ? OrderOutcome.UNFIT : OrderOutcome.HOLDS;
-	}
-
 	PoolSummary summary() {
-		final List<ServingInstance> listed = List.copyOf(this.listHistory.get(this.listHistory.size() - 1).values());
+		final List<ServingInstance> listed = List.copyOf(this.instanceList.seenAfter(0).values());
 		return this.planners[this.leaseHolder].summary(listed, this.engine);
 	}
 
@@ -522,8 +302,4 @@
 		}
 	}
 
-	private record LateOrder(long atMillis, ReplicaOrder order, long fencingToken) {
-
-	}
-
 }
