Planner: a closed head that cannot leave is outside its group

Cause: an order to leave that was executed without an answer is answered as unfit from then on. That counted as outside only after an order to close had been unfit too, so such a head was kept for ever and ordered to leave every second. Found by review. On the users' platform the second order is answered as done, so that no harm was seen there.

Change: an answered order to leave ends the membership, whatever the answer; what was sent before it is void. The mark of unfit closes goes. aClosedHeadThatCannotLeaveIsOutsideItsGroup failed before.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReconciler.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReconciler.java
@@ -178,7 +178,6 @@
 		tracked.incompleteSinceNanos = 0;
 		tracked.openOrdered = true;
 		tracked.headClosed = false;
-		tracked.headUnfitToClose = false;
 		sendUnlessRecent(nowNanos, new ReplicaOrder.Open(status.head().orElseThrow(), tracked.id));
 		return true;
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -179,7 +179,6 @@
 		if (previous != null) {
 			reconstructed.incompleteSinceNanos = previous.incompleteSinceNanos;
 			reconstructed.headClosed = previous.headClosed;
-			reconstructed.headUnfitToClose = previous.headUnfitToClose;
 			reconstructed.headLeft = previous.headLeft;
 			reconstructed.headUnresponsive = previous.headUnresponsive;
 			reconstructed.followerLeft = previous.followerLeft;
@@ -332,7 +331,7 @@
 	}
 
 	private static void onCloseOutcome(TrackedGroup tracked, OrderOutcome outcome) {
-		tracked.headUnfitToClose |= outcome == OrderOutcome.UNFIT;
+		// A head that cannot close may still be joining, so it must leave, too.
 		tracked.headClosed |= outcome == OrderOutcome.STARTED || outcome == OrderOutcome.HOLDS
 				|| outcome == OrderOutcome.UNFIT;
 		tracked.headUnresponsive |= outcome == OrderOutcome.UNKNOWN;
@@ -344,9 +343,8 @@
 		final boolean settled = outcome != OrderOutcome.UNKNOWN && outcome != OrderOutcome.FENCED
 				&& outcome != OrderOutcome.SUPERSEDED;
 		if (instanceId.equals(tracked.headId())) {
-			// A head that can neither close nor leave is outside the group. One that can
-			// only not close may still be joining.
-			tracked.headLeft |= settled && (outcome != OrderOutcome.UNFIT || tracked.headUnfitToClose);
+			// A head that has closed and cannot leave is outside the group.
+			tracked.headLeft |= settled;
 			tracked.headUnresponsive |= outcome == OrderOutcome.UNKNOWN;
 		}
 		else {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/TrackedGroup.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/TrackedGroup.java
@@ -36,9 +36,6 @@
 	/** Whether the head has answered a close order since the last open order. */
 	boolean headClosed;
 
-	/** Whether the head has answered that its state does not allow to close. */
-	boolean headUnfitToClose;
-
 	/** Whether the head has left the group, so that no late order can open it again. */
 	boolean headLeft;
 
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -322,6 +322,24 @@
 			.hasSize(2);
 	}
 
+	/**
+	 * Guards against a head that is kept for ever because an order to leave was executed
+	 * without an answer, and is answered as unfit ever after.
+	 */
+	@Test
+	void aClosedHeadThatCannotLeaveIsOutsideItsGroup() {
+		final GroupId group = GroupId.of("small", 5);
+		final ServingInstance head = member("a", group, 0, MemberState.OPEN);
+		final ServingInstance left = free("a", "small");
+		this.planner.beginTerm(0, 1, false);
+		assertThat(this.planner.plan(view(SECOND_NANOS, head))).hasSize(1);
+		this.planner.onOutcome(new ReplicaOrder.Close(head, group, true), OrderOutcome.STARTED);
+		planAndAnswer(2 * SECOND_NANOS, new ReplicaOrder.Leave(left, group), OrderOutcome.UNKNOWN, left);
+		planAndAnswer(3 * SECOND_NANOS, new ReplicaOrder.Leave(left, group), OrderOutcome.UNFIT, left);
+		assertThat(this.planner.plan(view(3 * SECOND_NANOS + TICK_NANOS, left, free("c", "small")))).hasSize(2)
+			.allMatch((order) -> order instanceof ReplicaOrder.Join);
+	}
+
 	/**
 	 * Guards against taking a head that cannot close because it still joins for one that
 	 * has left: a late order to open would make it serve without its members.
