Planner: what it knows ends with any term in which another may have planned

Cause: whether the lease had been held without interruption was read from ticks of 100 ms that saw no lease. A term that another daemon held between two such ticks, or that an order's refusal had ended, went unseen, and the groups of before counted as the planner's own: it opened one again while the other's late order still took a member away. A planner that was created in the middle of a term, for a service configured then, had no term at all: its epochs began with 1, and names met those of others.

Change: a planner knows its term, and keeps what it knows in the same and in the next one only, between which nobody else can hold the lease. Terms are told it in every pass. aGroupIsFormedAgainIfAnotherDaemonCanHavePlannedInBetween needs the new signature; with the old one the caller decided.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -75,19 +75,19 @@
 	}
 
 	/**
-	 * Begins a term: this daemon has become the planner, or its lease was renewed with a
-	 * higher term, or was reacquired in the same one. No other daemon has planned in a
-	 * term that is reacquired, so everything known of it remains valid.
+	 * Begins a term, unless it has begun: this daemon has become the planner, or its
+	 * lease was renewed with a higher term. No other daemon can have planned in a term
+	 * that is reacquired, or between two successive ones. After any other change,
+	 * everything known of groups and orders is obsolete.
 	 * @param nowNanos the monotonic time
 	 * @param newTerm the term of the lease, which increases with every change of its
 	 * holder
-	 * @param heldContinuously whether this daemon held the lease without interruption
 	 */
-	public void beginTerm(long nowNanos, long newTerm, boolean heldContinuously) {
+	public void beginTerm(long nowNanos, long newTerm) {
 		if (newTerm == this.term) {
 			return;
 		}
-		if (!heldContinuously) {
+		if (this.term == 0 || newTerm != this.term + 1) {
 			this.trackedGroups.clear();
 			this.endedGroups.clear();
 			this.groupLosses.clear();
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/GroupRebalancerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/GroupRebalancerTests.java
@@ -70,7 +70,7 @@
 	}
 
 	private List<String> closedGroups() {
-		this.planner.beginTerm(0, 1, false);
+		this.planner.beginTerm(0, 1);
 		plan(10 * SECOND_NANOS);
 		return plan(11 * SECOND_NANOS).stream()
 			.filter((order) -> order instanceof ReplicaOrder.Close)
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -169,7 +169,7 @@
 		final ServingInstance head = member("a", group, 0, MemberState.OPEN);
 		final ServingInstance follower = member("b", group, 1, MemberState.READY);
 		final ServingInstance spare = free("c", "small");
-		this.planner.beginTerm(0, 1, false);
+		this.planner.beginTerm(0, 1);
 		this.planner.plan(view(10 * SECOND_NANOS, head, follower));
 		planAndAnswer(10 * SECOND_NANOS + 5 * TICK_NANOS, new ReplicaOrder.Close(head, group, true),
 				OrderOutcome.UNKNOWN, follower, spare);
@@ -221,7 +221,7 @@
 		final GroupId group = GroupId.of("small", 5);
 		final ServingInstance head = member("a", group, 0, MemberState.OPEN);
 		final ServingInstance follower = member("b", group, 1, MemberState.READY);
-		this.planner.beginTerm(0, 1, false);
+		this.planner.beginTerm(0, 1);
 		this.planner.plan(view(10 * SECOND_NANOS, head, follower));
 		assertThat(this.planner.plan(new PlannerView(11 * SECOND_NANOS, ReplicaSimulation.ENGINE_SPEC,
 				List.of(follower), List.of(), Set.of("a"), false)))
@@ -237,11 +237,11 @@
 	 */
 	@Test
 	void epochsKeepRisingWhenTheLeaseIsReacquiredInTheSameTerm() {
-		this.planner.beginTerm(0, 5, false);
+		this.planner.beginTerm(0, 5);
 		final List<ReplicaOrder> before = this.planner
 			.plan(view(10 * SECOND_NANOS, free("a", "small"), free("b", "small")));
 		final GroupId first = ((ReplicaOrder.Join) before.get(0)).group();
-		this.planner.beginTerm(14 * SECOND_NANOS, 5, false);
+		this.planner.beginTerm(14 * SECOND_NANOS, 5);
 		final List<ReplicaOrder> after = this.planner
 			.plan(view(15 * SECOND_NANOS, member("a", first, 0, MemberState.OPEN),
 					member("b", first, 1, MemberState.READY), free("c", "small"), free("e", "small")));
@@ -256,10 +256,10 @@
 	@Test
 	void aLeaseThatIsReacquiredInTheSameTermKeepsTheGroupsOfThatTerm() {
 		final ServingInstance[] instances = { free("a", "small"), free("b", "small") };
-		this.planner.beginTerm(0, 5, false);
+		this.planner.beginTerm(0, 5);
 		final GroupId group = ((ReplicaOrder.Join) this.planner.plan(view(10 * SECOND_NANOS, instances)).get(0))
 			.group();
-		this.planner.beginTerm(14 * SECOND_NANOS, 5, false);
+		this.planner.beginTerm(14 * SECOND_NANOS, 5);
 		assertThat(this.planner.plan(view(15 * SECOND_NANOS, instances))).hasSize(2)
 			.allMatch((order) -> order instanceof ReplicaOrder.Join join && join.group().equals(group));
 	}
@@ -285,7 +285,7 @@
 		final ServingInstance head = member("a", group, 0, MemberState.OPEN);
 		final ServingInstance follower = member("b", group, 1, MemberState.READY);
 		final ServingInstance spare = free("c", "small");
-		this.planner.beginTerm(0, 1, false);
+		this.planner.beginTerm(0, 1);
 		this.planner.plan(view(10 * SECOND_NANOS, head, follower));
 		planAndAnswer(11 * SECOND_NANOS, new ReplicaOrder.Close(head, group, true), OrderOutcome.STARTED, follower,
 				spare);
@@ -297,13 +297,35 @@
 			.containsExactlyInAnyOrder("b", "c");
 	}
 
+	/**
+	 * Guards against a planner that counts a group as its own although another daemon was
+	 * the planner in between, and opens it while that one's late order still takes a
+	 * member away.
+	 */
+	@Test
+	void aGroupIsFormedAgainIfAnotherDaemonCanHavePlannedInBetween() {
+		assertThat(ordersForAReadyGroupInTerm(6)).allMatch((order) -> order instanceof ReplicaOrder.Open).hasSize(1);
+		assertThat(ordersForAReadyGroupInTerm(7)).isEmpty();
+	}
+
+	private static List<ReplicaOrder> ordersForAReadyGroupInTerm(long term) {
+		final ReplicaPlanner planner = new ReplicaPlanner(new PlannerTimes(6 * SECOND_NANOS, 5 * SECOND_NANOS), false);
+		planner.beginTerm(0, 5);
+		final ReplicaOrder.Join join = (ReplicaOrder.Join) planner
+			.plan(view(10 * SECOND_NANOS, free("a", "small"), free("b", "small")))
+			.get(0);
+		planner.beginTerm(11 * SECOND_NANOS, term);
+		return planner.plan(view(11 * SECOND_NANOS, member(join.memberIds().get(0), join.group(), 0, MemberState.READY),
+				member(join.memberIds().get(1), join.group(), 1, MemberState.READY)));
+	}
+
 	/**
 	 * Guards against a group that goes on under its epoch after its head has left by
 	 * order: a head that is delisted later would count as gone while it serves.
 	 */
 	@Test
 	void aGroupWhoseHeadHasLeftIsNotJoinedAgain() {
-		this.planner.beginTerm(0, 1, false);
+		this.planner.beginTerm(0, 1);
 		final ReplicaOrder.Join join = (ReplicaOrder.Join) this.planner
 			.plan(view(10 * SECOND_NANOS, free("a", "small"), free("b", "small")))
 			.get(0);
@@ -331,7 +353,7 @@
 		final GroupId group = GroupId.of("small", 5);
 		final ServingInstance head = member("a", group, 0, MemberState.OPEN);
 		final ServingInstance left = free("a", "small");
-		this.planner.beginTerm(0, 1, false);
+		this.planner.beginTerm(0, 1);
 		assertThat(this.planner.plan(view(SECOND_NANOS, head))).hasSize(1);
 		this.planner.onOutcome(new ReplicaOrder.Close(head, group, true), OrderOutcome.STARTED);
 		planAndAnswer(2 * SECOND_NANOS, new ReplicaOrder.Leave(left, group), OrderOutcome.UNKNOWN, left);
@@ -349,7 +371,7 @@
 		final GroupId group = GroupId.of("small", 5);
 		final ServingInstance head = member("a", group, 0, MemberState.JOINING);
 		final ServingInstance follower = member("b", group, 1, MemberState.READY);
-		this.planner.beginTerm(0, 1, false);
+		this.planner.beginTerm(0, 1);
 		final ServingInstance draining = head.asDraining();
 		assertThat(this.planner.plan(view(SECOND_NANOS, draining, follower))).isEmpty();
 		planAndAnswer(2 * SECOND_NANOS, new ReplicaOrder.Close(draining, group, true), OrderOutcome.UNFIT, draining,
@@ -372,7 +394,7 @@
 		final GroupId group = GroupId.of("small", 5);
 		final ServingInstance head = member("a", group, 0, MemberState.READY);
 		final ServingInstance follower = member("b", group, 1, MemberState.READY);
-		this.planner.beginTerm(0, 1, false);
+		this.planner.beginTerm(0, 1);
 		assertThat(this.planner.plan(view(SECOND_NANOS, head, follower))).isEmpty();
 		planAndAnswer(2 * SECOND_NANOS, new ReplicaOrder.Close(head, group, true), OrderOutcome.HOLDS, head, follower);
 		planAndAnswer(2 * SECOND_NANOS + TICK_NANOS, new ReplicaOrder.Leave(head, group), OrderOutcome.STARTED, head,
@@ -394,7 +416,7 @@
 		final ServingInstance head = member("a", group, 0, MemberState.OPEN);
 		final ServingInstance leaving = new ServingInstance("b", "pool", "b:1", "zone", "d", true, 12, Set.of("small"),
 				Optional.of(new Membership(group, 1, MemberState.READY)));
-		this.planner.beginTerm(0, 1, false);
+		this.planner.beginTerm(0, 1);
 		assertThat(this.planner.plan(view(SECOND_NANOS, head, leaving)))
 			.containsExactly(new ReplicaOrder.Close(head, group, false));
 	}
@@ -410,7 +432,7 @@
 		for (int i = 0; i < 40; i++) {
 			hosts.add(free("h" + i));
 		}
-		this.planner.beginTerm(0, 1, false);
+		this.planner.beginTerm(0, 1);
 		final List<String> loading = new ArrayList<>();
 		for (int tick = 0; tick < 50; tick++) {
 			this.planner.plan(view(6 * SECOND_NANOS + tick * SECOND_NANOS / 10, hosts.toArray(new ServingInstance[0])))
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
@@ -122,7 +122,7 @@
 		final PlannerTimes times = new PlannerTimes(STALL_TIMEOUT_MILLIS * 1_000_000, 5_000_000_000L);
 		this.planners[0] = new ReplicaPlanner(times, fleetDecisions);
 		this.planners[1] = new ReplicaPlanner(times, fleetDecisions);
-		this.planners[0].beginTerm(0, this.term, false);
+		this.planners[0].beginTerm(0, this.term);
 	}
 
 	SimulatedInstance addInstance(String domain) {
@@ -211,7 +211,7 @@
 	}
 
 	void reacquireLease() {
-		this.planners[this.leaseHolder].beginTerm(this.nowMillis * 1_000_000, this.term, false);
+		this.planners[this.leaseHolder].beginTerm(this.nowMillis * 1_000_000, this.term);
 	}
 
 	boolean isBeforeTraffic() {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -358,8 +358,6 @@
 	}
 
 	private void plan(long nowNanos, long term) {
-		final boolean heldContinuously = this.heldTerm != 0;
-		final boolean termBegins = this.heldTerm != term;
 		this.heldTerm = term;
 		if (term <= this.fencedTerm) {
 			return;
@@ -376,9 +374,7 @@
 			if (service.grouped()) {
 				final ReplicaPlanner planner = this.planners.computeIfAbsent(service.name(),
 						(name) -> new ReplicaPlanner(this.times, this.fleetDecisions));
-				if (termBegins) {
-					planner.beginTerm(nowNanos, term, heldContinuously);
-				}
+				planner.beginTerm(nowNanos, term);
 				planner
 					.plan(new PlannerView(nowNanos, service.engine().orElseThrow(),
 							usableInstancesOf(service, unresponsiveIds), this.delisted.instances(), unresponsiveIds,
