Planner: a new planner assigns no instance that an older list shows as free

Cause: nothing asked for the age of the list when a daemon became the planner. An instance that its list showed in no group could have been joined and opened by the previous planner since, and was taken from that group. No late order is needed, and fencing cannot help, as the newer planner's order is the wrong one.

Change: the list's time of reading is passed to the planner, which assigns nothing until the list was read one renewal interval of the lease after it took over; a previous planner whose lease was reassigned without its doing learns of it within that.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/PlannerView.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/PlannerView.java
@@ -11,6 +11,7 @@
  * The input to one planning pass for a service.
  *
  * @param nowNanos the monotonic time
+ * @param listAsOfNanos the monotonic time as of which the instance list is known
  * @param engine the engine specification of the service
  * @param instances the service's instances, including draining ones
  * @param delisted instances that were recently delisted, as they were last listed
@@ -22,7 +23,7 @@
  * current demand, by the model's name; empty if it is not known, so that the declared
  * shares apply
  */
-public record PlannerView(long nowNanos, EngineSpec engine, Collection<ServingInstance> instances,
+public record PlannerView(long nowNanos, long listAsOfNanos, EngineSpec engine, Collection<ServingInstance> instances,
 		Collection<ServingInstance> delisted, Set<String> unresponsiveIds, boolean beforeTraffic,
 		Map<String, Double> demandShareRatios) {
 
@@ -34,7 +35,7 @@
 	}
 
 	/**
-	 * Creates the input for a service whose demand is not known.
+	 * Creates the input for a service whose demand is not known, with a current list.
 	 * @param nowNanos the monotonic time
 	 * @param engine the engine specification of the service
 	 * @param instances the service's instances, including draining ones
@@ -45,7 +46,7 @@
 	 */
 	public PlannerView(long nowNanos, EngineSpec engine, Collection<ServingInstance> instances,
 			Collection<ServingInstance> delisted, Set<String> unresponsiveIds, boolean beforeTraffic) {
-		this(nowNanos, engine, instances, delisted, unresponsiveIds, beforeTraffic, Map.of());
+		this(nowNanos, nowNanos, engine, instances, delisted, unresponsiveIds, beforeTraffic, Map.of());
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -44,6 +44,8 @@
 
 	private final WeightLoadLimiter loadLimiter;
 
+	private final long handoverNanos;
+
 	private final Map<GroupId, TrackedGroup> trackedGroups = new HashMap<>();
 
 	private final EndedGroups endedGroups = new EndedGroups();
@@ -56,6 +58,8 @@
 
 	private long term;
 
+	private long tookOverAtNanos;
+
 	private long groupsFormedInTerm;
 
 	/**
@@ -72,6 +76,7 @@
 				: new LocalGroupPolicy(this.weights, this.stagedLoads);
 		this.reconciler = new GroupReconciler(times, Collections.unmodifiableSet(this.trackedGroups.keySet()));
 		this.loadLimiter = new WeightLoadLimiter(times.loadWindowNanos());
+		this.handoverNanos = times.handoverNanos();
 	}
 
 	/**
@@ -93,6 +98,7 @@
 			this.groupLosses.clear();
 			this.loadLimiter.takeOver(nowNanos);
 			this.unansweredJoins.takeOver(nowNanos);
+			this.tookOverAtNanos = nowNanos;
 		}
 		this.groupsFormedInTerm = 0;
 		this.term = newTerm;
@@ -126,7 +132,8 @@
 			}
 			return ended;
 		});
-		final List<ReplicaOrder> stagingOrders = assignFreeInstances(view, byId);
+		final List<ReplicaOrder> stagingOrders = mayMissOrdersOfPreviousPlanner(view) ? List.of()
+				: assignFreeInstances(view, byId);
 		final List<ReplicaOrder> orders = new ArrayList<>(this.reconciler.orders());
 		orders.addAll(stagingOrders);
 		return orders;
@@ -187,6 +194,12 @@
 		return reconstructed;
 	}
 
+	// An instance that looks free may be a member of a group that the previous planner
+	// has formed since the list was read.
+	private boolean mayMissOrdersOfPreviousPlanner(PlannerView view) {
+		return view.listAsOfNanos() - this.tookOverAtNanos < this.handoverNanos;
+	}
+
 	private List<ReplicaOrder> assignFreeInstances(PlannerView view, Map<String, ServingInstance> byId) {
 		final List<ServingInstance> free = new ArrayList<>(view.instances()
 			.stream()
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -20,7 +21,7 @@
 
 	private static final long TICK_NANOS = 100_000_000L;
 
-	private final ReplicaPlanner planner = new ReplicaPlanner(new PlannerTimes(6 * SECOND_NANOS, 5 * SECOND_NANOS),
+	private final ReplicaPlanner planner = new ReplicaPlanner(new PlannerTimes(6 * SECOND_NANOS, 5 * SECOND_NANOS, 0),
 			false);
 
 	@ParameterizedTest
@@ -309,7 +310,8 @@
 	}
 
 	private static List<ReplicaOrder> ordersForAReadyGroupInTerm(long term) {
-		final ReplicaPlanner planner = new ReplicaPlanner(new PlannerTimes(6 * SECOND_NANOS, 5 * SECOND_NANOS), false);
+		final ReplicaPlanner planner = new ReplicaPlanner(new PlannerTimes(6 * SECOND_NANOS, 5 * SECOND_NANOS, 0),
+				false);
 		planner.beginTerm(0, 5);
 		final ReplicaOrder.Join join = (ReplicaOrder.Join) planner
 			.plan(view(10 * SECOND_NANOS, free("a", "small"), free("b", "small")))
@@ -319,6 +321,24 @@
 				member(join.memberIds().get(1), join.group(), 1, MemberState.READY)));
 	}
 
+	/**
+	 * Guards against a new planner that takes an instance which an older list shows as
+	 * free from a group that the previous planner has formed and opened since.
+	 */
+	@Test
+	void aNewPlannerAssignsNoInstanceFromAListOlderThanItsTerm() {
+		final List<ServingInstance> instances = List.of(free("a", "small"), free("b", "small"));
+		this.planner.beginTerm(10 * SECOND_NANOS, 7);
+		assertThat(this.planner.plan(viewAsOf(11 * SECOND_NANOS, 10 * SECOND_NANOS - 1, instances))).isEmpty();
+		assertThat(this.planner.plan(viewAsOf(11 * SECOND_NANOS, 10 * SECOND_NANOS, instances))).hasSize(2)
+			.allMatch((order) -> order instanceof ReplicaOrder.Join);
+	}
+
+	private static PlannerView viewAsOf(long nowNanos, long listAsOfNanos, List<ServingInstance> instances) {
+		return new PlannerView(nowNanos, listAsOfNanos, ReplicaSimulation.ENGINE_SPEC, instances, List.of(), Set.of(),
+				false, Map.of());
+	}
+
 	/**
 	 * Guards against a group that goes on under its epoch after its head has left by
 	 * order: a head that is delisted later would count as gone while it serves.
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
@@ -31,6 +31,8 @@
 
 	static final long LIST_LAG_MILLIS = 400;
 
+	private static final long HANDOVER_MILLIS = 500;
+
 	final EngineSpec engine;
 
 	final SimulatedWeightStore weightStore;
@@ -119,7 +121,8 @@
 		for (int i = 0; i < domains * domainSize; i++) {
 			addInstance("domain-" + i / domainSize);
 		}
-		final PlannerTimes times = new PlannerTimes(STALL_TIMEOUT_MILLIS * 1_000_000, 5_000_000_000L);
+		final PlannerTimes times = new PlannerTimes(STALL_TIMEOUT_MILLIS * 1_000_000, 5_000_000_000L,
+				HANDOVER_MILLIS * 1_000_000);
 		this.planners[0] = new ReplicaPlanner(times, fleetDecisions);
 		this.planners[1] = new ReplicaPlanner(times, fleetDecisions);
 		this.planners[0].beginTerm(0, this.term);
@@ -171,8 +174,8 @@
 		}
 		final ReplicaPlanner planner = this.planners[this.leaseHolder];
 		planner
-			.plan(new PlannerView(this.nowMillis * 1_000_000, this.engine,
-					new EvacuatedInstances(this.evacuatedZones).markDraining(List.copyOf(listed.values())),
+			.plan(new PlannerView(this.nowMillis * 1_000_000, this.instanceList.asOfMillis(lagSteps) * 1_000_000,
+					this.engine, new EvacuatedInstances(this.evacuatedZones).markDraining(List.copyOf(listed.values())),
 					this.delisted.instances(), Set.of(), isBeforeTraffic(), this.demandShareRatios))
 			.forEach((order) -> send(planner, order));
 	}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/SimulatedInstanceList.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/SimulatedInstanceList.java
@@ -15,6 +15,8 @@
 
 	private final List<Map<String, ServingInstance>> history = new ArrayList<>();
 
+	private final List<Long> asOfMillis = new ArrayList<>();
+
 	SimulatedInstanceList(ReplicaSimulation simulation) {
 		this.simulation = simulation;
 	}
@@ -22,6 +24,7 @@
 	void update(boolean storeUnavailable) {
 		if (storeUnavailable && !this.history.isEmpty()) {
 			this.history.add(this.history.get(this.history.size() - 1));
+			this.asOfMillis.add(this.asOfMillis.get(this.asOfMillis.size() - 1));
 			return;
 		}
 		final Map<String, ServingInstance> listed = new HashMap<>();
@@ -42,12 +45,17 @@
 			}
 		}
 		this.history.add(listed);
+		this.asOfMillis.add(this.simulation.nowMillis);
 	}
 
 	boolean isKnown(int lagSteps) {
 		return this.history.size() > lagSteps;
 	}
 
+	long asOfMillis(int lagSteps) {
+		return this.asOfMillis.get(this.asOfMillis.size() - 1 - lagSteps);
+	}
+
 	Map<String, ServingInstance> seenAfter(int lagSteps) {
 		return this.history.get(this.history.size() - 1 - lagSteps);
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -141,6 +141,7 @@
 				settings.fleetDecisions() ? ListReadPolicy.ECONOMICAL : ListReadPolicy.REDUNDANT, ports.instances(),
 				() -> ports.lease().term(System.nanoTime()).isPresent(), this.peers::activeDaemonIds, this.peers::send,
 				this::onInstanceList);
+		this.replicas.setListAsOfSource(this.listing::asOf);
 		final InstanceSignalDispatcher signals = new InstanceSignalDispatcher(this.traffic, this.replicas);
 		ports.orders().setInstanceListener(signals);
 		this.targetConnector = ports.targetConnections().connector(this.relayLoop);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/listing/ListingDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/listing/ListingDuty.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -58,6 +59,8 @@
 
 	private volatile long ageMillis;
 
+	private volatile OptionalLong asOf = OptionalLong.empty();
+
 	/**
 	 * Creates the duty.
 	 * @param system the process's actor system
@@ -135,14 +138,15 @@
 		execute(this.synchronizer.onTick(nowNanos, this.liveIds, this.isPlanner.getAsBoolean(),
 				this.source.isExpiryUnreliable()));
 		this.readsForOthers = this.synchronizer.readsForOthers();
-		updateAge(this.synchronizer.ageNanos(nowNanos));
+		updateAge(nowNanos, this.synchronizer.ageNanos(nowNanos));
 	}
 
-	private void updateAge(long ageNanos) {
+	private void updateAge(long nowNanos, long ageNanos) {
 		this.ageMillis = TimeUnit.NANOSECONDS.toMillis(ageNanos);
 		if (ageNanos == ListingSynchronizer.UNKNOWN_AGE_NANOS) {
 			return;
 		}
+		this.asOf = OptionalLong.of(nowNanos - ageNanos);
 		final boolean nowStale = ageNanos > this.maxAgeNanos;
 		if (nowStale != this.stale) {
 			this.stale = nowStale;
@@ -182,6 +186,15 @@
 		return this.ageMillis;
 	}
 
+	/**
+	 * Returns the time as of which the list is known. The listener has received the list
+	 * before that.
+	 * @return the monotonic time in nanoseconds; empty if there is no list
+	 */
+	public OptionalLong asOf() {
+		return this.asOf;
+	}
+
 	/**
 	 * Returns whether this daemon reads the platform's list on behalf of others.
 	 * @return whether it does
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -6,10 +6,12 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -129,6 +131,11 @@
 
 	private volatile ModelDemandSource modelDemand = (service) -> Map.of();
 
+	private volatile Supplier<OptionalLong> listAsOf = OptionalLong::empty;
+
+	/** As of the last tick, before which that list has been received. */
+	private OptionalLong receivedListAsOf = OptionalLong.empty();
+
 	/**
 	 * Creates the duty.
 	 * @param system the process's actor system
@@ -163,6 +170,16 @@
 		this.modelDemand = source;
 	}
 
+	/**
+	 * Sets the source of the time as of which the instance list is known. Groups are
+	 * planned only with a list of known age.
+	 * @param source returns the monotonic time in nanoseconds, empty if there is no list;
+	 * the list must have been passed to this duty before
+	 */
+	public void setListAsOfSource(Supplier<OptionalLong> source) {
+		this.listAsOf = source;
+	}
+
 	@Override
 	public void start() {
 		this.duty.start();
@@ -347,6 +364,8 @@
 		if (this.loadReportsChanged && nowNanos - this.targetsPublishedAtNanos >= TARGETS_INTERVAL_NANOS) {
 			publishTargets(nowNanos);
 		}
+		final OptionalLong received = this.receivedListAsOf;
+		this.receivedListAsOf = this.listAsOf.get();
 		final Optional<Long> term = this.lease.term(nowNanos);
 		if (term.isEmpty()) {
 			this.heldTerm = 0;
@@ -354,11 +373,11 @@
 			this.poolSummaries = Map.of();
 			return;
 		}
-		plan(nowNanos, term.get());
+		this.heldTerm = term.get();
+		received.ifPresent((listAsOfNanos) -> plan(nowNanos, listAsOfNanos, term.get()));
 	}
 
-	private void plan(long nowNanos, long term) {
-		this.heldTerm = term;
+	private void plan(long nowNanos, long listAsOfNanos, long term) {
 		if (term <= this.fencedTerm) {
 			return;
 		}
@@ -376,7 +395,7 @@
 						(name) -> new ReplicaPlanner(this.times, this.fleetDecisions));
 				planner.beginTerm(nowNanos, term);
 				planner
-					.plan(new PlannerView(nowNanos, service.engine().orElseThrow(),
+					.plan(new PlannerView(nowNanos, listAsOfNanos, service.engine().orElseThrow(),
 							usableInstancesOf(service, unresponsiveIds), this.delisted.instances(), unresponsiveIds,
 							this.beforeTraffic.getAsBoolean(),
 							InstanceDemand.shareRatios(service.engine().orElseThrow(),
