Planner's world: cuts, gaps, crossing orders, late answers, restarts that keep the id

Change: a flag for each, all off by default; the way of orders and answers stands in SimulatedTransport.

--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/LateOrderQueue.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/LateOrderQueue.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
+import java.util.function.LongSupplier;
 
 /**
  * The unanswered orders of a {@link ReplicaSimulation} that instances execute seconds
@@ -25,6 +26,16 @@
 		return due;
 	}
 
+	void hasten(String instanceId, LongSupplier atMillis) {
+		final List<LateOrder> hastened = this.orders.stream()
+			.filter((late) -> late.order().instance().id().equals(instanceId))
+			.sorted(Comparator.comparingLong(LateOrder::fencingToken))
+			.toList();
+		this.orders.removeAll(hastened);
+		hastened
+			.forEach((late) -> add(Math.min(late.atMillis(), atMillis.getAsLong()), late.order(), late.fencingToken()));
+	}
+
 	record LateOrder(long atMillis, ReplicaOrder order, long fencingToken) {
 
 	}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
@@ -41,13 +41,13 @@
 
 	final Map<String, SimulatedInstance> instances = new TreeMap<>();
 
-	private final LateOrderQueue lateOrders = new LateOrderQueue();
-
 	private final SimulatedInstanceList instanceList = new SimulatedInstanceList(this);
 
 	private final SimulatedFaults faults = new SimulatedFaults(this);
 
-	private final SimulatedExecution execution;
+	final SimulatedExecution execution;
+
+	final SimulatedTransport transport;
 
 	private final DelistedInstances delisted = new DelistedInstances();
 
@@ -55,10 +55,6 @@
 
 	private final FencingTokens[] fencingTokens = { new FencingTokens(), new FencingTokens() };
 
-	private final double lostRatio;
-
-	private final double lateRatio;
-
 	long nowMillis;
 
 	private long term = 1;
@@ -98,6 +94,36 @@
 	/** Whether the store is unavailable at times, so that the list stands still. */
 	boolean storeOutages;
 
+	/**
+	 * Whether outages of the store are long, and entries are missing for up to two
+	 * seconds after them.
+	 */
+	boolean listGapsAfterOutages;
+
+	/** Whether half of the late orders reach an instance that the store just lost. */
+	boolean cutsDuringLateOrders;
+
+	/** Whether a daemon keeps the lease through changes of the term at times. */
+	boolean leaseKeptThroughTerms;
+
+	/** Whether the planner changes several times within seconds at times. */
+	boolean rapidPlannerChanges;
+
+	/** Whether some orders overtake earlier ones to the same instance. */
+	boolean crossingOrders;
+
+	/** Whether answers, and the lack of one, are known a second after the order. */
+	boolean lateAnswers;
+
+	/**
+	 * Whether failed instances restart within a second under the same id as another
+	 * incarnation, and the late orders to them arrive within a second after that.
+	 */
+	boolean restartsKeepId;
+
+	/** Whether only orders that begin something raise the lowest accepted token. */
+	boolean onlyEffectsRaiseFence;
+
 	/** The time between two instances that are listed when the fleet starts. */
 	long listingIntervalMillis;
 
@@ -114,8 +140,7 @@
 		this.execution = new SimulatedExecution(this, !fleetDecisions);
 		this.engine = engine;
 		this.weightStore = new SimulatedWeightStore(fullSpeedLoads);
-		this.lostRatio = lostRatio;
-		this.lateRatio = lateRatio;
+		this.transport = new SimulatedTransport(this, lostRatio, lateRatio);
 		for (int i = 0; i < domains * domainSize; i++) {
 			addInstance("domain-" + i / domainSize);
 		}
@@ -138,7 +163,7 @@
 			if (withFaults) {
 				this.faults.inject();
 			}
-			deliverLateOrders();
+			this.transport.deliver();
 			this.instances.values().forEach(this.execution::advance);
 			this.instanceList.update(this.faults.storeUnavailable());
 			plan();
@@ -148,7 +173,7 @@
 	long memberLostSince(SimulatedInstance head) {
 		long sinceMillis = -1;
 		for (final String id : head.members) {
-			final SimulatedInstance member = this.instances.get(id);
+			final SimulatedInstance member = member(id);
 			if (!member.alive) {
 				sinceMillis = Math.max(sinceMillis, member.failedAtMillis);
 			}
@@ -181,27 +206,7 @@
 		final FencingTokens tokens = this.fencingTokens[this.leaseHolder];
 		final String address = order.instance().address();
 		final long fencingToken = tokens.next(this.term, address);
-		final double draw = this.random.nextDouble();
-		if (draw < this.lostRatio) {
-			planner.onOutcome(order, OrderOutcome.UNKNOWN);
-		}
-		else if (draw < this.lostRatio + this.lateRatio) {
-			planner.onOutcome(order, OrderOutcome.UNKNOWN);
-			this.lateOrders.add(this.nowMillis + 2_000 + this.random.nextInt(10_000), order, fencingToken);
-		}
-		else {
-			planner.onOutcome(order,
-					tokens.interpret(address, fencingToken, this.execution.execute(order, fencingToken)));
-		}
-	}
-
-	private void deliverLateOrders() {
-		for (final LateOrderQueue.LateOrder lateOrder : this.lateOrders.takeDue(this.nowMillis)) {
-			final boolean restarted = this.restartedAs.containsKey(lateOrder.order().instance().id());
-			if (!restarted || this.lateOrdersReachRestarted) {
-				this.execution.execute(lateOrder.order(), lateOrder.fencingToken());
-			}
-		}
+		this.transport.send(planner, tokens, order, fencingToken);
 	}
 
 	void changePlanner() {
@@ -214,6 +219,34 @@
 		this.planners[this.leaseHolder].beginTerm(this.nowMillis * 1_000_000, this.term, false);
 	}
 
+	void renewLeaseInNextTerm() {
+		this.term++;
+		this.planners[this.leaseHolder].beginTerm(this.nowMillis * 1_000_000, this.term, true);
+	}
+
+	/**
+	 * Returns the instance that receives the orders to an earlier one.
+	 * @param instanceId the instance
+	 * @return the one that has restarted at its address, or the instance itself
+	 */
+	SimulatedInstance currentInstance(String instanceId) {
+		String id = instanceId;
+		while (this.restartedAs.containsKey(id)) {
+			id = this.restartedAs.get(id);
+		}
+		return this.instances.get(id);
+	}
+
+	/**
+	 * Returns the member of a group. If instances keep their id when they restart, the
+	 * restarted one counts as the member that its group names.
+	 * @param instanceId the member as the planner names it
+	 * @return the member
+	 */
+	SimulatedInstance member(String instanceId) {
+		return this.restartsKeepId ? currentInstance(instanceId) : this.instances.get(instanceId);
+	}
+
 	boolean isBeforeTraffic() {
 		return this.nowMillis < TRAFFIC_STARTS_AT_MILLIS;
 	}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/SimulatedExecution.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/SimulatedExecution.java
@@ -51,14 +51,21 @@
 	}
 
 	OrderOutcome execute(ReplicaOrder order, long fencingToken) {
-		final SimulatedInstance instance = currentInstance(order);
+		final SimulatedInstance instance = this.simulation.currentInstance(order.instance().id());
 		if (!instance.alive || (instance.unreachable && this.simulation.nowMillis < instance.partitionedUntilMillis)) {
 			return OrderOutcome.UNKNOWN;
 		}
 		if (this.simulation.fencingEnforced && fencingToken < instance.highestFencingToken) {
 			return OrderOutcome.FENCED;
 		}
-		instance.highestFencingToken = Math.max(instance.highestFencingToken, fencingToken);
+		final OrderOutcome outcome = executeAccepted(instance, order);
+		if (outcome == OrderOutcome.STARTED || !this.simulation.onlyEffectsRaiseFence) {
+			instance.highestFencingToken = Math.max(instance.highestFencingToken, fencingToken);
+		}
+		return outcome;
+	}
+
+	private OrderOutcome executeAccepted(SimulatedInstance instance, ReplicaOrder order) {
 		if (order instanceof ReplicaOrder.Stage stage) {
 			return stage(instance, stage.model());
 		}
@@ -78,14 +85,6 @@
 		return (order instanceof ReplicaOrder.Open) ? open(instance) : close(instance);
 	}
 
-	private SimulatedInstance currentInstance(ReplicaOrder order) {
-		String id = order.instance().id();
-		while (this.simulation.restartedAs.containsKey(id)) {
-			id = this.simulation.restartedAs.get(id);
-		}
-		return this.simulation.instances.get(id);
-	}
-
 	private OrderOutcome stage(SimulatedInstance instance, String model) {
 		if (instance.stagedModels.contains(model) || instance.stagingModel.equals(model)) {
 			return OrderOutcome.HOLDS;
@@ -115,6 +114,7 @@
 		instance.epoch = join.group().epoch();
 		instance.group = join.group();
 		instance.members = join.memberIds();
+		instance.rank = join.memberIds().stream().map(this.simulation::member).toList().indexOf(instance);
 		instance.groupChangedAtMillis = this.simulation.nowMillis;
 		instance.stalledSinceMillis = -1;
 		instance.state = MemberState.JOINING;
@@ -138,7 +138,7 @@
 		if (instance.group == null) {
 			return;
 		}
-		final SimulatedInstance head = this.simulation.instances.get(instance.members.get(0));
+		final SimulatedInstance head = this.simulation.member(instance.members.get(0));
 		if (head.alive && instance.group.equals(head.group)
 				&& (head.state == MemberState.OPEN || head.state == MemberState.CLOSING)) {
 			this.simulation.violations
@@ -152,11 +152,12 @@
 		if (head.state == MemberState.OPEN) {
 			return OrderOutcome.HOLDS;
 		}
-		if (head.state != MemberState.READY || !head.members.get(0).equals(head.id)) {
+		if (head.state != MemberState.READY || head.rank != 0) {
 			return OrderOutcome.UNFIT;
 		}
 		for (final String id : head.members) {
-			if (!this.simulation.instances.get(id).everReady.contains(head.group)) {
+			if (!this.simulation.instances.get(id).everReady.contains(head.group)
+					&& !this.simulation.member(id).everReady.contains(head.group)) {
 				this.simulation.violations
 					.add(this.simulation.nowMillis + ": " + head.group + " opened though " + id + " was never ready");
 			}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/SimulatedFaults.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/SimulatedFaults.java
@@ -14,6 +14,8 @@
 
 	private final ReplicaSimulation simulation;
 
+	private final DelayedActions pending = new DelayedActions();
+
 	private long lapsedUntilMillis;
 
 	private long storeUnavailableUntilMillis;
@@ -23,6 +25,7 @@
 	}
 
 	void inject() {
+		this.pending.runDue(this.simulation.nowMillis);
 		failInstance();
 		partitionInstance();
 		changePlanner();
@@ -64,16 +67,48 @@
 			this.lapsedUntilMillis = 0;
 			this.simulation.reacquireLease();
 		}
+		if (this.simulation.leaseKeptThroughTerms && this.simulation.random.nextInt(60) == 0) {
+			this.simulation.renewLeaseInNextTerm();
+		}
+		if (this.simulation.rapidPlannerChanges && this.simulation.random.nextInt(200) == 0) {
+			changePlannerRepeatedly();
+		}
+	}
+
+	private void changePlannerRepeatedly() {
+		long atMillis = this.simulation.nowMillis;
+		for (int change = 2 + this.simulation.random.nextInt(4); change > 0; change--) {
+			atMillis += 200 + this.simulation.random.nextInt(1_200);
+			this.pending.add(atMillis, this.simulation::changePlanner);
+		}
 	}
 
 	private void interruptStore() {
+		if (this.simulation.listGapsAfterOutages && this.simulation.random.nextInt(250) == 0) {
+			this.storeUnavailableUntilMillis = this.simulation.nowMillis + 8_000
+					+ this.simulation.random.nextInt(22_000);
+			this.pending.add(this.storeUnavailableUntilMillis, this::hideEntries);
+		}
 		if (this.simulation.storeOutages && this.simulation.random.nextInt(120) == 0) {
 			this.storeUnavailableUntilMillis = this.simulation.nowMillis + 1_000
 					+ this.simulation.random.nextInt(14_000);
 		}
 	}
 
+	private void hideEntries() {
+		for (final SimulatedInstance instance : this.simulation.instances.values()) {
+			if (this.simulation.random.nextBoolean()) {
+				instance.missingUntilMillis = this.simulation.nowMillis + this.simulation.random.nextInt(2_000);
+			}
+		}
+	}
+
 	private void replace(SimulatedInstance failed) {
+		if (this.simulation.restartsKeepId) {
+			this.pending.add(this.simulation.nowMillis + this.simulation.random.nextInt(1_000),
+					() -> restartUnderSameId(failed));
+			return;
+		}
 		final SimulatedInstance successor = this.simulation.addInstance(failed.domain);
 		if (this.simulation.restartAtSameAddress) {
 			successor.address = failed.address;
@@ -83,6 +118,17 @@
 		}
 	}
 
+	private void restartUnderSameId(SimulatedInstance failed) {
+		final SimulatedInstance successor = this.simulation.addInstance(failed.domain);
+		successor.address = failed.address;
+		successor.stagedModels = failed.stagedModels;
+		// Its group lacks it since its failure.
+		successor.groupChangedAtMillis = failed.failedAtMillis;
+		this.simulation.restartedAs.put(failed.id, successor.id);
+		failed.restarted = true;
+		this.simulation.transport.hastenLateOrdersTo(failed.id);
+	}
+
 	boolean leaseLapsed() {
 		return this.simulation.nowMillis < this.lapsedUntilMillis;
 	}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/SimulatedInstance.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/SimulatedInstance.java
@@ -38,6 +38,9 @@
 
 	long partitionedFromMillis = -1;
 
+	/** When the entry is back in the list after an outage of the store. */
+	long missingUntilMillis;
+
 	long highestFencingToken;
 
 	long epoch;
@@ -46,6 +49,11 @@
 
 	List<String> members = List.of();
 
+	/**
+	 * The rank in the group; -1 for a restarted instance that the group does not name.
+	 */
+	int rank;
+
 	MemberState state;
 
 	/** When the instance, as an open head, first lacked a member; -1 while it has all. */
@@ -82,7 +90,7 @@
 
 	ServingInstance report() {
 		final Optional<Membership> membership = Optional.ofNullable(this.group)
-			.map((current) -> new Membership(current, this.members.indexOf(this.id), this.state));
+			.map((current) -> new Membership(current, this.rank, this.state));
 		return new ServingInstance(this.id, "pool", this.address, this.availabilityZone, this.domain, false, 12,
 				this.stagedModels, membership);
 	}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/SimulatedInstanceList.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/SimulatedInstanceList.java
@@ -31,6 +31,7 @@
 					: this.simulation.nowMillis - instance.failedAtMillis;
 			final int index = Integer.parseInt(instance.id.substring("i-".length()));
 			if (unreachableMillis >= 3 * ReplicaSimulation.HEARTBEAT_MILLIS || instance.restarted
+					|| this.simulation.nowMillis < instance.missingUntilMillis
 					|| this.simulation.nowMillis < index * this.simulation.listingIntervalMillis) {
 				instance.lastListed = null;
 			}
