Planner: orders to stage weights carry the token of the order before them

Cause: two orders to one instance in the same pass go out on two connections and may cross. A stage that arrives first would have made the join or open beside it void, which is then sent again a second later. Also, a load that an instance has rejected stayed counted.

Change: a stage voids nothing, so it does not count up; one that was overtaken is not counted as a load any more.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/FencingTokens.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/FencingTokens.java
@@ -23,12 +23,19 @@
 	private final Map<String, Long> lastByAddress = new HashMap<>();
 
 	/**
-	 * Returns the token of the next order.
+	 * Returns the token of the next order. One that stages weights voids no other, and
+	 * may arrive beside the one that was sent just before it, so it carries the same
+	 * token.
 	 * @param term the term of the lease under which the order is sent
-	 * @param address the address of the instance
-	 * @return a token above all earlier ones for the address
+	 * @param order the order
+	 * @return a token that is not below any earlier one for the address, and above them
+	 * if the order concerns a group
 	 */
-	public long next(long term, String address) {
+	public long next(long term, ReplicaOrder order) {
+		final String address = order.instance().address();
+		if (order instanceof ReplicaOrder.Stage) {
+			return Math.max(term << COUNTER_BITS, this.lastByAddress.getOrDefault(address, 0L));
+		}
 		final long first = (term << COUNTER_BITS) + 1;
 		return this.lastByAddress.merge(address, first,
 				(last, unused) -> Math.max(first, Math.min(last + 1, (term << COUNTER_BITS) + MAX_COUNT)));
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -324,6 +324,9 @@
 		else if (outcome == OrderOutcome.INVALID) {
 			this.stagedLoads.markUnsupported(order.instance().id());
 		}
+		else if (outcome == OrderOutcome.SUPERSEDED) {
+			this.stagedLoads.remove(order.instance().id());
+		}
 	}
 
 	private void onGroupOutcome(ReplicaOrder.GroupOrder order, OrderOutcome outcome) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/StagedLoads.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/StagedLoads.java
@@ -38,6 +38,15 @@
 		return this.loadDeadlineNanos.size();
 	}
 
+	/**
+	 * Forgets a load that the instance has rejected.
+	 * @param instanceId the instance
+	 */
+	void remove(String instanceId) {
+		this.loadDeadlineNanos.remove(instanceId);
+		this.loadingModels.remove(instanceId);
+	}
+
 	/**
 	 * Records that an instance does not support staging.
 	 * @param instanceId the instance
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -442,7 +442,7 @@
 	}
 
 	private void sendOrder(ReplicaOrder order, long term) {
-		final long fencingToken = this.fencingTokens.next(term, order.instance().address());
+		final long fencingToken = this.fencingTokens.next(term, order);
 		this.orderSender.send(order, fencingToken).thenAccept((outcome) -> {
 			Events.log(EventId.ORDER_COMPLETED, "order", order.verb(), "instance", order.instance().id(), "subject",
 					order.subject(), "term", term, "token", fencingToken, "outcome", outcome, "listed_in",
