Web server: reading requests and closing connections are classes of their own

Change: RequestReader, BodyCollector, ReadThrottle, ConnectionTimeouts, ConnectionBytes, UndecodedBytes, ConnectionCloser and the record ArrivedRequest have one of these each; ServerConnection answers requests one after the other. No change of behaviour is meant; nothing more is allocated for a request, a connection has seven small objects more. The constructor and MAX_PIECES_IN_TURN stay where tests use them; tests are unchanged.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -2,35 +2,22 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * One caller's connection: reads requests whole and answers them one after the other.
+ * One caller's connection: answers its requests one after the other.
  * <p>
  * While a request is answered the connection is still read, unless more than one request
  * waits. Otherwise a disconnect would be noticed only by a failed write, and nothing is
@@ -39,16 +26,7 @@
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
 
-	/** Requests that may wait behind the one that is answered before reading stops. */
-	private static final int MOST_WAITING = 1;
-
-	/** Requests that may wait in all, as one read can bring many; the next is refused. */
-	private static final int MOST_IN_ONE_PIECE = 128;
-
-	/**
-	 * Pieces of a body that are read before all other connections are. Small pieces take
-	 * far more time than their bytes.
-	 */
+	/** Pieces of a body that are read before all other connections are. */
 	static final int MAX_PIECES_IN_TURN = 2_048;
 
 	/** Disables the codec's bound, which closes the connection without answers. */
@@ -56,49 +34,29 @@
 
 	private final WebHandler handler;
 
-	private final Supplier<RequestLimits> limits;
-
-	private final LongSupplier nanoClock;
-
-	private final Deque<Arrived> waiting = new ArrayDeque<>();
-
-	private final HeldBytes held;
-
 	private final RequestQueue requests;
 
 	private final BooleanSupplier leaving;
 
-	private ChannelHandlerContext ctx;
-
-	private HttpRequest head;
-
-	private ByteBuf body = Unpooled.EMPTY_BUFFER;
-
-	private ServerReply current;
-
-	private boolean ignoresInput;
-
-	private boolean finishing;
-
-	private int piecesInTurn;
+	private final int maxHeadBytes;
 
-	private boolean awaitsTurn;
+	private final Deque<ArrivedRequest> waiting = new ArrayDeque<>();
 
-	private long currentBytes;
+	private final UndecodedBytes undecoded = new UndecodedBytes();
 
-	private long heldBytes;
+	private final ReadThrottle throttle = new ReadThrottle(MAX_PIECES_IN_TURN, this.waiting);
 
-	private long begunAtNanos;
+	private final ConnectionTimeouts timeouts;
 
-	private boolean begun;
+	private final ConnectionBytes bytes;
 
-	private boolean bytesRead;
+	private final RequestReader reader;
 
-	private boolean messageRead;
+	private final ConnectionCloser closer;
 
-	private long idleSinceNanos;
+	private ChannelHandlerContext ctx;
 
-	private RequestLimits limitsAtStart;
+	private ServerReply current;
 
 	/**
 	 * Creates a connection.
@@ -112,13 +70,15 @@
 	ServerConnection(WebHandler handler, Supplier<RequestLimits> limits, LongSupplier nanoClock, HeldBytes held,
 			RequestQueue requests, BooleanSupplier leaving) {
 		this.handler = handler;
-		this.limits = limits;
-		this.nanoClock = nanoClock;
-		this.held = held;
 		this.requests = requests;
 		this.leaving = leaving;
-		this.idleSinceNanos = nanoClock.getAsLong();
-		this.limitsAtStart = limits.get();
+		this.maxHeadBytes = limits.get().headBytes();
+		this.timeouts = new ConnectionTimeouts(limits, nanoClock);
+		final BodyCollector body = new BodyCollector();
+		this.bytes = new ConnectionBytes(held, body, this.waiting);
+		this.reader = new RequestReader(limits, nanoClock, this.timeouts, body, this.bytes, this.throttle,
+				this::arrive);
+		this.closer = new ConnectionCloser(this, handler, this.waiting);
 	}
 
 	/**
@@ -126,12 +86,9 @@
 	 * @param pipeline the channel's pipeline
 	 */
 	void addTo(ChannelPipeline pipeline) {
-		final int headBytes = this.limitsAtStart.headBytes();
-		pipeline.addLast(new ReadObserver(),
-				new HttpServerCodec(
-						new HttpDecoderConfig().setMaxInitialLineLength(headBytes).setMaxHeaderSize(headBytes),
-						MOST_IN_CODEC),
-				this);
+		final HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(this.maxHeadBytes)
+			.setMaxHeaderSize(this.maxHeadBytes);
+		pipeline.addLast(this.undecoded, new HttpServerCodec(config, MOST_IN_CODEC), this);
 	}
 
 	@Override
@@ -141,10 +98,10 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
-		this.messageRead = true;
+		this.undecoded.onDecoded();
 		try {
-			if (!this.ignoresInput && message instanceof HttpObject object) {
-				take(object);
+			if (message instanceof HttpObject part) {
+				this.reader.read(context, part);
 			}
 		}
 		finally {
@@ -152,123 +109,32 @@
 		}
 	}
 
-	private void take(HttpObject object) {
-		if (object.decoderResult().isFailure()) {
-			fault(faultOf(object.decoderResult().cause()));
-			return;
-		}
-		if (object instanceof HttpRequest request) {
-			begin(request);
-		}
-		if (!this.ignoresInput && object instanceof HttpContent content) {
-			append(content);
-		}
-	}
-
-	private static RequestFault faultOf(Throwable cause) {
-		final boolean tooLong = cause instanceof TooLongHttpLineException
-				|| cause instanceof TooLongHttpHeaderException;
-		return tooLong ? RequestFault.HEAD_TOO_LARGE : RequestFault.MALFORMED;
-	}
-
-	private void begin(HttpRequest request) {
-		this.head = request;
-		this.body = Unpooled.EMPTY_BUFFER;
-		beginTime();
-		if (HttpUtil.getContentLength(request, 0L) > this.limits.get().bodyBytes()) {
-			fault(RequestFault.BODY_TOO_LARGE);
-		}
-		else if (this.held.full() || this.waiting.size() >= MOST_IN_ONE_PIECE) {
-			fault(RequestFault.NO_ROOM);
-		}
-		else if (HttpUtil.is100ContinueExpected(request)) {
-			this.ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
-					Unpooled.EMPTY_BUFFER));
-		}
-	}
-
-	private void append(HttpContent content) {
-		final ByteBuf piece = content.content();
-		if (this.body.readableBytes() + piece.readableBytes() > this.limits.get().bodyBytes()) {
-			fault(RequestFault.BODY_TOO_LARGE);
-			return;
-		}
-		if (piece.isReadable() && this.held.full()) {
-			fault(RequestFault.NO_ROOM);
-			return;
-		}
-		if (piece.isReadable()) {
-			collect(piece);
-		}
-		if (content instanceof LastHttpContent) {
-			arrive(new Arrived(
-					new WebRequest(this.head.method().name(), this.head.uri(), HeaderFields.of(this.head.headers()),
-							Body.of(this.body)),
-					null, HttpUtil.isKeepAlive(this.head), this.head.protocolVersion().equals(HttpVersion.HTTP_1_1),
-					this.nanoClock.getAsLong()));
-			this.head = null;
-			this.body = Unpooled.EMPTY_BUFFER;
-			this.begun = false;
-		}
-		count();
-	}
-
-	// The pieces are copied into one buffer that grows by doubling: time and memory
-	// depend on the size of the body and not on the number of its pieces.
-	private void collect(ByteBuf piece) {
-		if (!this.body.isReadable()) {
-			this.body = Unpooled.buffer(piece.readableBytes());
-		}
-		this.body.writeBytes(piece);
-		this.piecesInTurn++;
-		if (this.piecesInTurn >= MAX_PIECES_IN_TURN && !this.awaitsTurn) {
-			awaitNextTurn();
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		if (this.undecoded.endRead()) {
+			this.reader.onUndecodedBytes();
 		}
+		this.throttle.onReadComplete();
 	}
 
-	private void awaitNextTurn() {
-		this.awaitsTurn = true;
-		updateReading();
-		// A scheduled task waits for the loop's next turn, unlike one that is executed.
-		this.ctx.executor().schedule(() -> {
-			this.awaitsTurn = false;
-			this.piecesInTurn = 0;
-			updateReading();
-		}, 0, TimeUnit.NANOSECONDS);
-	}
-
-	private void updateReading() {
-		this.ctx.channel().config().setAutoRead(!this.awaitsTurn && this.waiting.size() <= MOST_WAITING);
-	}
-
-	private void fault(RequestFault fault) {
-		final HeaderFields headers = (this.head != null) ? HeaderFields.of(this.head.headers()) : HeaderFields.EMPTY;
-		this.ignoresInput = true;
-		this.begun = false;
-		this.head = null;
-		this.body = Unpooled.EMPTY_BUFFER;
-		count();
-		arrive(new Arrived(null, new UnreadRequest(fault, headers), false, true, this.nanoClock.getAsLong()));
-	}
-
-	private void arrive(Arrived arrived) {
+	private void arrive(ArrivedRequest arrived) {
 		this.waiting.add(arrived);
 		// Everything that has arrived on any connection is read before the first request
 		// is handled, so that nothing is done for callers who have left already.
 		this.requests.add(this.ctx.executor(), this::next);
-		updateReading();
+		this.throttle.update(this.ctx.channel());
 	}
 
 	private void next() {
-		if (!this.ctx.channel().isActive()) {
+		if (!isActive()) {
 			this.waiting.clear();
 		}
 		if (this.current != null || this.waiting.isEmpty()) {
 			return;
 		}
-		final Arrived arrived = this.waiting.poll();
-		updateReading();
-		this.currentBytes = arrived.bytes();
+		final ArrivedRequest arrived = this.waiting.poll();
+		this.throttle.update(this.ctx.channel());
+		this.bytes.setCurrent(arrived.bodyBytes());
 		final ServerReply reply = new ServerReply(this.ctx, arrived.keepAlive(), arrived.chunks(), arrived.atNanos(),
 				this);
 		this.current = reply;
@@ -292,18 +158,16 @@
 		}
 	}
 
+	/**
+	 * Goes on to the next request behind a complete answer.
+	 */
 	void answered() {
 		this.current = null;
-		this.currentBytes = 0;
-		count();
-		this.idleSinceNanos = this.nanoClock.getAsLong();
-		if (!this.begun) {
-			this.limitsAtStart = this.limits.get();
-		}
+		this.bytes.setCurrent(0);
+		this.bytes.count(this.ctx.channel());
+		this.timeouts.onAnswered();
 		next();
-		if (this.finishing && isIdle()) {
-			closeUnlessRequestArrived();
-		}
+		this.closer.onAnswered();
 	}
 
 	/**
@@ -312,55 +176,16 @@
 	 * @return whether no other answer follows
 	 */
 	boolean isLastAnswer() {
-		return this.leaving.getAsBoolean() && this.waiting.isEmpty() && !this.begun;
+		return this.leaving.getAsBoolean() && this.waiting.isEmpty() && !this.timeouts.isReading();
 	}
 
 	/**
-	 * Closes the connection as soon as every request that was read on it is answered.
+	 * Counts bytes that are kept for the current answer.
+	 * @param keptBytes the number of bytes
 	 */
-	void finish() {
-		this.finishing = true;
-		if (isIdle()) {
-			closeUnlessRequestArrived();
-		}
-	}
-
-	void hold(int bytes) {
-		this.currentBytes += bytes;
-		count();
-	}
-
-	// What a caller has not taken shrinks without a notice; sweeps see that.
-	private void count() {
-		long now = this.body.capacity() + this.currentBytes;
-		for (final Arrived arrived : this.waiting) {
-			now += arrived.bytes();
-		}
-		final ChannelOutboundBuffer untaken = this.ctx.channel().unsafe().outboundBuffer();
-		now += (untaken != null) ? untaken.totalPendingWriteBytes() : 0;
-		this.held.add(now - this.heldBytes);
-		this.heldBytes = now;
-	}
-
-	private void beginTime() {
-		if (!this.begun) {
-			this.begun = true;
-			this.begunAtNanos = this.nanoClock.getAsLong();
-			this.limitsAtStart = this.limits.get();
-		}
-	}
-
-	// The codec shows nothing of a head until it is whole.
-	@Override
-	public void channelReadComplete(ChannelHandlerContext context) {
-		if (this.bytesRead && !this.messageRead && !this.ignoresInput) {
-			beginTime();
-		}
-		this.bytesRead = false;
-		this.messageRead = false;
-		if (!this.awaitsTurn) {
-			this.piecesInTurn = 0;
-		}
+	void hold(int keptBytes) {
+		this.bytes.addToCurrent(keptBytes);
+		this.bytes.count(this.ctx.channel());
 	}
 
 	/**
@@ -370,37 +195,26 @@
 	 * @param nowNanos the monotonic time
 	 */
 	void sweep(long nowNanos) {
-		count();
-		final RequestLimits now = this.limits.get();
-		if (this.begun && nowNanos - this.begunAtNanos > nanos(mostMillisToRead(now))) {
-			fault(RequestFault.TOO_SLOW);
+		this.bytes.count(this.ctx.channel());
+		if (this.timeouts.isTooSlow(nowNanos, this.reader.hasHead())) {
+			this.reader.fail(this.ctx, RequestFault.TOO_SLOW);
 			next();
 		}
-		else if (isIdle() && nowNanos - this.idleSinceNanos > nanos(mostIdleMillis(now))) {
-			closeUnlessRequestArrived();
+		else if (this.timeouts.isIdleTooLong(nowNanos)) {
+			this.closer.closeIfIdle();
 		}
 	}
 
-	private boolean isIdle() {
-		return this.current == null && this.waiting.isEmpty() && !this.begun;
-	}
-
-	// Callers rely on the times in force when the request or the idle time began.
-	private long mostMillisToRead(RequestLimits now) {
-		return (this.head == null) ? Math.max(now.headMillis(), this.limitsAtStart.headMillis())
-				: Math.max(now.bodyMillis(), this.limitsAtStart.bodyMillis());
-	}
-
-	private long mostIdleMillis(RequestLimits now) {
-		return Math.max(now.idleMillis(), this.limitsAtStart.idleMillis());
+	/**
+	 * Returns whether the connection is without a request.
+	 * @return whether none is being read, waits or is answered
+	 */
+	boolean isIdle() {
+		return this.current == null && this.waiting.isEmpty() && !this.timeouts.isReading();
 	}
 
-	// On a loop that runs late a request may have arrived that was not read yet.
-	private void closeUnlessRequestArrived() {
-		readArrived();
-		if (isIdle()) {
-			close();
-		}
+	boolean isActive() {
+		return this.ctx.channel().isActive();
 	}
 
 	/**
@@ -414,8 +228,18 @@
 		}
 	}
 
-	private static long nanos(long millis) {
-		return TimeUnit.MILLISECONDS.toNanos(millis);
+	/**
+	 * Closes the connection as soon as every request that was read on it is answered.
+	 */
+	void finish() {
+		this.closer.finish();
+	}
+
+	/**
+	 * Closes the connection because the server stops.
+	 */
+	void stop() {
+		this.closer.close(CloseCause.SERVER_STOPPED, this.current);
 	}
 
 	void close() {
@@ -424,7 +248,7 @@
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
-		count();
+		this.bytes.count(context.channel());
 		if (this.current != null) {
 			this.current.onWritable(context.channel().isWritable());
 		}
@@ -432,11 +256,10 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
-		this.ignoresInput = true;
+		this.reader.stop();
 		this.waiting.clear();
-		this.currentBytes = 0;
-		this.body = Unpooled.EMPTY_BUFFER;
-		count();
+		this.bytes.setCurrent(0);
+		this.bytes.count(context.channel());
 		if (this.current != null) {
 			this.current.onGone();
 		}
@@ -445,78 +268,15 @@
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		ConnectionFaults.log(cause);
-		if (!ConnectionFaults.isReset(cause) && this.head != null) {
-			fault(RequestFault.INTERNAL);
-			return;
-		}
-		if (!ConnectionFaults.isReset(cause)) {
-			reportUnanswered(CloseCause.CONNECTION_FAILED);
-		}
-		context.close();
-	}
-
-	/**
-	 * Closes the connection because the server stops.
-	 */
-	void stop() {
-		reportUnanswered(CloseCause.SERVER_STOPPED);
-		close();
-	}
-
-	private void reportUnanswered(CloseCause cause) {
-		if (!this.ctx.channel().isActive()) {
-			return;
-		}
-		// Behind an answer that announced the connection's end, no answer is due.
-		if (this.current == null || !this.current.isOver()) {
-			this.waiting.stream()
-				.filter((arrived) -> arrived.request() != null)
-				.forEach((arrived) -> this.handler.onUnhandled(arrived.request(), cause));
-		}
-		this.waiting.clear();
-		if (this.current != null) {
-			this.current.onClosing(cause);
+		if (ConnectionFaults.isReset(cause)) {
+			close();
 		}
-	}
-
-	/**
-	 * A request that has arrived, or why none could be read.
-	 *
-	 * @param request the request; null where there is a fault
-	 * @param unread what could not be read; null where there is a request
-	 * @param keepAlive whether the caller keeps the connection
-	 * @param chunks whether the caller understands answers in chunks
-	 * @param atNanos when it has arrived
-	 */
-	private record Arrived(WebRequest request, UnreadRequest unread, boolean keepAlive, boolean chunks, long atNanos) {
-
-		int bytes() {
-			return (this.request != null) ? this.request.body().sizeBytes() : 0;
+		else if (this.reader.hasHead()) {
+			this.reader.fail(context, RequestFault.INTERNAL);
 		}
-
-	}
-
-	/**
-	 * A request that could not be read.
-	 *
-	 * @param fault why not
-	 * @param headers its header fields; empty if its head was not read
-	 */
-	private record UnreadRequest(RequestFault fault, HeaderFields headers) {
-
-	}
-
-	/**
-	 * Notes that something has arrived, whatever the codec makes of it.
-	 */
-	private final class ReadObserver extends ChannelInboundHandlerAdapter {
-
-		@Override
-		public void channelRead(ChannelHandlerContext context, Object bytes) {
-			ServerConnection.this.bytesRead = true;
-			context.fireChannelRead(bytes);
+		else {
+			this.closer.close(CloseCause.CONNECTION_FAILED, this.current);
 		}
-
 	}
 
 }
