Traffic duty: messages are handled apart from the methods that submit them

Change: TrafficMessageHandler handles messages and ticks, QuarantineUpdater applies quarantines as they begin and expire; TrafficDuty submits messages and exposes the state. What is confined to the duty's thread now stands in classes of its own. onMessage and onTick are no longer public. No change of behaviour is meant; nothing more is allocated for a message.

Tests are unchanged.

Conclusion: most of what is left in TrafficDuty are one-line methods and their comments.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -14,7 +14,6 @@
 import org.pistachioline.core.backoff.BackoffReport;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
-import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.limit.AdvertisedLimit;
 import org.pistachioline.core.limit.LimitReport;
 import org.pistachioline.core.manifest.Manifest;
@@ -25,21 +24,18 @@
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.AttemptOutcome;
 import org.pistachioline.core.traffic.Drain;
-import org.pistachioline.core.traffic.PauseDetector;
 import org.pistachioline.core.traffic.TargetView;
-import org.pistachioline.core.traffic.TrafficAction;
 import org.pistachioline.core.traffic.TrafficCore;
 import org.pistachioline.daemon.Lifecycle;
 import org.pistachioline.daemon.claims.Claims;
 import org.pistachioline.daemon.duty.Duty;
-import org.pistachioline.daemon.duty.DutyHandler;
 import org.pistachioline.daemon.duty.Ring;
-import org.pistachioline.daemon.event.Events;
 
 /**
- * Runs the traffic core on one thread and executes the actions that it returns.
+ * Runs the traffic core on one thread: passes it what other threads report and request,
+ * and exposes its state to them.
  */
-public final class TrafficDuty implements Lifecycle, DutyHandler<TrafficMessage>, AttemptListener {
+public final class TrafficDuty implements Lifecycle, AttemptListener {
 
 	private static final int RING_CAPACITY = 65_536;
 
@@ -48,36 +44,15 @@
 	 * interval late. Each tick wakes a thread even if there is nothing to do, which rules
 	 * out much shorter ones.
 	 */
-	private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
-
-	private static final long QUARANTINE_REFRESH_NANOS = Duration.ofSeconds(1).toNanos();
-
-	private final TrafficCore core;
-
-	private final LimitShareUpdater limitShares;
-
-	private final TraceRecorder recorder;
-
-	private final ActionRunner runner;
-
-	private final Duty<TrafficMessage> duty;
-
-	private final PauseDetector pauses = new PauseDetector(TICK_INTERVAL.toNanos());
-
-	private FleetState fleetState = FleetState.EMPTY;
-
-	private long quarantinesRefreshedAtNanos;
+	static final Duration TICK_INTERVAL = Duration.ofMillis(50);
 
 	private final TargetMonitor targetMonitor;
 
-	private LongConsumer tickListener = (nowNanos) -> {
-	};
-
-	private volatile int activeRequestCount;
+	private final ActionRunner runner;
 
-	private volatile int queuedRequestCount;
+	private final TrafficMessageHandler handler;
 
-	private volatile long droppedResponseCount;
+	private final Duty<TrafficMessage> duty;
 
 	/**
 	 * Creates the duty.
@@ -90,12 +65,10 @@
 	 */
 	public TrafficDuty(ActorSystem<?> system, TrafficCore core, Claims claims, LimitShareUpdater limitShares,
 			SuspectReporter suspectReporter, TraceRecorder recorder) {
-		this.recorder = recorder;
-		this.limitShares = limitShares;
-		this.core = core;
 		this.targetMonitor = new TargetMonitor(core, this::offer);
-		this.duty = new Duty<>(system, "traffic", RING_CAPACITY, TICK_INTERVAL, this);
-		this.runner = new ActionRunner(claims, suspectReporter, recorder, this, this.duty::put);
+		this.runner = new ActionRunner(claims, suspectReporter, recorder, this, this::put);
+		this.handler = new TrafficMessageHandler(core, limitShares, recorder, this.runner, this.targetMonitor);
+		this.duty = new Duty<>(system, "traffic", RING_CAPACITY, TICK_INTERVAL, this.handler);
 	}
 
 	/**
@@ -111,7 +84,7 @@
 	 * @param listener receives the monotonic time on the duty's thread; must not block
 	 */
 	void setTickListener(LongConsumer listener) {
-		this.tickListener = listener;
+		this.handler.setTickListener(listener);
 	}
 
 	/**
@@ -126,6 +99,10 @@
 		return this.duty.offer(message);
 	}
 
+	private void put(TrafficMessage message) {
+		this.duty.put(message);
+	}
+
 	@Override
 	public void start() {
 		this.duty.start();
@@ -335,7 +312,7 @@
 	 * @return the number of requests
 	 */
 	public int activeRequestCount() {
-		return this.activeRequestCount + this.duty.ring().size();
+		return this.handler.activeRequestCount() + this.duty.ring().size();
 	}
 
 	/**
@@ -344,7 +321,7 @@
 	 * @return the number of dropped responses
 	 */
 	public long droppedResponseCount() {
-		return this.droppedResponseCount;
+		return this.handler.droppedResponseCount();
 	}
 
 	/**
@@ -352,7 +329,7 @@
 	 * @return the number of requests
 	 */
 	public int queuedRequestCount() {
-		return this.queuedRequestCount;
+		return this.handler.queuedRequestCount();
 	}
 
 	@Override
@@ -365,111 +342,6 @@
 		this.duty.put(new TrafficMessage.AttemptEnded(attempt, outcome, tokensDelivered));
 	}
 
-	@Override
-	public void onTick() {
-		final long nowNanos = System.nanoTime();
-		this.core.onPause(nowNanos, this.pauses.onTick(nowNanos));
-		execute(this.core.onTick(nowNanos));
-		execute(this.limitShares.update(nowNanos, this.core));
-		this.targetMonitor.refresh(nowNanos);
-		this.tickListener.accept(nowNanos);
-		// Quarantines expire by the wall clock without a new record, so they are
-		// evaluated again periodically.
-		if (nowNanos - this.quarantinesRefreshedAtNanos >= QUARANTINE_REFRESH_NANOS) {
-			refreshQuarantines(nowNanos);
-		}
-	}
-
-	private void refreshQuarantines(long nowNanos) {
-		final long nowMillis = System.currentTimeMillis();
-		this.quarantinesRefreshedAtNanos = nowNanos;
-		execute(this.core.onQuarantines(nowNanos, LogSuspectReporter.quarantined(this.fleetState, nowMillis),
-				LogSuspectReporter.suspected(this.fleetState, nowMillis)));
-	}
-
-	@Override
-	public void onMessage(TrafficMessage message) {
-		final long nowNanos = System.nanoTime();
-		if (message instanceof TrafficMessage.RequestArrived arrived) {
-			this.runner.add(arrived.exchange());
-			this.recorder.onArrival(nowNanos, arrived.exchange().info());
-			execute(this.core.onRequest(nowNanos, arrived.exchange().info()));
-		}
-		else if (message instanceof TrafficMessage.AttemptProgressed progressed) {
-			this.recorder.onTokens(progressed.attempt().requestId(), progressed.tokensDelivered());
-			this.core.onProgress(nowNanos, progressed.attempt(), progressed.tokensDelivered());
-		}
-		else if (message instanceof TrafficMessage.AttemptEnded ended) {
-			this.recorder.onTokens(ended.attempt().requestId(), ended.tokensDelivered());
-			handleAttemptEnd(nowNanos, ended);
-		}
-		else if (message instanceof TrafficMessage.PeerDemandReceived peer) {
-			this.limitShares.onPeerDemand(nowNanos, peer);
-		}
-		else if (message instanceof TrafficMessage.ClaimDecided decided) {
-			handleClaimResult(nowNanos, decided);
-		}
-		else if (message instanceof TrafficMessage.CallerDisconnected disconnected) {
-			execute(this.core.onCallerDisconnected(nowNanos, disconnected.requestId()));
-		}
-		else if (message instanceof TrafficMessage.ManifestChanged manifestChange) {
-			execute(this.core.onManifest(nowNanos, manifestChange.manifest()));
-		}
-		else if (message instanceof TrafficMessage.TargetsChanged targets) {
-			execute(this.core.onTargets(nowNanos, targets.targets()));
-		}
-		else if (message instanceof TrafficMessage.FleetStateChanged fleetChange) {
-			final boolean changed = fleetChange.state().quarantines() != this.fleetState.quarantines()
-					|| fleetChange.state().suspicions() != this.fleetState.suspicions();
-			this.fleetState = fleetChange.state();
-			if (changed) {
-				refreshQuarantines(nowNanos);
-			}
-		}
-		else if (message instanceof TrafficMessage.CacheChanged cached) {
-			this.core.onCacheEvents(nowNanos, cached.events());
-		}
-		else if (message instanceof TrafficMessage.TaskSubmitted submitted) {
-			submitted.task().accept(nowNanos);
-		}
-		else if (message instanceof TrafficMessage.DrainChanged drained) {
-			this.core.onDrain(drained.drain());
-		}
-		else if (message instanceof TrafficMessage.AllInterrupted) {
-			execute(this.core.interruptAll(nowNanos));
-		}
-		else if (this.targetMonitor.handle(nowNanos, message)) {
-			execute(this.core.onTick(nowNanos));
-		}
-	}
-
-	private void handleAttemptEnd(long nowNanos, TrafficMessage.AttemptEnded ended) {
-		final boolean hasResponse = ended.outcome() == AttemptOutcome.COMPLETE
-				|| ended.outcome() == AttemptOutcome.MISMATCHED;
-		if (ended.outcome() == AttemptOutcome.MISMATCHED || (hasResponse && !this.core.isLive(ended.attempt()))) {
-			this.droppedResponseCount++;
-			Events.log(EventId.RESPONSE_DROPPED, "attempt", ended.attempt().wireForm(), "end", ended.outcome());
-		}
-		else if (ended.outcome() != AttemptOutcome.COMPLETE && ended.outcome() != AttemptOutcome.CANCELLED
-				&& ended.outcome() != AttemptOutcome.WITHHELD && this.core.isLive(ended.attempt())) {
-			Events.log(EventId.ATTEMPT_FAILED, "attempt", ended.attempt().wireForm(), "end", ended.outcome());
-		}
-		execute(this.core.onAttemptEnd(nowNanos, ended.attempt(), ended.outcome(), ended.tokensDelivered()));
-	}
-
-	private void handleClaimResult(long nowNanos, TrafficMessage.ClaimDecided decided) {
-		this.runner.onClaimResult(decided);
-		execute(this.core.onClaim(nowNanos, decided.requestId(), decided.result().verdict(),
-				decided.result().claimOffset()));
-		this.runner.removeOutcome(decided.requestId());
-	}
-
-	private void execute(List<TrafficAction> actions) {
-		this.runner.run(actions);
-		this.activeRequestCount = this.core.activeRequestCount();
-		this.queuedRequestCount = this.core.queuedRequestCount();
-	}
-
 	/**
 	 * Returns the numbers of failed requests, for metrics and operators.
 	 * @return the counts
