Adapters: bounds on depth, size and numbers of all text from outside

Callers saw: every daemon that read the list ended within seconds of one deeply nested entry, and ended again at its next start. Trial of the code before, four daemons with the deploy file's stack and heap, one entry with a field nested 200,000 deep: all four ended with status 255, the last one after 7.7 s (readers first; who takes over from them reads, and ends as well). Started again, three of four ended, and the one that lived had no list. The same with ColdRemainingMs nested 990 deep (7.2 s).

Cause: JsonTree is recursive, and Jackson's 1,000 levels do not fit into a stack of 256 kB. The StackOverflowError is no IOException, and the actor system ends the process for it. The peers get no such entry by gossip; only reading it from the store ends a daemon. Answers of instances ("report") and of the store go through the same code, on the loop of all connections.

Change: TextBounds holds one set of bounds for JSON and TOML (64 levels, numbers of 100 characters, names of 1,000, strings of 8 Mi). JsonTree bounds the bytes (8 MiB) and the values of a text (200,000, as each takes some 50 bytes of memory) as well.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/Json.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/Json.java
@@ -3,19 +3,23 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 
+import org.pistachioline.adapters.text.TextBounds;
+
 /**
  * The one JSON mapper: snake case, unknown properties ignored.
  */
 public final class Json {
 
 	/** The shared mapper; it is safe for use by many threads. */
-	public static final ObjectMapper MAPPER = JsonMapper.builder()
+	public static final ObjectMapper MAPPER = JsonMapper
+		.builder(JsonFactory.builder().streamReadConstraints(TextBounds.CONSTRAINTS).build())
 		.propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
 		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
 		.build();
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/JsonTree.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/JsonTree.java
@@ -8,22 +8,36 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
+import org.pistachioline.adapters.text.TextBounds;
+
 /**
  * Reads JSON into trees and writes trees as JSON.
  * <p>
  * It goes from tokens to nodes without a mapper, whose inspection of types by reflection
  * a process pays for at its first message, while its callers wait.
+ * <p>
+ * The texts come from outside, and one that nobody expects must not end the process. So
+ * their depth, size and numbers are bounded, well above what any legitimate message
+ * needs. The reader is recursive, and the bound on the depth is what keeps it within the
+ * small stacks of the daemon's threads; Jackson's own bound of 1,000 levels does not.
  */
 public final class JsonTree {
 
-	private static final JsonFactory JSON = new JsonFactory();
+	/**
+	 * The most values of a text, objects and arrays included. Each takes some 50 bytes of
+	 * memory, however short its text is.
+	 */
+	static final int MAX_VALUES = 200_000;
+
+	/** The longest text. The longest one expected is a page of the store, of 1.5 MB. */
+	static final int MAX_BYTES = 8 * 1024 * 1024;
+
+	private static final JsonFactory JSON = JsonFactory.builder().streamReadConstraints(TextBounds.CONSTRAINTS).build();
 
 	private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
@@ -42,51 +56,15 @@
 	 * Reads a tree.
 	 * @param json the JSON text in UTF-8
 	 * @return the tree; a missing node where there is no text
-	 * @throws IOException if it is no JSON
+	 * @throws IOException if it is no JSON, or exceeds a bound
 	 */
 	public static JsonNode read(byte[] json) throws IOException {
-		try (JsonParser parser = JSON.createParser(json)) {
-			return (parser.nextToken() == null) ? MissingNode.getInstance() : value(parser);
+		if (json.length > MAX_BYTES) {
+			throw new IOException("The text has " + json.length + " bytes, more than " + MAX_BYTES);
 		}
-	}
-
-	private static JsonNode value(JsonParser parser) throws IOException {
-		return switch (parser.currentToken()) {
-			case START_OBJECT -> object(parser);
-			case START_ARRAY -> array(parser);
-			case VALUE_STRING -> NODES.textNode(parser.getText());
-			case VALUE_TRUE -> NODES.booleanNode(true);
-			case VALUE_FALSE -> NODES.booleanNode(false);
-			case VALUE_NUMBER_FLOAT -> NODES.numberNode(parser.getDoubleValue());
-			case VALUE_NUMBER_INT -> whole(parser);
-			default -> NODES.nullNode();
-		};
-	}
-
-	private static JsonNode whole(JsonParser parser) throws IOException {
-		return switch (parser.getNumberType()) {
-			case INT -> NODES.numberNode(parser.getIntValue());
-			case LONG -> NODES.numberNode(parser.getLongValue());
-			default -> NODES.numberNode(parser.getBigIntegerValue());
-		};
-	}
-
-	private static ObjectNode object(JsonParser parser) throws IOException {
-		final ObjectNode node = NODES.objectNode();
-		while (parser.nextToken() != JsonToken.END_OBJECT) {
-			final String name = parser.currentName();
-			parser.nextToken();
-			node.set(name, value(parser));
-		}
-		return node;
-	}
-
-	private static ArrayNode array(JsonParser parser) throws IOException {
-		final ArrayNode node = NODES.arrayNode();
-		while (parser.nextToken() != JsonToken.END_ARRAY) {
-			node.add(value(parser));
+		try (JsonParser parser = JSON.createParser(json)) {
+			return (parser.nextToken() == null) ? MissingNode.getInstance() : new JsonTreeBuilder(parser).value();
 		}
-		return node;
 	}
 
 	/**
--- /dev/null
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/text/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Bounds on text from outside.
+ */
+package org.pistachioline.adapters.text;
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/toml/TomlReader.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/toml/TomlReader.java
@@ -7,8 +7,10 @@
 
 import com.fasterxml.jackson.core.JacksonException;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 
+import org.pistachioline.adapters.text.TextBounds;
 import org.pistachioline.core.manifest.Fault;
 
 /**
@@ -16,6 +18,8 @@
  */
 final class TomlReader {
 
+	private static final TomlFactory TOML = TomlFactory.builder().streamReadConstraints(TextBounds.CONSTRAINTS).build();
+
 	private final JsonNode node;
 
 	private final String place;
@@ -30,7 +34,7 @@
 
 	static TomlReader parse(String file, String toml) throws InvalidInputException {
 		try {
-			return new TomlReader(new TomlMapper().readTree(toml), "", new ArrayList<>());
+			return new TomlReader(new TomlMapper(TOML).readTree(toml), "", new ArrayList<>());
 		}
 		catch (JacksonException ex) {
 			final String place = (ex.getLocation() != null) ? "line " + ex.getLocation().getLineNr() : "line unknown";
