Duty: a message that exhausts the stack no longer ends the process

Callers saw: a daemon ends with status 255 on one message, and so does the next one that gets it.

Cause: runGuarded caught RuntimeException only, and the actor system is set to end the process for what it takes for a fatal error.

The stack is gone with the call, so the duty can go on. Other errors still end the process.

Evidence: DutyTests.aMessageThatExhaustsTheStackIsLoggedAndTheNextOneIsHandled failed before ("Uncaught error from thread ..., shutting down ActorSystem", time-out after 30 s), passes now.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/duty/Duty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/duty/Duty.java
@@ -20,7 +20,9 @@
  * <p>
  * Messages wait in the bounded ring, so the actor's mailbox holds at most one wake-up and
  * one tick. An exception of the handler is logged and the duty continues with the next
- * message, since the daemon would otherwise keep running without handling any of them.
+ * message, since the daemon would otherwise keep running without handling any of them. So
+ * is an exhausted stack, which is gone with the call: the actor system would end the
+ * process for it, and whatever message caused it would end the next process as well.
  *
  * @param <M> the type of messages
  */
@@ -153,7 +155,7 @@
 		try {
 			action.run();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | StackOverflowError ex) {
 			Events.log(EventId.DUTY_FAILED, ex, "duty", this.ring.name(), "at",
 					(ex.getStackTrace().length > 0) ? ex.getStackTrace()[0] : "unknown");
 		}
