Planner: an earlier planner's incomplete group is closed before it is over

Cause: a group that another planner formed, and that lacked a member for 2.5 s, was over without its head being asked. A late order of that planner could still open it, and its members were reassigned while it served.

Change: its head closes and leaves first, like that of any other group. anIncompleteGroupOfAnEarlierPlannerIsClosedBeforeItsMembersAreReassigned failed before.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupEnd.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupEnd.java
@@ -23,10 +23,7 @@
 		FOLLOWER_LEFT,
 
 		/** No order to open the group was ever sent. */
-		NEVER_OPENED,
-
-		/** The group of an earlier planner did not become complete. */
-		INCOMPLETE
+		NEVER_OPENED
 
 	}
 
@@ -41,10 +38,7 @@
 		if (tracked.headLeft) {
 			return Evidence.HEAD_LEFT;
 		}
-		if (tracked.followerLeft) {
-			return Evidence.FOLLOWER_LEFT;
-		}
-		return tracked.openOrdered ? Evidence.INCOMPLETE : Evidence.NEVER_OPENED;
+		return tracked.followerLeft ? Evidence.FOLLOWER_LEFT : Evidence.NEVER_OPENED;
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReconciler.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReconciler.java
@@ -118,7 +118,7 @@
 			return tracked.formedByThisPlanner ? !orderOpen(nowNanos, tracked, status)
 					: mayReleaseMembers(nowNanos, tracked, status.head().get());
 		}
-		return !status.allJoined() && !retryJoins(nowNanos, tracked, instances);
+		return !status.allJoined() && cannotBecomeComplete(nowNanos, tracked, status, instances);
 	}
 
 	// A head that disappeared from the list may have failed, or it may have lost its
@@ -182,12 +182,13 @@
 		return true;
 	}
 
-	// Returns whether the group can still be completed.
-	private boolean retryJoins(long nowNanos, TrackedGroup tracked, Map<String, ServingInstance> instances) {
+	private boolean cannotBecomeComplete(long nowNanos, TrackedGroup tracked, GroupStatus status,
+			Map<String, ServingInstance> instances) {
 		if (!tracked.formedByThisPlanner) {
 			// The orders of the previous planner are not fully known, so the group is
-			// formed again.
-			return !hasElapsed(nowNanos, incompleteSince(nowNanos, tracked), JOIN_REPORT_TIMEOUT_NANOS);
+			// formed again. One of them may still open it.
+			return hasElapsed(nowNanos, incompleteSince(nowNanos, tracked), JOIN_REPORT_TIMEOUT_NANOS)
+					&& mayReleaseMembers(nowNanos, tracked, status.head().orElseThrow());
 		}
 		for (final String id : tracked.memberIds) {
 			final ServingInstance instance = instances.get(id);
@@ -195,7 +196,7 @@
 				orderJoin(nowNanos, tracked, instance);
 			}
 		}
-		return true;
+		return false;
 	}
 
 	void orderJoin(long nowNanos, TrackedGroup tracked, ServingInstance instance) {
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaPlannerTests.java
@@ -378,6 +378,26 @@
 			.hasSize(2);
 	}
 
+	/**
+	 * Guards against releasing the members of an earlier planner's incomplete group while
+	 * a late order of that planner may still open it.
+	 */
+	@Test
+	void anIncompleteGroupOfAnEarlierPlannerIsClosedBeforeItsMembersAreReassigned() {
+		final GroupId group = GroupId.of("small", 5);
+		final ServingInstance head = member("a", group, 0, MemberState.READY);
+		final ServingInstance follower = member("b", group, 1, MemberState.READY);
+		final ServingInstance outside = free("b", "small");
+		this.planner.beginTerm(0, 1);
+		assertThat(this.planner.plan(view(SECOND_NANOS, head, follower))).isEmpty();
+		assertThat(this.planner.plan(view(SECOND_NANOS + TICK_NANOS, head, outside))).isEmpty();
+		planAndAnswer(4 * SECOND_NANOS, new ReplicaOrder.Close(head, group, true), OrderOutcome.HOLDS, head, outside);
+		planAndAnswer(4 * SECOND_NANOS + TICK_NANOS, new ReplicaOrder.Leave(head, group), OrderOutcome.STARTED, head,
+				outside);
+		assertThat(this.planner.plan(view(4 * SECOND_NANOS + 2 * TICK_NANOS, free("a", "small"), outside))).hasSize(2)
+			.allMatch((order) -> order instanceof ReplicaOrder.Join);
+	}
+
 	/**
 	 * Guards against a head that is kept for ever because an order to leave was executed
 	 * without an answer, and is answered as unfit ever after.
