Client: an unasked switch of protocols fails its request at once

What callers saw: a target that answered 101 kept its request until the route's timeout or the deadline. If bytes followed, the connection was closed at once, but nobody told the request.

Cause: after 101 Netty's codec decodes nothing more and hands on raw bytes. ClientConnection took a message that is no HTTP object for bytes that nobody waits for, and its abort drops the waiting call without a word. Without such bytes it skipped the 101 like any interim answer.

Change: 101 fails the call, as no request asks for one (Upgrade is not passed on); so do raw bytes while a call waits.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -201,10 +202,13 @@
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		try {
-			if (this.call == null || !(message instanceof HttpObject object)) {
+			if (this.call == null) {
 				// Nobody asked: the other side sent more than its answer.
 				abort();
 			}
+			else if (!(message instanceof HttpObject object)) {
+				fail(new IOException("Bytes that are no answer were received"));
+			}
 			else if (object.decoderResult().isFailure()) {
 				fail(object.decoderResult().cause());
 			}
@@ -219,6 +223,11 @@
 
 	private void take(HttpObject object) {
 		if (object instanceof HttpResponse response) {
+			if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+				// No request asks for it, and the codec decodes no answer after it.
+				fail(new IOException("The server switched to another protocol"));
+				return;
+			}
 			this.informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 			if (!this.informational) {
 				this.bytesBeforeHead.stopAwaiting();
