Tunnels: an answer that the daemon between cuts off does not look complete

What callers saw: an answer with neither length nor chunks that comes through another daemon was passed on as a complete 200 with what had arrived, when that daemon ended in the middle of it.

Cause: such an answer ends with its connection. TunnelServer.stop, and the system when a process is killed, close a tunnel in order, as a target does that has finished.

Evidence: TunnelTests.anAnswerThatIsCutByTheDaemonBetweenFails failed before ("Expecting code to raise a throwable": the half answer counted as 200). That the daemon's process, killed, resets its tunnels was not run.

Change: TunnelPipe sets SO_LINGER 0 on the asking daemon's connection when it joins the two ends, and takes it back only once the target has closed in order and all bytes are handed over. The protocol between daemons is unchanged.

Also tested, and right before: 13 cuts of an answer, closed and reset, fail at the other end of a tunnel.

Conclusion: only the target's own orderly end ends such an answer.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/tunnel/TunnelPipe.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/tunnel/TunnelPipe.java
@@ -4,7 +4,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
@@ -15,14 +14,19 @@
  * Forwards the bytes that one end of a tunnel receives to the other end.
  * <p>
  * Each end is closed as the other one was: in order, after all bytes, or by a reset. A
- * response without a length ends with its connection, so a reset that arrived as an
- * orderly close would make a truncated response look complete.
+ * response without a length ends with its connection, so a reset, or the end of this
+ * process, that arrived as an orderly close would make a truncated response look
+ * complete.
  */
 final class TunnelPipe extends ChannelInboundHandlerAdapter {
 
 	/** Longer than a target takes for anything; both ends notice a close far earlier. */
 	static final long IDLE_TIMEOUT_MILLIS = 120_000;
 
+	private static final int RESET_ON_CLOSE = 0;
+
+	private static final int ORDERLY_CLOSE = -1;
+
 	private final Channel other;
 
 	private final boolean towardsTarget;
@@ -40,6 +44,9 @@
 	 * @param target the connection to the target
 	 */
 	static void join(Channel caller, Channel target) {
+		// Reset by anything but an orderly close of the target, also by the system when
+		// this process ends.
+		caller.config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE);
 		target.pipeline().addLast(new TunnelPipe(caller, false));
 		// All bytes of both directions pass this end.
 		caller.pipeline()
@@ -78,7 +85,14 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		if (!this.reset && this.other.isActive()) {
-			this.other.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+			this.other.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((flushed) -> closeOtherInOrder());
+		}
+	}
+
+	private void closeOtherInOrder() {
+		if (this.other.isOpen()) {
+			this.other.config().setOption(ChannelOption.SO_LINGER, ORDERLY_CLOSE);
+			this.other.close();
 		}
 	}
 
@@ -98,7 +112,7 @@
 	private void reset(ChannelHandlerContext ctx) {
 		this.reset = true;
 		if (this.other.isOpen()) {
-			this.other.config().setOption(ChannelOption.SO_LINGER, 0);
+			this.other.config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE);
 			this.other.close();
 		}
 		ctx.close();
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/tunnel/TunnelTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/tunnel/TunnelTests.java
@@ -10,12 +10,18 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeoutException;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
+import org.pistachioline.adapters.http.NotConnectedException;
+import org.pistachioline.adapters.web.AnswerHead;
+import org.pistachioline.adapters.web.AnswerReceiver;
 import org.pistachioline.adapters.web.Connector;
 import org.pistachioline.adapters.web.DirectConnector;
 import org.pistachioline.adapters.web.HeaderFields;
@@ -86,6 +92,16 @@
 		return opened;
 	}
 
+	// Tells the head as soon as it is received.
+	private CompletableFuture<WebAnswer> call(CompletableFuture<AnswerHead> head) {
+		final CompletableFuture<WebAnswer> answer = new CompletableFuture<>();
+		final WebClient throughTunnel = new WebClient(this.loop,
+				(address) -> this.client.open(this.server.localAddress(), address), 5_000, 2);
+		this.loop.execute(() -> throughTunnel.send(this.targetAddress,
+				WebRequest.get("/report", HeaderFields.of("Host", "shop")), false, new HeadObserver(head, answer)));
+		return answer;
+	}
+
 	private CompletableFuture<WebAnswer> call() {
 		final WebClient throughTunnel = new WebClient(this.loop,
 				(address) -> this.client.open(this.server.localAddress(), address), 5_000, 2);
@@ -143,6 +159,47 @@
 		assertThatExceptionOfType(CompletionException.class).isThrownBy(answer::join);
 	}
 
+	// Guards against a success made of a part of an answer that is closed in its head, or
+	// before the end that its head states.
+	@ParameterizedTest
+	@ValueSource(strings = { "", "HTTP/1.1 2", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r", "HTTP/1.1 200 OK\r\n",
+			"HTTP/1.1 200 OK\r\nServ", "HTTP/1.1 200 OK\r\nServer: a", "HTTP/1.1 200 OK\r\nServer: a\r\n",
+			"HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r",
+			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no", "HTTP/1.1 103 Early Hints\r\nLink",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" })
+	void anAnswerThatIsClosedBeforeItsEndFailsAtTheOtherEnd(String sent) throws IOException {
+		for (final boolean reset : new boolean[] { false, true }) {
+			final CompletableFuture<WebAnswer> answer = call();
+			try (Socket connection = this.target.accept()) {
+				readRequest(connection);
+				write(connection, sent);
+				connection.setSoLinger(reset, 0);
+			}
+			assertFailsWithTheConnection(answer);
+		}
+	}
+
+	// Guards against a truncated answer that looks complete because the daemon between
+	// ended: the end of its process closes the tunnel, but not the target's answer.
+	@Test
+	void anAnswerThatIsCutByTheDaemonBetweenFails() throws IOException {
+		final CompletableFuture<AnswerHead> head = new CompletableFuture<>();
+		final CompletableFuture<WebAnswer> answer = call(head);
+		try (Socket connection = this.target.accept()) {
+			readRequest(connection);
+			write(connection, UNFRAMED_ANSWER);
+			head.join();
+			this.server.stop();
+			assertFailsWithTheConnection(answer);
+		}
+	}
+
+	private static void assertFailsWithTheConnection(CompletableFuture<WebAnswer> answer) {
+		assertThatExceptionOfType(CompletionException.class).isThrownBy(answer::join)
+			.satisfies((ex) -> assertThat(ex.getCause()).isNotInstanceOf(NotConnectedException.class)
+				.isNotInstanceOf(TimeoutException.class));
+	}
+
 	/**
 	 * Guards against a target that works on for a caller who has left.
 	 */
@@ -209,4 +266,34 @@
 		return tunnel.handle((opened, failure) -> ((TunnelException) failure).result()).join();
 	}
 
+	private record HeadObserver(CompletableFuture<AnswerHead> head,
+			CompletableFuture<WebAnswer> answer) implements AnswerReceiver {
+
+		@Override
+		public void onHead(AnswerHead received) {
+			this.head.complete(received);
+		}
+
+		@Override
+		public void onBytes(byte[] bytes) {
+			// Only the end matters.
+		}
+
+		@Override
+		public void onBatchEnd() {
+			// Only the end matters.
+		}
+
+		@Override
+		public void onEnd() {
+			this.answer.complete(WebAnswer.empty(this.head.join().status()));
+		}
+
+		@Override
+		public void onFailure(Throwable failure) {
+			this.answer.completeExceptionally(failure);
+		}
+
+	}
+
 }
