Tunnels: a reset that a write reports is passed on as a reset

What callers saw: an answer with neither length nor chunks was passed on through another daemon as complete, although its target had reset the connection while the rest of the request was still on its way to it.

Cause: the system reports a reset once. Netty's loop writes before it reads, so with bytes waiting the write gets it and closes the channel, without an exception in the pipeline; TunnelPipe then closed the other end in order. A direct connection is not affected: there the failed write fails the call.

Evidence: TunnelTests.aResetUnderARequestThatIsStillSentIsPassedOn failed before: expected "reset" but was "closed in order".

Change: a write that fails while its channel was open resets the other end. One that finds the channel closed does not: the end of the channel has been handled by then.

Conclusion: each end of a tunnel is closed as the other one was, whichever operation notices it.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/tunnel/TunnelPipe.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/tunnel/TunnelPipe.java
@@ -1,5 +1,7 @@
 package org.pistachioline.daemon.tunnel;
 
+import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.Unpooled;
@@ -56,7 +58,17 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
-		this.other.write(message);
+		this.other.write(message).addListener((written) -> {
+			if (isBroken(written.cause())) {
+				reset(ctx);
+			}
+		});
+	}
+
+	// A reset that a write has reported is not reported to a read again. A channel that
+	// is closed already was told so.
+	private static boolean isBroken(Throwable failure) {
+		return failure instanceof IOException && !(failure instanceof ClosedChannelException);
 	}
 
 	@Override
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/tunnel/TunnelTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/tunnel/TunnelTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -13,6 +14,11 @@
 import java.util.concurrent.TimeoutException;
 import java.util.stream.IntStream;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -46,6 +52,11 @@
 	/** Only a test that fails waits for so long. */
 	private static final long MAX_MILLIS = 20_000;
 
+	private static final int SMALL_BUFFER_BYTES = 4_096;
+
+	/** More than the target's side of the tunnel takes, and less than both sides do. */
+	private static final int UNREAD_BYTES = 200 * 1024;
+
 	private final WebLoop loop = new WebLoop("test");
 
 	private final Set<String> targets = ConcurrentHashMap.newKeySet();
@@ -194,6 +205,29 @@
 		}
 	}
 
+	// Guards against a truncated answer that looks complete because the target's reset
+	// was
+	// noticed by a write of the request's rest, and not by a read.
+	@Test
+	void aResetUnderARequestThatIsStillSentIsPassedOn() throws Exception {
+		this.target.close();
+		this.target = new ServerSocket();
+		this.target.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+		this.target.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+		this.targetAddress = "127.0.0.1:" + this.target.getLocalPort();
+		this.targets.add(this.targetAddress);
+		final Channel tunnel = open().join().channel();
+		final EndObserver observer = new EndObserver();
+		tunnel.pipeline().addLast(observer);
+		try (Socket connection = this.target.accept()) {
+			tunnel.writeAndFlush(Unpooled.wrappedBuffer(new byte[UNREAD_BYTES])).sync();
+			write(connection, UNFRAMED_ANSWER);
+			observer.received().join();
+			connection.setSoLinger(true, 0);
+		}
+		assertThat(observer.end().join()).isEqualTo("reset");
+	}
+
 	private static void assertFailsWithTheConnection(CompletableFuture<WebAnswer> answer) {
 		assertThatExceptionOfType(CompletionException.class).isThrownBy(answer::join)
 			.satisfies((ex) -> assertThat(ex.getCause()).isNotInstanceOf(NotConnectedException.class)
@@ -296,4 +330,36 @@
 
 	}
 
+	private static final class EndObserver extends ChannelInboundHandlerAdapter {
+
+		private final CompletableFuture<Void> received = new CompletableFuture<>();
+
+		private final CompletableFuture<String> end = new CompletableFuture<>();
+
+		CompletableFuture<Void> received() {
+			return this.received;
+		}
+
+		CompletableFuture<String> end() {
+			return this.end;
+		}
+
+		@Override
+		public void channelRead(ChannelHandlerContext ctx, Object message) {
+			ReferenceCountUtil.release(message);
+			this.received.complete(null);
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+			this.end.complete("reset");
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext ctx) {
+			this.end.complete("closed in order");
+		}
+
+	}
+
 }
