Server: a stream without chunks that the process's end cuts off does not look complete

What callers saw: a caller by HTTP/1.0, who gets no chunks, read the orderly end of its connection when the daemon stopped in the middle of its stream, and took what it had for all of it. Callers by HTTP/1.1 get chunks and are not affected.

Cause: WebServer.stop, and the system when the process is killed, close the connection in order. Only breakOff reset it.

Evidence: UnframedReplyTests.aStreamThatTheServersEndCutsOffIsReset failed before ("Expecting code to raise a throwable": the caller read the end of the stream).

Change: SO_LINGER 0 is set when such an answer begins, and taken back when it has ended and all of it is written.

Conclusion: the end of such an answer is now stated by its end and by nothing else, as in tunnels.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
@@ -28,6 +28,10 @@
 	/** Time for the other side to read the last answer before the connection is reset. */
 	private static final long LINGER_MILLIS = 500;
 
+	private static final int RESET_ON_CLOSE = 0;
+
+	private static final int ORDERLY_CLOSE = -1;
+
 	private final ChannelHandlerContext ctx;
 
 	private final boolean chunks;
@@ -72,6 +76,12 @@
 		}
 		this.begun = true;
 		this.keepAlive &= this.chunks;
+		if (!this.chunks && this.ctx.channel().isOpen()) {
+			// The end of the connection is the end of the answer, unless it is a reset.
+			// The
+			// system resets it too if this process ends before the answer does.
+			this.ctx.channel().config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE);
+		}
 		final HttpHeaders headers = headersOf(head);
 		headers.remove(HttpHeaderNames.CONTENT_LENGTH);
 		final DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
@@ -118,11 +128,6 @@
 		}
 		this.over = true;
 		this.ctx.flush();
-		if (!this.chunks && this.ctx.channel().isOpen()) {
-			// Without chunks the end of the connection is the end of the answer; only a
-			// reset says that it is not.
-			this.ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-		}
 		this.ctx.close();
 	}
 
@@ -140,6 +145,7 @@
 	// lost on its way.
 	private void closeGently() {
 		if (this.ctx.channel() instanceof SocketChannel socket && socket.isActive()) {
+			socket.config().setSoLinger(ORDERLY_CLOSE);
 			socket.shutdownOutput();
 			this.ctx.executor().schedule(() -> this.ctx.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
 		}
