--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
@@ -77,9 +77,7 @@
 		this.begun = true;
 		this.keepAlive &= this.chunks;
 		if (!this.chunks && this.ctx.channel().isOpen()) {
-			// The end of the connection is the end of the answer, unless it is a reset.
-			// The
-			// system resets it too if this process ends before the answer does.
+			// Otherwise any end of the connection would look like the end of the answer.
 			this.ctx.channel().config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE);
 		}
 		final HttpHeaders headers = headersOf(head);
