Planner: no wait for a previous planner's last orders beyond a current list

A planner's lease ends before the next one begins but where the store reassigns it without a request, so the wait guarded against little.

Change: taken back; the list must be as of the takeover, as before.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -44,8 +44,6 @@
 
 	private final WeightLoadLimiter loadLimiter;
 
-	private final long handoverNanos;
-
 	private final Map<GroupId, TrackedGroup> trackedGroups = new HashMap<>();
 
 	private final EndedGroups endedGroups = new EndedGroups();
@@ -76,7 +74,6 @@
 				: new LocalGroupPolicy(this.weights, this.stagedLoads);
 		this.reconciler = new GroupReconciler(times, Collections.unmodifiableSet(this.trackedGroups.keySet()));
 		this.loadLimiter = new WeightLoadLimiter(times.loadWindowNanos());
-		this.handoverNanos = times.handoverNanos();
 	}
 
 	/**
@@ -197,7 +194,7 @@
 	// An instance that looks free may be a member of a group that the previous planner
 	// has formed since the list was read.
 	private boolean mayMissOrdersOfPreviousPlanner(PlannerView view) {
-		return view.listAsOfNanos() - this.tookOverAtNanos < this.handoverNanos;
+		return view.listAsOfNanos() - this.tookOverAtNanos < 0;
 	}
 
 	private List<ReplicaOrder> assignFreeInstances(PlannerView view, Map<String, ServingInstance> byId) {
