Planner: passes without a load to order no longer use up the weight store's rate

What callers saw: an empty host that is listed while the weight store is idle waited for up to three seconds before it was ordered to load, and its group served later by as much.

Cause: a pass took one load from the rate of the window before it asked the policy whether there is a load to order. An idle planner makes ten passes a second, so the 20 loads of a window of five seconds were used up in two, and for the next three seconds no load could start.

Evidence: WeightLoadPacingTests failed before in both policies (no order in place of two after 30 idle passes).

Change: a load is taken from the rate once the policy has named it; whether the rate allows one is asked first without taking it.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -262,9 +262,13 @@
 	}
 
 	private Optional<ReplicaOrder.Stage> nextLoad(PlanningPass pass, ModelInstanceCounts counts) {
-		return tryStartLoads(pass.view(), 1, pass.byId())
-				? this.policy.nextLoad(pass, counts).map((order) -> this.stagedLoads.record(pass.view(), order))
-				: Optional.empty();
+		if (!mayStartLoads(pass.view(), 1, pass.byId())) {
+			return Optional.empty();
+		}
+		// Only a load that is ordered uses up the rate.
+		return this.policy.nextLoad(pass, counts)
+			.filter((order) -> tryStartLoads(pass.view(), 1, pass.byId()))
+			.map((order) -> this.stagedLoads.record(pass.view(), order));
 	}
 
 	private boolean tryStartLoadsOf(PlannerView view, GroupAllocator.Proposal proposal,
@@ -273,13 +277,19 @@
 	}
 
 	private boolean tryStartLoads(PlannerView view, int loads, Map<String, ServingInstance> byId) {
+		return mayStartLoads(view, loads, byId)
+				&& (view.beforeTraffic() || this.loadLimiter.tryStart(view.nowNanos(), loads, view.engine()));
+	}
+
+	private boolean mayStartLoads(PlannerView view, int loads, Map<String, ServingInstance> byId) {
 		if (view.beforeTraffic() && !this.policy.limitsLoadsBeforeTraffic()) {
 			return true;
 		}
 		if (countLoadsInProgress(byId) >= Math.max(1, view.engine().concurrentLoads())) {
 			return false;
 		}
-		return view.beforeTraffic() || this.loadLimiter.tryStart(view.nowNanos(), loads, view.engine());
+		// The weight store does not count loads before the first request.
+		return view.beforeTraffic() || this.loadLimiter.mayStart(view.nowNanos(), loads, view.engine());
 	}
 
 	// The loads of a group count until its members are ready; they no longer count if a
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/WeightLoadLimiter.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/WeightLoadLimiter.java
@@ -61,13 +61,7 @@
 	 * @return whether the loads may start
 	 */
 	boolean tryStart(long nowNanos, int loads, EngineSpec engine) {
-		while (!this.startedAtNanos.isEmpty() && nowNanos - this.startedAtNanos.peekFirst() > this.windowNanos) {
-			this.startedAtNanos.pollFirst();
-		}
-		final double maxLoads = USED_RATE_RATIO * engine.loadsPerSecond() * this.windowNanos / NANOS_PER_SECOND;
-		final boolean recentTakeOver = this.tookOver && nowNanos - this.tookOverAtNanos <= this.windowNanos;
-		final double previousLoads = recentTakeOver ? maxPreviousLoads(engine) : 0;
-		if (previousLoads + this.startedAtNanos.size() + loads > maxLoads) {
+		if (!mayStart(nowNanos, loads, engine)) {
 			return false;
 		}
 		for (int i = 0; i < loads; i++) {
@@ -76,6 +70,24 @@
 		return true;
 	}
 
+	/**
+	 * Returns whether the rate allows loads, without starting them.
+	 * @param nowNanos the monotonic time
+	 * @param loads the number of loads
+	 * @param engine the engine specification, with the rate, the concurrency and the
+	 * duration of loads
+	 * @return whether all of them may start
+	 */
+	boolean mayStart(long nowNanos, int loads, EngineSpec engine) {
+		while (!this.startedAtNanos.isEmpty() && nowNanos - this.startedAtNanos.peekFirst() > this.windowNanos) {
+			this.startedAtNanos.pollFirst();
+		}
+		final double maxLoads = USED_RATE_RATIO * engine.loadsPerSecond() * this.windowNanos / NANOS_PER_SECOND;
+		final boolean recentTakeOver = this.tookOver && nowNanos - this.tookOverAtNanos <= this.windowNanos;
+		final double previousLoads = recentTakeOver ? maxPreviousLoads(engine) : 0;
+		return previousLoads + this.startedAtNanos.size() + loads <= maxLoads;
+	}
+
 	// A planner starts no load while the store already runs as many as it serves at full
 	// speed. In one window it therefore starts that number once for each load duration
 	// that fits in.
