--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -265,6 +265,13 @@
 	 */
 	GROUP_REVIVED(439, EventLevel.WARN, "The head of an ended group reports the group again; it is closed once more."),
 
+	/**
+	 * Logged when the group of planners changed twice or more between two renewals, and
+	 * the store does not confirm that this daemon held the lease all the time.
+	 */
+	LEASE_INTERRUPTED(440, EventLevel.INFO,
+			"The planner's lease may have been another daemon's for a moment; what was ordered before is forgotten."),
+
 	/**
 	 * Logged when the evidence that a request, or a part of prompts, crashes its targets
 	 * suffices, with the kind of suspect.
