Core: the planner's tests stand in classes by behaviour

ReplicaPlannerTests had 497 lines about five matters. Its tests now stand in FleetStartTests (start), PlannerUnderFailuresTests and PlannerWithLateOrdersTests (simulations), LostGroupHeadTests, PlannerTermTests and ReplicaPlannerTests. PlannerFixture builds the planner, instances and views for them; GroupRebalancerTests uses it too. No test or check changed.

--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/FleetStartTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/FleetStartTests.java
@@ -4,6 +4,7 @@
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.pistachioline.core.route.EngineModel;
 import org.pistachioline.core.route.EngineSpec;
@@ -13,6 +14,30 @@
 
 class FleetStartTests {
 
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void allInstancesServeBeforeTheFirstRequest(boolean fleetDecisions) {
+		final ReplicaSimulation simulation = new ReplicaSimulation(1, 6, 0, 0, fleetDecisions);
+		simulation.run(25_000, false);
+		assertThat(simulation.countServingInstances()).isEqualTo(60);
+		assertThat(simulation.violations).isEmpty();
+	}
+
+	/**
+	 * Guards against a start in which instances are listed one after the other and the
+	 * model with the smallest groups gets all of them.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void eachModelHasItsShareWhenInstancesAreListedOneByOne(boolean fleetDecisions) {
+		final ReplicaSimulation simulation = new ReplicaSimulation(1, 6, 0, 0, fleetDecisions);
+		simulation.listingIntervalMillis = 100;
+		simulation.run(16_000, false);
+		assertThat(simulation.countServingGroups("large")).isGreaterThanOrEqualTo(6);
+		assertThat(simulation.countServingGroups("small")).isGreaterThanOrEqualTo(12);
+		assertThat(simulation.violations).isEmpty();
+	}
+
 	/**
 	 * Guards against a fleet that starts with too few of the larger groups, as smaller
 	 * ones are complete sooner while instances are being listed, and regroups under load.
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/GroupRebalancerTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/GroupRebalancerTests.java
@@ -13,8 +13,7 @@
 
 	private static final long SECOND_NANOS = 1_000_000_000L;
 
-	private final ReplicaPlanner planner = new ReplicaPlanner(new PlannerTimes(6 * SECOND_NANOS, 5 * SECOND_NANOS),
-			false);
+	private final ReplicaPlanner planner = PlannerFixture.planner();
 
 	private final List<ServingInstance> instances = new ArrayList<>();
 
