Daemon: four relay tests share one fixture

CutAnswerRelayTests, CutRelayTests, OverrunRelayTests and StreamOverTargetsTests each built the same traffic duty, route table, relay and callers' connections. RelayFixture does so for all four; each keeps its own read timeout (20 s, 10 s, none, 20 s), targets and routes. No test or check changed.

--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StreamOverTargetsTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StreamOverTargetsTests.java
@@ -1,48 +1,25 @@
 package org.pistachioline.daemon.relay;
 
 import java.io.IOException;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 
-import org.apache.pekko.actor.typed.ActorSystem;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-import org.pistachioline.adapters.http.ActorSystems;
 import org.pistachioline.adapters.web.AnswerHead;
-import org.pistachioline.adapters.web.DirectConnector;
 import org.pistachioline.adapters.web.HeaderFields;
 import org.pistachioline.adapters.web.RequestLimits;
 import org.pistachioline.adapters.web.WebAnswer;
 import org.pistachioline.adapters.web.WebLoop;
 import org.pistachioline.adapters.web.WebReply;
 import org.pistachioline.adapters.web.WebServer;
-import org.pistachioline.core.quarantine.GossipQuarantine;
-import org.pistachioline.core.retry.RetryBudget;
-import org.pistachioline.core.route.CallerBounds;
-import org.pistachioline.core.route.Route;
 import org.pistachioline.core.route.RouteKind;
-import org.pistachioline.core.route.RouteTable;
-import org.pistachioline.core.route.ServiceSpec;
-import org.pistachioline.core.route.WeightedService;
-import org.pistachioline.core.traffic.RoutingPolicies;
-import org.pistachioline.core.traffic.TargetKind;
-import org.pistachioline.core.traffic.TargetView;
-import org.pistachioline.core.traffic.TrafficCore;
-import org.pistachioline.daemon.port.InstanceListener;
-import org.pistachioline.daemon.traffic.LimitShareUpdater;
-import org.pistachioline.daemon.traffic.NoClaims;
-import org.pistachioline.daemon.traffic.TraceRecorder;
-import org.pistachioline.daemon.traffic.TrafficDuty;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -52,10 +29,6 @@
 @Timeout(60)
 class StreamOverTargetsTests {
 
-	private static final String ANY_PORT = "127.0.0.1:0";
-
-	private static final String SERVICE = "copy";
-
 	private static final String TARGET_HEADER = "Answered-By";
 
 	private static final int TARGETS = 3;
@@ -66,57 +39,34 @@
 
 	private static final int WITHOUT_END_BYTES = 1024 * 1024;
 
-	private final ActorSystem<Void> system = ActorSystems.create("stream-test");
+	private final RelayFixture relay = new RelayFixture(READ_TIMEOUT_MILLIS);
 
 	private final WebLoop targetLoop = new WebLoop("target");
 
-	private final WebLoop loop = new WebLoop("relay");
-
 	private final AtomicInteger attempts = new AtomicInteger();
 
-	private final TrafficDuty traffic = new TrafficDuty(this.system,
-			new TrafficCore(RoutingPolicies.create("", 1, new RetryBudget(1, 100, Duration.ofSeconds(1).toNanos()),
-					() -> 1, new GossipQuarantine())),
-			new NoClaims(), new LimitShareUpdater("d", () -> Set.of("d"), 1_000), (suspect, nowMillis) -> {
-				// No target crashes.
-			}, new TraceRecorder(false));
-
 	/** What the targets do with the attempts, in order, whichever target gets them. */
 	private volatile List<Consumer<WebReply>> script = List.of();
 
 	private final List<WebServer> targets = IntStream.range(0, TARGETS)
-		.mapToObj((i) -> new WebServer(this.targetLoop, ANY_PORT,
+		.mapToObj((i) -> new WebServer(this.targetLoop, RelayFixture.ANY_PORT,
 				(request, reply) -> this.script.get(this.attempts.getAndIncrement()).accept(reply),
 				() -> RequestLimits.DEFAULT))
 		.toList();
 
-	private Relay relay;
-
 	@BeforeEach
 	void start() {
 		this.targets.forEach(WebServer::start);
-		this.traffic.start();
-		this.traffic.onTargets(IntStream.range(0, TARGETS)
-			.mapToObj((i) -> new TargetView("t" + i + "@0", TargetKind.SERVICE, SERVICE,
-					this.targets.get(i).localAddress(), 0, "", true, 100, 0, 0, 0))
-			.toList());
-		final RouteTable table = new RouteTable(1,
-				List.of(new Route("copy", "h", "/", RouteKind.STREAM, 60_000, 60_000, 500, TARGETS, 1, true, true,
-						List.of(new WeightedService(SERVICE, 1)))),
-				List.of(new ServiceSpec(SERVICE, 100, Optional.empty())), List.of(), CallerBounds.DEFAULT);
-		this.relay = new Relay(this.loop, ANY_PORT, new StubProtocol(), () -> table, this.traffic, (targetId, load) -> {
-			// Loads are not part of these tests.
-		}, new NoSignals(), new DirectConnector(this.loop, 1_000));
-		this.relay.start();
+		this.relay.start(IntStream.range(0, TARGETS)
+			.mapToObj((i) -> RelayFixture.target("t" + i + "@0", this.targets.get(i).localAddress()))
+			.toList(), RelayFixture.route("copy", "/", RouteKind.STREAM, TARGETS, true));
 	}
 
 	@AfterEach
 	void stop() {
 		this.relay.stop();
-		this.traffic.stop();
 		this.targets.forEach(WebServer::stop);
 		this.targetLoop.close();
-		this.system.terminate();
 	}
 
 	// Guards against a stream that is cut without an event where no event was delivered
@@ -138,7 +88,7 @@
 				withoutEnd(new AnswerHead(503, HeaderFields.of(StubProtocol.DECLINED_HEADER, "1")), "refused "),
 				ending("second", "id: 1\n\n"));
 		assertThat(call()).startsWith("HTTP/1.1 200 ").contains("id: 1");
-		assertThat(this.relay.oversizedResponseCount()).isEqualTo(1);
+		assertThat(this.relay.relay().oversizedResponseCount()).isEqualTo(1);
 	}
 
 	// Guards against an event that has no end and takes the daemon's memory.
@@ -147,7 +97,7 @@
 		this.script = List.of(withoutEnd(new AnswerHead(200, HeaderFields.of(TARGET_HEADER, "first")), "data: x "),
 				ending("second", "id: 1\n\n"));
 		assertThat(call()).startsWith("HTTP/1.1 200 ").contains("id: 1").doesNotContain("data: x");
-		assertThat(this.relay.oversizedResponseCount()).isEqualTo(1);
+		assertThat(this.relay.relay().oversizedResponseCount()).isEqualTo(1);
 	}
 
 	// Guards against the head and signature of a target that delivered nothing before the
@@ -251,30 +201,8 @@
 		reply.whole(WebAnswer.empty(503).with(StubProtocol.DECLINED_HEADER, "1"));
 	}
 
-	// The connection ends with the answer, so all that is sent is read.
 	private String call() throws IOException {
-		final String[] address = this.relay.callerAddress().split(":");
-		try (Socket caller = new Socket(address[0], Integer.parseInt(address[1]))) {
-			caller.setSoTimeout(READ_TIMEOUT_MILLIS);
-			caller.getOutputStream()
-				.write("GET /copy HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
-					.getBytes(StandardCharsets.US_ASCII));
-			return new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
-		}
-	}
-
-	private static final class NoSignals implements InstanceListener {
-
-		@Override
-		public void onBackoff(String instanceId, long backoffMillis) {
-			// The targets request no backoff.
-		}
-
-		@Override
-		public void onLeaving(String instanceId) {
-			// The targets do not leave.
-		}
-
+		return this.relay.call("/copy");
 	}
 
 }
