Core: requests for the instance list are held in a class of their own

PendingListingRequests now holds and answers other daemons' requests, with the limits that concern it. Same order of actions, same times; no test changed.

Run: ListingModelTests, InstanceListingTests, ListingPageAssemblerTests and ListingSynchronizerTests, 97 tests, no failure.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/listing/ListingSynchronizer.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/listing/ListingSynchronizer.java
@@ -3,11 +3,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Supplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -67,21 +64,12 @@
 	 */
 	private static final long FALLBACK_READ_NANOS_PER_DAEMON = 20 * NANOS_PER_MILLI;
 
-	/** How long a request is held while there is no change to send. */
-	private static final long LONG_POLL_NANOS = 300 * NANOS_PER_MILLI;
-
 	/**
 	 * The pause between a response and the next request, which limits the number of
 	 * responses when changes are frequent.
 	 */
 	private static final long POLL_PAUSE_NANOS = 100 * NANOS_PER_MILLI;
 
-	/**
-	 * How long a response is waited for, and how long a responder that cannot share its
-	 * list keeps a request.
-	 */
-	private static final long RESPONSE_TIMEOUT_NANOS = LONG_POLL_NANOS + 300 * NANOS_PER_MILLI;
-
 	/**
 	 * How long a daemon that did not respond, or whose list was stale, is left out of the
 	 * tree.
@@ -93,18 +81,6 @@
 	 */
 	private static final long TREE_REFRESH_NANOS = 500 * NANOS_PER_MILLI;
 
-	/**
-	 * The most records in one response. At about 150 bytes each, with as many tombstones,
-	 * they fit into a frame.
-	 */
-	static final int MAX_RECORDS_PER_PAGE = 1_000;
-
-	/**
-	 * The most requests held at once. Further ones are dropped, and their senders ask
-	 * another daemon.
-	 */
-	private static final int MAX_PENDING_REQUESTS = 64;
-
 	private final String selfId;
 
 	private final long maxAgeNanos;
@@ -115,7 +91,7 @@
 
 	private final InstanceListing listing = new InstanceListing();
 
-	private final Map<String, PendingRequest> pendingRequests = new LinkedHashMap<>();
+	private final PendingListingRequests pendingRequests;
 
 	private final List<ListingAction> actions = new ArrayList<>();
 
@@ -131,8 +107,6 @@
 
 	private boolean snapshotNeeded = true;
 
-	private final long incarnationId;
-
 	private long lastCorrelationId;
 
 	private OutstandingRequest outstanding;
@@ -165,8 +139,9 @@
 		this.nextRequestAtNanos = nowNanos;
 		// Random, so that a late response to a previous incarnation matches no request of
 		// this one.
-		this.incarnationId = this.random.nextLong() >>> 1;
-		this.lastCorrelationId = this.incarnationId;
+		final long incarnationId = this.random.nextLong() >>> 1;
+		this.lastCorrelationId = incarnationId;
+		this.pendingRequests = new PendingListingRequests(selfId, incarnationId, this.listing);
 	}
 
 	/**
@@ -238,7 +213,8 @@
 	}
 
 	private void sendRequestWhenDue(long nowNanos) {
-		if (this.outstanding != null && nowNanos - this.outstanding.sentAtNanos() >= RESPONSE_TIMEOUT_NANOS) {
+		if (this.outstanding != null
+				&& nowNanos - this.outstanding.sentAtNanos() >= PendingListingRequests.RESPONSE_TIMEOUT_NANOS) {
 			exclude(nowNanos, this.outstanding.daemonId());
 			this.outstanding = null;
 			this.pages.clear();
@@ -280,10 +256,7 @@
 	 * @return the actions to carry out
 	 */
 	public List<ListingAction> onRequest(long nowNanos, ListingRequest request) {
-		if (this.pendingRequests.size() < MAX_PENDING_REQUESTS
-				|| this.pendingRequests.containsKey(request.requesterId())) {
-			this.pendingRequests.put(request.requesterId(), new PendingRequest(request, nowNanos));
-		}
+		this.pendingRequests.add(nowNanos, request);
 		return takeActions(nowNanos);
 	}
 
@@ -358,41 +331,12 @@
 		if (this.listing.takeChanged()) {
 			this.actions.add(new ListingAction.Publish(this.listing.instances()));
 		}
-		answerPendingRequests(nowNanos);
+		this.actions.addAll(this.pendingRequests.answer(nowNanos));
 		final List<ListingAction> taken = List.copyOf(this.actions);
 		this.actions.clear();
 		return taken;
 	}
 
-	private void answerPendingRequests(long nowNanos) {
-		final boolean removalResolved = this.listing.takeResolved();
-		final Iterator<PendingRequest> remaining = this.pendingRequests.values().iterator();
-		while (remaining.hasNext()) {
-			final PendingRequest pending = remaining.next();
-			final long heldNanos = nowNanos - pending.receivedAtNanos();
-			if (!this.listing.isShareable()) {
-				// Dropped without a response, so that the requester times out and turns
-				// to another daemon, which may have a list.
-				if (heldNanos >= RESPONSE_TIMEOUT_NANOS) {
-					remaining.remove();
-				}
-			}
-			else if (removalResolved || heldNanos >= LONG_POLL_NANOS
-					|| this.listing.hasChangesSince(pending.request().fromOffset())) {
-				remaining.remove();
-				this.actions.add(new ListingAction.SendResponse(pending.request().requesterId(),
-						response(nowNanos, heldNanos, pending.request())));
-			}
-		}
-	}
-
-	private ListingResponse response(long nowNanos, long heldNanos, ListingRequest request) {
-		final Optional<ListingPage> page = this.listing.deltaSince(request.fromOffset())
-			.map((delta) -> ListingPage.of(delta, request, MAX_RECORDS_PER_PAGE));
-		return new ListingResponse(this.selfId, request.correlationId(), heldNanos, this.listing.ageNanos(nowNanos),
-				page.map(ListingPage::delta), page.map(ListingPage::continuationOffset).orElse(0L), this.incarnationId);
-	}
-
 	/**
 	 * Returns the upper bound of the list's age.
 	 * @param nowNanos the monotonic time
@@ -430,14 +374,4 @@
 
 	}
 
-	/**
-	 * A peer's request that is held until there is a change to send.
-	 *
-	 * @param request the request
-	 * @param receivedAtNanos the monotonic time at which it was received
-	 */
-	private record PendingRequest(ListingRequest request, long receivedAtNanos) {
-
-	}
-
 }
