Late orders of a former planner are waited out where tokens are ignored

What callers saw: an instance was joined to a group while another group of the same model, which it had not left, was open (rule TWO), on platforms whose `FencingEnforced` is false.

Cause: the planner counted on instances to refuse the orders that a newer one has overtaken. Where they do not, a late join and a late open of a former planner make an instance serve that the list shows as free, and a late join undoes an answered order to leave, of a head as of a follower whose leave was to break its head. The setting was not read at all.

Where tokens are ignored, nothing is assigned for 12.5 s after a take-over, an order to leave is sent only when no earlier join can undo it, and the instances that left a join unanswered are held under both policies. Where tokens are enforced no decision changes.

No check became weaker.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReconciler.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupReconciler.java
@@ -44,6 +44,8 @@
 
 	private final PlannerTimes times;
 
+	private final UnansweredJoins unansweredJoins;
+
 	private final Map<String, Long> sentAtNanos = new HashMap<>();
 
 	private final Set<String> reservedIds = new HashSet<>();
@@ -55,11 +57,13 @@
 	/**
 	 * Creates a reconciler.
 	 * @param times the planner's timeouts
+	 * @param unansweredJoins the join orders that may still arrive
 	 * @param activeGroups the groups that have not ended; a live view of those that the
 	 * planner tracks
 	 */
-	GroupReconciler(PlannerTimes times, Set<GroupId> activeGroups) {
+	GroupReconciler(PlannerTimes times, UnansweredJoins unansweredJoins, Set<GroupId> activeGroups) {
 		this.times = times;
+		this.unansweredJoins = unansweredJoins;
 		this.activeGroups = activeGroups;
 	}
 
@@ -141,7 +145,7 @@
 	// Orders a follower to leave. Returns whether the head must have broken since.
 	private boolean hasHeadStallTimeoutElapsed(long nowNanos, TrackedGroup tracked, GroupStatus status) {
 		if (!tracked.followerLeft) {
-			status.firstFollower()
+			status.firstFollower((member) -> !this.unansweredJoins.mayUndoLeave(nowNanos, member))
 				.ifPresent((member) -> sendUnlessRecent(nowNanos, new ReplicaOrder.Leave(member, tracked.id)));
 			return false;
 		}
@@ -169,8 +173,12 @@
 		if (tracked.headLeft) {
 			return true;
 		}
-		sendUnlessRecent(nowNanos, tracked.headClosed ? new ReplicaOrder.Leave(head, tracked.id)
-				: new ReplicaOrder.Close(head, tracked.id, true));
+		if (!tracked.headClosed) {
+			sendUnlessRecent(nowNanos, new ReplicaOrder.Close(head, tracked.id, true));
+		}
+		else if (!this.unansweredJoins.mayUndoLeave(nowNanos, head)) {
+			sendUnlessRecent(nowNanos, new ReplicaOrder.Leave(head, tracked.id));
+		}
 		return false;
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupStatus.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/GroupStatus.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Evaluates a group's state from what its members currently report.
@@ -26,12 +27,13 @@
 	}
 
 	// Returns the first listed member by rank, other than the head, that reports this
-	// group.
-	Optional<ServingInstance> firstFollower() {
+	// group and is suitable.
+	Optional<ServingInstance> firstFollower(Predicate<ServingInstance> suitable) {
 		return this.tracked.memberIds.stream()
 			.skip(1)
 			.map(this.instances::get)
 			.filter((instance) -> instance != null && instance.isMemberOf(this.tracked.id))
+			.filter(suitable)
 			.findFirst();
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -61,18 +61,31 @@
 	private long groupsFormedInTerm;
 
 	/**
-	 * Creates a planner without any known groups.
+	 * Creates a planner without any known groups, for instances that enforce fencing
+	 * tokens.
 	 * @param times the planner's timeouts
 	 * @param fleetDecisions whether it decides by the demand for the models and for all
 	 * fabric domains together, instead of by the declared shares and for each domain
 	 */
 	public ReplicaPlanner(PlannerTimes times, boolean fleetDecisions) {
-		this.unansweredJoins = new UnansweredJoins(fleetDecisions);
+		this(times, fleetDecisions, OrderFencing.ENFORCED);
+	}
+
+	/**
+	 * Creates a planner without any known groups.
+	 * @param times the planner's timeouts
+	 * @param fleetDecisions whether it decides by the demand for the models and for all
+	 * fabric domains together, instead of by the declared shares and for each domain
+	 * @param fencing whether instances reject orders that newer ones have overtaken
+	 */
+	public ReplicaPlanner(PlannerTimes times, boolean fleetDecisions, OrderFencing fencing) {
+		this.unansweredJoins = new UnansweredJoins(fleetDecisions, fencing);
 		this.weights = new WeightInventory(fleetDecisions);
 		this.summarizer = new PoolSummarizer(this.weights, this.stagedLoads);
 		this.policy = fleetDecisions ? new FleetGroupPolicy(this.weights, this.stagedLoads)
 				: new LocalGroupPolicy(this.weights, this.stagedLoads);
-		this.reconciler = new GroupReconciler(times, Collections.unmodifiableSet(this.trackedGroups.keySet()));
+		this.reconciler = new GroupReconciler(times, this.unansweredJoins,
+				Collections.unmodifiableSet(this.trackedGroups.keySet()));
 		this.loadLimiter = new WeightLoadLimiter(times.loadWindowNanos());
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/UnansweredJoins.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/UnansweredJoins.java
@@ -25,6 +25,8 @@
 
 	private final boolean holdsSameInstance;
 
+	private final OrderFencing fencing;
+
 	private final Map<String, List<UnansweredJoin>> byAddress = new HashMap<>();
 
 	private long tookOverAtNanos;
@@ -37,9 +39,13 @@
 	 * the members of a group whose head did, are not assigned either until the order can
 	 * no longer arrive, as is necessary where survivors are assigned as soon as they are
 	 * free: the head may return to the ended group and serve
+	 * @param fencing whether instances reject orders that newer ones have overtaken; if
+	 * they do not, the orders of another planner may reach every instance, and the same
+	 * instance is always held
 	 */
-	UnansweredJoins(boolean holdsSameInstance) {
-		this.holdsSameInstance = holdsSameInstance;
+	UnansweredJoins(boolean holdsSameInstance, OrderFencing fencing) {
+		this.holdsSameInstance = holdsSameInstance || fencing == OrderFencing.IGNORED;
+		this.fencing = fencing;
 	}
 
 	void takeOver(long nowNanos) {
@@ -63,8 +69,8 @@
 	}
 
 	/**
-	 * Returns whether an order to an earlier process at the same address may still reach
-	 * the instance.
+	 * Returns whether an order to an earlier process at the same address, or one that the
+	 * instance cannot reject, may still reach the instance.
 	 * @param nowNanos the monotonic time
 	 * @param instance the instance
 	 * @param delisted the instances that were recently delisted
@@ -82,10 +88,32 @@
 			.anyMatch((join) -> join.memberIds().contains(instance.id()))) {
 			return true;
 		}
-		return this.tookOver && nowNanos - this.tookOverAtNanos < MAX_ORDER_DELAY_NANOS && delisted.stream()
+		return mayOrdersOfPreviousPlannerArrive(nowNanos)
+				&& (this.fencing == OrderFencing.IGNORED || isRestarted(instance, delisted));
+	}
+
+	private static boolean isRestarted(ServingInstance instance, Collection<ServingInstance> delisted) {
+		return delisted.stream()
 			.anyMatch((former) -> former.address().equals(instance.address()) && !former.id().equals(instance.id()));
 	}
 
+	private boolean mayOrdersOfPreviousPlannerArrive(long nowNanos) {
+		return this.tookOver && nowNanos - this.tookOverAtNanos < MAX_ORDER_DELAY_NANOS;
+	}
+
+	/**
+	 * Returns whether an instance that leaves its group now may execute an earlier join
+	 * order and return to the group. Where fencing tokens are enforced, the order to
+	 * leave voids all earlier ones.
+	 * @param nowNanos the monotonic time
+	 * @param instance the instance
+	 * @return whether it may return
+	 */
+	boolean mayUndoLeave(long nowNanos, ServingInstance instance) {
+		return this.fencing == OrderFencing.IGNORED
+				&& (mayOrdersOfPreviousPlannerArrive(nowNanos) || this.byAddress.containsKey(instance.address()));
+	}
+
 	/**
 	 * An unanswered join order.
 	 *
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/LateOrderTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/LateOrderTests.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -74,13 +75,60 @@
 		final List<String> violations = LongStream.range(FIRST_SEED, FIRST_SEED + HARDER_SEEDS)
 			.parallel()
 			.boxed()
-			.flatMap((seed) -> violations(world, seed))
+			.flatMap((seed) -> violations(world, seed, OrderFencing.ENFORCED))
 			.toList();
 		assertThat(violations).isEmpty();
 	}
 
-	private static Stream<String> violations(LateOrderWorld world, long seed) {
-		final ReplicaSimulation simulation = new ReplicaSimulation(seed, 6, 0.05, 0.5, true);
+	/**
+	 * Guards against instances that late orders of a former planner take or bring back
+	 * where no instance refuses them.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "50207, true", "50218, true", "50260, true", "50218, false" })
+	void noServingGroupLosesAMemberWhereTokensAreIgnored(long seed, boolean fleetDecisions) {
+		assertThat(violationsWithIgnoredTokens(seed, fleetDecisions).toList()).isEmpty();
+	}
+
+	/**
+	 * Guards against late orders that take effect where no instance refuses them, on
+	 * further days.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void noServingGroupLosesAMemberOnFurtherDaysWhereTokensAreIgnored(boolean fleetDecisions) {
+		final List<String> violations = LongStream.range(FIRST_SEED, FIRST_SEED + HARDER_SEEDS)
+			.parallel()
+			.boxed()
+			.flatMap((seed) -> violationsWithIgnoredTokens(seed, fleetDecisions))
+			.toList();
+		assertThat(violations).isEmpty();
+	}
+
+	private static Stream<String> violationsWithIgnoredTokens(long seed, boolean fleetDecisions) {
+		final ReplicaSimulation simulation = new ReplicaSimulation(seed, 6, 0, 0.5, fleetDecisions,
+				OrderFencing.IGNORED);
+		simulation.run(HARDER_MILLIS, true);
+		return simulation.violations.stream().map((violation) -> "seed " + seed + ", " + violation);
+	}
+
+	/**
+	 * Guards against late orders that take effect in a harder world where no instance
+	 * refuses them.
+	 */
+	@ParameterizedTest
+	@EnumSource
+	void noServingGroupLosesAMemberInAHarderWorldWhereTokensAreIgnored(LateOrderWorld world) {
+		final List<String> violations = LongStream.range(FIRST_SEED, FIRST_SEED + HARDER_SEEDS)
+			.parallel()
+			.boxed()
+			.flatMap((seed) -> violations(world, seed, OrderFencing.IGNORED))
+			.toList();
+		assertThat(violations).isEmpty();
+	}
+
+	private static Stream<String> violations(LateOrderWorld world, long seed, OrderFencing fencing) {
+		final ReplicaSimulation simulation = new ReplicaSimulation(seed, 6, 0.05, 0.5, true, fencing);
 		world.applyTo(simulation);
 		simulation.run(HARDER_MILLIS, true);
 		return simulation.violations.stream().map((violation) -> "seed " + seed + ", " + violation);
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/ReplicaSimulation.java
@@ -84,7 +84,7 @@
 	boolean lateOrdersReachRestarted;
 
 	/** Whether instances reject orders with a lower fencing token than an earlier one. */
-	boolean fencingEnforced = true;
+	final boolean fencingEnforced;
 
 	/**
 	 * Whether the planner's lease lapses at times and is reacquired in the same term.
@@ -131,11 +131,23 @@
 	Map<String, Double> demandShareRatios = Map.of();
 
 	ReplicaSimulation(long seed, int domains, double lostRatio, double lateRatio, boolean fleetDecisions) {
-		this(seed, ENGINE_SPEC, domains, 10, lostRatio, lateRatio, fleetDecisions, Integer.MAX_VALUE);
+		this(seed, domains, lostRatio, lateRatio, fleetDecisions, OrderFencing.ENFORCED);
+	}
+
+	ReplicaSimulation(long seed, int domains, double lostRatio, double lateRatio, boolean fleetDecisions,
+			OrderFencing fencing) {
+		this(seed, ENGINE_SPEC, domains, 10, lostRatio, lateRatio, fleetDecisions, Integer.MAX_VALUE, fencing);
 	}
 
 	ReplicaSimulation(long seed, EngineSpec engine, int domains, int domainSize, double lostRatio, double lateRatio,
 			boolean fleetDecisions, int fullSpeedLoads) {
+		this(seed, engine, domains, domainSize, lostRatio, lateRatio, fleetDecisions, fullSpeedLoads,
+				OrderFencing.ENFORCED);
+	}
+
+	private ReplicaSimulation(long seed, EngineSpec engine, int domains, int domainSize, double lostRatio,
+			double lateRatio, boolean fleetDecisions, int fullSpeedLoads, OrderFencing fencing) {
+		this.fencingEnforced = fencing == OrderFencing.ENFORCED;
 		this.random = new Random(seed);
 		this.execution = new SimulatedExecution(this, !fleetDecisions);
 		this.engine = engine;
@@ -145,8 +157,8 @@
 			addInstance("domain-" + i / domainSize);
 		}
 		final PlannerTimes times = new PlannerTimes(STALL_TIMEOUT_MILLIS * 1_000_000, 5_000_000_000L);
-		this.planners[0] = new ReplicaPlanner(times, fleetDecisions);
-		this.planners[1] = new ReplicaPlanner(times, fleetDecisions);
+		this.planners[0] = new ReplicaPlanner(times, fleetDecisions, fencing);
+		this.planners[1] = new ReplicaPlanner(times, fleetDecisions, fencing);
 		this.planners[0].beginTerm(0, this.term);
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -136,7 +136,8 @@
 					// Crash reports are exchanged between daemons by gossip instead.
 				}, new TraceRecorder(false));
 		this.replicas = new ReplicaDuty(system, ports.lease(), ports.orders(), settings.plannerTimes(),
-				this.traffic::onTargets, this::isBeforeFirstTraffic, settings.fleetDecisions());
+				this.traffic::onTargets, this::isBeforeFirstTraffic, settings.fleetDecisions(),
+				settings.orderFencing());
 		this.listing = new ListingDuty(system, settings.daemonId(), settings.maxListAgeMillis(),
 				settings.fleetDecisions() ? ListReadPolicy.ECONOMICAL : ListReadPolicy.REDUNDANT, ports.instances(),
 				() -> ports.lease().term(System.nanoTime()).isPresent(), this.peers::activeDaemonIds, this.peers::send,
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingSettings.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.pistachioline.core.replica.OrderFencing;
 import org.pistachioline.core.replica.PlannerTimes;
 import org.pistachioline.core.retry.RetryBudget;
 
@@ -25,11 +26,12 @@
  * @param cpuCores the processor cores that the daemon may use; 0 if not known
  * @param fleetDecisions whether daemons decide about load by the demand and the capacity
  * of the whole fleet, not only by what each one sees
+ * @param orderFencing whether instances enforce the fencing tokens of orders
  */
 public record RoutingSettings(String daemonId, String availabilityZone, String callerAddress, String adminAddress,
 		String peerAddress, String tunnelAddress, List<String> peerSeeds, boolean firstStart, long graceMillis,
 		long maxListAgeMillis, RetryBudget retryBudget, PlannerTimes plannerTimes, double cpuCores,
-		boolean fleetDecisions) {
+		boolean fleetDecisions, OrderFencing orderFencing) {
 
 	public RoutingSettings {
 		peerSeeds = List.copyOf(peerSeeds);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -26,6 +26,7 @@
 import org.pistachioline.core.replica.InstanceDemand;
 import org.pistachioline.core.replica.LeavingInstances;
 import org.pistachioline.core.replica.LoadReport;
+import org.pistachioline.core.replica.OrderFencing;
 import org.pistachioline.core.replica.OrderOutcome;
 import org.pistachioline.core.replica.PlannerTimes;
 import org.pistachioline.core.replica.PlannerView;
@@ -85,6 +86,8 @@
 
 	private final boolean fleetDecisions;
 
+	private final OrderFencing orderFencing;
+
 	private final Duty<ReplicaMessage> duty;
 
 	private final Map<String, ReplicaPlanner> planners = new HashMap<>();
@@ -147,15 +150,18 @@
 	 * started
 	 * @param fleetDecisions whether groups are planned by demand and for all fabric
 	 * domains together
+	 * @param orderFencing whether instances enforce the fencing tokens of orders
 	 */
 	public ReplicaDuty(ActorSystem<?> system, PlannerLease lease, OrderSender orderSender, PlannerTimes times,
-			Consumer<List<TargetView>> targetsListener, BooleanSupplier beforeTraffic, boolean fleetDecisions) {
+			Consumer<List<TargetView>> targetsListener, BooleanSupplier beforeTraffic, boolean fleetDecisions,
+			OrderFencing orderFencing) {
 		this.lease = lease;
 		this.orderSender = orderSender;
 		this.times = times;
 		this.targetsListener = targetsListener;
 		this.beforeTraffic = beforeTraffic;
 		this.fleetDecisions = fleetDecisions;
+		this.orderFencing = orderFencing;
 		this.duty = new Duty<>(system, RING_NAME, RING_CAPACITY, TICK_INTERVAL, this);
 		this.unresponsive = new UnresponsiveInstances(orderSender,
 				(round) -> offerOrLog(new ReplicaMessage.GroupProbed(round), "probe results"));
@@ -392,7 +398,7 @@
 		for (final ServiceSpec service : this.routeTable.services()) {
 			if (service.grouped()) {
 				final ReplicaPlanner planner = this.planners.computeIfAbsent(service.name(),
-						(name) -> new ReplicaPlanner(this.times, this.fleetDecisions));
+						(name) -> new ReplicaPlanner(this.times, this.fleetDecisions, this.orderFencing));
 				planner.beginTerm(nowNanos, term);
 				planner
 					.plan(new PlannerView(nowNanos, listAsOfNanos, service.engine().orElseThrow(),
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/replica/ReplicaDutyOrdersTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/replica/ReplicaDutyOrdersTests.java
@@ -17,6 +17,7 @@
 import org.pistachioline.core.replica.GroupId;
 import org.pistachioline.core.replica.MemberState;
 import org.pistachioline.core.replica.Membership;
+import org.pistachioline.core.replica.OrderFencing;
 import org.pistachioline.core.replica.OrderOutcome;
 import org.pistachioline.core.replica.PlannerTimes;
 import org.pistachioline.core.replica.ReplicaOrder;
@@ -48,13 +49,18 @@
 
 	private final RecordingSender sender = new RecordingSender();
 
-	private final ReplicaDuty duty = new ReplicaDuty(null, this.lease, this.sender,
-			new PlannerTimes(SECOND_NANOS, SECOND_NANOS), (targets) -> {
-				// Targets are not part of these tests.
-			}, () -> false, false);
+	private ReplicaDuty duty;
 
 	@BeforeEach
 	void configure() {
+		startDuty(OrderFencing.ENFORCED);
+	}
+
+	private void startDuty(OrderFencing fencing) {
+		this.duty = new ReplicaDuty(null, this.lease, this.sender, new PlannerTimes(SECOND_NANOS, SECOND_NANOS),
+				(targets) -> {
+					// Targets are not part of these tests.
+				}, () -> false, false, fencing);
 		configure("chat");
 		this.duty.setListAsOfSource(() -> OptionalLong.of(System.nanoTime()));
 	}
@@ -157,6 +163,16 @@
 		assertThat(this.sender.sent).hasSize(2);
 	}
 
+	// Guards against instances that late orders of a previous planner take.
+	@Test
+	void nothingIsAssignedAfterATakeOverWhereInstancesIgnoreFencingTokens() {
+		startDuty(OrderFencing.IGNORED);
+		list(free("chat", "a"), free("chat", "b"));
+		beginTerm(1);
+		tick();
+		assertThat(this.sender.sent).isEmpty();
+	}
+
 	// Guards against epochs of a later service that are below those of earlier planners.
 	@Test
 	void aServiceThatIsConfiguredWithinATermGetsGroupsOfThatTerm() {
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/replica/ReplicaDutyTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/replica/ReplicaDutyTests.java
@@ -15,6 +15,7 @@
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.core.replica.MemberState;
 import org.pistachioline.core.replica.Membership;
+import org.pistachioline.core.replica.OrderFencing;
 import org.pistachioline.core.replica.OrderOutcome;
 import org.pistachioline.core.replica.PlannerTimes;
 import org.pistachioline.core.replica.ReplicaOrder;
@@ -37,7 +38,7 @@
 	private final ReplicaDuty duty = new ReplicaDuty(null, new HeldLease(), new AnsweringInstances(),
 			new PlannerTimes(SECOND_NANOS, SECOND_NANOS), (targets) -> {
 				// Targets are not part of these tests.
-			}, () -> false, false);
+			}, () -> false, false, OrderFencing.ENFORCED);
 
 	@AfterEach
 	void stop() {
