A leaving daemon takes an estimate for no bound

Change: a request that may run only once is accepted only if its deadline is in time. For others the estimate includes those that still run, and it counts only until the look-ups that name the daemon have expired (3 s), or while no other daemon serves.

Evidence: two new tests of DrainTests failed on the code before (a request that may run only once, one whose like still runs); the third needs the new field of Drain.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ActiveRequests.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ActiveRequests.java
@@ -76,6 +76,22 @@
 		return this.requestsById.size();
 	}
 
+	/**
+	 * Returns for how long requests like the given one have been active at most.
+	 * @param nowNanos the monotonic time
+	 * @param info the request
+	 * @return the time since the oldest of them arrived, in nanoseconds; 0 if there is
+	 * none
+	 */
+	long longestActiveNanos(long nowNanos, RequestInfo info) {
+		return this.requestsById.values()
+			.stream()
+			.filter((request) -> this.completionTimes.alike(request.info, info))
+			.mapToLong((request) -> nowNanos - request.arrivedAtNanos)
+			.max()
+			.orElse(0);
+	}
+
 	void addAction(TrafficAction action) {
 		this.actions.add(action);
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/CompletionTimes.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/CompletionTimes.java
@@ -5,7 +5,8 @@
 import java.util.OptionalLong;
 
 /**
- * Estimates how long requests take at most, from those that completed lately.
+ * Estimates how long requests take at most, from those that completed lately. The
+ * estimate is not a bound: the next request may take longer than any before it.
  * <p>
  * Requests are told apart by model or service and by the size of their output. Where too
  * few of a size have completed, larger ones give the estimate.
@@ -40,6 +41,16 @@
 		this.longestBySize.computeIfAbsent(sizeClass(info), (size) -> new LongestTimes()).add(tookNanos);
 	}
 
+	/**
+	 * Returns whether two requests are expected to take about as long.
+	 * @param first a request
+	 * @param second another one
+	 * @return whether they are for the same target and of the same size
+	 */
+	boolean alike(RequestInfo first, RequestInfo second) {
+		return sizeClass(first).equals(sizeClass(second));
+	}
+
 	/**
 	 * Estimates the longest time that a request takes from its arrival to its end.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/DrainAdmission.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/DrainAdmission.java
@@ -8,9 +8,10 @@
 /**
  * Refuses new requests that a leaving daemon is not expected to complete before it stops.
  * <p>
- * A request fits if its deadline, or the longest time that requests like it took lately,
- * is within the time that is left. Refusing all requests instead would leave callers
- * without service while few daemons restart in turn.
+ * A request fits if its deadline is within the time that is left. One that may be
+ * repeated also fits if the longest time that requests like it took lately is: refusing
+ * all of these would leave callers without service while few daemons restart in turn. An
+ * estimate is no bound, so it does not suffice for a request that may run only once.
  */
 final class DrainAdmission {
 
@@ -18,10 +19,13 @@
 
 	private final CompletionTimes completionTimes;
 
+	private final ActiveRequests activeRequests;
+
 	private Optional<Drain> drain = Optional.empty();
 
-	DrainAdmission(CompletionTimes completionTimes) {
+	DrainAdmission(CompletionTimes completionTimes, ActiveRequests activeRequests) {
 		this.completionTimes = completionTimes;
+		this.activeRequests = activeRequests;
 	}
 
 	/**
@@ -44,8 +48,16 @@
 
 	private boolean fits(long nowNanos, RequestInfo info, Drain terms) {
 		final long leftNanos = terms.endsAtNanos() - nowNanos;
-		return info.totalDeadlineNanos() - nowNanos <= leftNanos
-				|| this.completionTimes.maxNanos(nowNanos, info).orElse(Long.MAX_VALUE) <= leftNanos;
+		if (info.totalDeadlineNanos() - nowNanos <= leftNanos) {
+			return true;
+		}
+		return info.idempotent() && terms.acceptsEstimates() && estimateNanos(nowNanos, info) <= leftNanos;
+	}
+
+	// The slowest requests are those that have not ended yet.
+	private long estimateNanos(long nowNanos, RequestInfo info) {
+		return Math.max(this.completionTimes.maxNanos(nowNanos, info).orElse(Long.MAX_VALUE),
+				this.activeRequests.longestActiveNanos(nowNanos, info));
 	}
 
 	private static Refusal refusal(RequestInfo info, Drain terms) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -60,7 +60,7 @@
 
 	private final CompletionTimes completionTimes = new CompletionTimes();
 
-	private final DrainAdmission drainAdmission = new DrainAdmission(this.completionTimes);
+	private final DrainAdmission drainAdmission;
 
 	/**
 	 * Creates a core without configuration and targets.
@@ -72,6 +72,7 @@
 		this.targets = new TargetRegistry(policies.placement());
 		this.activeRequests = new ActiveRequests(policies, this.targets, this.isolation, this.redispatchQueue,
 				this.completionTimes);
+		this.drainAdmission = new DrainAdmission(this.completionTimes, this.activeRequests);
 		this.suspectTracker = new SuspectTracker(policies.quarantine(), this.isolation, this.activeRequests);
 		this.selector = new TargetSelector(this.targets, this.isolation, policies.placement());
 		this.dispatcher = new Dispatcher(policies, this.activeRequests, this.targets, this.selector, this.isolation,
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/DrainTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/DrainTests.java
@@ -76,6 +76,40 @@
 		assertThat(offer(DEADLINE_MILLIS, 60)).singleElement().isInstanceOf(TrafficAction.Fail.class);
 	}
 
+	// Guards against bookings that are interrupted while it is unknown whether they ran.
+	@Test
+	void aRequestThatMayRunOnlyOnceIsAcceptedOnlyIfItsDeadlineFits() {
+		startTarget();
+		completeRequests(SAMPLES, 60, 500);
+		drain(5_000, 100);
+		assertThat(offerOnce(DEADLINE_MILLIS)).singleElement()
+			.isInstanceOfSatisfying(TrafficAction.Fail.class, (refusal) -> {
+				assertThat(refusal.kind()).isEqualTo(ErrorKind.LEAVING);
+				assertThat(refusal.runState()).isEqualTo(RunState.NOT_RUN);
+			});
+		assertThat(offerOnce(4_900)).singleElement().isInstanceOf(TrafficAction.Start.class);
+	}
+
+	// Guards against estimates where another daemon is ready for all callers.
+	@Test
+	void withoutEstimatesOnlyADeadlineThatFitsIsAccepted() {
+		startTarget();
+		completeRequests(SAMPLES, 60, 500);
+		drain(3_000, 100, false);
+		assertThat(offer(DEADLINE_MILLIS, 60)).singleElement().isInstanceOf(TrafficAction.Fail.class);
+		assertThat(offer(2_900, 60)).singleElement().isInstanceOf(TrafficAction.Start.class);
+	}
+
+	// Guards against an estimate that leaves out the slowest requests, as they still run.
+	@Test
+	void aRequestIsRefusedWhileOneLikeItRunsForLongerThanTheTimeThatIsLeft() {
+		startTarget();
+		offer(60_000, 60);
+		completeRequests(SAMPLES, 60, 500);
+		drain(5_000, 100);
+		assertThat(offer(DEADLINE_MILLIS, 60)).singleElement().isInstanceOf(TrafficAction.Fail.class);
+	}
+
 	// Guards against a daemon that hangs on a size that no request can have.
 	@Test
 	@Timeout(10)
@@ -110,8 +144,12 @@
 	}
 
 	private void drain(long endsInMillis, long retryAfterMillis) {
-		this.simulation.core.onDrain(
-				new Drain(this.simulation.nowNanos + TimeUnit.MILLISECONDS.toNanos(endsInMillis), retryAfterMillis));
+		drain(endsInMillis, retryAfterMillis, true);
+	}
+
+	private void drain(long endsInMillis, long retryAfterMillis, boolean acceptsEstimates) {
+		this.simulation.core.onDrain(new Drain(this.simulation.nowNanos + TimeUnit.MILLISECONDS.toNanos(endsInMillis),
+				retryAfterMillis, acceptsEstimates));
 	}
 
 	private void completeRequests(int count, int maxOutputTokens, long tookMillis) {
@@ -124,12 +162,20 @@
 	}
 
 	private List<TrafficAction> offer(long deadlineMillis, int maxOutputTokens) {
+		return offer(deadlineMillis, maxOutputTokens, true);
+	}
+
+	private List<TrafficAction> offerOnce(long deadlineMillis) {
+		return offer(deadlineMillis, 60, false);
+	}
+
+	private List<TrafficAction> offer(long deadlineMillis, int maxOutputTokens, boolean idempotent) {
 		this.lastRequestId++;
 		final long nowNanos = this.simulation.nowNanos;
 		final long deadlineNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(deadlineMillis);
 		return this.simulation.core.onRequest(nowNanos,
 				new RequestInfo(this.lastRequestId, "w", TargetKind.MODEL, "m", 1, maxOutputTokens, 0, deadlineNanos,
-						deadlineNanos, true, ClaimRequirement.NONE, "f" + this.lastRequestId, List.of()));
+						deadlineNanos, idempotent, ClaimRequirement.NONE, "f" + this.lastRequestId, List.of()));
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -271,7 +271,7 @@
 		while (System.nanoTime() - leaveStartedAtNanos < endpointTtlNanos) {
 			LockSupport.parkNanos(DRAIN_CHECK_INTERVAL_NANOS);
 		}
-		this.traffic.drain(new Drain(System.nanoTime(), LEAVING_RETRY_MILLIS));
+		this.traffic.drain(new Drain(System.nanoTime(), LEAVING_RETRY_MILLIS, false));
 		while (this.traffic.activeRequestCount() > 0 && System.nanoTime() - leaveStartedAtNanos < MAX_DRAIN_NANOS) {
 			LockSupport.parkNanos(DRAIN_CHECK_INTERVAL_NANOS);
 		}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/GracefulShutdown.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/GracefulShutdown.java
@@ -33,6 +33,9 @@
 	private static final long STOP_MARGIN_MILLIS = 1_300;
 
 	/** Callers cache an endpoint list for up to three times its TTL of one second. */
+	private static final long LOOKUP_EXPIRY_MILLIS = 3_000;
+
+	/** Includes the time that a request may be on its way after the expiry. */
 	private static final long LINGER_MILLIS = 3_500;
 
 	/** Time for callers to take their last response and close their connections. */
@@ -98,20 +101,30 @@
 	// Without another daemon, callers would find nobody until this one is back.
 	private void serveLateCallers(long startedAtNanos, long endsAtNanos) {
 		final Successors successors = new Successors(this.livePeers.get());
+		final long lookupsExpireAtNanos = startedAtNanos + TimeUnit.MILLISECONDS.toNanos(LOOKUP_EXPIRY_MILLIS);
 		final long lingerUntilNanos = startedAtNanos + TimeUnit.MILLISECONDS.toNanos(LINGER_MILLIS);
 		boolean othersServe = successors.serve(this.livePeers.get());
-		this.traffic.drain(new Drain(endsAtNanos, retryAfterMillis(othersServe)));
+		Drain terms = terms(endsAtNanos, lookupsExpireAtNanos, othersServe);
+		this.traffic.drain(terms);
 		while (System.nanoTime() < endsAtNanos && (System.nanoTime() < lingerUntilNanos || !othersServe)) {
 			LockSupport.parkNanos(CHECK_INTERVAL_NANOS);
-			final boolean othersServeNow = successors.serve(this.livePeers.get());
-			if (othersServe != othersServeNow) {
-				othersServe = othersServeNow;
-				this.traffic.drain(new Drain(endsAtNanos, retryAfterMillis(othersServe)));
+			othersServe = successors.serve(this.livePeers.get());
+			final Drain termsNow = terms(endsAtNanos, lookupsExpireAtNanos, othersServe);
+			if (!termsNow.equals(terms)) {
+				terms = termsNow;
+				this.traffic.drain(terms);
 			}
 		}
 		this.othersServed = othersServe;
 	}
 
+	// A caller that still has this daemon's address after the expiry finds another one
+	// with its next look-up, so nothing is accepted on an estimate.
+	private static Drain terms(long endsAtNanos, long lookupsExpireAtNanos, boolean othersServe) {
+		final boolean lookupsExpired = System.nanoTime() >= lookupsExpireAtNanos;
+		return new Drain(endsAtNanos, retryAfterMillis(othersServe), !othersServe || !lookupsExpired);
+	}
+
 	private static long retryAfterMillis(boolean othersServe) {
 		return othersServe ? NEXT_LOOKUP_MILLIS : RESTART_MILLIS;
 	}
@@ -119,7 +132,7 @@
 	// Admission ends before the connections do: a request that is read afterwards is
 	// refused rather than lost.
 	private CompletableFuture<Void> stopAdmission() {
-		this.traffic.drain(new Drain(System.nanoTime(), retryAfterMillis(this.othersServed)));
+		this.traffic.drain(new Drain(System.nanoTime(), retryAfterMillis(this.othersServed), false));
 		this.tunnels.stopAccepting();
 		return this.relay.finish();
 	}
