The drain's terms apply before an answer announces the end

By reading: a leaving daemon announced the end of its connections before it posted the terms of the drain, so a request that followed such an answer at once could be accepted without them. Now the terms are posted first; both take the same ring, so such a request is under them.

The order alone has no test that failed before.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/GracefulShutdown.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/GracefulShutdown.java
@@ -86,7 +86,6 @@
 		final long maxDrainMillis = Math.max(0, this.graceMillis - STOP_MARGIN_MILLIS);
 		final long endsAtNanos = startedAtNanos + TimeUnit.MILLISECONDS.toNanos(maxDrainMillis);
 		Events.log(EventId.STOPPING, "held", this.traffic.activeRequestCount());
-		this.relay.leave();
 		serveLateCallers(startedAtNanos, endsAtNanos);
 		final long lingeredMillis = millisSince(startedAtNanos);
 		final CompletableFuture<Void> closed = stopAdmission();
@@ -106,6 +105,8 @@
 		boolean othersServe = successors.serve(this.livePeers.get());
 		Drain terms = terms(endsAtNanos, lookupsExpireAtNanos, othersServe);
 		this.traffic.drain(terms);
+		// A request that follows an answer which announces the end is under the terms.
+		this.relay.leave();
 		while (System.nanoTime() < endsAtNanos && (System.nanoTime() < lingerUntilNanos || !othersServe)) {
 			LockSupport.parkNanos(CHECK_INTERVAL_NANOS);
 			othersServe = successors.serve(this.livePeers.get());
