--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/GracefulShutdown.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/GracefulShutdown.java
@@ -33,6 +33,9 @@
 	private static final long STOP_MARGIN_MILLIS = 1_300;
 
 	/** Callers cache an endpoint list for up to three times its TTL of one second. */
+	private static final long LOOKUP_EXPIRY_MILLIS = 3_000;
+
+	/** Includes the time that a request may be on its way after the expiry. */
 	private static final long LINGER_MILLIS = 3_500;
 
 	/** Time for callers to take their last response and close their connections. */
@@ -83,7 +86,6 @@
 		final long maxDrainMillis = Math.max(0, this.graceMillis - STOP_MARGIN_MILLIS);
 		final long endsAtNanos = startedAtNanos + TimeUnit.MILLISECONDS.toNanos(maxDrainMillis);
 		Events.log(EventId.STOPPING, "held", this.traffic.activeRequestCount());
-		this.relay.leave();
 		serveLateCallers(startedAtNanos, endsAtNanos);
 		final long lingeredMillis = millisSince(startedAtNanos);
 		final CompletableFuture<Void> closed = stopAdmission();
@@ -98,20 +100,32 @@
 	// Without another daemon, callers would find nobody until this one is back.
 	private void serveLateCallers(long startedAtNanos, long endsAtNanos) {
 		final Successors successors = new Successors(this.livePeers.get());
+		final long lookupsExpireAtNanos = startedAtNanos + TimeUnit.MILLISECONDS.toNanos(LOOKUP_EXPIRY_MILLIS);
 		final long lingerUntilNanos = startedAtNanos + TimeUnit.MILLISECONDS.toNanos(LINGER_MILLIS);
 		boolean othersServe = successors.serve(this.livePeers.get());
-		this.traffic.drain(new Drain(endsAtNanos, retryAfterMillis(othersServe)));
+		Drain terms = terms(endsAtNanos, lookupsExpireAtNanos, othersServe);
+		this.traffic.drain(terms);
+		// A request that follows an answer which announces the end is under the terms.
+		this.relay.leave();
 		while (System.nanoTime() < endsAtNanos && (System.nanoTime() < lingerUntilNanos || !othersServe)) {
 			LockSupport.parkNanos(CHECK_INTERVAL_NANOS);
-			final boolean othersServeNow = successors.serve(this.livePeers.get());
-			if (othersServe != othersServeNow) {
-				othersServe = othersServeNow;
-				this.traffic.drain(new Drain(endsAtNanos, retryAfterMillis(othersServe)));
+			othersServe = successors.serve(this.livePeers.get());
+			final Drain termsNow = terms(endsAtNanos, lookupsExpireAtNanos, othersServe);
+			if (!termsNow.equals(terms)) {
+				terms = termsNow;
+				this.traffic.drain(terms);
 			}
 		}
 		this.othersServed = othersServe;
 	}
 
+	// A caller that still has this daemon's address after the expiry finds another one
+	// with its next look-up, so nothing is accepted on an estimate.
+	private static Drain terms(long endsAtNanos, long lookupsExpireAtNanos, boolean othersServe) {
+		final boolean lookupsExpired = System.nanoTime() >= lookupsExpireAtNanos;
+		return new Drain(endsAtNanos, retryAfterMillis(othersServe), !othersServe || !lookupsExpired);
+	}
+
 	private static long retryAfterMillis(boolean othersServe) {
 		return othersServe ? NEXT_LOOKUP_MILLIS : RESTART_MILLIS;
 	}
@@ -119,7 +133,7 @@
 	// Admission ends before the connections do: a request that is read afterwards is
 	// refused rather than lost.
 	private CompletableFuture<Void> stopAdmission() {
-		this.traffic.drain(new Drain(System.nanoTime(), retryAfterMillis(this.othersServed)));
+		this.traffic.drain(new Drain(System.nanoTime(), retryAfterMillis(this.othersServed), false));
 		this.tunnels.stopAccepting();
 		return this.relay.finish();
 	}
