--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/Body.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/Body.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import java.util.List;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -15,10 +16,28 @@
 	/** No body. */
 	public static final Body EMPTY = new Body(new byte[0]);
 
-	private final byte[] bytes;
+	/** The last block may be used in part only. */
+	private final byte[][] blocks;
+
+	private final int sizeBytes;
 
 	private Body(byte[] bytes) {
-		this.bytes = bytes;
+		this(new byte[][] { bytes }, bytes.length);
+	}
+
+	private Body(byte[][] blocks, int sizeBytes) {
+		this.blocks = blocks;
+		this.sizeBytes = sizeBytes;
+	}
+
+	/**
+	 * Creates a body from blocks, which must not change any more.
+	 * @param blocks its bytes in order; the end of the last block may be unused
+	 * @param sizeBytes the number of bytes in use
+	 * @return the body
+	 */
+	static Body ofBlocks(List<byte[]> blocks, int sizeBytes) {
+		return new Body(blocks.toArray(new byte[0][]), sizeBytes);
 	}
 
 	/**
@@ -44,7 +63,7 @@
 	}
 
 	ByteBuf toBuffer() {
-		return Unpooled.wrappedBuffer(this.bytes).asReadOnly();
+		return Unpooled.wrappedBuffer(this.blocks.length, this.blocks).slice(0, this.sizeBytes).asReadOnly();
 	}
 
 	/**
@@ -52,7 +71,7 @@
 	 * @return the number of bytes
 	 */
 	public int sizeBytes() {
-		return this.bytes.length;
+		return this.sizeBytes;
 	}
 
 	/**
@@ -60,7 +79,12 @@
 	 * @param digest the digest
 	 */
 	public void digest(MessageDigest digest) {
-		digest.update(this.bytes);
+		int left = this.sizeBytes;
+		for (final byte[] block : this.blocks) {
+			final int used = Math.min(left, block.length);
+			digest.update(block, 0, used);
+			left -= used;
+		}
 	}
 
 	/**
@@ -68,7 +92,14 @@
 	 * @return a copy of the bytes
 	 */
 	public byte[] bytes() {
-		return this.bytes.clone();
+		final byte[] copy = new byte[this.sizeBytes];
+		int copied = 0;
+		for (final byte[] block : this.blocks) {
+			final int used = Math.min(copy.length - copied, block.length);
+			System.arraycopy(block, 0, copy, copied, used);
+			copied += used;
+		}
+		return copy;
 	}
 
 	/**
@@ -76,7 +107,7 @@
 	 * @return the bytes, decoded as UTF-8
 	 */
 	public String text() {
-		return new String(this.bytes, StandardCharsets.UTF_8);
+		return new String(bytes(), StandardCharsets.UTF_8);
 	}
 
 }
