A large answer is written as its caller takes it

An answer of 16 MiB needs 16 MiB of direct memory, which is all that the users' deployment has.

Cause: the whole body went to the connection in one write. The JDK copies all that one write is given to direct memory and keeps that memory for the thread, and all that the caller has not taken waits in the connection's buffer.

Fix: bodies above 64 KiB are written in pieces of 64 KiB while the connection is writable. A caller that takes nothing of its answer for the idle time is closed; before, the idle time ran from the moment at which the answer was given.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerConnection.java
@@ -170,6 +170,13 @@
 		this.closer.onAnswered();
 	}
 
+	/**
+	 * Restarts the idle time, as the caller has taken a part of its answer.
+	 */
+	void onAnswerTaken() {
+		this.timeouts.onAnswered();
+	}
+
 	/**
 	 * Returns whether the connection ends behind the current answer because the server is
 	 * leaving. Requests that were read behind it are answered first.
@@ -201,6 +208,17 @@
 			next();
 		}
 		else if (this.timeouts.isIdleTooLong(nowNanos)) {
+			closeIfIdleOrStuck();
+		}
+	}
+
+	// A caller that takes nothing of its answer any more holds as much as it has not
+	// taken.
+	private void closeIfIdleOrStuck() {
+		if (this.current != null && this.current.isWritingBody()) {
+			close();
+		}
+		else {
 			this.closer.closeIfIdle();
 		}
 	}
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ServerReply.java
@@ -48,6 +48,8 @@
 
 	private CallerListener listener;
 
+	private BodyWriter bodyWriter;
+
 	ServerReply(ChannelHandlerContext ctx, boolean keepAlive, boolean chunks, long arrivedAtNanos,
 			ServerConnection connection) {
 		this.ctx = ctx;
@@ -64,11 +66,27 @@
 		}
 		final HttpHeaders headers = headersOf(answer.head());
 		headers.set(HttpHeaderNames.CONTENT_LENGTH, answer.body().sizeBytes());
+		if (answer.body().sizeBytes() > BodyWriter.MAX_PIECE_BYTES) {
+			this.over = true;
+			this.ctx.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()),
+					headers));
+			this.bodyWriter = new BodyWriter(this.ctx, answer.body());
+			writeBody();
+			return;
+		}
 		finish(this.ctx.writeAndFlush(
 				new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()),
 						answer.body().toBuffer(), headers, EmptyHttpHeaders.INSTANCE)));
 	}
 
+	private void writeBody() {
+		this.connection.onAnswerTaken();
+		if (this.bodyWriter.writeOn()) {
+			this.bodyWriter = null;
+			finish(this.ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+		}
+	}
+
 	@Override
 	public void begin(AnswerHead head) {
 		if (this.over) {
@@ -199,7 +217,16 @@
 		return this.over;
 	}
 
+	/**
+	 * Returns whether a whole answer is being written that its caller takes slowly.
+	 * @return whether a part of it was not written
+	 */
+	boolean isWritingBody() {
+		return this.bodyWriter != null;
+	}
+
 	void onGone() {
+		this.bodyWriter = null;
 		if (!this.over) {
 			this.over = true;
 			if (this.listener != null) {
@@ -209,7 +236,12 @@
 	}
 
 	void onWritable(boolean writable) {
-		if (!this.over && this.listener != null) {
+		if (this.bodyWriter != null) {
+			if (writable) {
+				writeBody();
+			}
+		}
+		else if (!this.over && this.listener != null) {
 			this.listener.onWritable(writable);
 		}
 	}
