The sum of all responses that are kept until complete is bounded

What callers saw: targets whose responses never end, 100 at once, ended the process of a daemon by OutOfMemoryError, with all requests on it; at 24, sound requests got 503.

Cause, three together: each response may keep 16 MiB and nothing bounded the sum, as HeldBytes only refuses new requests, sound ones; the buffer doubled and was copied twice more when the response was complete; and the buffer of an ended attempt stayed reachable, and counted, until its request was answered.

Fix: KeptResponses counts, on the loop's thread, the memory of all responses that are not complete: collected bodies, events of streams, heads. Its bound is a sixth of the heap, half of what is held for callers, so that these bytes alone never cause refusals. A stated length above 16 MiB is refused at the head. The memory is freed and no longer counted at the end of the attempt. Responses are handed on without copies. Reading less from those above their share was weighed: it keeps the memory until the deadline and lets endless responses slow sound large ones.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/HeaderFields.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/HeaderFields.java
@@ -15,6 +15,12 @@
  */
 public final class HeaderFields {
 
+	/**
+	 * Memory of a field besides its characters: two strings, their arrays and entries,
+	 * also in the codec's own list.
+	 */
+	private static final int FIELD_BYTES = 256;
+
 	/** No header fields. */
 	public static final HeaderFields EMPTY = new HeaderFields(List.of());
 
@@ -100,6 +106,18 @@
 		return new HeaderFields(all);
 	}
 
+	/**
+	 * Returns about how much memory the fields take up.
+	 * @return the estimate, in bytes
+	 */
+	public int memoryBytes() {
+		int bytes = 0;
+		for (final Field field : this.fields) {
+			bytes += FIELD_BYTES + field.name().length() + field.value().length();
+		}
+		return bytes;
+	}
+
 	@Override
 	public String toString() {
 		// Values may hold keys, which must not get into a log.
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebReply.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebReply.java
@@ -65,7 +65,8 @@
 
 	/**
 	 * Counts bytes that are kept for the answer before it is given.
-	 * @param bytes the number of further bytes
+	 * @param bytes the number of further bytes; negative for bytes that are kept no
+	 * longer
 	 */
 	void hold(int bytes);
 
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/LargeAnswerTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/LargeAnswerTests.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.BooleanSupplier;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -68,7 +69,26 @@
 		}
 	}
 
+	// Guards against a large answer that is kept forever for a caller who does not take
+	// it.
+	@Test
+	void aCallerWhoTakesNothingOfItsAnswerIsDisconnected() throws Exception {
+		try (WebLoop loop = new WebLoop("test")) {
+			final WebServer server = serve(loop, new RequestLimits(8_192, 1_000, 8_192, 1_000, 100));
+			try (Socket caller = call(server)) {
+				awaitTurnsUntil(loop, () -> this.held.total() > 0);
+				awaitTurnsUntil(loop, () -> this.held.total() == 0);
+				assertThat(caller.isClosed()).isFalse();
+			}
+			server.stop();
+		}
+	}
+
 	private WebServer serve(WebLoop loop) {
+		return serve(loop, RequestLimits.DEFAULT);
+	}
+
+	private WebServer serve(WebLoop loop, RequestLimits limits) {
 		final WebServer server = new WebServer(loop, "127.0.0.1:0", new WebHandler() {
 
 			@Override
@@ -81,7 +101,7 @@
 				return WebAnswer.text(500, fault.name());
 			}
 
-		}, () -> RequestLimits.DEFAULT, this.held);
+		}, () -> limits, this.held);
 		server.start();
 		return server;
 	}
@@ -142,10 +162,20 @@
 	// buffers take it.
 	private static void awaitTurns(WebLoop loop) throws InterruptedException {
 		for (int i = 0; i < 100; i++) {
-			final CountDownLatch turned = new CountDownLatch(1);
-			loop.execute(turned::countDown);
-			turned.await();
+			awaitTurn(loop);
 		}
 	}
 
+	private static void awaitTurnsUntil(WebLoop loop, BooleanSupplier condition) throws InterruptedException {
+		while (!condition.getAsBoolean()) {
+			awaitTurn(loop);
+		}
+	}
+
+	private static void awaitTurn(WebLoop loop) throws InterruptedException {
+		final CountDownLatch turned = new CountDownLatch(1);
+		loop.execute(turned::countDown);
+		turned.await();
+	}
+
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -66,6 +66,13 @@
 		}
 		this.metrics.gauge("pistachioline.responses.oversized",
 				"Connections that were closed since a target sent too many bytes", relay::oversizedResponseCount);
+		this.metrics.gauge("pistachioline.responses.kept", "Bytes of responses that are kept until they are complete",
+				relay::keptResponseBytes);
+		this.metrics.gauge("pistachioline.responses.kept.peak", "Most bytes that such responses had since the start",
+				relay::keptResponsePeakBytes);
+		this.metrics.gauge("pistachioline.responses.ended.for.sum",
+				"Responses that were ended since all kept ones together were too large",
+				relay::responsesEndedForSumCount);
 		final LoopMonitor loop = relay.loopMonitor();
 		this.metrics.gauge("pistachioline.callers.held",
 				"Bytes of requests without an answer, and of answers that callers have not taken", relay::heldBytes);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -26,6 +26,20 @@
 	RESPONSES_OVERSIZED("pistachioline_responses_oversized", "connections",
 			"Connections that were closed since a target sent more bytes than a response may have.", "rising"),
 
+	/** Gauge of the memory of responses that are not complete. */
+	RESPONSES_KEPT("pistachioline_responses_kept", "bytes",
+			"Responses, and events of streams, that are kept until they are complete.",
+			"near a sixth of the heap: the largest are ended"),
+
+	/** Gauge of the largest such memory since the start. */
+	RESPONSES_KEPT_PEAK("pistachioline_responses_kept_peak", "bytes", "Most bytes that were kept so since the start.",
+			"near a sixth of the heap"),
+
+	/** Gauge of responses since the start. */
+	RESPONSES_ENDED_FOR_SUM("pistachioline_responses_ended_for_sum", "responses",
+			"Responses that were ended since all kept ones together were too large.",
+			"rising: look for targets whose responses do not end"),
+
 	/** Gauge of the requests that are known to crash targets. */
 	REQUESTS_QUARANTINED("pistachioline_requests_quarantined", "requests",
 			"Requests that are not sent to any target, since targets crashed under them.", "above 0"),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/CallerResponse.java
@@ -62,7 +62,8 @@
 
 	/**
 	 * Counts the bytes of a response that is kept until it is complete.
-	 * @param bytes the number of further bytes
+	 * @param bytes the number of further bytes; negative for bytes that are kept no
+	 * longer
 	 */
 	void hold(int bytes) {
 		this.reply.hold(bytes);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/IncompleteResponses.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/IncompleteResponses.java
@@ -46,9 +46,10 @@
 				incomplete.fields(this.configuration.get().version(), this.configuration.ageMillis()));
 	}
 
-	void logOversized(String requestId, String targetId, String part) {
+	void logOversized(String requestId, String targetId, String part, OversizeBound bound) {
 		this.oversizedCount.incrementAndGet();
-		Events.log(EventId.RESPONSE_OVERSIZED, "request", requestId, "target", targetId, "part", part);
+		Events.log(EventId.RESPONSE_OVERSIZED, "request", requestId, "target", targetId, "part", part, "bound",
+				bound.code());
 	}
 
 	/**
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/PartialEvent.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/PartialEvent.java
@@ -21,6 +21,14 @@
 		return this.sizeBytes;
 	}
 
+	/**
+	 * Returns the memory in use, which may be more than the size.
+	 * @return the number of bytes
+	 */
+	int capacityBytes() {
+		return this.buffer.length;
+	}
+
 	/**
 	 * Adds received bytes.
 	 * @param bytes the bytes
@@ -47,6 +55,11 @@
 		this.sizeBytes = this.buffer.length;
 	}
 
+	void clear() {
+		this.buffer = NO_BYTES;
+		this.sizeBytes = 0;
+	}
+
 	byte[] bytes() {
 		return Arrays.copyOf(this.buffer, this.sizeBytes);
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -37,6 +37,8 @@
 
 	private final IncompleteResponses incompleteResponses;
 
+	private final KeptResponses keptResponses = KeptResponses.ofHeap();
+
 	private final RelayHandler handler;
 
 	private final CallerServer callerServer;
@@ -64,7 +66,8 @@
 		this.incompleteResponses = new IncompleteResponses(this.configuration);
 		final RelayContext context = new RelayContext(this.loop, client, protocol, this.streams,
 				traffic::onCallerDisconnected, new TargetReportDispatcher(loadReceiver, traffic), this.backoffGate,
-				new CrashProbe(client::askWhetherRefused, traffic.crashMonitor()::onCrash), this.incompleteResponses);
+				new CrashProbe(client::askWhetherRefused, traffic.crashMonitor()::onCrash), this.incompleteResponses,
+				this.keptResponses);
 		this.handler = new RelayHandler(this.configuration, context, traffic, this.loopMonitor);
 		this.callerServer = new CallerServer(this.loop, address, this.handler, this.configuration);
 	}
@@ -149,6 +152,31 @@
 		return this.incompleteResponses.oversizedCount();
 	}
 
+	/**
+	 * Returns the memory of all responses that are kept until they are complete.
+	 * @return the number of bytes now
+	 */
+	public long keptResponseBytes() {
+		return this.keptResponses.totalBytes();
+	}
+
+	/**
+	 * Returns the largest memory of all responses that were kept until complete.
+	 * @return the number of bytes
+	 */
+	public long keptResponsePeakBytes() {
+		return this.keptResponses.peakBytes();
+	}
+
+	/**
+	 * Returns how many responses were ended because all kept ones together were too
+	 * large.
+	 * @return the number since the start
+	 */
+	public long responsesEndedForSumCount() {
+		return this.keptResponses.endedCount();
+	}
+
 	/**
 	 * Returns the listen address for callers.
 	 * @return the address, as host and port; empty until the relay listens
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -1,11 +1,11 @@
 package org.pistachioline.daemon.relay;
 
-import java.io.ByteArrayOutputStream;
 import java.util.OptionalDouble;
 
 import org.pistachioline.adapters.http.NotConnectedException;
 import org.pistachioline.adapters.web.AnswerHead;
 import org.pistachioline.adapters.web.AnswerReceiver;
+import org.pistachioline.adapters.web.BlockBuffer;
 import org.pistachioline.adapters.web.ExcessiveBytesException;
 import org.pistachioline.adapters.web.WebCall;
 import org.pistachioline.core.event.EventId;
@@ -25,7 +25,7 @@
  * connection, so that the target cancels the work and none of its output can reach a
  * later request.
  */
-final class RelayAttempt implements AnswerReceiver {
+final class RelayAttempt implements AnswerReceiver, KeptResponse {
 
 	private static final int OK = 200;
 
@@ -40,6 +40,9 @@
 	 */
 	private static final int MAX_DECLINED_BYTES = 64 * 1024;
 
+	/** Longer lengths may not fit into a long. */
+	private static final int MAX_LENGTH_DIGITS = 18;
+
 	private final RelayExchange exchange;
 
 	private final TrafficAction.Start start;
@@ -48,7 +51,11 @@
 
 	private int declinedBytes;
 
-	private final ByteArrayOutputStream responseBody = new ByteArrayOutputStream();
+	private final BlockBuffer responseBody = new BlockBuffer();
+
+	private int heldBytes;
+
+	private int headBytes;
 
 	private WebCall targetCall;
 
@@ -105,6 +112,7 @@
 	public void onHead(AnswerHead head) {
 		final RelayProtocol protocol = this.exchange.context().protocol();
 		this.responseHead = head;
+		this.headBytes = head.headers().memoryBytes();
 		this.exchange.history().onBytes(System.nanoTime());
 		protocol.load(head, System.nanoTime())
 			.ifPresent((load) -> this.exchange.context().targetReports().onLoad(this.start.target().targetId(), load));
@@ -119,6 +127,26 @@
 			case MISMATCHED -> abort(AttemptOutcome.MISMATCHED);
 			case VALID -> onValidHead();
 		}
+		if (!this.ended && isKeptWhole() && declaresTooMuch(head)) {
+			abortOversized("a declared length", AttemptOutcome.BROKEN);
+		}
+		countKept();
+	}
+
+	// The answer to a HEAD request states the length of a body that does not follow.
+	private boolean declaresTooMuch(AnswerHead head) {
+		return !this.exchange.request().method().equals("HEAD")
+				&& head.header("Content-Length").map(RelayAttempt::parseLength).orElse(0L) > MAX_RESPONSE_BYTES;
+	}
+
+	// The codec has checked the length.
+	private static long parseLength(String text) {
+		final String digits = text.trim();
+		return (digits.length() > MAX_LENGTH_DIGITS) ? Long.MAX_VALUE : Long.parseLong(digits);
+	}
+
+	private boolean isKeptWhole() {
+		return this.eventForwarder == null && this.expectedOutcome != AttemptOutcome.DECLINED;
 	}
 
 	private void onValidHead() {
@@ -174,6 +202,7 @@
 			if (!this.eventForwarder.forward(bytes, this.exchange.response())) {
 				abortOversized("an event", AttemptOutcome.MISMATCHED);
 			}
+			countKept();
 		}
 		else if (this.expectedOutcome == AttemptOutcome.DECLINED) {
 			this.declinedBytes += bytes.length;
@@ -181,24 +210,55 @@
 				abortOversized("a declining response", AttemptOutcome.DECLINED);
 			}
 		}
-		else if (this.responseBody.size() + bytes.length > MAX_RESPONSE_BYTES) {
+		else if (this.responseBody.sizeBytes() + bytes.length > MAX_RESPONSE_BYTES) {
 			abortOversized("a response", AttemptOutcome.BROKEN);
 		}
 		else {
-			this.responseBody.writeBytes(bytes);
-			this.exchange.response().hold(bytes.length);
+			this.responseBody.append(bytes);
+			countKept();
+		}
+	}
+
+	private void countKept() {
+		if (!this.ended) {
+			hold(this.responseBody.capacityBytes());
+			this.exchange.context().keptResponses().update(this);
+		}
+	}
+
+	private void hold(int bytes) {
+		if (bytes != this.heldBytes) {
+			this.exchange.response().hold(bytes - this.heldBytes);
+			this.heldBytes = bytes;
 		}
 	}
 
+	@Override
+	public long keptBytes() {
+		final int eventBytes = (this.eventForwarder != null) ? this.eventForwarder.keptBytes() : 0;
+		return (long) this.headBytes + this.responseBody.capacityBytes() + eventBytes;
+	}
+
+	@Override
+	public boolean hasDeclaredLength() {
+		return this.responseHead != null && this.responseHead.header("Content-Length").isPresent();
+	}
+
+	@Override
+	public void endForSum() {
+		logOversized((this.eventForwarder != null) ? "an event" : "a response", OversizeBound.SUM);
+		abort((this.expectedOutcome == AttemptOutcome.DECLINED) ? AttemptOutcome.DECLINED : AttemptOutcome.BROKEN);
+	}
+
 	private void abortOversized(String part, AttemptOutcome outcome) {
-		logOversized(part);
+		logOversized(part, OversizeBound.SINGLE);
 		abort(outcome);
 	}
 
-	private void logOversized(String part) {
+	private void logOversized(String part, OversizeBound bound) {
 		this.exchange.context()
 			.incompleteResponses()
-			.logOversized(this.exchange.request().metadata().requestId(), this.start.target().targetId(), part);
+			.logOversized(this.exchange.request().metadata().requestId(), this.start.target().targetId(), part, bound);
 	}
 
 	@Override
@@ -215,8 +275,9 @@
 			return;
 		}
 		if (this.expectedOutcome != AttemptOutcome.DECLINED) {
-			this.exchange.storeResponse(TargetResponse.of(this.responseHead, this.responseBody.toByteArray()),
-					this.expectedOutcome);
+			final TargetResponse response = TargetResponse.of(this.responseHead, this.responseBody.takeBody());
+			hold(0);
+			this.exchange.storeResponse(response, this.expectedOutcome);
 		}
 		end(this.expectedOutcome);
 	}
@@ -246,7 +307,7 @@
 	@Override
 	public void onFailure(Throwable failure) {
 		if (failure instanceof ExcessiveBytesException) {
-			logOversized("a head");
+			logOversized("a head", OversizeBound.SINGLE);
 		}
 		// A target that declined has stated that it did not run the request, which holds
 		// even if the rest of its response is lost.
@@ -297,6 +358,7 @@
 			return;
 		}
 		this.ended = true;
+		free();
 		this.exchange.history().onEnd(this.start.target().targetId(), outcome);
 		if (this.eventForwarder != null) {
 			this.exchange.context().streams().remove(this.eventForwarder);
@@ -304,6 +366,18 @@
 		this.listener.onEnd(id(), outcome, this.exchange.position().deliveredEvents());
 	}
 
+	// Freed here, as the exchange keeps its last attempt until it has an answer.
+	private void free() {
+		this.exchange.context().keptResponses().remove(this);
+		this.responseBody.clear();
+		this.responseHead = null;
+		this.headBytes = 0;
+		hold(0);
+		if (this.eventForwarder != null) {
+			this.eventForwarder.discardPartialEvent();
+		}
+	}
+
 	private void reportBrokenConnection() {
 		final String fingerprint = this.exchange.info().fingerprint();
 		Events.log(EventId.TARGET_CONNECTION_LOST, "request", this.exchange.request().metadata().requestId(),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayContext.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayContext.java
@@ -18,9 +18,10 @@
  * @param backoffGate withholds attempts at targets that requested backoff or are leaving
  * @param crashProbe determines which targets have crashed
  * @param incompleteResponses logs the responses that the daemon ends incomplete
+ * @param keptResponses bounds the memory of responses that are not complete
  */
 record RelayContext(Executor loop, WebClient client, RelayProtocol protocol, ActiveStreams streams,
 		LongConsumer disconnectListener, TargetReportListener targetReports, BackoffGate backoffGate,
-		CrashProbe crashProbe, IncompleteResponses incompleteResponses) {
+		CrashProbe crashProbe, IncompleteResponses incompleteResponses, KeptResponses keptResponses) {
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
@@ -146,13 +146,26 @@
 	 */
 	void storeResponse(TargetResponse targetResponse, AttemptOutcome outcome) {
 		if (outcome == AttemptOutcome.COMPLETE) {
-			this.completeResponse = targetResponse;
+			this.completeResponse = replaced(this.completeResponse, targetResponse);
 		}
 		else {
-			this.failureResponse = targetResponse;
+			this.failureResponse = replaced(this.failureResponse, targetResponse);
 		}
 	}
 
+	private TargetResponse replaced(TargetResponse earlier, TargetResponse later) {
+		if (earlier != null) {
+			this.response.hold(-earlier.bodyBytes());
+		}
+		this.response.hold(later.bodyBytes());
+		return later;
+	}
+
+	private void forgetResponses() {
+		this.completeResponse = null;
+		this.failureResponse = null;
+	}
+
 	@Override
 	public void cancel(AttemptId attempt) {
 		this.context.loop().execute(() -> {
@@ -171,6 +184,7 @@
 			if (!sent && !this.callerDisconnected) {
 				sendFailure(ErrorKind.INTERNAL, RunState.UNKNOWN, 0, FailureReason.INTERNAL);
 			}
+			forgetResponses();
 		});
 	}
 
@@ -195,6 +209,7 @@
 			.of(this.request.metadata().requestId(), kindConsistentWith(kind, runState), runState, retryAfterMillis);
 		final boolean callerWaited = callerWaits();
 		final boolean responseSent = this.response.fail(failure);
+		forgetResponses();
 		if (!responseSent && callerWaited && kind != ErrorKind.CALLER_GONE) {
 			logIncomplete(reason.code());
 		}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/SseEventForwarder.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/SseEventForwarder.java
@@ -75,6 +75,21 @@
 		this.partialEvent.set(available, this.position.consumedBytes());
 	}
 
+	/**
+	 * Returns the memory of the event that is not complete.
+	 * @return the number of bytes
+	 */
+	int keptBytes() {
+		return this.partialEvent.capacityBytes();
+	}
+
+	/**
+	 * Discards the event that is not complete.
+	 */
+	void discardPartialEvent() {
+		this.partialEvent.clear();
+	}
+
 	/**
 	 * Sets whether the caller has stopped reading.
 	 * @param blocked whether the caller accepts no more bytes
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/TargetResponse.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/TargetResponse.java
@@ -19,14 +19,22 @@
 	 */
 	private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
-	static TargetResponse of(AnswerHead head, byte[] body) {
-		return new TargetResponse(new WebAnswer(withoutHopByHopHeaders(head), Body.of(body)));
+	static TargetResponse of(AnswerHead head, Body body) {
+		return new TargetResponse(new WebAnswer(withoutHopByHopHeaders(head), body));
 	}
 
 	static AnswerHead withoutHopByHopHeaders(AnswerHead head) {
 		return new AnswerHead(head.status(), HopByHopHeaders.removeFrom(head.headers()));
 	}
 
+	/**
+	 * Returns the size of the body.
+	 * @return the number of bytes
+	 */
+	int bodyBytes() {
+		return this.response.body().sizeBytes();
+	}
+
 	/**
 	 * Returns whether the status promises that the request has not run.
 	 * @return whether callers would conclude so
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/IncompleteResponsesTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/IncompleteResponsesTests.java
@@ -65,7 +65,7 @@
 
 	private final RelayContext context = new RelayContext(Runnable::run, new WebClient(this.loop, 1_000, 1_000, 1),
 			new StubProtocol(), new ActiveStreams(), (requestId) -> this.disconnected.add("gone " + requestId), null,
-			new BackoffGate(null, () -> NOW_NANOS), null, this.incomplete);
+			new BackoffGate(null, () -> NOW_NANOS), null, this.incomplete, new KeptResponses(Long.MAX_VALUE));
 
 	private final RelayExchange exchange = new RelayExchange(
 			new RequestInfo(7, "", TargetKind.MODEL, "pool/m", 100, 60, 0, Long.MAX_VALUE, Long.MAX_VALUE, true,
@@ -162,7 +162,7 @@
 	void aStreamWhoseNextTargetSendsAnErrorResponseIsBrokenOff() {
 		startStreamWithOneEvent();
 		this.exchange.cancel(ATTEMPT);
-		this.exchange.storeResponse(TargetResponse.of(new AnswerHead(404, HeaderFields.EMPTY), new byte[0]),
+		this.exchange.storeResponse(TargetResponse.of(new AnswerHead(404, HeaderFields.EMPTY), Body.EMPTY),
 				AttemptOutcome.COMPLETE);
 		this.exchange.finish();
 		assertThat(this.responses).isEmpty();
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RecordingReply.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RecordingReply.java
@@ -1,6 +1,7 @@
 package org.pistachioline.daemon.relay;
 
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.pistachioline.adapters.web.AnswerHead;
 import org.pistachioline.adapters.web.CallerListener;
@@ -12,8 +13,13 @@
  *
  * @param responses receives the responses
  * @param arrivedAtNanos when the request was read
+ * @param heldBytes counts the bytes that are kept for responses
  */
-record RecordingReply(List<WebAnswer> responses, long arrivedAtNanos) implements WebReply {
+record RecordingReply(List<WebAnswer> responses, long arrivedAtNanos, AtomicLong heldBytes) implements WebReply {
+
+	RecordingReply(List<WebAnswer> responses, long arrivedAtNanos) {
+		this(responses, arrivedAtNanos, new AtomicLong());
+	}
 
 	@Override
 	public void whole(WebAnswer response) {
@@ -57,7 +63,7 @@
 
 	@Override
 	public void hold(int bytes) {
-		// Not recorded.
+		this.heldBytes.addAndGet(bytes);
 	}
 
 	@Override
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -165,7 +165,8 @@
 				new NoOpListener(), this.gate,
 				new CrashProbe((address, receiver) -> receiver.accept(false),
 						(crash) -> this.notifications.add("crash " + crash.targetId())),
-				new IncompleteResponses(new ConfigurationAge(() -> RouteTable.UNKNOWN, () -> NOW_NANOS)));
+				new IncompleteResponses(new ConfigurationAge(() -> RouteTable.UNKNOWN, () -> NOW_NANOS)),
+				new KeptResponses(Long.MAX_VALUE));
 		return new RelayExchange(info(), request(), true, context,
 				new CallerResponse(new RecordingReply(this.responses, NOW_NANOS)));
 	}
