An answer that is read whole has the bound of its call

What callers saw: nothing here yet; by report, a process that ran out of memory since a faulty replica sent bytes without end. Cause: WholeAnswer collected up to 32 MiB for each order, probe and call of the store, dozens of which are under way at once, in a buffer that doubles and is copied twice. The task of each call's time-out held the answer until the time was up, also when it was whole long before.

One copy in place of two; the time-out is cancelled with the answer; what was collected is dropped when the bound is passed.

Changed tests: WebClientTests, CutAnswerTests and TunnelTests pass the limits explicitly. The bound of WebClientTests.aWholeAnswerThatIsTooLargeClosesItsConnection is 4 MiB in place of 32 MiB, so that the connection must be closed after 16 MiB in place of 128.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
@@ -82,27 +83,30 @@
 	 * @param address where to, as host and port
 	 * @param request the request
 	 * @param freshConnection whether it must not go on a connection that was used before
-	 * @param timeoutMillis how long the answer may take; its connection is closed then
-	 * @return the answer; fails as {@link AnswerReceiver#onFailure} tells, or with a
-	 * {@link TimeoutException}
+	 * @param limits what the answer may take; beyond them its connection is closed
+	 * @return the answer; fails as {@link AnswerReceiver#onFailure} says, with a
+	 * {@link TimeoutException}, or with an {@link ExcessiveBytesException}
 	 */
 	public CompletableFuture<WebAnswer> call(String address, WebRequest request, boolean freshConnection,
-			long timeoutMillis) {
+			AnswerLimits limits) {
 		final CompletableFuture<WebAnswer> answer = new CompletableFuture<>();
 		this.loop.execute(() -> {
-			final WebCall call = send(address, request, freshConnection, new WholeAnswer(answer));
+			final WebCall call = send(address, request, freshConnection, new WholeAnswer(answer, limits.bodyBytes()));
 			// An answer that is too large ends its call, or it would go on arriving.
 			answer.whenComplete((whole, failure) -> {
 				if (failure instanceof ExcessiveBytesException) {
 					call.abort();
 				}
 			});
-			this.loop.after(() -> {
+			final Future<?> timeout = this.loop.after(() -> {
 				if (!answer.isDone()) {
 					call.abort();
-					answer.completeExceptionally(new TimeoutException("No answer within " + timeoutMillis + " ms"));
+					answer.completeExceptionally(
+							new TimeoutException("No answer within " + limits.timeoutMillis() + " ms"));
 				}
-			}, timeoutMillis);
+			}, limits.timeoutMillis());
+			// The task refers to the answer, whose memory it would hold until then.
+			answer.whenComplete((whole, failure) -> timeout.cancel(false));
 		});
 		return answer;
 	}
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
@@ -1,6 +1,7 @@
 package org.pistachioline.adapters.web;
 
 import java.util.concurrent.Executor;
+import java.util.concurrent.Future;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 
@@ -107,9 +108,10 @@
 	 * Runs a step later.
 	 * @param step the step
 	 * @param afterMillis how much later
+	 * @return allows to cancel the step
 	 */
-	public void after(Runnable step, long afterMillis) {
-		this.group.next().schedule(step, afterMillis, TimeUnit.MILLISECONDS);
+	public Future<?> after(Runnable step, long afterMillis) {
+		return this.group.next().schedule(step, afterMillis, TimeUnit.MILLISECONDS);
 	}
 
 	/**
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WholeAnswer.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WholeAnswer.java
@@ -3,24 +3,31 @@
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.CompletableFuture;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+
 /**
  * Collects an answer until it is whole.
  */
 final class WholeAnswer implements AnswerReceiver {
 
-	/**
-	 * More than any page of the store; it bounds what one answer can take of the memory.
-	 */
-	private static final int MOST_BYTES = 32 * 1024 * 1024;
-
 	private final CompletableFuture<WebAnswer> answer;
 
-	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+	private final int maxBodyBytes;
+
+	private CollectedBytes body = new CollectedBytes();
 
 	private AnswerHead head;
 
-	WholeAnswer(CompletableFuture<WebAnswer> answer) {
+	/**
+	 * Creates a receiver.
+	 * @param answer completes with the answer; fails with an
+	 * {@link ExcessiveBytesException} if its body is too large
+	 * @param maxBodyBytes the largest body
+	 */
+	WholeAnswer(CompletableFuture<WebAnswer> answer, int maxBodyBytes) {
 		this.answer = answer;
+		this.maxBodyBytes = maxBodyBytes;
 	}
 
 	@Override
@@ -30,8 +37,10 @@
 
 	@Override
 	public void onBytes(byte[] bytes) {
-		if (this.body.size() + bytes.length > MOST_BYTES) {
-			this.answer.completeExceptionally(new ExcessiveBytesException("an answer", MOST_BYTES));
+		if (bytes.length > this.maxBodyBytes - this.body.size()) {
+			// What follows until the connection is closed is discarded too.
+			this.body = new CollectedBytes();
+			this.answer.completeExceptionally(new ExcessiveBytesException("an answer", this.maxBodyBytes));
 			return;
 		}
 		this.body.writeBytes(bytes);
@@ -44,7 +53,7 @@
 
 	@Override
 	public void onEnd() {
-		this.answer.complete(new WebAnswer(this.head, Body.of(this.body.toByteArray())));
+		this.answer.complete(new WebAnswer(this.head, Body.of(this.body.content())));
 	}
 
 	@Override
@@ -52,4 +61,15 @@
 		this.answer.completeExceptionally(failure);
 	}
 
+	/**
+	 * Bytes that are copied once, when they are complete.
+	 */
+	private static final class CollectedBytes extends ByteArrayOutputStream {
+
+		ByteBuf content() {
+			return Unpooled.wrappedBuffer(this.buf, 0, this.count);
+		}
+
+	}
+
 }
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/CutAnswerTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/CutAnswerTests.java
@@ -33,6 +33,8 @@
 	/** Only a test that fails waits for so long. */
 	private static final long TIMEOUT_MILLIS = 5_000;
 
+	private static final int MAX_ANSWER_BYTES = 64 * 1024;
+
 	private static final int MAX_IDLE_CONNECTIONS = 2;
 
 	private final WebLoop loop = new WebLoop("test");
@@ -154,7 +156,8 @@
 
 	private CompletableFuture<WebAnswer> call() {
 		return this.client.call("127.0.0.1:" + this.server.getLocalPort(),
-				WebRequest.get("/copy", HeaderFields.of("Host", "shop")), false, TIMEOUT_MILLIS);
+				WebRequest.get("/copy", HeaderFields.of("Host", "shop")), false,
+				new AnswerLimits(TIMEOUT_MILLIS, MAX_ANSWER_BYTES));
 	}
 
 	private static void write(Socket connection, String bytes) throws IOException {
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/WebClientTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/WebClientTests.java
@@ -31,7 +31,9 @@
 	/** Only a test that fails waits for so long. */
 	private static final long MOST_MILLIS = 20_000;
 
-	private static final int MOST_ANSWER_BYTES = 32 * 1024 * 1024;
+	private static final int MOST_ANSWER_BYTES = 4 * 1024 * 1024;
+
+	private static final AnswerLimits LIMITS = new AnswerLimits(MOST_MILLIS, MOST_ANSWER_BYTES);
 
 	private static final byte[] PIECE = new byte[64 * 1024];
 
@@ -119,7 +121,8 @@
 
 	@Test
 	void aCallWithoutAnAnswerEndsAfterItsTimeAndClosesItsConnection() throws IOException {
-		final CompletableFuture<WebAnswer> call = this.client.call(address(), request(), false, 50);
+		final CompletableFuture<WebAnswer> call = this.client.call(address(), request(), false,
+				new AnswerLimits(50, MOST_ANSWER_BYTES));
 		try (Socket connection = this.target.accept()) {
 			assertThatExceptionOfType(CompletionException.class).isThrownBy(call::join)
 				.withCauseInstanceOf(TimeoutException.class);
@@ -138,7 +141,7 @@
 	}
 
 	private CompletableFuture<WebAnswer> call(boolean fresh) {
-		return this.client.call(address(), request(), fresh, MOST_MILLIS).orTimeout(MOST_MILLIS, TimeUnit.MILLISECONDS);
+		return this.client.call(address(), request(), fresh, LIMITS).orTimeout(MOST_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private static WebRequest request() {
@@ -173,7 +176,7 @@
 	@Test
 	void aWholeAnswerThatIsTooLargeClosesItsConnection() throws IOException {
 		final CompletableFuture<WebAnswer> answer = this.client.call("127.0.0.1:" + this.target.getLocalPort(),
-				new WebRequest("GET", "/", HeaderFields.of("Host", "store"), Body.of("")), true, MOST_MILLIS);
+				new WebRequest("GET", "/", HeaderFields.of("Host", "store"), Body.of("")), true, LIMITS);
 		try (Socket server = this.target.accept()) {
 			final OutputStream out = server.getOutputStream();
 			out.write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/tunnel/TunnelTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/tunnel/TunnelTests.java
@@ -27,6 +27,7 @@
 
 import org.pistachioline.adapters.http.NotConnectedException;
 import org.pistachioline.adapters.web.AnswerHead;
+import org.pistachioline.adapters.web.AnswerLimits;
 import org.pistachioline.adapters.web.AnswerReceiver;
 import org.pistachioline.adapters.web.Connector;
 import org.pistachioline.adapters.web.DirectConnector;
@@ -52,6 +53,8 @@
 	/** Only a test that fails waits for so long. */
 	private static final long MAX_MILLIS = 20_000;
 
+	private static final int MAX_ANSWER_BYTES = 64 * 1024;
+
 	private static final int SMALL_BUFFER_BYTES = 4_096;
 
 	/** More than the target's side of the tunnel takes, and less than both sides do. */
@@ -117,7 +120,7 @@
 		final WebClient throughTunnel = new WebClient(this.loop,
 				(address) -> this.client.open(this.server.localAddress(), address), 5_000, 2);
 		return throughTunnel.call(this.targetAddress, WebRequest.get("/report", HeaderFields.of("Host", "shop")), false,
-				MAX_MILLIS);
+				new AnswerLimits(MAX_MILLIS, MAX_ANSWER_BYTES));
 	}
 
 	private static void readRequest(Socket connection) throws IOException {
