The number of fields in an answer's head and trailers is bounded

What callers saw: nothing yet. Cause: the codec bounds the bytes of a head.

A head, and trailers, of a target may have 256 fields. The names' check of the codec counts them, as it is called once for each field, also of a head that is not complete.

Evidence: CutAnswerTests.anAnswerWithThousandsOfFieldsFails and anAnswerWithThousandsOfTrailerFieldsFails failed before.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -10,10 +10,12 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -106,10 +108,18 @@
 
 	void onConnected(OpenedConnection opened) {
 		this.keptAlive = opened.reusable();
-		opened.channel().pipeline().addLast(new HttpClientCodec(), this);
+		opened.channel().pipeline().addLast(codec(), this);
 		onConnected();
 	}
 
+	private static HttpClientCodec codec() {
+		final HttpDecoderConfig config = new HttpDecoderConfig()
+			.setHeadersFactory(new BoundedFieldsFactory(DefaultHttpHeadersFactory.headersFactory()))
+			.setTrailersFactory(new BoundedFieldsFactory(DefaultHttpHeadersFactory.trailersFactory()));
+		return new HttpClientCodec(config, HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST,
+				HttpClientCodec.DEFAULT_FAIL_ON_MISSING_RESPONSE);
+	}
+
 	void onNotConnected(Throwable failure) {
 		this.closed = true;
 		if (this.call != null) {
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/CutAnswerTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/CutAnswerTests.java
@@ -99,6 +99,27 @@
 		assertThat(outcome(bytes, true, true)).isEqualTo("failed");
 	}
 
+	// Guards against heads of few bytes that take much memory.
+	@Test
+	void anAnswerWithThousandsOfFieldsFails() throws IOException {
+		assertThat(outcome("HTTP/1.1 200 OK\r\n" + fields(4_000) + "Content-Length: 2\r\n\r\nok", false, false))
+			.isEqualTo("failed");
+		assertThat(outcome("HTTP/1.1 200 OK\r\n" + fields(200) + "Content-Length: 2\r\n\r\nok", false, false))
+			.isEqualTo("200 ok");
+	}
+
+	// Guards against trailers of few bytes that take much memory.
+	@Test
+	void anAnswerWithThousandsOfTrailerFieldsFails() throws IOException {
+		final String start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+		assertThat(outcome(start + fields(4_000) + "\r\n", false, false)).isEqualTo("failed");
+		assertThat(outcome(start + fields(200) + "\r\n", false, false)).isEqualTo("200 ok");
+	}
+
+	private static String fields(int count) {
+		return "a:\r\n".repeat(count);
+	}
+
 	// Guards against a request that waits for its deadline although its connection has
 	// been closed, or can bring no answer any more.
 	@ParameterizedTest
