A connection to a server reads at most 16 KiB into one buffer

A buffer is kept while its last bytes are an incomplete line. With the default of 64 KiB, 300 such connections need 19 MiB (computed) of 16 MiB of direct memory. No error was seen, and no test fails before: this is a bound for a computed sum.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
@@ -80,6 +80,12 @@
 		.respectMaybeMoreData(false)
 		.maxMessagesPerRead(MOST_READS);
 
+	// A buffer is kept as long as its last bytes are an incomplete line, which many
+	// servers can send at once. The default of 64 KiB each would use up the direct
+	// memory.
+	private static final RecvByteBufAllocator BOUNDED_READS = new AdaptiveRecvByteBufAllocator(LEAST_READ_BYTES,
+			FIRST_READ_BYTES, MOST_READ_BYTES);
+
 	private final EventLoopGroup group;
 
 	/**
@@ -123,6 +129,7 @@
 		return new Bootstrap().group(this.group)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.ALLOCATOR, ALLOCATOR)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, BOUNDED_READS)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis);
 	}
