Each call of the product's own client has its own bound

HttpCaller took up to 64 MiB for any answer. Engine's answers and appends: 64 KiB; cache events 1 MiB; a page of the log 8 MiB (it asks for 4 MiB before base64); the list of instances 16 MiB; a service's response 16 MiB. CutAnswerCallerTests passes the bound explicitly. The sum of services' responses is still not bounded.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/HttpCaller.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/HttpCaller.java
@@ -19,7 +19,8 @@
  */
 public final class HttpCaller {
 
-	private static final long MAX_ANSWER_BYTES = 64L * 1024 * 1024;
+	/** The largest answer that consists of a status or a short object. */
+	public static final long SHORT_ANSWER_BYTES = 64 * 1024;
 
 	private final ActorSystem<?> system;
 
@@ -49,13 +50,16 @@
 	 * Sends a request and gives the whole answer.
 	 * @param request the request
 	 * @param timeoutMillis how long the answer may take
-	 * @return the answer, with its body read
+	 * @param maxBytes the largest body of the answer
+	 * @return the answer, with its body read; fails with an
+	 * {@link org.apache.pekko.http.scaladsl.model.EntityStreamSizeException} if the body
+	 * is too large
 	 */
-	public CompletableFuture<HttpAnswer> call(HttpRequest request, long timeoutMillis) {
+	public CompletableFuture<HttpAnswer> call(HttpRequest request, long timeoutMillis, long maxBytes) {
 		this.meter.onCall(request);
 		return this.http.singleRequest(request)
 			.thenCompose((response) -> response.entity()
-				.withSizeLimit(MAX_ANSWER_BYTES)
+				.withSizeLimit(maxBytes)
 				.toStrict(timeoutMillis, this.system)
 				.thenApply((entity) -> answer(request, response, entity)))
 			.toCompletableFuture()
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/platform/HttpInstanceList.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/platform/HttpInstanceList.java
@@ -27,6 +27,9 @@
 
 	private static final long CALL_TIMEOUT_MILLIS = 3_000;
 
+	/** Some hundred bytes for each of 50,000 instances. */
+	private static final long MAX_LIST_BYTES = 16L * 1024 * 1024;
+
 	private final HttpCaller http;
 
 	private final String url;
@@ -50,7 +53,7 @@
 		if (!last.tag().isEmpty()) {
 			request = request.addHeader(RawHeader.create("If-None-Match", last.tag()));
 		}
-		return this.http.call(request, CALL_TIMEOUT_MILLIS).thenApply((answer) -> {
+		return this.http.call(request, CALL_TIMEOUT_MILLIS, MAX_LIST_BYTES).thenApply((answer) -> {
 			if (answer.status() == NOT_MODIFIED) {
 				return last.instances();
 			}
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/platform/HttpLogService.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/platform/HttpLogService.java
@@ -20,6 +20,7 @@
 
 	private static final long CALL_TIMEOUT_MILLIS = 3_000;
 
+	/** The entries of a page, which base64 makes a third larger. */
 	private static final int MAX_PAGE_BYTES = 4 * 1024 * 1024;
 
 	private static final int TOO_LARGE = 413;
@@ -46,7 +47,7 @@
 	public CompletableFuture<Long> append(String stream, byte[] payloadBytes) {
 		final HttpRequest request = HttpRequest.POST(this.baseUrl + stream + "/entries")
 			.withEntity(ContentTypes.APPLICATION_OCTET_STREAM, payloadBytes);
-		return this.http.call(request, CALL_TIMEOUT_MILLIS).handle((answer, failure) -> {
+		return this.http.call(request, CALL_TIMEOUT_MILLIS, HttpCaller.SHORT_ANSWER_BYTES).handle((answer, failure) -> {
 			if (failure != null) {
 				throw new AppendException(AppendFailure.AMBIGUOUS, "The append's answer was lost", failure);
 			}
@@ -74,7 +75,8 @@
 	public CompletableFuture<LogPage> read(String stream, long fromOffset, long waitMillis) {
 		final HttpRequest request = HttpRequest.GET(this.baseUrl + stream + "/entries?from=" + fromOffset
 				+ "&wait_millis=" + waitMillis + "&max_bytes=" + MAX_PAGE_BYTES);
-		return this.http.call(request, waitMillis + CALL_TIMEOUT_MILLIS).thenApply(HttpLogService::pageOf);
+		return this.http.call(request, waitMillis + CALL_TIMEOUT_MILLIS, 2 * MAX_PAGE_BYTES)
+			.thenApply(HttpLogService::pageOf);
 	}
 
 	private static LogPage pageOf(HttpAnswer answer) {
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/target/HttpEngineControl.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/target/HttpEngineControl.java
@@ -27,6 +27,9 @@
 
 	private static final long CALL_TIMEOUT_MILLIS = 1_000;
 
+	/** Some thousand events of the cache. */
+	private static final long MAX_EVENTS_BYTES = 1024 * 1024;
+
 	private static final int CONFLICT = 409;
 
 	private final HttpCaller http;
@@ -41,7 +44,9 @@
 
 	@Override
 	public CompletableFuture<EngineState> held(String address) {
-		return this.http.call(HttpRequest.GET("http://" + address + "/engine/held"), CALL_TIMEOUT_MILLIS)
+		return this.http
+			.call(HttpRequest.GET("http://" + address + "/engine/held"), CALL_TIMEOUT_MILLIS,
+					HttpCaller.SHORT_ANSWER_BYTES)
 			.thenApply(HttpEngineControl::heldOf);
 	}
 
@@ -59,7 +64,8 @@
 	@Override
 	public CompletableFuture<CacheEventPage> changes(String address, long fromSequence) {
 		return this.http
-			.call(HttpRequest.GET("http://" + address + "/engine/events?from=" + fromSequence), CALL_TIMEOUT_MILLIS)
+			.call(HttpRequest.GET("http://" + address + "/engine/events?from=" + fromSequence), CALL_TIMEOUT_MILLIS,
+					MAX_EVENTS_BYTES)
 			.thenApply(HttpEngineControl::changesOf);
 	}
 
@@ -88,7 +94,7 @@
 		body.put("lifetime_millis", order.lifetimeMillis());
 		final HttpRequest request = HttpRequest.POST("http://" + address + "/engine/orders")
 			.withEntity(ContentTypes.APPLICATION_JSON, Json.bytes(body));
-		return this.http.call(request, CALL_TIMEOUT_MILLIS).thenApply((answer) -> {
+		return this.http.call(request, CALL_TIMEOUT_MILLIS, HttpCaller.SHORT_ANSWER_BYTES).thenApply((answer) -> {
 			if (!answer.isSuccess() && answer.status() != CONFLICT) {
 				throw new IllegalStateException("The engine answered " + answer.status());
 			}
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/http/CutAnswerCallerTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/http/CutAnswerCallerTests.java
@@ -104,7 +104,7 @@
 	// A request that the client does not repeat by itself.
 	private CompletableFuture<HttpAnswer> call() {
 		return this.caller.call(HttpRequest.POST("http://127.0.0.1:" + this.server.getLocalPort() + "/copy"),
-				TIMEOUT_MILLIS);
+				TIMEOUT_MILLIS, HttpCaller.SHORT_ANSWER_BYTES);
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ServiceExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ServiceExchange.java
@@ -26,6 +26,9 @@
  */
 final class ServiceExchange implements Exchange {
 
+	/** As for a response that is relayed whole. */
+	private static final long MAX_RESPONSE_BYTES = 16L * 1024 * 1024;
+
 	private final RequestInfo info;
 
 	private final String requestIdText;
@@ -71,7 +74,7 @@
 		if (this.call.bodyBytes().length > 0) {
 			request = request.withEntity(HttpEntities.create(this.call.contentType(), this.call.bodyBytes()));
 		}
-		this.http.call(request, this.call.timeoutMillis()).whenComplete((received, failure) -> {
+		this.http.call(request, this.call.timeoutMillis(), MAX_RESPONSE_BYTES).whenComplete((received, failure) -> {
 			if (failure != null) {
 				listener.onEnd(start.attempt(), AttemptFailures.classify(failure), 0);
 				return;
