--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebLoop.java
@@ -1,6 +1,7 @@
 package org.pistachioline.adapters.web;
 
 import java.util.concurrent.Executor;
+import java.util.concurrent.Future;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 
@@ -79,6 +80,12 @@
 		.respectMaybeMoreData(false)
 		.maxMessagesPerRead(MOST_READS);
 
+	// A buffer is kept as long as its last bytes are an incomplete line, which many
+	// servers can send at once. The default of 64 KiB each would use up the direct
+	// memory.
+	private static final RecvByteBufAllocator BOUNDED_READS = new AdaptiveRecvByteBufAllocator(LEAST_READ_BYTES,
+			FIRST_READ_BYTES, MOST_READ_BYTES);
+
 	private final EventLoopGroup group;
 
 	/**
@@ -107,9 +114,10 @@
 	 * Runs a step later.
 	 * @param step the step
 	 * @param afterMillis how much later
+	 * @return allows to cancel the step
 	 */
-	public void after(Runnable step, long afterMillis) {
-		this.group.next().schedule(step, afterMillis, TimeUnit.MILLISECONDS);
+	public Future<?> after(Runnable step, long afterMillis) {
+		return this.group.next().schedule(step, afterMillis, TimeUnit.MILLISECONDS);
 	}
 
 	/**
@@ -121,6 +129,7 @@
 		return new Bootstrap().group(this.group)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.ALLOCATOR, ALLOCATOR)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, BOUNDED_READS)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis);
 	}
