Client: a head of thousands of folded lines is refused before it is decoded

Cause: the codec appends each folded line to a copy of those before it. A head of 8 KiB in lines of four bytes costs 2,000 copies, and 300 of them keep the loop busy for longer than a request has.

Evidence: HeadLinesTests failed before (the heads were decoded). Change: lines are counted in front of the codec, up to the end of the head, also behind interim answers; more than 512 end the connection. Folded trailers are bounded by their 8 KiB only.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/BytesBeforeHead.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/BytesBeforeHead.java
@@ -3,9 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 
 /**
- * Counts the bytes that arrive before the head of an answer.
+ * Counts the bytes that arrive before the head of an answer, and the lines of the head.
  * <p>
  * The codec limits each head, but it skips line breaks in front of one, and takes any
  * number of interim answers. Without a limit on their sum a server could send either for
@@ -16,6 +17,8 @@
 	/** Several heads of the largest size that the codec takes. */
 	static final int MAX_BYTES = 64 * 1024;
 
+	private final HeadLines lines = new HeadLines();
+
 	private boolean awaited = true;
 
 	private long receivedBytes;
@@ -23,6 +26,7 @@
 	void startAwaiting() {
 		this.awaited = true;
 		this.receivedBytes = 0;
+		this.lines.restart();
 	}
 
 	void stopAwaiting() {
@@ -33,6 +37,13 @@
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		// The answer's head, if it is complete, is seen before the bytes are counted.
 		final int bytes = (message instanceof ByteBuf buffer) ? buffer.readableBytes() : 0;
+		if (this.awaited && message instanceof ByteBuf buffer && !this.lines.count(buffer)) {
+			this.awaited = false;
+			buffer.release();
+			ctx.fireExceptionCaught(
+					new TooLongHttpHeaderException("More than " + HeadLines.MAX_LINES + " lines of a head were sent"));
+			return;
+		}
 		ctx.fireChannelRead(message);
 		if (this.awaited) {
 			this.receivedBytes += bytes;
