Planner: loads of its own count on when it takes over from itself

Cause: a takeover cleared the loads that this planner had started, and the estimate of a previous planner's loads is lower where hosts are lost while they load. Evidence: aPlannerThatTakesOverFromItselfStillCountsItsOwnLoads failed before. Change: they stay counted until the window has passed.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/WeightLoadLimiter.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/WeightLoadLimiter.java
@@ -39,8 +39,8 @@
 		this.windowNanos = windowNanos;
 	}
 
+	// The loads that this planner started earlier within the window still count.
 	void takeOver(long nowNanos) {
-		this.startedAtNanos.clear();
 		this.tookOver = true;
 		this.tookOverAtNanos = nowNanos;
 	}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/WeightLoadLimiterTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/WeightLoadLimiterTests.java
@@ -31,6 +31,20 @@
 		assertThat(startLoadsUntilRefused(6 * SECOND_NANOS + 1)).isEqualTo(20);
 	}
 
+	/**
+	 * Guards against a planner whose term changes every second and that starts a window's
+	 * loads in each of them, so that all loads take longer.
+	 */
+	@Test
+	void aPlannerThatTakesOverFromItselfStillCountsItsOwnLoads() {
+		int startedLoads = 0;
+		for (int term = 0; term < 4; term++) {
+			this.limiter.takeOver(term * SECOND_NANOS);
+			startedLoads += startLoadsUntilRefused(term * SECOND_NANOS);
+		}
+		assertThat(startedLoads).isLessThanOrEqualTo(20);
+	}
+
 	/**
 	 * Three daemons plan within one window, each with seven loads at once. Guards against
 	 * the sum of their loads exceeding the rate of the weight store.
