Planner: a join whose answer is due may undo an order to leave

What callers saw: nothing known; found by the review, where fencing tokens are ignored only. Cause: an order to leave was held back for joins that were found unanswered, not for one whose answer was still due; carried out late it brought the follower back, the head served on and counted as broken. Change: joins count from when they are sent until they are answered, for the longest delay at most.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -146,6 +146,11 @@
 				: assignFreeInstances(view, byId);
 		final List<ReplicaOrder> orders = new ArrayList<>(this.reconciler.orders());
 		orders.addAll(stagingOrders);
+		orders.forEach((order) -> {
+			if (order instanceof ReplicaOrder.Join join) {
+				this.unansweredJoins.onSent(view.nowNanos(), join);
+			}
+		});
 		return orders;
 	}
 
@@ -335,8 +340,11 @@
 	 * @param outcome the result
 	 */
 	public void onOutcome(ReplicaOrder order, OrderOutcome outcome) {
-		if (order instanceof ReplicaOrder.Join join && outcome == OrderOutcome.UNKNOWN) {
-			this.unansweredJoins.add(this.nowNanos, join);
+		if (order instanceof ReplicaOrder.Join join) {
+			this.unansweredJoins.onAnswer(join);
+			if (outcome == OrderOutcome.UNKNOWN) {
+				this.unansweredJoins.add(this.nowNanos, join);
+			}
 		}
 		if (order instanceof ReplicaOrder.GroupOrder groupOrder) {
 			onGroupOutcome(groupOrder, outcome);
--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/UnansweredJoins.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/UnansweredJoins.java
@@ -29,6 +29,9 @@
 
 	private final Map<String, List<UnansweredJoin>> byAddress = new HashMap<>();
 
+	/** When the joins were sent whose answer is due, by address. */
+	private final Map<String, List<Long>> sentAtNanosByAddress = new HashMap<>();
+
 	private long tookOverAtNanos;
 
 	private boolean tookOver;
@@ -53,6 +56,18 @@
 		this.tookOver = true;
 	}
 
+	void onSent(long nowNanos, ReplicaOrder.Join join) {
+		this.sentAtNanosByAddress.computeIfAbsent(join.instance().address(), (address) -> new ArrayList<>())
+			.add(nowNanos);
+	}
+
+	void onAnswer(ReplicaOrder.Join join) {
+		final List<Long> sentAtNanos = this.sentAtNanosByAddress.getOrDefault(join.instance().address(), List.of());
+		if (!sentAtNanos.isEmpty()) {
+			sentAtNanos.remove(0);
+		}
+	}
+
 	void add(long nowNanos, ReplicaOrder.Join join) {
 		final String recipientId = join.instance().id();
 		final boolean toHead = join.memberIds().get(0).equals(recipientId);
@@ -66,6 +81,9 @@
 		this.byAddress.values()
 			.forEach((joins) -> joins.removeIf((join) -> nowNanos - join.unansweredAtNanos() >= MAX_ORDER_DELAY_NANOS));
 		this.byAddress.values().removeIf(List::isEmpty);
+		this.sentAtNanosByAddress.values()
+			.forEach((sent) -> sent.removeIf((sentAtNanos) -> nowNanos - sentAtNanos >= MAX_ORDER_DELAY_NANOS));
+		this.sentAtNanosByAddress.values().removeIf(List::isEmpty);
 	}
 
 	/**
@@ -111,7 +129,8 @@
 	 */
 	boolean mayUndoLeave(long nowNanos, ServingInstance instance) {
 		return this.fencing == OrderFencing.IGNORED
-				&& (mayOrdersOfPreviousPlannerArrive(nowNanos) || this.byAddress.containsKey(instance.address()));
+				&& (mayOrdersOfPreviousPlannerArrive(nowNanos) || this.byAddress.containsKey(instance.address())
+						|| !this.sentAtNanosByAddress.getOrDefault(instance.address(), List.of()).isEmpty());
 	}
 
 	/**
--- a/pistachioline-core/src/test/java/org/pistachioline/core/replica/UnansweredJoinsTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/replica/UnansweredJoinsTests.java
@@ -59,6 +59,21 @@
 		assertThat(ignored.mayUndoLeave(SECOND_NANOS, this.member)).isFalse();
 	}
 
+	// Guards against a follower that leaves while its join is under way, is brought back
+	// by
+	// it, and keeps a head serving that counts as broken.
+	@Test
+	void whereTokensAreIgnoredAJoinWhoseAnswerIsDueMayUndoAnOrderToLeave() {
+		final UnansweredJoins ignored = new UnansweredJoins(false, OrderFencing.IGNORED);
+		final ReplicaOrder.Join join = new ReplicaOrder.Join(this.head, GroupId.of("m", 1), List.of("a", "b"));
+		ignored.onSent(0, join);
+		ignored.onSent(SECOND_NANOS / 2, join);
+		ignored.onAnswer(join);
+		assertThat(ignored.mayUndoLeave(SECOND_NANOS, this.head)).isTrue();
+		ignored.onAnswer(join);
+		assertThat(ignored.mayUndoLeave(SECOND_NANOS, this.head)).isFalse();
+	}
+
 	// Guards against groups whose members wait although no order can undo their end.
 	@Test
 	void whereTokensAreEnforcedNothingUndoesAnOrderToLeave() {
