Configuration: a daemon says that it knows of a newer one

Heartbeats tell each daemon the versions of the others, but no line, metric or dump said that a daemon knows itself to be behind, since when and from whom, nor how long its read has been pending. So a refusal by an older version could not be told from a change that nobody had noticed. No decision changes.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -138,6 +138,13 @@
 	CONFIG_NOT_NEWER(303, EventLevel.INFO,
 			"The platform's store holds a configuration that is no newer than the one in force; it is ignored."),
 
+	/** Logged once until the daemon has caught up. */
+	CONFIG_BEHIND(306, EventLevel.WARN,
+			"A newer configuration is in force on another daemon, and this daemon has not received it."),
+
+	/** Logged after {@code PL-0306}. */
+	CONFIG_CAUGHT_UP(307, EventLevel.INFO, "No newer configuration than the one in force is known any more."),
+
 	/** Logged once for each version of the configuration and unusable field. */
 	CONFIG_FIELD_UNUSABLE(305, EventLevel.WARN,
 			"A field of the configuration has an unusable value and is treated as missing."),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -1,13 +1,14 @@
 package org.pistachioline.daemon;
 
 import java.util.Locale;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import org.pistachioline.core.admission.AdmissionReport;
 import org.pistachioline.core.backoff.BackoffReport;
 import org.pistachioline.core.endpoints.DaemonRoom;
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.limit.LimitReport;
+import org.pistachioline.core.propagation.VersionLag;
 import org.pistachioline.core.replica.IdleReason;
 import org.pistachioline.core.state.ConfigState;
 import org.pistachioline.core.state.FleetState;
@@ -84,9 +85,14 @@
 				() -> peers.liveDaemons().stream().filter(DaemonRoom::isLate).count());
 	}
 
-	void bind(ListingDuty listing, LongSupplier configVersion) {
+	void bind(ListingDuty listing, Supplier<VersionLag> configuration) {
 		this.metrics.gauge("pistachioline.config.version", "Version of the configuration in force",
-				configVersion::getAsLong);
+				() -> configuration.get().inForce());
+		this.metrics.gauge("pistachioline.config.newest", "Newest version of the configuration that is known of",
+				() -> configuration.get().newest());
+		this.metrics.gauge("pistachioline.config.behind",
+				"Time for which a newer configuration has been known of, in milliseconds",
+				() -> configuration.get().behindMillis());
 		this.metrics.gauge("pistachioline.listing.age", "Time since the platform was asked for the known list",
 				listing::ageMillis);
 		this.metrics.gauge("pistachioline.listing.reader", "1 where this daemon reads the list for others",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -18,6 +18,7 @@
 import org.pistachioline.core.listing.ListReadPolicy;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.peer.PeerStatus;
+import org.pistachioline.core.propagation.VersionTracker;
 import org.pistachioline.core.quarantine.GossipQuarantine;
 import org.pistachioline.core.replica.PlannerCandidates;
 import org.pistachioline.core.replica.ServingInstance;
@@ -35,6 +36,7 @@
 import org.pistachioline.daemon.metrics.Metrics;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerTransport;
+import org.pistachioline.daemon.propagation.ConfigurationMonitor;
 import org.pistachioline.daemon.relay.Relay;
 import org.pistachioline.daemon.replica.ReplicaDuty;
 import org.pistachioline.daemon.traffic.FleetDemandExchange;
@@ -100,6 +102,8 @@
 
 	private final EvacuationMonitor evacuation = new EvacuationMonitor();
 
+	private final ConfigurationMonitor configuration;
+
 	private final Components components = new Components();
 
 	private volatile RouteTable routeTable = RouteTable.UNKNOWN;
@@ -123,6 +127,8 @@
 		this.settings = settings;
 		this.ports = ports;
 		this.metrics.addProcessMeters();
+		this.configuration = new ConfigurationMonitor(new VersionTracker(discoveryEndsAtNanos()),
+				ports.routes()::pendingReadMillis);
 		this.peers = new PeerDuty(system,
 				(receiver) -> new PeerTransport(settings.peerAddress(), null, MAX_PEER_CONNECTIONS, receiver),
 				settings.daemonId(), this::status, settings::peerSeeds, HEARTBEAT_INTERVAL_MILLIS);
@@ -158,6 +164,11 @@
 		this.demand.ifPresent(this::registerDemandExchange);
 	}
 
+	// A daemon without others has nobody to hear from.
+	private long discoveryEndsAtNanos() {
+		return this.settings.namesOtherDaemons() ? this.startedAtNanos + PEER_DISCOVERY_NANOS : this.startedAtNanos;
+	}
+
 	private TrafficPolicies policies(long seed, Optional<FleetAdmission> admission) {
 		return admission.isPresent()
 				? RoutingPolicies.createForFleet(this.settings.availabilityZone(), seed, this.settings.retryBudget(),
@@ -175,11 +186,14 @@
 	private void registerListeners() {
 		this.ports.routes().setRouteListener((routes) -> {
 			this.routeTable = routes;
+			this.configuration.onInForce(routes.version());
 			this.replicas.configure(routes);
 			this.traffic.onColdStarts(routes.coldStarts());
 			Events.log(EventId.CONFIG_IN_FORCE, "version", routes.version());
 		});
-		this.ports.routes().setFleetView(this::liveDaemonCount, this.peers::newestConfigVersion);
+		this.ports.routes().setFleetView(this::liveDaemonCount, () -> this.configuration.get().newest());
+		this.peers.setPeersListener(this.configuration::onPeers);
+		this.relay.setConfigurationLag(this.configuration);
 		this.ports.lease().setCandidacy(this::isPlannerCandidate);
 		this.peers.setListingReceiver(this.listing::onFrame);
 		final TargetConnections targets = this.ports.targetConnections();
@@ -199,7 +213,7 @@
 		meters.bind(this.traffic, this.peers);
 		meters.bind(targets, this.tunnels);
 		meters.bind(this.relay, this.peers);
-		meters.bind(this.listing, this::configVersion);
+		meters.bind(this.listing, this.configuration);
 		this.components.all().forEach((component) -> component.rings().forEach(meters::bind));
 	}
 
@@ -400,7 +414,7 @@
 	@Override
 	public Map<String, Object> dump() {
 		return new RoutingDaemonDump(this.traffic, this.replicas, this.listing, this.ports.targetConnections(),
-				this.tunnels, this.relay.loopMonitor(), this.evacuation, this.demand)
+				this.tunnels, this.relay.loopMonitor(), this.evacuation, this.configuration, this.demand)
 			.of(status(), notReadyReason(), daemons());
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 import org.pistachioline.core.peer.PeerStatus;
+import org.pistachioline.core.propagation.VersionLag;
 import org.pistachioline.daemon.evacuation.EvacuationMonitor;
 import org.pistachioline.daemon.listing.ListingDuty;
 import org.pistachioline.daemon.relay.LoopMonitor;
@@ -25,10 +27,11 @@
  * @param tunnels the connections on behalf of other daemons
  * @param loopMonitor how late the loop that serves callers runs
  * @param evacuation the availability zones that operators evacuate
+ * @param configuration how far the configuration in force is behind
  * @param demand the demand of the fleet; empty if this daemon decides by what it sees
  */
 record RoutingDaemonDump(TrafficDuty traffic, ReplicaDuty replicas, ListingDuty listing, TargetConnections targets,
-		TunnelServer tunnels, LoopMonitor loopMonitor, EvacuationMonitor evacuation,
+		TunnelServer tunnels, LoopMonitor loopMonitor, EvacuationMonitor evacuation, Supplier<VersionLag> configuration,
 		Optional<FleetDemandExchange> demand) {
 
 	Map<String, Object> of(PeerStatus status, Optional<String> notReadyReason, List<PeerStatus> daemons) {
@@ -36,6 +39,7 @@
 		dump.put("daemon", status);
 		dump.put("not_ready_reason", notReadyReason.orElse(""));
 		dump.put("config", Map.of("version", status.configVersion()));
+		dump.put("config_lag", this.configuration.get());
 		dump.put("requests",
 				Map.of("held", this.traffic.activeRequestCount(), "queued", this.traffic.queuedRequestCount()));
 		dump.put("evacuation", this.evacuation.state());
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -142,6 +142,15 @@
 	CONFIG_VERSION("pistachioline_config_version", "version", "Version of the configuration in force.",
 			"differs from other daemons for 10 s"),
 
+	/** Gauge of the newest version that this daemon or another one has. */
+	CONFIG_NEWEST("pistachioline_config_newest", "version",
+			"Newest version of the configuration that the daemon knows of.", "above pistachioline_config_version"),
+
+	/** Gauge of the time since the daemon first heard of a version newer than its own. */
+	CONFIG_BEHIND("pistachioline_config_behind", "ms",
+			"Time for which the daemon has known of a newer configuration than its own; 0 if it does not.",
+			"above 1,000: it gets the configuration neither from the store nor from other daemons"),
+
 	/** Gauge of the age of the instance list, however it reached this daemon. */
 	LISTING_AGE("pistachioline_listing_age", "ms",
 			"Time since the known instance list was requested from the platform.",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
@@ -76,7 +76,8 @@
 
 	private final List<HeartbeatExchange> exchanges = new CopyOnWriteArrayList<>();
 
-	private volatile long newestConfigVersion;
+	private volatile Consumer<List<PeerStatus>> peersListener = (peers) -> {
+	};
 
 	private final AtomicReference<List<PeerStatus>> livePeers = new AtomicReference<>(List.of());
 
@@ -136,12 +137,13 @@
 	}
 
 	/**
-	 * Returns the newest configuration version that is in force on a live daemon other
-	 * than this one.
-	 * @return the version; 0 if there is none
+	 * Sets the listener for the status of the other daemons. Must be called before the
+	 * start.
+	 * @param listener receives the latest status of each live one, after each relevant
+	 * change and at each heartbeat; it must not block
 	 */
-	public long newestConfigVersion() {
-		return this.newestConfigVersion;
+	public void setPeersListener(Consumer<List<PeerStatus>> listener) {
+		this.peersListener = listener;
 	}
 
 	/**
@@ -337,7 +339,7 @@
 
 	private void updateLivePeers(List<PeerStatus> currentPeers) {
 		this.livePeers.set(currentPeers);
-		this.newestConfigVersion = currentPeers.stream().mapToLong(PeerStatus::configVersion).max().orElse(0);
+		this.peersListener.accept(currentPeers);
 	}
 
 	private void logLostPeers(List<PeerStatus> currentPeers) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/RouteSource.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/RouteSource.java
@@ -28,4 +28,11 @@
 	 */
 	void setFleetView(IntSupplier liveDaemons, LongSupplier newestVersion);
 
+	/**
+	 * Returns how long the platform has not answered the present read. A read waits for a
+	 * change, so this is no failure by itself.
+	 * @return the time, in milliseconds; -1 if no read is pending
+	 */
+	long pendingReadMillis();
+
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -9,6 +9,7 @@
 import org.pistachioline.adapters.web.WebClient;
 import org.pistachioline.adapters.web.WebLoop;
 import org.pistachioline.core.placement.WarmConnections;
+import org.pistachioline.core.propagation.VersionLag;
 import org.pistachioline.core.replica.LoadReport;
 import org.pistachioline.core.route.RouteTable;
 import org.pistachioline.daemon.Lifecycle;
@@ -81,6 +82,15 @@
 		this.backoffGate.setEvacuatedTargets(evacuated);
 	}
 
+	/**
+	 * Sets how far the active configuration is behind that of other daemons. Must be
+	 * called before the start.
+	 * @param lag supplies the lag now
+	 */
+	public void setConfigurationLag(Supplier<VersionLag> lag) {
+		this.handler.setConfigurationLag(lag);
+	}
+
 	@Override
 	public void start() {
 		this.callerServer.start();
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -23,6 +23,7 @@
 import org.pistachioline.core.error.PistachiolineException;
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.event.EventId;
+import org.pistachioline.core.propagation.VersionLag;
 import org.pistachioline.core.replica.ServingGroups;
 import org.pistachioline.core.route.QueueTimeBudget;
 import org.pistachioline.core.route.Route;
@@ -67,6 +68,8 @@
 
 	private final AtomicLong nextRequestId = new AtomicLong(1);
 
+	private volatile Supplier<VersionLag> configurationLag = () -> VersionLag.NONE;
+
 	RelayHandler(Supplier<RouteTable> routes, RelayContext context, TrafficDuty traffic, LoopMonitor loopMonitor) {
 		this.routes = routes;
 		this.context = context;
@@ -74,6 +77,10 @@
 		this.loopMonitor = loopMonitor;
 	}
 
+	void setConfigurationLag(Supplier<VersionLag> lag) {
+		this.configurationLag = lag;
+	}
+
 	long receivedRequestCount() {
 		return this.nextRequestId.get() - 1;
 	}
@@ -191,8 +198,10 @@
 	}
 
 	private void logRefusal(String requestId, ErrorKind kind, String path) {
+		final VersionLag lag = this.configurationLag.get();
 		Events.log(EventId.REQUEST_REFUSED, "request", requestId, "kind", kind.code(), "config_version",
-				this.routes.get().version(), "path", path);
+				this.routes.get().version(), "newest_version", lag.newest(), "behind_millis", lag.behindMillis(),
+				"path", path);
 	}
 
 	private long retryAfterMillis(ErrorKind kind) {
