Store: a read that began before an outage does not outlast it

What callers saw: 404 on a route, or 401 with a key, for seconds after a new version was acknowledged, on all daemons at once, after the store had not answered for some seconds: "refused with 404 as an older version says; version 14 was acked more than 2000 ms before". Cause: the long poll that waits for a new version ends after 2,400 ms of waiting and 800 ms for the answer, and the next one follows after up to 1,600 ms. All daemons' polls begin together, at the last change, so all hang to the same time, up to 4.8 s after the store answers again. Other calls of the same daemon that were answered meanwhile changed nothing. Class: an outage is over when one call says so, but calls that were begun in it go on by themselves. A call that times out closes the connections that were idle since before it, as they may be as silent. A daemon whose reads were interrupted tells the others at once of a new version.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
@@ -127,6 +128,24 @@
 		});
 	}
 
+	/**
+	 * Closes the idle connections to an address that were last used before a time, since
+	 * they may have stopped responding like one on which a request was not answered;
+	 * called on any thread.
+	 * @param address host and port
+	 * @param beforeNanos the monotonic time
+	 */
+	public void closeIdle(String address, long beforeNanos) {
+		this.loop.execute(() -> {
+			final Deque<ClientConnection> kept = this.idle.getOrDefault(address, new ArrayDeque<>());
+			final List<ClientConnection> suspects = kept.stream()
+				.filter((connection) -> connection.idleSinceNanos() - beforeNanos < 0)
+				.toList();
+			kept.removeAll(suspects);
+			suspects.forEach(ClientConnection::abort);
+		});
+	}
+
 	private void connect(ClientConnection connection) {
 		final CompletableFuture<OpenedConnection> opening = this.connector.connect(connection.address());
 		connection.onConnecting(opening);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -190,6 +190,9 @@
 			this.replicas.configure(routes);
 			this.traffic.onColdStarts(routes.coldStarts());
 			Events.log(EventId.CONFIG_IN_FORCE, "version", routes.version());
+			if (this.ports.routes().isInterrupted()) {
+				this.peers.sendHeartbeat();
+			}
 		});
 		this.ports.routes().setFleetView(this::liveDaemonCount, () -> this.configuration.get().newest());
 		this.peers.setPeersListener(this.configuration::onPeers);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/RouteSource.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/RouteSource.java
@@ -28,6 +28,13 @@
 	 */
 	void setFleetView(IntSupplier liveDaemons, LongSupplier newestVersion);
 
+	/**
+	 * Returns whether the platform failed to answer a read lately, so that reads of other
+	 * daemons may still be without an answer. Any thread may ask.
+	 * @return whether other daemons should be told of what this one has read
+	 */
+	boolean isInterrupted();
+
 	/**
 	 * Returns how long the platform has not answered the present read. A read waits for a
 	 * change, so this is no failure by itself.
