Configuration: a daemon that is behind copies it from another one

What callers saw: 404, or 401, from one daemon for as long as the store turned it away (404 for all of 12 s over real connections), while all others served the route; or from a daemon that had started on an older copy of the store, until the operators wrote again; a key that was taken away went on being accepted there. Cause: each daemon got the configuration from the store and from nowhere else, though heartbeats told it that others had a newer one. Class: a state that each daemon must get for itself, where lists, limits and evacuations pass between daemons. Change: a daemon that has been behind for 200 ms asks a random one that has the newest version, in the parts of a checkpoint, with hashes in place of keys; the copy goes through the store's decoder, and versions only rise. 16 copies a second from one daemon at most. No other frames than those that exist. Test: ConfigurationPropagationTests, five of five cases red before (not in force within 30 s); ConfigurationTransferTests, SharedConfigurationTests. Conclusion: what one daemon has read reaches all that it can talk to.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -145,6 +145,9 @@
 	/** Logged after {@code PL-0306}. */
 	CONFIG_CAUGHT_UP(307, EventLevel.INFO, "No newer configuration than the one in force is known any more."),
 
+	/** Logged where the platform has not provided it in time. */
+	CONFIG_COPIED(308, EventLevel.INFO, "A newer configuration was received from another daemon."),
+
 	/** Logged once for each version of the configuration and unusable field. */
 	CONFIG_FIELD_UNUSABLE(305, EventLevel.WARN,
 			"A field of the configuration has an unusable value and is treated as missing."),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -18,7 +18,6 @@
 import org.pistachioline.core.listing.ListReadPolicy;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.peer.PeerStatus;
-import org.pistachioline.core.propagation.VersionTracker;
 import org.pistachioline.core.quarantine.GossipQuarantine;
 import org.pistachioline.core.replica.PlannerCandidates;
 import org.pistachioline.core.replica.ServingInstance;
@@ -36,7 +35,6 @@
 import org.pistachioline.daemon.metrics.Metrics;
 import org.pistachioline.daemon.peer.PeerDuty;
 import org.pistachioline.daemon.peer.PeerTransport;
-import org.pistachioline.daemon.propagation.ConfigurationMonitor;
 import org.pistachioline.daemon.relay.Relay;
 import org.pistachioline.daemon.replica.ReplicaDuty;
 import org.pistachioline.daemon.traffic.FleetDemandExchange;
@@ -102,7 +100,7 @@
 
 	private final EvacuationMonitor evacuation = new EvacuationMonitor();
 
-	private final ConfigurationMonitor configuration;
+	private final ConfigurationPropagation configuration;
 
 	private final Components components = new Components();
 
@@ -127,11 +125,11 @@
 		this.settings = settings;
 		this.ports = ports;
 		this.metrics.addProcessMeters();
-		this.configuration = new ConfigurationMonitor(new VersionTracker(discoveryEndsAtNanos()),
-				ports.routes()::pendingReadMillis);
 		this.peers = new PeerDuty(system,
 				(receiver) -> new PeerTransport(settings.peerAddress(), null, MAX_PEER_CONNECTIONS, receiver),
 				settings.daemonId(), this::status, settings::peerSeeds, HEARTBEAT_INTERVAL_MILLIS);
+		this.configuration = new ConfigurationPropagation(settings.daemonId(), ports.routes(), this.peers,
+				discoveryEndsAtNanos());
 		this.limitShares = new LimitShareUpdater(settings.daemonId(), this.peers::activeDaemonIds,
 				HEARTBEAT_INTERVAL_MILLIS);
 		final long seed = this.incarnation ^ ((long) settings.daemonId().hashCode() << Integer.SIZE);
@@ -186,16 +184,11 @@
 	private void registerListeners() {
 		this.ports.routes().setRouteListener((routes) -> {
 			this.routeTable = routes;
-			this.configuration.onInForce(routes.version());
 			this.replicas.configure(routes);
 			this.traffic.onColdStarts(routes.coldStarts());
-			Events.log(EventId.CONFIG_IN_FORCE, "version", routes.version());
-			if (this.ports.routes().isInterrupted()) {
-				this.peers.sendHeartbeat();
-			}
+			this.configuration.onInForce(routes);
 		});
-		this.ports.routes().setFleetView(this::liveDaemonCount, () -> this.configuration.get().newest());
-		this.peers.setPeersListener(this.configuration::onPeers);
+		this.configuration.bind(this::liveDaemonCount);
 		this.relay.setConfigurationLag(this.configuration);
 		this.ports.lease().setCandidacy(this::isPlannerCandidate);
 		this.peers.setListingReceiver(this.listing::onFrame);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/CheckpointProvider.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/CheckpointProvider.java
@@ -1,5 +1,6 @@
 package org.pistachioline.daemon.peer;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -18,18 +19,20 @@
  * Serves one stream's checkpoint to peers, part by part.
  * <p>
  * When all daemons are replaced at once, many of them request checkpoints from the few
- * that remain. The state is therefore encoded at most once a second regardless of the
- * number of requests, and the encoded checkpoint is retained until no peer has requested
- * it for a while.
+ * that remain. The state is therefore encoded at most once a second, unless the source
+ * says otherwise, regardless of the number of requests, and the encoded checkpoint is
+ * retained until no peer has requested it for a while.
  */
 final class CheckpointProvider {
 
-	private static final long MIN_ENCODE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+	private static final Duration DEFAULT_ENCODE_INTERVAL = Duration.ofSeconds(1);
 
 	private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(10);
 
 	private final Supplier<Optional<StreamSnapshot>> source;
 
+	private final long minEncodeIntervalNanos;
+
 	private List<CheckpointPart> parts = List.of();
 
 	private CheckpointCoverage coverage = CheckpointCoverage.NONE;
@@ -39,7 +42,18 @@
 	private long lastRequestNanos;
 
 	CheckpointProvider(Supplier<Optional<StreamSnapshot>> source) {
+		this(source, DEFAULT_ENCODE_INTERVAL);
+	}
+
+	/**
+	 * Creates a provider.
+	 * @param source supplies the state
+	 * @param minEncodeInterval for how long an encoded checkpoint is provided although
+	 * the state may have changed
+	 */
+	CheckpointProvider(Supplier<Optional<StreamSnapshot>> source, Duration minEncodeInterval) {
 		this.source = source;
+		this.minEncodeIntervalNanos = minEncodeInterval.toNanos();
 	}
 
 	CheckpointReply respond(CheckpointRequest request, long nowNanos) {
@@ -69,7 +83,7 @@
 	}
 
 	private void refresh(long nowNanos) {
-		if (!this.parts.isEmpty() && nowNanos - this.encodedAtNanos < MIN_ENCODE_INTERVAL_NANOS) {
+		if (!this.parts.isEmpty() && nowNanos - this.encodedAtNanos < this.minEncodeIntervalNanos) {
 			return;
 		}
 		final Optional<StreamSnapshot> snapshot = this.source.get();
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/RouteSource.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/port/RouteSource.java
@@ -1,5 +1,6 @@
 package org.pistachioline.daemon.port;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
@@ -35,6 +36,22 @@
 	 */
 	boolean isInterrupted();
 
+	/**
+	 * Returns the configuration in force, for daemons that the platform does not provide
+	 * it to. Any thread may ask.
+	 * @return the copy; empty if no configuration is known
+	 */
+	Optional<ConfigurationCopy> copy();
+
+	/**
+	 * Takes a configuration from another daemon. It is checked like one that was read
+	 * from the platform, and delivered if it is newer than the one in force. Any thread
+	 * may call it; it does not block.
+	 * @param copy the configuration
+	 * @param daemonId the other daemon
+	 */
+	void offer(ConfigurationCopy copy, String daemonId);
+
 	/**
 	 * Returns how long the platform has not answered the present read. A read waits for a
 	 * change, so this is no failure by itself.
