Relay: a daemon that knows that its configuration is old refuses nothing for good

What callers saw: 401 or 404, which they take for final, from a daemon that knew from heartbeats that others had a newer configuration, or that had just started on an older copy of the store and had not had time to hear of it. Cause: a daemon without a configuration answered 503, one with an old one as if it were the newest, and look-ups went on naming it. Class: knowing that one's state is old, and deciding by it all the same. Change: 503 config_behind, not run, with a Retry-After of 0.5 to 1 s in place of 401 and 404 while a newer version is known of, and in the first second of a daemon that has others; what the configuration allows is served. Not ready once it has been behind for 1.5 s while a ready daemon has a newer version. Conclusion: what such a daemon says is true.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/error/ErrorKind.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/error/ErrorKind.java
@@ -75,6 +75,13 @@
 	/** The daemon has no configuration yet, or one beyond the staleness bound. */
 	NOT_READY("not_ready", 503, RunState.NOT_RUN, true, "This daemon is not ready; use another address."),
 
+	/**
+	 * The configuration in force does not allow the request, but a newer one, which this
+	 * daemon has not received, may.
+	 */
+	CONFIG_BEHIND("config_behind", 503, RunState.NOT_RUN, true,
+			"This daemon's configuration may be old; use another address."),
+
 	/** The daemon is about to stop and accepts no new requests. */
 	LEAVING("leaving", 503, RunState.NOT_RUN, true, "This daemon is leaving; use another address."),
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/ConfigurationPropagation.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/ConfigurationPropagation.java
@@ -1,6 +1,7 @@
 package org.pistachioline.daemon;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
@@ -21,6 +22,9 @@
  */
 final class ConfigurationPropagation implements Supplier<VersionLag> {
 
+	/** Longer than it usually takes to copy the configuration from another daemon. */
+	private static final long MAX_BEHIND_MILLIS = 1_500;
+
 	private final RouteSource routes;
 
 	private final PeerDuty peers;
@@ -77,4 +81,16 @@
 		return this.monitor.get();
 	}
 
+	/**
+	 * Returns why callers should use other daemons, which have a newer configuration.
+	 * @return the reason; empty if this daemon is not behind, or no other one is ready
+	 */
+	Optional<String> notReadyReason() {
+		final VersionLag lag = get();
+		final boolean replaceable = lag.behindMillis() >= MAX_BEHIND_MILLIS && this.peers.livePeers()
+			.stream()
+			.anyMatch((peer) -> peer.configVersion() > lag.inForce() && peer.ready() && !peer.leaving());
+		return replaceable ? Optional.of("a newer configuration is in force on other daemons") : Optional.empty();
+	}
+
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -381,7 +381,8 @@
 
 	@Override
 	public Optional<String> notReadyReason() {
-		return cannotServeReason().or(() -> this.leaving ? Optional.of("the daemon is leaving") : Optional.empty());
+		return cannotServeReason().or(this.configuration::notReadyReason)
+			.or(() -> this.leaving ? Optional.of("the daemon is leaving") : Optional.empty());
 	}
 
 	private Optional<String> cannotServeReason() {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -52,6 +52,9 @@
 	 */
 	private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
 
+	/** Within which a daemon that is behind usually has a copy from another one. */
+	private static final long CATCH_UP_MILLIS = 500;
+
 	/**
 	 * Placeholder in logs and responses for the id of a request whose headers could not
 	 * be read.
@@ -103,12 +106,14 @@
 		require(table.isKnown(), ErrorKind.NOT_READY);
 		final RequestMetadata metadata = this.context.protocol().readRequest(request.headers());
 		final Route route = table.route(request.headers().first("Host").orElse(""), request.path())
-			.orElseThrow(() -> new PistachiolineException(ErrorKind.NOT_FOUND));
+			.orElseThrow(() -> new PistachiolineException(unlessBehind(ErrorKind.NOT_FOUND)));
 		require(!this.loopMonitor.refuses(arrivedAtNanos,
 				QueueTimeBudget.maxQueueMillis(route, timeoutMillis(route, metadata))), ErrorKind.OVERLOADED);
 		final Optional<WorkspaceApiKeys> keyHolder = findApiKeyHolder(table, metadata);
 		final boolean anonymous = route.anonymous() || table.workspaceApiKeys().isEmpty();
-		require(anonymous || keyHolder.isPresent(), ErrorKind.UNAUTHENTICATED);
+		if (!anonymous && keyHolder.isEmpty()) {
+			throw new PistachiolineException(unlessBehind(ErrorKind.UNAUTHENTICATED));
+		}
 		final Optional<String> workspace = anonymous ? Optional.empty() : keyHolder.map(WorkspaceApiKeys::name);
 		final RelayedRequest relayed = new RelayedRequest(metadata, request.method(), request.target(),
 				HopByHopHeaders.removeFrom(request.headers()), request.body(), workspace);
@@ -119,6 +124,13 @@
 		this.traffic.submit(exchange);
 	}
 
+	// A caller takes a refusal as final, so it must not rest on a configuration that may
+	// be
+	// old.
+	private ErrorKind unlessBehind(ErrorKind kind) {
+		return this.configurationLag.get().mayBeBehind() ? ErrorKind.CONFIG_BEHIND : kind;
+	}
+
 	private static RequestInfo requestInfoOf(long id, long arrivedAtNanos, RouteTable table, Route route,
 			RelayedRequest relayed, Optional<WorkspaceApiKeys> keyHolder) {
 		final RequestMetadata metadata = relayed.metadata();
@@ -205,12 +217,20 @@
 	}
 
 	private long retryAfterMillis(ErrorKind kind) {
-		return (kind == ErrorKind.OVERLOADED) ? this.loopMonitor.retryAfterMillis() : jitteredRetryMillis();
+		return switch (kind) {
+			case OVERLOADED -> this.loopMonitor.retryAfterMillis();
+			case CONFIG_BEHIND -> jittered(CATCH_UP_MILLIS);
+			default -> jitteredRetryMillis();
+		};
 	}
 
-	// Jittered, so that callers refused at the same time do not retry at the same time.
 	private static long jitteredRetryMillis() {
-		return MIN_RETRY_AFTER_MILLIS + ThreadLocalRandom.current().nextLong(MIN_RETRY_AFTER_MILLIS);
+		return jittered(MIN_RETRY_AFTER_MILLIS);
+	}
+
+	// So that callers refused at the same time do not retry at the same time.
+	private static long jittered(long minMillis) {
+		return minMillis + ThreadLocalRandom.current().nextLong(minMillis);
 	}
 
 	private String requestIdOf(HeaderFields headers) {
