Caller API: a daemon that knows of a newer manifest refuses nothing by its own

What callers saw: 401, 403 or 404 from a daemon that follows the log and knows from heartbeats that a newer manifest is in force elsewhere. Change: 503 config_behind in place of unauthenticated, forbidden, unknown_model and unknown_service while a live daemon has a newer version.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/CallerHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/CallerHandler.java
@@ -1,9 +1,11 @@
 package org.pistachioline.daemon.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
@@ -57,6 +59,10 @@
 
 	private final DaemonView daemon;
 
+	/** Refusals that a newer configuration may lift. */
+	private static final Set<ErrorKind> BY_CONFIGURATION = EnumSet.of(ErrorKind.UNAUTHENTICATED, ErrorKind.FORBIDDEN,
+			ErrorKind.UNKNOWN_MODEL, ErrorKind.UNKNOWN_SERVICE);
+
 	private final ExchangeStarter exchanges;
 
 	private final HttpCaller http;
@@ -214,13 +220,22 @@
 	private HttpResponse failureResponse(String requestIdText, Throwable failure) {
 		final Throwable cause = (failure instanceof CompletionException && failure.getCause() != null)
 				? failure.getCause() : failure;
-		final ErrorKind kind = errorKindOf(cause);
+		final ErrorKind kind = unlessBehind(errorKindOf(cause));
 		if (kind == ErrorKind.INTERNAL) {
 			Events.log(EventId.REQUEST_INTERNAL_ERROR, cause, "request", requestIdText);
 		}
 		return ErrorResponses.of(requestIdText, kind, kind.runState(), kind.retryable() ? 1_000 : 0);
 	}
 
+	// A caller takes such a refusal as final, so it must not rest on a configuration that
+	// is known to be old.
+	private ErrorKind unlessBehind(ErrorKind kind) {
+		final long inForce = this.daemon.configVersion();
+		return (BY_CONFIGURATION.contains(kind)
+				&& this.daemon.daemons().stream().anyMatch((each) -> each.configVersion() > inForce))
+						? ErrorKind.CONFIG_BEHIND : kind;
+	}
+
 	private static ErrorKind errorKindOf(Throwable cause) {
 		if (cause instanceof PistachiolineException known) {
 			return known.kind();
