Peers: the connection to a lost peer is closed

What callers would see: a daemon that hears of nothing any more, neither versions nor instances, for as long as it lives, after its open connections have fallen silent while new ones work. Cause: daemons send on their own connections and receive on the others', so nothing tells that one has fallen silent, and it went on being used. Class: an operation begun before an outage goes on by itself after it. Change: a peer that is no longer live has its connection closed; the next heartbeat to its address, a seed's, opens another. Conclusion: mended where a seed lives. A connection of two that is silent in one direction only is noticed by time-outs of what it carries, as before.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerDuty.java
@@ -331,22 +331,24 @@
 
 	@Override
 	public void onTick() {
-		final List<PeerStatus> currentPeers = this.table.live(System.nanoTime());
-		logLostPeers(currentPeers);
-		updateLivePeers(currentPeers);
+		updateLivePeers(this.table.live(System.nanoTime()));
 		sendHeartbeat(HEARTBEAT_FAN_OUT);
 	}
 
 	private void updateLivePeers(List<PeerStatus> currentPeers) {
+		dropLostPeers(currentPeers);
 		this.livePeers.set(currentPeers);
 		this.peersListener.accept(currentPeers);
 	}
 
-	private void logLostPeers(List<PeerStatus> currentPeers) {
+	// Nothing is received on the connection to a peer, so it may have fallen silent; what
+	// is sent to the address later goes over a new one.
+	private void dropLostPeers(List<PeerStatus> currentPeers) {
 		final Set<String> currentIds = currentPeers.stream().map(PeerStatus::daemonId).collect(Collectors.toSet());
 		for (final PeerStatus previous : this.livePeers.get()) {
 			if (!currentIds.contains(previous.daemonId())) {
 				Events.log(EventId.PEER_LOST, "daemon", previous.daemonId(), "address", previous.peerAddress());
+				this.transport.disconnect(previous.peerAddress());
 			}
 		}
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerTransport.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/peer/PeerTransport.java
@@ -147,6 +147,17 @@
 		}
 	}
 
+	/**
+	 * Closes the connection to a peer; the next frame to it opens another one.
+	 * @param peerAddress the peer's address, as host and port
+	 */
+	public void disconnect(String peerAddress) {
+		final ChannelFuture connection = this.outboundConnections.remove(peerAddress);
+		if (connection != null) {
+			connection.channel().close();
+		}
+	}
+
 	private void write(String peerAddress, ChannelFuture connection, PeerFrame frame) {
 		if (!connection.isSuccess() || !connection.channel().isActive()) {
 			this.outboundConnections.remove(peerAddress, connection);
