--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -12,7 +12,6 @@
 import org.pistachioline.adapters.web.WebLoop;
 import org.pistachioline.core.admission.FleetAdmission;
 import org.pistachioline.core.demand.ModelDemandShares;
-import org.pistachioline.core.endpoints.EndpointSelector;
 import org.pistachioline.core.endpoints.WarmUpPolicy;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.listing.ListReadPolicy;
@@ -74,10 +73,12 @@
 
 	private final AtomicLong heartbeatSequence = new AtomicLong();
 
-	private final AtomicLong lookupCount = new AtomicLong();
+	private final EndpointLookups lookups;
 
 	private final PeerDuty peers;
 
+	private final FleetSize fleetSize;
+
 	private final LimitShareUpdater limitShares;
 
 	private final TrafficDuty traffic;
@@ -112,8 +113,6 @@
 
 	private volatile boolean acceptingTraffic = true;
 
-	private volatile int maxDaemonCount = 1;
-
 	/**
 	 * Creates a daemon without starting it.
 	 * @param system the process's actor system
@@ -128,13 +127,15 @@
 		this.peers = new PeerDuty(system,
 				(receiver) -> new PeerTransport(settings.peerAddress(), null, MAX_PEER_CONNECTIONS, receiver),
 				settings.daemonId(), this::status, settings::peerSeeds, HEARTBEAT_INTERVAL_MILLIS);
+		this.fleetSize = new FleetSize(this.peers);
+		this.lookups = new EndpointLookups(this.peers::liveDaemons, settings.fleetDecisions());
 		this.configuration = new ConfigurationPropagation(settings.daemonId(), ports.routes(), this.peers,
 				discoveryEndsAtNanos());
 		this.limitShares = new LimitShareUpdater(settings.daemonId(), this.peers::activeDaemonIds,
 				HEARTBEAT_INTERVAL_MILLIS);
 		final long seed = this.incarnation ^ ((long) settings.daemonId().hashCode() << Integer.SIZE);
 		final Optional<FleetAdmission> admission = settings.fleetDecisions()
-				? Optional.of(new FleetAdmission(seed, this::liveDaemonCount)) : Optional.empty();
+				? Optional.of(new FleetAdmission(seed, this.fleetSize::live)) : Optional.empty();
 		this.traffic = new TrafficDuty(system, new TrafficCore(policies(seed, admission)), new NoClaims(),
 				this.limitShares, (suspect, nowMillis) -> {
 					// Crash reports are exchanged between daemons by gossip instead.
@@ -170,9 +171,9 @@
 	private TrafficPolicies policies(long seed, Optional<FleetAdmission> admission) {
 		return admission.isPresent()
 				? RoutingPolicies.createForFleet(this.settings.availabilityZone(), seed, this.settings.retryBudget(),
-						this::daemonCount, new GossipQuarantine(), admission.get())
+						this.fleetSize::largest, new GossipQuarantine(), admission.get())
 				: RoutingPolicies.create(this.settings.availabilityZone(), seed, this.settings.retryBudget(),
-						this::daemonCount, new GossipQuarantine());
+						this.fleetSize::largest, new GossipQuarantine());
 	}
 
 	private void registerDemandExchange(FleetDemandExchange exchange) {
@@ -188,7 +189,7 @@
 			this.traffic.onColdStarts(routes.coldStarts());
 			this.configuration.onInForce(routes);
 		});
-		this.configuration.bind(this::liveDaemonCount);
+		this.configuration.bind(this.fleetSize::live);
 		this.relay.setConfigurationLag(this.configuration);
 		this.ports.lease().setCandidacy(this::isPlannerCandidate);
 		this.peers.setListingReceiver(this.listing::onFrame);
@@ -229,17 +230,6 @@
 		this.replicas.updateInstances(instances);
 	}
 
-	// Daemons share one retry budget. A daemon that has just started knows few peers, so
-	// the largest number it has seen is a better estimate of how many share it.
-	private int daemonCount() {
-		this.maxDaemonCount = Math.max(this.maxDaemonCount, liveDaemonCount());
-		return this.maxDaemonCount;
-	}
-
-	private int liveDaemonCount() {
-		return this.peers.livePeers().size() + 1;
-	}
-
 	private boolean isBeforeFirstTraffic() {
 		return this.settings.firstStart() && this.relay.receivedRequestCount() == 0
 				&& System.nanoTime() - this.startedAtNanos < MAX_FIRST_START_NANOS;
@@ -327,11 +317,7 @@
 	 * @return the daemons' caller addresses, in order of preference
 	 */
 	public List<String> endpoints(String availabilityZone) {
-		final long lookup = this.lookupCount.getAndIncrement();
-		final List<PeerStatus> selected = this.settings.fleetDecisions()
-				? EndpointSelector.selectByRoom(daemons(), availabilityZone, lookup)
-				: EndpointSelector.select(daemons(), availabilityZone, lookup);
-		final List<String> chosen = selected.stream().map(PeerStatus::callerAddress).toList();
+		final List<String> chosen = this.lookups.select(availabilityZone);
 		// Without others a daemon offers itself, also before its warm-up or while it
 		// leaves.
 		return (chosen.isEmpty() && cannotServeReason().isEmpty()) ? List.of(this.settings.callerAddress()) : chosen;
