--- a/pistachioline-core/src/main/java/org/pistachioline/core/propagation/VersionTracker.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/propagation/VersionTracker.java
@@ -1,7 +1,5 @@
 package org.pistachioline.core.propagation;
 
-import java.util.concurrent.TimeUnit;
-
 /**
  * Tracks the configuration version in force on this daemon and the newest one that it has
  * heard of from others.
@@ -19,7 +17,9 @@
 
 	private static final long RETENTION_SECONDS = 30;
 
-	private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(RETENTION_SECONDS);
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private static final long RETENTION_NANOS = RETENTION_SECONDS * 1_000 * NANOS_PER_MILLI;
 
 	private final long discoveryEndsAtNanos;
 
@@ -81,7 +81,7 @@
 			return new VersionLag(this.inForce, this.inForce, "", 0, discovering);
 		}
 		return new VersionLag(this.inForce, this.heard, this.heardFrom,
-				TimeUnit.NANOSECONDS.toMillis(nowNanos - this.behindSinceNanos), discovering);
+				(nowNanos - this.behindSinceNanos) / NANOS_PER_MILLI, discovering);
 	}
 
 	private boolean isBehind(long nowNanos) {
