Peers: the test of silent connections waits for frames over new ones

Cause: SilentPeerConnectionTests waited for a moment in which neither daemon knew the other. Change: it waits until frames have arrived in both directions over connections opened after the silence, which nothing but a new connection fulfils, so it is as strict. Conclusion: the test was wrong, not the code.

--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/peer/SilentPaths.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/peer/SilentPaths.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
@@ -27,6 +28,9 @@
 
 	private final ExecutorService threads = Executors.newCachedThreadPool();
 
+	/** The daemons' own addresses that were reached since the last silence began. */
+	private final Set<String> reached = ConcurrentHashMap.newKeySet();
+
 	private volatile int silences;
 
 	/**
@@ -41,8 +45,19 @@
 	/**
 	 * Makes all open connections silent.
 	 */
-	void silence() {
+	synchronized void silence() {
 		this.silences++;
+		this.reached.clear();
+	}
+
+	/**
+	 * Returns whether anything has arrived at a daemon, over a connection that was opened
+	 * after the last silence began.
+	 * @param address the daemon's own address
+	 * @return whether it was reached
+	 */
+	boolean isReachedAgain(String address) {
+		return this.reached.contains(address);
 	}
 
 	private String open(String address) {
@@ -66,7 +81,7 @@
 						Integer.parseInt(address.substring(address.indexOf(':') + 1)));
 				this.opened.add(to);
 				final int openedIn = this.silences;
-				this.threads.execute(() -> forward(from, to, openedIn));
+				this.threads.execute(() -> forward(from, to, address, openedIn));
 			}
 		}
 		catch (IOException ex) {
@@ -76,13 +91,14 @@
 	}
 
 	// Daemons send in one direction of a connection only.
-	private void forward(Socket from, Socket to, int openedIn) {
+	private void forward(Socket from, Socket to, String address, int openedIn) {
 		try (InputStream in = from.getInputStream(); OutputStream out = to.getOutputStream()) {
 			final byte[] buffer = new byte[8_192];
 			int count = in.read(buffer);
 			while (count >= 0) {
 				if (this.silences == openedIn) {
 					out.write(buffer, 0, count);
+					noteReached(address, openedIn);
 				}
 				count = in.read(buffer);
 			}
@@ -93,6 +109,13 @@
 		}
 	}
 
+	// A silence may begin meanwhile, which forgets what was reached before.
+	private synchronized void noteReached(String address, int openedIn) {
+		if (this.silences == openedIn) {
+			this.reached.add(address);
+		}
+	}
+
 	@Override
 	public void close() throws IOException {
 		for (final Closeable each : this.opened) {
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/peer/SilentPeerConnectionTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/peer/SilentPeerConnectionTests.java
@@ -50,7 +50,8 @@
 		second.start();
 		await(() -> first.livePeers().size() == 1 && second.livePeers().size() == 1);
 		this.paths.silence();
-		await(() -> first.livePeers().isEmpty() && second.livePeers().isEmpty());
+		await(() -> this.paths.isReachedAgain(first.localAddress())
+				&& this.paths.isReachedAgain(second.localAddress()));
 		await(() -> first.livePeers().size() == 1 && second.livePeers().size() == 1);
 	}
 
