Relay: answers that belong to no request on their connection are logged and counted

So a late answer of an earlier attempt, of another request, and a mix-up inside the daemon looked alike. Change: each connection has a number and remembers the ids that it has carried (their hashes). Requests say which of their header fields the server repeats (WebRequest.idHeader). No decision changes.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientCall.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientCall.java
@@ -11,18 +11,26 @@
 
 	private final ClientConnection connection;
 
+	private final ConnectionUse connectionUse;
+
 	private boolean over;
 
 	ClientCall(WebRequest request, AnswerReceiver receiver, ClientConnection connection) {
 		this.request = request;
 		this.receiver = receiver;
 		this.connection = connection;
+		this.connectionUse = connection.use();
 	}
 
 	WebRequest request() {
 		return this.request;
 	}
 
+	@Override
+	public ConnectionUse connection() {
+		return this.connectionUse;
+	}
+
 	boolean sending() {
 		return !this.over && this.receiver.onSending();
 	}
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -1,8 +1,8 @@
 package org.pistachioline.adapters.web;
 
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
@@ -41,7 +41,9 @@
 
 	private final String address;
 
-	private final Consumer<ClientConnection> idle;
+	private final ConnectionOwner owner;
+
+	private final ConnectionHistory history = new ConnectionHistory();
 
 	private final BytesBeforeHead bytesBeforeHead = new BytesBeforeHead();
 
@@ -65,11 +67,9 @@
 
 	private boolean closed;
 
-	private long idleSinceNanos;
-
-	ClientConnection(String address, Consumer<ClientConnection> idle) {
+	ClientConnection(String address, ConnectionOwner owner) {
 		this.address = address;
-		this.idle = idle;
+		this.owner = owner;
 	}
 
 	String address() {
@@ -77,7 +77,19 @@
 	}
 
 	long idleSinceNanos() {
-		return this.idleSinceNanos;
+		return this.history.idleSinceNanos();
+	}
+
+	/**
+	 * Returns how the connection has been used until now.
+	 * @return the use
+	 */
+	ConnectionUse use() {
+		return this.history.use();
+	}
+
+	boolean hasCarried(String requestId) {
+		return this.history.hasCarried(requestId);
 	}
 
 	boolean isClosed() {
@@ -90,6 +102,7 @@
 	 */
 	void begin(ClientCall next) {
 		this.call = next;
+		this.history.onBegin(next.request());
 		this.bytesBeforeHead.startAwaiting();
 		this.ended = false;
 		this.written = false;
@@ -214,7 +227,7 @@
 		try {
 			if (this.call == null) {
 				// Nobody asked: the other side sent more than its answer.
-				abort();
+				onUnexpected(message);
 			}
 			else if (!(message instanceof HttpObject object)) {
 				fail(new IOException("Bytes that are no answer were received"));
@@ -231,6 +244,20 @@
 		}
 	}
 
+	private void onUnexpected(Object message) {
+		if (!this.closed) {
+			final Optional<HttpResponse> head = (message instanceof HttpResponse response) ? Optional.of(response)
+					: Optional.empty();
+			this.owner.onUnexpected(new UnexpectedAnswer(this.address, head.flatMap(this::idIn).orElse(""),
+					head.map((response) -> response.status().code()).orElse(0), use()));
+		}
+		abort();
+	}
+
+	private Optional<String> idIn(HttpResponse response) {
+		return this.history.idHeader().map((name) -> response.headers().get(name));
+	}
+
 	private void take(HttpObject object) {
 		if (object instanceof HttpResponse response) {
 			if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
@@ -280,8 +307,8 @@
 		// not be sent where the rest of that body is due.
 		if (this.keptAlive && this.reusable && this.written) {
 			ctx.channel().config().setAutoRead(true);
-			this.idleSinceNanos = System.nanoTime();
-			this.idle.accept(this);
+			this.history.onIdle();
+			this.owner.onIdle(this);
 		}
 		else {
 			this.closed = true;
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebCall.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebCall.java
@@ -18,4 +18,10 @@
 	 */
 	void reading(boolean wanted);
 
+	/**
+	 * Returns how the request's connection was used before it.
+	 * @return the use at the time at which the request was handed over
+	 */
+	ConnectionUse connection();
+
 }
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
@@ -29,8 +29,12 @@
 
 	private final int mostIdlePerAddress;
 
+	private final ClientListener listener;
+
 	private final Map<String, Deque<ClientConnection>> idle = new HashMap<>();
 
+	private final ConnectionOwner owner = new PoolOwner();
+
 	/**
 	 * Creates a client that connects to the addresses themselves.
 	 * @param loop the thread on which its connections are served
@@ -42,6 +46,17 @@
 		this(loop, new DirectConnector(loop, connectMillis), keepMillis, mostIdlePerAddress);
 	}
 
+	/**
+	 * Creates a client that notifies nobody.
+	 * @param loop the thread on which its connections are served
+	 * @param connector opens the connections, on the same thread
+	 * @param keepMillis how long an idle connection is used again
+	 * @param mostIdlePerAddress how many idle connections are kept for one address
+	 */
+	public WebClient(WebLoop loop, Connector connector, long keepMillis, int mostIdlePerAddress) {
+		this(loop, connector, keepMillis, mostIdlePerAddress, ClientListener.NONE);
+	}
+
 	/**
 	 * Creates a client without connections.
 	 * @param loop the thread on which they are served
@@ -50,12 +65,15 @@
 	 * than the other side keeps it, as a request that meets its close may or may not have
 	 * been read
 	 * @param mostIdlePerAddress how many idle connections are kept for one address
+	 * @param listener is notified of what happens on the connections besides answers
 	 */
-	public WebClient(WebLoop loop, Connector connector, long keepMillis, int mostIdlePerAddress) {
+	public WebClient(WebLoop loop, Connector connector, long keepMillis, int mostIdlePerAddress,
+			ClientListener listener) {
 		this.loop = loop;
 		this.connector = connector;
 		this.keepNanos = keepMillis * 1_000_000;
 		this.mostIdlePerAddress = mostIdlePerAddress;
+		this.listener = listener;
 		loop.every(this::prune, PRUNE_MILLIS);
 	}
 
@@ -70,7 +88,10 @@
 	 */
 	public WebCall send(String address, WebRequest request, boolean freshConnection, AnswerReceiver receiver) {
 		final ClientConnection kept = freshConnection ? null : take(address);
-		final ClientConnection connection = (kept != null) ? kept : new ClientConnection(address, this::keep);
+		if (kept != null) {
+			reportRepeatedId(request, kept);
+		}
+		final ClientConnection connection = (kept != null) ? kept : new ClientConnection(address, this.owner);
 		final ClientCall call = new ClientCall(request, receiver, connection);
 		connection.begin(call);
 		if (kept == null) {
@@ -146,6 +167,12 @@
 		});
 	}
 
+	private void reportRepeatedId(WebRequest request, ClientConnection connection) {
+		request.id()
+			.filter(connection::hasCarried)
+			.ifPresent((id) -> this.listener.onRepeatedId(connection.address(), id, connection.use()));
+	}
+
 	private void connect(ClientConnection connection) {
 		final CompletableFuture<OpenedConnection> opening = this.connector.connect(connection.address());
 		connection.onConnecting(opening);
@@ -196,4 +223,18 @@
 		this.idle.values().removeIf(Deque::isEmpty);
 	}
 
+	private final class PoolOwner implements ConnectionOwner {
+
+		@Override
+		public void onIdle(ClientConnection connection) {
+			keep(connection);
+		}
+
+		@Override
+		public void onUnexpected(UnexpectedAnswer answer) {
+			WebClient.this.listener.onUnexpected(answer);
+		}
+
+	}
+
 }
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebRequest.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebRequest.java
@@ -13,8 +13,21 @@
  * @param target path and query, as they stand in the request's first line
  * @param headers the header fields; those that frame the body are written anew
  * @param body the body
+ * @param idHeader the name of the header field that identifies the request and that the
+ * server repeats in its answer; empty if there is none
  */
-public record WebRequest(String method, String target, HeaderFields headers, Body body) {
+public record WebRequest(String method, String target, HeaderFields headers, Body body, Optional<String> idHeader) {
+
+	/**
+	 * Creates a request whose answer does not name it.
+	 * @param method the method
+	 * @param target path and query
+	 * @param headers the header fields
+	 * @param body the body
+	 */
+	public WebRequest(String method, String target, HeaderFields headers, Body body) {
+		this(method, target, headers, body, Optional.empty());
+	}
 
 	/**
 	 * Creates a request without a body.
@@ -37,6 +50,23 @@
 		return new WebRequest("POST", target, headers.with("Content-Type", "application/json"), Body.of(json));
 	}
 
+	/**
+	 * Returns the same request, identified by a header field.
+	 * @param name the field's name
+	 * @return the request
+	 */
+	public WebRequest identifiedBy(String name) {
+		return new WebRequest(this.method, this.target, this.headers, this.body, Optional.of(name));
+	}
+
+	/**
+	 * Returns the id that the server repeats in its answer.
+	 * @return the id; empty if the answer does not name the request
+	 */
+	public Optional<String> id() {
+		return this.idHeader.flatMap(this.headers::first);
+	}
+
 	/**
 	 * Returns the path.
 	 * @return the target without its query
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -340,6 +340,17 @@
 	RESPONSE_OVERSIZED(514, EventLevel.WARN,
 			"A target sent more bytes than a response may have; its connection is closed."),
 
+	/**
+	 * Logged for each, with the request that the response names and with what its
+	 * connection had carried.
+	 */
+	RESPONSE_UNEXPECTED(515, EventLevel.WARN,
+			"A target sent a response that does not belong to the request on its connection."),
+
+	/** Logged with the connection, before the request is sent. */
+	REQUEST_ID_REPEATED(516, EventLevel.INFO,
+			"A request has the same id as one that an idle connection to its target has carried."),
+
 	/** Logged with the lag and whether requests are refused while it lasts. */
 	LOOP_LATE(520, EventLevel.WARN, "The loop that serves callers runs late: the machine is short of processor time."),
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -22,6 +22,7 @@
 import org.pistachioline.daemon.relay.IncompleteResponses;
 import org.pistachioline.daemon.relay.LoopMonitor;
 import org.pistachioline.daemon.relay.Relay;
+import org.pistachioline.daemon.relay.UnexpectedReason;
 import org.pistachioline.daemon.replica.ReplicaDuty;
 import org.pistachioline.daemon.traffic.FleetDemandExchange;
 import org.pistachioline.daemon.traffic.TrafficDuty;
@@ -65,6 +66,11 @@
 			this.metrics.counter("pistachioline.responses.incomplete", "Responses that the daemon ended incomplete",
 					reason, () -> relay.incompleteResponseCount(reason));
 		}
+		for (final UnexpectedReason reason : UnexpectedReason.values()) {
+			this.metrics.counter("pistachioline.responses.unexpected",
+					"Responses of targets that do not belong to the request on their connection", reason.code(),
+					() -> relay.unexpectedResponseCount(reason));
+		}
 		this.metrics.gauge("pistachioline.responses.oversized",
 				"Connections that were closed since a target sent too many bytes", relay::oversizedResponseCount);
 		this.metrics.gauge("pistachioline.responses.kept", "Bytes of responses that are kept until they are complete",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -26,6 +26,11 @@
 	RESPONSES_OVERSIZED("pistachioline_responses_oversized", "connections",
 			"Connections that were closed since a target sent more bytes than a response may have.", "rising"),
 
+	/** Counter by the reason that {@code PL-0515} names. */
+	RESPONSES_UNEXPECTED("pistachioline_responses_unexpected_total", "responses by reason",
+			"Responses of targets that do not belong to the request on their connection.",
+			"rising: a target answers twice"),
+
 	/** Gauge of the memory of responses that are not complete. */
 	RESPONSES_KEPT("pistachioline_responses_kept", "bytes",
 			"Responses, and events of streams, that are kept until they are complete.",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -40,6 +40,8 @@
 
 	private final KeptResponses keptResponses = KeptResponses.ofHeap();
 
+	private final UnexpectedResponses unexpectedResponses = new UnexpectedResponses();
+
 	private final RelayHandler handler;
 
 	private final CallerServer callerServer;
@@ -61,14 +63,14 @@
 		this.loop = loop;
 		this.loopMonitor = new LoopMonitor(loop, System::nanoTime);
 		final WebClient client = new WebClient(this.loop, targetConnector, WarmConnections.KEEP_MILLIS,
-				WarmConnections.MAX_PER_TARGET);
+				WarmConnections.MAX_PER_TARGET, this.unexpectedResponses);
 		this.backoffGate = new BackoffGate(instances, System::nanoTime);
 		this.configuration = new ConfigurationAge(routes, System::nanoTime);
 		this.incompleteResponses = new IncompleteResponses(this.configuration);
 		final RelayContext context = new RelayContext(this.loop, client, protocol, this.streams,
 				traffic::onCallerDisconnected, new TargetReportDispatcher(loadReceiver, traffic), this.backoffGate,
 				new CrashProbe(client::askWhetherRefused, traffic.crashMonitor()::onCrash), this.incompleteResponses,
-				this.keptResponses);
+				this.keptResponses, this.unexpectedResponses);
 		this.handler = new RelayHandler(this.configuration, context, traffic, this.loopMonitor);
 		this.callerServer = new CallerServer(this.loop, address, this.handler, this.configuration);
 	}
@@ -154,6 +156,16 @@
 		return this.incompleteResponses.count(reason);
 	}
 
+	/**
+	 * Returns how many responses of targets did not belong to the request on their
+	 * connection.
+	 * @param reason how that was found
+	 * @return the number since the start
+	 */
+	public long unexpectedResponseCount(UnexpectedReason reason) {
+		return this.unexpectedResponses.count(reason);
+	}
+
 	/**
 	 * Returns how many connections were closed since a target sent too many bytes.
 	 * @return the number since the start
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -6,8 +6,11 @@
 import org.pistachioline.adapters.web.AnswerHead;
 import org.pistachioline.adapters.web.AnswerReceiver;
 import org.pistachioline.adapters.web.BlockBuffer;
+import org.pistachioline.adapters.web.ConnectionUse;
 import org.pistachioline.adapters.web.ExcessiveBytesException;
+import org.pistachioline.adapters.web.UnexpectedAnswer;
 import org.pistachioline.adapters.web.WebCall;
+import org.pistachioline.adapters.web.WebRequest;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.quarantine.CrashPhase;
 import org.pistachioline.core.traffic.AttemptId;
@@ -57,6 +60,8 @@
 
 	private int headBytes;
 
+	private WebRequest targetRequest;
+
 	private WebCall targetCall;
 
 	private long sentAtNanos;
@@ -79,6 +84,14 @@
 		return this.ended;
 	}
 
+	/**
+	 * Returns how the attempt's connection was used before it.
+	 * @return the use; none if the attempt was not sent
+	 */
+	ConnectionUse connection() {
+		return (this.targetCall != null) ? this.targetCall.connection() : ConnectionUse.NONE;
+	}
+
 	AttemptId id() {
 		return this.start.attempt();
 	}
@@ -86,12 +99,11 @@
 	void send(long remainingMillis) {
 		final RelayContext context = this.exchange.context();
 		this.sentAtNanos = System.nanoTime();
+		this.targetRequest = context.protocol()
+			.toTargetRequest(this.exchange.request(), this.start.target(), remainingMillis,
+					this.exchange.position().lastEventId());
 		this.targetCall = context.client()
-			.send(this.start.target().address(),
-					context.protocol()
-						.toTargetRequest(this.exchange.request(), this.start.target(), remainingMillis,
-								this.exchange.position().lastEventId()),
-					!this.exchange.info().idempotent(), this);
+			.send(this.start.target().address(), this.targetRequest, !this.exchange.info().idempotent(), this);
 	}
 
 	@Override
@@ -124,7 +136,7 @@
 		switch (verdict) {
 			case DECLINED -> expectOutcome(AttemptOutcome.DECLINED);
 			case FAILURE -> expectOutcome(AttemptOutcome.FAILURE_ANSWERED);
-			case MISMATCHED -> abort(AttemptOutcome.MISMATCHED);
+			case MISMATCHED -> abortMismatched(head);
 			case VALID -> onValidHead();
 		}
 		if (!this.ended && isKeptWhole() && declaresTooMuch(head)) {
@@ -133,6 +145,15 @@
 		countKept();
 	}
 
+	private void abortMismatched(AnswerHead head) {
+		final String answeredId = this.targetRequest.idHeader().flatMap(head::header).orElse("");
+		this.exchange.context()
+			.unexpectedResponses()
+			.onMismatch(this.exchange.request().metadata().requestId(), new UnexpectedAnswer(
+					this.start.target().address(), answeredId, head.status(), this.targetCall.connection()));
+		abort(AttemptOutcome.MISMATCHED);
+	}
+
 	// The answer to a HEAD request states the length of a body that does not follow.
 	private boolean declaresTooMuch(AnswerHead head) {
 		return !this.exchange.request().method().equals("HEAD")
@@ -383,7 +404,8 @@
 		Events.log(EventId.TARGET_CONNECTION_LOST, "request", this.exchange.request().metadata().requestId(),
 				"fingerprint", fingerprint, "parts", this.exchange.info().sharedPromptParts(), "target",
 				this.start.target().targetId(), "status", (this.responseHead != null) ? this.responseHead.status() : 0,
-				"events", deliveredEvents());
+				"events", deliveredEvents(), "connection", connection().number(), "earlier_requests",
+				connection().earlierRequests());
 		this.exchange.context()
 			.crashProbe()
 			.onConnectionBroken(this.start.target(), this.exchange.info(),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayContext.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayContext.java
@@ -19,9 +19,11 @@
  * @param crashProbe determines which targets have crashed
  * @param incompleteResponses logs the responses that the daemon ends incomplete
  * @param keptResponses bounds the memory of responses that are not complete
+ * @param unexpectedResponses logs the responses that belong to no request
  */
 record RelayContext(Executor loop, WebClient client, RelayProtocol protocol, ActiveStreams streams,
 		LongConsumer disconnectListener, TargetReportListener targetReports, BackoffGate backoffGate,
-		CrashProbe crashProbe, IncompleteResponses incompleteResponses, KeptResponses keptResponses) {
+		CrashProbe crashProbe, IncompleteResponses incompleteResponses, KeptResponses keptResponses,
+		UnexpectedResponses unexpectedResponses) {
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
@@ -122,7 +122,8 @@
 		if (this.attemptCount > 1) {
 			Events.log(EventId.REQUEST_RETRIED, "request", this.request.metadata().requestId(), "attempt",
 					this.attemptCount, "from", this.lastTargetId, "to", start.target().targetId(), "events",
-					start.resumeFromTokens(), "left_millis", remainingMillis);
+					start.resumeFromTokens(), "left_millis", remainingMillis, "from_connection",
+					this.currentAttempt.connection().number());
 		}
 		this.lastTargetId = start.target().targetId();
 		this.currentAttempt = new RelayAttempt(this, start, listener);
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/UnexpectedResponses.java
@@ -0,0 +1,65 @@
+package org.pistachioline.daemon.relay;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.pistachioline.adapters.web.ClientListener;
+import org.pistachioline.adapters.web.ConnectionUse;
+import org.pistachioline.adapters.web.UnexpectedAnswer;
+import org.pistachioline.core.event.EventId;
+import org.pistachioline.daemon.event.Events;
+
+/**
+ * Logs and counts the responses of targets that do not belong to the request on their
+ * connection.
+ */
+final class UnexpectedResponses implements ClientListener {
+
+	private final Map<UnexpectedReason, AtomicLong> countsByReason = new EnumMap<>(UnexpectedReason.class);
+
+	UnexpectedResponses() {
+		for (final UnexpectedReason reason : UnexpectedReason.values()) {
+			this.countsByReason.put(reason, new AtomicLong());
+		}
+	}
+
+	@Override
+	public void onUnexpected(UnexpectedAnswer answer) {
+		log(UnexpectedReason.IDLE, "", answer);
+	}
+
+	/**
+	 * Called when the response to a request names another one, or none.
+	 * @param requestId the request's id
+	 * @param answer the response
+	 */
+	void onMismatch(String requestId, UnexpectedAnswer answer) {
+		log(UnexpectedReason.MISMATCHED, requestId, answer);
+	}
+
+	private void log(UnexpectedReason reason, String requestId, UnexpectedAnswer answer) {
+		this.countsByReason.get(reason).incrementAndGet();
+		final ConnectionUse use = answer.connection();
+		Events.log(EventId.RESPONSE_UNEXPECTED, "reason", reason.code(), "request", requestId, "answered",
+				answer.requestId(), "status", answer.status(), "address", answer.address(), "connection", use.number(),
+				"earlier_requests", use.earlierRequests(), "idle_millis", use.idleMillis());
+	}
+
+	@Override
+	public void onRepeatedId(String address, String requestId, ConnectionUse connection) {
+		Events.log(EventId.REQUEST_ID_REPEATED, "request", requestId, "address", address, "connection",
+				connection.number(), "earlier_requests", connection.earlierRequests(), "idle_millis",
+				connection.idleMillis());
+	}
+
+	/**
+	 * Returns the number of such responses; any thread may ask.
+	 * @param reason the reason
+	 * @return the number since the start
+	 */
+	long count(UnexpectedReason reason) {
+		return this.countsByReason.get(reason).get();
+	}
+
+}
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/KeptResponsesTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/KeptResponsesTests.java
@@ -78,7 +78,8 @@
 				new ActiveStreams(), (requestId) -> {
 					// No caller leaves.
 				}, reports, new BackoffGate(null, () -> NOW_NANOS), null,
-				new IncompleteResponses(new ConfigurationAge(() -> RouteTable.UNKNOWN, () -> NOW_NANOS)), this.kept);
+				new IncompleteResponses(new ConfigurationAge(() -> RouteTable.UNKNOWN, () -> NOW_NANOS)), this.kept,
+				new UnexpectedResponses());
 	}
 
 	@AfterEach
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -166,7 +166,7 @@
 				new CrashProbe((address, receiver) -> receiver.accept(false),
 						(crash) -> this.notifications.add("crash " + crash.targetId())),
 				new IncompleteResponses(new ConfigurationAge(() -> RouteTable.UNKNOWN, () -> NOW_NANOS)),
-				new KeptResponses(Long.MAX_VALUE));
+				new KeptResponses(Long.MAX_VALUE), new UnexpectedResponses());
 		return new RelayExchange(info(), request(), true, context,
 				new CallerResponse(new RecordingReply(this.responses, NOW_NANOS)));
 	}
