Relay: a kept connection never carries an id twice

Cause: a kept connection is trusted because its last exchange ended well, and an answer is matched by its id alone. A replica's late second answer to an id is then taken for the answer to the next request with that id on that connection. Change: WebClient takes the newest idle connection that has not carried the request's id, or a new one. Why it works: an answer's id and its connection name one exchange, whoever chose the id: a caller that repeats, two callers with one id, a stream that returns. An answer of another exchange bears another id there. Hashes may collide; that costs a new connection and nothing else. Conclusion: fixed for the relay. That the users' record has this cause is only likely: who sent an id twice there is not shown.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ConnectionHistory.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ConnectionHistory.java
@@ -12,6 +12,9 @@
  */
 final class ConnectionHistory {
 
+	/** Bounds the memory for the ids of one connection. */
+	static final int MAX_REQUESTS = 1_000;
+
 	private static final AtomicLong LAST_NUMBER = new AtomicLong();
 
 	private final long number = LAST_NUMBER.incrementAndGet();
@@ -39,6 +42,14 @@
 		return this.idleSinceNanos;
 	}
 
+	/**
+	 * Returns whether the connection has carried as many requests as it may.
+	 * @return whether it must not be used again
+	 */
+	boolean isFull() {
+		return this.requestCount >= MAX_REQUESTS;
+	}
+
 	/**
 	 * Returns whether the connection has carried a request with an id.
 	 * @param id the id
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
@@ -4,8 +4,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeoutException;
@@ -21,6 +23,8 @@
 
 	private static final long PRUNE_MILLIS = 1_000;
 
+	private static final Deque<ClientConnection> NO_CONNECTIONS = new ArrayDeque<>();
+
 	private final WebLoop loop;
 
 	private final Connector connector;
@@ -87,10 +91,7 @@
 	 * @return the call
 	 */
 	public WebCall send(String address, WebRequest request, boolean freshConnection, AnswerReceiver receiver) {
-		final ClientConnection kept = freshConnection ? null : take(address);
-		if (kept != null) {
-			reportRepeatedId(request, kept);
-		}
+		final ClientConnection kept = freshConnection ? null : take(address, request);
 		final ClientConnection connection = (kept != null) ? kept : new ClientConnection(address, this.owner);
 		final ClientCall call = new ClientCall(request, receiver, connection);
 		connection.begin(call);
@@ -167,12 +168,6 @@
 		});
 	}
 
-	private void reportRepeatedId(WebRequest request, ClientConnection connection) {
-		request.id()
-			.filter(connection::hasCarried)
-			.ifPresent((id) -> this.listener.onRepeatedId(connection.address(), id, connection.use()));
-	}
-
 	private void connect(ClientConnection connection) {
 		final CompletableFuture<OpenedConnection> opening = this.connector.connect(connection.address());
 		connection.onConnecting(opening);
@@ -186,11 +181,17 @@
 		});
 	}
 
-	private ClientConnection take(String address) {
-		final Deque<ClientConnection> kept = this.idle.get(address);
-		while (kept != null && !kept.isEmpty()) {
-			final ClientConnection connection = kept.pollLast();
-			if (!connection.isClosed() && isYoung(connection) && this.connector.mayReuse(address)) {
+	private ClientConnection take(String address, WebRequest request) {
+		final Iterator<ClientConnection> newestFirst = this.idle.getOrDefault(address, NO_CONNECTIONS)
+			.descendingIterator();
+		while (newestFirst.hasNext()) {
+			final ClientConnection connection = newestFirst.next();
+			final boolean usable = !connection.isClosed() && isYoung(connection) && this.connector.mayReuse(address);
+			if (usable && hasCarriedIdOf(request, connection)) {
+				continue;
+			}
+			newestFirst.remove();
+			if (usable) {
 				return connection;
 			}
 			connection.abort();
@@ -198,6 +199,14 @@
 		return null;
 	}
 
+	// The server may send a second answer to the earlier request, which could not be told
+	// from the answer to this one.
+	private boolean hasCarriedIdOf(WebRequest request, ClientConnection connection) {
+		final Optional<String> carried = request.id().filter(connection::hasCarried);
+		carried.ifPresent((id) -> this.listener.onRepeatedId(connection.address(), id, connection.use()));
+		return carried.isPresent();
+	}
+
 	private boolean isYoung(ClientConnection connection) {
 		return System.nanoTime() - connection.idleSinceNanos() < this.keepNanos;
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -347,9 +347,9 @@
 	RESPONSE_UNEXPECTED(515, EventLevel.WARN,
 			"A target sent a response that does not belong to the request on its connection."),
 
-	/** Logged with the connection, before the request is sent. */
+	/** Logged with the connection that is not used for the request. */
 	REQUEST_ID_REPEATED(516, EventLevel.INFO,
-			"A request has the same id as one that an idle connection to its target has carried."),
+			"A request has the same id as one that an idle connection to its target has carried; it goes on another."),
 
 	/** Logged with the lag and whether requests are refused while it lasts. */
 	LOOP_LATE(520, EventLevel.WARN, "The loop that serves callers runs late: the machine is short of processor time."),
