Relay: a request behind a late answer gets its own answer

What callers saw: 502 for a sound request behind a request that its replica answered twice, though its own answer came on the same connection just after. Cause: an answer with another id closed the connection; with one replica left, nobody else could be asked. Change: one short answer of a known length that names a request which the connection has carried is skipped, within 100 ms; the connection ends behind the next answer. An answer without an id is not taken on a connection that has carried another request, also where it declines. HEAD requests end their connection, since a second answer to one would swallow the next answer's bytes. A connection carries 1,000 requests at most, which bounds its ids. Loads are taken from answers that belong to the request only. Why it works: what is skipped has a stated end and names an earlier exchange; anything else ends the attempt as before (too large, chunked, cut off, late by over 100 ms, a second one). Connections: as many as before, since either way the connection ends.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
@@ -57,6 +58,8 @@
 
 	private boolean keptAlive = true;
 
+	private final LateAnswerSkipper lateAnswers = new LateAnswerSkipper();
+
 	private boolean informational;
 
 	private boolean reusable;
@@ -248,7 +251,7 @@
 		if (!this.closed) {
 			final Optional<HttpResponse> head = (message instanceof HttpResponse response) ? Optional.of(response)
 					: Optional.empty();
-			this.owner.onUnexpected(new UnexpectedAnswer(this.address, head.flatMap(this::idIn).orElse(""),
+			this.owner.onUnexpected(new UnexpectedAnswer(this.address, "", head.flatMap(this::idIn).orElse(""),
 					head.map((response) -> response.status().code()).orElse(0), use()));
 		}
 		abort();
@@ -268,6 +271,10 @@
 			this.informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 			if (!this.informational) {
 				this.bytesBeforeHead.stopAwaiting();
+				if (this.lateAnswers.skip(response, this.call.request(), this.history)) {
+					onSkipping(response);
+					return;
+				}
 				this.reusable = isReusable(response);
 				this.call.head(new AnswerHead(response.status().code(), HeaderFields.of(response.headers())));
 			}
@@ -275,6 +282,13 @@
 		if (this.call == null || this.informational || !(object instanceof HttpContent content)) {
 			return;
 		}
+		if (this.lateAnswers.isSkipping()) {
+			if (object instanceof LastHttpContent) {
+				this.lateAnswers.end();
+				this.bytesBeforeHead.startAwaiting();
+			}
+			return;
+		}
 		if (content.content().isReadable()) {
 			this.call.bytes(ByteBufUtil.getBytes(content.content()));
 		}
@@ -286,8 +300,27 @@
 		}
 	}
 
-	// An answer without a length ends with its connection.
-	private static boolean isReusable(HttpResponse response) {
+	private void onSkipping(HttpResponse response) {
+		this.owner.onSkipped(new UnexpectedAnswer(this.address, this.call.request().id().orElse(""),
+				idIn(response).orElse(""), response.status().code(), this.call.connection()));
+		this.channel.eventLoop().schedule(this::giveUpSkipping, LateAnswerSkipper.MAX_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	// The receiver gets the late answer, which it does not accept.
+	private void giveUpSkipping() {
+		if (this.call != null && this.lateAnswers.isSkipping()) {
+			this.lateAnswers.end();
+			this.reusable = false;
+			this.call.head(this.lateAnswers.head());
+		}
+	}
+
+	// An answer without a length ends with its connection. That to a HEAD request states
+	// the length of a body that does not follow, so a second one could swallow the next.
+	private boolean isReusable(HttpResponse response) {
+		if (this.lateAnswers.hasSkipped() || this.call.request().method().equals("HEAD")) {
+			return false;
+		}
 		final int status = response.status().code();
 		return HttpUtil.isKeepAlive(response) && (HttpUtil.isContentLengthSet(response)
 				|| HttpUtil.isTransferEncodingChunked(response) || status == 204 || status == 304);
@@ -305,7 +338,7 @@
 		this.ended = false;
 		// A target may answer before it has read the request's body. Another request must
 		// not be sent where the rest of that body is due.
-		if (this.keptAlive && this.reusable && this.written) {
+		if (this.keptAlive && this.reusable && this.written && !this.history.isFull()) {
 			ctx.channel().config().setAutoRead(true);
 			this.history.onIdle();
 			this.owner.onIdle(this);
@@ -319,6 +352,7 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		this.closed = true;
+		giveUpSkipping();
 		fail(new IOException("The connection was closed before the answer's end"));
 	}
 
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientListener.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientListener.java
@@ -19,8 +19,16 @@
 	}
 
 	/**
-	 * Called when an idle connection to a server has carried the id of the request that
-	 * is about to be sent there.
+	 * Called when an answer to an earlier request is skipped, where that to the present
+	 * one is due.
+	 * @param answer the skipped answer
+	 */
+	default void onSkipped(UnexpectedAnswer answer) {
+	}
+
+	/**
+	 * Called when an idle connection to a server is not used for a request, since it has
+	 * carried the request's id.
 	 * @param address the server's address, as host and port
 	 * @param requestId the id
 	 * @param connection how that connection was used until then
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/UnexpectedAnswer.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/UnexpectedAnswer.java
@@ -1,13 +1,15 @@
 package org.pistachioline.adapters.web;
 
 /**
- * Bytes that a server sent without a request that waits for them.
+ * An answer, or other bytes, that a server sent and that no request was waiting for.
  *
  * @param address the server's address, as host and port
- * @param requestId the id of the request that they name; empty if they name none
+ * @param waitingId the id of the request that waited on the connection; empty if none did
+ * @param answeredId the id that the answer names; empty if it names none
  * @param status the status; 0 if the bytes are no head of an answer
  * @param connection how their connection was used until then
  */
-public record UnexpectedAnswer(String address, String requestId, int status, ConnectionUse connection) {
+public record UnexpectedAnswer(String address, String waitingId, String answeredId, int status,
+		ConnectionUse connection) {
 
 }
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
@@ -244,6 +244,11 @@
 			WebClient.this.listener.onUnexpected(answer);
 		}
 
+		@Override
+		public void onSkipped(UnexpectedAnswer answer) {
+			WebClient.this.listener.onSkipped(answer);
+		}
+
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -1,5 +1,6 @@
 package org.pistachioline.daemon.relay;
 
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 import org.pistachioline.adapters.http.NotConnectedException;
@@ -126,11 +127,10 @@
 		this.responseHead = head;
 		this.headBytes = head.headers().memoryBytes();
 		this.exchange.history().onBytes(System.nanoTime());
-		protocol.load(head, System.nanoTime())
-			.ifPresent((load) -> this.exchange.context().targetReports().onLoad(this.start.target().targetId(), load));
-		final ResponseVerdict verdict = protocol.classify(this.exchange.request(), head);
+		final ResponseVerdict verdict = classify(head);
 		reportLimit(verdict, protocol.requestLimit(head));
 		if (verdict != ResponseVerdict.MISMATCHED) {
+			reportLoad(protocol, head);
 			reportBackoff(protocol, head);
 		}
 		switch (verdict) {
@@ -145,12 +145,25 @@
 		countKept();
 	}
 
+	// On a connection that has carried another request, a response that names none could
+	// be a second one to that request.
+	private ResponseVerdict classify(AnswerHead head) {
+		final boolean mayBeLate = this.targetRequest.idHeader().isPresent() && answeredId(head).isEmpty()
+				&& connection().earlierRequests() > 0;
+		return mayBeLate ? ResponseVerdict.MISMATCHED
+				: this.exchange.context().protocol().classify(this.exchange.request(), head);
+	}
+
+	private Optional<String> answeredId(AnswerHead head) {
+		return this.targetRequest.idHeader().flatMap(head::header);
+	}
+
 	private void abortMismatched(AnswerHead head) {
-		final String answeredId = this.targetRequest.idHeader().flatMap(head::header).orElse("");
 		this.exchange.context()
 			.unexpectedResponses()
-			.onMismatch(this.exchange.request().metadata().requestId(), new UnexpectedAnswer(
-					this.start.target().address(), answeredId, head.status(), this.targetCall.connection()));
+			.onMismatch(
+					new UnexpectedAnswer(this.start.target().address(), this.exchange.request().metadata().requestId(),
+							answeredId(head).orElse(""), head.status(), this.targetCall.connection()));
 		abort(AttemptOutcome.MISMATCHED);
 	}
 
@@ -196,6 +209,11 @@
 		}
 	}
 
+	private void reportLoad(RelayProtocol protocol, AnswerHead head) {
+		protocol.load(head, System.nanoTime())
+			.ifPresent((load) -> this.exchange.context().targetReports().onLoad(this.start.target().targetId(), load));
+	}
+
 	private void reportBackoff(RelayProtocol protocol, AnswerHead head) {
 		final String targetId = this.start.target().targetId();
 		this.exchange.context().backoffGate().onBackoff(targetId, protocol.backoffMillis(head));
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/UnexpectedResponses.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/UnexpectedResponses.java
@@ -26,23 +26,27 @@
 
 	@Override
 	public void onUnexpected(UnexpectedAnswer answer) {
-		log(UnexpectedReason.IDLE, "", answer);
+		log(UnexpectedReason.IDLE, answer);
+	}
+
+	@Override
+	public void onSkipped(UnexpectedAnswer answer) {
+		log(UnexpectedReason.LATE, answer);
 	}
 
 	/**
 	 * Called when the response to a request names another one, or none.
-	 * @param requestId the request's id
 	 * @param answer the response
 	 */
-	void onMismatch(String requestId, UnexpectedAnswer answer) {
-		log(UnexpectedReason.MISMATCHED, requestId, answer);
+	void onMismatch(UnexpectedAnswer answer) {
+		log(UnexpectedReason.MISMATCHED, answer);
 	}
 
-	private void log(UnexpectedReason reason, String requestId, UnexpectedAnswer answer) {
+	private void log(UnexpectedReason reason, UnexpectedAnswer answer) {
 		this.countsByReason.get(reason).incrementAndGet();
 		final ConnectionUse use = answer.connection();
-		Events.log(EventId.RESPONSE_UNEXPECTED, "reason", reason.code(), "request", requestId, "answered",
-				answer.requestId(), "status", answer.status(), "address", answer.address(), "connection", use.number(),
+		Events.log(EventId.RESPONSE_UNEXPECTED, "reason", reason.code(), "request", answer.waitingId(), "answered",
+				answer.answeredId(), "status", answer.status(), "address", answer.address(), "connection", use.number(),
 				"earlier_requests", use.earlierRequests(), "idle_millis", use.idleMillis());
 	}
 
