Relay: the heads of two answers are never joined

What callers saw: a success with the id and the body of their own run, which had failed. Cause: a late answer that breaks off in its head is completed by the head of the true one. "HTTP/1.1 200 " and "HTTP/1.1 500 Answer" make a status of 200 with a long reason; a field's value does the same. The id that follows is the right one. The start of a head also waited in the codec on an idle connection, which was not closed, as no message came of it. A late answer that was given up after its time stayed on its connection if its receiver did not end it. Change: a head whose reason holds a status line, or that names two requests, fails its attempt. So does one with a status line in a field, on a connection that has carried another request; a connection with such an answer is not kept, so a service that sends such a field on purpose is served as before, on connections of its own. Bytes on an idle connection close it even if they are no message yet. A late answer that does not end fails the attempt behind its head. Why it works: the joined head holds the status line of the second answer in its reason or in a value, or is no head at all: a cut between two fields leaves a field name with "/", which the codec refuses. Not told apart: a body that is shorter than its stated length and filled by another answer to the same request.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -168,7 +168,8 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext ctx) {
 		this.channel = ctx.channel();
-		ctx.pipeline().addFirst(this.bytesBeforeHead);
+		ctx.pipeline()
+			.addFirst(new BytesWhileIdle(() -> this.call != null, () -> onUnexpected(null)), this.bytesBeforeHead);
 	}
 
 	@Override
@@ -271,6 +272,10 @@
 			this.informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 			if (!this.informational) {
 				this.bytesBeforeHead.stopAwaiting();
+				if (isJoined(response)) {
+					fail(new IOException("The heads of two answers were joined"));
+					return;
+				}
 				if (this.lateAnswers.skip(response, this.call.request(), this.history)) {
 					onSkipping(response);
 					return;
@@ -300,25 +305,33 @@
 		}
 	}
 
+	// A connection whose answers may look joined on purpose carries no second request.
+	private boolean isJoined(HttpResponse response) {
+		return JoinedHeads.areIn(response, this.call.request().idHeader())
+				|| (this.call.connection().earlierRequests() > 0 && JoinedHeads.mayBeIn(response));
+	}
+
 	private void onSkipping(HttpResponse response) {
 		this.owner.onSkipped(new UnexpectedAnswer(this.address, this.call.request().id().orElse(""),
 				idIn(response).orElse(""), response.status().code(), this.call.connection()));
 		this.channel.eventLoop().schedule(this::giveUpSkipping, LateAnswerSkipper.MAX_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
-	// The receiver gets the late answer, which it does not accept.
+	// The receiver gets the late head, which it does not accept, and nothing else.
 	private void giveUpSkipping() {
 		if (this.call != null && this.lateAnswers.isSkipping()) {
 			this.lateAnswers.end();
 			this.reusable = false;
 			this.call.head(this.lateAnswers.head());
+			fail(new IOException("An answer to an earlier request did not end"));
 		}
 	}
 
 	// An answer without a length ends with its connection. That to a HEAD request states
 	// the length of a body that does not follow, so a second one could swallow the next.
 	private boolean isReusable(HttpResponse response) {
-		if (this.lateAnswers.hasSkipped() || this.call.request().method().equals("HEAD")) {
+		if (this.lateAnswers.hasSkipped() || this.call.request().method().equals("HEAD")
+				|| JoinedHeads.mayBeIn(response)) {
 			return false;
 		}
 		final int status = response.status().code();
