--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayFixture.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayFixture.java
@@ -117,7 +117,16 @@
 
 	/** Sends a request whose connection ends with the answer, and reads all of it. */
 	String call(String path) throws IOException {
-		try (Socket caller = send(path, "Connection: close\r\n")) {
+		return read(path, "");
+	}
+
+	/** Does the same with a request that its answer names. */
+	String call(String path, String requestId) throws IOException {
+		return read(path, StubProtocol.ID_HEADER + ": " + requestId + "\r\n");
+	}
+
+	private String read(String path, String fields) throws IOException {
+		try (Socket caller = send(path, fields + "Connection: close\r\n")) {
 			return new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
 		}
 	}
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StubProtocol.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StubProtocol.java
@@ -16,13 +16,16 @@
 
 /**
  * Passes every request on as it is, and every answer except those by which a target
- * declines.
+ * declines or which name another request.
  */
 final class StubProtocol implements RelayProtocol {
 
 	/** The header by which a target declines a request. */
 	static final String DECLINED_HEADER = "Declined";
 
+	/** The header by which a request and its answer may name the request. */
+	static final String ID_HEADER = "Request-Id";
+
 	private static final Runnable NOTHING = () -> {
 	};
 
@@ -47,19 +50,24 @@
 		final Runnable listener = this.nextRequestListener;
 		this.nextRequestListener = NOTHING;
 		listener.run();
-		return new RequestMetadata("r7", OptionalLong.empty(), Optional.empty(), Optional.empty(), 100, 60,
-				Optional.empty());
+		return new RequestMetadata(headers.first(ID_HEADER).orElse("r7"), OptionalLong.empty(), Optional.empty(),
+				Optional.empty(), 100, 60, Optional.empty());
 	}
 
 	@Override
 	public WebRequest toTargetRequest(RelayedRequest request, TargetView target, long remainingMillis,
 			Optional<String> lastEventId) {
 		this.requestsBuilt++;
-		return new WebRequest(request.method(), request.pathAndQuery(), request.headers(), request.body());
+		final WebRequest unnamed = new WebRequest(request.method(), request.pathAndQuery(), request.headers(),
+				request.body());
+		return request.headers().first(ID_HEADER).isPresent() ? unnamed.identifiedBy(ID_HEADER) : unnamed;
 	}
 
 	@Override
 	public ResponseVerdict classify(RelayedRequest request, AnswerHead head) {
+		if (head.header(ID_HEADER).filter((id) -> !id.equals(request.metadata().requestId())).isPresent()) {
+			return ResponseVerdict.MISMATCHED;
+		}
 		return head.header(DECLINED_HEADER).isPresent() ? ResponseVerdict.DECLINED : ResponseVerdict.VALID;
 	}
 
