Daemon: the dump counts unexpected answers by reason

Evidence: UnexpectedResponseReportTests plays a late, a mismatched and an idle answer and reads the metric and the dump of a daemon; before the change it failed for want of the entry, behind the first check of the metric.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemon.java
@@ -397,7 +397,7 @@
 	@Override
 	public Map<String, Object> dump() {
 		return new RoutingDaemonDump(this.traffic, this.replicas, this.listing, this.ports.targetConnections(),
-				this.tunnels, this.relay.loopMonitor(), this.evacuation, this.configuration, this.demand)
+				this.tunnels, this.relay, this.evacuation, this.configuration, this.demand)
 			.of(status(), notReadyReason(), daemons());
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
@@ -1,5 +1,6 @@
 package org.pistachioline.daemon;
 
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,7 +11,8 @@
 import org.pistachioline.core.propagation.VersionLag;
 import org.pistachioline.daemon.evacuation.EvacuationMonitor;
 import org.pistachioline.daemon.listing.ListingDuty;
-import org.pistachioline.daemon.relay.LoopMonitor;
+import org.pistachioline.daemon.relay.Relay;
+import org.pistachioline.daemon.relay.UnexpectedReason;
 import org.pistachioline.daemon.replica.ReplicaDuty;
 import org.pistachioline.daemon.traffic.FleetDemandExchange;
 import org.pistachioline.daemon.traffic.TrafficDuty;
@@ -25,13 +27,13 @@
  * @param listing the instance list
  * @param targets the connections to targets
  * @param tunnels the connections on behalf of other daemons
- * @param loopMonitor how late the loop that serves callers runs
+ * @param relay the loop that serves callers, and what targets sent unasked
  * @param evacuation the availability zones that operators evacuate
  * @param configuration how far the configuration in force is behind
  * @param demand the demand of the fleet; empty if this daemon decides by what it sees
  */
 record RoutingDaemonDump(TrafficDuty traffic, ReplicaDuty replicas, ListingDuty listing, TargetConnections targets,
-		TunnelServer tunnels, LoopMonitor loopMonitor, EvacuationMonitor evacuation, Supplier<VersionLag> configuration,
+		TunnelServer tunnels, Relay relay, EvacuationMonitor evacuation, Supplier<VersionLag> configuration,
 		Optional<FleetDemandExchange> demand) {
 
 	Map<String, Object> of(PeerStatus status, Optional<String> notReadyReason, List<PeerStatus> daemons) {
@@ -45,10 +47,11 @@
 		dump.put("evacuation", this.evacuation.state());
 		dump.put("listing",
 				Map.of("age_millis", this.listing.ageMillis(), "reads_for_others", this.listing.readsForOthers()));
-		dump.put("loop",
-				Map.of("lag_millis", this.loopMonitor.lagMillis(), "refused", this.loopMonitor.refusedRequests()));
+		dump.put("loop", Map.of("lag_millis", this.relay.loopMonitor().lagMillis(), "refused",
+				this.relay.loopMonitor().refusedRequests()));
 		dump.put("serving_targets", this.replicas.servingTargetCount());
 		dump.put("unreachable_targets", this.targets.reachability().unreachable());
+		dump.put("unexpected_responses", unexpectedResponses());
 		dump.put("tunnels_for_others", this.tunnels.openTunnels());
 		dump.put("limited_targets", this.traffic.limitReports());
 		dump.put("cold_targets", this.traffic.coldMonitor().reports());
@@ -62,4 +65,12 @@
 		return dump;
 	}
 
+	private Map<String, Long> unexpectedResponses() {
+		final Map<String, Long> countsByReason = new LinkedHashMap<>();
+		for (final UnexpectedReason reason : UnexpectedReason.values()) {
+			countsByReason.put(reason.code(), this.relay.unexpectedResponseCount(reason));
+		}
+		return Collections.unmodifiableMap(countsByReason);
+	}
+
 }
