RelayAttempt: a class for the bounds of a whole response, one for reports on a target

No decision, order of reports or bound changes. Ran green, one run, pistachioline-daemon: *Relay*Tests, KeptResponsesTests, IncompleteResponsesTests, UnexpectedResponse*Tests, StreamOverTargetsTests, SseEventForwarderTests (229 tests).

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -1,12 +1,10 @@
 package org.pistachioline.daemon.relay;
 
 import java.util.Optional;
-import java.util.OptionalDouble;
 
 import org.pistachioline.adapters.http.NotConnectedException;
 import org.pistachioline.adapters.web.AnswerHead;
 import org.pistachioline.adapters.web.AnswerReceiver;
-import org.pistachioline.adapters.web.BlockBuffer;
 import org.pistachioline.adapters.web.ConnectionUse;
 import org.pistachioline.adapters.web.ExcessiveBytesException;
 import org.pistachioline.adapters.web.UnexpectedAnswer;
@@ -18,7 +16,6 @@
 import org.pistachioline.core.traffic.AttemptOutcome;
 import org.pistachioline.core.traffic.TrafficAction;
 import org.pistachioline.daemon.event.Events;
-import org.pistachioline.daemon.port.RelayProtocol;
 import org.pistachioline.daemon.port.ResponseVerdict;
 import org.pistachioline.daemon.traffic.AttemptListener;
 
@@ -33,29 +30,13 @@
 
 	private static final int OK = 200;
 
-	/**
-	 * Bounds the memory of one buffered response; the responses of targets are smaller.
-	 */
-	private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
-
-	/**
-	 * Bounds a response that is not passed on; a target says in its head that it
-	 * declines.
-	 */
-	private static final int MAX_DECLINED_BYTES = 64 * 1024;
-
-	/** Longer lengths may not fit into a long. */
-	private static final int MAX_LENGTH_DIGITS = 18;
-
 	private final RelayExchange exchange;
 
 	private final TrafficAction.Start start;
 
 	private final AttemptListener listener;
 
-	private int declinedBytes;
-
-	private final BlockBuffer responseBody = new BlockBuffer();
+	private final WholeResponse wholeResponse = new WholeResponse();
 
 	private int heldBytes;
 
@@ -123,23 +104,19 @@
 
 	@Override
 	public void onHead(AnswerHead head) {
-		final RelayProtocol protocol = this.exchange.context().protocol();
 		this.responseHead = head;
 		this.headBytes = head.headers().memoryBytes();
 		this.exchange.history().onBytes(System.nanoTime());
 		final ResponseVerdict verdict = classify(head);
-		reportLimit(verdict, protocol.requestLimit(head));
-		if (verdict != ResponseVerdict.MISMATCHED) {
-			reportLoad(protocol, head);
-			reportBackoff(protocol, head);
-		}
+		new TargetReporter(this.exchange.context(), this.start.target().targetId()).report(verdict, head,
+				this.sentAtNanos);
 		switch (verdict) {
 			case DECLINED -> expectOutcome(AttemptOutcome.DECLINED);
 			case FAILURE -> expectOutcome(AttemptOutcome.FAILURE_ANSWERED);
 			case MISMATCHED -> abortMismatched(head);
 			case VALID -> onValidHead();
 		}
-		if (!this.ended && isKeptWhole() && declaresTooMuch(head)) {
+		if (!this.ended && isKeptWhole() && WholeResponse.declaresTooMuch(this.exchange.request().method(), head)) {
 			abortOversized("a declared length", AttemptOutcome.BROKEN);
 		}
 		countKept();
@@ -167,18 +144,6 @@
 		abort(AttemptOutcome.MISMATCHED);
 	}
 
-	// The answer to a HEAD request states the length of a body that does not follow.
-	private boolean declaresTooMuch(AnswerHead head) {
-		return !this.exchange.request().method().equals("HEAD")
-				&& head.header("Content-Length").map(RelayAttempt::parseLength).orElse(0L) > MAX_RESPONSE_BYTES;
-	}
-
-	// The codec has checked the length.
-	private static long parseLength(String text) {
-		final String digits = text.trim();
-		return (digits.length() > MAX_LENGTH_DIGITS) ? Long.MAX_VALUE : Long.parseLong(digits);
-	}
-
 	private boolean isKeptWhole() {
 		return this.eventForwarder == null && this.expectedOutcome != AttemptOutcome.DECLINED;
 	}
@@ -197,32 +162,6 @@
 		}
 	}
 
-	// A declined or failed request's response may omit the limit, and a mismatched
-	// response is not the target's own, so the absence of a limit is reported for valid
-	// responses only.
-	private void reportLimit(ResponseVerdict verdict, OptionalDouble requestsPerSecond) {
-		final boolean stated = requestsPerSecond.isPresent() && verdict != ResponseVerdict.MISMATCHED;
-		if (stated || verdict == ResponseVerdict.VALID) {
-			this.exchange.context()
-				.targetReports()
-				.onLimit(this.start.target().targetId(), this.sentAtNanos, requestsPerSecond);
-		}
-	}
-
-	private void reportLoad(RelayProtocol protocol, AnswerHead head) {
-		protocol.load(head, System.nanoTime())
-			.ifPresent((load) -> this.exchange.context().targetReports().onLoad(this.start.target().targetId(), load));
-	}
-
-	private void reportBackoff(RelayProtocol protocol, AnswerHead head) {
-		final String targetId = this.start.target().targetId();
-		this.exchange.context().backoffGate().onBackoff(targetId, protocol.backoffMillis(head));
-		this.exchange.context().backoffGate().onCold(targetId, protocol.coldRemainingMillis(head));
-		if (protocol.isLeaving(head)) {
-			this.exchange.context().backoffGate().onLeaving(targetId);
-		}
-	}
-
 	private void expectOutcome(AttemptOutcome outcome) {
 		this.expectedOutcome = outcome;
 	}
@@ -244,23 +183,21 @@
 			countKept();
 		}
 		else if (this.expectedOutcome == AttemptOutcome.DECLINED) {
-			this.declinedBytes += bytes.length;
-			if (this.declinedBytes > MAX_DECLINED_BYTES) {
+			if (!this.wholeResponse.drop(bytes)) {
 				abortOversized("a declining response", AttemptOutcome.DECLINED);
 			}
 		}
-		else if (this.responseBody.sizeBytes() + bytes.length > MAX_RESPONSE_BYTES) {
-			abortOversized("a response", AttemptOutcome.BROKEN);
+		else if (this.wholeResponse.append(bytes)) {
+			countKept();
 		}
 		else {
-			this.responseBody.append(bytes);
-			countKept();
+			abortOversized("a response", AttemptOutcome.BROKEN);
 		}
 	}
 
 	private void countKept() {
 		if (!this.ended) {
-			hold(this.responseBody.capacityBytes());
+			hold(this.wholeResponse.capacityBytes());
 			this.exchange.context().keptResponses().update(this);
 		}
 	}
@@ -275,7 +212,7 @@
 	@Override
 	public long keptBytes() {
 		final int eventBytes = (this.eventForwarder != null) ? this.eventForwarder.keptBytes() : 0;
-		return (long) this.headBytes + this.responseBody.capacityBytes() + eventBytes;
+		return (long) this.headBytes + this.wholeResponse.capacityBytes() + eventBytes;
 	}
 
 	@Override
@@ -314,7 +251,7 @@
 			return;
 		}
 		if (this.expectedOutcome != AttemptOutcome.DECLINED) {
-			final TargetResponse response = TargetResponse.of(this.responseHead, this.responseBody.takeBody());
+			final TargetResponse response = TargetResponse.of(this.responseHead, this.wholeResponse.takeBody());
 			hold(0);
 			this.exchange.storeResponse(response, this.expectedOutcome);
 		}
@@ -408,7 +345,7 @@
 	// Freed here, as the exchange keeps its last attempt until it has an answer.
 	private void free() {
 		this.exchange.context().keptResponses().remove(this);
-		this.responseBody.clear();
+		this.wholeResponse.clear();
 		this.responseHead = null;
 		this.headBytes = 0;
 		hold(0);
