ReplicaPlanner: results of group orders and reported groups have classes of their own

No decision changes. Ran green, one run, pistachioline-core: *Planner*Tests, *Replica*Tests, *Order*Tests, GroupRebalancerTests, LostGroupHeadTests, EvacuatedInstancesTests, FencingTokensTests, IgnoredTokensTests, DomainTooSmallTests, PoolSummaryTests; ReplicaDuty*Tests of the daemon. Not run: RoomUnderChurnTests, ModelsUnderChurnTests, FleetStartTests.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/replica/ReplicaPlanner.java
@@ -1,7 +1,6 @@
 package org.pistachioline.core.replica;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -167,48 +166,11 @@
 			final TrackedGroup tracked = this.trackedGroups.get(group);
 			if (model.isPresent()
 					&& (tracked == null || (!tracked.formedByThisPlanner && tracked.memberIds.contains(null)))) {
-				this.trackedGroups.put(group, reconstruct(view, group, model.get(), members, tracked));
+				this.trackedGroups.put(group, ReportedGroup.reconstruct(view, group, model.get(), members, tracked));
 			}
 		});
 	}
 
-	private static TrackedGroup reconstruct(PlannerView view, GroupId group, EngineModel model,
-			Collection<ServingInstance> members, TrackedGroup previous) {
-		final String[] ids = new String[model.members()];
-		members.forEach((instance) -> {
-			final int rank = instance.membership().orElseThrow().rank();
-			if (rank >= 0 && rank < ids.length) {
-				ids[rank] = instance.id();
-			}
-		});
-		final Optional<ServingInstance> delistedHead = view.delisted()
-			.stream()
-			.filter((instance) -> instance.isMemberOf(group) && instance.membership().orElseThrow().rank() == 0)
-			.findFirst();
-		if (ids[0] == null) {
-			ids[0] = delistedHead.map(ServingInstance::id).orElse(null);
-		}
-		if (previous != null) {
-			// A member that has left no longer reports the group, but it is not free yet.
-			for (int rank = 0; rank < ids.length; rank++) {
-				ids[rank] = (ids[rank] != null) ? ids[rank] : previous.memberIds.get(rank);
-			}
-		}
-		final TrackedGroup reconstructed = new TrackedGroup(group, Arrays.asList(ids), 0, false,
-				(previous != null) ? previous.trackedSinceNanos : view.nowNanos());
-		reconstructed.lastListedHead = delistedHead.orElse(null);
-		reconstructed.openOrdered = true;
-		if (previous != null) {
-			reconstructed.incompleteSinceNanos = previous.incompleteSinceNanos;
-			reconstructed.headClosed = previous.headClosed;
-			reconstructed.headLeft = previous.headLeft;
-			reconstructed.headUnresponsive = previous.headUnresponsive;
-			reconstructed.followerLeft = previous.followerLeft;
-			reconstructed.followerLeftAtNanos = previous.followerLeftAtNanos;
-		}
-		return reconstructed;
-	}
-
 	// An instance that looks free may be a member of a group that the previous planner
 	// has formed since the list was read.
 	private boolean mayMissOrdersOfPreviousPlanner(PlannerView view) {
@@ -359,40 +321,8 @@
 
 	private void onGroupOutcome(ReplicaOrder.GroupOrder order, OrderOutcome outcome) {
 		final TrackedGroup tracked = this.trackedGroups.get(order.group());
-		if (tracked == null) {
-			return;
-		}
-		if (order instanceof ReplicaOrder.Close) {
-			onCloseOutcome(tracked, outcome);
-		}
-		else if (order instanceof ReplicaOrder.Leave) {
-			onLeaveOutcome(tracked, order.instance().id(), outcome);
-		}
-		else if (order instanceof ReplicaOrder.Join) {
-			tracked.joinRefused |= outcome == OrderOutcome.FENCED || outcome == OrderOutcome.OTHER_INSTANCE
-					|| outcome == OrderOutcome.INVALID;
-		}
-	}
-
-	private static void onCloseOutcome(TrackedGroup tracked, OrderOutcome outcome) {
-		// A head that cannot close may still be joining, so it must leave, too.
-		tracked.headClosed |= outcome == OrderOutcome.STARTED || outcome == OrderOutcome.HOLDS
-				|| outcome == OrderOutcome.UNFIT;
-		tracked.headUnresponsive |= outcome == OrderOutcome.UNKNOWN;
-		// Another process at the address holds none of the group's requests.
-		tracked.headLeft |= outcome == OrderOutcome.OTHER_INSTANCE;
-	}
-
-	private static void onLeaveOutcome(TrackedGroup tracked, String instanceId, OrderOutcome outcome) {
-		final boolean settled = outcome != OrderOutcome.UNKNOWN && outcome != OrderOutcome.FENCED
-				&& outcome != OrderOutcome.SUPERSEDED;
-		if (instanceId.equals(tracked.headId())) {
-			// A head that has closed and cannot leave is outside the group.
-			tracked.headLeft |= settled;
-			tracked.headUnresponsive |= outcome == OrderOutcome.UNKNOWN;
-		}
-		else {
-			tracked.followerLeft |= settled;
+		if (tracked != null) {
+			GroupOutcomes.apply(tracked, order, outcome);
 		}
 	}
 
