--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -345,7 +345,7 @@
 	 * connection had carried.
 	 */
 	RESPONSE_UNEXPECTED(515, EventLevel.WARN,
-			"A target sent a response that does not belong to the request on its connection."),
+			"A server sent a response that does not belong to the request on its connection."),
 
 	/** Logged with the connection that is not used for the request. */
 	REQUEST_ID_REPEATED(516, EventLevel.INFO,
--- /dev/null
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/UnexpectedAnswerLog.java
@@ -0,0 +1,32 @@
+package org.pistachioline.daemon.event;
+
+import org.pistachioline.adapters.web.ClientListener;
+import org.pistachioline.adapters.web.ConnectionUse;
+import org.pistachioline.adapters.web.UnexpectedAnswer;
+import org.pistachioline.core.event.EventId;
+
+/**
+ * Logs the answers that belong to no request on their connection. Thread-safe.
+ */
+public final class UnexpectedAnswerLog implements ClientListener {
+
+	private static final String IDLE = "idle";
+
+	@Override
+	public void onUnexpected(UnexpectedAnswer answer) {
+		log(IDLE, answer);
+	}
+
+	/**
+	 * Logs one answer.
+	 * @param reason how it was found to belong to no request
+	 * @param answer the answer
+	 */
+	public static void log(String reason, UnexpectedAnswer answer) {
+		final ConnectionUse use = answer.connection();
+		Events.log(EventId.RESPONSE_UNEXPECTED, "reason", reason, "request", answer.waitingId(), "answered",
+				answer.answeredId(), "status", answer.status(), "address", answer.address(), "connection", use.number(),
+				"earlier_requests", use.earlierRequests(), "idle_millis", use.idleMillis());
+	}
+
+}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/UnexpectedResponses.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/UnexpectedResponses.java
@@ -9,6 +9,7 @@
 import org.pistachioline.adapters.web.UnexpectedAnswer;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.daemon.event.Events;
+import org.pistachioline.daemon.event.UnexpectedAnswerLog;
 
 /**
  * Logs and counts the responses of targets that do not belong to the request on their
@@ -44,10 +45,7 @@
 
 	private void log(UnexpectedReason reason, UnexpectedAnswer answer) {
 		this.countsByReason.get(reason).incrementAndGet();
-		final ConnectionUse use = answer.connection();
-		Events.log(EventId.RESPONSE_UNEXPECTED, "reason", reason.code(), "request", answer.waitingId(), "answered",
-				answer.answeredId(), "status", answer.status(), "address", answer.address(), "connection", use.number(),
-				"earlier_requests", use.earlierRequests(), "idle_millis", use.idleMillis());
+		UnexpectedAnswerLog.log(reason.code(), answer);
 	}
 
 	@Override
--- /dev/null
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/event/UnexpectedAnswerLogTests.java
@@ -0,0 +1,30 @@
+package org.pistachioline.daemon.event;
+
+import org.junit.jupiter.api.Test;
+
+import org.pistachioline.adapters.web.ConnectionUse;
+import org.pistachioline.adapters.web.UnexpectedAnswer;
+import org.pistachioline.core.event.EventId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UnexpectedAnswerLogTests {
+
+	// Guards against a server that answers twice without a trace of it.
+	@Test
+	void anAnswerThatComesWhileNobodyWaitsIsLoggedWithItsConnection() {
+		try (EventRecorder recorder = new EventRecorder()) {
+			new UnexpectedAnswerLog()
+				.onUnexpected(new UnexpectedAnswer("127.0.0.1:1", "", "x", 409, new ConnectionUse(7, 2, 30)));
+			assertThat(recorder.events(EventId.RESPONSE_UNEXPECTED)).singleElement()
+				.satisfies((fields) -> assertThat(fields).containsEntry("reason", "idle")
+					.containsEntry("answered", "x")
+					.containsEntry("status", "409")
+					.containsEntry("address", "127.0.0.1:1")
+					.containsEntry("connection", "7")
+					.containsEntry("earlier_requests", "2")
+					.containsEntry("idle_millis", "30"));
+		}
+	}
+
+}
