--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/WebClientTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/WebClientTests.java
@@ -140,6 +140,81 @@
 		}
 	}
 
+	// Guards against a request with an id that its connection has carried: a late second
+	// answer to the earlier request could not be told from its own.
+	@Test
+	void aRequestGoesOnAnIdleConnectionThatHasNotCarriedItsId() throws IOException {
+		final CompletableFuture<WebAnswer> first = call("a");
+		final CompletableFuture<WebAnswer> second = call("b");
+		try (Socket one = this.target.accept(); Socket other = this.target.accept()) {
+			final String id = answerById(one);
+			first.applyToEither(second, WebAnswer::status).join();
+			answerById(other);
+			CompletableFuture.allOf(first, second).join();
+			final CompletableFuture<WebAnswer> repeated = call(id);
+			assertThat(answerById(other)).isEqualTo(id);
+			assertThat(repeated.join().status()).isEqualTo(200);
+			final CompletableFuture<WebAnswer> again = call(id);
+			try (Socket fresh = this.target.accept()) {
+				assertThat(answerById(fresh)).isEqualTo(id);
+				assertThat(again.join().status()).isEqualTo(200);
+			}
+		}
+	}
+
+	// Guards against idle connections that are closed or lost since a request could not
+	// go on them.
+	@Test
+	void aConnectionThatHasCarriedAnIdStaysUsableForOtherIds() throws IOException {
+		final CompletableFuture<WebAnswer> first = call("a");
+		try (Socket connection = this.target.accept()) {
+			answerById(connection);
+			first.join();
+			final CompletableFuture<WebAnswer> repeated = call("a");
+			try (Socket fresh = this.target.accept()) {
+				answerById(fresh);
+				repeated.join();
+				final CompletableFuture<WebAnswer> next = call("b");
+				assertThat(answerById(fresh)).isEqualTo("b");
+				next.join();
+				final CompletableFuture<WebAnswer> last = call("b");
+				assertThat(answerById(connection)).isEqualTo("b");
+				assertThat(last.join().status()).isEqualTo(200);
+			}
+		}
+	}
+
+	// Guards against a late answer that the kernel holds already when its connection is
+	// taken, and that the loop reads as the answer to the next request.
+	@Test
+	void aLateAnswerThatWasReceivedButNotReadIsSkipped() throws IOException {
+		final CompletableFuture<WebAnswer> first = call("a");
+		try (Socket connection = this.target.accept()) {
+			answerById(connection);
+			first.join();
+			final CompletableFuture<WebAnswer> second = new CompletableFuture<>();
+			this.loop.execute(() -> {
+				try {
+					write(connection, OK.replace("200", "201"), "a");
+				}
+				catch (IOException ex) {
+					second.completeExceptionally(ex);
+				}
+				this.client.send(address(), identified("b"), false, new WholeAnswer(second, MOST_ANSWER_BYTES));
+			});
+			assertThat(answerById(connection)).isEqualTo("b");
+			assertThat(second.orTimeout(MOST_MILLIS, TimeUnit.MILLISECONDS).join().status()).isEqualTo(200);
+		}
+	}
+
+	private static WebRequest identified(String id) {
+		return WebRequest.get("/report", HeaderFields.of("Id", id)).identifiedBy("Id");
+	}
+
+	private CompletableFuture<WebAnswer> call(String id) {
+		return this.client.call(address(), identified(id), false, LIMITS).orTimeout(MOST_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
 	private CompletableFuture<WebAnswer> call(boolean fresh) {
 		return this.client.call(address(), request(), fresh, LIMITS).orTimeout(MOST_MILLIS, TimeUnit.MILLISECONDS);
 	}
@@ -158,15 +233,29 @@
 		connection.getOutputStream().flush();
 	}
 
-	private static void read(Socket connection) throws IOException {
+	// Returns the request's id.
+	private static String answerById(Socket connection) throws IOException {
+		final String id = read(connection).replaceAll("(?is).*\r\nid: (\\w+)\r\n.*", "$1");
+		write(connection, OK, id);
+		return id;
+	}
+
+	private static void write(Socket connection, String answer, String id) throws IOException {
+		final String named = answer.replace("\r\n\r\n", "\r\nId: " + id + "\r\n\r\n");
+		connection.getOutputStream().write(named.getBytes(StandardCharsets.US_ASCII));
+		connection.getOutputStream().flush();
+	}
+
+	private static String read(Socket connection) throws IOException {
 		final StringBuilder head = new StringBuilder();
 		while (head.indexOf("\r\n\r\n") < 0) {
 			final int next = connection.getInputStream().read();
 			if (next < 0) {
-				return;
+				return head.toString();
 			}
 			head.append((char) next);
 		}
+		return head.toString();
 	}
 
 	/**
