--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/replica/ReplicaDuty.java
@@ -1,14 +1,12 @@
 package org.pistachioline.daemon.replica;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -21,7 +19,6 @@
 import org.pistachioline.core.replica.DelistedInstances;
 import org.pistachioline.core.replica.EvacuatedInstances;
 import org.pistachioline.core.replica.FencingTokens;
-import org.pistachioline.core.replica.GroupLoss;
 import org.pistachioline.core.replica.IdleReason;
 import org.pistachioline.core.replica.InstanceDemand;
 import org.pistachioline.core.replica.LeavingInstances;
@@ -33,8 +30,8 @@
 import org.pistachioline.core.replica.PoolSummary;
 import org.pistachioline.core.replica.ReplicaOrder;
 import org.pistachioline.core.replica.ReplicaPlanner;
-import org.pistachioline.core.replica.ServingGroups;
 import org.pistachioline.core.replica.ServingInstance;
+import org.pistachioline.core.route.EngineSpec;
 import org.pistachioline.core.route.RouteTable;
 import org.pistachioline.core.route.ServiceSpec;
 import org.pistachioline.core.traffic.TargetView;
@@ -64,35 +61,17 @@
 	 */
 	private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
 
-	/**
-	 * Interval at which load reports are passed on; they are about 100 ms old on arrival.
-	 */
-	private static final long TARGETS_INTERVAL_NANOS = Duration.ofMillis(200).toNanos();
-
-	/** Short enough to follow a loss of capacity, long enough not to flood the log. */
-	private static final long SUMMARY_INTERVAL_NANOS = Duration.ofSeconds(2).toNanos();
-
-	private static final long NANOS_PER_MILLI = 1_000_000;
-
 	private final PlannerLease lease;
 
 	private final OrderSender orderSender;
 
-	private final PlannerTimes times;
-
-	private final Consumer<List<TargetView>> targetsListener;
+	private final TargetPublisher publisher;
 
 	private final BooleanSupplier beforeTraffic;
 
-	private final boolean fleetDecisions;
-
-	private final OrderFencing orderFencing;
-
 	private final Duty<ReplicaMessage> duty;
 
-	private final Map<String, ReplicaPlanner> planners = new HashMap<>();
-
-	private final Map<String, LoadReport> loadReports = new HashMap<>();
+	private final ServicePlanners planners;
 
 	private final DroppedMessages dropped = new DroppedMessages(RING_NAME, System::nanoTime);
 
@@ -114,24 +93,10 @@
 
 	private RouteTable routeTable = RouteTable.UNKNOWN;
 
-	private boolean loadReportsChanged;
-
-	private long targetsPublishedAtNanos;
-
-	private Set<String> servingTargets = Set.of();
-
-	private long summaryLoggedAtNanos;
-
 	private long heldTerm;
 
 	private long fencedTerm;
 
-	private volatile Map<String, List<String>> plannedGroups = Map.of();
-
-	private volatile Map<String, PoolSummary> poolSummaries = Map.of();
-
-	private volatile int servingTargetCount;
-
 	private volatile ModelDemandSource modelDemand = (service) -> Map.of();
 
 	private volatile Supplier<OptionalLong> listAsOf = OptionalLong::empty;
@@ -157,11 +122,9 @@
 			OrderFencing orderFencing) {
 		this.lease = lease;
 		this.orderSender = orderSender;
-		this.times = times;
-		this.targetsListener = targetsListener;
+		this.publisher = new TargetPublisher(targetsListener);
 		this.beforeTraffic = beforeTraffic;
-		this.fleetDecisions = fleetDecisions;
-		this.orderFencing = orderFencing;
+		this.planners = new ServicePlanners(() -> new ReplicaPlanner(times, fleetDecisions, orderFencing));
 		this.duty = new Duty<>(system, RING_NAME, RING_CAPACITY, TICK_INTERVAL, this);
 		this.unresponsive = new UnresponsiveInstances(orderSender,
 				(round) -> offerOrLog(new ReplicaMessage.GroupProbed(round), "probe results"));
@@ -266,7 +229,7 @@
 	 * is not the planner
 	 */
 	public Map<String, List<String>> plannedGroups() {
-		return this.plannedGroups;
+		return this.planners.plannedGroups();
 	}
 
 	/**
@@ -275,7 +238,7 @@
 	 * the planner
 	 */
 	public Map<String, PoolSummary> poolSummaries() {
-		return this.poolSummaries;
+		return this.planners.poolSummaries();
 	}
 
 	/**
@@ -284,7 +247,7 @@
 	 * @return the number of instances; 0 while this daemon is not the planner
 	 */
 	public int idleInstanceCount(IdleReason reason) {
-		return this.poolSummaries.values().stream().mapToInt((summary) -> summary.idle().getOrDefault(reason, 0)).sum();
+		return poolSummaries().values().stream().mapToInt((summary) -> summary.idle().getOrDefault(reason, 0)).sum();
 	}
 
 	/**
@@ -292,7 +255,7 @@
 	 * @return the number of targets
 	 */
 	public int servingTargetCount() {
-		return this.servingTargetCount;
+		return this.publisher.servingTargetCount();
 	}
 
 	@Override
@@ -300,8 +263,7 @@
 		if (message instanceof ReplicaMessage.InstancesUpdated updated) {
 			this.listed = updated.instances();
 			markDraining();
-			final Set<String> ids = this.instances.stream().map(ServingInstance::id).collect(Collectors.toSet());
-			this.loadReports.keySet().retainAll(ids);
+			this.publisher.retainLoads(this.instances.stream().map(ServingInstance::id).collect(Collectors.toSet()));
 			this.delisted.update(System.nanoTime(), this.instances);
 			publishTargets(System.nanoTime());
 			this.evacuatedReceiverIds = this.evacuated.receiverIds(this.listed);
@@ -318,8 +280,7 @@
 			publishTargets(System.nanoTime());
 		}
 		else if (message instanceof ReplicaMessage.LoadReported loaded) {
-			this.loadReports.put(loaded.instanceId(), loaded.load());
-			this.loadReportsChanged = true;
+			this.publisher.onLoad(loaded.instanceId(), loaded.load());
 		}
 		else if (message instanceof ReplicaMessage.InstanceLeaving announced) {
 			handleLeaving(announced.instanceId());
@@ -358,16 +319,13 @@
 			// are obsolete.
 			this.fencedTerm = Math.max(this.fencedTerm, FencingTokens.termOf(completed.fencingToken()));
 		}
-		final ReplicaPlanner planner = this.planners.get(order.instance().service());
-		if (planner != null) {
-			planner.onOutcome(order, outcome);
-		}
+		this.planners.onOutcome(order, outcome);
 	}
 
 	@Override
 	public void onTick() {
 		final long nowNanos = System.nanoTime();
-		if (this.loadReportsChanged && nowNanos - this.targetsPublishedAtNanos >= TARGETS_INTERVAL_NANOS) {
+		if (this.publisher.isDue(nowNanos)) {
 			publishTargets(nowNanos);
 		}
 		final OptionalLong received = this.receivedListAsOf;
@@ -375,8 +333,7 @@
 		final Optional<Long> term = this.lease.term(nowNanos);
 		if (term.isEmpty()) {
 			this.heldTerm = 0;
-			this.plannedGroups = Map.of();
-			this.poolSummaries = Map.of();
+			this.planners.clearReports();
 			return;
 		}
 		this.heldTerm = term.get();
@@ -387,58 +344,18 @@
 		if (term <= this.fencedTerm) {
 			return;
 		}
-		final Map<String, List<String>> groupsByName = new HashMap<>();
-		final Map<String, PoolSummary> summaries = new HashMap<>();
 		this.unresponsive.probeSilent(nowNanos, this.instances);
 		final Set<String> unresponsiveIds = this.unresponsive.ids(nowNanos);
-		final boolean logSummary = nowNanos - this.summaryLoggedAtNanos >= SUMMARY_INTERVAL_NANOS;
-		if (logSummary) {
-			this.summaryLoggedAtNanos = nowNanos;
-		}
-		for (final ServiceSpec service : this.routeTable.services()) {
-			if (service.grouped()) {
-				final ReplicaPlanner planner = this.planners.computeIfAbsent(service.name(),
-						(name) -> new ReplicaPlanner(this.times, this.fleetDecisions, this.orderFencing));
-				planner.beginTerm(nowNanos, term);
-				planner
-					.plan(new PlannerView(nowNanos, listAsOfNanos, service.engine().orElseThrow(),
-							usableInstancesOf(service, unresponsiveIds), this.delisted.instances(), unresponsiveIds,
-							this.beforeTraffic.getAsBoolean(),
-							InstanceDemand.shareRatios(service.engine().orElseThrow(),
-									this.modelDemand.shareRatios(service.name()))))
-					.forEach((order) -> sendOrder(order, term));
-				groupsByName.putAll(planner.groups());
-				planner.takeGroupLosses().forEach(ReplicaDuty::logLoss);
-				planner.takeGroupEnds()
-					.forEach((end) -> Events.log(EventId.GROUP_ENDED, "group", end.group().name(), "evidence",
-							end.evidence()));
-				planner.takeRevivedGroups()
-					.forEach((group) -> Events.log(EventId.GROUP_REVIVED, "group", group.name()));
-				if (logSummary) {
-					final PoolSummary summary = planner.summary(usableInstancesOf(service, unresponsiveIds),
-							service.engine().orElseThrow());
-					summaries.put(service.name(), summary);
-					logSummary(service, summary);
-				}
-			}
-		}
-		this.plannedGroups = groupsByName;
-		if (logSummary) {
-			this.poolSummaries = Map.copyOf(summaries);
-		}
-	}
-
-	private static void logLoss(GroupLoss loss) {
-		Events.log(EventId.GROUP_RELEASED, "group", loss.group().name(), "cause", loss.cause(), "standstill_millis",
-				loss.standstillNanos() / NANOS_PER_MILLI);
+		this.planners.plan(nowNanos, term, this.routeTable.services(),
+				(service) -> view(service, nowNanos, listAsOfNanos, unresponsiveIds),
+				(order) -> sendOrder(order, term));
 	}
 
-	private static void logSummary(ServiceSpec service, PoolSummary summary) {
-		Events.log(EventId.POOL_SUMMARY, "service", service.name(), "listed", summary.listed(), "draining",
-				summary.draining(), "serving", summary.serving(), "forming", summary.forming(), "waiting",
-				summary.waiting(), "free_warm", summary.freeWarm(), "free_empty", summary.freeEmpty(), "loading",
-				summary.loading(), "idle", new TreeMap<>(summary.idle()), "models", new TreeMap<>(summary.models()),
-				"decisions", summary.decisions());
+	private PlannerView view(ServiceSpec service, long nowNanos, long listAsOfNanos, Set<String> unresponsiveIds) {
+		final EngineSpec engine = service.engine().orElseThrow();
+		return new PlannerView(nowNanos, listAsOfNanos, engine, usableInstancesOf(service, unresponsiveIds),
+				this.delisted.instances(), unresponsiveIds, this.beforeTraffic.getAsBoolean(),
+				InstanceDemand.shareRatios(engine, this.modelDemand.shareRatios(service.name())));
 	}
 
 	private List<ServingInstance> usableInstancesOf(ServiceSpec service, Set<String> unresponsiveIds) {
@@ -471,22 +388,7 @@
 	}
 
 	private void publishTargets(long nowNanos) {
-		this.targetsPublishedAtNanos = nowNanos;
-		this.loadReportsChanged = false;
-		final List<TargetView> views = ServingGroups.targets(this.routeTable, this.instances, this.loadReports);
-		final Set<String> servingNow = views.stream()
-			.filter(TargetView::serving)
-			.map((view) -> view.name() + ' ' + view.targetId())
-			.collect(Collectors.toSet());
-		servingNow.stream()
-			.filter((name) -> !this.servingTargets.contains(name))
-			.forEach((name) -> Events.log(EventId.TARGET_SERVING, "target", name));
-		this.servingTargets.stream()
-			.filter((name) -> !servingNow.contains(name))
-			.forEach((name) -> Events.log(EventId.TARGET_STOPPED, "target", name));
-		this.servingTargets = servingNow;
-		this.servingTargetCount = servingNow.size();
-		this.targetsListener.accept(views);
+		this.publisher.publish(nowNanos, this.routeTable, this.instances);
 	}
 
 }
