Daemon: each call of its own has a connection that carries nothing else

What callers saw: the answer to another call. A service's late second answer to one caller's request went to the next caller; an append or an order counted as done since the one before it was; a page of the log, a list or an engine's state was another stream's, list's or moment's. The client kept connections and took whatever came next on one as the answer; services, engines' control, the log and the list say nothing in an answer that tells whose it is. Bytes that arrive while a connection is idle were not noticed either: they are read when the next request is sent. Change: HttpCaller makes one connection a call (OwnedConnection) and ends it behind the answer; a call that fails, takes too long or whose body is given up closes it at once. NOT_CONNECTED is now told from the making of the connection, not from a message's text. Why it works: nothing follows the answer on its connection, so nothing can be mixed, whatever the server does; no rule about ids or methods is needed. The time that a new connection costs was not measured.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/OwnedConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/OwnedConnection.java
@@ -1,21 +1,21 @@
 package org.pistachioline.adapters.http;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
-import java.util.function.Consumer;
 
 import org.apache.pekko.Done;
+import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.OutgoingConnection;
 import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
 import org.apache.pekko.japi.Pair;
-import org.apache.pekko.stream.BoundedSourceQueue;
-import org.apache.pekko.stream.QueueOfferResult;
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.stream.javadsl.Keep;
 import org.apache.pekko.stream.javadsl.Sink;
@@ -23,149 +23,99 @@
 import org.apache.pekko.util.ByteString;
 
 /**
- * One connection that carries one request at a time.
+ * One connection that carries one request and its answer.
  * <p>
- * A connection whose exchange did not end well is never used again: what arrives on it
- * next could belong to the request before.
+ * Few servers say in an answer whose it is, and a faulty one may answer a request twice,
+ * the second time late. A connection that carries nothing behind its answer is the only
+ * tie between the two that needs nothing from the server.
  */
 final class OwnedConnection {
 
 	private final String address;
 
-	private final Consumer<OwnedConnection> idle;
-
 	private final AbortableTransport transport = new AbortableTransport();
 
-	private final BoundedSourceQueue<HttpRequest> requests;
-
-	private CompletableFuture<HttpResponse> waiting;
-
-	private boolean connected;
-
-	private boolean closed;
+	private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
 
-	private volatile long idleSinceNanos;
+	private final CompletableFuture<Done> ended = new CompletableFuture<>();
 
-	OwnedConnection(ActorSystem<?> system, String address, ClientConnectionSettings settings,
-			Consumer<OwnedConnection> idle) {
+	/**
+	 * Makes a connection and sends a request on it.
+	 * @param system the process's actor system
+	 * @param address where to, as host and port
+	 * @param settings the connection's settings
+	 * @param request the request
+	 */
+	OwnedConnection(ActorSystem<?> system, String address, ClientConnectionSettings settings, HttpRequest request) {
 		this.address = address;
-		this.idle = idle;
 		final int colon = address.lastIndexOf(':');
-		final Pair<BoundedSourceQueue<HttpRequest>, CompletionStage<Done>> running = Source.<HttpRequest>queue(1)
+		// The requests end with the answer: their end closes the connection's half, which
+		// servers take for a caller who has left.
+		final Source<HttpRequest, NotUsed> requests = Source.single(request)
+			.concat(Source.completionStage(this.ended).mapConcat((done) -> List.of()));
+		final Pair<CompletionStage<OutgoingConnection>, CompletionStage<Done>> running = requests
 			.viaMat(Http.get(system)
 				.connectionTo(address.substring(0, colon))
 				.toPort(Integer.parseInt(address.substring(colon + 1)))
 				.withClientConnectionSettings(settings.withTransport(this.transport))
-				.http()
-				.mapMaterializedValue((connection) -> {
-					connection.whenComplete((made, failure) -> onConnected(failure));
-					return connection;
-				}), Keep.left())
+				.http(), Keep.right())
 			.toMat(Sink.foreach(this::onAnswer), Keep.both())
 			.run(system);
-		this.requests = running.first();
-		running.second().whenComplete((done, failure) -> onClosed(failure));
-	}
-
-	String address() {
-		return this.address;
-	}
-
-	long idleSinceNanos() {
-		return this.idleSinceNanos;
+		// Whether a byte may have left is known from the connection's making alone.
+		running.second()
+			.whenComplete((done, failure) -> running.first()
+				.whenComplete((connection, notMade) -> onClosed(failure, notMade)));
 	}
 
-	synchronized boolean isClosed() {
-		return this.closed;
-	}
-
-	CompletableFuture<HttpResponse> send(HttpRequest request) {
-		final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
-		synchronized (this) {
-			if (this.closed) {
-				answer.completeExceptionally(new NotConnectedException(this.address, null));
-				return answer;
-			}
-			this.waiting = answer;
-		}
-		if (!this.requests.offer(request).equals(QueueOfferResult.enqueued())) {
-			answer.completeExceptionally(new NotConnectedException(this.address, null));
-			abort();
-		}
-		return answer;
+	/**
+	 * Returns the answer's head, with its body as a stream.
+	 * @return the answer; fails with {@link NotConnectedException} where no connection
+	 * was made, and with anything else where the request may have been read
+	 */
+	CompletableFuture<HttpResponse> answer() {
+		return this.answer;
 	}
 
+	/**
+	 * Closes the connection at once, which makes the other side drop the work.
+	 */
 	void abort() {
-		synchronized (this) {
-			this.closed = true;
-		}
 		this.transport.abort();
 	}
 
-	private void onConnected(Throwable failure) {
-		final CompletableFuture<HttpResponse> told;
-		synchronized (this) {
-			if (failure == null) {
-				this.connected = true;
-				return;
-			}
-			this.closed = true;
-			told = this.waiting;
-		}
-		if (told != null) {
-			told.completeExceptionally(new NotConnectedException(this.address, causeOf(failure)));
-		}
-	}
-
 	private void onAnswer(HttpResponse response) {
-		final CompletableFuture<HttpResponse> told;
-		synchronized (this) {
-			told = this.waiting;
-			this.waiting = null;
-		}
-		if (told == null) {
-			// Nobody asked: the other side sent a second answer.
-			abort();
-			return;
-		}
 		if (response.entity() instanceof HttpEntity.Strict) {
-			release();
-			told.complete(response);
+			this.ended.complete(Done.getInstance());
+			this.answer.complete(response);
 			return;
 		}
-		told.complete(response.transformEntityDataBytes(Flow.<ByteString>create().watchTermination((mat, done) -> {
-			done.whenComplete((ended, failure) -> onBodyEnd(failure));
-			return mat;
-		})));
+		this.answer.complete(response.transformEntityDataBytes(Flow.<ByteString>create()
+			.concatLazy(Source.lazySource(this::onBodyEnd))
+			.watchTermination((mat, done) -> {
+				// Nothing changes where the body has ended.
+				done.whenComplete((ended, failure) -> onBodyLeft());
+				return mat;
+			})));
 	}
 
-	private void onBodyEnd(Throwable failure) {
-		if (failure == null) {
-			release();
-		}
-		else {
-			abort();
-		}
+	private Source<ByteString, NotUsed> onBodyEnd() {
+		this.ended.complete(Done.getInstance());
+		return Source.empty();
 	}
 
-	private void release() {
-		this.idleSinceNanos = System.nanoTime();
-		this.idle.accept(this);
+	private void onBodyLeft() {
+		if (!this.ended.isDone()) {
+			abort();
+		}
 	}
 
-	private void onClosed(Throwable failure) {
-		final CompletableFuture<HttpResponse> told;
-		final boolean made;
-		synchronized (this) {
-			this.closed = true;
-			told = this.waiting;
-			made = this.connected;
-			this.waiting = null;
+	private void onClosed(Throwable failure, Throwable notMade) {
+		if (notMade != null) {
+			this.answer.completeExceptionally(new NotConnectedException(this.address, causeOf(notMade)));
 		}
-		if (told != null) {
-			final Throwable cause = (failure != null) ? causeOf(failure)
-					: new IOException("The connection was closed before an answer");
-			told.completeExceptionally(made ? cause : new NotConnectedException(this.address, cause));
+		else {
+			this.answer.completeExceptionally((failure != null) ? causeOf(failure)
+					: new IOException("The connection was closed before an answer"));
 		}
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/AttemptFailures.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/AttemptFailures.java
@@ -2,8 +2,7 @@
 
 import java.util.concurrent.CompletionException;
 
-import org.apache.pekko.stream.BufferOverflowException;
-
+import org.pistachioline.adapters.http.NotConnectedException;
 import org.pistachioline.core.traffic.AttemptOutcome;
 
 /**
@@ -23,11 +22,7 @@
 	static AttemptOutcome classify(Throwable failure) {
 		final Throwable cause = (failure instanceof CompletionException && failure.getCause() != null)
 				? failure.getCause() : failure;
-		final String message = String.valueOf(cause.getMessage());
-		final boolean connectFailed = message.startsWith("Tcp command [Connect(");
-		// A full connection pool rejects a request before any byte of it is sent.
-		final boolean rejectedByPool = cause instanceof BufferOverflowException;
-		return (connectFailed || rejectedByPool) ? AttemptOutcome.NOT_CONNECTED : AttemptOutcome.BROKEN;
+		return (cause instanceof NotConnectedException) ? AttemptOutcome.NOT_CONNECTED : AttemptOutcome.BROKEN;
 	}
 
 }
