--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/OwnedConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/OwnedConnection.java
@@ -50,7 +50,7 @@
 		this.address = address;
 		final int colon = address.lastIndexOf(':');
 		// The requests end with the answer: their end closes the connection's half, which
-		// servers take for a caller who has left.
+		// servers take for a caller that has disconnected.
 		final Source<HttpRequest, NotUsed> requests = Source.single(request)
 			.concat(Source.completionStage(this.ended).mapConcat((done) -> List.of()));
 		final Pair<CompletionStage<OutgoingConnection>, CompletionStage<Done>> running = requests
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -270,7 +270,7 @@
 			if (!this.informational) {
 				this.bytesBeforeHead.stopAwaiting();
 				if (isJoined(response)) {
-					fail(new IOException("The heads of two answers were joined"));
+					failJoined(response);
 					return;
 				}
 				this.reusable = isReusable(response);
@@ -291,6 +291,12 @@
 		}
 	}
 
+	private void failJoined(HttpResponse response) {
+		this.owner.onJoined(new UnexpectedAnswer(this.address, this.call.request().id().orElse(""),
+				idIn(response).orElse(""), response.status().code(), this.call.connection()));
+		fail(new IOException("The heads of two answers were joined"));
+	}
+
 	// A connection whose answers may look joined on purpose carries no second request.
 	private boolean isJoined(HttpResponse response) {
 		return JoinedHeads.areIn(response, this.call.request().idHeader())
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientListener.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientListener.java
@@ -19,11 +19,19 @@
 	}
 
 	/**
-	 * Called when an idle connection to a server is not used for a request, since it has
-	 * carried the request's id.
+	 * Called when a head was made of the heads of two answers, so that its request fails
+	 * with its connection.
+	 * @param answer what was received
+	 */
+	default void onJoined(UnexpectedAnswer answer) {
+	}
+
+	/**
+	 * Called once for a request for which idle connections to a server are not used,
+	 * since they have carried the request's id.
 	 * @param address the server's address, as host and port
 	 * @param requestId the id
-	 * @param connection how that connection was used until then
+	 * @param connection how the first such connection was used until then
 	 */
 	default void onRepeatedId(String address, String requestId, ConnectionUse connection) {
 	}
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ConnectionOwner.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ConnectionOwner.java
@@ -19,4 +19,11 @@
 	default void onUnexpected(UnexpectedAnswer answer) {
 	}
 
+	/**
+	 * Called when a head was made of the heads of two answers; the request fails.
+	 * @param answer what was received
+	 */
+	default void onJoined(UnexpectedAnswer answer) {
+	}
+
 }
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/JoinedHeads.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/JoinedHeads.java
@@ -7,7 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 
 /**
- * Recognizes a head that breaks off and goes on as the head of another answer, with the
+ * Recognizes a head that breaks off and continues as the head of another answer, with the
  * status of the one and the id of the other.
  */
 final class JoinedHeads {
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
@@ -7,7 +7,6 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeoutException;
@@ -184,27 +183,35 @@
 	private ClientConnection take(String address, WebRequest request) {
 		final Iterator<ClientConnection> newestFirst = this.idle.getOrDefault(address, NO_CONNECTIONS)
 			.descendingIterator();
+		ClientConnection repeated = null;
 		while (newestFirst.hasNext()) {
 			final ClientConnection connection = newestFirst.next();
 			final boolean usable = !connection.isClosed() && isYoung(connection) && this.connector.mayReuse(address);
 			if (usable && hasCarriedIdOf(request, connection)) {
+				repeated = (repeated != null) ? repeated : connection;
 				continue;
 			}
 			newestFirst.remove();
 			if (usable) {
+				reportRepeatedId(request, repeated);
 				return connection;
 			}
 			connection.abort();
 		}
+		reportRepeatedId(request, repeated);
 		return null;
 	}
 
-	// The server may send a second answer to the earlier request, which could not be told
-	// from the answer to this one.
-	private boolean hasCarriedIdOf(WebRequest request, ClientConnection connection) {
-		final Optional<String> carried = request.id().filter(connection::hasCarried);
-		carried.ifPresent((id) -> this.listener.onRepeatedId(connection.address(), id, connection.use()));
-		return carried.isPresent();
+	// The server may send a second answer to the earlier request. Its id would not
+	// distinguish it from the answer to this one.
+	private static boolean hasCarriedIdOf(WebRequest request, ClientConnection connection) {
+		return request.id().filter(connection::hasCarried).isPresent();
+	}
+
+	private void reportRepeatedId(WebRequest request, ClientConnection connection) {
+		if (connection != null) {
+			this.listener.onRepeatedId(connection.address(), request.id().orElse(""), connection.use());
+		}
 	}
 
 	private boolean isYoung(ClientConnection connection) {
@@ -244,6 +251,11 @@
 			WebClient.this.listener.onUnexpected(answer);
 		}
 
+		@Override
+		public void onJoined(UnexpectedAnswer answer) {
+			WebClient.this.listener.onJoined(answer);
+		}
+
 	}
 
 }
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/LateAnswerConnectionTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/LateAnswerConnectionTests.java
@@ -190,8 +190,11 @@
 			return answer;
 		}
 
+		// What arrives on a closed connection is lost.
 		void receive(String bytes) {
-			this.channel.writeInbound(buffer(bytes));
+			if (this.channel.isOpen()) {
+				this.channel.writeInbound(buffer(bytes));
+			}
 		}
 
 		void assertThatYGotItsOwnAnswer() {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/UnexpectedAnswerLog.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/UnexpectedAnswerLog.java
@@ -12,11 +12,18 @@
 
 	private static final String IDLE = "idle";
 
+	private static final String JOINED = "joined";
+
 	@Override
 	public void onUnexpected(UnexpectedAnswer answer) {
 		log(IDLE, answer);
 	}
 
+	@Override
+	public void onJoined(UnexpectedAnswer answer) {
+		log(JOINED, answer);
+	}
+
 	/**
 	 * Logs one answer.
 	 * @param reason how it was found to belong to no request
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/UnexpectedReason.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/UnexpectedReason.java
@@ -10,6 +10,9 @@
 	/** It was received while no request was waiting on its connection. */
 	IDLE,
 
+	/** Its head was made of the heads of two answers. */
+	JOINED,
+
 	/** It names another request than the one on its connection, or none. */
 	MISMATCHED;
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/UnexpectedResponses.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/UnexpectedResponses.java
@@ -30,6 +30,11 @@
 		log(UnexpectedReason.IDLE, answer);
 	}
 
+	@Override
+	public void onJoined(UnexpectedAnswer answer) {
+		log(UnexpectedReason.JOINED, answer);
+	}
+
 	/**
 	 * Called when the response to a request names another one, or none.
 	 * @param answer the response
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/UnexpectedResponseRelayTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/UnexpectedResponseRelayTests.java
@@ -72,6 +72,23 @@
 		assertThat(count(UnexpectedReason.MISMATCHED)).isOne();
 	}
 
+	// Guards against an attempt whose status was another answer's, without a line that
+	// says why it failed.
+	@Test
+	void theLogOfJoinedHeadsNamesTheConnectionAndTheAnsweredRequest() throws IOException {
+		this.target.script(ScriptedTarget.Ending.kept(answer("before", "before")),
+				ScriptedTarget.Ending.kept("HTTP/1.1 200 " + answer("asked", "wrong").replace("200", "500")),
+				ScriptedTarget.Ending.kept(answer("asked", "right")));
+		assertThat(this.relay.call("/1", "before")).endsWith("before");
+		assertThat(this.relay.call("/1", "asked")).endsWith("right");
+		assertThat(only(EventId.RESPONSE_UNEXPECTED)).containsEntry("reason", "joined")
+			.containsEntry("request", "asked")
+			.containsEntry("answered", "asked")
+			.containsEntry("status", "200")
+			.containsEntry("earlier_requests", "1");
+		assertThat(count(UnexpectedReason.JOINED)).isOne();
+	}
+
 	// Guards against a lost connection of which the log does not say that it was used
 	// before.
 	@Test
