--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ConnectionOwner.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ConnectionOwner.java
@@ -20,11 +20,10 @@
 	}
 
 	/**
-	 * Called when an answer to an earlier request is skipped, where that to the present
-	 * one is due.
-	 * @param answer the skipped answer
+	 * Called when a head was made of the heads of two answers; the request fails.
+	 * @param answer what was received
 	 */
-	default void onSkipped(UnexpectedAnswer answer) {
+	default void onJoined(UnexpectedAnswer answer) {
 	}
 
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/UnexpectedReason.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/UnexpectedReason.java
@@ -10,8 +10,8 @@
 	/** It was received while no request was waiting on its connection. */
 	IDLE,
 
-	/** It names an earlier request on its connection and was skipped. */
-	LATE,
+	/** Its head was made of the heads of two answers. */
+	JOINED,
 
 	/** It names another request than the one on its connection, or none. */
 	MISMATCHED;
