Web: an answer whose status is none is no answer

Callers saw: a replica's "HTTP/1.1 000" reached them as "HTTP/1.1 0 Unknown Status (0)", with its signature and body; 001, 099, 600 and 999 likewise. The same for "HTTP/2.0 200", "http/1.1 200" and a reason with a control byte.

Cause: the codec takes any integer from 0 up for a status and several words for the protocol, and nothing of ours judged the status: it was compared with 200, 300 and 500 only.

Change: StatusLineGrammar judges the first line of each head, notices included, in the pass that counts its lines, before the codec. A line that breaks it fails the attempt with MalformedAnswerException: the connection is closed, the request may have run, so 502, or another attempt where its route allows one. Nothing of the answer is believed. A target that had declined is not believed either if the rest of its answer is malformed. LateTunnelAnswerTests is TunnelAnswerTests now, and has one more test.

Handled before by the codec: "-200", "20x", "200OK", no status at all, "HTTP/1.x", "RTSP/1.0" and "ICY".

Conclusion: a status is three digits from 100 to 599 behind HTTP/1, or there is no answer.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/BytesBeforeHead.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/BytesBeforeHead.java
@@ -1,5 +1,7 @@
 package org.pistachioline.adapters.web;
 
+import java.util.Optional;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -33,16 +35,28 @@
 		this.awaited = false;
 	}
 
+	private Optional<Exception> faultIn(ByteBuf received) {
+		try {
+			return this.lines.count(received) ? Optional.empty() : Optional
+				.of(new TooLongHttpHeaderException("More than " + HeadLines.MAX_LINES + " lines of a head were sent"));
+		}
+		catch (MalformedAnswerException ex) {
+			return Optional.of(ex);
+		}
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		// The answer's head, if it is complete, is seen before the bytes are counted.
 		final int bytes = (message instanceof ByteBuf buffer) ? buffer.readableBytes() : 0;
-		if (this.awaited && message instanceof ByteBuf buffer && !this.lines.count(buffer)) {
-			this.awaited = false;
-			buffer.release();
-			ctx.fireExceptionCaught(
-					new TooLongHttpHeaderException("More than " + HeadLines.MAX_LINES + " lines of a head were sent"));
-			return;
+		if (this.awaited && message instanceof ByteBuf buffer) {
+			final Optional<Exception> fault = faultIn(buffer);
+			if (fault.isPresent()) {
+				this.awaited = false;
+				buffer.release();
+				ctx.fireExceptionCaught(fault.get());
+				return;
+			}
 		}
 		ctx.fireChannelRead(message);
 		if (this.awaited) {
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -345,6 +345,10 @@
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
 		ConnectionFaults.log(cause);
+		if (cause instanceof MalformedAnswerException malformed && this.call != null) {
+			this.owner.onMalformed(new MalformedAnswer(this.address, this.call.request().id().orElse(""),
+					malformed.part(), this.call.connection()));
+		}
 		fail(cause);
 	}
 
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientListener.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientListener.java
@@ -26,6 +26,14 @@
 	default void onJoined(UnexpectedAnswer answer) {
 	}
 
+	/**
+	 * Called when an answer breaks the grammar of HTTP; the request fails with its
+	 * connection.
+	 * @param answer what was received
+	 */
+	default void onMalformed(MalformedAnswer answer) {
+	}
+
 	/**
 	 * Called once for a request for which idle connections to a server are not used,
 	 * since they have carried the request's id.
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ConnectionOwner.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ConnectionOwner.java
@@ -26,4 +26,12 @@
 	default void onJoined(UnexpectedAnswer answer) {
 	}
 
+	/**
+	 * Called when an answer breaks the grammar of HTTP; the request fails with its
+	 * connection.
+	 * @param answer what was received
+	 */
+	default void onMalformed(MalformedAnswer answer) {
+	}
+
 }
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/HeadLines.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/HeadLines.java
@@ -4,7 +4,8 @@
 import io.netty.util.ByteProcessor;
 
 /**
- * Counts the lines of an answer's head before the codec decodes them.
+ * Counts the lines of an answer's head before the codec decodes them, and judges the
+ * first one.
  * <p>
  * The codec limits a head's bytes and fields, but a field may be folded into any number
  * of lines, and each line is appended to a copy of all lines before it. Heads of the
@@ -15,33 +16,37 @@
 	/** Several times as many as a server sends. */
 	static final int MAX_LINES = 512;
 
-	/** Where the status starts in a line such as {@code HTTP/1.1 200 OK}. */
-	private static final int STATUS_OFFSET = "HTTP/1.1 ".length();
+	private final StatusLineGrammar statusLine = new StatusLineGrammar();
 
 	private int lineCount;
 
 	private int lineLength;
 
-	private boolean interim;
+	private boolean malformed;
 
 	private boolean ended;
 
 	void restart() {
 		this.lineCount = 0;
 		this.lineLength = 0;
-		this.interim = false;
+		this.malformed = false;
 		this.ended = false;
+		this.statusLine.begin();
 	}
 
 	/**
 	 * Counts the lines in received bytes up to the end of the head.
 	 * @param received the bytes, which are not consumed
 	 * @return false if the head has too many lines
+	 * @throws MalformedAnswerException if the head has no sound status line
 	 */
-	boolean count(ByteBuf received) {
+	boolean count(ByteBuf received) throws MalformedAnswerException {
 		if (!this.ended) {
 			received.forEachByte(this);
 		}
+		if (this.malformed) {
+			throw new MalformedAnswerException(this.statusLine.part());
+		}
 		return this.lineCount <= MAX_LINES;
 	}
 
@@ -52,23 +57,25 @@
 			endLine();
 		}
 		else if (value != '\r') {
-			if (this.lineCount == 0 && this.lineLength == STATUS_OFFSET) {
-				this.interim = value == '1';
+			if (this.lineCount == 0) {
+				this.malformed = !this.statusLine.accepts(value);
 			}
 			this.lineLength++;
 		}
-		return !this.ended && this.lineCount <= MAX_LINES;
+		return !this.ended && !this.malformed && this.lineCount <= MAX_LINES;
 	}
 
 	private void endLine() {
 		final boolean blank = this.lineLength == 0;
 		this.lineLength = 0;
 		if (!blank) {
+			this.malformed = this.lineCount == 0 && !this.statusLine.mayEnd();
 			this.lineCount++;
 		}
 		else if (this.lineCount > 0) {
 			// Another head follows an interim one.
-			this.ended = !this.interim;
+			this.ended = !this.statusLine.isInformational();
+			this.statusLine.begin();
 			this.lineCount = 0;
 		}
 	}
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebClient.java
@@ -256,6 +256,11 @@
 			WebClient.this.listener.onJoined(answer);
 		}
 
+		@Override
+		public void onMalformed(MalformedAnswer answer) {
+			WebClient.this.listener.onMalformed(answer);
+		}
+
 	}
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/event/EventId.java
@@ -351,6 +351,10 @@
 	REQUEST_ID_REPEATED(516, EventLevel.INFO,
 			"A request has the same id as one that an idle connection to its target has carried; it goes on another."),
 
+	/** Logged for each, with the part; not with its bytes, which may be anything. */
+	RESPONSE_MALFORMED(517, EventLevel.WARN,
+			"A server sent bytes that break the grammar of HTTP; they count as no response, and their connection is closed."),
+
 	/** Logged with the lag and whether requests are refused while it lasts. */
 	LOOP_LATE(520, EventLevel.WARN, "The loop that serves callers runs late: the machine is short of processor time."),
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 import java.util.function.Supplier;
 
+import org.pistachioline.adapters.web.AnswerPart;
 import org.pistachioline.core.admission.AdmissionReport;
 import org.pistachioline.core.backoff.BackoffReport;
 import org.pistachioline.core.endpoints.DaemonRoom;
@@ -71,6 +72,11 @@
 					"Responses of targets that do not belong to the request on their connection", reason.code(),
 					() -> relay.unexpectedResponseCount(reason));
 		}
+		for (final AnswerPart part : AnswerPart.values()) {
+			this.metrics.counter("pistachioline.responses.malformed",
+					"Responses of targets that break the grammar of HTTP", part.code(),
+					() -> relay.malformedResponseCount(part));
+		}
 		this.metrics.gauge("pistachioline.responses.oversized",
 				"Connections that were closed since a target sent too many bytes", relay::oversizedResponseCount);
 		this.metrics.gauge("pistachioline.responses.kept", "Bytes of responses that are kept until they are complete",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/RoutingDaemonDump.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import org.pistachioline.adapters.web.AnswerPart;
 import org.pistachioline.core.peer.PeerStatus;
 import org.pistachioline.core.propagation.VersionLag;
 import org.pistachioline.daemon.evacuation.EvacuationMonitor;
@@ -52,6 +53,7 @@
 		dump.put("serving_targets", this.replicas.servingTargetCount());
 		dump.put("unreachable_targets", this.targets.reachability().unreachable());
 		dump.put("unexpected_responses", unexpectedResponses());
+		dump.put("malformed_responses", malformedResponses());
 		dump.put("tunnels_for_others", this.tunnels.openTunnels());
 		dump.put("limited_targets", this.traffic.limitReports());
 		dump.put("cold_targets", this.traffic.coldMonitor().reports());
@@ -73,4 +75,12 @@
 		return Collections.unmodifiableMap(countsByReason);
 	}
 
+	private Map<String, Long> malformedResponses() {
+		final Map<String, Long> countsByPart = new LinkedHashMap<>();
+		for (final AnswerPart part : AnswerPart.values()) {
+			countsByPart.put(part.code(), this.relay.malformedResponseCount(part));
+		}
+		return Collections.unmodifiableMap(countsByPart);
+	}
+
 }
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/UnexpectedAnswerLog.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/event/UnexpectedAnswerLog.java
@@ -2,11 +2,13 @@
 
 import org.pistachioline.adapters.web.ClientListener;
 import org.pistachioline.adapters.web.ConnectionUse;
+import org.pistachioline.adapters.web.MalformedAnswer;
 import org.pistachioline.adapters.web.UnexpectedAnswer;
 import org.pistachioline.core.event.EventId;
 
 /**
- * Logs the answers that belong to no request on their connection. Thread-safe.
+ * Logs the answers that belong to no request on their connection, and bytes that are no
+ * answer. Thread-safe.
  */
 public final class UnexpectedAnswerLog implements ClientListener {
 
@@ -24,6 +26,13 @@
 		log(JOINED, answer);
 	}
 
+	@Override
+	public void onMalformed(MalformedAnswer answer) {
+		Events.log(EventId.RESPONSE_MALFORMED, "part", answer.part().code(), "request", answer.requestId(), "address",
+				answer.address(), "connection", answer.connection().number(), "earlier_requests",
+				answer.connection().earlierRequests());
+	}
+
 	/**
 	 * Logs one answer.
 	 * @param reason how it was found to belong to no request
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -31,6 +31,10 @@
 			"Responses of targets that do not belong to the request on their connection.",
 			"rising: a target answers twice"),
 
+	/** Counter by the part that {@code PL-0517} names. */
+	RESPONSES_MALFORMED("pistachioline_responses_malformed_total", "responses by part",
+			"Responses of targets that break the grammar of HTTP and count as none.", "rising: a target is in trouble"),
+
 	/** Gauge of the memory of responses that are not complete. */
 	RESPONSES_KEPT("pistachioline_responses_kept", "bytes",
 			"Responses, and events of streams, that are kept until they are complete.",
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/Relay.java
@@ -5,6 +5,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
+import org.pistachioline.adapters.web.AnswerPart;
 import org.pistachioline.adapters.web.Connector;
 import org.pistachioline.adapters.web.WebClient;
 import org.pistachioline.adapters.web.WebLoop;
@@ -42,6 +43,8 @@
 
 	private final UnexpectedResponses unexpectedResponses = new UnexpectedResponses();
 
+	private final MalformedResponses malformedResponses = new MalformedResponses();
+
 	private final RelayHandler handler;
 
 	private final CallerServer callerServer;
@@ -70,7 +73,7 @@
 		final RelayContext context = new RelayContext(this.loop, client, protocol, this.streams,
 				traffic::onCallerDisconnected, new TargetReportDispatcher(loadReceiver, traffic), this.backoffGate,
 				new CrashProbe(client::askWhetherRefused, traffic.crashMonitor()::onCrash), this.incompleteResponses,
-				this.keptResponses, this.unexpectedResponses);
+				this.keptResponses, this.unexpectedResponses, this.malformedResponses);
 		this.handler = new RelayHandler(this.configuration, context, traffic, this.loopMonitor);
 		this.callerServer = new CallerServer(this.loop, address, this.handler, this.configuration);
 	}
@@ -166,6 +169,15 @@
 		return this.unexpectedResponses.count(reason);
 	}
 
+	/**
+	 * Returns how many responses of targets broke the grammar of HTTP.
+	 * @param part the first part that did
+	 * @return the number since the start
+	 */
+	public long malformedResponseCount(AnswerPart part) {
+		return this.malformedResponses.count(part);
+	}
+
 	/**
 	 * Returns how many connections were closed since a target sent too many bytes.
 	 * @return the number since the start
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -4,9 +4,12 @@
 
 import org.pistachioline.adapters.http.NotConnectedException;
 import org.pistachioline.adapters.web.AnswerHead;
+import org.pistachioline.adapters.web.AnswerPart;
 import org.pistachioline.adapters.web.AnswerReceiver;
 import org.pistachioline.adapters.web.ConnectionUse;
 import org.pistachioline.adapters.web.ExcessiveBytesException;
+import org.pistachioline.adapters.web.MalformedAnswer;
+import org.pistachioline.adapters.web.MalformedAnswerException;
 import org.pistachioline.adapters.web.UnexpectedAnswer;
 import org.pistachioline.adapters.web.WebCall;
 import org.pistachioline.adapters.web.WebRequest;
@@ -277,6 +280,11 @@
 		if (failure instanceof ExcessiveBytesException) {
 			logOversized("a head", OversizeBound.SINGLE);
 		}
+		if (failure instanceof MalformedAnswerException malformed) {
+			logMalformed(malformed.part());
+			// A target that sends such bytes has not reliably stated anything.
+			expectOutcome(AttemptOutcome.BROKEN);
+		}
 		// A target that declined has stated that it did not run the request, which holds
 		// even if the rest of its response is lost.
 		if (this.expectedOutcome == AttemptOutcome.DECLINED) {
@@ -296,6 +304,13 @@
 		}
 	}
 
+	private void logMalformed(AnswerPart part) {
+		this.exchange.context()
+			.malformedResponses()
+			.log(this.start.target().targetId(), new MalformedAnswer(this.start.target().address(),
+					this.exchange.request().metadata().requestId(), part, connection()));
+	}
+
 	void cancel() {
 		abort(AttemptOutcome.CANCELLED);
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayContext.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayContext.java
@@ -20,10 +20,11 @@
  * @param incompleteResponses logs the responses that the daemon ends incomplete
  * @param keptResponses bounds the memory of responses that are not complete
  * @param unexpectedResponses logs the responses that belong to no request
+ * @param malformedResponses logs the responses that break the grammar of HTTP
  */
 record RelayContext(Executor loop, WebClient client, RelayProtocol protocol, ActiveStreams streams,
 		LongConsumer disconnectListener, TargetReportListener targetReports, BackoffGate backoffGate,
 		CrashProbe crashProbe, IncompleteResponses incompleteResponses, KeptResponses keptResponses,
-		UnexpectedResponses unexpectedResponses) {
+		UnexpectedResponses unexpectedResponses, MalformedResponses malformedResponses) {
 
 }
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/event/UnexpectedAnswerLogTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/event/UnexpectedAnswerLogTests.java
@@ -1,8 +1,12 @@
 package org.pistachioline.daemon.event;
 
+import java.util.Map;
+
 import org.junit.jupiter.api.Test;
 
+import org.pistachioline.adapters.web.AnswerPart;
 import org.pistachioline.adapters.web.ConnectionUse;
+import org.pistachioline.adapters.web.MalformedAnswer;
 import org.pistachioline.adapters.web.UnexpectedAnswer;
 import org.pistachioline.core.event.EventId;
 
@@ -27,4 +31,16 @@
 		}
 	}
 
+	// Guards against a store or an instance in trouble without a trace of it.
+	@Test
+	void anAnswerThatIsMalformedIsLoggedWithThePart() {
+		try (EventRecorder recorder = new EventRecorder()) {
+			new UnexpectedAnswerLog().onMalformed(
+					new MalformedAnswer("127.0.0.1:1", "", AnswerPart.STATUS_LINE, new ConnectionUse(7, 2, 30)));
+			assertThat(recorder.events(EventId.RESPONSE_MALFORMED)).containsExactly(
+					Map.of("event", "PL-0517", "text", EventId.RESPONSE_MALFORMED.text(), "part", "status_line",
+							"request", "", "address", "127.0.0.1:1", "connection", "7", "earlier_requests", "2"));
+		}
+	}
+
 }
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/BehindDaemonTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/BehindDaemonTests.java
@@ -38,7 +38,7 @@
 	private final RelayHandler handler = new RelayHandler(() -> TABLE,
 			new RelayContext(this.loop, null, new StubProtocol(), new ActiveStreams(), (requestId) -> {
 				// No caller leaves.
-			}, null, null, null, null, null, null), null, new LoopMonitor(this.loop, () -> 0));
+			}, null, null, null, null, null, null, null), null, new LoopMonitor(this.loop, () -> 0));
 
 	@AfterEach
 	void stop() {
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/IncompleteResponsesTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/IncompleteResponsesTests.java
@@ -66,7 +66,7 @@
 	private final RelayContext context = new RelayContext(Runnable::run, new WebClient(this.loop, 1_000, 1_000, 1),
 			new StubProtocol(), new ActiveStreams(), (requestId) -> this.disconnected.add("gone " + requestId), null,
 			new BackoffGate(null, () -> NOW_NANOS), null, this.incomplete, new KeptResponses(Long.MAX_VALUE),
-			new UnexpectedResponses());
+			new UnexpectedResponses(), new MalformedResponses());
 
 	private final RelayExchange exchange = new RelayExchange(
 			new RequestInfo(7, "", TargetKind.MODEL, "pool/m", 100, 60, 0, Long.MAX_VALUE, Long.MAX_VALUE, true,
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/KeptResponsesTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/KeptResponsesTests.java
@@ -79,7 +79,7 @@
 					// No caller leaves.
 				}, reports, new BackoffGate(null, () -> NOW_NANOS), null,
 				new IncompleteResponses(new ConfigurationAge(() -> RouteTable.UNKNOWN, () -> NOW_NANOS)), this.kept,
-				new UnexpectedResponses());
+				new UnexpectedResponses(), new MalformedResponses());
 	}
 
 	@AfterEach
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/LateLoopTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/LateLoopTests.java
@@ -64,7 +64,7 @@
 	private final RelayHandler handler = new RelayHandler(() -> TABLE,
 			new RelayContext(this.loop, null, new StubProtocol(), new ActiveStreams(), (requestId) -> {
 				// No caller leaves.
-			}, null, null, null, null, null, null), this.traffic, this.monitor);
+			}, null, null, null, null, null, null, null), this.traffic, this.monitor);
 
 	@AfterEach
 	void stop() {
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -166,7 +166,7 @@
 				new CrashProbe((address, receiver) -> receiver.accept(false),
 						(crash) -> this.notifications.add("crash " + crash.targetId())),
 				new IncompleteResponses(new ConfigurationAge(() -> RouteTable.UNKNOWN, () -> NOW_NANOS)),
-				new KeptResponses(Long.MAX_VALUE), new UnexpectedResponses());
+				new KeptResponses(Long.MAX_VALUE), new UnexpectedResponses(), new MalformedResponses());
 		return new RelayExchange(info(), request(), true, context,
 				new CallerResponse(new RecordingReply(this.responses, NOW_NANOS)));
 	}
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/UnexpectedResponseRelayTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/UnexpectedResponseRelayTests.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
+import org.pistachioline.adapters.web.AnswerPart;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.route.RouteKind;
 import org.pistachioline.daemon.event.EventRecorder;
@@ -89,6 +90,23 @@
 		assertThat(count(UnexpectedReason.JOINED)).isOne();
 	}
 
+	// Guards against an attempt that failed since its target is in trouble, without a
+	// line
+	// that says so.
+	@Test
+	void theLogOfAMalformedAnswerNamesTheTargetAndThePart() throws IOException {
+		this.target.script(ScriptedTarget.Ending.kept(answer("asked", "wrong").replace("200", "000")),
+				ScriptedTarget.Ending.kept(answer("asked", "right")));
+		assertThat(this.relay.call("/1", "asked")).endsWith("right");
+		assertThat(only(EventId.RESPONSE_MALFORMED)).containsEntry("part", "status_line")
+			.containsEntry("request", "asked")
+			.containsEntry("address", this.target.address())
+			.containsEntry("connection", only(EventId.REQUEST_RETRIED).get("from_connection"))
+			.containsEntry("target", only(EventId.REQUEST_RETRIED).get("from"));
+		assertThat(this.events.events(EventId.RESPONSE_UNEXPECTED)).isEmpty();
+		assertThat(this.relay.relay().malformedResponseCount(AnswerPart.STATUS_LINE)).isOne();
+	}
+
 	// Guards against a lost connection of which the log does not say that it was used
 	// before.
 	@Test
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/tunnel/LateTunnelAnswerTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/tunnel/TunnelAnswerTests.java
@@ -6,11 +6,14 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.pistachioline.adapters.web.AnswerLimits;
 import org.pistachioline.adapters.web.Connector;
@@ -23,12 +26,13 @@
 import org.pistachioline.core.reachability.TargetReachability;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
 /**
- * Tests that a tunnel ends with its only exchange.
+ * Tests answers that come through a tunnel, which ends with its only exchange.
  */
 @Timeout(60)
-class LateTunnelAnswerTests {
+class TunnelAnswerTests {
 
 	private final WebLoop loop = new WebLoop("test");
 
@@ -63,11 +67,14 @@
 	}
 
 	private static void answer(Socket connection, String body) throws IOException {
+		answerWith(connection, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+	}
+
+	private static void answerWith(Socket connection, String answer) throws IOException {
 		final StringBuilder request = new StringBuilder();
 		while (request.indexOf("\r\n\r\n") < 0) {
 			request.append((char) connection.getInputStream().read());
 		}
-		final String answer = "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
 		connection.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
 	}
 
@@ -88,6 +95,20 @@
 		assertThat(this.server.establishedTunnels()).isEqualTo(2);
 	}
 
+	// Guards against a broken answer that is taken since it comes by way of another
+	// daemon.
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 000 OK\r\nContent-Length: 5", "HTTP/1.1 600 OK\r\nContent-Length: 5" })
+	void aBrokenAnswerThroughATunnelIsNotTaken(String head) throws IOException {
+		final CompletableFuture<WebAnswer> answer = call();
+		try (Socket connection = this.target.accept()) {
+			answerWith(connection, head + "\r\n\r\nwrong");
+			assertThatExceptionOfType(CompletionException.class).isThrownBy(answer::join)
+				.withCauseInstanceOf(IOException.class);
+			awaitClosed(connection);
+		}
+	}
+
 	private static void awaitClosed(Socket connection) {
 		try {
 			while (connection.getInputStream().read() >= 0) {
