Web: an answer whose chunks or trailers are malformed is no answer

Callers saw: the answer as if it were sound. A name behind the last chunk was cut at its blank like one in a head ("X-A b: 1", "X-A : 1", " X-A: 1"). The fields themselves are dropped by the codec's user, so nothing of them reached a caller; but the answer counted as whole, and a refusal in it as a promise.

Cause: as for the names in heads, in the codec's reader of trailers.

Change: ChunkedBody follows the lines around the chunks with the same table, skips their bytes, and judges the trailers. For that the codec gets the head before what follows it in the same packet, as it decides how the body ends. A malformed line fails the attempt, counted as chunk or trailer; an answer that declined in its head and breaks off so promises nothing any more.

Handled before by the codec, kept as tests: all sizes of chunks that are none ("4 4", "4x", " 4", "+4", "0x4", ""), chunks longer than their size, control bytes and a missing colon in a trailer. Sound and rare, taken as before: extensions, a size with leading zeros, trailers.

Conclusion: names are judged wherever an answer has any.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerInspector.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerInspector.java
@@ -3,9 +3,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 
 /**
- * Holds the heads of answers against the grammar of HTTP before the codec decodes them.
+ * Holds answers against the grammar of HTTP before the codec decodes them.
  * <p>
  * The codec takes much that is no HTTP and makes something sound of it, which cannot be
  * told from what a server meant any more: callers would get a body, a status or a promise
@@ -20,9 +22,11 @@
 	/** Several heads of the largest size that the codec takes. */
 	static final int MAX_HEAD_BYTES = 64 * 1024;
 
+	private static final AnswerSection UNSIZED = new UnsizedBody();
+
 	private final HeadSection head = new HeadSection();
 
-	private boolean awaited;
+	private AnswerSection section = UNSIZED;
 
 	private long headBytes;
 
@@ -31,35 +35,55 @@
 	 */
 	void onRequest() {
 		this.head.restart();
-		this.awaited = true;
+		this.section = this.head;
 		this.headBytes = 0;
 	}
 
 	/**
-	 * Ends the wait, as the codec has decoded the head.
+	 * Takes over from the codec how the answer's body ends.
+	 * @param decoded the head of the answer
+	 */
+	void onHead(HttpResponse decoded) {
+		this.section = HttpUtil.isTransferEncodingChunked(decoded) ? new ChunkedBody() : UNSIZED;
+	}
+
+	/**
+	 * Ends the answer, also one without a body whose head states one.
 	 */
-	void onHead() {
-		this.awaited = false;
+	void onEnd() {
+		this.section = UNSIZED;
 	}
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
-		if (!this.awaited || !(message instanceof ByteBuf received)) {
+		if (!(message instanceof ByteBuf received)) {
 			ctx.fireChannelRead(message);
 			return;
 		}
-		final int bytes = received.readableBytes();
 		try {
-			this.head.scan(received);
+			inspect(ctx, received);
 		}
 		catch (MalformedAnswerException ex) {
-			received.release();
 			ctx.fireExceptionCaught(ex);
-			return;
 		}
-		ctx.fireChannelRead(received);
-		if (this.awaited) {
-			limitHead(ctx, bytes);
+		finally {
+			received.release();
+		}
+	}
+
+	// The codec gets the head before the body is scanned, as the head says how it ends.
+	private void inspect(ChannelHandlerContext ctx, ByteBuf received) throws MalformedAnswerException {
+		while (received.isReadable() && ctx.channel().isOpen()) {
+			final int begin = received.readerIndex();
+			final int end = this.section.hasEnded() ? received.writerIndex() : this.section.scan(received, begin);
+			final boolean last = end == received.writerIndex();
+			ctx.fireChannelRead(last ? received.retain() : received.readRetainedSlice(end - begin));
+			if (this.section == this.head) {
+				limitHead(ctx, end - begin);
+			}
+			if (last) {
+				return;
+			}
 		}
 	}
 
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerPart.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerPart.java
@@ -14,7 +14,13 @@
 	FIELD_NAME,
 
 	/** The value of a header field. */
-	FIELD_VALUE;
+	FIELD_VALUE,
+
+	/** The size of a chunk, and the end of the line behind its bytes. */
+	CHUNK,
+
+	/** A field behind the last chunk. */
+	TRAILER;
 
 	/**
 	 * Returns the part's name in logs and metrics.
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerState.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerState.java
@@ -3,8 +3,9 @@
 import java.util.Arrays;
 
 /**
- * What may come next in the head of an answer, by the grammar of HTTP (RFC 9112, sections
- * 4 and 5). It is a table, as each byte of each head is looked up in it.
+ * What may come next in the head of an answer and in the lines around its chunks, by the
+ * grammar of HTTP (RFC 9112, sections 4, 5 and 7.1). It is a table, as each byte of each
+ * head is looked up in it.
  * <p>
  * The codec takes any number for a status. It cuts a name at its first blank and drops
  * what stands between that and the colon, so that {@code Content-Length x: 4} would cut
@@ -66,6 +67,30 @@
 	/** Behind the empty line. */
 	FIELDS_END(AnswerPart.FIELD_NAME),
 
+	/** Where the size of a chunk begins. */
+	CHUNK_SIZE_BEGIN(AnswerPart.CHUNK),
+
+	/** In the size of a chunk. */
+	CHUNK_SIZE(AnswerPart.CHUNK),
+
+	/** Between the size and an extension. */
+	CHUNK_EXTENSION_GAP(AnswerPart.CHUNK),
+
+	/** In the extensions of a chunk. */
+	CHUNK_EXTENSION(AnswerPart.CHUNK),
+
+	/** Behind the carriage return of the line with the size. */
+	CHUNK_SIZE_RETURN(AnswerPart.CHUNK),
+
+	/** Behind the line with the size. */
+	CHUNK_BYTES(AnswerPart.CHUNK),
+
+	/** Behind the bytes of a chunk. */
+	CHUNK_END(AnswerPart.CHUNK),
+
+	/** Behind the carriage return that follows these. */
+	CHUNK_END_RETURN(AnswerPart.CHUNK),
+
 	/** Behind a byte that the grammar does not allow. */
 	MALFORMED(AnswerPart.STATUS_LINE);
 
@@ -91,6 +116,14 @@
 		FIELD.on(Octets.TOKEN, NAME).onLineEnd(FIELDS_RETURN, FIELDS_END);
 		NAME.on(Octets.TOKEN, NAME).on(':', VALUE);
 		VALUE.on(Octets.TEXT, VALUE).onLineEnd(FIELD_RETURN, FIELD);
+		CHUNK_SIZE_BEGIN.on(Octets.HEX_DIGITS, CHUNK_SIZE);
+		CHUNK_SIZE.on(Octets.HEX_DIGITS, CHUNK_SIZE)
+			.on(Octets.BLANKS, CHUNK_EXTENSION_GAP)
+			.on(';', CHUNK_EXTENSION)
+			.onLineEnd(CHUNK_SIZE_RETURN, CHUNK_BYTES);
+		CHUNK_EXTENSION_GAP.on(Octets.BLANKS, CHUNK_EXTENSION_GAP).on(';', CHUNK_EXTENSION);
+		CHUNK_EXTENSION.on(Octets.TEXT, CHUNK_EXTENSION).onLineEnd(CHUNK_SIZE_RETURN, CHUNK_BYTES);
+		CHUNK_END.onLineEnd(CHUNK_END_RETURN, CHUNK_SIZE_BEGIN);
 	}
 
 	private static final int OCTETS = 256;
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -267,7 +267,7 @@
 			}
 			this.informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 			if (!this.informational) {
-				this.inspector.onHead();
+				this.inspector.onHead(response);
 				if (isJoined(response)) {
 					failJoined(response);
 					return;
@@ -286,6 +286,7 @@
 			final ClientCall done = this.call;
 			this.call = null;
 			this.ended = true;
+			this.inspector.onEnd();
 			done.end();
 		}
 	}
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/HeadSection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/HeadSection.java
@@ -6,7 +6,7 @@
 /**
  * The head of an answer, with the notices before it.
  */
-final class HeadSection implements ByteProcessor {
+final class HeadSection implements AnswerSection, ByteProcessor {
 
 	private AnswerState state = AnswerState.BEFORE_HEAD;
 
@@ -24,13 +24,9 @@
 		this.ended = false;
 	}
 
-	/**
-	 * Scans received bytes up to the head's end, without consuming them.
-	 * @param received the bytes
-	 * @throws MalformedAnswerException if the bytes break the grammar
-	 */
-	void scan(ByteBuf received) throws MalformedAnswerException {
-		int index = received.readerIndex();
+	@Override
+	public int scan(ByteBuf received, int from) throws MalformedAnswerException {
+		int index = from;
 		while (!this.ended && index < received.writerIndex()) {
 			final int stop = received.forEachByte(index, received.writerIndex() - index, this);
 			if (this.malformed) {
@@ -39,6 +35,12 @@
 			index = (stop < 0) ? received.writerIndex() : stop + 1;
 			onStop();
 		}
+		return index;
+	}
+
+	@Override
+	public boolean hasEnded() {
+		return this.ended;
 	}
 
 	// Returns whether to go on to the next byte.
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/Octets.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/Octets.java
@@ -11,6 +11,8 @@
 
 	static final String DIGITS = "0123456789";
 
+	static final String HEX_DIGITS = DIGITS + "ABCDEFabcdef";
+
 	static final String BLANKS = " \t";
 
 	/** What a name may hold. */
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/MalformedAnswerTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/MalformedAnswerTests.java
@@ -106,15 +106,34 @@
 		assertNotTaken(AnswerPart.STATUS_LINE, notice + SOUND);
 	}
 
+	// Guards against the size of a chunk that is read as another one, which cuts the
+	// body,
+	// and against bytes of a chunk that are dropped since its size is too small.
+	@ParameterizedTest
+	@ValueSource(strings = { "4 4\r\n0123", "4x\r\n0123", " 4\r\n0123", "+4\r\n0123", "-4\r\n0123", "0x4\r\n0123",
+			"4 \r\n0123", ";a\r\n0123", "100000004\r\n0123", "\r\n4\r\n0123", "4;a\u0000\r\n0123", "4\r\n" + BODY,
+			"4\r\n0123 ", "4\r\n0123\r" })
+	void aChunkThatIsNoneEndsTheAnswer(String chunk) {
+		assertFails(AnswerPart.CHUNK, CHUNKED + chunk + "\r\n0\r\n\r\n");
+	}
+
+	// Guards against an answer that is taken for whole though its end is broken.
+	@ParameterizedTest
+	@ValueSource(strings = { "X-A b: 1", "X-A : 1", " X-A: 1", "X\u0001: 1", "X-A: \u0001", "X-A", ": 1" })
+	void aTrailerThatIsNoneEndsTheAnswer(String trailer) {
+		assertFails(AnswerPart.TRAILER, CHUNKED + "4\r\n0123\r\n0\r\nA: 1\r\n" + trailer + "\r\n\r\n");
+	}
+
 	// Guards against a broken line that passes since it arrives in pieces, on a
 	// connection that has carried a sound answer.
 	@Property(seed = "77", tries = 300)
-	void cutsHideNothing(@ForAll @IntRange(min = 1, max = 80) int size, @ForAll @IntRange(min = 0, max = 3) int row) {
+	void cutsHideNothing(@ForAll @IntRange(min = 1, max = 80) int size, @ForAll @IntRange(min = 0, max = 6) int row) {
 		final List<String> broken = List.of("HTTP/1.1 000 OK\r\n" + FRAMED,
 				"HTTP/1.1 200 OK\r\nContent-Length x: 4\r\n" + FRAMED, "HTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n" + FRAMED,
-				"HTTP/1.1 103 Hints\r\nLink b: a\r\n\r\n" + SOUND);
+				"HTTP/1.1 103 Hints\r\nLink b: a\r\n\r\n" + SOUND, CHUNKED + "4 4\r\n0123\r\n0\r\n\r\n",
+				CHUNKED + "4\r\n01234\r\n0\r\n\r\n", CHUNKED + "4\r\n0123\r\n0\r\nA b: 1\r\n\r\n");
 		final List<AnswerPart> parts = List.of(AnswerPart.STATUS_LINE, AnswerPart.FIELD_NAME, AnswerPart.FIELD_NAME,
-				AnswerPart.FIELD_NAME);
+				AnswerPart.FIELD_NAME, AnswerPart.CHUNK, AnswerPart.CHUNK, AnswerPart.TRAILER);
 		final Exchange second = new Exchange();
 		second.receive(SOUND);
 		assertThat(second.idle).hasSize(1);
@@ -201,6 +220,12 @@
 		assertThat(exchange.answer.body()).isEmpty();
 	}
 
+	private static void assertFails(AnswerPart part, String bytes) {
+		final Exchange exchange = new Exchange();
+		exchange.receive(bytes);
+		exchange.assertMalformed(part);
+	}
+
 	/**
 	 * A connection and the request that waits on it.
 	 */
