Web: the start of a head behind an answer is not joined to the next answer

Callers saw: 200, signed, where their request's own run had failed with 500 (MIXED, of two answers' heads). A target sends "HTTP/1.1 200 OK\r\nX-A " in the packet in which an answer ends, and the next answer on that connection follows.

Those behind an answer make no message yet, so they waited in the codec while the connection was kept, and were not seen as bytes that came while nobody waited either: that was asked when a packet began, not within one. The line "X-A HTTP/1.1 500 Answer" was then cut to a field X-A without a value, so that JoinedHeads did not see the second status line.

BytesWhileIdle, which asked the same of packets only, is part of it.

Conclusion: each byte that the codec gets was either judged or belongs to a body.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerInspector.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerInspector.java
@@ -15,21 +15,32 @@
  * reach the codec.
  * <p>
  * It also limits the bytes before the end of a head, since the codec takes any number of
- * empty lines and notices there.
+ * empty lines and notices there, and reports bytes that belong to no answer: where they
+ * make no message, they would wait in the codec for the rest of the next answer.
  */
 final class AnswerInspector extends ChannelInboundHandlerAdapter {
 
 	/** Several heads of the largest size that the codec takes. */
 	static final int MAX_HEAD_BYTES = 64 * 1024;
 
-	private static final AnswerSection UNSIZED = new UnsizedBody();
+	private static final AnswerSection NO_ANSWER = new SizedBody(0);
+
+	private final Runnable surplusListener;
 
 	private final HeadSection head = new HeadSection();
 
-	private AnswerSection section = UNSIZED;
+	private AnswerSection section = NO_ANSWER;
 
 	private long headBytes;
 
+	/**
+	 * Creates a handler that is placed before the codec.
+	 * @param surplusListener is called when bytes were received that belong to no answer
+	 */
+	AnswerInspector(Runnable surplusListener) {
+		this.surplusListener = surplusListener;
+	}
+
 	/**
 	 * Begins to wait for an answer.
 	 */
@@ -44,14 +55,22 @@
 	 * @param decoded the head of the answer
 	 */
 	void onHead(HttpResponse decoded) {
-		this.section = HttpUtil.isTransferEncodingChunked(decoded) ? new ChunkedBody() : UNSIZED;
+		if (HttpUtil.isTransferEncodingChunked(decoded)) {
+			this.section = new ChunkedBody();
+		}
+		else if (HttpUtil.isContentLengthSet(decoded)) {
+			this.section = new SizedBody(HttpUtil.getContentLength(decoded));
+		}
+		else {
+			this.section = new UnsizedBody();
+		}
 	}
 
 	/**
-	 * Ends the answer, also one without a body whose head states one.
+	 * Ends the answer, also one without a body whose head states a length.
 	 */
 	void onEnd() {
-		this.section = UNSIZED;
+		this.section = NO_ANSWER;
 	}
 
 	@Override
@@ -74,11 +93,15 @@
 	// The codec gets the head before the body is scanned, as the head says how it ends.
 	private void inspect(ChannelHandlerContext ctx, ByteBuf received) throws MalformedAnswerException {
 		while (received.isReadable() && ctx.channel().isOpen()) {
+			final boolean surplus = this.section.hasEnded();
 			final int begin = received.readerIndex();
-			final int end = this.section.hasEnded() ? received.writerIndex() : this.section.scan(received, begin);
+			final int end = surplus ? received.writerIndex() : this.section.scan(received, begin);
 			final boolean last = end == received.writerIndex();
 			ctx.fireChannelRead(last ? received.retain() : received.readRetainedSlice(end - begin));
-			if (this.section == this.head) {
+			if (surplus) {
+				this.surplusListener.run();
+			}
+			else if (this.section == this.head) {
 				limitHead(ctx, end - begin);
 			}
 			if (last) {
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -45,7 +45,7 @@
 
 	private final ConnectionHistory history = new ConnectionHistory();
 
-	private final AnswerInspector inspector = new AnswerInspector();
+	private final AnswerInspector inspector = new AnswerInspector(this::onSurplus);
 
 	private ClientCall call;
 
@@ -165,7 +165,7 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext ctx) {
 		this.channel = ctx.channel();
-		ctx.pipeline().addFirst(new BytesWhileIdle(() -> this.call != null, () -> onUnexpected(null)), this.inspector);
+		ctx.pipeline().addFirst(this.inspector);
 	}
 
 	@Override
@@ -254,6 +254,15 @@
 		abort();
 	}
 
+	private void onSurplus() {
+		if (this.call == null) {
+			onUnexpected(null);
+		}
+		else {
+			fail(new IOException("Bytes followed the end of an answer"));
+		}
+	}
+
 	private Optional<String> idIn(HttpResponse response) {
 		return this.history.idHeader().map((name) -> response.headers().get(name));
 	}
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/UnsizedBody.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/UnsizedBody.java
@@ -3,7 +3,7 @@
 import io.netty.buffer.ByteBuf;
 
 /**
- * A body whose end only the codec looks for.
+ * A body that ends with its connection.
  */
 final class UnsizedBody implements AnswerSection {
 
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/MalformedAnswerTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/MalformedAnswerTests.java
@@ -212,6 +212,21 @@
 		exchange.assertTaken(lines);
 	}
 
+	// Guards against the start of a head behind an answer, in its last packet, that waits
+	// on a kept connection for the rest of the next answer.
+	@ParameterizedTest
+	@ValueSource(strings = { SOUND, CHUNKED + "10\r\n" + BODY + "\r\n0\r\n\r\n" })
+	void aConnectionWithTheStartOfAHeadBehindItsAnswerIsNotKept(String answer) {
+		for (final String start : List.of("HTTP/1.1 200 OK\r\nX-A ", "HTTP/1.1 2", "H", "\r\n")) {
+			final Exchange exchange = new Exchange();
+			exchange.receive(answer + start);
+			exchange.assertTaken(BODY);
+			assertThat(exchange.channel.isOpen()).isFalse();
+			assertThat(exchange.idle).isEmpty();
+			assertThat(exchange.unexpected).hasSize(1);
+		}
+	}
+
 	private static void assertNotTaken(AnswerPart part, String bytes) {
 		final Exchange exchange = new Exchange();
 		exchange.receive(bytes);
