Web: an answer behind more than 100 notices is not decoded

Callers saw: 504 for a sound request while 300 targets send notices without end (BytesWithoutEndTests, "interim answers, 300 at once"), since the loop decodes nothing else for some three seconds, which is the route's time.

Cause: the codec takes some microseconds for each notice, and 64 kB before a head, our bound, hold 2,600 of them; 300 connections have 780,000. The limit of 512 lines began anew with each notice.

Change: HeadSection, which sees each notice before the codec does, fails the connection at the 101st.

EndlessAnswerTests.anAnswerBehindTooManyNoticesIsNotTaken asks it of one connection.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerInspector.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerInspector.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 
 /**
  * Holds answers against the grammar of HTTP before the codec decodes them.
@@ -82,7 +83,7 @@
 		try {
 			inspect(ctx, received);
 		}
-		catch (MalformedAnswerException ex) {
+		catch (MalformedAnswerException | TooLongHttpHeaderException ex) {
 			ctx.fireExceptionCaught(ex);
 		}
 		finally {
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/HeadSection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/HeadSection.java
@@ -1,6 +1,7 @@
 package org.pistachioline.adapters.web;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ByteProcessor;
 
 /**
@@ -8,12 +9,17 @@
  */
 final class HeadSection implements AnswerSection, ByteProcessor {
 
+	/** Many times as many as a server sends. */
+	static final int MAX_NOTICES = 100;
+
 	private AnswerState state = AnswerState.BEFORE_HEAD;
 
 	private boolean malformed;
 
 	private boolean notice;
 
+	private int noticeCount;
+
 	private boolean ended;
 
 	/**
@@ -21,6 +27,7 @@
 	 */
 	void restart() {
 		this.state = AnswerState.BEFORE_HEAD;
+		this.noticeCount = 0;
 		this.ended = false;
 	}
 
@@ -63,8 +70,19 @@
 			this.notice = false;
 		}
 		else if (this.state == AnswerState.FIELDS_END) {
-			this.ended = !this.notice;
-			this.state = AnswerState.BEFORE_HEAD;
+			onHeadEnd();
+		}
+	}
+
+	// The codec takes any number of notices, at some microseconds each.
+	private void onHeadEnd() {
+		this.ended = !this.notice;
+		this.state = AnswerState.BEFORE_HEAD;
+		if (this.notice) {
+			this.noticeCount++;
+		}
+		if (this.noticeCount > MAX_NOTICES) {
+			throw new TooLongHttpHeaderException("More than " + MAX_NOTICES + " notices were sent before an answer");
 		}
 	}
 
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/EndlessAnswerTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/EndlessAnswerTests.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -20,6 +21,8 @@
 
 	private static final String CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+	private static final String SOUND = "HTTP/1.1 204 No Content\r\n\r\n";
+
 	private final List<ClientConnection> idle = new ArrayList<>();
 
 	private final ClientConnection connection = new ClientConnection("target:80", this.idle::add);
@@ -55,6 +58,21 @@
 		assertFailedOnce();
 	}
 
+	// Guards against targets that send so many notices that the loop decodes nothing
+	// else.
+	@Test
+	void anAnswerBehindTooManyNoticesIsNotTaken() {
+		takenBytes("HTTP/1.1 103\r\n\r\n".repeat(HeadSection.MAX_NOTICES + 1), SOUND);
+		assertFailedOnce();
+	}
+
+	@Test
+	void anAnswerBehindAsManyNoticesAsAllowedIsTaken() {
+		takenBytes("HTTP/1.1 103\r\n\r\n".repeat(HeadSection.MAX_NOTICES) + SOUND, " ");
+		assertThat(this.answer.failure()).isNull();
+		assertThat(this.answer.head().status()).isEqualTo(204);
+	}
+
 	private void assertFailedOnce() {
 		assertThat(this.answer.ends()).isLessThanOrEqualTo(1);
 		assertThat(this.answer.failure()).isNotNull();
