Web: an answer in a transfer coding that nobody asked for is no answer

Callers saw: of an answer with "Transfer-Encoding: chunked x", "chun ked" or "xchunked", 200, signed, with the sizes of the chunks in the body; of one with "gzip, chunked" the compressed bytes, without a field that says so.

Cause: the codec decodes chunks and takes the bytes of any other coding for the body, up to the connection's end. The field is not passed on, as it concerns one connection only.

Change: ClientConnection fails an answer that names a coding other than chunked or identity, as malformed in a field's value (TransferCodings).

Evidence: 7 of 7 values red without the check, green with it; "CHUNKED" and "identity" are taken as before.

Conclusion: how a body ends is taken from an answer only where its bytes can be decoded.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -276,6 +276,10 @@
 			}
 			this.informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 			if (!this.informational) {
+				if (!TransferCodings.areKnown(response.headers())) {
+					failMalformed(new MalformedAnswerException(AnswerPart.FIELD_VALUE));
+					return;
+				}
 				this.inspector.onHead(response);
 				if (isJoined(response)) {
 					failJoined(response);
@@ -355,10 +359,17 @@
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
 		ConnectionFaults.log(cause);
 		if (cause instanceof MalformedAnswerException malformed && this.call != null) {
-			this.owner.onMalformed(new MalformedAnswer(this.address, this.call.request().id().orElse(""),
-					malformed.part(), this.call.connection()));
+			failMalformed(malformed);
+		}
+		else {
+			fail(cause);
 		}
-		fail(cause);
+	}
+
+	private void failMalformed(MalformedAnswerException malformed) {
+		this.owner.onMalformed(new MalformedAnswer(this.address, this.call.request().id().orElse(""), malformed.part(),
+				this.call.connection()));
+		fail(malformed);
 	}
 
 	private void fail(Throwable cause) {
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/MalformedAnswerTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/MalformedAnswerTests.java
@@ -83,6 +83,25 @@
 		}
 	}
 
+	// Guards against a body that callers get in a coding of which they are not told, such
+	// as with the sizes of its chunks.
+	@ParameterizedTest
+	@ValueSource(
+			strings = { "xchunked", "chunked x", "chun ked", "gzip, chunked", "gzip", "identity, chunked", "\u00e9" })
+	void aBodyInATransferCodingThatNobodyAskedForIsNotTaken(String coding) {
+		assertNotTaken(AnswerPart.FIELD_VALUE,
+				"HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n10\r\n" + BODY + "\r\n0\r\n\r\n");
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "chunked\r\n\r\n10\r\n" + BODY + "\r\n0\r\n\r\n",
+			"CHUNKED\r\n\r\n10\r\n" + BODY + "\r\n0\r\n\r\n", "identity\r\n" + FRAMED })
+	void aBodyInChunksOrInNoCodingIsTaken(String codingAndBody) {
+		final Exchange exchange = new Exchange();
+		exchange.receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + codingAndBody);
+		exchange.assertTaken(BODY);
+	}
+
 	// Guards against folded lines that keep the loop busy, so that sound requests time
 	// out: the codec copies all lines before each one.
 	@ParameterizedTest
