HttpCaller: an answer in a transfer coding that nobody asked for is no answer

Callers of the product's own daemon, and its log, list and engines, saw: the sizes of the chunks in the body, where an answer said "Transfer-Encoding: chunked x" or "chun ked".

Cause: Pekko's parser takes a value that it cannot read for a field without a meaning (illegal-header-warnings are off), and the body ends with the connection.

Change: OwnedConnection fails an answer that still has the field; where the parser has decoded chunks it has not.

Evidence: MalformedAnswerCallerTests, 2 of 5 values red before ("xchunked", "gzip, chunked" and "gzip" failed already), 5 of 5 green now, sound answers as before.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/OwnedConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/http/OwnedConnection.java
@@ -31,6 +31,8 @@
  */
 final class OwnedConnection {
 
+	private static final String TRANSFER_ENCODING = "Transfer-Encoding";
+
 	private final String address;
 
 	private final AbortableTransport transport = new AbortableTransport();
@@ -84,6 +86,13 @@
 	}
 
 	private void onAnswer(HttpResponse response) {
+		// The parser has decoded chunks, and keeps the field where it names anything
+		// else.
+		if (response.getHeader(TRANSFER_ENCODING).isPresent()) {
+			this.answer.completeExceptionally(new IOException("The answer's transfer coding is not known"));
+			abort();
+			return;
+		}
 		if (response.entity() instanceof HttpEntity.Strict) {
 			this.ended.complete(Done.getInstance());
 			this.answer.complete(response);
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/http/MalformedAnswerCallerTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/http/MalformedAnswerCallerTests.java
@@ -74,6 +74,13 @@
 		assertNotTaken(CHUNKED + chunk + "\r\n0\r\n\r\n");
 	}
 
+	// Guards against a body in a coding that nobody has asked for.
+	@ParameterizedTest
+	@ValueSource(strings = { "xchunked", "chunked x", "chun ked", "gzip, chunked", "gzip" })
+	void aBodyInATransferCodingThatNobodyAskedForIsNotTaken(String coding) throws IOException {
+		assertNotTaken("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n4\r\n0123\r\n0\r\n\r\n");
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "HTTP/1.1 200 OK" + FRAMED, "HTTP/1.1 200 " + FRAMED, CHUNKED + "4\r\n0123\r\n0\r\n\r\n" })
 	void aSoundAnswerIsTaken(String bytes) throws IOException {
