--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerInspector.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerInspector.java
@@ -16,8 +16,9 @@
  * reach the codec.
  * <p>
  * It also limits the bytes before the end of a head, since the codec takes any number of
- * empty lines and notices there, and reports bytes that belong to no answer: where they
- * make no message, they would wait in the codec for the rest of the next answer.
+ * empty lines and interim answers there, and reports bytes that belong to no answer:
+ * where they make no message, they would wait in the codec for the rest of the next
+ * answer.
  */
 final class AnswerInspector extends ChannelInboundHandlerAdapter {
 
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerPart.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerPart.java
@@ -7,7 +7,10 @@
  */
 public enum AnswerPart {
 
-	/** The version, the status and its reason, of the answer or of a notice before it. */
+	/**
+	 * The version, the status and its reason, of the answer or of an interim one before
+	 * it.
+	 */
 	STATUS_LINE,
 
 	/** The name of a header field, up to its colon. */
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerState.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerState.java
@@ -31,8 +31,10 @@
 	/** Between the version and the status. */
 	STATUS_GAP(AnswerPart.STATUS_LINE),
 
-	/** Behind the first digit of the status of a notice, which another head follows. */
-	NOTICE_STATUS(AnswerPart.STATUS_LINE),
+	/**
+	 * Behind the first digit of an informational status, whose head another one follows.
+	 */
+	INTERIM_STATUS(AnswerPart.STATUS_LINE),
 
 	/** Behind the first digit of any other status. */
 	FINAL_STATUS(AnswerPart.STATUS_LINE),
@@ -107,8 +109,8 @@
 		HTTP_MAJOR.on('.', HTTP_DOT);
 		HTTP_DOT.on(Octets.DIGITS, VERSION);
 		VERSION.on(Octets.BLANKS, STATUS_GAP);
-		STATUS_GAP.on(Octets.BLANKS, STATUS_GAP).on('1', NOTICE_STATUS).on("2345", FINAL_STATUS);
-		NOTICE_STATUS.on(Octets.DIGITS, STATUS_2);
+		STATUS_GAP.on(Octets.BLANKS, STATUS_GAP).on('1', INTERIM_STATUS).on("2345", FINAL_STATUS);
+		INTERIM_STATUS.on(Octets.DIGITS, STATUS_2);
 		FINAL_STATUS.on(Octets.DIGITS, STATUS_2);
 		STATUS_2.on(Octets.DIGITS, STATUS_3);
 		STATUS_3.on(Octets.BLANKS, REASON).onLineEnd(STATUS_LINE_RETURN, FIELD);
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/HeadSection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/HeadSection.java
@@ -5,20 +5,20 @@
 import io.netty.util.ByteProcessor;
 
 /**
- * The head of an answer, with the notices before it.
+ * The head of an answer, with the heads of interim answers before it.
  */
 final class HeadSection implements AnswerSection, ByteProcessor {
 
 	/** Many times as many as a server sends. */
-	static final int MAX_NOTICES = 100;
+	static final int MAX_INTERIM_ANSWERS = 100;
 
 	private AnswerState state = AnswerState.BEFORE_HEAD;
 
 	private boolean malformed;
 
-	private boolean notice;
+	private boolean interim;
 
-	private int noticeCount;
+	private int interimCount;
 
 	private boolean ended;
 
@@ -27,7 +27,7 @@
 	 */
 	void restart() {
 		this.state = AnswerState.BEFORE_HEAD;
-		this.noticeCount = 0;
+		this.interimCount = 0;
 		this.ended = false;
 	}
 
@@ -59,30 +59,30 @@
 			return false;
 		}
 		this.state = next;
-		return next != AnswerState.NOTICE_STATUS && next != AnswerState.FINAL_STATUS && next != AnswerState.FIELDS_END;
+		return next != AnswerState.INTERIM_STATUS && next != AnswerState.FINAL_STATUS && next != AnswerState.FIELDS_END;
 	}
 
 	private void onStop() {
-		if (this.state == AnswerState.NOTICE_STATUS) {
-			this.notice = true;
+		if (this.state == AnswerState.INTERIM_STATUS) {
+			this.interim = true;
 		}
 		else if (this.state == AnswerState.FINAL_STATUS) {
-			this.notice = false;
+			this.interim = false;
 		}
 		else if (this.state == AnswerState.FIELDS_END) {
 			onHeadEnd();
 		}
 	}
 
-	// The codec takes any number of notices, at some microseconds each.
+	// The codec takes any number of interim answers, at some microseconds each.
 	private void onHeadEnd() {
-		this.ended = !this.notice;
+		this.ended = !this.interim;
 		this.state = AnswerState.BEFORE_HEAD;
-		if (this.notice) {
-			this.noticeCount++;
+		if (this.interim) {
+			this.interimCount++;
 		}
-		if (this.noticeCount > MAX_NOTICES) {
-			throw new TooLongHttpHeaderException("More than " + MAX_NOTICES + " notices were sent before an answer");
+		if (this.interimCount > MAX_INTERIM_ANSWERS) {
+			throw new TooLongHttpHeaderException("More than " + MAX_INTERIM_ANSWERS + " interim answers were sent");
 		}
 	}
 
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/EndlessAnswerTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/EndlessAnswerTests.java
@@ -58,17 +58,18 @@
 		assertFailedOnce();
 	}
 
-	// Guards against targets that send so many notices that the loop decodes nothing
+	// Guards against targets that send so many interim answers that the loop decodes
+	// nothing
 	// else.
 	@Test
-	void anAnswerBehindTooManyNoticesIsNotTaken() {
-		takenBytes("HTTP/1.1 103\r\n\r\n".repeat(HeadSection.MAX_NOTICES + 1), SOUND);
+	void anAnswerBehindTooManyInterimOnesIsNotTaken() {
+		takenBytes("HTTP/1.1 103\r\n\r\n".repeat(HeadSection.MAX_INTERIM_ANSWERS + 1), SOUND);
 		assertFailedOnce();
 	}
 
 	@Test
-	void anAnswerBehindAsManyNoticesAsAllowedIsTaken() {
-		takenBytes("HTTP/1.1 103\r\n\r\n".repeat(HeadSection.MAX_NOTICES) + SOUND, " ");
+	void anAnswerBehindAsManyInterimOnesAsAllowedIsTaken() {
+		takenBytes("HTTP/1.1 103\r\n\r\n".repeat(HeadSection.MAX_INTERIM_ANSWERS) + SOUND, " ");
 		assertThat(this.answer.failure()).isNull();
 		assertThat(this.answer.head().status()).isEqualTo(204);
 	}
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/MalformedAnswerTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/MalformedAnswerTests.java
@@ -110,19 +110,19 @@
 		assertNotTaken(AnswerPart.FIELD_NAME, before + "HTTP/1.1 200 OK\r\na:b\r\n" + FOLDED.repeat(1_500));
 	}
 
-	// Guards against a broken line of a notice, after which the answer is taken.
+	// Guards against a broken line of an interim answer, after which the answer is taken.
 	@ParameterizedTest
 	@ValueSource(strings = { "HTTP/1.1 103 Early Hints\r\nLink x: a\r\n\r\n",
 			"HTTP/1.1 103 Early Hints\r\nA: 1\r\n Link: a\r\n\r\n" })
-	void anAnswerBehindANoticeWithABrokenFieldIsNotTaken(String notice) {
-		assertNotTaken(AnswerPart.FIELD_NAME, notice + SOUND);
+	void anAnswerBehindAnInterimOneWithABrokenFieldIsNotTaken(String interim) {
+		assertNotTaken(AnswerPart.FIELD_NAME, interim + SOUND);
 	}
 
-	// Guards against the same where the notice's first line is broken.
+	// Guards against the same where the interim answer's first line is broken.
 	@ParameterizedTest
 	@ValueSource(strings = { "HTTP/1.1 099 Odd\r\n\r\n", "HTTP/1.1 103 O\u0000K\r\n\r\n", "HTTP/1.1 10\r\n\r\n" })
-	void anAnswerBehindANoticeWithABrokenStatusLineIsNotTaken(String notice) {
-		assertNotTaken(AnswerPart.STATUS_LINE, notice + SOUND);
+	void anAnswerBehindAnInterimOneWithABrokenStatusLineIsNotTaken(String interim) {
+		assertNotTaken(AnswerPart.STATUS_LINE, interim + SOUND);
 	}
 
 	// Guards against the size of a chunk that is read as another one, which cuts the
