--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerInspector.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerInspector.java
@@ -10,10 +10,10 @@
 /**
  * Holds answers against the grammar of HTTP before the codec decodes them.
  * <p>
- * The codec takes much that is no HTTP and makes something sound of it, which cannot be
- * told from what a server meant any more: callers would get a body, a status or a promise
- * that no server has given. Bytes that break the grammar fail their connection and do not
- * reach the codec.
+ * The codec accepts much that is not valid HTTP and turns it into a valid message. Behind
+ * it, that message cannot be distinguished from one that was sent correctly, and a caller
+ * would receive a status, a body or a refusal that its target has not sent. Bytes that
+ * violate the grammar fail the request and do not reach the codec.
  * <p>
  * It also limits the bytes before the end of a head, since the codec takes any number of
  * empty lines and interim answers there, and reports bytes that belong to no answer:
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerState.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/AnswerState.java
@@ -7,11 +7,11 @@
  * grammar of HTTP (RFC 9112, sections 4, 5 and 7.1). It is a table, as each byte of each
  * head is looked up in it.
  * <p>
- * The codec takes any number for a status. It cuts a name at its first blank and drops
- * what stands between that and the colon, so that {@code Content-Length x: 4} would cut
- * the body, and joins a line that begins with a blank to the value before it. A proxy may
- * mend a blank before the colon and such a folded line, or reject the answer. It is
- * rejected: no server that keeps to the grammar sends either.
+ * The codec accepts any number as a status. It ends a field name at the first blank and
+ * ignores the rest up to the colon, so {@code Content-Length x: 4} would truncate the
+ * body, and it appends a line that begins with a blank to the previous value. A proxy may
+ * repair a blank before the colon and a folded line, or reject the answer. Both are
+ * rejected here: a server that follows the grammar sends neither.
  */
 enum AnswerState {
 
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/TransferCodings.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/TransferCodings.java
@@ -9,9 +9,8 @@
 /**
  * Recognizes answers whose bodies the codec can decode.
  * <p>
- * The codec takes the bytes of any other coding for the body itself. The field that names
- * the coding goes no further than this connection, so that callers would take them for
- * it, too.
+ * The codec passes the bytes of any other coding on as the body. The field that names the
+ * coding is a hop-by-hop field and is not forwarded, so a caller could not decode them.
  */
 final class TransferCodings {
 
