--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashRegistry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashRegistry.java
@@ -335,9 +335,10 @@
 
 	List<CrashReport> reports(long nowNanos) {
 		final List<CrashReport> reports = new ArrayList<>();
-		this.histories.forEach((fingerprint, history) -> reports
-			.add(new CrashReport(this.kind, fingerprint, this.quarantined.contains(fingerprint), history.targetIds(),
-					history.lastCrashAgeNanos(nowNanos) / NANOS_PER_MILLI)));
+		this.histories.forEach((fingerprint,
+				history) -> reports.add(new CrashReport(this.kind, fingerprint, this.quarantined.contains(fingerprint),
+						history.targetIds(), history.crashMoments(),
+						history.lastCrashAgeNanos(nowNanos) / NANOS_PER_MILLI)));
 		return reports;
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/GossipQuarantine.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/GossipQuarantine.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -68,8 +69,12 @@
 	}
 
 	@Override
-	public boolean isQuarantined(String fingerprint, List<String> parts) {
-		return isQuarantined(fingerprint) || parts.stream().anyMatch(this.promptParts::isQuarantined);
+	public Optional<SuspectKind> quarantinedBy(String fingerprint, List<String> parts) {
+		if (isQuarantined(fingerprint)) {
+			return Optional.of(SuspectKind.REQUEST);
+		}
+		return parts.stream().anyMatch(this.promptParts::isQuarantined) ? Optional.of(SuspectKind.PROMPT_PART)
+				: Optional.empty();
 	}
 
 	@Override
--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/QuarantinePolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/QuarantinePolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -25,7 +26,17 @@
 	 * @return true if the request or a part is quarantined
 	 */
 	default boolean isQuarantined(String fingerprint, List<String> promptParts) {
-		return isQuarantined(fingerprint);
+		return quarantinedBy(fingerprint, promptParts).isPresent();
+	}
+
+	/**
+	 * Returns what a request is quarantined by.
+	 * @param fingerprint the request's fingerprint
+	 * @param promptParts the parts of its prompt that other requests may share
+	 * @return whether the request itself or a part is quarantined; empty if neither is
+	 */
+	default Optional<SuspectKind> quarantinedBy(String fingerprint, List<String> promptParts) {
+		return isQuarantined(fingerprint) ? Optional.of(SuspectKind.REQUEST) : Optional.empty();
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ActiveRequests.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ActiveRequests.java
@@ -5,9 +5,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.error.RunState;
+import org.pistachioline.core.quarantine.SuspectKind;
 
 /**
  * Holds the requests that have not ended and the actions that are due for them.
@@ -144,6 +146,19 @@
 				new TrafficAction.Fail(request.info.requestId(), kind, runStateOf(kind, request), delayMillis, reason));
 	}
 
+	/**
+	 * Fails a request if it, or a part of its prompt, is quarantined.
+	 * @param nowNanos the monotonic time
+	 * @param request the request
+	 * @return whether it has failed
+	 */
+	boolean failIfQuarantined(long nowNanos, ActiveRequest request) {
+		final Optional<SuspectKind> quarantinedBy = this.policies.quarantine()
+			.quarantinedBy(request.info.fingerprint(), request.info.sharedPromptParts());
+		quarantinedBy.ifPresent((kind) -> fail(nowNanos, request, ErrorKind.QUARANTINED, 0, FailureReason.of(kind)));
+		return quarantinedBy.isPresent();
+	}
+
 	/**
 	 * Fails a request whose claim could not be checked, as claim records may be missing.
 	 * An earlier request with its key may have run, so the run state is unknown.
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomeHandler.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomeHandler.java
@@ -105,7 +105,7 @@
 	}
 
 	private void afterFailure(long nowNanos, ActiveRequest request, AttemptOutcome outcome) {
-		if (this.dispatcher.failIfQuarantined(nowNanos, request)) {
+		if (this.activeRequests.failIfQuarantined(nowNanos, request)) {
 			return;
 		}
 		final Optional<FailureReason> obstacle = obstacleToRetry(nowNanos, request, outcome);
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Dispatcher.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Dispatcher.java
@@ -62,7 +62,7 @@
 	}
 
 	private void dispatch(long nowNanos, ActiveRequest request) {
-		if (failIfQuarantined(nowNanos, request)) {
+		if (this.activeRequests.failIfQuarantined(nowNanos, request)) {
 			return;
 		}
 		if (request.info.claim().isRequired() && request.claimOffset < 0) {
@@ -73,21 +73,6 @@
 		startOrEnqueue(nowNanos, request);
 	}
 
-	/**
-	 * Fails a request if it, or a part of its prompt, is quarantined.
-	 * @param nowNanos the monotonic time
-	 * @param request the request
-	 * @return whether it has failed
-	 */
-	boolean failIfQuarantined(long nowNanos, ActiveRequest request) {
-		final boolean quarantined = this.policies.quarantine()
-			.isQuarantined(request.info.fingerprint(), request.info.sharedPromptParts());
-		if (quarantined) {
-			this.activeRequests.fail(nowNanos, request, ErrorKind.QUARANTINED, 0);
-		}
-		return quarantined;
-	}
-
 	/**
 	 * Starts a request's next attempt, or adds it to the redispatch queue if no target
 	 * can take it yet.
@@ -95,7 +80,7 @@
 	 * @param request the request
 	 */
 	void startOrEnqueue(long nowNanos, ActiveRequest request) {
-		if (failIfQuarantined(nowNanos, request)) {
+		if (this.activeRequests.failIfQuarantined(nowNanos, request)) {
 			return;
 		}
 		final boolean mayStart = nowNanos - request.earliestStartNanos >= 0;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/FailureReason.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/FailureReason.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 
 import org.pistachioline.core.error.ErrorKind;
+import org.pistachioline.core.quarantine.SuspectKind;
 
 /**
  * The decision by which a request was failed. Several decisions lead to the same error
@@ -25,9 +26,12 @@
 	/** No serving target is left to which the request may be sent. */
 	NO_TARGET,
 
-	/** The request, or a part of its prompt, crashes targets. */
+	/** The request crashes targets. */
 	QUARANTINED,
 
+	/** A part of the request's prompt crashes targets. */
+	PART_QUARANTINED,
+
 	/** The request was refused before its first attempt. */
 	NOT_ADMITTED,
 
@@ -59,6 +63,15 @@
 		};
 	}
 
+	/**
+	 * Returns the reason for which a quarantined request is failed.
+	 * @param quarantinedBy what is quarantined
+	 * @return the reason
+	 */
+	static FailureReason of(SuspectKind quarantinedBy) {
+		return (quarantinedBy == SuspectKind.PROMPT_PART) ? PART_QUARANTINED : FailureReason.QUARANTINED;
+	}
+
 	/**
 	 * Returns the reason's name in logs and metrics.
 	 * @return the name, in lower case
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetCrashes.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TargetCrashes.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Set;
 
-import org.pistachioline.core.error.ErrorKind;
 import org.pistachioline.core.quarantine.CrashReport;
 import org.pistachioline.core.quarantine.QuarantinePolicy;
 import org.pistachioline.core.quarantine.SuspectedRequest;
@@ -58,9 +57,8 @@
 		if (!added.isEmpty()) {
 			for (final ActiveRequest request : this.activeRequests.all()) {
 				final boolean hasOutput = request.liveAttempt != null && request.attemptHasOutput;
-				if (!hasOutput && this.quarantine.isQuarantined(request.info.fingerprint(),
-						request.info.sharedPromptParts())) {
-					this.activeRequests.fail(nowNanos, request, ErrorKind.QUARANTINED, 0);
+				if (!hasOutput) {
+					this.activeRequests.failIfQuarantined(nowNanos, request);
 				}
 			}
 		}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -167,7 +167,7 @@
 		final Optional<Refusal> refusal = checkAdmission(nowNanos, info);
 		if (refusal.isPresent()) {
 			this.activeRequests.addAction(new TrafficAction.Fail(info.requestId(), refusal.get().kind(),
-					RunState.NOT_RUN, refusal.get().retryAfterMillis(), FailureReason.NOT_ADMITTED));
+					RunState.NOT_RUN, refusal.get().retryAfterMillis(), refusalReason(info, refusal.get())));
 			return this.activeRequests.drainActions();
 		}
 		this.activeRequests.add(request);
@@ -182,6 +182,14 @@
 		return dispatchReady(nowNanos);
 	}
 
+	private FailureReason refusalReason(RequestInfo info, Refusal refusal) {
+		return (refusal.kind() != ErrorKind.QUARANTINED) ? FailureReason.NOT_ADMITTED
+				: this.policies.quarantine()
+					.quarantinedBy(info.fingerprint(), info.sharedPromptParts())
+					.map(FailureReason::of)
+					.orElse(FailureReason.NOT_ADMITTED);
+	}
+
 	private Optional<Refusal> checkAdmission(long nowNanos, RequestInfo info) {
 		final Optional<Refusal> leaving = this.drainAdmission.check(nowNanos, info);
 		if (leaving.isPresent()) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/DaemonMeters.java
@@ -1,5 +1,6 @@
 package org.pistachioline.daemon;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.function.Supplier;
 
@@ -13,6 +14,7 @@
 import org.pistachioline.core.replica.IdleReason;
 import org.pistachioline.core.state.ConfigState;
 import org.pistachioline.core.state.FleetState;
+import org.pistachioline.core.traffic.FailureReason;
 import org.pistachioline.daemon.agreed.AppendDuty;
 import org.pistachioline.daemon.agreed.StreamDuty;
 import org.pistachioline.daemon.duty.Ring;
@@ -154,6 +156,11 @@
 		this.metrics.gauge("pistachioline.requests.quarantined",
 				"Requests that are sent nowhere, since targets died under them",
 				traffic.crashMonitor()::quarantinedCount);
+		for (final FailureReason reason : List.of(FailureReason.QUARANTINED, FailureReason.PART_QUARANTINED)) {
+			this.metrics.counter("pistachioline.requests.refused.quarantined",
+					"Requests that were refused or ended as quarantined", reason.code(),
+					() -> traffic.failureCounts().total(reason));
+		}
 		bindPlacement(traffic);
 		for (final ErrorKind kind : ErrorKind.values()) {
 			this.metrics.counter("pistachioline.requests.failed", "Requests that ended with a failure", kind.code(),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/metrics/Metric.java
@@ -53,6 +53,11 @@
 	REQUESTS_QUARANTINED("pistachioline_requests_quarantined", "requests",
 			"Requests that are not sent to any target, since targets crashed under them.", "above 0"),
 
+	/** Counter by the reason that {@code PL-0506} names. */
+	REQUESTS_REFUSED_QUARANTINED("pistachioline_requests_refused_quarantined_total", "requests by reason",
+			"Requests that were refused since they, or a part of their prompts, are quarantined.",
+			"part_quarantined rising under many fingerprints: look whether the part is to blame"),
+
 	/** Gauge by ring. */
 	RING_MESSAGES("pistachioline_ring_messages", "messages by ring", "Messages that wait in a ring between duties.",
 			"above half of its capacity"),
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayExchange.java
@@ -1,5 +1,6 @@
 package org.pistachioline.daemon.relay;
 
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
@@ -236,10 +237,11 @@
 			Events.log(EventId.REQUEST_FAILED, "request", this.request.metadata().requestId(), "kind", kind.code(),
 					"reason", reason.code(), "run", runState.headerValue(), "status",
 					responseSent ? failure.status() : 0, "name", this.info.name(), "workspace", this.info.workspace(),
-					"fingerprint", this.info.fingerprint(), "attempts", this.attemptCount, "last_target",
-					this.lastTargetId, "events", this.position.deliveredEvents(), "held_millis",
-					TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.arrivedAtNanos), "retry_after_millis",
-					retryAfterMillis);
+					"fingerprint", this.info.fingerprint(), "parts",
+					(kind == ErrorKind.QUARANTINED) ? this.info.sharedPromptParts() : List.of(), "attempts",
+					this.attemptCount, "last_target", this.lastTargetId, "events", this.position.deliveredEvents(),
+					"held_millis", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.arrivedAtNanos),
+					"retry_after_millis", retryAfterMillis);
 		}
 	}
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ActionRunner.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/ActionRunner.java
@@ -124,7 +124,7 @@
 			removeRequest(finish.requestId());
 		}
 		else if (action instanceof TrafficAction.Fail fail) {
-			this.failures.add(exchange.info().workspace(), fail.kind());
+			this.failures.add(exchange.info().workspace(), fail.kind(), fail.reason());
 			this.requestClaims.settleUnknown(exchange, fail);
 			removeRequest(fail.requestId());
 			exchange.fail(fail);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/CrashMonitor.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/CrashMonitor.java
@@ -147,7 +147,7 @@
 		this.reports.stream()
 			.filter((report) -> added.contains(report.fingerprint()))
 			.forEach((report) -> Events.log(EventId.REQUEST_QUARANTINED, "kind", report.kind(), "fingerprint",
-					report.fingerprint(), "targets", report.targetIds()));
+					report.fingerprint(), "targets", report.targetIds(), "moments", report.crashMoments()));
 		this.quarantined.stream()
 			.filter((fingerprint) -> !now.contains(fingerprint))
 			.forEach((fingerprint) -> Events.log(EventId.QUARANTINE_ENDED, "fingerprint", fingerprint));
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/FailureCounts.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/FailureCounts.java
@@ -7,18 +7,31 @@
 import java.util.concurrent.atomic.AtomicLongArray;
 
 import org.pistachioline.core.error.ErrorKind;
+import org.pistachioline.core.traffic.FailureReason;
 
 /**
- * Counts the failed requests by workspace and error kind. Only requests of declared
- * workspaces reach this class, so the manifest bounds the number of rows.
+ * Counts the failed requests by workspace and error kind, and by reason. Only requests of
+ * declared workspaces reach this class, so the manifest bounds the number of rows.
  */
 public final class FailureCounts {
 
 	private final Map<String, AtomicLongArray> countsByWorkspace = new ConcurrentHashMap<>();
 
-	void add(String workspace, ErrorKind kind) {
+	private final AtomicLongArray countsByReason = new AtomicLongArray(FailureReason.values().length);
+
+	void add(String workspace, ErrorKind kind, FailureReason reason) {
 		this.countsByWorkspace.computeIfAbsent(workspace, (key) -> new AtomicLongArray(ErrorKind.values().length))
 			.incrementAndGet(kind.ordinal());
+		this.countsByReason.incrementAndGet(reason.ordinal());
+	}
+
+	/**
+	 * Returns the number of failures for one reason.
+	 * @param reason the reason
+	 * @return the count over all workspaces
+	 */
+	public long total(FailureReason reason) {
+		return this.countsByReason.get(reason.ordinal());
 	}
 
 	/**
