--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashSimulation.java
@@ -196,17 +196,30 @@
 	 * @param seconds for how long it is sent
 	 */
 	void sendCrashingRequest(String name, double perSecond, int copies, double seconds) {
-		sendCrashingRequestUntil(CRASHING_PREFIX + name, perSecond, copies,
+		sendCrashingRequestUntil(CRASHING_PREFIX + name, List.of(), perSecond, copies,
 				this.time.nowNanos() + (long) (seconds * SECOND_NANOS));
 	}
 
-	private void sendCrashingRequestUntil(String fingerprint, double perSecond, int copies, long untilNanos) {
+	/**
+	 * Sends a request that crashes targets repeatedly, to random daemons. All parts of
+	 * its prompt are shared with harmless requests.
+	 * @param name the name of the request
+	 * @param perSecond the mean rate in submissions per second
+	 * @param seconds for how long it is sent
+	 */
+	void sendCrashingRequestWithSharedParts(String name, double perSecond, double seconds) {
+		sendCrashingRequestUntil(CRASHING_PREFIX + name, randomParts(), perSecond, 1,
+				this.time.nowNanos() + (long) (seconds * SECOND_NANOS));
+	}
+
+	private void sendCrashingRequestUntil(String fingerprint, List<String> promptParts, double perSecond, int copies,
+			long untilNanos) {
 		after(nextGapNanos(perSecond), () -> {
 			if (this.time.nowNanos() < untilNanos) {
 				for (int i = 0; i < copies; i++) {
-					arrive(fingerprint, 0);
+					arrive(fingerprint, promptParts, 0);
 				}
-				sendCrashingRequestUntil(fingerprint, perSecond, copies, untilNanos);
+				sendCrashingRequestUntil(fingerprint, promptParts, perSecond, copies, untilNanos);
 			}
 		});
 	}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/GossipQuarantineTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/GossipQuarantineTests.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -115,6 +116,24 @@
 		}
 	}
 
+	/**
+	 * Guards against a popular request, answered thousands of times, that is refused to
+	 * all callers because a rack failed while many of its targets were running it.
+	 */
+	@Tag("known-red")
+	@ParameterizedTest
+	@CsvSource({ "1, 3", "1, 6", "1, 12", "8, 3", "8, 6", "8, 12", "95, 6", "95, 12" })
+	void aPopularRequestIsNotQuarantinedWhenTargetsCrashTogether(int daemons, int crashedTargets) {
+		for (long seed = 1; seed <= SEED_COUNT; seed++) {
+			final CrashSimulation simulation = new CrashSimulation(seed, daemons, TARGET_COUNT, GossipQuarantine::new);
+			simulation.sendPopularRequest("popular", REQUESTS_PER_SECOND);
+			simulation.run(3);
+			simulation.crashRack(0, crashedTargets);
+			simulation.run(5);
+			assertThat(simulation.quarantinedBystanders).as("seed " + seed).isEmpty();
+		}
+	}
+
 	/**
 	 * Guards against a request that is quarantined because it was running during three
 	 * unrelated crashes in quick succession.
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/PromptPartQuarantineTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/PromptPartQuarantineTests.java
@@ -1,5 +1,6 @@
 package org.pistachioline.core.quarantine;
 
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -103,6 +104,41 @@
 		}
 	}
 
+	/**
+	 * Guards against harmless requests that are refused because they share a part of
+	 * their prompts with the one request that crashes targets.
+	 */
+	@Tag("known-red")
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 8, 95 })
+	void noPartIsQuarantinedWithTheOneRequestThatCrashesTargets(int daemons) {
+		for (long seed = 1; seed <= SEED_COUNT; seed++) {
+			final CrashSimulation simulation = startSimulation(seed, daemons);
+			simulation.sendCrashingRequestWithSharedParts("a", 3, 18);
+			simulation.run(25);
+			assertThat(simulation.crashCount("a")).as("seed " + seed).isBetween(1, 6);
+			assertThat(simulation.lateArrivals("a")).as("seed " + seed).isLessThanOrEqualTo(MAX_LATE_ARRIVALS);
+			assertThat(simulation.quarantinedBystanders).as("seed " + seed).isEmpty();
+		}
+	}
+
+	/**
+	 * Guards against the same while targets also crash for other reasons, under requests
+	 * that share the part.
+	 */
+	@Tag("known-red")
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 8 })
+	void noPartIsQuarantinedWithTheOneRequestThatCrashesTargetsBesideOtherCrashes(int daemons) {
+		for (long seed = 1; seed <= SEED_COUNT; seed++) {
+			final CrashSimulation simulation = startSimulation(seed, daemons);
+			simulation.crashRandomTargets(0.7);
+			simulation.sendCrashingRequestWithSharedParts("a", 3, 18);
+			simulation.run(25);
+			assertThat(simulation.quarantinedBystanders).as("seed " + seed).isEmpty();
+		}
+	}
+
 	/**
 	 * Guards against a part that is quarantined, and all requests with it, because
 	 * targets crashed for other reasons while they began to answer some of them.
