Quarantine: a part is not to blame for what one request explains

Cause: each crash under a request that crashes targets counted against the request and against every part of its prompt, in two registries that did not know of each other. Three crashes of one request barred the rare parts with it, and so all requests that share one. Change: a part is quarantined only if, whichever single request is left out, its targets still crashed at two moments or more. A request that may explain crashes of a part is kept as long as those; only what was quarantined is kept for an hour. Broadcasts send the strongest evidence first. CrashSuspects holds what was written twice, for requests and for parts. Why it works: the least specific cause counts only where no more specific one explains the same crashes. Parts that do crash targets come with many requests: PromptPartQuarantineTests keeps its bounds.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashHistory.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashHistory.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * The crash evidence that this daemon knows against one request or part of prompts.
@@ -17,9 +18,6 @@
 
 	private static final int NOT_CHECKED = -1;
 
-	/** Daemons notice a crash, and report it to each other, within milliseconds. */
-	private static final long MOMENT_NANOS = 30_000_000L;
-
 	private final SuspectKind kind;
 
 	private final String fingerprint;
@@ -30,6 +28,8 @@
 
 	private int extraCrashes = NOT_CHECKED;
 
+	private boolean quarantinedOnce;
+
 	private int sendCount;
 
 	private long lastSentNanos;
@@ -78,6 +78,7 @@
 		final boolean changed = weight() > 0;
 		this.evidenceByTargetId.replaceAll((targetId, evidence) -> evidence.asExcused());
 		this.extraCrashes = NOT_CHECKED;
+		this.quarantinedOnce = false;
 		return changed;
 	}
 
@@ -109,26 +110,46 @@
 	}
 
 	/**
-	 * Returns at how many different moments targets crashed. Targets that crash together
-	 * have a common cause outside of their requests.
+	 * Returns at how many different moments targets crashed.
 	 * @return the number of moments
 	 */
 	int crashMoments() {
-		int moments = 0;
-		long momentNanos = 0;
-		final List<Long> times = this.evidenceByTargetId.values()
+		return countMoments((evidence) -> true);
+	}
+
+	/**
+	 * Returns at how many different moments targets crashed that a more specific suspect
+	 * does not explain.
+	 * @param other the more specific suspect
+	 * @return the number of moments
+	 */
+	int crashMomentsWithout(CrashHistory other) {
+		return countMoments((evidence) -> !other.explains(evidence.targetId()));
+	}
+
+	private int countMoments(Predicate<CrashEvidence> counted) {
+		return CrashMoments.count(this.evidenceByTargetId.values()
 			.stream()
 			.filter((evidence) -> !evidence.excused())
+			.filter(counted)
 			.map(CrashEvidence::crashedAtNanos)
-			.sorted()
-			.toList();
-		for (final long timeNanos : times) {
-			if (moments == 0 || timeNanos - momentNanos >= MOMENT_NANOS) {
-				moments++;
-				momentNanos = timeNanos;
-			}
-		}
-		return moments;
+			.toList());
+	}
+
+	private boolean explains(String targetId) {
+		return hasEvidence(targetId) && this.evidenceByTargetId.get(targetId).phase() == CrashPhase.STARTING;
+	}
+
+	void markQuarantined() {
+		this.quarantinedOnce = true;
+	}
+
+	/**
+	 * Returns whether the suspect was quarantined since it was last excused.
+	 * @return true after a quarantine, also when that has ended
+	 */
+	boolean wasQuarantined() {
+		return this.quarantinedOnce;
 	}
 
 	private boolean hasEvidence(String targetId) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashRegistry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashRegistry.java
@@ -1,6 +1,7 @@
 package org.pistachioline.core.quarantine;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -10,8 +11,12 @@
 
 /**
  * Crash evidence per request, or per part of prompts, observed by this daemon or reported
- * by its peers. Parts are held to the same rules as requests, in a registry of their own:
- * each request has the same crashes as its parts until another one shares them.
+ * by its peers.
+ * <p>
+ * A quarantine requires crashes of different targets at different moments that nothing
+ * else explains better. Parts are in a registry of their own, since each request has the
+ * same crashes as its parts until another one shares them; a part is to blame only for
+ * what no single request explains.
  * <p>
  * Merging reports is commutative and idempotent, so frames between daemons may be lost,
  * duplicated or reordered. The size is bounded: only target crashes create entries, and a
@@ -61,6 +66,12 @@
 	 */
 	private static final int MAX_EXTRA_CRASHES = 3;
 
+	/**
+	 * At how many moments targets must crash that one more specific suspect, whichever it
+	 * is, does not explain. A single one may be a crash for another reason.
+	 */
+	private static final int MIN_UNEXPLAINED_MOMENTS = 2;
+
 	/** Maximum number of requests in one heartbeat or broadcast. */
 	static final int MAX_SAMPLED = 8;
 
@@ -84,6 +95,8 @@
 
 	private final int crashesToQuarantine;
 
+	private final List<CrashRegistry> moreSpecific;
+
 	private final Map<String, CrashHistory> histories = new LinkedHashMap<>();
 
 	private final Set<String> quarantined = new HashSet<>();
@@ -91,22 +104,27 @@
 	private long lastExpiryNanos = Long.MIN_VALUE / 2;
 
 	/**
-	 * Creates an empty registry.
+	 * Creates an empty registry of requests.
 	 * @param crashesToQuarantine how many targets must crash while starting a request to
 	 * quarantine it; twice as many if the request was in progress
 	 */
 	CrashRegistry(int crashesToQuarantine) {
-		this(SuspectKind.REQUEST, crashesToQuarantine);
+		this(SuspectKind.REQUEST, crashesToQuarantine, List.of());
 	}
 
-	/**
-	 * Creates an empty registry.
-	 * @param kind what the fingerprints stand for
-	 * @param crashesToQuarantine as above
-	 */
-	CrashRegistry(SuspectKind kind, int crashesToQuarantine) {
+	private CrashRegistry(SuspectKind kind, int crashesToQuarantine, List<CrashRegistry> moreSpecific) {
 		this.kind = kind;
 		this.crashesToQuarantine = crashesToQuarantine;
+		this.moreSpecific = moreSpecific;
+	}
+
+	/**
+	 * Creates an empty registry of parts of prompts.
+	 * @param requests the requests, each of which may explain the crashes of its parts
+	 * @return the registry
+	 */
+	static CrashRegistry ofPromptParts(CrashRegistry requests) {
+		return new CrashRegistry(SuspectKind.PROMPT_PART, requests.crashesToQuarantine, List.of(requests));
 	}
 
 	boolean isQuarantined(String fingerprint) {
@@ -160,21 +178,10 @@
 	}
 
 	/**
-	 * Quarantines the requests whose attributed evidence reaches the threshold, and
-	 * releases all others.
+	 * Quarantines the suspects whose evidence suffices, and releases all others.
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 */
 	void updateQuarantines(long nowNanos) {
-		updateQuarantines(nowNanos, Set.of());
-	}
-
-	/**
-	 * Quarantines the requests or parts whose attributed evidence reaches the threshold,
-	 * and releases all others.
-	 * @param nowNanos the current monotonic time in nanoseconds
-	 * @param otherTargetIds further targets that crashed recently
-	 */
-	void updateQuarantines(long nowNanos, Set<String> otherTargetIds) {
 		this.quarantined.clear();
 		final List<CrashHistory> candidates = this.histories.values()
 			.stream()
@@ -183,25 +190,36 @@
 		if (candidates.isEmpty()) {
 			return;
 		}
-		final Set<String> recentTargetIds = new HashSet<>(otherTargetIds);
-		recentTargetIds.addAll(recentTargetIds(nowNanos));
+		final Set<String> recentTargetIds = recentTargetIds(nowNanos);
+		this.moreSpecific.forEach((registry) -> recentTargetIds.addAll(registry.recentTargetIds(nowNanos)));
 		final boolean outage = countUnexplainedTargets(candidates, recentTargetIds) >= OUTAGE_TARGETS;
 		for (final CrashHistory history : candidates) {
 			final int extraCrashes = history.raiseExtraCrashes(extraCrashes(history, outage, recentTargetIds));
 			final boolean recent = history.lastCrashAgeNanos(nowNanos) < QUARANTINE_NANOS;
 			final boolean hasRoom = this.quarantined.size() < MAX_QUARANTINED;
-			final boolean simultaneous = this.kind == SuspectKind.PROMPT_PART
-					&& history.crashMoments() < this.crashesToQuarantine;
-			if (recent && hasRoom && !simultaneous
-					&& reachesThreshold(history.attributedWeight(this.histories.values()), extraCrashes)) {
+			if (recent && hasRoom && isToBlame(history, extraCrashes)) {
+				history.markQuarantined();
 				this.quarantined.add(history.fingerprint());
 			}
 		}
 	}
 
+	private boolean isToBlame(CrashHistory history, int extraCrashes) {
+		return (this.kind == SuspectKind.REQUEST || history.crashMoments() >= this.crashesToQuarantine)
+				&& reachesThreshold(history.attributedWeight(this.histories.values()), extraCrashes)
+				&& !isExplainedByOne(history);
+	}
+
+	// Whoever sends the one request that crashes targets shares parts of its prompt with
+	// harmless requests, which must not be refused with it.
+	private boolean isExplainedByOne(CrashHistory history) {
+		return this.moreSpecific.stream()
+			.flatMap((registry) -> registry.histories.values().stream())
+			.anyMatch((other) -> history.crashMomentsWithout(other) < MIN_UNEXPLAINED_MOMENTS);
+	}
+
 	// A part is shared by many requests, so that several of them are starting on the
-	// targets of an outage. Crashes at the same moment count once for it, and it must be
-	// on a good part of all targets that crash.
+	// targets of an outage. It must be on a good part of all targets that crash.
 	private int extraCrashes(CrashHistory history, boolean outage, Set<String> recentTargetIds) {
 		if (this.kind == SuspectKind.REQUEST) {
 			return outage ? 1 : 0;
@@ -209,12 +227,7 @@
 		return Math.min(MAX_EXTRA_CRASHES, countUnexplainedTargets(List.of(history), recentTargetIds) / OUTAGE_TARGETS);
 	}
 
-	/**
-	 * Returns the targets that crashed recently.
-	 * @param nowNanos the current monotonic time in nanoseconds
-	 * @return their ids
-	 */
-	Set<String> recentTargetIds(long nowNanos) {
+	private Set<String> recentTargetIds(long nowNanos) {
 		final Set<String> targetIds = new HashSet<>();
 		this.histories.values()
 			.stream()
@@ -259,22 +272,35 @@
 	/**
 	 * Expires suspicions and quarantines.
 	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @param explainedTargetIds targets whose crashes a request here may explain, so that
+	 * it is retained
 	 */
-	void onTick(long nowNanos) {
+	void onTick(long nowNanos, Set<String> explainedTargetIds) {
 		if (nowNanos - this.lastExpiryNanos < EXPIRY_INTERVAL_NANOS) {
 			return;
 		}
 		this.lastExpiryNanos = nowNanos;
 		this.histories.values().removeIf((history) -> {
-			final long retentionNanos = reachesThreshold(history.weight(), 0) ? QUARANTINED_RETENTION_NANOS
+			final long retentionNanos = history.wasQuarantined() ? QUARANTINED_RETENTION_NANOS
 					: SUSPECT_RETENTION_NANOS;
-			return history.lastCrashAgeNanos(nowNanos) >= retentionNanos;
+			return history.lastCrashAgeNanos(nowNanos) >= retentionNanos
+					&& Collections.disjoint(history.targetIds(), explainedTargetIds);
 		});
 		if (!this.quarantined.isEmpty()) {
 			updateQuarantines(nowNanos);
 		}
 	}
 
+	/**
+	 * Returns the targets whose crashes are held against a suspect.
+	 * @return their ids
+	 */
+	Set<String> targetIds() {
+		final Set<String> targetIds = new HashSet<>();
+		this.histories.values().forEach((history) -> targetIds.addAll(history.targetIds()));
+		return targetIds;
+	}
+
 	/**
 	 * Selects the requests for the next heartbeat, least often sent first, and counts
 	 * them as sent.
@@ -295,21 +321,20 @@
 	}
 
 	/**
-	 * Selects those of the given requests that are worth sending to peers, and counts
-	 * them as sent.
+	 * Selects those of the given requests that are worth sending to peers, strongest
+	 * evidence first, and counts them as sent.
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 * @param fingerprints the requests' fingerprints
 	 * @return at most {@link #MAX_SAMPLED} requests with their evidence
 	 */
 	List<SuspectedRequest> select(long nowNanos, Set<String> fingerprints) {
-		final List<SuspectedRequest> selected = new ArrayList<>();
-		for (final String fingerprint : fingerprints) {
-			final CrashHistory history = this.histories.get(fingerprint);
-			if (history != null && history.shouldGossip() && selected.size() < MAX_SAMPLED) {
-				selected.add(history.recordSend(nowNanos));
-			}
-		}
-		return selected;
+		return fingerprints.stream()
+			.map(this.histories::get)
+			.filter((history) -> history != null && history.shouldGossip())
+			.sorted(Comparator.comparingInt((CrashHistory history) -> -history.weight()))
+			.limit(MAX_SAMPLED)
+			.map((history) -> history.recordSend(nowNanos))
+			.toList();
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/GossipQuarantine.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/GossipQuarantine.java
@@ -1,6 +1,5 @@
 package org.pistachioline.core.quarantine;
 
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,13 +15,14 @@
  * seconds for unrelated reasons. A broken connection alone is no evidence: the target
  * must have been confirmed dead. Requests that ran beside the culprit, or on a target
  * that crashed for another reason, were mostly in progress, which weighs half; a crash
- * that another request explains better does not count; and one run without a crash
- * excuses all earlier crashes. Hence {@value #CRASHES_TO_QUARANTINE} crashes are
- * required. The parts of prompts that requests share are judged in the same way, so that
- * requests which have only a harmful part in common are recognized; an answer past its
- * starting phase clears all parts of its prompt. Suspects are not isolated, nor held back
- * beyond a short retry delay, since every unrelated crash would then delay its whole
- * batch.
+ * that another request explains better does not count; targets that crash at the same
+ * moment have a common cause; and one run without a crash excuses all earlier crashes and
+ * those shortly after it. Hence {@value #CRASHES_TO_QUARANTINE} crashes at different
+ * moments are required. The parts of prompts that requests share are judged in the same
+ * way, so that requests which have only a harmful part in common are recognized, unless
+ * one request explains the crashes of a part; an answer past its starting phase clears
+ * all parts of its prompt. Suspects are not isolated, nor held back beyond a short retry
+ * delay, since every unrelated crash would then delay its whole batch.
  */
 public final class GossipQuarantine implements QuarantinePolicy {
 
@@ -36,15 +36,9 @@
 	 */
 	private static final long RETRY_DELAY_NANOS = 150_000_000L;
 
-	private final CrashRegistry registry;
+	private final CrashSuspects requests;
 
-	private final CrashRegistry promptParts;
-
-	private final RecentAnswers recentAnswers = new RecentAnswers();
-
-	private final Set<String> pendingBroadcast = new LinkedHashSet<>();
-
-	private final Set<String> pendingPartBroadcast = new LinkedHashSet<>();
+	private final CrashSuspects promptParts;
 
 	/**
 	 * Creates a policy without evidence.
@@ -59,13 +53,13 @@
 	 * quarantine it
 	 */
 	public GossipQuarantine(int crashesToQuarantine) {
-		this.registry = new CrashRegistry(SuspectKind.REQUEST, crashesToQuarantine);
-		this.promptParts = new CrashRegistry(SuspectKind.PROMPT_PART, crashesToQuarantine);
+		this.requests = new CrashSuspects(new CrashRegistry(crashesToQuarantine));
+		this.promptParts = new CrashSuspects(CrashRegistry.ofPromptParts(this.requests.registry()));
 	}
 
 	@Override
 	public boolean isQuarantined(String fingerprint) {
-		return this.registry.isQuarantined(fingerprint);
+		return this.requests.registry().isQuarantined(fingerprint);
 	}
 
 	@Override
@@ -73,8 +67,8 @@
 		if (isQuarantined(fingerprint)) {
 			return Optional.of(SuspectKind.REQUEST);
 		}
-		return parts.stream().anyMatch(this.promptParts::isQuarantined) ? Optional.of(SuspectKind.PROMPT_PART)
-				: Optional.empty();
+		return parts.stream().anyMatch(this.promptParts.registry()::isQuarantined)
+				? Optional.of(SuspectKind.PROMPT_PART) : Optional.empty();
 	}
 
 	@Override
@@ -95,86 +89,56 @@
 
 	@Override
 	public long retryDelayNanos(String fingerprint, List<String> parts) {
-		final boolean suspected = this.registry.isSuspected(fingerprint)
-				|| parts.stream().anyMatch(this.promptParts::isSuspected);
+		final boolean suspected = this.requests.registry().isSuspected(fingerprint)
+				|| parts.stream().anyMatch(this.promptParts.registry()::isSuspected);
 		return suspected ? RETRY_DELAY_NANOS : 0;
 	}
 
 	@Override
 	public void onCrash(long nowNanos, TargetCrash crash) {
-		crash.startingFingerprints().forEach((fingerprint) -> add(nowNanos, fingerprint, crash, CrashPhase.STARTING));
+		final String targetId = crash.targetId();
+		crash.startingFingerprints()
+			.forEach((request) -> this.requests.onCrash(nowNanos, request, targetId, CrashPhase.STARTING));
 		crash.inProgressFingerprints()
-			.forEach((fingerprint) -> add(nowNanos, fingerprint, crash, CrashPhase.IN_PROGRESS));
-		crash.startingPromptParts().forEach((part) -> addPart(nowNanos, part, crash));
+			.forEach((request) -> this.requests.onCrash(nowNanos, request, targetId, CrashPhase.IN_PROGRESS));
+		crash.startingPromptParts()
+			.forEach((part) -> this.promptParts.onCrash(nowNanos, part, targetId, CrashPhase.STARTING));
 		updateQuarantines(nowNanos);
 	}
 
 	private void updateQuarantines(long nowNanos) {
-		this.registry.updateQuarantines(nowNanos);
-		this.promptParts.updateQuarantines(nowNanos, this.registry.recentTargetIds(nowNanos));
-	}
-
-	private void addPart(long nowNanos, String part, TargetCrash crash) {
-		final boolean excused = this.recentAnswers.excuse(part, nowNanos);
-		if (!excused && this.promptParts.add(nowNanos, part,
-				new CrashEvidence(crash.targetId(), nowNanos, CrashPhase.STARTING, false))) {
-			this.pendingPartBroadcast.add(part);
-		}
-	}
-
-	private void add(long nowNanos, String fingerprint, TargetCrash crash, CrashPhase phase) {
-		if (!fingerprint.isEmpty() && this.registry.add(nowNanos, fingerprint,
-				new CrashEvidence(crash.targetId(), nowNanos, phase, false))) {
-			this.pendingBroadcast.add(fingerprint);
-		}
+		this.requests.registry().updateQuarantines(nowNanos);
+		this.promptParts.registry().updateQuarantines(nowNanos);
 	}
 
 	@Override
 	public void onPeerReports(long nowNanos, List<SuspectedRequest> suspects) {
 		boolean changed = false;
-		for (final SuspectedRequest request : suspects) {
-			for (final CrashEvidence evidence : request.evidence()) {
-				changed |= (request.kind() == SuspectKind.PROMPT_PART)
-						? mergePart(nowNanos, request.fingerprint(), evidence)
-						: this.registry.add(nowNanos, request.fingerprint(), evidence);
-			}
+		for (final SuspectedRequest suspect : suspects) {
+			changed |= suspectsOf(suspect.kind()).merge(nowNanos, suspect);
 		}
 		if (changed) {
 			updateQuarantines(nowNanos);
 		}
 	}
 
-	// Another daemon may blame a part that this one has seen answered meanwhile.
-	private boolean mergePart(long nowNanos, String part, CrashEvidence evidence) {
-		final boolean excusable = !evidence.excused() && this.recentAnswers.excuse(part, evidence.crashedAtNanos());
-		if (!excusable) {
-			return this.promptParts.add(nowNanos, part, evidence);
-		}
-		final boolean changed = this.promptParts.add(nowNanos, part, evidence.asExcused());
-		if (changed) {
-			this.pendingPartBroadcast.add(part);
-		}
-		return changed;
+	private CrashSuspects suspectsOf(SuspectKind kind) {
+		return (kind == SuspectKind.PROMPT_PART) ? this.promptParts : this.requests;
 	}
 
 	@Override
 	public void onAnswer(long nowNanos, List<String> parts) {
-		for (final String part : parts) {
-			this.recentAnswers.record(nowNanos, part);
-			if (this.promptParts.excuse(part)) {
-				this.pendingPartBroadcast.add(part);
-			}
-		}
+		parts.forEach((part) -> this.promptParts.onAnswer(nowNanos, part));
 	}
 
 	@Override
-	public void onRunPastCrash(String fingerprint, boolean completed) {
-		this.registry.excuse(fingerprint);
+	public void onRunPastCrash(long nowNanos, String fingerprint, boolean completed) {
+		this.requests.excuse(fingerprint);
 	}
 
 	@Override
 	public void onErrorResponse(String fingerprint) {
-		this.registry.excuse(fingerprint);
+		this.requests.excuse(fingerprint);
 	}
 
 	@Override
@@ -184,45 +148,39 @@
 
 	@Override
 	public void onTick(long nowNanos) {
-		this.registry.onTick(nowNanos);
-		this.promptParts.onTick(nowNanos);
+		this.promptParts.registry().onTick(nowNanos, Set.of());
+		this.requests.registry().onTick(nowNanos, this.promptParts.registry().targetIds());
 	}
 
 	@Override
 	public Set<String> quarantined() {
-		return union(this.registry.quarantined(), this.promptParts.quarantined());
+		return union(this.requests.registry().quarantined(), this.promptParts.registry().quarantined());
 	}
 
 	@Override
 	public List<SuspectedRequest> drainBroadcast(long nowNanos) {
-		if (this.pendingBroadcast.isEmpty() && this.pendingPartBroadcast.isEmpty()) {
-			return List.of();
-		}
-		final List<SuspectedRequest> suspects = concat(this.registry.select(nowNanos, this.pendingBroadcast),
-				this.promptParts.select(nowNanos, this.pendingPartBroadcast));
-		this.pendingBroadcast.clear();
-		this.pendingPartBroadcast.clear();
-		return suspects;
+		return concat(this.requests.drainBroadcast(nowNanos), this.promptParts.drainBroadcast(nowNanos));
 	}
 
 	@Override
 	public List<SuspectedRequest> gossipSample(long nowNanos) {
-		return concat(this.registry.gossipSample(nowNanos), this.promptParts.gossipSample(nowNanos));
+		return concat(this.requests.registry().gossipSample(nowNanos),
+				this.promptParts.registry().gossipSample(nowNanos));
 	}
 
 	@Override
 	public List<SuspectedRequest> knownSuspects() {
-		return concat(this.registry.knownSuspects(), this.promptParts.knownSuspects());
+		return concat(this.requests.registry().knownSuspects(), this.promptParts.registry().knownSuspects());
 	}
 
 	@Override
 	public List<CrashReport> reports(long nowNanos) {
-		return concat(this.registry.reports(nowNanos), this.promptParts.reports(nowNanos));
+		return concat(this.requests.registry().reports(nowNanos), this.promptParts.registry().reports(nowNanos));
 	}
 
 	@Override
 	public Map<String, Set<String>> suspects() {
-		return this.registry.targetIdsByFingerprint();
+		return this.requests.registry().targetIdsByFingerprint();
 	}
 
 	private static <T> List<T> concat(List<T> first, List<T> second) {
--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/LogBasedQuarantine.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/LogBasedQuarantine.java
@@ -100,7 +100,7 @@
 	}
 
 	@Override
-	public void onRunPastCrash(String fingerprint, boolean completed) {
+	public void onRunPastCrash(long nowNanos, String fingerprint, boolean completed) {
 		this.suspects.remove(fingerprint);
 		if (completed && !fingerprint.isEmpty()) {
 			this.credits.merge(fingerprint, 1, (credit, added) -> Math.min(MAX_CREDITS, credit + added));
--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/NoQuarantine.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/NoQuarantine.java
@@ -30,7 +30,7 @@
 	}
 
 	@Override
-	public void onRunPastCrash(String fingerprint, boolean completed) {
+	public void onRunPastCrash(long nowNanos, String fingerprint, boolean completed) {
 		// There are no suspects to clear.
 	}
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/QuarantinePolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/QuarantinePolicy.java
@@ -66,10 +66,11 @@
 
 	/**
 	 * Records that a request ran past the point at which a target crashed under it.
+	 * @param nowNanos the current monotonic time in nanoseconds
 	 * @param fingerprint the request's fingerprint
 	 * @param completed whether it ran to completion
 	 */
-	void onRunPastCrash(String fingerprint, boolean completed);
+	void onRunPastCrash(long nowNanos, String fingerprint, boolean completed);
 
 	/**
 	 * Applies the suspects and quarantines that the daemons agreed on through the
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomeHandler.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomeHandler.java
@@ -67,7 +67,7 @@
 		if (outcome == AttemptOutcome.COMPLETE) {
 			request.hasRun = true;
 			request.completed = true;
-			this.policies.quarantine().onRunPastCrash(request.info.fingerprint(), true);
+			this.policies.quarantine().onRunPastCrash(nowNanos, request.info.fingerprint(), true);
 			this.policies.quarantine().onAnswer(nowNanos, request.info.sharedPromptParts());
 			this.activeRequests.remove(nowNanos, request);
 			this.policies.retry().onSuccess(nowNanos);
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/SuspectTracker.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/SuspectTracker.java
@@ -41,12 +41,12 @@
 		this.activeRequests = activeRequests;
 	}
 
-	void onTokens(ActiveRequest request) {
+	void onTokens(long nowNanos, ActiveRequest request) {
 		if (request.tokensDelivered > request.resumedFromTokens) {
 			this.isolation.onOutput(request);
 		}
 		if (request.isolated && request.tokensDelivered >= request.resumedFromTokens + TOKENS_TO_CLEAR_SUSPECT) {
-			this.quarantine.onRunPastCrash(request.info.fingerprint(), false);
+			this.quarantine.onRunPastCrash(nowNanos, request.info.fingerprint(), false);
 			this.isolation.release(request);
 		}
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -266,7 +266,7 @@
 			request.answerRecorded = true;
 			this.policies.quarantine().onAnswer(nowNanos, request.info.sharedPromptParts());
 		}
-		this.suspectTracker.onTokens(request);
+		this.suspectTracker.onTokens(nowNanos, request);
 	}
 
 	/**
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashRegistryTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashRegistryTests.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 
@@ -92,7 +93,7 @@
 	@Test
 	void afterAQuarantineOneCrashQuarantinesTheRequestAgain() {
 		quarantine(0, "a");
-		this.registry.onTick(11 * MINUTE_NANOS);
+		this.registry.onTick(11 * MINUTE_NANOS, Set.of());
 		assertThat(this.registry.isQuarantined("a")).isFalse();
 		crash(12 * MINUTE_NANOS, "a", "i-9", CrashPhase.STARTING);
 		assertThat(this.registry.isQuarantined("a")).isTrue();
@@ -102,7 +103,7 @@
 	void aSuspicionWithoutFurtherCrashesExpires() {
 		crash(0, "a", "i-1", CrashPhase.STARTING);
 		crash(0, "a", "i-2", CrashPhase.STARTING);
-		this.registry.onTick(3 * MINUTE_NANOS);
+		this.registry.onTick(3 * MINUTE_NANOS, Set.of());
 		crash(3 * MINUTE_NANOS, "a", "i-3", CrashPhase.STARTING);
 		assertThat(this.registry.isQuarantined("a")).isFalse();
 	}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/LogBasedQuarantineTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/LogBasedQuarantineTests.java
@@ -40,7 +40,7 @@
 	@Test
 	void earlierCompletionsExcuseCrashes() {
 		for (int i = 0; i < 3; i++) {
-			this.policy.onRunPastCrash("popular", true);
+			this.policy.onRunPastCrash(0, "popular", true);
 		}
 		for (int group = 0; group < 3; group++) {
 			assertThat(this.policy.onBrokenAttempt(0, "popular", "g" + group)).isEqualTo(CrashVerdict.EXCUSED);
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/PromptPartQuarantineTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/PromptPartQuarantineTests.java
@@ -1,6 +1,5 @@
 package org.pistachioline.core.quarantine;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -108,7 +107,6 @@
 	 * Guards against harmless requests that are refused because they share a part of
 	 * their prompts with the one request that crashes targets.
 	 */
-	@Tag("known-red")
 	@ParameterizedTest
 	@ValueSource(ints = { 1, 8, 95 })
 	void noPartIsQuarantinedWithTheOneRequestThatCrashesTargets(int daemons) {
@@ -126,7 +124,6 @@
 	 * Guards against the same while targets also crash for other reasons, under requests
 	 * that share the part.
 	 */
-	@Tag("known-red")
 	@ParameterizedTest
 	@ValueSource(ints = { 1, 8 })
 	void noPartIsQuarantinedWithTheOneRequestThatCrashesTargetsBesideOtherCrashes(int daemons) {
