Quarantine: targets that crash together are one piece of evidence against a request

Cause: for requests each target counted, at whatever moment, and answers before the deaths counted nothing; both held for parts of prompts only. What is refused cannot run, so nothing excused it any more. Change: one rule for both kinds. An answer excuses a request's crashes of the second after it, as for parts. Evidence that another daemon has excused excuses all earlier crashes here. Why it works: a failure of a rack is one moment, and a popular request is answered somewhere within the second before it.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashMoments.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashMoments.java
@@ -26,6 +26,16 @@
 		return Math.abs(otherNanos - oneNanos) < MOMENT_NANOS;
 	}
 
+	/**
+	 * Returns whether a crash happened before a moment or at it.
+	 * @param crashedAtNanos the time of the crash
+	 * @param momentNanos the moment
+	 * @return true unless it happened at a later moment
+	 */
+	static boolean isNotAfter(long crashedAtNanos, long momentNanos) {
+		return crashedAtNanos - momentNanos < MOMENT_NANOS;
+	}
+
 	/**
 	 * Counts the moments of some crashes.
 	 * @param crashedAtNanos the times of the crashes, in nanoseconds and in any order
--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashRegistry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashRegistry.java
@@ -72,6 +72,13 @@
 	 */
 	private static final int MIN_UNEXPLAINED_MOMENTS = 2;
 
+	/**
+	 * At how many moments targets must crash under a request. One failure, which is one
+	 * moment, never suffices; copies of a request that are sent together also crash their
+	 * targets together.
+	 */
+	private static final int MIN_REQUEST_MOMENTS = 2;
+
 	/** Maximum number of requests in one heartbeat or broadcast. */
 	static final int MAX_SAMPLED = 8;
 
@@ -95,6 +102,8 @@
 
 	private final int crashesToQuarantine;
 
+	private final int minMoments;
+
 	private final List<CrashRegistry> moreSpecific;
 
 	private final Map<String, CrashHistory> histories = new LinkedHashMap<>();
@@ -109,12 +118,13 @@
 	 * quarantine it; twice as many if the request was in progress
 	 */
 	CrashRegistry(int crashesToQuarantine) {
-		this(SuspectKind.REQUEST, crashesToQuarantine, List.of());
+		this(SuspectKind.REQUEST, crashesToQuarantine, MIN_REQUEST_MOMENTS, List.of());
 	}
 
-	private CrashRegistry(SuspectKind kind, int crashesToQuarantine, List<CrashRegistry> moreSpecific) {
+	private CrashRegistry(SuspectKind kind, int crashesToQuarantine, int minMoments, List<CrashRegistry> moreSpecific) {
 		this.kind = kind;
 		this.crashesToQuarantine = crashesToQuarantine;
+		this.minMoments = minMoments;
 		this.moreSpecific = moreSpecific;
 	}
 
@@ -124,7 +134,8 @@
 	 * @return the registry
 	 */
 	static CrashRegistry ofPromptParts(CrashRegistry requests) {
-		return new CrashRegistry(SuspectKind.PROMPT_PART, requests.crashesToQuarantine, List.of(requests));
+		return new CrashRegistry(SuspectKind.PROMPT_PART, requests.crashesToQuarantine, requests.crashesToQuarantine,
+				List.of(requests));
 	}
 
 	boolean isQuarantined(String fingerprint) {
@@ -205,7 +216,7 @@
 	}
 
 	private boolean isToBlame(CrashHistory history, int extraCrashes) {
-		return (this.kind == SuspectKind.REQUEST || history.crashMoments() >= this.crashesToQuarantine)
+		return history.crashMoments() >= this.minMoments
 				&& reachesThreshold(history.attributedWeight(this.histories.values()), extraCrashes)
 				&& !isExplainedByOne(history);
 	}
--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/GossipQuarantine.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/GossipQuarantine.java
@@ -133,7 +133,7 @@
 
 	@Override
 	public void onRunPastCrash(long nowNanos, String fingerprint, boolean completed) {
-		this.requests.excuse(fingerprint);
+		this.requests.onAnswer(nowNanos, fingerprint);
 	}
 
 	@Override
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashVerdictTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashVerdictTests.java
@@ -26,6 +26,11 @@
 				new TargetCrash(targetId, Set.of(startingFingerprints), Set.of(), Set.of(PART)));
 	}
 
+	private void answer(String fingerprint) {
+		this.quarantine.onRunPastCrash(this.nowNanos, fingerprint, true);
+		this.quarantine.onAnswer(this.nowNanos, List.of(PART));
+	}
+
 	/**
 	 * Guards against all requests with a part being refused because one of them crashes
 	 * targets.
@@ -88,4 +93,58 @@
 		assertThat(this.quarantine.quarantined()).isEmpty();
 	}
 
+	/**
+	 * Guards against a sound request being refused to all callers because a rack failed:
+	 * the targets of one failure are one piece of evidence.
+	 */
+	@Test
+	void targetsThatCrashTogetherDoNotQuarantineARequest() {
+		for (int i = 0; i < 8; i++) {
+			crashAfter(0.001, "i-" + i, "popular");
+		}
+		assertThat(this.quarantine.quarantined()).isEmpty();
+	}
+
+	/**
+	 * Guards against a popular request being refused because targets crashed between two
+	 * of its answers.
+	 */
+	@Test
+	void aRequestThatWasAnsweredWithinTheLastSecondIsNotBlamed() {
+		for (int i = 0; i < 8; i++) {
+			answer("popular");
+			crashAfter(0.3, "a-" + i, "popular");
+			crashAfter(0.3, "b-" + i, "popular");
+		}
+		assertThat(this.quarantine.quarantined()).isEmpty();
+		assertThat(this.quarantine.suspects()).isEmpty();
+	}
+
+	@Test
+	void aRequestThatBeginsToCrashTargetsAfterItWasHarmlessIsQuarantined() {
+		answer("turned");
+		for (int i = 0; i < 6; i++) {
+			crashAfter(0.3, "i-" + i, "turned");
+		}
+		assertThat(this.quarantine.quarantined()).containsExactly("turned");
+	}
+
+	/**
+	 * Guards against a popular request being refused at daemons that did not see its
+	 * answers, while another daemon knows better.
+	 */
+	@Test
+	void anAnswerAtOneDaemonExcusesTheRequestAtTheOthers() {
+		final GossipQuarantine other = new GossipQuarantine();
+		this.quarantine.onRunPastCrash(this.nowNanos, "popular", true);
+		for (int i = 0; i < 3; i++) {
+			this.nowNanos += SECOND_NANOS / 5;
+			other.onCrash(this.nowNanos, new TargetCrash("i-" + i, Set.of("popular"), Set.of(), Set.of()));
+			this.quarantine.onPeerReports(this.nowNanos, other.drainBroadcast(this.nowNanos));
+			other.onPeerReports(this.nowNanos, this.quarantine.drainBroadcast(this.nowNanos));
+		}
+		assertThat(other.quarantined()).isEmpty();
+		assertThat(this.quarantine.quarantined()).isEmpty();
+	}
+
 }
