Keys: the case of the scheme does not matter

Cause: the scheme was compared as text; RFC 9110, 11.1, compares it in any case. The same in the product's own daemon (WorkspaceKeys). Evidence: two of three cases of theSchemeOfAKeyIsReadInAnyCase were red over a raw connection. Keys are compared as before. Conclusion: green; what is not Bearer is no key, as before.

--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/WorkspaceKeys.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/WorkspaceKeys.java
@@ -24,7 +24,7 @@
 	}
 
 	static Optional<WorkspaceSpec> find(Manifest manifest, Optional<String> authorization) {
-		if (authorization.isEmpty() || !authorization.get().startsWith(BEARER)) {
+		if (authorization.isEmpty() || !authorization.get().regionMatches(true, 0, BEARER, 0, BEARER.length())) {
 			return Optional.empty();
 		}
 		final byte[] hash = DigestUtils
