Routes: a host with a final dot is the same host

Cause: the final dot, which marks a name as complete, was compared as a part of it. Change: RouteTable compares names without their final dot, in requests and in configurations. Conclusion: green; two dots are no name, and unknown hosts have no route, as before.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/route/RouteTable.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/route/RouteTable.java
@@ -44,8 +44,7 @@
 		this.workspaceApiKeys = List.copyOf(workspaceApiKeys);
 		this.callerBounds = callerBounds;
 		services.forEach((service) -> this.services.put(service.name(), service));
-		routes.forEach((route) -> this.routesByHost
-			.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), (host) -> new ArrayList<>())
+		routes.forEach((route) -> this.routesByHost.computeIfAbsent(nameOf(route.host()), (host) -> new ArrayList<>())
 			.add(route));
 		this.routesByHost.values()
 			.forEach((list) -> list
@@ -55,14 +54,14 @@
 	/**
 	 * Finds the route of a request, which is the one with the longest matching prefix
 	 * among those of the host.
-	 * @param host the host that the caller named, with or without a port
+	 * @param host the host that the caller named, with or without a port and a final dot
 	 * @param path the path as sent, without the query
 	 * @return the route, if there is one
 	 */
 	public Optional<Route> route(String host, String path) {
 		final int colon = host.indexOf(':');
-		final String name = ((colon >= 0) ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
-		for (final Route route : this.routesByHost.getOrDefault(name, List.of())) {
+		final String name = (colon >= 0) ? host.substring(0, colon) : host;
+		for (final Route route : this.routesByHost.getOrDefault(nameOf(name), List.of())) {
 			if (path.startsWith(route.pathPrefix())) {
 				return Optional.of(route);
 			}
@@ -70,6 +69,12 @@
 		return Optional.empty();
 	}
 
+	// A final dot marks a name as complete; names are equal in any case.
+	private static String nameOf(String host) {
+		final String name = host.endsWith(".") ? host.substring(0, host.length() - 1) : host;
+		return name.toLowerCase(Locale.ROOT);
+	}
+
 	/**
 	 * Returns how the cold instances of each service behave.
 	 * @return the declarations, by the name of the service
--- a/pistachioline-core/src/test/java/org/pistachioline/core/route/RouteTableTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/route/RouteTableTests.java
@@ -27,6 +27,14 @@
 		assertThat(this.table.route("Shop.Example:8227", "/copy/1")).map(Route::name).contains("copy");
 	}
 
+	@Test
+	void hostsAreComparedWithoutTheirFinalDot() {
+		assertThat(this.table.route("shop.example.", "/copy/1")).map(Route::name).contains("copy");
+		assertThat(this.table.route("shop.example.:8227", "/copy/1")).map(Route::name).contains("copy");
+		assertThat(this.table.route("shop.example..", "/copy/1")).isEmpty();
+		assertThat(this.table.route(".", "/copy/1")).isEmpty();
+	}
+
 	@Test
 	void anUnknownHostOrPathHasNoRoute() {
 		assertThat(this.table.route("none.example", "/copy/1")).isEmpty();
