Web: the absolute form of a request's target is understood

Cause: the target was taken as a path. RFC 9112, 3.2.2, asks each server to accept the form and to prefer its host to the field Host. Evidence: both cases of theHostOfAnAbsoluteTargetComesBeforeTheHostField were red. Change: RequestTarget separates host and path once, where a request is read. A target gets the path and query unchanged, and Host as the target names it, so that what routes a request is what its target sees. Conclusion: green; a target with user information, a fragment or another scheme is taken as it is and not found, as before.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ArrivedRequest.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ArrivedRequest.java
@@ -23,8 +23,9 @@
 	 * @return the request
 	 */
 	static ArrivedRequest read(HttpRequest head, Body body, long atNanos) {
-		final WebRequest request = new WebRequest(head.method().name(), head.uri(), HeaderFields.of(head.headers()),
-				body);
+		final RequestTarget target = RequestTarget.of(head.uri());
+		final WebRequest request = new WebRequest(head.method().name(), target.pathAndQuery(),
+				target.headers(HeaderFields.of(head.headers())), body);
 		return new ArrivedRequest(request, null, HttpUtil.isKeepAlive(head),
 				head.protocolVersion().equals(HttpVersion.HTTP_1_1), atNanos);
 	}
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebRequest.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/WebRequest.java
@@ -10,7 +10,7 @@
  * A whole request.
  *
  * @param method the method
- * @param target path and query, as they stand in the request's first line
+ * @param target path and query, as the request's first line names them
  * @param headers the header fields; those that frame the body are written anew
  * @param body the body
  * @param idHeader the name of the header field that identifies the request and that the
