Errors: a head over the limit is answered 431

Cause: the closed list of errors had one kind for both. Evidence: aHeadOverTheLimitIsNamedAsSuch was red with 413. Conclusion: green; bodies over the limit get 413, as before.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/error/ErrorKind.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/error/ErrorKind.java
@@ -50,9 +50,12 @@
 	 */
 	KEY_EXPIRED("key_expired", 410, RunState.UNKNOWN, false, "The idempotency key has expired."),
 
-	/** The body or the headers exceed the size limit. */
+	/** The body exceeds the size limit. */
 	REQUEST_TOO_LARGE("request_too_large", 413, RunState.NOT_RUN, false, "The request is over the size limit."),
 
+	/** The first line or the headers exceed the size limit. */
+	HEAD_TOO_LARGE("head_too_large", 431, RunState.NOT_RUN, false, "The request's headers are over the size limit."),
+
 	/** A non-idempotent operation was called without an idempotency key. */
 	KEY_REQUIRED("key_required", 428, RunState.NOT_RUN, false, "This operation needs an Idempotency-Key header."),
 
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/ParsingErrors.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/http/ParsingErrors.java
@@ -41,9 +41,11 @@
 	@Override
 	public org.apache.pekko.http.scaladsl.model.HttpResponse handle(StatusCode status, ErrorInfo error,
 			LoggingAdapter log, ServerSettings settings) {
-		final int code = status.intValue();
-		final boolean tooLarge = code == PAYLOAD_TOO_LARGE || code == URI_TOO_LONG || code == HEADERS_TOO_LARGE;
-		final ErrorKind kind = tooLarge ? ErrorKind.REQUEST_TOO_LARGE : ErrorKind.MALFORMED_REQUEST;
+		final ErrorKind kind = switch (status.intValue()) {
+			case PAYLOAD_TOO_LARGE -> ErrorKind.REQUEST_TOO_LARGE;
+			case URI_TOO_LONG, HEADERS_TOO_LARGE -> ErrorKind.HEAD_TOO_LARGE;
+			default -> ErrorKind.MALFORMED_REQUEST;
+		};
 		final HttpResponse response = ErrorResponses.of("unparsed", kind, kind.runState(), 0);
 		return (org.apache.pekko.http.scaladsl.model.HttpResponse) response;
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -195,7 +195,8 @@
 			case INTERNAL -> ErrorKind.INTERNAL;
 			case NO_ROOM -> ErrorKind.OVERLOADED;
 			case TOO_SLOW -> ErrorKind.REQUEST_TIMEOUT;
-			case BODY_TOO_LARGE, HEAD_TOO_LARGE -> ErrorKind.REQUEST_TOO_LARGE;
+			case BODY_TOO_LARGE -> ErrorKind.REQUEST_TOO_LARGE;
+			case HEAD_TOO_LARGE -> ErrorKind.HEAD_TOO_LARGE;
 		};
 		final String requestId = requestIdOf(headers);
 		logRefusal(requestId, kind, "");
