Quarantine: an error response does not move a request's crashes to its parts

What callers would see: all requests with a part refused, because a target that fails part of its requests answered the one that crashes the others with a 500. Cause: an error response excuses the request's earlier crashes but not those of its parts, so that nothing explained them any more. Evidence: anErrorResponseToTheRequestDoesNotMoveItsCrashesToThePart was red, the part was quarantined with the third crash; aRequestThatCrashesTargetsLateExplainsTheCrashesToo, too. Change: also excused evidence explains, and a quarantined request explains in whatever phase it was. Until a request that crashes targets late is quarantined (the sixth crash), parts of others that were starting on the same targets can still be refused.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashHistory.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashHistory.java
@@ -186,8 +186,11 @@
 			.toList());
 	}
 
+	// Also evidence that is excused explains: an error response, after which this request
+	// is no suspect, does not make its parts the cause.
 	private boolean explains(String targetId) {
-		return hasEvidence(targetId) && this.evidenceByTargetId.get(targetId).phase() == CrashPhase.STARTING;
+		final CrashEvidence evidence = this.evidenceByTargetId.get(targetId);
+		return evidence != null && (evidence.phase() == CrashPhase.STARTING || this.quarantinedOnce);
 	}
 
 	void markQuarantined() {
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashVerdictTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashVerdictTests.java
@@ -58,6 +58,35 @@
 		assertThat(this.quarantine.quarantined()).containsExactly("culprit");
 	}
 
+	/**
+	 * Guards against all requests with a part being refused because a target that fails
+	 * part of its requests answered the one that crashes the others with an error.
+	 */
+	@Test
+	void anErrorResponseToTheRequestDoesNotMoveItsCrashesToThePart() {
+		crashAfter(0.3, "i-1", "culprit");
+		crashAfter(0.3, "i-2", "culprit");
+		this.quarantine.onErrorResponse("culprit");
+		for (int i = 3; i <= 5; i++) {
+			crashAfter(0.3, "i-" + i, "culprit");
+		}
+		assertThat(this.quarantine.quarantined()).containsExactly("culprit");
+	}
+
+	/**
+	 * Guards against the same where the one request crashes targets late in its answers,
+	 * while others with the part are starting on them.
+	 */
+	@Test
+	void aRequestThatCrashesTargetsLateExplainsTheCrashesToo() {
+		for (int i = 0; i < 8; i++) {
+			this.nowNanos += SECOND_NANOS / 3;
+			this.quarantine.onCrash(this.nowNanos,
+					new TargetCrash("i-" + i, Set.of("beside-" + i), Set.of("culprit"), Set.of(PART)));
+		}
+		assertThat(this.quarantine.quarantined()).containsExactly("culprit");
+	}
+
 	@Test
 	void aPartIsQuarantinedWhenNoRequestExplainsTwoOfItsCrashes() {
 		crashAfter(0.3, "i-1", "first");
