Limits: a request is refused for good only by the limit that applies to it

Cause: the codec keeps the limit on heads with which a connection was accepted, a body was held against the newest limit at each piece, and refusals for size did not ask whether the configuration is known and current. Change: a head over an earlier limit that was raised gets 503 with Retry-After and the connection ends; a body has the limit of its beginning, or the newer one if that is higher; with an unknown or old configuration sizes get 503, like paths and keys.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/RequestFault.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/RequestFault.java
@@ -11,6 +11,12 @@
 	/** The server holds as many bytes for its callers as it may. */
 	NO_ROOM(503),
 
+	/**
+	 * Its head is over the limit with which its connection was accepted, which has been
+	 * raised since; it may be sent again on a new connection.
+	 */
+	HEAD_OVER_EARLIER_LIMIT(503),
+
 	/** It is no HTTP request. */
 	MALFORMED(400),
 
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/RequestReader.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/RequestReader.java
@@ -40,8 +40,12 @@
 
 	private final Consumer<ArrivedRequest> receiver;
 
+	private final int headBytesAtStart;
+
 	private HttpRequest head;
 
+	private long bodyBytesAtBegin;
+
 	private boolean stopped;
 
 	/**
@@ -57,6 +61,7 @@
 	RequestReader(Supplier<RequestLimits> limits, LongSupplier nanoClock, ConnectionTimeouts timeouts,
 			BodyCollector body, ConnectionBytes bytes, ReadThrottle throttle, Consumer<ArrivedRequest> receiver) {
 		this.limits = limits;
+		this.headBytesAtStart = limits.get().headBytes();
 		this.nanoClock = nanoClock;
 		this.timeouts = timeouts;
 		this.body = body;
@@ -86,17 +91,23 @@
 		}
 	}
 
-	private static RequestFault faultOf(Throwable cause) {
+	private RequestFault faultOf(Throwable cause) {
 		final boolean tooLong = cause instanceof TooLongHttpLineException
 				|| cause instanceof TooLongHttpHeaderException;
-		return tooLong ? RequestFault.HEAD_TOO_LARGE : RequestFault.MALFORMED;
+		if (!tooLong) {
+			return RequestFault.MALFORMED;
+		}
+		// The codec keeps the limit with which the connection was accepted.
+		return (this.limits.get().headBytes() > this.headBytesAtStart) ? RequestFault.HEAD_OVER_EARLIER_LIMIT
+				: RequestFault.HEAD_TOO_LARGE;
 	}
 
 	private void begin(ChannelHandlerContext ctx, HttpRequest request) {
 		this.head = request;
 		this.body.clear();
 		this.timeouts.onRequestBegun();
-		if (HttpUtil.getContentLength(request, 0L) > this.limits.get().bodyBytes()) {
+		this.bodyBytesAtBegin = this.limits.get().bodyBytes();
+		if (HttpUtil.getContentLength(request, 0L) > this.bodyBytesAtBegin) {
 			fail(ctx, RequestFault.BODY_TOO_LARGE);
 		}
 		else if (this.bytes.isServerFull() || !this.throttle.mayWait()) {
@@ -110,7 +121,8 @@
 
 	private void append(ChannelHandlerContext ctx, HttpContent content) {
 		final ByteBuf piece = content.content();
-		if (this.body.sizeBytes() + piece.readableBytes() > this.limits.get().bodyBytes()) {
+		final long maxBodyBytes = Math.max(this.bodyBytesAtBegin, this.limits.get().bodyBytes());
+		if (this.body.sizeBytes() + piece.readableBytes() > maxBodyBytes) {
 			fail(ctx, RequestFault.BODY_TOO_LARGE);
 			return;
 		}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -195,13 +195,25 @@
 			case INTERNAL -> ErrorKind.INTERNAL;
 			case NO_ROOM -> ErrorKind.OVERLOADED;
 			case TOO_SLOW -> ErrorKind.REQUEST_TIMEOUT;
-			case BODY_TOO_LARGE -> ErrorKind.REQUEST_TOO_LARGE;
-			case HEAD_TOO_LARGE -> ErrorKind.HEAD_TOO_LARGE;
+			case BODY_TOO_LARGE -> unlessUnknownOrBehind(ErrorKind.REQUEST_TOO_LARGE);
+			case HEAD_TOO_LARGE -> unlessUnknownOrBehind(ErrorKind.HEAD_TOO_LARGE);
+			case HEAD_OVER_EARLIER_LIMIT -> ErrorKind.CONFIG_BEHIND;
 		};
 		final String requestId = requestIdOf(headers);
 		logRefusal(requestId, kind, "");
-		return RelayErrorResponses.of(requestId, kind, RunState.NOT_RUN,
-				(fault == RequestFault.NO_ROOM) ? jitteredRetryMillis() : 0);
+		return RelayErrorResponses.of(requestId, kind, RunState.NOT_RUN, retryAfterMillis(fault, kind));
+	}
+
+	private ErrorKind unlessUnknownOrBehind(ErrorKind kind) {
+		return this.routes.get().isKnown() ? unlessBehind(kind) : ErrorKind.NOT_READY;
+	}
+
+	private long retryAfterMillis(RequestFault fault, ErrorKind kind) {
+		return switch (kind) {
+			case CONFIG_BEHIND -> jittered(CATCH_UP_MILLIS);
+			case NOT_READY -> jitteredRetryMillis();
+			default -> (fault == RequestFault.NO_ROOM) ? jitteredRetryMillis() : 0;
+		};
 	}
 
 	@Override
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/BehindDaemonTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/BehindDaemonTests.java
@@ -9,6 +9,7 @@
 
 import org.pistachioline.adapters.web.Body;
 import org.pistachioline.adapters.web.HeaderFields;
+import org.pistachioline.adapters.web.RequestFault;
 import org.pistachioline.adapters.web.WebAnswer;
 import org.pistachioline.adapters.web.WebLoop;
 import org.pistachioline.adapters.web.WebRequest;
@@ -31,11 +32,15 @@
 			List.of(new ServiceSpec("copy", 100, Optional.empty())),
 			List.of(new WorkspaceApiKeys("shop", List.of("00".repeat(32)), -1)), CallerBounds.DEFAULT);
 
+	private static final VersionLag CURRENT = new VersionLag(3, 3, "", 0, false);
+
 	private final WebLoop loop = new WebLoop("test");
 
 	private final List<WebAnswer> responses = new ArrayList<>();
 
-	private final RelayHandler handler = new RelayHandler(() -> TABLE,
+	private RouteTable table = TABLE;
+
+	private final RelayHandler handler = new RelayHandler(() -> this.table,
 			new RelayContext(this.loop, null, new StubProtocol(), new ActiveStreams(), (requestId) -> {
 				// No caller leaves.
 			}, null, null, null, null, null, null, null), null, new LoopMonitor(this.loop, () -> 0));
@@ -74,11 +79,33 @@
 		assertThat(statusAt("/missing/1", new VersionLag(3, 3, "", 0, true))).isEqualTo(503);
 	}
 
+	// Guards against a request that the newest configuration allows being refused for
+	// good
+	// by the limits of an old one, or by the defaults before one is known.
+	@Test
+	void sizesAreRefusedForGoodByTheNewestConfigurationOnly() {
+		assertThat(statusOf(RequestFault.HEAD_TOO_LARGE, CURRENT)).isEqualTo(431);
+		assertThat(statusOf(RequestFault.BODY_TOO_LARGE, CURRENT)).isEqualTo(413);
+		for (final RequestFault fault : List.of(RequestFault.HEAD_TOO_LARGE, RequestFault.BODY_TOO_LARGE)) {
+			assertThat(statusOf(fault, new VersionLag(3, 9, "b", 10, false))).isEqualTo(503);
+		}
+		assertThat(statusOf(RequestFault.HEAD_OVER_EARLIER_LIMIT, CURRENT)).isEqualTo(503);
+		this.table = RouteTable.UNKNOWN;
+		assertThat(statusOf(RequestFault.HEAD_TOO_LARGE, CURRENT)).isEqualTo(503);
+		assertThat(statusOf(RequestFault.BODY_TOO_LARGE, CURRENT)).isEqualTo(503);
+	}
+
+	private int statusOf(RequestFault fault, VersionLag lag) {
+		this.handler.setConfigurationLag(() -> lag);
+		final WebAnswer answer = this.handler.onFault(fault, HeaderFields.EMPTY);
+		assertThat(answer.head().header("Retry-After").isPresent()).isEqualTo(answer.status() == 503);
+		return answer.status();
+	}
+
 	@Test
 	void aDaemonThatIsNotBehindRefusesByItsConfiguration() {
-		final VersionLag current = new VersionLag(3, 3, "", 0, false);
-		assertThat(statusAt("/missing/1", current)).isEqualTo(404);
-		assertThat(statusAt("/closed/1", current)).isEqualTo(401);
+		assertThat(statusAt("/missing/1", CURRENT)).isEqualTo(404);
+		assertThat(statusAt("/closed/1", CURRENT)).isEqualTo(401);
 	}
 
 }
