Quarantine: a suspect is held back for the rest of a moment

Cause: asks for crashes at two moments; repeats within 30 ms crash target after target in the same one. Change: while enough targets crashed but at too few moments, the request, and those with the part, is not sent to another target until the moment has passed. What crashes a target after that has no common cause with the others. Innocent requests wait 30 ms and the rest of a tick, once.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashHistory.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashHistory.java
@@ -49,8 +49,8 @@
 	}
 
 	/**
-	 * Merges evidence of a crash, observed here or reported by a peer. Evidence that is
-	 * excused tells of an answer after or shortly before its crash, which excuses all
+	 * Merges evidence of a crash, observed here or reported by a peer. Excused evidence
+	 * means that there was an answer after its crash or shortly before, which excuses all
 	 * earlier crashes too.
 	 * @param reported the evidence
 	 * @return true if it changed what is known of the suspect
--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashMoments.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashMoments.java
@@ -36,6 +36,15 @@
 		return crashedAtNanos - momentNanos < MOMENT_NANOS;
 	}
 
+	/**
+	 * Returns how much of the moment of a crash is left.
+	 * @param ageNanos the time since the crash, in nanoseconds
+	 * @return the rest in nanoseconds; 0 if the moment has passed
+	 */
+	static long remainingNanos(long ageNanos) {
+		return Math.max(0, MOMENT_NANOS - ageNanos);
+	}
+
 	/**
 	 * Counts the moments of some crashes.
 	 * @param crashedAtNanos the times of the crashes, in nanoseconds and in any order
--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashRegistry.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/CrashRegistry.java
@@ -215,14 +215,29 @@
 		}
 	}
 
+	/**
+	 * Returns how long to hold back a suspect under which enough targets crashed, but at
+	 * too few moments. Sent on at once, it could crash many more within the same moment;
+	 * a crash after the pause has no common cause with the others.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @param fingerprint the suspect
+	 * @return the time to wait in nanoseconds
+	 */
+	long holdNanos(long nowNanos, String fingerprint) {
+		final CrashHistory history = this.histories.get(fingerprint);
+		final boolean undecided = history != null && reachesThreshold(history.weight(), 0)
+				&& history.crashMoments() < this.minMoments;
+		return undecided ? CrashMoments.remainingNanos(history.lastCrashAgeNanos(nowNanos)) : 0;
+	}
+
 	private boolean isToBlame(CrashHistory history, int extraCrashes) {
 		return history.crashMoments() >= this.minMoments
 				&& reachesThreshold(history.attributedWeight(this.histories.values()), extraCrashes)
 				&& !isExplainedByOne(history);
 	}
 
-	// Whoever sends the one request that crashes targets shares parts of its prompt with
-	// harmless requests, which must not be refused with it.
+	// The one request that crashes targets shares parts of its prompt with harmless
+	// requests, which must not be refused with it.
 	private boolean isExplainedByOne(CrashHistory history) {
 		return this.moreSpecific.stream()
 			.flatMap((registry) -> registry.histories.values().stream())
--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/GossipQuarantine.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/GossipQuarantine.java
@@ -21,8 +21,9 @@
  * moments are required. The parts of prompts that requests share are judged in the same
  * way, so that requests which have only a harmful part in common are recognized, unless
  * one request explains the crashes of a part; an answer past its starting phase clears
- * all parts of its prompt. Suspects are not isolated, nor held back beyond a short retry
- * delay, since every unrelated crash would then delay its whole batch.
+ * all parts of its prompt. Suspects are not isolated, nor held back for longer than a
+ * moment or a short retry delay, since every unrelated crash would then delay its whole
+ * batch.
  */
 public final class GossipQuarantine implements QuarantinePolicy {
 
@@ -94,6 +95,13 @@
 		return suspected ? RETRY_DELAY_NANOS : 0;
 	}
 
+	@Override
+	public long holdNanos(long nowNanos, String fingerprint, List<String> parts) {
+		return parts.stream()
+			.mapToLong((part) -> this.promptParts.registry().holdNanos(nowNanos, part))
+			.reduce(this.requests.registry().holdNanos(nowNanos, fingerprint), Math::max);
+	}
+
 	@Override
 	public void onCrash(long nowNanos, TargetCrash crash) {
 		final String targetId = crash.targetId();
--- a/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/QuarantinePolicy.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/quarantine/QuarantinePolicy.java
@@ -103,6 +103,18 @@
 		return 0;
 	}
 
+	/**
+	 * Returns how long a request must not be sent to any target yet, because targets have
+	 * just crashed under it or a part of its prompt.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @param fingerprint the request's fingerprint
+	 * @param promptParts the parts of its prompt that other requests may share
+	 * @return the time in nanoseconds; 0 if it may be sent
+	 */
+	default long holdNanos(long nowNanos, String fingerprint, List<String> promptParts) {
+		return 0;
+	}
+
 	/**
 	 * Records a confirmed crash of a target.
 	 * @param nowNanos the current monotonic time in nanoseconds
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Dispatcher.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/Dispatcher.java
@@ -83,7 +83,7 @@
 		if (this.activeRequests.failIfQuarantined(nowNanos, request)) {
 			return;
 		}
-		final boolean mayStart = nowNanos - request.earliestStartNanos >= 0;
+		final boolean mayStart = nowNanos - request.earliestStartNanos >= 0 && !isHeldBack(nowNanos, request);
 		final boolean startable = mayStart && (!request.awaitingRetryBudget
 				|| (this.selector.hasCandidate(nowNanos, request) && acquireRetryBudget(nowNanos, request)));
 		final Optional<TargetLoad> selected = startable ? this.selector.select(nowNanos, request) : Optional.empty();
@@ -95,6 +95,11 @@
 		}
 	}
 
+	private boolean isHeldBack(long nowNanos, ActiveRequest request) {
+		return this.policies.quarantine()
+			.holdNanos(nowNanos, request.info.fingerprint(), request.info.sharedPromptParts()) > 0;
+	}
+
 	private boolean acquireRetryBudget(long nowNanos, ActiveRequest request) {
 		request.awaitingRetryBudget = !this.policies.retry().tryAcquireToContinue(nowNanos, request.info);
 		return !request.awaitingRetryBudget;
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashVerdictTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashVerdictTests.java
@@ -134,6 +134,25 @@
 		assertThat(this.quarantine.quarantined()).isEmpty();
 	}
 
+	/**
+	 * Guards against a request that is sent again at once, and crashes many targets
+	 * within the moment that could have a common cause.
+	 */
+	@Test
+	void aRequestWhoseTargetsCrashedTogetherIsHeldBackUntilAnotherMoment() {
+		crashAfter(0.001, "i-1", "a");
+		crashAfter(0.001, "i-2", "a");
+		assertThat(this.quarantine.holdNanos(this.nowNanos, "a", List.of(PART))).isZero();
+		crashAfter(0.001, "i-3", "a");
+		final long holdNanos = this.quarantine.holdNanos(this.nowNanos, "a", List.of());
+		assertThat(holdNanos).isBetween(1L, SECOND_NANOS / 20);
+		assertThat(this.quarantine.holdNanos(this.nowNanos, "other", List.of(PART))).isEqualTo(holdNanos);
+		assertThat(this.quarantine.holdNanos(this.nowNanos + holdNanos, "a", List.of(PART))).isZero();
+		assertThat(this.quarantine.holdNanos(this.nowNanos, "other", List.of())).isZero();
+		crashAfter(0.05, "i-4", "a");
+		assertThat(this.quarantine.quarantined()).containsExactly("a");
+	}
+
 	/**
 	 * Guards against a popular request being refused because targets crashed between two
 	 * of its answers.
