TrafficCore: the checks of a new request have a class of their own

Change: ArrivalAdmission holds what is checked before a request is queued and names the reason; no decision changes. Conclusion: smaller, one job each.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -7,7 +7,6 @@
 
 import org.pistachioline.core.admission.Refusal;
 import org.pistachioline.core.error.ErrorKind;
-import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.manifest.Manifest;
 import org.pistachioline.core.placement.CacheEvents;
 import org.pistachioline.core.placement.LiveDaemons;
@@ -62,6 +61,8 @@
 
 	private final DrainAdmission drainAdmission;
 
+	private final ArrivalAdmission arrivalAdmission;
+
 	/**
 	 * Creates a core without configuration and targets.
 	 * @param policies the exchangeable policies
@@ -78,6 +79,8 @@
 		this.dispatcher = new Dispatcher(policies, this.activeRequests, this.targets, this.selector, this.isolation,
 				this.redispatchQueue);
 		this.deadlineAdmission = new DeadlineAdmission(this.targets, this.activeRequests);
+		this.arrivalAdmission = new ArrivalAdmission(policies, this.targets, this.drainAdmission,
+				this.deadlineAdmission);
 		this.outcomes = new AttemptOutcomeHandler(policies, this.activeRequests, this.selector, this.suspectTracker,
 				this.dispatcher, this.deadlineAdmission);
 		this.targetLimits = new TargetLimits(this.targets, this.deadlineAdmission);
@@ -164,10 +167,9 @@
 	public List<TrafficAction> onRequest(long nowNanos, RequestInfo arrived) {
 		final RequestInfo info = this.policies.admission().onArrival(nowNanos, arrived);
 		final ActiveRequest request = new ActiveRequest(info, nowNanos);
-		final Optional<Refusal> refusal = checkAdmission(nowNanos, info);
+		final Optional<TrafficAction.Fail> refusal = this.arrivalAdmission.check(nowNanos, info);
 		if (refusal.isPresent()) {
-			this.activeRequests.addAction(new TrafficAction.Fail(info.requestId(), refusal.get().kind(),
-					RunState.NOT_RUN, refusal.get().retryAfterMillis(), refusalReason(info, refusal.get())));
+			this.activeRequests.addAction(refusal.get());
 			return this.activeRequests.drainActions();
 		}
 		this.activeRequests.add(request);
@@ -182,28 +184,6 @@
 		return dispatchReady(nowNanos);
 	}
 
-	private FailureReason refusalReason(RequestInfo info, Refusal refusal) {
-		return (refusal.kind() != ErrorKind.QUARANTINED) ? FailureReason.NOT_ADMITTED
-				: this.policies.quarantine()
-					.quarantinedBy(info.fingerprint(), info.sharedPromptParts())
-					.map(FailureReason::of)
-					.orElse(FailureReason.NOT_ADMITTED);
-	}
-
-	private Optional<Refusal> checkAdmission(long nowNanos, RequestInfo info) {
-		final Optional<Refusal> leaving = this.drainAdmission.check(nowNanos, info);
-		if (leaving.isPresent()) {
-			return leaving;
-		}
-		if (this.policies.quarantine().isQuarantined(info.fingerprint(), info.sharedPromptParts())) {
-			return Optional.of(new Refusal(ErrorKind.QUARANTINED, 0));
-		}
-		if (!this.targets.hasTargetSet(info)) {
-			return Optional.of(new Refusal(ErrorKind.NO_CAPACITY, RETRY_AFTER_MILLIS));
-		}
-		return this.deadlineAdmission.check(nowNanos, info).or(() -> this.policies.admission().admit(nowNanos, info));
-	}
-
 	/**
 	 * Handles the result of a claim: starts the request, or ends it according to the
 	 * verdict.
