review/4: TWO where a planner starts while the store comes back from a copy

A replica that is the open head of a group takes a join of another group: a planner whose process started while the store was away does not know that the era rose, so neither of the two hold-offs after a restore binds it, and it plans from a list of which half is the copy's and half was written again.

The stand-ins of the cases 4 to 7 come with it.

--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -48,6 +48,8 @@
 
 	static final long HEARTBEAT_MS = 1200;
 
+	static final long DRAIN_MS = 2_000;
+
 	final ExecutorService threads = Executors.newCachedThreadPool((task) -> {
 		final Thread thread = new Thread(task);
 		thread.setDaemon(true);
@@ -129,6 +131,7 @@
 
 		Store() throws IOException {
 			listen(0);
+			Deployment.this.threads.execute(this::removeSilent);
 		}
 
 		private void listen(int port) throws IOException {
@@ -138,6 +141,12 @@
 			this.server.start();
 		}
 
+		/** How many replicas the store's list shows as free, with a staged model. */
+		List<String> freeAndStaged() {
+			return topic("keyed.servers").values().stream().filter((json) -> json.contains("\"group\":null")
+					&& !json.contains("\"Staged\":[]")).map((json) -> json.replaceAll(".*\"Domain\":\"([^\"]*)\".*", "$1")).sorted().toList();
+		}
+
 		/** Copies what the store holds, as a backup does. */
 		synchronized Map<String, Topic> copy() {
 			final Map<String, Topic> copy = new HashMap<>();
@@ -167,6 +176,7 @@
 				this.owner = "";
 				this.era++;
 			}
+			this.returnedAtMillis = now();
 			listen(this.server.getAddress().getPort());
 			this.away = false;
 			log("store: back from a copy, era %d", this.era);
@@ -180,10 +190,29 @@
 			return this.topics.computeIfAbsent(name, (key) -> new Topic());
 		}
 
+		private final Map<String, Long> writtenAtMillis = new ConcurrentHashMap<>();
+
+		private volatile long returnedAtMillis;
+
+		// An entry is removed after three heartbeat intervals of silence.
+		private void removeSilent() {
+			while (!Deployment.this.closing) {
+				pause(100);
+				final long now = now();
+				for (final String key : topic("keyed.servers").keys()) {
+					final long since = Math.max(this.returnedAtMillis, this.writtenAtMillis.getOrDefault(key, 0L));
+					if (!this.away && now - since > 3 * HEARTBEAT_MS) {
+						topic("keyed.servers").put(key, new byte[0]);
+					}
+				}
+			}
+		}
+
 		boolean put(String topic, String key, String json) {
 			if (this.away) {
 				return false;
 			}
+			this.writtenAtMillis.put(key, now());
 			topic(topic).put(key, json.getBytes(StandardCharsets.UTF_8));
 			return true;
 		}
@@ -264,6 +293,19 @@
 
 		private final TreeMap<String, Integer> newest = new TreeMap<>();
 
+		synchronized List<String> keys() {
+			return List.copyOf(this.newest.keySet());
+		}
+
+		synchronized List<String> values() {
+			return this.newest.values()
+				.stream()
+				.map(this.records::get)
+				.map((bytes) -> new String(bytes, 1 + (bytes[0] & 0xff), bytes.length - 1 - (bytes[0] & 0xff),
+						StandardCharsets.UTF_8))
+				.toList();
+		}
+
 		synchronized Topic copy() {
 			final Topic copy = new Topic();
 			copy.records.addAll(this.records);
@@ -485,7 +527,7 @@
 
 	final class Replica implements AutoCloseable {
 
-		final String id = "i-" + Long.toString(Math.abs(new Random().nextLong()), 36).substring(0, 8);
+		volatile String id = newReplicaId();
 
 		final String service;
 
@@ -493,11 +535,13 @@
 
 		final String domain;
 
-		final ServerSocket listener;
+		private ServerSocket listener;
+
+		private volatile int port;
 
 		final Work work;
 
-		final long born = System.currentTimeMillis();
+		volatile long born = System.currentTimeMillis();
 
 		private long beats;
 
@@ -523,34 +567,96 @@
 
 		private volatile boolean closed;
 
+		private final List<Socket> sockets = new java.util.concurrent.CopyOnWriteArrayList<>();
+
+		volatile boolean draining;
+
 		Replica(String service, String zone, String domain, Work work) throws IOException {
 			this.service = service;
 			this.zone = zone;
 			this.domain = domain;
 			this.work = work;
-			this.listener = new ServerSocket();
-			this.listener.bind(new InetSocketAddress("127.0.0.1", 0), 256);
+			listen(0);
 			Deployment.this.replicas.add(this);
-			Deployment.this.threads.execute(this::accept);
-			// Replicas write within two seconds of the store's return, not all at the same time.
-			final long afterReturnMs = 100 + 180L * (Deployment.this.replicas.size() % 11);
+			// Replicas write again within two seconds of the store's return, not all at the same time.
+			final long afterReturnMs = 200 + new Random().nextInt(1_800);
 			Deployment.this.threads.execute(() -> {
-				while (!this.closed) {
+				while (!Deployment.this.closing) {
 					if (!beat()) {
 						Deployment.this.store.awaitReturn();
 						pause(afterReturnMs);
 						beat();
+						log("replica %s (%s, %s): writes again", this.id, this.domain, this.state.isEmpty() ? "free" : this.state);
 					}
 					pause(HEARTBEAT_MS);
 				}
 			});
 		}
 
+		private void listen(int port) throws IOException {
+			final ServerSocket opened = new ServerSocket();
+			opened.setReuseAddress(true);
+			opened.bind(new InetSocketAddress("127.0.0.1", port), 256);
+			this.listener = opened;
+			this.port = opened.getLocalPort();
+			Deployment.this.threads.execute(() -> accept(opened));
+		}
+
+		/** Ends at once and for good. As with a killed process, the system closes its connections, in order. */
+		void crash() throws IOException {
+			log("replica %s: crashes", this.id);
+			close();
+			for (final Socket socket : this.sockets) {
+				socket.close();
+			}
+			synchronized (this) {
+				this.state = "";
+			}
+		}
+
+		/** Starts again after a crash: under a new id, knowing nothing but the model that is staged on its host. */
+		void startAgain() throws IOException {
+			synchronized (this) {
+				this.id = newReplicaId();
+				this.born = System.currentTimeMillis();
+				this.sequence = 0;
+				this.fence = -1;
+				this.epoch = -1;
+				this.group = "";
+				this.members = "";
+				this.active = 0;
+				listen(this.port);
+				this.closed = false;
+			}
+			log("replica %s (%s): has started again", this.id, this.domain);
+			beat();
+		}
+
+		/** Reports that it drains, serves for DrainMs and a little longer, and leaves. */
+		void drain() {
+			this.draining = true;
+			log("replica %s: drains", this.id);
+			beat();
+			Deployment.this.threads.execute(() -> {
+				pause(DRAIN_MS + 300);
+				close();
+				synchronized (this) {
+					this.state = "";
+				}
+				Deployment.this.store.awaitReturn();
+				Deployment.this.store.put("keyed.servers", this.id, "");
+				log("replica %s: has left", this.id);
+			});
+		}
+
 		void log(String format, Object... args) {
 			Deployment.this.log(format, args);
 		}
 
 		private synchronized boolean beat() {
+			if (this.closed) {
+				return true;
+			}
 			this.beats++;
 			final String groupJson = this.state.isEmpty() ? "null"
 					: "{\"Name\":\"" + this.group + "\",\"epoch\":" + this.epoch + ",\"rank\":" + this.rank
@@ -560,17 +666,21 @@
 							+ (this.lastModel.isEmpty() ? "[]" : "[\"" + this.lastModel + "\"]") + ",\"group\":" + groupJson
 							+ ",\"Phase\":\"mixed\",\"Models\":[]";
 			return Deployment.this.store.put("keyed.servers", this.id,
-					"{\"Service\":\"" + this.service + "\",\"Address\":\"127.0.0.1:" + this.listener.getLocalPort()
-							+ "\",\"Zone\":\"" + this.zone + "\",\"Version\":\"1\",\"Slots\":12,\"State\":\"ready\""
+					"{\"Service\":\"" + this.service + "\",\"Address\":\"127.0.0.1:" + this.port
+							+ "\",\"Zone\":\"" + this.zone + "\",\"Version\":\"1\",\"Slots\":12,\"State\":\"" + (this.draining ? "draining" : "ready") + "\""
 							+ ",\"ColdRemainingMs\":0,\"Sequence\":" + this.beats + ",\"born\":" + this.born + grouped + "}");
 		}
 
-		private void accept() {
-			while (!this.closed) {
+		private void accept(ServerSocket at) {
+			while (!at.isClosed()) {
 				try {
-					final Socket socket = this.listener.accept();
+					final Socket socket = at.accept();
 					socket.setTcpNoDelay(true);
-					Deployment.this.threads.execute(() -> serve(socket));
+					this.sockets.add(socket);
+					Deployment.this.threads.execute(() -> {
+						serve(socket);
+						this.sockets.remove(socket);
+					});
 				}
 				catch (IOException ex) {
 					return;
@@ -688,7 +798,8 @@
 					this.members = list;
 					this.model = text(body, "Model");
 					this.rank = list.substring(0, list.indexOf(this.id)).split("i-", -1).length - 1;
-					final long millis = this.model.equals(this.lastModel) ? 200 : 400;
+					// From the host, or a load before traffic, which takes a tenth: both 1.6 s.
+					final long millis = this.model.equals(this.lastModel) ? 200 : 1_600;
 					this.lastModel = this.model;
 					change("joining");
 					later(millis, name, wanted, "joining", "ready");
@@ -716,8 +827,21 @@
 						change("");
 					}
 				}
+				case "Phase" -> {
+					if (this.domain.isEmpty()) {
+						return 400;
+					}
+					final String staged = text(body, "Model");
+					Deployment.this.threads.execute(() -> {
+						pause(1_600);
+						synchronized (this) {
+							this.lastModel = staged;
+						}
+						beat();
+					});
+				}
 				default -> {
-					return this.domain.isEmpty() ? 400 : 202;
+					return 400;
 				}
 			}
 			this.sequence++;
@@ -931,6 +1055,10 @@
 
 	// ---- clients
 
+	static String newReplicaId() {
+		return "i-" + Long.toString(Long.MAX_VALUE / 2 + Math.abs(new Random().nextLong() / 2), 36).substring(0, 8);
+	}
+
 	static String newId() {
 		return String.format("%016x", new Random().nextLong());
 	}
