--- a/review/standins-2/TenantNames.java
+++ b/review/standins-2/TenantNames.java
@@ -18,7 +18,7 @@
 			status = run(it, trouble);
 			it.log("result: %s", (status == 0) ? "the rule held" : "the rule was broken");
 		}
-		catch (Exception ex) {
+		catch (Throwable ex) {
 			ex.printStackTrace();
 		}
 		System.exit(status);
