review/7: the replica is a process that gets SIGKILL

The first version of the case had the replica close its connections itself. Each replica is now a process of its own, and the signal ends it between two events.

Run: review/build-2.sh, then review/7/run.sh (about 10 s); TROUBLE=0 without the signal.

--- a/review/standins-2/CrashBetweenEvents.java
+++ b/review/standins-2/CrashBetweenEvents.java
@@ -1,10 +1,13 @@
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A replica crashes between two events of streams that have neither a length nor chunks. */
 final class CrashBetweenEvents {
@@ -15,12 +18,19 @@
 
 	private static final int STREAMS = 24;
 
+	private static final List<ReplicaProcess> REPLICAS = new CopyOnWriteArrayList<>();
+
 	private CrashBetweenEvents() {
 	}
 
 	public static void main(String[] args) throws Exception {
+		if (args.length == 3) {
+			runReplica(args);
+			return;
+		}
 		final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 		int status = 2;
+		Runtime.getRuntime().addShutdownHook(new Thread(CrashBetweenEvents::endReplicas));
 		try (Deployment it = new Deployment(Path.of(args[0]), Path.of(args[1]))) {
 			status = run(it, trouble);
 			it.log("result: %s", (status == 0) ? "the rule held" : "the rule was broken");
@@ -31,9 +41,60 @@
 		System.exit(status);
 	}
 
+	private static void endReplicas() {
+		REPLICAS.forEach((replica) -> replica.process.destroyForcibly());
+	}
+
+	// The process of one replica: its entries go to the process that has the store, and it ends with that.
+	private static void runReplica(String[] args) throws Exception {
+		final Path record = Files.createTempFile("replica", ".txt");
+		try (Deployment it = new Deployment(Path.of(args[0]), record)) {
+			it.store.forward = System.out;
+			it.new Replica("pool", "z-a", args[2], CrashBetweenEvents::stream);
+			while (System.in.read() >= 0) {
+				// Nothing is sent; the end says that the other process has ended.
+			}
+		}
+		finally {
+			Files.deleteIfExists(record);
+		}
+	}
+
+	/** A replica that is a process of its own, so that a signal can end it. */
+	private static final class ReplicaProcess {
+
+		final Process process;
+
+		volatile String id = "";
+
+		volatile String entry = "";
+
+		ReplicaProcess(Deployment it, String domain) throws IOException {
+			this.process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx32m",
+					"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+					"CrashBetweenEvents", it.root.toString(), "replica", domain)
+				.redirectError(ProcessBuilder.Redirect.DISCARD)
+				.start();
+			it.threads.execute(() -> {
+				try (BufferedReader lines = this.process.inputReader(StandardCharsets.UTF_8)) {
+					for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+						final String[] parts = line.split("\t");
+						this.id = parts[1];
+						this.entry = parts[2];
+						it.store.put(parts[0], parts[1], parts[2]);
+					}
+				}
+				catch (IOException ex) {
+					it.log("replica %s: %s", this.id, ex);
+				}
+			});
+		}
+
+	}
+
 	private static int run(Deployment it, boolean trouble) throws Exception {
 		for (int i = 0; i < 8; i++) {
-			it.new Replica("pool", "z-a", "d-" + i / 4, CrashBetweenEvents::stream);
+			REPLICAS.add(new ReplicaProcess(it, "d-" + i / 4));
 		}
 		it.configure(7, List.of(Deployment.route("r-1", "/draft/", "streaming", "pool", 8000, 2, true)),
 				List.of(Deployment.modelService("pool", MODEL, 2)));
@@ -53,7 +114,12 @@
 		Deployment.pause(950);
 		if (trouble) {
 			// One of eight replicas, the head of a group.
-			it.replicas.stream().filter((each) -> each.state.equals("open")).findFirst().orElseThrow().crash();
+			final ReplicaProcess head = REPLICAS.stream()
+				.filter((each) -> each.entry.contains("\"State\":\"open\""))
+				.findFirst()
+				.orElseThrow();
+			it.log("replica %s: SIGKILL", head.id);
+			head.process.destroyForcibly();
 		}
 		int served = 0;
 		int cut = 0;
@@ -88,7 +154,6 @@
 			throws IOException {
 		final String id = request.header("Pistachioline-Attempt-Id");
 		final int after = request.header("Last-Event-Id").isEmpty() ? 0 : Integer.parseInt(request.header("Last-Event-Id"));
-		replica.log("replica %s: runs %s after event %d", replica.id, id, after);
 		write(socket, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nPistachioline-Attempt-Id: " + id
 				+ "\r\nPistachioline-Response-Signature: 3e1b." + id + "\r\n\r\n");
 		for (int n = after + 1; n <= EVENTS; n++) {
--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -113,6 +113,9 @@
 
 	final class Store {
 
+		/** Where a replica that is a process of its own sends its entries: to the process that has the store. */
+		volatile java.io.PrintStream forward;
+
 		private volatile HttpServer server;
 
 		final Map<String, Topic> topics = new ConcurrentHashMap<>();
@@ -212,6 +215,10 @@
 			if (this.away) {
 				return false;
 			}
+			if (this.forward != null) {
+				this.forward.println(topic + '\t' + key + '\t' + json);
+				return true;
+			}
 			this.writtenAtMillis.put(key, now());
 			topic(topic).put(key, json.getBytes(StandardCharsets.UTF_8));
 			return true;
