--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -22,7 +22,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
