review/7: unframed answers within the dose of garble

The former versions had all answers unframed; now every twentieth answer of half of the replicas is (x .05, share .5), and the head that sends the first one gets SIGKILL in its midst. Framed streams at the same head go on elsewhere and are whole.

--- a/review/standins-2/CrashBetweenEvents.java
+++ b/review/standins-2/CrashBetweenEvents.java
@@ -8,6 +8,9 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A replica crashes between two events of streams that have neither a length nor chunks. */
 final class CrashBetweenEvents {
@@ -16,7 +19,14 @@
 
 	private static final int EVENTS = 20;
 
-	private static final int STREAMS = 24;
+	private static final int CLIENTS = 24;
+
+	/** Every twentieth answer of half of the replicas is unframed: x .05, share .5. */
+	private static final int UNFRAMED_EVERY = 20;
+
+	private static final AtomicInteger ANSWERS = new AtomicInteger();
+
+	private static final CompletableFuture<ReplicaProcess> UNFRAMED_AT = new CompletableFuture<>();
 
 	private static final List<ReplicaProcess> REPLICAS = new CopyOnWriteArrayList<>();
 
@@ -79,6 +89,11 @@
 				try (BufferedReader lines = this.process.inputReader(StandardCharsets.UTF_8)) {
 					for (String line = lines.readLine(); line != null; line = lines.readLine()) {
 						final String[] parts = line.split("\t");
+						if (parts[0].equals("UNFRAMED")) {
+							it.log("replica %s: answers %s without a length or chunks", this.id, parts[1]);
+							UNFRAMED_AT.complete(this);
+							continue;
+						}
 						this.id = parts[1];
 						this.entry = parts[2];
 						it.store.put(parts[0], parts[1], parts[2]);
@@ -106,29 +121,36 @@
 		}
 		it.awaitReady(30_000);
 		Deployment.pause(7_000);
-		final List<CompletableFuture<Integer>> streams = new ArrayList<>();
-		for (int i = 0; i < STREAMS; i++) {
+		final AtomicBoolean over = new AtomicBoolean();
+		final List<CompletableFuture<List<Integer>>> clients = new ArrayList<>();
+		for (int i = 0; i < CLIENTS; i++) {
 			final Deployment.Daemon daemon = it.daemons.get(i % 3);
-			streams.add(CompletableFuture.supplyAsync(() -> ask(it, daemon), it.threads));
+			clients.add(CompletableFuture.supplyAsync(() -> {
+				final List<Integer> results = new ArrayList<>();
+				while (!over.get()) {
+					results.add(ask(it, daemon));
+				}
+				return results;
+			}, it.threads));
 		}
+		final ReplicaProcess head = UNFRAMED_AT.get(40, TimeUnit.SECONDS);
 		Deployment.pause(950);
 		if (trouble) {
 			// One of eight replicas, the head of a group.
-			final ReplicaProcess head = REPLICAS.stream()
-				.filter((each) -> each.entry.contains("\"State\":\"open\""))
-				.findFirst()
-				.orElseThrow();
 			it.log("replica %s: SIGKILL", head.id);
 			head.process.destroyForcibly();
 		}
+		over.set(true);
+		final List<Integer> streams = new ArrayList<>();
+		clients.forEach((client) -> streams.addAll(client.join()));
 		int served = 0;
 		int cut = 0;
-		for (final CompletableFuture<Integer> stream : streams) {
-			final int result = stream.join();
+		for (final int result : streams) {
 			served += (result == 1) ? 1 : 0;
 			cut += (result == 2) ? 1 : 0;
 		}
-		it.log("ORDER: %d of %d streams ended as complete before their last piece; %d were complete", cut, STREAMS, served);
+		it.log("ORDER: %d of %d streams ended as complete before their last piece; %d were complete", cut,
+				streams.size(), served);
 		if (served == 0) {
 			throw new IllegalStateException("no stream was served");
 		}
@@ -149,18 +171,27 @@
 		return (answer.status() == 200 && answer.complete) ? (early ? 2 : 1) : 0;
 	}
 
-	// An event each 100 ms, each written whole; the stream ends with its connection.
+	// An event each 100 ms, each written whole; an unframed stream ends with its connection.
 	private static boolean stream(Deployment.Replica replica, Deployment.Message request, Socket socket)
 			throws IOException {
 		final String id = request.header("Pistachioline-Attempt-Id");
 		final int after = request.header("Last-Event-Id").isEmpty() ? 0 : Integer.parseInt(request.header("Last-Event-Id"));
+		final boolean unframed = replica.domain.equals("d-0") && ANSWERS.incrementAndGet() % UNFRAMED_EVERY == 0;
+		if (unframed) {
+			System.out.println("UNFRAMED\t" + id);
+		}
 		write(socket, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nPistachioline-Attempt-Id: " + id
-				+ "\r\nPistachioline-Response-Signature: 3e1b." + id + "\r\n\r\n");
+				+ "\r\nPistachioline-Response-Signature: 3e1b." + id + "\r\n"
+				+ (unframed ? "" : "Transfer-Encoding: chunked\r\n") + "\r\n");
 		for (int n = after + 1; n <= EVENTS; n++) {
 			Deployment.pause(100);
-			write(socket, "id: " + n + "\ndata: piece " + n + " of " + id + "\n\n");
+			final String event = "id: " + n + "\ndata: piece " + n + " of " + id + "\n\n";
+			write(socket, unframed ? event : Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+		}
+		if (!unframed) {
+			write(socket, "0\r\n\r\n");
 		}
-		return false;
+		return !unframed;
 	}
 
 	private static void write(Socket socket, String text) throws IOException {
