--- a/pistachioline-core/src/main/java/org/pistachioline/core/endpoints/Successors.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/endpoints/Successors.java
@@ -38,6 +38,24 @@
 			.anyMatch((peer) -> peer.leaving() ? !this.leftBefore.contains(Life.of(peer)) : peer.ready());
 	}
 
+	/**
+	 * Returns whether no other daemon was leaving when this one began to.
+	 * @return whether this one will be back first
+	 */
+	public boolean isFirst() {
+		return this.leftBefore.isEmpty();
+	}
+
+	/**
+	 * Returns whether this daemon will be the next to serve callers for long, because it
+	 * was the first to leave of a fleet that has none ready any more.
+	 * @param peers the other live daemons now
+	 * @return whether the others began to leave after it
+	 */
+	public boolean waitForThisOne(List<PeerStatus> peers) {
+		return isFirst() && !peers.isEmpty() && peers.stream().allMatch(PeerStatus::leaving);
+	}
+
 	/**
 	 * One start of a daemon.
 	 *
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ActiveRequest.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ActiveRequest.java
@@ -1,5 +1,7 @@
 package org.pistachioline.core.traffic;
 
+import java.util.OptionalLong;
+
 import org.pistachioline.core.error.RunState;
 import org.pistachioline.core.placement.TargetLoad;
 
@@ -52,6 +54,9 @@
 
 	int resumedFromTokens;
 
+	/** When its caller got the first output. */
+	OptionalLong firstOutputAtNanos = OptionalLong.empty();
+
 	long progressAtNanos;
 
 	/** Unrestricted at first; halved so that differences of times do not overflow. */
@@ -95,6 +100,14 @@
 		return this.sentAttempts > 0;
 	}
 
+	/**
+	 * Returns whether it waits for a target and nothing of it has been sent to one.
+	 * @return whether it can still be refused as not run
+	 */
+	boolean isWaitingUnsent() {
+		return this.liveAttempt == null && !this.claimPending && !mayHaveSentBytes();
+	}
+
 	RunState runState() {
 		if (!mayHaveSentBytes()) {
 			return RunState.NOT_RUN;
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ActiveRequests.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/ActiveRequests.java
@@ -37,6 +37,8 @@
 
 	private final CompletionTimes completionTimes;
 
+	private final OutputPace outputPace;
+
 	private final Map<Long, ActiveRequest> requestsById = new LinkedHashMap<>();
 
 	private final Map<Long, RequestInfo> abandonedClaims = new HashMap<>();
@@ -44,12 +46,13 @@
 	private final List<TrafficAction> actions = new ArrayList<>();
 
 	ActiveRequests(TrafficPolicies policies, TargetRegistry targets, SuspectIsolation isolation,
-			RedispatchQueue redispatchQueue, CompletionTimes completionTimes) {
+			RedispatchQueue redispatchQueue, CompletionTimes completionTimes, OutputPace outputPace) {
 		this.policies = policies;
 		this.targets = targets;
 		this.isolation = isolation;
 		this.redispatchQueue = redispatchQueue;
 		this.completionTimes = completionTimes;
+		this.outputPace = outputPace;
 	}
 
 	void add(ActiveRequest request) {
@@ -94,6 +97,20 @@
 			.orElse(0);
 	}
 
+	/**
+	 * Returns for how long the oldest request has been active.
+	 * @param nowNanos the monotonic time
+	 * @return the time since it arrived, in nanoseconds; 0 without requests
+	 */
+	long oldestAgeNanos(long nowNanos) {
+		// They are held in the order of their arrival.
+		return this.requestsById.values()
+			.stream()
+			.findFirst()
+			.map((request) -> nowNanos - request.arrivedAtNanos)
+			.orElse(0L);
+	}
+
 	void addAction(TrafficAction action) {
 		this.actions.add(action);
 	}
@@ -190,6 +207,7 @@
 					nowNanos - request.attemptStartedAtNanos);
 		if (request.completed) {
 			this.completionTimes.onCompleted(nowNanos, request.info, nowNanos - request.arrivedAtNanos);
+			this.outputPace.onCompleted(nowNanos, request);
 		}
 		if (request.completed && request.startedAttempts == 1) {
 			this.policies.admission()
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/CompletionTimes.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/CompletionTimes.java
@@ -1,7 +1,5 @@
 package org.pistachioline.core.traffic;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.OptionalLong;
 
 /**
@@ -13,10 +11,6 @@
  */
 final class CompletionTimes {
 
-	private static final long WINDOW_NANOS = 30_000_000_000L;
-
-	private static final int MIN_SAMPLES = 20;
-
 	/** Requests seldom take longer than this multiple of the longest of many. */
 	private static final double SAFETY_FACTOR = 1.1;
 
@@ -24,11 +18,7 @@
 
 	private static final int MAX_SIZE_CLASS = Integer.SIZE * CLASSES_PER_DOUBLING;
 
-	private final Map<SizeClass, LongestTimes> longestBySize = new HashMap<>();
-
-	private long windowStartedAtNanos;
-
-	private boolean started;
+	private final RecentMaxima<SizeClass> longestNanos = new RecentMaxima<>();
 
 	/**
 	 * Records a request that completed.
@@ -37,8 +27,7 @@
 	 * @param tookNanos the time from its arrival to its end
 	 */
 	void onCompleted(long nowNanos, RequestInfo info, long tookNanos) {
-		rotate(nowNanos);
-		this.longestBySize.computeIfAbsent(sizeClass(info), (size) -> new LongestTimes()).add(tookNanos);
+		this.longestNanos.add(nowNanos, sizeClass(info), tookNanos);
 	}
 
 	/**
@@ -58,11 +47,10 @@
 	 * @return the time, in nanoseconds; empty if too few requests like it have completed
 	 */
 	OptionalLong maxNanos(long nowNanos, RequestInfo info) {
-		rotate(nowNanos);
 		for (SizeClass size = sizeClass(info); size.number() <= MAX_SIZE_CLASS; size = size.next()) {
-			final LongestTimes times = this.longestBySize.get(size);
-			if (times != null && times.samples() >= MIN_SAMPLES) {
-				return OptionalLong.of((long) (times.longestNanos() * SAFETY_FACTOR));
+			final OptionalLong longest = this.longestNanos.find(nowNanos, size);
+			if (longest.isPresent()) {
+				return OptionalLong.of((long) (longest.getAsLong() * SAFETY_FACTOR));
 			}
 		}
 		return OptionalLong.empty();
@@ -75,16 +63,6 @@
 				(int) Math.ceil(CLASSES_PER_DOUBLING * Math.log1p(tokens) / Math.log(2)));
 	}
 
-	// The previous window is kept, so that an estimate always covers a whole one.
-	private void rotate(long nowNanos) {
-		if (!this.started || nowNanos - this.windowStartedAtNanos >= WINDOW_NANOS) {
-			this.started = true;
-			this.windowStartedAtNanos = nowNanos;
-			this.longestBySize.values().forEach(LongestTimes::rotate);
-			this.longestBySize.values().removeIf((times) -> times.samples() == 0);
-		}
-	}
-
 	/**
 	 * Requests that are expected to take about as long.
 	 *
@@ -100,39 +78,4 @@
 
 	}
 
-	/**
-	 * The longest times of the current and of the previous window.
-	 */
-	private static final class LongestTimes {
-
-		private long currentNanos;
-
-		private int currentSamples;
-
-		private long previousNanos;
-
-		private int previousSamples;
-
-		void add(long nanos) {
-			this.currentNanos = Math.max(this.currentNanos, nanos);
-			this.currentSamples++;
-		}
-
-		int samples() {
-			return this.currentSamples + this.previousSamples;
-		}
-
-		long longestNanos() {
-			return Math.max(this.currentNanos, this.previousNanos);
-		}
-
-		void rotate() {
-			this.previousNanos = this.currentNanos;
-			this.previousSamples = this.currentSamples;
-			this.currentNanos = 0;
-			this.currentSamples = 0;
-		}
-
-	}
-
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RequestInfo.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/RequestInfo.java
@@ -26,11 +26,13 @@
  * clock; a later one is still useful to the caller up to the first-token deadline
  * @param sharedPromptParts the ids of the parts of its prompt that other requests may
  * share
+ * @param maxOutputEvents the maximum number of events that it may generate as a stream; 0
+ * if it is not limited
  */
 public record RequestInfo(long requestId, String workspace, TargetKind targetKind, String name, int promptTokens,
 		int maxOutputTokens, int priority, long firstTokenDeadlineNanos, long totalDeadlineNanos, boolean idempotent,
 		ClaimRequirement claim, String fingerprint, List<Long> prefixHashes, int maxAttempts, long softDeadlineNanos,
-		List<String> sharedPromptParts) {
+		List<String> sharedPromptParts, int maxOutputEvents) {
 
 	/**
 	 * The limit of attempts if the operator configures none. It bounds the cost of
@@ -44,7 +46,8 @@
 	}
 
 	/**
-	 * Creates a request whose prompt has no parts that are known.
+	 * Creates a request whose prompt has no parts that are known and each of whose tokens
+	 * may be an event of its own.
 	 * @param requestId the id that this daemon assigned to it
 	 * @param workspace the caller's workspace
 	 * @param targetKind whether it is for a model or for a plain service
@@ -67,7 +70,7 @@
 			long softDeadlineNanos) {
 		this(requestId, workspace, targetKind, name, promptTokens, maxOutputTokens, priority, firstTokenDeadlineNanos,
 				totalDeadlineNanos, idempotent, claim, fingerprint, prefixHashes, maxAttempts, softDeadlineNanos,
-				List.of());
+				List.of(), maxOutputTokens);
 	}
 
 	/**
@@ -116,7 +119,7 @@
 		return new RequestInfo(this.requestId, this.workspace, this.targetKind, this.name, this.promptTokens,
 				this.maxOutputTokens, this.priority, this.firstTokenDeadlineNanos, this.totalDeadlineNanos,
 				this.idempotent, this.claim, this.fingerprint, this.prefixHashes, this.maxAttempts,
-				newSoftDeadlineNanos, this.sharedPromptParts);
+				newSoftDeadlineNanos, this.sharedPromptParts, this.maxOutputEvents);
 	}
 
 	/**
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/TrafficCore.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.pistachioline.core.admission.Refusal;
@@ -59,6 +60,8 @@
 
 	private final CompletionTimes completionTimes = new CompletionTimes();
 
+	private final OutputPace outputPace = new OutputPace();
+
 	private final DrainAdmission drainAdmission;
 
 	private final ArrivalAdmission arrivalAdmission;
@@ -72,8 +75,8 @@
 		this.isolation = new SuspectIsolation(policies.quarantine());
 		this.targets = new TargetRegistry(policies.placement());
 		this.activeRequests = new ActiveRequests(policies, this.targets, this.isolation, this.redispatchQueue,
-				this.completionTimes);
-		this.drainAdmission = new DrainAdmission(this.completionTimes, this.activeRequests);
+				this.completionTimes, this.outputPace);
+		this.drainAdmission = new DrainAdmission(this.completionTimes, this.outputPace, this.activeRequests);
 		this.suspectTracker = new SuspectTracker(policies.quarantine(), this.isolation, this.activeRequests);
 		this.selector = new TargetSelector(this.targets, this.isolation, policies.placement());
 		this.dispatcher = new Dispatcher(policies, this.activeRequests, this.targets, this.selector, this.isolation,
@@ -237,6 +240,10 @@
 		if (first) {
 			this.policies.queue().onFirstToken(nowNanos, request.info, nowNanos - request.attemptStartedAtNanos);
 		}
+		if (request.firstOutputAtNanos.isEmpty()) {
+			request.firstOutputAtNanos = OptionalLong.of(nowNanos);
+			this.outputPace.onFirstEvent(nowNanos, request);
+		}
 		request.hasRun = true;
 		request.attemptHasOutput = true;
 		request.load.onTokens(nowNanos, request.progressAtNanos, tokensDelivered - request.tokensDelivered, first);
@@ -350,6 +357,7 @@
 		this.monitor.onTick(nowNanos);
 		this.deadlineAdmission.onTick(nowNanos);
 		this.outcomes.failUnplaceable(nowNanos);
+		this.drainAdmission.refuseWaiting(nowNanos);
 		return dispatchReady(nowNanos);
 	}
 
@@ -362,6 +370,15 @@
 		this.drainAdmission.onDrain(drain);
 	}
 
+	/**
+	 * Returns what a leaving daemon does for callers at present.
+	 * @param nowNanos the monotonic time
+	 * @return the report
+	 */
+	public DrainReport drainReport(long nowNanos) {
+		return this.drainAdmission.report(nowNanos);
+	}
+
 	/**
 	 * Fails all active requests, because the daemon stops.
 	 * @param nowNanos the monotonic time
--- a/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashSimulationDaemon.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/quarantine/CrashSimulationDaemon.java
@@ -158,7 +158,7 @@
 		apply(this.core.onRequest(nowNanos,
 				new RequestInfo(requestId, "shop", TargetKind.MODEL, "pool/m", 100, 60, 0, nowNanos + DEADLINE_NANOS,
 						nowNanos + DEADLINE_NANOS, true, ClaimRequirement.NONE, fingerprint, List.of(), 2,
-						nowNanos + SOFT_DEADLINE_NANOS, promptParts)));
+						nowNanos + SOFT_DEADLINE_NANOS, promptParts, 60)));
 	}
 
 	/**
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/DrainAdmissionTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/DrainAdmissionTests.java
@@ -102,7 +102,8 @@
 			}
 			while (nowNanos < STOP_NANOS + nanos(LINGER_MILLIS)) {
 				final boolean acceptsEstimates = nowNanos < STOP_NANOS + nanos(ESTIMATES_MILLIS);
-				this.simulation.core.onDrain(new Drain(DRAIN_ENDS_AT_NANOS, 100, acceptsEstimates));
+				this.simulation.core.onDrain(new Drain(DRAIN_ENDS_AT_NANOS,
+						acceptsEstimates ? DrainAcceptance.ESTIMATE : DrainAcceptance.DEADLINE, 100, false));
 				final Arrival arrival = arrive(nowNanos);
 				final boolean outlasts = arrival.endsAtNanos > DRAIN_ENDS_AT_NANOS;
 				chosen.add(arrival.accepted, outlasts, !acceptsEstimates);
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/DrainTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/DrainTests.java
@@ -95,11 +95,90 @@
 	void withoutEstimatesOnlyADeadlineThatFitsIsAccepted() {
 		startTarget();
 		completeRequests(SAMPLES, 60, 500);
-		drain(3_000, 100, false);
+		drain(3_000, 100, DrainAcceptance.DEADLINE);
 		assertThat(offer(DEADLINE_MILLIS, 60)).singleElement().isInstanceOf(TrafficAction.Fail.class);
 		assertThat(offer(2_900, 60)).singleElement().isInstanceOf(TrafficAction.Start.class);
 	}
 
+	// Guards against streams that are cut off because all before them were shorter.
+	@Test
+	void afterTheEstimatesAStreamIsAcceptedOnlyIfAllTheOutputThatItMayHaveFits() {
+		startTarget();
+		completeStreams(SAMPLES, 3, 100);
+		drain(3_000, 100, DrainAcceptance.OUTPUT_LIMIT);
+		assertThat(offer(DEADLINE_MILLIS, 60)).singleElement().isInstanceOf(TrafficAction.Fail.class);
+		assertThat(offer(DEADLINE_MILLIS, 20)).singleElement().isInstanceOf(TrafficAction.Start.class);
+		drain(3_000, 100, DrainAcceptance.ESTIMATE);
+		assertThat(offer(DEADLINE_MILLIS, 60)).singleElement().isInstanceOf(TrafficAction.Start.class);
+	}
+
+	// Guards against a limit at the usual pace while some streams are slower.
+	@Test
+	void theSlowestStreamThatStillRunsCounts() {
+		startTarget();
+		completeStreams(SAMPLES, 3, 100);
+		final TrafficAction.Start slow = (TrafficAction.Start) offer(60_000, 60).get(0);
+		progress(slow, 1, 100);
+		progress(slow, 2, 400);
+		drain(3_000, 100, DrainAcceptance.OUTPUT_LIMIT);
+		assertThat(offer(DEADLINE_MILLIS, 20)).singleElement().isInstanceOf(TrafficAction.Fail.class);
+		assertThat(offer(DEADLINE_MILLIS, 4)).singleElement().isInstanceOf(TrafficAction.Start.class);
+	}
+
+	// Guards against callers who are sent away without a limit of output to go by.
+	@Test
+	void withoutALimitOfOutputOnlyADeadlineThatFitsIsAccepted() {
+		startTarget();
+		completeStreams(SAMPLES, 3, 100);
+		drain(3_000, 100, DrainAcceptance.OUTPUT_LIMIT);
+		assertThat(offer(DEADLINE_MILLIS, 0)).singleElement().isInstanceOf(TrafficAction.Fail.class);
+		assertThat(offer(2_900, 0)).singleElement().isInstanceOf(TrafficAction.Start.class);
+	}
+
+	// Guards against callers who come back before anybody can serve them.
+	@Test
+	void aRefusalNamesATimeAfterTheLastRequestOfTheOnlyDaemon() {
+		startTarget();
+		offer(2_000, 60);
+		this.simulation.core.onDrain(new Drain(this.simulation.nowNanos + TimeUnit.MILLISECONDS.toNanos(5_000),
+				DrainAcceptance.NOTHING, 1_000, true));
+		assertThat(offer(2_000, 60)).singleElement()
+			.isInstanceOfSatisfying(TrafficAction.Fail.class,
+					(refusal) -> assertThat(refusal.retryAfterMillis()).isBetween(3_000L, 4_000L));
+	}
+
+	// Guards against streams that wait for a target until too little time is left.
+	@Test
+	void aRequestThatHasWaitedForTooLongIsRefusedAsNotRun() {
+		startTarget();
+		completeStreams(SAMPLES, 3, 100);
+		this.simulation.targets(TrafficSimulation.model("t1", false));
+		offer(DEADLINE_MILLIS, 20);
+		drain(3_000, 100, DrainAcceptance.OUTPUT_LIMIT);
+		assertThat(this.simulation.core.onTick(this.simulation.nowNanos)).isEmpty();
+		this.simulation.nowNanos += TimeUnit.MILLISECONDS.toNanos(1_000);
+		assertThat(this.simulation.core.onTick(this.simulation.nowNanos)).singleElement()
+			.isInstanceOfSatisfying(TrafficAction.Fail.class, (refusal) -> {
+				assertThat(refusal.kind()).isEqualTo(ErrorKind.LEAVING);
+				assertThat(refusal.runState()).isEqualTo(RunState.NOT_RUN);
+			});
+	}
+
+	// Guards against a daemon that does not notice that it only refuses.
+	@Test
+	void theReportTellsWhatWasAcceptedAndRefusedLately() {
+		startTarget();
+		drain(5_000, 700);
+		offer(4_900, 60);
+		offer(DEADLINE_MILLIS, 60);
+		offer(DEADLINE_MILLIS, 60);
+		this.simulation.nowNanos += TimeUnit.MILLISECONDS.toNanos(200);
+		assertThat(this.simulation.core.drainReport(this.simulation.nowNanos))
+			.isEqualTo(new DrainReport(1, 2, TimeUnit.MILLISECONDS.toNanos(200)));
+		this.simulation.nowNanos += TimeUnit.MILLISECONDS.toNanos(600);
+		assertThat(this.simulation.core.drainReport(this.simulation.nowNanos).refusesMost()).isFalse();
+	}
+
 	// Guards against an estimate that leaves out the slowest requests, as they still run.
 	@Test
 	void aRequestIsRefusedWhileOneLikeItRunsForLongerThanTheTimeThatIsLeft() {
@@ -144,12 +223,12 @@
 	}
 
 	private void drain(long endsInMillis, long retryAfterMillis) {
-		drain(endsInMillis, retryAfterMillis, true);
+		drain(endsInMillis, retryAfterMillis, DrainAcceptance.ESTIMATE);
 	}
 
-	private void drain(long endsInMillis, long retryAfterMillis, boolean acceptsEstimates) {
+	private void drain(long endsInMillis, long retryAfterMillis, DrainAcceptance acceptance) {
 		this.simulation.core.onDrain(new Drain(this.simulation.nowNanos + TimeUnit.MILLISECONDS.toNanos(endsInMillis),
-				retryAfterMillis, acceptsEstimates));
+				acceptance, retryAfterMillis, false));
 	}
 
 	private void completeRequests(int count, int maxOutputTokens, long tookMillis) {
@@ -161,6 +240,22 @@
 		}
 	}
 
+	private void completeStreams(int count, int events, long intervalMillis) {
+		for (int i = 0; i < count; i++) {
+			final TrafficAction.Start start = (TrafficAction.Start) offer(DEADLINE_MILLIS, 60).get(0);
+			for (int event = 1; event <= events; event++) {
+				progress(start, event, intervalMillis);
+			}
+			this.simulation.core.onAttemptEnd(this.simulation.nowNanos, start.attempt(), AttemptOutcome.COMPLETE,
+					events);
+		}
+	}
+
+	private void progress(TrafficAction.Start start, int events, long afterMillis) {
+		this.simulation.nowNanos += TimeUnit.MILLISECONDS.toNanos(afterMillis);
+		this.simulation.core.onProgress(this.simulation.nowNanos, start.attempt(), events);
+	}
+
 	private List<TrafficAction> offer(long deadlineMillis, int maxOutputTokens) {
 		return offer(deadlineMillis, maxOutputTokens, true);
 	}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/QuarantineReasonTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/QuarantineReasonTests.java
@@ -36,7 +36,7 @@
 		final long deadlineNanos = this.nowNanos + SECOND_NANOS;
 		return this.core.onRequest(this.nowNanos,
 				new RequestInfo(id, "shop", TargetKind.MODEL, "pool/m", 100, 60, 0, deadlineNanos, deadlineNanos, true,
-						ClaimRequirement.NONE, fingerprint, List.of(), 2, deadlineNanos, parts));
+						ClaimRequirement.NONE, fingerprint, List.of(), 2, deadlineNanos, parts, 60));
 	}
 
 	private static TrafficAction refusal(long id, FailureReason reason) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/Daemon.java
@@ -40,6 +40,7 @@
 import org.pistachioline.core.state.StalenessBound;
 import org.pistachioline.core.stream.CheckpointPolicy;
 import org.pistachioline.core.traffic.Drain;
+import org.pistachioline.core.traffic.DrainAcceptance;
 import org.pistachioline.core.traffic.StandardPolicies;
 import org.pistachioline.core.traffic.TargetView;
 import org.pistachioline.core.traffic.TrafficCore;
@@ -271,7 +272,7 @@
 		while (System.nanoTime() - leaveStartedAtNanos < endpointTtlNanos) {
 			LockSupport.parkNanos(DRAIN_CHECK_INTERVAL_NANOS);
 		}
-		this.traffic.drain(new Drain(System.nanoTime(), LEAVING_RETRY_MILLIS, false));
+		this.traffic.drain(new Drain(System.nanoTime(), DrainAcceptance.NOTHING, LEAVING_RETRY_MILLIS, false));
 		while (this.traffic.activeRequestCount() > 0 && System.nanoTime() - leaveStartedAtNanos < MAX_DRAIN_NANOS) {
 			LockSupport.parkNanos(DRAIN_CHECK_INTERVAL_NANOS);
 		}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/GracefulShutdown.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/GracefulShutdown.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
 
-import org.pistachioline.core.endpoints.Successors;
+import org.pistachioline.core.endpoints.Departure;
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.peer.PeerStatus;
 import org.pistachioline.core.traffic.Drain;
@@ -32,21 +32,9 @@
 	 */
 	private static final long STOP_MARGIN_MILLIS = 1_300;
 
-	/** Callers cache an endpoint list for up to three times its TTL of one second. */
-	private static final long LOOKUP_EXPIRY_MILLIS = 3_000;
-
-	/** Includes the time that a request may be on its way after the expiry. */
-	private static final long LINGER_MILLIS = 3_500;
-
 	/** Time for callers to take their last response and close their connections. */
 	private static final long CLOSE_MILLIS = 600;
 
-	/** The time after which an endpoint list names another daemon. */
-	private static final long NEXT_LOOKUP_MILLIS = 100;
-
-	/** A restarted daemon serves within a second or two. */
-	private static final long RESTART_MILLIS = 1_000;
-
 	private static final long CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
 	private final long graceMillis;
@@ -59,8 +47,6 @@
 
 	private final Supplier<List<PeerStatus>> livePeers;
 
-	private boolean othersServed;
-
 	/**
 	 * Creates a shutdown that does nothing until it is run.
 	 * @param graceMillis the time after which the process is killed
@@ -86,9 +72,10 @@
 		final long maxDrainMillis = Math.max(0, this.graceMillis - STOP_MARGIN_MILLIS);
 		final long endsAtNanos = startedAtNanos + TimeUnit.MILLISECONDS.toNanos(maxDrainMillis);
 		Events.log(EventId.STOPPING, "held", this.traffic.activeRequestCount());
-		serveLateCallers(startedAtNanos, endsAtNanos);
+		final Departure departure = new Departure(startedAtNanos, endsAtNanos, this.livePeers.get());
+		serveLateCallers(departure);
 		final long lingeredMillis = millisSince(startedAtNanos);
-		final CompletableFuture<Void> closed = stopAdmission();
+		final CompletableFuture<Void> closed = stopAdmission(departure);
 		completeActive(endsAtNanos);
 		final int interrupted = this.traffic.activeRequestCount();
 		this.traffic.interruptAll();
@@ -97,43 +84,25 @@
 				millisSince(startedAtNanos));
 	}
 
-	// Without another daemon, callers would find nobody until this one is back.
-	private void serveLateCallers(long startedAtNanos, long endsAtNanos) {
-		final Successors successors = new Successors(this.livePeers.get());
-		final long lookupsExpireAtNanos = startedAtNanos + TimeUnit.MILLISECONDS.toNanos(LOOKUP_EXPIRY_MILLIS);
-		final long lingerUntilNanos = startedAtNanos + TimeUnit.MILLISECONDS.toNanos(LINGER_MILLIS);
-		boolean othersServe = successors.serve(this.livePeers.get());
-		Drain terms = terms(endsAtNanos, lookupsExpireAtNanos, othersServe);
+	private void serveLateCallers(Departure departure) {
+		Drain terms = departure.terms(System.nanoTime(), this.livePeers.get());
 		this.traffic.drain(terms);
 		// A request that follows an answer which announces the end is under the terms.
 		this.relay.leave();
-		while (System.nanoTime() < endsAtNanos && (System.nanoTime() < lingerUntilNanos || !othersServe)) {
+		while (!departure.isOver(System.nanoTime(), this.livePeers.get(), this.traffic.drainReport())) {
 			LockSupport.parkNanos(CHECK_INTERVAL_NANOS);
-			othersServe = successors.serve(this.livePeers.get());
-			final Drain termsNow = terms(endsAtNanos, lookupsExpireAtNanos, othersServe);
+			final Drain termsNow = departure.terms(System.nanoTime(), this.livePeers.get());
 			if (!termsNow.equals(terms)) {
 				terms = termsNow;
 				this.traffic.drain(terms);
 			}
 		}
-		this.othersServed = othersServe;
-	}
-
-	// A caller that still has this daemon's address after the expiry finds another one
-	// with its next look-up, so nothing is accepted on an estimate.
-	private static Drain terms(long endsAtNanos, long lookupsExpireAtNanos, boolean othersServe) {
-		final boolean lookupsExpired = System.nanoTime() >= lookupsExpireAtNanos;
-		return new Drain(endsAtNanos, retryAfterMillis(othersServe), !othersServe || !lookupsExpired);
-	}
-
-	private static long retryAfterMillis(boolean othersServe) {
-		return othersServe ? NEXT_LOOKUP_MILLIS : RESTART_MILLIS;
 	}
 
 	// Admission ends before the connections do: a request that is read afterwards is
 	// refused rather than lost.
-	private CompletableFuture<Void> stopAdmission() {
-		this.traffic.drain(new Drain(System.nanoTime(), retryAfterMillis(this.othersServed), false));
+	private CompletableFuture<Void> stopAdmission(Departure departure) {
+		this.traffic.drain(departure.finalTerms(this.livePeers.get()));
 		this.tunnels.stopAccepting();
 		return this.relay.finish();
 	}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -25,10 +25,12 @@
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.propagation.VersionLag;
 import org.pistachioline.core.replica.ServingGroups;
+import org.pistachioline.core.route.EngineSpec;
 import org.pistachioline.core.route.QueueTimeBudget;
 import org.pistachioline.core.route.Route;
 import org.pistachioline.core.route.RouteKind;
 import org.pistachioline.core.route.RouteTable;
+import org.pistachioline.core.route.ServiceSpec;
 import org.pistachioline.core.route.WorkspaceApiKeys;
 import org.pistachioline.core.traffic.ClaimRequirement;
 import org.pistachioline.core.traffic.RequestInfo;
@@ -135,7 +137,10 @@
 			RelayedRequest relayed, Optional<WorkspaceApiKeys> keyHolder) {
 		final RequestMetadata metadata = relayed.metadata();
 		final String service = route.selectService(ThreadLocalRandom.current().nextDouble());
-		final boolean grouped = table.service(service).filter((spec) -> spec.grouped()).isPresent();
+		final Optional<EngineSpec> engine = table.service(service)
+			.filter(ServiceSpec::grouped)
+			.flatMap(ServiceSpec::engine);
+		final boolean grouped = engine.isPresent();
 		final long timeoutMillis = timeoutMillis(route, metadata);
 		final long deadlineNanos = arrivedAtNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
 		final long firstTokenDeadlineNanos = arrivedAtNanos
@@ -149,7 +154,8 @@
 				firstTokenDeadlineNanos, deadlineNanos, route.idempotent(), ClaimRequirement.NONE,
 				RequestFingerprint.of(relayed), List.of(), Math.max(1, route.maxAttempts()),
 				arrivedAtNanos + TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis()),
-				metadata.sharedPromptParts());
+				metadata.sharedPromptParts(),
+				engine.map((spec) -> spec.maxOutputEvents(metadata.maxOutputTokens())).orElse(0));
 	}
 
 	private static long timeoutMillis(Route route, RequestMetadata metadata) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficDuty.java
@@ -24,6 +24,7 @@
 import org.pistachioline.core.traffic.AttemptId;
 import org.pistachioline.core.traffic.AttemptOutcome;
 import org.pistachioline.core.traffic.Drain;
+import org.pistachioline.core.traffic.DrainReport;
 import org.pistachioline.core.traffic.TargetView;
 import org.pistachioline.core.traffic.TrafficCore;
 import org.pistachioline.daemon.Lifecycle;
@@ -299,6 +300,14 @@
 		this.duty.put(new TrafficMessage.DrainChanged(drain));
 	}
 
+	/**
+	 * Returns what a leaving daemon did for callers as of the last tick.
+	 * @return the report
+	 */
+	public DrainReport drainReport() {
+		return this.handler.drainReport();
+	}
+
 	/**
 	 * Fails all active requests, because the daemon stops.
 	 */
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessageHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/traffic/TrafficMessageHandler.java
@@ -5,6 +5,7 @@
 
 import org.pistachioline.core.event.EventId;
 import org.pistachioline.core.traffic.AttemptOutcome;
+import org.pistachioline.core.traffic.DrainReport;
 import org.pistachioline.core.traffic.PauseDetector;
 import org.pistachioline.core.traffic.TrafficAction;
 import org.pistachioline.core.traffic.TrafficCore;
@@ -41,6 +42,8 @@
 
 	private volatile long droppedResponseCount;
 
+	private volatile DrainReport drainReport = DrainReport.EMPTY;
+
 	/**
 	 * Creates a handler.
 	 * @param core makes the decisions
@@ -78,6 +81,10 @@
 		return this.droppedResponseCount;
 	}
 
+	DrainReport drainReport() {
+		return this.drainReport;
+	}
+
 	@Override
 	public void onTick() {
 		final long nowNanos = System.nanoTime();
@@ -85,6 +92,7 @@
 		execute(this.core.onTick(nowNanos));
 		execute(this.limitShares.update(nowNanos, this.core));
 		this.targetMonitor.refresh(nowNanos);
+		this.drainReport = this.core.drainReport(nowNanos);
 		this.tickListener.accept(nowNanos);
 		if (this.quarantines.isDue(nowNanos)) {
 			execute(this.quarantines.update(nowNanos, this.core));
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/CrashProbeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/CrashProbeTests.java
@@ -29,7 +29,8 @@
 
 	private static RequestInfo request(String fingerprint) {
 		return new RequestInfo(1, "", TargetKind.MODEL, "pool/m", 100, 60, 0, Long.MAX_VALUE, Long.MAX_VALUE, true,
-				ClaimRequirement.NONE, fingerprint, List.of(), 2, Long.MAX_VALUE, List.of("part-of-" + fingerprint));
+				ClaimRequirement.NONE, fingerprint, List.of(), 2, Long.MAX_VALUE, List.of("part-of-" + fingerprint),
+				60);
 	}
 
 	@Test
