--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -192,22 +192,15 @@
 			abort();
 			return;
 		}
-		final WebRequest request = this.call.request();
-		final HttpHeaders headers = request.headers().toNetty();
-		headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
-		final boolean hasBody = request.body().sizeBytes() > 0 || !request.method().equals("GET");
-		if (hasBody) {
-			headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().sizeBytes());
-		}
-		else {
-			headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+		final FullHttpRequest message;
+		try {
+			message = messageOf(this.call.request());
 		}
-		if (!headers.contains(HttpHeaderNames.HOST)) {
-			headers.set(HttpHeaderNames.HOST, this.address);
+		catch (RuntimeException ex) {
+			// Nobody else would learn of it: its caller would wait until the deadline.
+			fail(new UnsendableRequestException(ex));
+			return;
 		}
-		final FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-				HttpMethod.valueOf(request.method()), request.target(), request.body().toBuffer(), headers,
-				EmptyHttpHeaders.INSTANCE);
 		final ClientCall sent = this.call;
 		this.channel.writeAndFlush(message).addListener((done) -> {
 			if (this.call != sent && this.call != null) {
@@ -222,6 +215,23 @@
 		});
 	}
 
+	private FullHttpRequest messageOf(WebRequest request) {
+		final HttpHeaders headers = request.headers().toNetty();
+		headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
+		final boolean hasBody = request.body().sizeBytes() > 0 || !request.method().equals("GET");
+		if (hasBody) {
+			headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().sizeBytes());
+		}
+		else {
+			headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+		}
+		if (!headers.contains(HttpHeaderNames.HOST)) {
+			headers.set(HttpHeaderNames.HOST, this.address);
+		}
+		return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method()), request.target(),
+				request.body().toBuffer(), headers, EmptyHttpHeaders.INSTANCE);
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		try {
--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/HeaderFields.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/HeaderFields.java
@@ -11,7 +11,7 @@
 
 /**
  * The header fields of one message, in their order. Names are told apart without regard
- * to case.
+ * to case. A value has a character for each octet; {@link HeaderText} converts others.
  */
 public final class HeaderFields {
 
@@ -124,8 +124,18 @@
 		return "HeaderFields" + this.fields.stream().map(Field::name).toList();
 	}
 
+	/**
+	 * One field.
+	 *
+	 * @param name its name
+	 * @param value its value, with a character for each octet
+	 */
 	private record Field(String name, String value) {
 
+		Field {
+			HeaderText.requireOctets(value);
+		}
+
 	}
 
 }
--- a/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/WebClientTests.java
+++ b/pistachioline-adapters/src/test/java/org/pistachioline/adapters/web/WebClientTests.java
@@ -114,6 +114,17 @@
 				.isNotInstanceOf(TimeoutException.class));
 	}
 
+	// Guards against a caller who waits until the deadline for a request that was never
+	// written.
+	@Test
+	void aRequestThatCannotBeWrittenFailsAtOnceAndIsToldApart() {
+		final WebRequest request = WebRequest.get("/", HeaderFields.of("Name", "a\nb"));
+		assertThatExceptionOfType(CompletionException.class)
+			.isThrownBy(
+					() -> this.client.call("127.0.0.1:" + this.target.getLocalPort(), request, false, LIMITS).join())
+			.withCauseInstanceOf(UnsendableRequestException.class);
+	}
+
 	@Test
 	void aTargetThatIsNotThereIsToldApart() throws IOException {
 		this.target.close();
--- a/pistachioline-core/src/main/java/org/pistachioline/core/error/ErrorKind.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/error/ErrorKind.java
@@ -92,6 +92,13 @@
 	CLAIM_UNAVAILABLE("claim_unavailable", 503, RunState.NOT_RUN, true,
 			"Non-idempotent requests cannot be accepted at present."),
 
+	/**
+	 * The request cannot be written to a target, such as one of a workspace whose name
+	 * does not fit into a header.
+	 */
+	UNSENDABLE("unsendable", 503, RunState.NOT_RUN, false,
+			"The request cannot be sent to targets; the operators have to change the configuration."),
+
 	/** The request is quarantined, since targets crashed while they ran it. */
 	QUARANTINED("quarantined", 422, RunState.NOT_RUN, false, "Targets crashed while running this request."),
 
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcome.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcome.java
@@ -33,6 +33,9 @@
 	 * The attempt was never sent: by the time it was due, the target no longer accepted
 	 * requests.
 	 */
-	WITHHELD
+	WITHHELD,
+
+	/** The request could not be written for any target, so no byte was sent. */
+	UNSENDABLE
 
 }
--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomeHandler.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomeHandler.java
@@ -51,6 +51,10 @@
 			onWithheld(nowNanos, request);
 			return;
 		}
+		if (outcome == AttemptOutcome.UNSENDABLE) {
+			onUnsendable(nowNanos, request);
+			return;
+		}
 		final boolean migrated = request.migrating;
 		// A target that has delivered output cannot claim afterwards that it ran nothing.
 		final boolean declined = outcome == AttemptOutcome.DECLINED && !request.attemptHasOutput;
@@ -104,6 +108,13 @@
 		}
 	}
 
+	// No other target could be sent it either, and the target is not at fault.
+	private void onUnsendable(long nowNanos, ActiveRequest request) {
+		request.sentAttempts--;
+		this.activeRequests.detachFromTarget(nowNanos, request, AttemptOutcome.CANCELLED);
+		this.activeRequests.fail(nowNanos, request, ErrorKind.UNSENDABLE, 0);
+	}
+
 	private void afterFailure(long nowNanos, ActiveRequest request, AttemptOutcome outcome) {
 		if (this.activeRequests.failIfQuarantined(nowNanos, request)) {
 			return;
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -11,6 +11,7 @@
 import org.pistachioline.adapters.web.MalformedAnswer;
 import org.pistachioline.adapters.web.MalformedAnswerException;
 import org.pistachioline.adapters.web.UnexpectedAnswer;
+import org.pistachioline.adapters.web.UnsendableRequestException;
 import org.pistachioline.adapters.web.WebCall;
 import org.pistachioline.adapters.web.WebRequest;
 import org.pistachioline.core.event.EventId;
@@ -82,6 +83,15 @@
 	}
 
 	void send(long remainingMillis) {
+		try {
+			sendToTarget(remainingMillis);
+		}
+		catch (RuntimeException ex) {
+			onFailure(new UnsendableRequestException(ex));
+		}
+	}
+
+	private void sendToTarget(long remainingMillis) {
 		final RelayContext context = this.exchange.context();
 		this.sentAtNanos = System.nanoTime();
 		this.targetRequest = context.protocol()
@@ -277,6 +287,12 @@
 
 	@Override
 	public void onFailure(Throwable failure) {
+		if (failure instanceof UnsendableRequestException) {
+			Events.log(EventId.REQUEST_INTERNAL_ERROR, failure, "request",
+					this.exchange.request().metadata().requestId());
+			end(AttemptOutcome.UNSENDABLE);
+			return;
+		}
 		if (failure instanceof ExcessiveBytesException) {
 			logOversized("a head", OversizeBound.SINGLE);
 		}
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayHandler.java
@@ -116,6 +116,7 @@
 		if (!anonymous && keyHolder.isEmpty()) {
 			throw new PistachiolineException(unlessBehind(ErrorKind.UNAUTHENTICATED));
 		}
+		require(anonymous || keyHolder.get().sendable(), ErrorKind.UNSENDABLE);
 		final Optional<String> workspace = anonymous ? Optional.empty() : keyHolder.map(WorkspaceApiKeys::name);
 		final RelayedRequest relayed = new RelayedRequest(metadata, request.method(), request.target(),
 				HopByHopHeaders.removeFrom(request.headers()), request.body(), workspace);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/StreamPosition.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/StreamPosition.java
@@ -89,8 +89,11 @@
 				lineEnd++;
 			}
 			if (startsWith(bytes, lineStart, lineEnd)) {
+				// As in a header field, a character for each octet: the target gets the
+				// id as
+				// it wrote it.
 				return new String(bytes, lineStart + ID_FIELD.length, lineEnd - lineStart - ID_FIELD.length,
-						StandardCharsets.US_ASCII)
+						StandardCharsets.ISO_8859_1)
 					.trim();
 			}
 			lineStart = lineEnd + 1;
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/RelayExchangeTests.java
@@ -122,6 +122,17 @@
 		assertThat(this.protocol.requestsBuilt()).isZero();
 	}
 
+	/**
+	 * Guards against a caller who waits until the deadline, as an error while its request
+	 * is written is told to nobody.
+	 */
+	@Test
+	void anAttemptWhoseRequestCannotBeBuiltEndsAtOnce() {
+		this.protocol.makeUnsendable();
+		exchange().start(new TrafficAction.Start(new AttemptId(7, 1), TARGET, 0), new RecordingAttemptListener());
+		assertThat(this.notifications).containsExactly("UNSENDABLE");
+	}
+
 	/**
 	 * Guards against a status that promises that a request has not run when it may have:
 	 * the caller would retry a request that is not idempotent.
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StreamPositionTests.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StreamPositionTests.java
@@ -35,6 +35,15 @@
 		assertThat(position.deliveredEvents()).isEqualTo(1);
 	}
 
+	// Guards against a stream that no target can continue, as it does not know the id.
+	@Test
+	void anIdThatIsNotAsciiIsKeptWithACharacterForEachOctet() {
+		final StreamPosition position = new StreamPosition(Optional.empty());
+		forward(position, bytes("id: \u6bb5-3\ndata: a\n\n"));
+		assertThat(position.lastEventId().map((id) -> id.getBytes(StandardCharsets.ISO_8859_1)))
+			.hasValueSatisfying((octets) -> assertThat(octets).isEqualTo(bytes("\u6bb5-3")));
+	}
+
 	@Test
 	void eventsWithoutAnIdAreForwardedUnchanged() {
 		final StreamPosition position = new StreamPosition(Optional.empty());
--- a/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StubProtocol.java
+++ b/pistachioline-daemon/src/test/java/org/pistachioline/daemon/relay/StubProtocol.java
@@ -31,12 +31,21 @@
 
 	private volatile Runnable nextRequestListener = NOTHING;
 
+	private boolean unsendable;
+
 	private int requestsBuilt;
 
 	int requestsBuilt() {
 		return this.requestsBuilt;
 	}
 
+	/**
+	 * Fails to build each request from now on.
+	 */
+	void makeUnsendable() {
+		this.unsendable = true;
+	}
+
 	/**
 	 * Sets what runs once, on the loop's thread, when the next request is read.
 	 * @param listener the step
@@ -57,6 +66,9 @@
 	@Override
 	public WebRequest toTargetRequest(RelayedRequest request, TargetView target, long remainingMillis,
 			Optional<String> lastEventId) {
+		if (this.unsendable) {
+			throw new IllegalArgumentException("The request has no form for targets");
+		}
 		this.requestsBuilt++;
 		final WebRequest unnamed = new WebRequest(request.method(), request.pathAndQuery(), request.headers(),
 				request.body());
