An attempt that has ended is never sent, also if its connection is made later

A request whose writing fails is refused as not run, so nothing of it may leave afterwards: RelayAttempt checks that when its connection is made, and an error in that check ends the attempt like one while the request is written.

--- a/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
+++ b/pistachioline-adapters/src/main/java/org/pistachioline/adapters/web/ClientConnection.java
@@ -188,12 +188,12 @@
 	}
 
 	private void write() {
-		if (!this.call.sending()) {
-			abort();
-			return;
-		}
 		final FullHttpRequest message;
 		try {
+			if (!this.call.sending()) {
+				abort();
+				return;
+			}
 			message = messageOf(this.call.request());
 		}
 		catch (RuntimeException ex) {
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/RelayAttempt.java
@@ -103,6 +103,10 @@
 
 	@Override
 	public boolean onSending() {
+		if (this.ended) {
+			// It ended before its connection was made.
+			return false;
+		}
 		// The caller may have left while a connection to the target was made.
 		if (!this.exchange.callerWaits()) {
 			end(AttemptOutcome.CANCELLED);
--- a/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/StreamPosition.java
+++ b/pistachioline-daemon/src/main/java/org/pistachioline/daemon/relay/StreamPosition.java
@@ -89,9 +89,7 @@
 				lineEnd++;
 			}
 			if (startsWith(bytes, lineStart, lineEnd)) {
-				// As in a header field, a character for each octet: the target gets the
-				// id as
-				// it wrote it.
+				// The target gets the id octet by octet, as it wrote it.
 				return new String(bytes, lineStart + ID_FIELD.length, lineEnd - lineStart - ID_FIELD.length,
 						StandardCharsets.ISO_8859_1)
 					.trim();
