An attempt that has delivered output is never taken for one that was not sent

The daemon reports it only before a byte is sent, but the core must not rest on that: with output it counts as a broken attempt, as a late decline does. The simulation now knows that an attempt that could not be written did not run; nothing else in the checks is changed. UnsendableRequestTests holds both sides; TrafficInvariantTests are green.

--- a/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomeHandler.java
+++ b/pistachioline-core/src/main/java/org/pistachioline/core/traffic/AttemptOutcomeHandler.java
@@ -51,7 +51,7 @@
 			onWithheld(nowNanos, request);
 			return;
 		}
-		if (outcome == AttemptOutcome.UNSENDABLE) {
+		if (outcome == AttemptOutcome.UNSENDABLE && !request.attemptHasOutput) {
 			onUnsendable(nowNanos, request);
 			return;
 		}
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficSimulation.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/TrafficSimulation.java
@@ -100,9 +100,10 @@
 	void end(AttemptId id, AttemptOutcome outcome) {
 		final Attempt attempt = this.liveAttempts.remove(id);
 		this.endedAttempts.add(id);
-		final boolean declined = outcome == AttemptOutcome.DECLINED
-				&& attempt.request.deliveredTokens == attempt.deliveredTokensAtStart;
-		if (outcome == AttemptOutcome.NOT_CONNECTED || outcome == AttemptOutcome.WITHHELD || declined) {
+		final boolean withoutOutput = attempt.request.deliveredTokens == attempt.deliveredTokensAtStart;
+		final boolean declined = outcome == AttemptOutcome.DECLINED && withoutOutput;
+		final boolean unsendable = outcome == AttemptOutcome.UNSENDABLE && withoutOutput;
+		if (outcome == AttemptOutcome.NOT_CONNECTED || outcome == AttemptOutcome.WITHHELD || declined || unsendable) {
 			attempt.request.possibleRuns--;
 		}
 		attempt.request.liveAttempt = null;
--- a/pistachioline-core/src/test/java/org/pistachioline/core/traffic/UnsendableRequestTests.java
+++ b/pistachioline-core/src/test/java/org/pistachioline/core/traffic/UnsendableRequestTests.java
@@ -28,4 +28,17 @@
 		assertThat(this.simulation.core.activeRequestCount()).isZero();
 	}
 
+	// Guards against a request that is refused as not run after its target has answered.
+	@Test
+	void anAttemptThatHasDeliveredOutputMayHaveRun() {
+		this.simulation.targets(TrafficSimulation.model("t1", true));
+		final TrafficSimulation.Request request = this.simulation.arriveUnclaimed(1, TargetKind.MODEL, "f", false);
+		this.simulation.core.onProgress(this.simulation.nowNanos, request.liveAttempt, 1);
+		final List<TrafficAction> actions = this.simulation.core.onAttemptEnd(this.simulation.nowNanos,
+				request.liveAttempt, AttemptOutcome.UNSENDABLE, 1);
+		assertThat(actions).singleElement()
+			.isInstanceOfSatisfying(TrafficAction.Fail.class,
+					(failure) -> assertThat(failure.runState()).isEqualTo(RunState.RAN));
+	}
+
 }
